Promises on one request, shown under endpoint faults; idempotency claims

A watcher read the ticket while the owner replaced it (race detector, engine-crash). A request that had failed at the only endpoint of a shard waited for another one until its longest wait (test: dial refused, not repeatable). A stop that was cut short closed connections before the last error was written. Idempotency keys are claimed in the platform's table, many a transaction.

--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,115 @@
+package claims_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/claims"
+	"oxbowslip.dev/oxbowslip/internal/platform"
+	"oxbowslip.dev/oxbowslip/internal/standin"
+)
+
+func startTables(c *qt.C, hosts int) (*standin.Platform, []*claims.Table) {
+	p := standin.NewPlatform(standin.PlatformConfig{})
+	c.Assert(p.Start("127.0.0.1:0"), qt.IsNil)
+	c.Cleanup(p.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var tables []*claims.Table
+	for range hosts {
+		client := platform.New(p.Address(), time.Minute, nil)
+		table := claims.New("host", client, logrus.NewEntry(log), time.Now)
+		done := make(chan struct{})
+		c.Cleanup(func() { close(done) })
+		go table.Run(done)
+		tables = append(tables, table)
+	}
+	return p, tables
+}
+
+func TestClaim(t *testing.T) {
+	type step struct {
+		table   int
+		key     string
+		attempt string
+		faults  standin.PlatformFaults
+		won     bool
+		err     bool
+	}
+	tests := map[string][]step{
+		"the first wins":       {{key: "k", attempt: "1", won: true}, {key: "k", attempt: "2"}},
+		"at another host":      {{key: "k", attempt: "1", won: true}, {table: 1, key: "k", attempt: "2"}},
+		"other keys are free":  {{key: "k", attempt: "1", won: true}, {table: 1, key: "l", attempt: "2", won: true}},
+		"the platform is down": {{key: "k", attempt: "1", faults: standin.PlatformFaults{Down: true}, err: true}, {table: 1, key: "k", attempt: "2", won: true}},
+		"a lost answer leaves the key unusable until it is given back": {
+			{key: "k", attempt: "1", faults: standin.PlatformFaults{LoseAnswers: true}, err: true},
+			{table: 1, key: "k", attempt: "2"},
+		},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p, tables := startTables(c, 2)
+			for i, s := range steps {
+				p.SetFaults(s.faults)
+				won, err := tables[s.table].Claim(context.Background(), "w", s.key, s.attempt)
+				c.Assert(won, qt.Equals, s.won, qt.Commentf("step %d", i))
+				c.Assert(err != nil, qt.Equals, s.err, qt.Commentf("step %d: %v", i, err))
+			}
+		})
+	}
+}
+
+// TestGiveBack gives a key back whose claim took effect although its caller was
+// told that nothing ran.
+func TestGiveBack(t *testing.T) {
+	c := qt.New(t)
+	p, tables := startTables(c, 2)
+	p.SetFaults(standin.PlatformFaults{LoseAnswers: true})
+	_, err := tables[0].Claim(context.Background(), "w", "k", "1")
+	c.Assert(err, qt.ErrorIs, claims.ErrUnavailable)
+	p.SetFaults(standin.PlatformFaults{})
+	tables[0].GiveBack(context.Background())
+	won, err := tables[1].Claim(context.Background(), "w", "k", "2")
+	c.Assert(err, qt.IsNil)
+	c.Assert(won, qt.IsTrue)
+}
+
+// TestRace has the same keys claimed at several hosts at once. Each key is won
+// once, and the claims share transactions.
+func TestRace(t *testing.T) {
+	c := qt.New(t)
+	p, tables := startTables(c, 4)
+	const keys = 50
+	var mu sync.Mutex
+	winners := make(map[string]int)
+	var group sync.WaitGroup
+	for n, table := range tables {
+		for k := range keys {
+			group.Go(func() {
+				key := string(rune('a'+k%26)) + string(rune('0'+k/26))
+				won, err := table.Claim(context.Background(), "w", key, key+string(rune('0'+n)))
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					winners["error"]++
+				}
+				if won {
+					winners[key]++
+				}
+			})
+		}
+	}
+	group.Wait()
+	c.Assert(winners, qt.HasLen, keys)
+	for key, n := range winners {
+		c.Assert(n, qt.Equals, 1, qt.Commentf("key %s", key))
+	}
+	c.Assert(p.Calls().Writes < len(tables)*keys, qt.IsTrue, qt.Commentf("%d writes", p.Calls().Writes))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"oxbowslip.dev/oxbowslip/internal/api"
+	"oxbowslip.dev/oxbowslip/internal/claims"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/dispatch"
 	"oxbowslip.dev/oxbowslip/internal/endpoint"
@@ -48,6 +49,7 @@
 	client    *endpoint.Client
 	platform  *platform.Client
 	counters  *counters.Counters
+	claims    *claims.Table
 	callers   *http.Server
 	operators *http.Server
 
@@ -77,6 +79,7 @@
 			newPlatform,
 			newFollower,
 			newOwner,
+			newClaims,
 			New,
 		),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -112,16 +115,20 @@
 	return owner.New(config.Name, d, s, c, ring, clock, random)
 }
 
+func newClaims(config hostconfig.Host, client *platform.Client, log *logrus.Logger, clock func() time.Time) *claims.Table {
+	return claims.New(config.Name, client, logging.Part(log, "claims"), clock)
+}
+
 // New makes a daemon that has not started.
 func New(config hostconfig.Host, log *logrus.Logger, holder *settings.Holder, follower *inforce.Follower, o *owner.Owner,
 	shards *shard.Host, client *endpoint.Client, platformClient *platform.Client, c *counters.Counters, ring *explain.Ring,
-	clock func() time.Time,
+	table *claims.Table, clock func() time.Time,
 ) *Daemon {
 	d := &Daemon{
 		config: config, log: logging.Part(log, "daemon"), holder: holder, follower: follower, owner: o, shards: shards,
-		client: client, platform: platformClient, counters: c, hurry: make(chan struct{}), done: make(chan struct{}), ended: make(chan struct{}),
+		client: client, platform: platformClient, counters: c, claims: table, hurry: make(chan struct{}), done: make(chan struct{}), ended: make(chan struct{}),
 	}
-	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, noClaims{}, logging.Part(log, "api"), clock,
+	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, table, logging.Part(log, "api"), clock,
 		config.WriteTimeout, d.notReady).HTTP()
 	d.operators = operator.New(config.OperatorKeys, c, ring, holder, d.status).HTTP()
 	c.Gauge("oxbowslip_open_requests", func() float64 { return float64(o.Open()) })
@@ -129,14 +136,6 @@
 	return d
 }
 
-// noClaims stands until claims are kept in the platform's table.
-type noClaims struct{}
-
-// Claim refuses: without the table nothing is known of other hosts.
-func (noClaims) Claim(context.Context, string, string, string) (bool, error) {
-	return false, merry.New("claims are not kept yet")
-}
-
 // Start listens and begins to follow the settings. It does not wait for them:
 // until they are there, the host is not ready.
 func (d *Daemon) Start(context.Context) error {
@@ -154,6 +153,7 @@
 	go d.serve(d.callers, callers)
 	go d.serve(d.operators, operators)
 	go d.follower.Run(d.done)
+	go d.claims.Run(d.done)
 	go d.followEndpoints()
 	d.log.WithFields(logrus.Fields{
 		"host": d.config.Name, "callers": d.callersAddress, "operators": d.operatorsAddress,
@@ -208,12 +208,21 @@
 	cut := d.owner.Drain(ctx)
 	d.cut.Store(int64(cut))
 	<-shut
-	d.callers.Close()
+	d.finishAnswers()
 	d.log.WithField("cut", cut).Info("stopped")
 	d.close()
 	return nil
 }
 
+// finishAnswers waits for the last answers, errors among them, to leave.
+func (d *Daemon) finishAnswers() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	// A caller that has not read its answer by then is cut off.
+	_ = d.callers.Shutdown(ctx)
+	d.callers.Close()
+}
+
 // Hurry ends the wait of a planned stop: what is still in flight is told that
 // the host stops.
 func (d *Daemon) Hurry() { d.hurryOnce.Do(func() { close(d.hurry) }) }
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -46,7 +46,10 @@
 	Operators string
 	// Notice is how long a leaving host goes on accepting.
 	Notice time.Duration
-	Log    io.Writer
+	// WriteTimeout bounds how long a caller may take to read; 0 means the
+	// daemon's own.
+	WriteTimeout time.Duration
+	Log          io.Writer
 	// LogLevel is the daemons' level; empty means warn.
 	LogLevel string
 }
@@ -159,7 +162,8 @@
 		OperatorKeys: []hostconfig.OperatorKey{
 			{Name: "demo", SHA256: settings.HashKey(OperatorKey), Role: hostconfig.RoleChange},
 		},
-		Drain: hostconfig.Drain{Notice: c.Config.Notice, Limit: time.Minute},
+		Drain:        hostconfig.Drain{Notice: c.Config.Notice, Limit: time.Minute},
+		WriteTimeout: c.Config.WriteTimeout,
 	}.WithDefaults()
 	if i == 0 {
 		config.Callers, config.Operators = c.Config.Callers, c.Config.Operators
@@ -251,7 +255,7 @@
 		}
 	}
 	for _, engine := range c.Engines {
-		engine.Close()
+		engine.Crash()
 	}
 	for _, service := range c.Services {
 		service.Close()
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -81,7 +81,7 @@
 	engine := c.Engines[victim]
 	switch fault {
 	case EngineCrash:
-		engine.Close()
+		engine.Crash()
 		return victim + " crashed"
 	case EngineSlow:
 		engine.SetFaults(standin.EngineFaults{Slow: 4})
--- a/internal/endpoint/endpoint.go
+++ b/internal/endpoint/endpoint.go
@@ -108,6 +108,10 @@
 			call.OnSend()
 		}
 	}}
+	header := call.Header
+	if header == nil {
+		header = make(http.Header)
+	}
 	body := call.Body
 	if body == nil {
 		body = emptyReader{}
@@ -115,7 +119,7 @@
 	request := (&http.Request{
 		Method:        call.Method,
 		URL:           target,
-		Header:        call.Header,
+		Header:        header,
 		Body:          onceBody{body},
 		ContentLength: call.Length,
 		Host:          call.Address,
--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -36,9 +36,9 @@
 
 // watch cancels the attempt when the scheduler takes the endpoint back, unless
 // something was delivered already or the request may not be repeated.
-func (a *Attempt) watch(cancel context.CancelCauseFunc, done <-chan struct{}) {
+func (a *Attempt) watch(preempted <-chan struct{}, cancel context.CancelCauseFunc, done <-chan struct{}) {
 	select {
-	case <-a.run.ticket.Preempted():
+	case <-preempted:
 	case <-done:
 		return
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -287,7 +287,7 @@
 	defer cancel(nil)
 	a := &Attempt{run: r, Number: r.life.Tries(), EndpointID: r.endpointID, Endpoint: r.endpoint}
 	done := make(chan struct{})
-	go a.watch(cancel, done)
+	go a.watch(r.ticket.Preempted(), cancel, done)
 	result := try(ctx, a)
 	close(done)
 	cause := context.Cause(ctx)
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -1,9 +1,6 @@
 package schedule
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // The constants of the learned limits.
 const (
@@ -97,7 +94,7 @@
 // fits reports whether a request may be granted now: there is a place, cache
 // memory for its prompt and predicted answer, and little prefill ahead.
 func (e *endpoint) fits(now time.Time, it *item, o *Options, need int) bool {
-	if !e.hasRoom() || slices.Contains(it.request.Avoid, e.ID) {
+	if !e.hasRoom() {
 		return false
 	}
 	if len(e.running) == 0 {
--- a/internal/schedule/endpoints.go
+++ b/internal/schedule/endpoints.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 )
 
@@ -83,7 +84,7 @@
 	var best *endpoint
 	var bestCost time.Duration
 	consider := func(e *endpoint) {
-		if !e.fits(now, it, &s.options, need) {
+		if s.avoids(r, e) || !e.fits(now, it, &s.options, need) {
 			return
 		}
 		cost := s.cost(now, r, e, prefixes)
@@ -122,17 +123,19 @@
 // room or not.
 func (s *endpointSet) leastLoaded(_ time.Time, r *Request) *endpoint {
 	for _, e := range s.byLoad.elements {
-		avoided := false
-		for _, id := range r.Avoid {
-			avoided = avoided || id == e.ID
-		}
-		if !avoided {
+		if !s.avoids(r, e) {
 			return e
 		}
 	}
 	return nil
 }
 
+// avoids reports whether a request should not go to an endpoint that failed it
+// before. When it has tried as many as can be used, any will do.
+func (s *endpointSet) avoids(r *Request, e *endpoint) bool {
+	return len(r.Avoid) < s.byLoad.Len() && slices.Contains(r.Avoid, e.ID)
+}
+
 func (s *endpointSet) take(now time.Time, it *item, e *endpoint) {
 	if len(e.running) == 0 {
 		e.heardAt = now
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -64,6 +64,7 @@
 
 	mu         sync.Mutex
 	address    string
+	crashed    bool
 	model      *emulator.Engine
 	faults     EngineFaults
 	streams    map[string]*stream
@@ -118,6 +119,7 @@
 	router.HandleFunc("/standin/faults", e.setFaults).Methods(http.MethodPost)
 	e.address = listener.Addr().String()
 	e.server = &http.Server{Handler: router, ReadHeaderTimeout: headerTime}
+	e.crashed = false
 	e.done = make(chan struct{})
 	e.stopped = make(chan struct{})
 	go serve(e.server, listener)
@@ -133,8 +135,13 @@
 // Address is where the engine listens.
 func (e *Engine) Address() string { return e.address }
 
-// Close ends the engine: its connections break, and what it ran is lost.
-func (e *Engine) Close() {
+// Crash ends the engine at once: its connections break, and what it ran is
+// lost. Start brings it back, empty. A crashed engine may be crashed again.
+func (e *Engine) Crash() {
+	if e.crashed {
+		return
+	}
+	e.crashed = true
 	close(e.done)
 	<-e.stopped
 	e.server.Close()
