Replays: traces through the real core in virtual time, beside baselines

Cause: the policy could not be measured. Change: trace format, generator with ten descriptions, the world in virtual time, nine invariants checked at every event, three baselines.

--- /dev/null
+++ b/cmd/oxbowslip-replay/main.go
@@ -0,0 +1,149 @@
+// Command oxbowslip-replay runs traces through the scheduler in virtual time,
+// and generates traces from descriptions.
+//
+// It exits with 0 if every invariant held and every stated outcome was reached,
+// 1 if not, and 2 if its arguments or a file are wrong.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"oxbowslip.dev/oxbowslip/internal/daemon"
+	"oxbowslip.dev/oxbowslip/internal/replay"
+	"oxbowslip.dev/oxbowslip/internal/strictjson"
+)
+
+const (
+	exitMissed = 1
+	exitUsage  = 2
+)
+
+type runCommand struct {
+	Files    []string `arg:"positional,required" help:"traces (JSON Lines)" placeholder:"FILE"`
+	Policies []string `arg:"--policy,separate" help:"a policy to run; may be given several times; 'all' means every one (default: current)" placeholder:"NAME"`
+	Summary  bool     `arg:"--summary" help:"one line a run"`
+	JSON     string   `arg:"--json" help:"write the results as JSON" placeholder:"FILE"`
+}
+
+type generateCommand struct {
+	Description string `arg:"positional,required" help:"what to generate (JSON)" placeholder:"DESCRIPTION"`
+	Out         string `arg:"--out,required" help:"the trace to write" placeholder:"FILE"`
+}
+
+type arguments struct {
+	Run      *runCommand      `arg:"subcommand:run" help:"replay traces"`
+	Generate *generateCommand `arg:"subcommand:generate" help:"write a trace from a seeded description"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "Replays traces through the scheduler in virtual time, beside baselines."
+}
+
+// Version is shown by --version.
+func (arguments) Version() string { return "oxbowslip-replay " + daemon.Version }
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	var code int
+	var err error
+	switch {
+	case args.Run != nil:
+		code, err = run(args.Run)
+	case args.Generate != nil:
+		code, err = generate(args.Generate)
+	default:
+		parser.Fail("name a command: run or generate")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "oxbowslip-replay:", err)
+	}
+	os.Exit(code)
+}
+
+func run(command *runCommand) (int, error) {
+	policies := command.Policies
+	if len(policies) == 0 {
+		policies = []string{replay.Current}
+	}
+	if len(policies) == 1 && policies[0] == "all" {
+		policies = replay.Policies
+	}
+	var all []*replay.Result
+	code := 0
+	for _, path := range command.Files {
+		trace, err := readTrace(path)
+		if err != nil {
+			return exitUsage, fmt.Errorf("%s: %w", path, err)
+		}
+		var results []*replay.Result
+		for _, policy := range policies {
+			result, err := replay.Run(trace, policy)
+			if err != nil {
+				return exitUsage, err
+			}
+			if policy == replay.Current && !result.OK() {
+				code = exitMissed
+			}
+			results = append(results, result)
+		}
+		if !command.Summary {
+			replay.Print(os.Stdout, results)
+		}
+		all = append(all, results...)
+	}
+	if command.Summary {
+		replay.Summary(os.Stdout, all)
+	}
+	if command.JSON != "" {
+		return code, writeJSON(command.JSON, all)
+	}
+	return code, nil
+}
+
+func readTrace(path string) (*replay.Trace, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return replay.Read(file)
+}
+
+func writeJSON(path string, results []*replay.Result) error {
+	data, err := json.Marshal(results, strictjson.DurationTexts, json.Deterministic(true), jsontext.WithIndent("  "))
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(data, '\n'), 0o644)
+}
+
+func generate(command *generateCommand) (int, error) {
+	data, err := os.ReadFile(command.Description)
+	if err != nil {
+		return exitUsage, err
+	}
+	description, err := replay.ReadDescription(data)
+	if err != nil {
+		return exitUsage, fmt.Errorf("%s: %w", command.Description, err)
+	}
+	trace, err := replay.Generate(description)
+	if err != nil {
+		return exitUsage, err
+	}
+	file, err := os.Create(command.Out)
+	if err != nil {
+		return exitUsage, err
+	}
+	defer file.Close()
+	if err := replay.Write(file, trace); err != nil {
+		return exitUsage, err
+	}
+	return 0, file.Close()
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,7 @@
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/settings"
+	"oxbowslip.dev/oxbowslip/internal/strictjson"
 )
 
 // ShardStatus is the state of one shard.
@@ -151,7 +152,7 @@
 }
 
 func answer(w http.ResponseWriter, status int, value any) {
-	data, err := json.Marshal(value, durationTexts, json.Deterministic(true))
+	data, err := json.Marshal(value, strictjson.DurationTexts, json.Deterministic(true))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -161,7 +162,3 @@
 	// A write that fails means that the operator is gone.
 	_, _ = w.Write(append(data, '\n'))
 }
-
-var durationTexts = json.WithMarshalers(json.MarshalFunc(func(d time.Duration) ([]byte, error) {
-	return []byte(`"` + d.String() + `"`), nil
-}))
--- /dev/null
+++ b/internal/replay/invariant.go
@@ -0,0 +1,113 @@
+package replay
+
+import (
+	"fmt"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+)
+
+// The invariants, named after the promises of the brief.
+const (
+	NoLowerBeforeShed  = "no-lower-tier-kept-before-a-shed"
+	PreemptDownwards   = "preemption-only-downwards"
+	AtMostOnce         = "at-most-once"
+	LeavingGetsNothing = "leaving-endpoint-gets-no-new-work"
+	NotRunIsTrue       = "not-run-is-true"
+	WholeAnswers       = "whole-answers-only"
+	EveryClassServed   = "every-class-served"
+	NothingLeaks       = "no-slot-or-request-leaks"
+	EveryRequestEnds   = "every-request-ends"
+)
+
+// Invariants lists the checks of every replay.
+var Invariants = []string{
+	NoLowerBeforeShed, PreemptDownwards, AtMostOnce, LeavingGetsNothing, NotRunIsTrue, WholeAnswers, EveryClassServed,
+	NothingLeaks, EveryRequestEnds,
+}
+
+func (w *world) violate(invariant, detail string) {
+	w.violations = append(w.violations, Violation{Invariant: invariant, At: w.now.Sub(epoch), Detail: detail})
+}
+
+// checkDecision checks a decision against the replay's own books.
+func (w *world) checkDecision(now time.Time, s *shardWorld, j *job, d *schedule.Decision) {
+	switch d.Kind {
+	case schedule.Grant:
+		e := w.engines[d.Endpoint]
+		if e.out {
+			w.violate(LeavingGetsNothing, fmt.Sprintf("%s was granted %s, out since %s", j.id, e.id, now.Sub(e.outAt)))
+		}
+		if j.executions > 0 && !j.policy.Repeatable {
+			w.violate(AtMostOnce, j.id+" was granted again")
+		}
+	case schedule.Refuse:
+		w.checkShed(s, j, d)
+	case schedule.Preempt:
+		w.checkPreempt(s, j)
+	}
+}
+
+// checkShed finds requests of lower tiers that wait while a higher one is
+// refused for want of room.
+func (w *world) checkShed(s *shardWorld, j *job, d *schedule.Decision) {
+	if j.executions > 0 && j.tries == 0 {
+		w.violate(NotRunIsTrue, j.id+" was refused as not run, and ran")
+	}
+	if d.Reason != schedule.ReasonNoRoom {
+		return
+	}
+	for _, other := range w.order {
+		if other.shard == s && other.state == stateWaiting && other.tries == 0 && other != j && other.policy.Tier > j.policy.Tier {
+			w.violate(NoLowerBeforeShed, fmt.Sprintf("%s of tier %d was refused for room while %s of tier %d waited",
+				j.id, j.policy.Tier, other.id, other.policy.Tier))
+			return
+		}
+	}
+}
+
+func (w *world) checkPreempt(s *shardWorld, j *job) {
+	if !j.policy.Repeatable {
+		w.violate(PreemptDownwards, j.id+" may not be repeated and was preempted")
+	}
+	for _, other := range w.order {
+		if other.shard == s && other.state == stateWaiting && other.policy.Tier < j.policy.Tier {
+			return
+		}
+	}
+	w.violate(PreemptDownwards, fmt.Sprintf("%s of tier %d was preempted for nobody above", j.id, j.policy.Tier))
+}
+
+// checkEnd checks what must hold when all is over.
+func (w *world) checkEnd() {
+	served := make(map[string]int)
+	sent := make(map[string]int)
+	for _, j := range w.order {
+		if j.event.Outside {
+			continue
+		}
+		sent[j.event.Class]++
+		switch j.state {
+		case stateAnswered:
+			served[j.event.Class]++
+			if j.tokens < j.event.Answer {
+				w.violate(WholeAnswers, fmt.Sprintf("%s ended with %d of %d tokens", j.id, j.tokens, j.event.Answer))
+			}
+		case stateWaiting, stateSent:
+			w.violate(EveryRequestEnds, j.id+" of "+j.event.Class+" never ended")
+		}
+		if j.executions > 1 && !j.policy.Repeatable {
+			w.violate(AtMostOnce, fmt.Sprintf("%s ran %d times", j.id, j.executions))
+		}
+	}
+	for class, n := range sent {
+		if n > 0 && served[class] == 0 {
+			w.violate(EveryClassServed, fmt.Sprintf("%s: none of %d was answered", class, n))
+		}
+	}
+	for _, s := range w.shardList() {
+		if s.policy.Waiting() != 0 || s.policy.Running() != 0 {
+			w.violate(NothingLeaks, fmt.Sprintf("%s: %d waiting and %d running at the end", s.model, s.policy.Waiting(), s.policy.Running()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/replay/policy.go
@@ -0,0 +1,208 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"oxbowslip.dev/oxbowslip/internal/emulator"
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+)
+
+// Policy decides for one shard. *schedule.Scheduler is one.
+type Policy interface {
+	SetEndpoints(now time.Time, endpoints []schedule.Endpoint)
+	Submit(now time.Time, request schedule.Request)
+	Withdraw(now time.Time, id string)
+	Started(now time.Time, id string)
+	FirstToken(now time.Time, id string)
+	Progress(now time.Time, id string, tokens int)
+	Finished(now time.Time, id string, result schedule.Result, tokens int)
+	Tick(now time.Time)
+	Next(now time.Time) time.Time
+	Take() []schedule.Decision
+	Waiting() int
+	Running() int
+}
+
+// reported is a policy that hears the engines' load reports.
+type reported interface {
+	Report(endpoint string, load emulator.Load)
+}
+
+// Current names the policy of the daemons.
+const Current = "current"
+
+// The baselines.
+const (
+	LeastConnections = "fcfs-least-connections"
+	TwoChoices       = "random-two-choices"
+	LeastReported    = "least-reported-load"
+)
+
+// Policies lists the names that NewPolicy takes: the daemons' policy, the same
+// with one mechanism off each, and the baselines.
+var Policies = []string{
+	Current, "no-shares", "no-preemption", "no-prefix", "no-ejection", "no-fairness", "no-late-lane", "no-lengths",
+	"fixed-limit-16", "fixed-limit-32", LeastConnections, TwoChoices, LeastReported,
+}
+
+// NewPolicy makes a policy by its name.
+func NewPolicy(name string, seed uint64) (Policy, error) {
+	switch name {
+	case LeastConnections, TwoChoices, LeastReported:
+		return newDirect(name, seed), nil
+	case Current:
+		return schedule.New(schedule.Options{}), nil
+	case "no-shares":
+		return schedule.New(schedule.Options{NoShares: true}), nil
+	case "no-preemption":
+		return schedule.New(schedule.Options{NoPreemption: true}), nil
+	case "no-prefix":
+		return schedule.New(schedule.Options{NoPrefix: true}), nil
+	case "no-ejection":
+		return schedule.New(schedule.Options{NoEjection: true}), nil
+	case "no-fairness":
+		return schedule.New(schedule.Options{NoFairness: true}), nil
+	case "no-late-lane":
+		return schedule.New(schedule.Options{NoLateLane: true}), nil
+	case "no-lengths":
+		return schedule.New(schedule.Options{NoLengths: true}), nil
+	case "fixed-limit-16":
+		return schedule.New(schedule.Options{FixedLimit: 16}), nil
+	case "fixed-limit-32":
+		return schedule.New(schedule.Options{FixedLimit: 32}), nil
+	}
+	return nil, merry.Errorf("no policy %q; the policies are %s", name, strings.Join(Policies, ", "))
+}
+
+// direct sends every request on at once and lets the engines queue: what a
+// router without levels of service does.
+type direct struct {
+	name      string
+	random    *rand.Rand
+	endpoints []*directEndpoint
+	byID      map[string]*directEndpoint
+	open      map[string]*directEndpoint
+	decisions []schedule.Decision
+}
+
+type directEndpoint struct {
+	id       string
+	inFlight int
+	load     emulator.Load
+}
+
+func newDirect(name string, seed uint64) *direct {
+	return &direct{
+		name: name, random: rand.New(rand.NewPCG(seed, 1)),
+		byID: make(map[string]*directEndpoint), open: make(map[string]*directEndpoint),
+	}
+}
+
+// SetEndpoints replaces the endpoints.
+func (d *direct) SetEndpoints(_ time.Time, endpoints []schedule.Endpoint) {
+	d.endpoints = d.endpoints[:0]
+	for _, config := range endpoints {
+		e, ok := d.byID[config.ID]
+		if !ok {
+			e = &directEndpoint{id: config.ID}
+			d.byID[config.ID] = e
+		}
+		d.endpoints = append(d.endpoints, e)
+	}
+}
+
+// Submit grants at once.
+func (d *direct) Submit(now time.Time, r schedule.Request) {
+	if len(d.endpoints) == 0 {
+		d.decisions = append(d.decisions, schedule.Decision{
+			Kind: schedule.Refuse, ID: r.ID, Reason: schedule.ReasonNoEndpoint, RetryAfter: time.Second,
+		})
+		return
+	}
+	e := d.choose()
+	e.inFlight++
+	d.open[r.ID] = e
+	d.decisions = append(d.decisions, schedule.Decision{
+		Kind: schedule.Grant, ID: r.ID, Endpoint: e.id, Reason: schedule.ReasonTier, Until: now.Add(time.Second),
+	})
+}
+
+func (d *direct) choose() *directEndpoint {
+	switch d.name {
+	case TwoChoices:
+		a, b := d.endpoints[d.random.IntN(len(d.endpoints))], d.endpoints[d.random.IntN(len(d.endpoints))]
+		if b.inFlight < a.inFlight {
+			return b
+		}
+		return a
+	case LeastReported:
+		return d.least(func(e *directEndpoint) int { return e.load.Running + e.load.Waiting })
+	default:
+		return d.least(func(e *directEndpoint) int { return e.inFlight })
+	}
+}
+
+// least gives the endpoint with the least load; among equals, a random one.
+func (d *direct) least(load func(*directEndpoint) int) *directEndpoint {
+	start := d.random.IntN(len(d.endpoints))
+	best := d.endpoints[start]
+	for i := range d.endpoints {
+		e := d.endpoints[(start+i)%len(d.endpoints)]
+		if load(e) < load(best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// Report takes a load report.
+func (d *direct) Report(endpoint string, load emulator.Load) {
+	if e, ok := d.byID[endpoint]; ok {
+		e.load = load
+	}
+}
+
+// Finished frees a place.
+func (d *direct) Finished(_ time.Time, id string, _ schedule.Result, _ int) {
+	if e, ok := d.open[id]; ok {
+		e.inFlight--
+		delete(d.open, id)
+	}
+}
+
+// Withdraw frees a place.
+func (d *direct) Withdraw(now time.Time, id string) { d.Finished(now, id, schedule.Cancelled, 0) }
+
+// Take gives the decisions.
+func (d *direct) Take() []schedule.Decision {
+	taken := d.decisions
+	d.decisions = nil
+	return taken
+}
+
+// The rest does not matter to a policy that never waits.
+
+// Started does nothing.
+func (d *direct) Started(time.Time, string) {}
+
+// FirstToken does nothing.
+func (d *direct) FirstToken(time.Time, string) {}
+
+// Progress does nothing.
+func (d *direct) Progress(time.Time, string, int) {}
+
+// Tick does nothing.
+func (d *direct) Tick(time.Time) {}
+
+// Next is far away.
+func (d *direct) Next(now time.Time) time.Time { return now.Add(time.Hour) }
+
+// Waiting is always 0.
+func (d *direct) Waiting() int { return 0 }
+
+// Running counts the open requests.
+func (d *direct) Running() int { return len(d.open) }
--- /dev/null
+++ b/internal/replay/report.go
@@ -0,0 +1,284 @@
+package replay
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+)
+
+// ClassResult is what one class got.
+type ClassResult struct {
+	Class    string `json:"class"`
+	Tier     int    `json:"tier"`
+	Sent     int    `json:"sent"`
+	Answered int    `json:"answered"`
+	Attained int    `json:"attained"`
+	Refused  int    `json:"refused"`
+	Gone     int    `json:"caller_gone"`
+	Failed   int    `json:"failed"`
+	// Reasons counts refusals.
+	Reasons map[schedule.Reason]int `json:"reasons"`
+	// GoodTokens are those of answers that met the target.
+	GoodTokens  int           `json:"good_tokens"`
+	Wasted      int           `json:"wasted_tokens"`
+	WastedRead  int           `json:"wasted_prompt_tokens"`
+	LongestWait time.Duration `json:"longest_wait"`
+	FirstToken  time.Duration `json:"first_token_p95"`
+}
+
+// Attainment is the part of the requests sent that met their target.
+func (r *ClassResult) Attainment() float64 {
+	return float64(r.Attained) / float64(max(r.Sent, 1))
+}
+
+// Result is the outcome of one replay.
+type Result struct {
+	Trace   string        `json:"trace"`
+	Policy  string        `json:"policy"`
+	Classes []ClassResult `json:"classes"`
+	// Attainment is over all classes, each request weighted by its tier.
+	Attainment float64 `json:"attainment"`
+	// Goodput is good tokens a second between the first and the last arrival,
+	// as a part of Capacity.
+	Goodput    float64     `json:"goodput"`
+	Capacity   float64     `json:"capacity_tokens_per_second"`
+	Generated  int         `json:"generated_tokens"`
+	Wasted     float64     `json:"wasted"`
+	Violations []Violation `json:"violations"`
+	Missed     []string    `json:"missed"`
+	Steps      uint64      `json:"steps"`
+}
+
+// OK reports whether all invariants held and all stated outcomes were reached.
+func (r *Result) OK() bool { return len(r.Violations) == 0 && len(r.Missed) == 0 }
+
+// Run replays a trace under a policy. Outcomes are checked for the daemons' own
+// policy only.
+func Run(trace *Trace, policy string) (*Result, error) {
+	w, err := newWorld(trace, policy)
+	if err != nil {
+		return nil, err
+	}
+	w.run()
+	if !isBaseline(policy) {
+		w.checkEnd()
+	}
+	r := w.result()
+	if policy == Current {
+		r.checkOutcomes(trace.Header.Outcomes)
+	}
+	return r, nil
+}
+
+func isBaseline(policy string) bool {
+	return policy == LeastConnections || policy == TwoChoices || policy == LeastReported
+}
+
+func (w *world) result() *Result {
+	r := &Result{Trace: w.trace.Header.Name, Policy: w.policyName, Violations: w.violations}
+	index := make(map[string]int)
+	firstTokens := make(map[string][]time.Duration)
+	weight, attained := 0.0, 0.0
+	waste := 0
+	for _, j := range w.order {
+		if j.event.Outside {
+			continue
+		}
+		i, ok := index[j.event.Class]
+		if !ok {
+			i = len(r.Classes)
+			index[j.event.Class] = i
+			r.Classes = append(r.Classes, ClassResult{Class: j.event.Class, Tier: j.policy.Tier, Reasons: make(map[schedule.Reason]int)})
+		}
+		row := &r.Classes[i]
+		row.add(j)
+		if !j.firstToken.IsZero() {
+			firstTokens[j.event.Class] = append(firstTokens[j.event.Class], j.firstToken.Sub(j.arrived))
+		}
+		share := tierWeight(j.policy.Tier)
+		weight += share
+		if j.attained() {
+			attained += share
+		}
+		waste += j.wasted
+	}
+	for i := range r.Classes {
+		r.Classes[i].FirstToken = quantile(firstTokens[r.Classes[i].Class], 0.95)
+	}
+	slices.SortStableFunc(r.Classes, func(a, b ClassResult) int {
+		if a.Tier != b.Tier {
+			return a.Tier - b.Tier
+		}
+		if a.Class < b.Class {
+			return -1
+		}
+		return 1
+	})
+	r.Attainment = attained / math.Max(weight, 1)
+	for _, e := range w.engineList {
+		r.Generated += e.model.Generated
+	}
+	r.Wasted = float64(waste) / math.Max(float64(r.Generated), 1)
+	r.Capacity = w.capacity()
+	r.Goodput = w.goodput() / r.Capacity
+	for _, s := range w.shardList() {
+		if scheduler, ok := s.policy.(*schedule.Scheduler); ok {
+			r.Steps += scheduler.Steps
+		}
+	}
+	return r
+}
+
+// tierWeight makes a request of each tier count twice one of the next.
+func tierWeight(tier int) float64 { return float64(int(1) << (schedule.Tiers - 1 - tier)) }
+
+func (r *ClassResult) add(j *job) {
+	r.Sent++
+	switch j.state {
+	case stateAnswered:
+		r.Answered++
+	case stateRefused:
+		r.Refused++
+		r.Reasons[j.reason]++
+	case stateGone:
+		r.Gone++
+	case stateFailed:
+		r.Failed++
+	}
+	if j.attained() {
+		r.Attained++
+		r.GoodTokens += j.tokens
+	}
+	r.Wasted += j.wasted
+	r.WastedRead += j.wastedRead
+	if !j.granted.IsZero() {
+		r.LongestWait = max(r.LongestWait, j.granted.Sub(j.arrived))
+	}
+}
+
+// attained reports whether a request got a whole answer that met its target.
+func (j *job) attained() bool {
+	if j.state != stateAnswered {
+		return false
+	}
+	p := &j.policy
+	first := j.firstToken.Sub(j.arrived)
+	whole := j.ended.Sub(j.arrived)
+	if (p.FirstToken > 0 && first > p.FirstToken) || (p.WholeAnswer > 0 && whole > p.WholeAnswer) {
+		return false
+	}
+	if p.BetweenTokens == 0 || j.tokens < 2 {
+		return true
+	}
+	return (whole-first)/time.Duration(j.tokens-1) <= p.BetweenTokens
+}
+
+// goodput is the good tokens a second until the last arrival.
+func (w *world) goodput() float64 {
+	tokens := 0
+	for _, j := range w.order {
+		if !j.event.Outside && j.attained() && !j.ended.After(w.lastEvent) {
+			tokens += j.tokens
+		}
+	}
+	return float64(tokens) / math.Max(w.lastEvent.Sub(epoch).Seconds(), 1)
+}
+
+// capacity is what the engine model gives in tokens a second with the trace's
+// mean prompt and answer at the strictest target between tokens: the batch b
+// for which step + b*perRequest + b*(prompt/answer)*perPromptToken = target.
+func (w *world) capacity() float64 {
+	prompt, answer := 0.0, 0.0
+	target := 0.048
+	for i := range w.trace.Events {
+		event := &w.trace.Events[i]
+		if event.Fault != "" {
+			continue
+		}
+		prompt += float64(event.Prompt - event.DocumentTokens)
+		answer += float64(event.Answer)
+	}
+	m := &w.trace.Header.Engines
+	const micro = 1e-6
+	perRequest := micro * (float64(m.PerRequestMicros) + prompt/math.Max(answer, 1)*float64(m.PerPromptTokenMicros))
+	batch := math.Min((target-micro*float64(m.StepMicros))/perRequest, float64(m.MaxRunning))
+	return batch / target * float64(len(w.engineList))
+}
+
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(q*float64(len(values)-1))]
+}
+
+// checkOutcomes compares a result with what its trace states.
+func (r *Result) checkOutcomes(outcomes []Outcome) {
+	for _, o := range outcomes {
+		if o.Class == "" {
+			r.require(o.MinAttainment == 0 || r.Attainment >= o.MinAttainment, "attainment %.4f, stated at least %.4f", r.Attainment, o.MinAttainment)
+			r.require(o.MinGoodput == 0 || r.Goodput >= o.MinGoodput, "goodput %.3f of capacity, stated at least %.3f", r.Goodput, o.MinGoodput)
+			r.require(o.MaxWasted == 0 || r.Wasted <= o.MaxWasted, "wasted %.4f of the tokens, stated at most %.4f", r.Wasted, o.MaxWasted)
+			continue
+		}
+		i := slices.IndexFunc(r.Classes, func(c ClassResult) bool { return c.Class == o.Class })
+		if i < 0 {
+			r.require(false, "%s: no such class in the trace", o.Class)
+			continue
+		}
+		c := &r.Classes[i]
+		served := float64(c.Answered) / float64(max(c.Sent, 1))
+		wait := time.Duration(o.MaxWaitMillis) * time.Millisecond
+		r.require(o.MinAttainment == 0 || c.Attainment() >= o.MinAttainment, "%s: attainment %.4f, stated at least %.4f", o.Class, c.Attainment(), o.MinAttainment)
+		r.require(o.MinServed == 0 || served >= o.MinServed, "%s: served %.4f, stated at least %.4f", o.Class, served, o.MinServed)
+		r.require(wait == 0 || c.LongestWait <= wait, "%s: longest wait %s, stated at most %s", o.Class, c.LongestWait, wait)
+	}
+}
+
+func (r *Result) require(held bool, format string, args ...any) {
+	if !held {
+		r.Missed = append(r.Missed, fmt.Sprintf(format, args...))
+	}
+}
+
+// Print writes the results of one trace under several policies.
+func Print(w io.Writer, results []*Result) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "policy\tclass\ttier\tsent\tanswered\tattained\trefused\tgone\tfailed\tfirst token p95\tlongest wait\twasted")
+	for _, r := range results {
+		for i := range r.Classes {
+			c := &r.Classes[i]
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%.1f%%\t%d\t%d\t%d\t%s\t%s\t%d\n", r.Policy, c.Class, c.Tier, c.Sent, c.Answered,
+				100*c.Attainment(), c.Refused, c.Gone, c.Failed, c.FirstToken.Round(time.Millisecond), c.LongestWait.Round(time.Millisecond), c.Wasted)
+		}
+	}
+	// The writer is a terminal or a buffer; an error here has no one to go to.
+	_ = table.Flush()
+	Summary(w, results)
+}
+
+// Summary writes one line for each result.
+func Summary(w io.Writer, results []*Result) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "trace\tpolicy\tattainment by tier weight\tgoodput of capacity\twasted\tviolations\tmissed")
+	for _, r := range results {
+		fmt.Fprintf(table, "%s\t%s\t%.2f%%\t%.1f%%\t%.2f%%\t%d\t%d\n", r.Trace, r.Policy, 100*r.Attainment, 100*r.Goodput, 100*r.Wasted,
+			len(r.Violations), len(r.Missed))
+	}
+	_ = table.Flush()
+	for _, r := range results {
+		for _, missed := range r.Missed {
+			fmt.Fprintf(w, "missed: %s under %s: %s\n", r.Trace, r.Policy, missed)
+		}
+		if len(r.Violations) > 0 {
+			v := r.Violations[0]
+			fmt.Fprintf(w, "violated: %s under %s: %s at %s: %s\n", r.Trace, r.Policy, v.Invariant, v.At, v.Detail)
+		}
+	}
+}
