Predict the first token by the engine's own step time

Cause: kochi-night missed 29 first tokens after waits of 0.1 s at most: long prompts went to engines that read them slowly. Engines read prompts in the steps that they share with answers, so the cost of a prompt token follows the time between tokens; one learned cost a token did not. Change: learn the prompt tokens read per step instead of a time per token.

--- a/internal/replay/generate.go
+++ b/internal/replay/generate.go
@@ -22,6 +22,7 @@
 	Settings     settings.Tree     `json:"settings"`
 	Callers      map[string]Caller `json:"callers,omitzero"`
 	Outcomes     []Outcome         `json:"outcomes,omitzero"`
+	Measure      Window            `json:"measure,omitzero"`
 	Sources      []Source          `json:"sources"`
 	Faults       []Event           `json:"faults,omitzero"`
 }
@@ -66,7 +67,7 @@
 func Generate(d *Description) (*Trace, error) {
 	t := &Trace{Header: Header{
 		Format: Format, Name: d.Name, Seed: d.Seed, Settings: d.Settings, Engines: DefaultEngines,
-		Callers: d.Callers, Outcomes: d.Outcomes,
+		Callers: d.Callers, Outcomes: d.Outcomes, Measure: d.Measure,
 	}}
 	t.addEngines(d.EngineCounts)
 	for i := range d.Sources {
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -21,6 +21,10 @@
 	Refused  int    `json:"refused"`
 	Gone     int    `json:"caller_gone"`
 	Failed   int    `json:"failed"`
+	// LateFirst and LateBetween count whole answers whose first token, or whose
+	// time between tokens, missed the target.
+	LateFirst   int `json:"late_first"`
+	LateBetween int `json:"late_between"`
 	// Reasons counts refusals.
 	Reasons map[schedule.Reason]int `json:"reasons"`
 	// GoodTokens are those of answers that met the target.
@@ -45,7 +49,9 @@
 	Attainment float64 `json:"attainment"`
 	// Goodput is good tokens a second between the first and the last arrival,
 	// as a part of Capacity.
-	Goodput    float64     `json:"goodput"`
+	Goodput float64 `json:"goodput"`
+	// Busy is all tokens generated in the same time, as a part of Capacity.
+	Busy       float64     `json:"busy"`
 	Capacity   float64     `json:"capacity_tokens_per_second"`
 	Generated  int         `json:"generated_tokens"`
 	Wasted     float64     `json:"wasted"`
@@ -126,6 +132,7 @@
 	r.Wasted = float64(waste) / math.Max(float64(r.Generated), 1)
 	r.Capacity = w.capacity()
 	r.Goodput = w.goodput() / r.Capacity
+	r.Busy = w.generated / r.Capacity
 	for _, s := range w.shardList() {
 		if scheduler, ok := s.policy.(*schedule.Scheduler); ok {
 			r.Steps += scheduler.Steps
@@ -142,6 +149,12 @@
 	switch j.state {
 	case stateAnswered:
 		r.Answered++
+		if j.lateFirst() {
+			r.LateFirst++
+		}
+		if j.lateBetween() {
+			r.LateBetween++
+		}
 	case stateRefused:
 		r.Refused++
 		r.Reasons[j.reason]++
@@ -166,27 +179,47 @@
 	if j.state != stateAnswered {
 		return false
 	}
-	p := &j.policy
-	first := j.firstToken.Sub(j.arrived)
 	whole := j.ended.Sub(j.arrived)
-	if (p.FirstToken > 0 && first > p.FirstToken) || (p.WholeAnswer > 0 && whole > p.WholeAnswer) {
+	if j.policy.WholeAnswer > 0 && whole > j.policy.WholeAnswer {
 		return false
 	}
-	if p.BetweenTokens == 0 || j.tokens < 2 {
-		return true
+	return !j.lateFirst() && !j.lateBetween()
+}
+
+func (j *job) lateFirst() bool {
+	return j.policy.FirstToken > 0 && j.firstToken.Sub(j.arrived) > j.policy.FirstToken
+}
+
+func (j *job) lateBetween() bool {
+	if j.policy.BetweenTokens == 0 || j.tokens < 2 {
+		return false
 	}
-	return (whole-first)/time.Duration(j.tokens-1) <= p.BetweenTokens
+	return j.ended.Sub(j.firstToken)/time.Duration(j.tokens-1) > j.policy.BetweenTokens
 }
 
-// goodput is the good tokens a second until the last arrival.
+// window is the part of the run that goodput is measured in.
+func (w *world) window() (from, to time.Time) {
+	m := w.trace.Header.Measure
+	if m.ToSecond == 0 {
+		return epoch, w.lastEvent
+	}
+	return epoch.Add(time.Duration(m.FromSecond) * time.Second), epoch.Add(time.Duration(m.ToSecond) * time.Second)
+}
+
+// goodput is the tokens a second, in the window, of requests that met their
+// target. A request's tokens are spread evenly from its first to its last.
 func (w *world) goodput() float64 {
-	tokens := 0
+	from, to := w.window()
+	tokens := 0.0
 	for _, j := range w.order {
-		if !j.event.Outside && j.attained() && !j.ended.After(w.lastEvent) {
-			tokens += j.tokens
+		if j.event.Outside || !j.attained() {
+			continue
 		}
+		length := max(j.ended.Sub(j.firstToken), time.Millisecond)
+		inside := min(j.ended.Sub(from), to.Sub(j.firstToken), length, to.Sub(from))
+		tokens += float64(j.tokens) * max(0, inside.Seconds()/length.Seconds())
 	}
-	return float64(tokens) / math.Max(w.lastEvent.Sub(epoch).Seconds(), 1)
+	return tokens / math.Max(to.Sub(from).Seconds(), 1)
 }
 
 // capacity is what the engine model gives in tokens a second with the trace's
@@ -250,12 +283,12 @@
 // Print writes the results of one trace under several policies.
 func Print(w io.Writer, results []*Result) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "policy\tclass\ttier\tsent\tanswered\tattained\trefused\tgone\tfailed\tfirst token p95\tlongest wait\twasted")
+	fmt.Fprintln(table, "policy\tclass\ttier\tsent\tanswered\tattained\tlate first\tlate between\trefused\tgone\tfailed\tfirst token p95\tlongest wait\twasted")
 	for _, r := range results {
 		for i := range r.Classes {
 			c := &r.Classes[i]
-			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%.1f%%\t%d\t%d\t%d\t%s\t%s\t%d\n", r.Policy, c.Class, c.Tier, c.Sent, c.Answered,
-				100*c.Attainment(), c.Refused, c.Gone, c.Failed, c.FirstToken.Round(time.Millisecond), c.LongestWait.Round(time.Millisecond), c.Wasted)
+			fmt.Fprintf(table, "%s\t%s\t%d\t%d\t%d\t%.1f%%\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%d\n", r.Policy, c.Class, c.Tier, c.Sent, c.Answered,
+				100*c.Attainment(), c.LateFirst, c.LateBetween, c.Refused, c.Gone, c.Failed, c.FirstToken.Round(time.Millisecond), c.LongestWait.Round(time.Millisecond), c.Wasted)
 		}
 	}
 	// The writer is a terminal or a buffer; an error here has no one to go to.
@@ -266,9 +299,9 @@
 // Summary writes one line for each result.
 func Summary(w io.Writer, results []*Result) {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "trace\tpolicy\tattainment by tier weight\tgoodput of capacity\twasted\tviolations\tmissed")
+	fmt.Fprintln(table, "trace\tpolicy\tattainment by tier weight\tgoodput of capacity\tgenerated of capacity\twasted\tviolations\tmissed")
 	for _, r := range results {
-		fmt.Fprintf(table, "%s\t%s\t%.2f%%\t%.1f%%\t%.2f%%\t%d\t%d\n", r.Trace, r.Policy, 100*r.Attainment, 100*r.Goodput, 100*r.Wasted,
+		fmt.Fprintf(table, "%s\t%s\t%.2f%%\t%.1f%%\t%.1f%%\t%.2f%%\t%d\t%d\n", r.Trace, r.Policy, 100*r.Attainment, 100*r.Goodput, 100*r.Busy, 100*r.Wasted,
 			len(r.Violations), len(r.Missed))
 	}
 	_ = table.Flush()
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -34,6 +34,15 @@
 	// Callers says how callers behave, class by class.
 	Callers  map[string]Caller `json:"callers,omitzero"`
 	Outcomes []Outcome         `json:"outcomes,omitzero"`
+	// Measure is the part of the trace that goodput is measured in; the zero
+	// value means all of it.
+	Measure Window `json:"measure,omitzero"`
+}
+
+// Window is a part of a trace.
+type Window struct {
+	FromSecond int `json:"from_s"`
+	ToSecond   int `json:"to_s"`
 }
 
 // EngineModel is the engine model in microseconds and tokens.
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -137,6 +138,8 @@
 	frozen     bool
 	lastEvent  time.Time
 	violations []Violation
+	// generated is the tokens a second in the window.
+	generated float64
 }
 
 // Violation is an invariant that did not hold, at its first event.
@@ -429,6 +432,7 @@
 }
 
 func (w *world) engineEvent(now time.Time, e *engineWorld, event emulator.Event) {
+	w.countToken(now)
 	j := w.jobs[event.ID]
 	if j.state != stateSent || j.endpoint != e || event.Kind == emulator.Recompute {
 		return
@@ -462,6 +466,12 @@
 	}
 }
 
+func (w *world) countToken(now time.Time) {
+	if from, to := w.window(); !now.Before(from) && now.Before(to) {
+		w.generated += 1 / math.Max(to.Sub(from).Seconds(), 1)
+	}
+}
+
 // watchStall fails an attempt whose engine sends nothing for long.
 func (w *world) watchStall(now time.Time, j *job, attempt int) {
 	w.at(now.Add(stalledAfter), func(now time.Time) {
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -17,8 +17,8 @@
 	looseBetween = 48 * time.Millisecond
 	// cacheHeadroom is the part of the cache memory that is granted.
 	cacheHeadroom = 0.92
-	// firstPrefillCost is the first guess of the time for a prompt token.
-	firstPrefillCost = 80 * time.Microsecond
+	// firstChunk is the first guess of the prompt tokens read in one step.
+	firstChunk = 256
 	// firstBetween is the first guess of the time for a token of an answer.
 	firstBetween = 25 * time.Millisecond
 )
@@ -33,7 +33,10 @@
 	limit     float64
 	slowStart bool
 	between   time.Duration
-	prefill   time.Duration
+	// chunk is the prompt tokens that the engine reads in the time of one token
+	// of an answer. Engines read prompts in steps that they share with the
+	// answers, so a loaded engine reads slower, and by the same ratio.
+	chunk float64
 	// prefillUntil is when the prompts that were sent are read.
 	prefillUntil time.Time
 	cacheUsed    int
@@ -53,7 +56,7 @@
 		limit:     firstLimit,
 		slowStart: true,
 		between:   firstBetween,
-		prefill:   firstPrefillCost,
+		chunk:     firstChunk,
 		judgedAt:  now,
 		heardAt:   now,
 	}
@@ -122,7 +125,12 @@
 		return 0
 	}
 	ahead := max(0, e.prefillUntil.Sub(now))
-	return ahead + time.Duration(e.uncached(r, prefixes))*e.prefill + e.between
+	return ahead + e.readTime(e.uncached(r, prefixes)) + e.between
+}
+
+// readTime is the time that the endpoint takes to read so many prompt tokens.
+func (e *endpoint) readTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / e.chunk * float64(e.between))
 }
 
 // take books a granted request.
@@ -131,7 +139,7 @@
 	it.endpointIndex = len(e.running)
 	e.running = append(e.running, it)
 	e.cacheUsed += it.request.PromptTokens + it.predicted
-	e.prefillUntil = latest(e.prefillUntil, now).Add(time.Duration(it.uncached) * e.prefill)
+	e.prefillUntil = latest(e.prefillUntil, now).Add(e.readTime(it.uncached))
 }
 
 // drop takes a request out of the books.
@@ -158,13 +166,12 @@
 	if it.uncached < learnPrefillTokens || !it.started {
 		return
 	}
-	read := now.Sub(it.sentAt) - e.between
-	cost := max(0, read) / time.Duration(it.uncached)
+	steps := float64(now.Sub(it.sentAt)-e.between) / float64(e.between)
 	// Prompts before this one are in the measured time too, so a sample far
-	// above the estimate counts as twice the estimate at most.
-	cost = min(cost, 2*e.prefill)
-	e.prefill += (cost - e.prefill) / 16
-	e.prefill = max(e.prefill, time.Microsecond)
+	// below the estimate counts as half of it at most.
+	chunk := float64(it.uncached) / max(steps, 0.5)
+	chunk = min(max(chunk, e.chunk/2), e.chunk*2)
+	e.chunk = max(1, e.chunk+(chunk-e.chunk)/16)
 }
 
 // progress learns the time between tokens, and corrects the predicted length.
--- a/internal/schedule/endpoints.go
+++ b/internal/schedule/endpoints.go
@@ -111,7 +111,7 @@
 func (s *endpointSet) cost(now time.Time, r *Request, e *endpoint, prefixes *prefixTable) time.Duration {
 	cost := e.predictFirstToken(now, r, prefixes)
 	if s.options.NoPrefix {
-		cost += time.Duration(r.PromptTokens-e.uncached(r, prefixes)) * e.prefill
+		cost += e.readTime(r.PromptTokens - e.uncached(r, prefixes))
 	}
 	if r.Zone != "" && r.Zone != e.Zone {
 		cost += s.options.ZoneCost
@@ -162,13 +162,16 @@
 	if len(s.order) == 0 || !s.order[0].Engine {
 		return 0
 	}
-	best := s.order[0]
+	best := s.order[0].firstTokenWhenIdle(r)
 	for _, e := range s.order[1:min(candidates, len(s.order))] {
-		if e.prefill < best.prefill {
-			best = e
-		}
+		best = min(best, e.firstTokenWhenIdle(r))
 	}
-	return time.Duration(r.PromptTokens)*best.prefill + best.between
+	return best
+}
+
+// firstTokenWhenIdle is the time to the first token with no prompt ahead.
+func (e *endpoint) firstTokenWhenIdle(r *Request) time.Duration {
+	return e.readTime(r.PromptTokens) + e.between
 }
 
 // leastAnswer is the time for an answer of so many tokens.
