Keep the last places for the highest tiers; stated outcomes by window and workspace

Lower tiers filled every place to the learned limit, and the limit aimed at one headroom for all. Change: each tier leaves 2 % of the limit to the next higher; the headroom below the target between tokens is 9, 6, 4, 2 % by tier; a limit that is lowered starts from itself, not from the running requests, if it is full.

--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -122,18 +122,22 @@
 
 // Outcome is what a trace states of its own run. Zero fields state nothing.
 type Outcome struct {
-	// Class is the class that the outcome is about; empty means all together.
-	Class string `json:"class,omitzero"`
-	// MinAttainment is the part of the class's requests that meet their target.
+	// Class and Workspaces pick the requests that the outcome is about; empty
+	// means all. Arrived picks those that arrived in a part of the trace.
+	Class      string   `json:"class,omitzero"`
+	Workspaces []string `json:"workspaces,omitzero"`
+	Arrived    Window   `json:"arrived,omitzero"`
+	// MinAttainment is the part of the requests that meet their target, each
+	// weighted by its tier.
 	MinAttainment float64 `json:"min_attainment,omitzero"`
 	// MinServed is the part that gets a whole answer.
 	MinServed float64 `json:"min_served,omitzero"`
 	// MaxWaitMillis bounds the longest time before a grant.
 	MaxWaitMillis int `json:"max_wait_ms,omitzero"`
-	// MinGoodput is goodput as a part of the engines' capacity.
+	// MinGoodput is goodput as a part of the engines' capacity, and MaxWasted
+	// wasted tokens as a part of those generated. They are about the whole run.
 	MinGoodput float64 `json:"min_goodput,omitzero"`
-	// MaxWasted is wasted tokens as a part of those generated.
-	MaxWasted float64 `json:"max_wasted,omitzero"`
+	MaxWasted  float64 `json:"max_wasted,omitzero"`
 }
 
 // Trace is a trace in memory.
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -10,11 +10,10 @@
 	// gathers measurements.
 	judgeTime    = 500 * time.Millisecond
 	judgeSamples = 8
-	// targetHeadroom keeps the mean below the target, so that most requests
-	// meet it.
-	targetHeadroom = 0.92
 	// looseBetween is the target of an engine whose requests have none.
 	looseBetween = 48 * time.Millisecond
+	// reserve is the part of the limit that each tier leaves to the next higher.
+	reserve = 0.02
 	// cacheHeadroom is the part of the cache memory that is granted.
 	cacheHeadroom = 0.92
 	// firstChunk is the first guess of the prompt tokens read in one step.
@@ -23,6 +22,10 @@
 	firstBetween = 25 * time.Millisecond
 )
 
+// targetHeadroom keeps the mean below the target, so that most requests meet
+// it. The higher a tier, the fewer of its requests may miss it.
+var targetHeadroom = [Tiers]float64{0.91, 0.94, 0.96, 0.98}
+
 // endpoint is an endpoint with what was learned of it.
 type endpoint struct {
 	Endpoint
@@ -94,10 +97,21 @@
 	return e.usable() && float64(len(e.running)+1) <= e.bound()
 }
 
+// hasRoomFor reports whether the endpoint has a place for a tier. The last
+// places are kept for the highest tiers, so that a request of theirs rarely has
+// to wait for one.
+func (e *endpoint) hasRoomFor(tier int) bool {
+	if !e.usable() {
+		return false
+	}
+	kept := reserve * float64(tier) * e.bound()
+	return float64(len(e.running)+1) <= max(1, e.bound()-kept)
+}
+
 // fits reports whether a request may be granted now: there is a place, cache
 // memory for its prompt and predicted answer, and little prefill ahead.
 func (e *endpoint) fits(now time.Time, it *item, o *Options, need int) bool {
-	if !e.hasRoom() {
+	if !e.hasRoomFor(it.request.Tier) {
 		return false
 	}
 	if len(e.running) == 0 {
@@ -189,13 +203,16 @@
 	}
 }
 
-// strictest is the least target between tokens of the running requests.
+// strictest is the least target between tokens of the running requests, less
+// the headroom of their tiers.
 func (e *endpoint) strictest() time.Duration {
 	target := looseBetween
 	for _, it := range e.running {
-		if b := it.request.BetweenTokens; b > 0 && b < target {
-			target = b
+		b := it.request.BetweenTokens
+		if b == 0 {
+			continue
 		}
+		target = min(target, time.Duration(float64(b)*targetHeadroom[it.request.Tier]))
 	}
 	return target
 }
@@ -203,13 +220,17 @@
 // adapt moves the learned limit after a judgement: down in proportion when the
 // engine is slower than the target, up when it is full and has time to spare.
 func (e *endpoint) adapt(mean time.Duration) {
-	target := float64(e.strictest()) * targetHeadroom
+	target := float64(e.strictest())
 	ratio := target / float64(mean)
 	full := float64(len(e.running)) >= 0.8*e.limit
 	switch {
 	case ratio < 1:
 		e.slowStart = false
-		e.limit = min(e.limit, float64(len(e.running))) * max(0.7, ratio)
+		if !full {
+			// The load that makes it slow is not the load that the limit allows.
+			e.limit = float64(len(e.running))
+		}
+		e.limit *= max(0.7, ratio)
 	case full && e.slowStart:
 		e.limit *= 1.5
 	case full:
