Scheduler tests, invariants from the real life of a request, flat cost per grant

Cause: a grant took 50 us with 500 waiting and 1,430 us with 50,000: each class's oldest request was looked for in all its flows, twice a grant. A request set aside for want of a fitting endpoint is no longer taken for late when it comes back. Conclusion: cost grows as the logarithm.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -251,7 +251,7 @@
 	for {
 		changed := d.holder.Changed()
 		if revision := d.holder.Current(); revision != nil {
-			d.shards.SetEndpoints(endpointsByShard(revision.Tree))
+			d.shards.Configure(shardConfigs(revision.Tree))
 		}
 		select {
 		case <-changed:
@@ -261,21 +261,31 @@
 	}
 }
 
-// endpointsByShard sorts the endpoints that are in by what they serve.
-func endpointsByShard(tree *settings.Tree) map[string][]schedule.Endpoint {
-	shards := make(map[string][]schedule.Endpoint)
+// shardConfigs sorts the endpoints that are in by what they serve. Every model
+// and service has a shard, so that a request for one without endpoints is
+// refused and does not wait.
+func shardConfigs(tree *settings.Tree) map[string]shard.Config {
+	shards := make(map[string]shard.Config)
+	for name, model := range tree.Models {
+		shards[name] = shard.Config{MaxWaiting: model.MaxWaiting}
+	}
+	for name := range tree.Services {
+		shards[api.ServicePrefix+name] = shard.Config{}
+	}
 	for _, name := range tree.EndpointNames() {
 		e := tree.Endpoints[name]
 		if e.State == settings.StateOut {
 			continue
 		}
-		shard := e.Model
+		serves := e.Model
 		if e.Service != "" {
-			shard = api.ServicePrefix + e.Service
+			serves = api.ServicePrefix + e.Service
 		}
-		shards[shard] = append(shards[shard], schedule.Endpoint{
+		config := shards[serves]
+		config.Endpoints = append(config.Endpoints, schedule.Endpoint{
 			ID: name, Zone: e.Zone, MaxInFlight: e.MaxInFlight, CacheTokens: e.CacheTokens, Engine: e.Model != "",
 		})
+		shards[serves] = config
 	}
 	return shards
 }
--- a/internal/replay/generate.go
+++ b/internal/replay/generate.go
@@ -82,9 +82,11 @@
 func (t *Trace) addEngines(counts map[string]int) {
 	tree := &t.Header.Settings
 	tree.Endpoints = make(map[string]settings.Endpoint)
-	tree.Models = make(map[string]settings.Model)
+	if tree.Models == nil {
+		tree.Models = make(map[string]settings.Model)
+	}
 	for model, count := range counts {
-		tree.Models[model] = settings.Model{}
+		tree.Models[model] = tree.Models[model]
 		for i := range count {
 			name := fmt.Sprintf("%s-%02d", model, i+1)
 			tree.Endpoints[name] = settings.Endpoint{
--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -123,15 +123,14 @@
 // setAside passes over a request until the dispatch ends.
 func (s *Scheduler) setAside(it *item) {
 	s.aside = append(s.aside, it)
-	f := it.flow
-	f.items.Delete(it)
-	s.tiers[f.key.tier].update(f.workspace)
+	it.flow.take(it)
+	s.touch(it.flow)
 }
 
 // takeBackAside puts the passed-over requests back into their places.
 func (s *Scheduler) takeBackAside(now time.Time) {
 	for i, it := range s.aside {
-		it.flow.items.Set(it)
+		it.flow.insert(now, it)
 		s.refresh(now, it.flow)
 		s.aside[i] = nil
 	}
--- a/internal/schedule/endpoints.go
+++ b/internal/schedule/endpoints.go
@@ -83,24 +83,24 @@
 	need := r.PromptTokens + it.predicted
 	var best *endpoint
 	var bestCost time.Duration
-	consider := func(e *endpoint) {
-		if s.avoids(r, e) || !e.fits(now, it, &s.options, need) {
-			return
+	var holder *endpoint
+	if !s.options.NoPrefix {
+		holder, _ = prefixes.longest(r)
+	}
+	n := min(candidates, len(s.byLoad.elements))
+	for i := range n + 1 {
+		e := holder
+		if i < n {
+			e = s.byLoad.elements[i]
+		}
+		if e == nil || !e.usable() || s.avoids(r, e) || !e.fits(now, it, &s.options, need) {
+			continue
 		}
 		cost := s.cost(now, r, e, prefixes)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
-	for i := range min(candidates, len(s.byLoad.elements)) {
-		consider(s.byLoad.elements[i])
-	}
-	if s.options.NoPrefix {
-		return best
-	}
-	if holder, _ := prefixes.longest(r); holder != nil && holder.usable() {
-		consider(holder)
-	}
 	return best
 }
 
--- a/internal/schedule/limits.go
+++ b/internal/schedule/limits.go
@@ -89,7 +89,7 @@
 		s.held = append(s.held, l)
 	}
 	l.parked = append(l.parked, f)
-	s.tiers[f.key.tier].update(f.workspace)
+	s.touch(f)
 }
 
 func (s *Scheduler) unpark(now time.Time, l *limit) {
@@ -101,7 +101,7 @@
 			continue
 		}
 		f.parked = false
-		s.tiers[f.key.tier].update(f.workspace)
+		s.touch(f)
 	}
 	l.parked = kept
 }
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -51,9 +51,13 @@
 	workspace *workspaceQueue
 	account   *shareAccount
 	items     *btree.BTreeG[*item]
-	// lastLate is the last item in order that is known to be late.
+	// lastLate is the last item in order that is known to be late, and onTime
+	// the first after it if it is known.
 	lastLate *item
+	onTime   *item
 	parked   bool
+	// accountIndex is the flow's place among those of its class.
+	accountIndex int
 }
 
 func byArrival(a, b *item) bool {
@@ -77,7 +81,18 @@
 	if !lateLane {
 		return f.head(), true
 	}
-	var found *item
+	if f.onTime == nil || f.onTime.late(now) {
+		f.findOnTime(now)
+	}
+	if f.onTime != nil {
+		return f.onTime, true
+	}
+	return f.head(), false
+}
+
+// findOnTime moves on over the requests that have become late.
+func (f *flow) findOnTime(now time.Time) {
+	f.onTime = nil
 	visit := func(it *item) bool {
 		if f.lastLate != nil && !byArrival(f.lastLate, it) {
 			return true
@@ -86,18 +101,38 @@
 			f.lastLate = it
 			return true
 		}
-		found = it
+		f.onTime = it
 		return false
 	}
 	if f.lastLate != nil {
 		f.items.Ascend(f.lastLate, visit)
-	} else {
-		f.items.Scan(visit)
+		return
 	}
-	if found != nil {
-		return found, true
+	f.items.Scan(visit)
+}
+
+// insert puts an item into its place.
+func (f *flow) insert(now time.Time, it *item) {
+	if f.lastLate != nil && byArrival(it, f.lastLate) && !it.late(now) {
+		// A retry keeps its time of arrival but is never late, so the order by
+		// lateness has to be found anew.
+		f.lastLate = nil
+	}
+	if f.onTime != nil && byArrival(it, f.onTime) {
+		f.onTime = nil
+	}
+	f.items.Set(it)
+}
+
+// take removes an item.
+func (f *flow) take(it *item) {
+	f.items.Delete(it)
+	if f.onTime == it {
+		f.onTime = nil
+	}
+	if f.len() == 0 {
+		f.lastLate = nil
 	}
-	return f.head(), false
 }
 
 func (it *item) late(now time.Time) bool {
@@ -209,12 +244,7 @@
 	f := s.flowOf(r)
 	it.flow = f
 	it.lateAt = s.lateAt(r)
-	if f.lastLate != nil && byArrival(it, f.lastLate) && !it.late(now) {
-		// A retry keeps its time of arrival but is never late, so the order by
-		// lateness has to be found anew.
-		f.lastLate = nil
-	}
-	f.items.Set(it)
+	f.insert(now, it)
 	f.workspace.weight = r.Weight
 	f.workspace.count++
 	f.account.waiting++
@@ -229,10 +259,7 @@
 // removeWaiting takes a request out of its flow.
 func (s *Scheduler) removeWaiting(it *item) {
 	f := it.flow
-	f.items.Delete(it)
-	if f.len() == 0 {
-		f.lastLate = nil
-	}
+	f.take(it)
 	f.workspace.count--
 	f.account.waiting--
 	s.tiers[f.key.tier].count--
@@ -240,7 +267,13 @@
 	s.waiting--
 	s.expiry.remove(it)
 	it.flow = nil
+	s.touch(f)
+}
+
+// touch puts a flow in its place after its head or its parking has changed.
+func (s *Scheduler) touch(f *flow) {
 	s.tiers[f.key.tier].update(f.workspace)
+	f.account.update(f)
 }
 
 // refresh brings a workspace's place up to date after a change of a flow.
@@ -250,7 +283,7 @@
 	if best, onTime := w.pick(now, !s.options.NoLateLane); best != nil {
 		w.onTime, w.urgent = onTime, best.urgency()
 	}
-	s.tiers[f.key.tier].update(w)
+	s.touch(f)
 }
 
 // pick chooses the workspace's next request: on time before late, then the one
@@ -336,7 +369,6 @@
 		items:     btree.NewBTreeGOptions(byArrival, btree.Options{NoLocks: true}),
 	}
 	w.flows = append(w.flows, f)
-	f.account.flows = append(f.account.flows, f)
 	s.flows[key] = f
 	return f
 }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -270,6 +270,13 @@
 	s.dispatch(now)
 }
 
+// SetMaxWaiting bounds the waiting requests of the shard; 0 means the built-in
+// bound. Requests that wait already stay.
+func (s *Scheduler) SetMaxWaiting(n int) {
+	s.options.MaxWaiting = n
+	s.options = s.options.withDefaults()
+}
+
 // Submit takes a new request, or one that comes back for a retry.
 func (s *Scheduler) Submit(now time.Time, request Request) {
 	if _, ok := s.items[request.ID]; ok {
--- /dev/null
+++ b/internal/schedule/schedule_test.go
@@ -0,0 +1,351 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func endpoints(n, places int) []Endpoint {
+	var list []Endpoint
+	for i := range n {
+		list = append(list, Endpoint{ID: fmt.Sprintf("e%d", i), Zone: "a", MaxInFlight: places})
+	}
+	return list
+}
+
+// grants gives the IDs granted by the decisions so far.
+func grants(s *Scheduler) []string {
+	var ids []string
+	for _, d := range s.Take() {
+		if d.Kind == Grant {
+			ids = append(ids, d.ID)
+		}
+	}
+	return ids
+}
+
+// TestOrder fills a shard with one place, and then lets the places come free
+// one by one.
+func TestOrder(t *testing.T) {
+	tests := map[string]struct {
+		waiting []Request
+		want    []string
+	}{
+		"higher tiers first": {
+			waiting: []Request{{ID: "low", Class: "x", Tier: 2}, {ID: "high", Class: "y", Tier: 0}, {ID: "middle", Class: "z", Tier: 1}},
+			want:    []string{"high", "middle", "low"},
+		},
+		"first come first within a flow": {
+			waiting: []Request{{ID: "1", Class: "x"}, {ID: "2", Class: "x"}, {ID: "3", Class: "x"}},
+			want:    []string{"1", "2", "3"},
+		},
+		"workspaces take turns": {
+			waiting: []Request{
+				{ID: "a1", Workspace: "a", Class: "x"},
+				{ID: "a2", Workspace: "a", Class: "x"},
+				{ID: "a3", Workspace: "a", Class: "x"},
+				{ID: "b1", Workspace: "b", Class: "x"},
+			},
+			want: []string{"a1", "b1", "a2", "a3"},
+		},
+		"the weight divides": {
+			waiting: []Request{
+				{ID: "a1", Workspace: "a", Class: "x"},
+				{ID: "a2", Workspace: "a", Class: "x"},
+				{ID: "b1", Workspace: "b", Class: "x", Weight: 3},
+				{ID: "b2", Workspace: "b", Class: "x", Weight: 3},
+				{ID: "b3", Workspace: "b", Class: "x", Weight: 3},
+			},
+			want: []string{"a1", "b1", "b2", "b3", "a2"},
+		},
+		"a share goes before a higher tier in its turn": {
+			waiting: []Request{
+				{ID: "h1", Class: "x", Tier: 0},
+				{ID: "h2", Class: "x", Tier: 0},
+				{ID: "h3", Class: "x", Tier: 0},
+				{ID: "h4", Class: "x", Tier: 0},
+				{ID: "low", Class: "y", Tier: 3, Share: 0.4},
+			},
+			want: []string{"h1", "h2", "h3", "low", "h4"},
+		},
+		"the sooner target first within a workspace": {
+			waiting: []Request{{ID: "slow", Class: "x", FirstToken: time.Minute}, {ID: "soon", Class: "y", FirstToken: time.Second}},
+			want:    []string{"soon", "slow"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := New(Options{})
+			s.SetEndpoints(start, endpoints(1, 1))
+			s.Submit(start, Request{ID: "first", Class: "first", Arrived: start})
+			c.Assert(grants(s), qt.DeepEquals, []string{"first"})
+			for _, r := range test.waiting {
+				r.Arrived = start
+				s.Submit(start, r)
+			}
+			now, running := start, "first"
+			for _, want := range test.want {
+				now = now.Add(time.Millisecond)
+				s.Started(now, running)
+				s.Finished(now, running, Answered, 0)
+				c.Assert(grants(s), qt.DeepEquals, []string{want})
+				running = want
+			}
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		options Options
+		// none leaves the shard without endpoints.
+		none     bool
+		requests []Request
+		after    time.Duration
+		want     []string
+	}{
+		"no endpoint": {
+			none: true, requests: []Request{{ID: "1"}}, want: []string{"1 " + string(ReasonNoEndpoint)},
+		},
+		"full: the new one of the same workspace goes": {
+			options: Options{MaxWaiting: 1}, requests: []Request{{ID: "1"}, {ID: "2"}}, want: []string{"2 " + string(ReasonNoRoom)},
+		},
+		"full: a lower tier goes": {
+			options: Options{MaxWaiting: 1}, requests: []Request{{ID: "1", Tier: 2}, {ID: "2", Tier: 1}}, want: []string{"1 " + string(ReasonNoRoom)},
+		},
+		"full: a higher tier stays": {
+			options: Options{MaxWaiting: 1}, requests: []Request{{ID: "1", Tier: 1}, {ID: "2", Tier: 2}}, want: []string{"2 " + string(ReasonNoRoom)},
+		},
+		"full: the largest workspace's newest goes": {
+			options:  Options{MaxWaiting: 2},
+			requests: []Request{{ID: "a1", Workspace: "a"}, {ID: "a2", Workspace: "a"}, {ID: "b1", Workspace: "b"}},
+			want:     []string{"a2 " + string(ReasonNoRoom)},
+		},
+		"the workspace's own room": {
+			requests: []Request{{ID: "1", MaxWaiting: 1}, {ID: "2", MaxWaiting: 1}}, want: []string{"2 " + string(ReasonWorkspaceRoom)},
+		},
+		"late and not wanted late": {
+			requests: []Request{{ID: "1", FirstToken: time.Second, RefuseLate: true}}, after: 2 * time.Second, want: []string{"1 " + string(ReasonTooLate)},
+		},
+		"late and wanted all the same": {
+			requests: []Request{{ID: "1", FirstToken: time.Second}}, after: 2 * time.Second,
+		},
+		"the longest wait": {
+			requests: []Request{{ID: "1", MaxWait: time.Second}}, after: 2 * time.Second, want: []string{"1 " + string(ReasonMaxWait)},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := New(test.options)
+			if !test.none {
+				s.SetEndpoints(start, endpoints(1, 1))
+				s.Submit(start, Request{ID: "first", Workspace: "z", Arrived: start})
+				s.Started(start, "first")
+				c.Assert(grants(s), qt.DeepEquals, []string{"first"})
+			}
+			var got []string
+			for _, r := range test.requests {
+				r.Arrived = start
+				s.Submit(start, r)
+			}
+			s.Tick(start.Add(test.after))
+			for _, d := range s.Take() {
+				c.Assert(d.Kind, qt.Equals, Refuse)
+				c.Assert(d.RetryAfter >= minRetryAfter, qt.IsTrue)
+				got = append(got, d.ID+" "+string(d.Reason))
+			}
+			c.Assert(got, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestUnusedGrant lets a grant run out: its place goes to the next.
+func TestUnusedGrant(t *testing.T) {
+	c := qt.New(t)
+	s := New(Options{GrantTime: time.Second})
+	s.SetEndpoints(start, endpoints(1, 1))
+	s.Submit(start, Request{ID: "1", Arrived: start})
+	s.Submit(start, Request{ID: "2", Arrived: start})
+	c.Assert(grants(s), qt.DeepEquals, []string{"1"})
+	s.Tick(start.Add(999 * time.Millisecond))
+	c.Assert(grants(s), qt.HasLen, 0)
+	s.Tick(start.Add(time.Second))
+	c.Assert(grants(s), qt.DeepEquals, []string{"2"})
+}
+
+// TestLimits holds a workspace to its own limits without stopping others.
+func TestLimits(t *testing.T) {
+	c := qt.New(t)
+	s := New(Options{})
+	s.SetEndpoints(start, endpoints(1, 100))
+	for i := range 4 {
+		s.Submit(start, Request{ID: fmt.Sprintf("a%d", i), Workspace: "a", Class: "x", MaxInFlight: 2, Arrived: start})
+	}
+	s.Submit(start, Request{ID: "b", Workspace: "b", Class: "x", Arrived: start})
+	c.Assert(grants(s), qt.DeepEquals, []string{"a0", "a1", "b"})
+	s.Started(start, "a0")
+	s.Finished(start, "a0", Answered, 10)
+	c.Assert(grants(s), qt.DeepEquals, []string{"a2"})
+}
+
+func TestTokensPerMinute(t *testing.T) {
+	c := qt.New(t)
+	s := New(Options{})
+	s.SetEndpoints(start, endpoints(1, 100))
+	for i := range 3 {
+		s.Submit(start, Request{ID: fmt.Sprint(i), Workspace: "a", Class: "x", TokensPerMinute: 300, MaxTokens: 200, Arrived: start})
+	}
+	c.Assert(grants(s), qt.DeepEquals, []string{"0", "1"})
+	s.Started(start, "0")
+	s.Started(start, "1")
+	s.Tick(start.Add(10 * time.Second))
+	c.Assert(grants(s), qt.HasLen, 0)
+	s.Tick(start.Add(30 * time.Second))
+	c.Assert(grants(s), qt.DeepEquals, []string{"2"})
+}
+
+// TestSharesCostNoRefusal draws loads in which shares take places before higher
+// tiers. No request above is refused for time while a place is owed to it.
+func TestSharesCostNoRefusal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(Options{MaxWaiting: rapid.IntRange(2, 8).Draw(t, "room")})
+		s.SetEndpoints(start, endpoints(1, rapid.IntRange(1, 3).Draw(t, "places")))
+		now := start
+		var running []string
+		shareAt := map[int]time.Time{}
+		arrived := map[string]Request{}
+		for i := range 120 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 80).Draw(t, "gap")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0, 1:
+				r := Request{
+					ID: fmt.Sprint(i), Tier: rapid.IntRange(0, 3).Draw(t, "tier"), Arrived: now, Share: 0.2,
+					FirstToken: 200 * time.Millisecond, RefuseLate: rapid.Bool().Draw(t, "refuse"), MaxWait: time.Second,
+				}
+				r.Class = fmt.Sprint("c", r.Tier)
+				arrived[r.ID] = r
+				s.Submit(now, r)
+			case 2:
+				if len(running) > 0 {
+					s.Finished(now, running[0], Answered, 10)
+					running = running[1:]
+				}
+			}
+			s.Tick(now)
+			for _, d := range s.Take() {
+				r := arrived[d.ID]
+				switch {
+				case d.Kind == Grant:
+					s.Started(now, d.ID)
+					running = append(running, d.ID)
+					if d.Reason == ReasonShare {
+						shareAt[r.Tier] = now
+					}
+				case d.Kind == Refuse:
+					checkOwed(t, s, &r, d.Reason, shareAt)
+				}
+			}
+		}
+	})
+}
+
+// checkOwed fails if a request is refused for want of capacity although a lower
+// tier's share took a place while it waited that was not given back.
+func checkOwed(t *rapid.T, s *Scheduler, r *Request, reason Reason, shareAt map[int]time.Time) {
+	if reason != ReasonTooLate && reason != ReasonMaxWait {
+		return
+	}
+	for tier := r.Tier + 1; tier < Tiers; tier++ {
+		if s.shares.owed[tier] > 0 && !r.Arrived.After(shareAt[tier]) {
+			t.Fatalf("%s of tier %d refused as %s while tier %d owes %d places", r.ID, r.Tier, reason, tier, s.shares.owed[tier])
+		}
+	}
+}
+
+// TestStepsPerGrant bounds the cost of a grant: it grows as the logarithm of
+// what waits and does not grow with the endpoints.
+func TestStepsPerGrant(t *testing.T) {
+	c := qt.New(t)
+	few := stepsPerGrant(500, 8)
+	many := stepsPerGrant(50_000, 8)
+	wide := stepsPerGrant(500, 64)
+	c.Assert(many < 2*few, qt.IsTrue, qt.Commentf("%f with 500 waiting, %f with 50,000", few, many))
+	c.Assert(wide < 2*few, qt.IsTrue, qt.Commentf("%f with 8 endpoints, %f with 64", few, wide))
+}
+
+// loaded gives a scheduler with so many waiting and all places taken.
+func loaded(waiting, engines int) (*Scheduler, []string) {
+	s := New(Options{MaxWaiting: waiting + 1000, FixedLimit: 16})
+	list := endpoints(engines, 16)
+	for i := range list {
+		list[i].Engine = true
+	}
+	s.SetEndpoints(start, list)
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range waiting + engines*16 {
+		s.Submit(start, benchRequest(random, i))
+	}
+	running := grants(s)
+	for _, id := range running {
+		s.Started(start, id)
+	}
+	return s, running
+}
+
+func benchRequest(random *rand.Rand, i int) Request {
+	return Request{
+		ID: fmt.Sprint(i), Workspace: fmt.Sprint("w", random.IntN(320)), Class: fmt.Sprint("c", i%8), Tier: i % 4,
+		Arrived: start, PromptTokens: 100, FirstToken: time.Hour, Share: 0.02,
+	}
+}
+
+func stepsPerGrant(waiting, engines int) float64 {
+	s, running := loaded(waiting, engines)
+	before := s.Steps
+	const rounds = 200
+	for i := range rounds {
+		running = cycle(s, running, i)
+	}
+	return float64(s.Steps-before) / rounds
+}
+
+// cycle ends the oldest running request and starts what is granted for it.
+func cycle(s *Scheduler, running []string, i int) []string {
+	now := start.Add(time.Duration(i) * time.Millisecond)
+	s.Finished(now, running[0], Answered, 20)
+	running = running[1:]
+	for _, d := range s.Take() {
+		if d.Kind == Grant {
+			s.Started(now, d.ID)
+			running = append(running, d.ID)
+		}
+	}
+	return running
+}
+
+func BenchmarkGrant(b *testing.B) {
+	for _, waiting := range []int{500, 5000, 50_000} {
+		for _, engines := range []int{8, 64} {
+			b.Run(fmt.Sprintf("waiting=%d/endpoints=%d", waiting, engines), func(b *testing.B) {
+				s, running := loaded(waiting, engines)
+				random := rand.New(rand.NewPCG(3, 4))
+				before := s.Steps
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					s.Submit(start, benchRequest(random, 10_000_000+i))
+					running = cycle(s, running, i)
+				}
+				b.ReportMetric(float64(s.Steps-before)/float64(b.N), "steps/op")
+			})
+		}
+	}
+}
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -23,7 +23,9 @@
 	class   string
 	waiting int
 	credit  float64
-	flows   []*flow
+	// flows are those with a request that no limit holds, the one with the
+	// oldest first.
+	flows indexedHeap[*flow]
 }
 
 // maxCredit bounds what a class saves up, in grants of its own size.
@@ -33,24 +35,30 @@
 	a, ok := b.classes[class]
 	if !ok {
 		a = &shareAccount{class: class}
+		a.flows.index = func(f *flow) *int { return &f.accountIndex }
+		a.flows.less = func(f, g *flow) bool { return byArrival(f.head(), g.head()) }
 		b.classes[class] = a
 		b.order = append(b.order, a)
 	}
 	return a
 }
 
+// update puts a flow in its place, or takes it out if it has nothing to give.
+func (a *shareAccount) update(f *flow) {
+	if f.len() == 0 || f.parked {
+		a.flows.remove(f)
+		return
+	}
+	a.flows.put(f)
+}
+
 // head gives the class's oldest request that no limit holds.
 func (a *shareAccount) head() *item {
-	var oldest *item
-	for _, f := range a.flows {
-		if f.len() == 0 || f.parked {
-			continue
-		}
-		if it := f.head(); oldest == nil || byArrival(it, oldest) {
-			oldest = it
-		}
+	f, ok := a.flows.first()
+	if !ok {
+		return nil
 	}
-	return oldest
+	return f.head()
 }
 
 // dueShare gives a request whose class has saved up enough for it.
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -83,12 +83,20 @@
 	}
 }
 
-// SetEndpoints sets the endpoints of each shard. A shard that is not named
-// loses its endpoints.
-func (h *Host) SetEndpoints(shards map[string][]schedule.Endpoint) {
-	for name, endpoints := range shards {
+// Config is what the settings say of a shard.
+type Config struct {
+	Endpoints []schedule.Endpoint
+	// MaxWaiting bounds the waiting requests; 0 means the built-in bound.
+	MaxWaiting int
+}
+
+// Configure sets the endpoints and bounds of each shard. A shard that is not
+// named loses its endpoints.
+func (h *Host) Configure(shards map[string]Config) {
+	for name, config := range shards {
 		h.with(name, func(now time.Time, core *schedule.Scheduler) {
-			core.SetEndpoints(now, endpoints)
+			core.SetMaxWaiting(config.MaxWaiting)
+			core.SetEndpoints(now, config.Endpoints)
 		})
 	}
 	for _, name := range h.Names() {
