Limits that can't get stuck, probes that end early, no black holes

The state second by second showed three faults. A limit of 1.3 with one request running did not count as full and stayed for 40 s. A probe lasted two whole answers, so two engines at a time stayed at one request for 8 s. A crashed engine was not ejected while two others were probed, and being empty it drew every request. Change: full means that one more would not fit; a probe ends with the first tokens; failing engines may be ejected up to 60 % of a shard, slow ones 30 %, probes not counted; each failure in a row pauses an endpoint for 50 ms to 2 s. The limit moves by half of the distance to the target both ways.

--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -13,7 +13,7 @@
 	// looseBetween is the target of an engine whose requests have none.
 	looseBetween = 48 * time.Millisecond
 	// reserve is the part of the limit that each tier leaves to the next higher.
-	reserve = 0.02
+	reserve = 0.03
 	// cacheHeadroom is the part of the cache memory that is granted.
 	cacheHeadroom = 0.92
 	// firstChunk is the first guess of the prompt tokens read in one step.
@@ -24,7 +24,7 @@
 
 // targetHeadroom keeps the mean below the target, so that most requests meet
 // it. The higher a tier, the fewer of its requests may miss it.
-var targetHeadroom = [Tiers]float64{0.91, 0.94, 0.96, 0.98}
+var targetHeadroom = [Tiers]float64{0.87, 0.93, 0.96, 0.98}
 
 // endpoint is an endpoint with what was learned of it.
 type endpoint struct {
@@ -111,7 +111,7 @@
 // fits reports whether a request may be granted now: there is a place, cache
 // memory for its prompt and predicted answer, and little prefill ahead.
 func (e *endpoint) fits(now time.Time, it *item, o *Options, need int) bool {
-	if !e.hasRoomFor(it.request.Tier) {
+	if !e.hasRoomFor(it.request.Tier) || now.Before(e.health.pausedUntil) {
 		return false
 	}
 	if len(e.running) == 0 {
@@ -196,6 +196,7 @@
 	e.windowSteps += steps
 	it.measuredAt = now
 	it.measuredTokens = tokens
+	e.health.heard()
 	if tokens > it.predicted {
 		longer := tokens + tokens/4
 		e.cacheUsed += longer - it.predicted
@@ -217,24 +218,34 @@
 	return target
 }
 
+// The constants of a move of the limit: how much of the distance to the target
+// one judgement corrects, and the bounds of one step.
+const (
+	// fullPart is the part of the limit that must be used for it to grow.
+	fullPart     = 0.8
+	limitGain    = 0.5
+	leastStep    = 0.7
+	greatestStep = 1.1
+)
+
 // adapt moves the learned limit after a judgement: down in proportion when the
 // engine is slower than the target, up when it is full and has time to spare.
 func (e *endpoint) adapt(mean time.Duration) {
-	target := float64(e.strictest())
-	ratio := target / float64(mean)
-	full := float64(len(e.running)) >= 0.8*e.limit
+	ratio := float64(e.strictest()) / float64(mean)
+	// One more than is running: a limit between one and two is full with one.
+	full := float64(len(e.running)+1) >= fullPart*e.limit
 	switch {
+	case ratio < 1 && full:
+		e.slowStart = false
+		e.limit *= max(leastStep, 1+limitGain*(ratio-1))
 	case ratio < 1:
+		// The load that makes it slow is not the load that the limit allows.
 		e.slowStart = false
-		if !full {
-			// The load that makes it slow is not the load that the limit allows.
-			e.limit = float64(len(e.running))
-		}
-		e.limit *= max(0.7, ratio)
+		e.limit = float64(len(e.running))
 	case full && e.slowStart:
 		e.limit *= 1.5
 	case full:
-		e.limit += max(0.5, min(2, e.limit*(ratio-1)*0.25))
+		e.limit *= min(greatestStep, 1+limitGain*(ratio-1))
 	}
 	e.limit = min(max(e.limit, 1), largestLimit)
 }
--- a/internal/schedule/endpoints.go
+++ b/internal/schedule/endpoints.go
@@ -150,7 +150,7 @@
 		s.preempting--
 	}
 	e.drop(it)
-	e.health.finished(result)
+	e.health.finished(now, result)
 	if e.health.failures >= failuresInRow || (e.health.probing && result == Failed) {
 		s.eject(now, e, EjectFailing)
 	}
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -11,15 +11,20 @@
 	slowFactor = 2.0
 	// failuresInRow is how many failures in a row eject an endpoint.
 	failuresInRow = 3
-	// maxEjected is the part of a shard that may be ejected. With more bad than
-	// that, all are used: a fault that all share is not the endpoints' own.
-	maxEjected = 0.3
+	// maxSlow and maxFailing are the parts of a shard that may be ejected for
+	// being slow or silent, and for failing. With more bad than that, all are
+	// used: a fault that all share is not the endpoints' own.
+	maxSlow    = 0.3
+	maxFailing = 0.6
+	// firstPause is how long an endpoint gets nothing after a failure; each
+	// further failure in a row doubles it. Without it an endpoint that fails at
+	// once is the least loaded and draws every request.
+	firstPause = 50 * time.Millisecond
+	longPause  = 2 * time.Second
 	// silentTime is how long an engine with running requests may say nothing.
 	silentTime   = 3 * time.Second
 	firstEjected = 2 * time.Second
 	longEjected  = 30 * time.Second
-	// probeAnswers is how many answers in a row end the probing.
-	probeAnswers = 2
 )
 
 // health tells whether an endpoint is fit to get work.
@@ -30,8 +35,9 @@
 	until    time.Time
 	period   time.Duration
 	failures int
-	answers  int
 	reason   EjectReason
+	// pausedUntil is when the endpoint may get work again after a failure.
+	pausedUntil time.Time
 }
 
 // EjectReason says why an endpoint gets no work for a while.
@@ -45,24 +51,30 @@
 )
 
 // finished counts an end of a request at the endpoint.
-func (h *health) finished(result Result) {
+func (h *health) finished(now time.Time, result Result) {
 	switch result {
 	case Failed:
 		h.failures++
-		h.answers = 0
+		pause := min(firstPause<<min(h.failures-1, 10), longPause)
+		h.pausedUntil = now.Add(pause)
 	case Answered:
-		h.failures = 0
-		h.answers++
-		if h.probing && h.answers >= probeAnswers {
-			h.probing = false
-			h.period = 0
-		}
+		h.heard()
+	}
+}
+
+// heard says that the endpoint works: it brought tokens or an answer.
+func (h *health) heard() {
+	h.failures = 0
+	h.pausedUntil = time.Time{}
+	if h.probing {
+		h.probing = false
+		h.period = 0
 	}
 }
 
 // eject takes an endpoint out for a while, twice as long each time in a row.
 func (s *endpointSet) eject(now time.Time, e *endpoint, reason EjectReason) {
-	if s.options.NoEjection || !e.usable() || !s.mayEject() {
+	if s.options.NoEjection || !e.usable() || !s.mayEject(reason) {
 		return
 	}
 	h := &e.health
@@ -71,20 +83,23 @@
 	h.probing = false
 	h.until = now.Add(h.period)
 	h.reason = reason
-	h.answers = 0
 	h.failures = 0
 	s.place(e)
 }
 
 // mayEject reports whether one more endpoint may be taken out.
-func (s *endpointSet) mayEject() bool {
+func (s *endpointSet) mayEject(reason EjectReason) bool {
+	part := maxSlow
+	if reason == EjectFailing {
+		part = maxFailing
+	}
 	ejected := 1
 	for _, e := range s.order {
-		if e.health.ejected || e.health.probing {
+		if e.health.ejected {
 			ejected++
 		}
 	}
-	return float64(ejected) <= max(1, maxEjected*float64(len(s.order))) && len(s.order) > 1
+	return float64(ejected) <= max(1, part*float64(len(s.order))) && len(s.order) > 1
 }
 
 // readmit takes an endpoint back for a probe, with a limit that starts low.
