--- /dev/null
+++ b/internal/daemon/bench_test.go
@@ -0,0 +1,221 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/demo"
+	"oxbowslip.dev/oxbowslip/internal/emulator"
+	"oxbowslip.dev/oxbowslip/internal/standin"
+)
+
+// steady is an engine that gives a token every 5 ms whatever its load.
+var steady = emulator.Config{
+	StepTime: 5 * time.Millisecond, PerRequest: time.Nanosecond, PerPromptToken: time.Nanosecond,
+	ChunkTokens: 1 << 20, MaxRunning: 4096, CacheTokens: 1 << 30,
+}
+
+// timing is what a caller saw of one stream.
+type timing struct {
+	first time.Duration
+	whole time.Duration
+}
+
+// streams opens so many streams at once, reads them to the end, and gives their
+// timings.
+func streams(b *testing.B, address string, n int) []timing {
+	timings := make([]timing, n)
+	var group sync.WaitGroup
+	for i := range n {
+		group.Go(func() { timings[i] = oneStream(b, address) })
+	}
+	group.Wait()
+	return timings
+}
+
+func oneStream(b *testing.B, address string) timing {
+	begun := time.Now()
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions",
+		strings.NewReader(`{"model":"voyage","stream":true,"max_tokens":100,"messages":[{"role":"user","content":"answer_tokens=100"}]}`))
+	if err != nil {
+		b.Error(err)
+		return timing{}
+	}
+	r.Header.Set("Authorization", "Bearer "+demo.CallerKey("towpath-hire"))
+	r.Header.Set("X-Request-Class", "root-cause-digest")
+	r.Header.Set("X-Request-Id", fmt.Sprint("b", time.Now().UnixNano()))
+	response, err := benchClient.Do(r)
+	if err != nil {
+		b.Error(err)
+		return timing{}
+	}
+	defer response.Body.Close()
+	t := timing{}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if t.first == 0 {
+			t.first = time.Since(begun)
+		}
+	}
+	t.whole = time.Since(begun)
+	if err := lines.Err(); err != nil || response.StatusCode != http.StatusOK {
+		b.Errorf("status %d, %v", response.StatusCode, err)
+	}
+	return t
+}
+
+var benchClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+
+func firsts(timings []timing) []time.Duration {
+	var list []time.Duration
+	for _, t := range timings {
+		list = append(list, t.first)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// BenchmarkAdded compares streams through the router with streams straight from
+// an engine, in one run.
+func BenchmarkAdded(b *testing.B) {
+	for _, n := range []int{1, 64, 512} {
+		b.Run(fmt.Sprintf("streams=%d", n), func(b *testing.B) {
+			config := demo.DefaultConfig
+			config.Hosts = 1
+			config.Engines = map[string]int{"voyage": 8}
+			config.Speed = steady
+			cluster, err := demo.Start(context.Background(), config)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer cluster.Close()
+			router := cluster.Hosts()[0].Daemon.CallersAddress()
+			for range 4 {
+				streams(b, router, n) // The learned limits grow to what is asked of them.
+			}
+			var direct, routed []timing
+			for b.Loop() {
+				direct = append(direct, streams(b, cluster.Engines["voyage-1"].Address(), n)...)
+				routed = append(routed, streams(b, router, n)...)
+			}
+			d, r := firsts(direct), firsts(routed)
+			b.ReportMetric(float64(r[len(r)/2]-d[len(d)/2])/1e6, "added-p50-ms")
+			b.ReportMetric(float64(r[len(r)*99/100]-d[len(d)*99/100])/1e6, "added-p99-ms")
+			b.ReportMetric(total(direct).Seconds()/total(routed).Seconds(), "throughput-ratio")
+		})
+	}
+}
+
+func total(timings []timing) time.Duration {
+	sum := time.Duration(0)
+	for _, t := range timings {
+		sum += t.whole
+	}
+	return sum
+}
+
+// scriptedEngine sends a stream of so many chunks as fast as it can be read. It
+// allocates next to nothing, so that what a run allocates is the router's.
+func scriptedEngine(tokens int) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set("Content-Type", "text/event-stream")
+		chunk := []byte(`id: 1` + "\n" + `data: {"id":"chatcmpl-` + r.Header.Get("X-Request-Id") +
+			`","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"word "}}]}` + "\n\n")
+		for range tokens {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}))
+}
+
+// relayCost reads one long stream through the router and gives the allocations
+// and bytes for each token, all processes' parts together.
+func relayCost(c *qt.C, tokens int) (allocations, bytes float64, length time.Duration) {
+	engine := scriptedEngine(tokens)
+	defer engine.Close()
+	cluster := startCluster(c, 1)
+	address := strings.TrimPrefix(engine.URL, "http://")
+	c.Assert(cluster.Readdress("voyage-1", address), qt.IsNil)
+	conn, err := net.Dial("tcp", cluster.Hosts()[0].Daemon.CallersAddress())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	body := `{"model":"voyage","stream":true,"messages":[]}`
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	begun := time.Now()
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nConnection: close\r\nAuthorization: Bearer %s\r\nX-Request-Class: itinerary\r\nContent-Length: %d\r\n\r\n%s",
+		demo.CallerKey("towpath-hire"), len(body), body)
+	c.Assert(err, qt.IsNil)
+	n, err := io.Copy(io.Discard, conn)
+	length = time.Since(begun)
+	runtime.ReadMemStats(&after)
+	c.Assert(err, qt.IsNil)
+	c.Assert(n > int64(tokens)*50, qt.IsTrue, qt.Commentf("%d bytes", n))
+	return float64(after.Mallocs-before.Mallocs) / float64(tokens), float64(after.TotalAlloc-before.TotalAlloc) / float64(tokens), length
+}
+
+// TestRelayAllocations bounds what a token costs the router.
+func TestRelayAllocations(t *testing.T) {
+	c := qt.New(t)
+	allocations, bytes, _ := relayCost(c, 20_000)
+	c.Logf("%.2f allocations and %.0f bytes a token", allocations, bytes)
+	c.Assert(allocations < 6, qt.IsTrue, qt.Commentf("%.2f allocations a token", allocations))
+	c.Assert(bytes < 1500, qt.IsTrue, qt.Commentf("%.0f bytes a token", bytes))
+}
+
+func BenchmarkRelay(b *testing.B) {
+	c := qt.New(b)
+	for b.Loop() {
+		allocations, bytes, length := relayCost(c, 100_000)
+		b.ReportMetric(allocations, "allocs/token")
+		b.ReportMetric(bytes, "B/token")
+		b.ReportMetric(float64(length.Nanoseconds())/100_000, "ns/token")
+	}
+}
+
+// BenchmarkOpenStreams measures the memory that an open stream holds.
+func BenchmarkOpenStreams(b *testing.B) {
+	c := qt.New(b)
+	const n = 400
+	for b.Loop() {
+		cluster := startCluster(c, 8)
+		for _, engine := range cluster.Engines {
+			engine.SetFaults(standin.EngineFaults{Stall: true})
+		}
+		before := heap()
+		var group sync.WaitGroup
+		ctx, cancel := context.WithCancel(context.Background())
+		for range n {
+			group.Go(func() { send(c, cluster, ctx, http.MethodPost, "/v1/chat/completions", "itinerary", chatBody(true)) })
+		}
+		for cluster.Hosts()[0].Daemon.Open() < n {
+			time.Sleep(time.Millisecond)
+		}
+		b.ReportMetric(float64(heap()-before)/n, "B/stream")
+		cancel()
+		group.Wait()
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -173,6 +173,12 @@
 // OperatorsAddress is where operators reach the host.
 func (d *Daemon) OperatorsAddress() string { return d.operatorsAddress }
 
+// Open counts the requests under way.
+func (d *Daemon) Open() int { return d.owner.Open() }
+
+// Revision is the number of the settings in force, or 0.
+func (d *Daemon) Revision() uint64 { return d.revision() }
+
 // Counters gives the daemon's metrics.
 func (d *Daemon) Counters() *counters.Counters { return d.counters }
 
--- a/internal/demo/order.go
+++ b/internal/demo/order.go
@@ -11,18 +11,38 @@
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
-// patch is a change of one endpoint's state.
+// patch is a change of one endpoint.
 type patch struct {
-	Endpoints map[string]endpointState `json:"endpoints"`
+	Endpoints map[string]endpointPatch `json:"endpoints"`
 }
 
-type endpointState struct {
-	State settings.EndpointState `json:"state"`
+type endpointPatch struct {
+	State   settings.EndpointState `json:"state,omitzero"`
+	Address string                 `json:"address,omitzero"`
 }
 
-// orderOut puts a change on the platform that takes an endpoint out.
+// orderOut takes an endpoint out.
 func (c *Cluster) orderOut(endpoint string) error {
-	text, err := json.Marshal(patch{map[string]endpointState{endpoint: {settings.StateOut}}})
+	return c.change(endpoint, endpointPatch{State: settings.StateOut})
+}
+
+// Readdress moves an endpoint to another address and waits until that is in
+// force on every host.
+func (c *Cluster) Readdress(endpoint, address string) error {
+	if err := c.change(endpoint, endpointPatch{Address: address}); err != nil {
+		return err
+	}
+	for _, host := range c.Hosts() {
+		for host.Daemon.Revision() < c.revision {
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+// change puts a change of an endpoint on the platform.
+func (c *Cluster) change(endpoint string, p endpointPatch) error {
+	text, err := json.Marshal(patch{map[string]endpointPatch{endpoint: p}})
 	if err != nil {
 		return err
 	}
--- a/internal/replay/generate.go
+++ b/internal/replay/generate.go
@@ -86,7 +86,9 @@
 		tree.Models = make(map[string]settings.Model)
 	}
 	for model, count := range counts {
-		tree.Models[model] = tree.Models[model]
+		if _, ok := tree.Models[model]; !ok {
+			tree.Models[model] = settings.Model{}
+		}
 		for i := range count {
 			name := fmt.Sprintf("%s-%02d", model, i+1)
 			tree.Endpoints[name] = settings.Endpoint{
--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -8,14 +8,24 @@
 
 // dispatch grants waiting requests while endpoints have room.
 func (s *Scheduler) dispatch(now time.Time) {
-	for s.waiting > 0 && s.endpoints.hasRoom(now) {
-		it, reason := s.nextWaiting(now)
+	for s.waiting > 0 {
+		lowest := s.endpoints.lowestTier(now)
+		if lowest < 0 {
+			break
+		}
+		it, reason := s.nextWaiting(now, lowest)
 		if it == nil {
 			break
 		}
 		s.Steps++
 		it.predicted = s.predictLength(&it.request)
-		e := s.endpoints.choose(now, it, s.prefixes)
+		tier := it.request.Tier
+		if reason == ReasonShare {
+			// The places kept for higher tiers would starve a share when those
+			// tiers take all the rest.
+			tier = 0
+		}
+		e := s.endpoints.choose(now, it, tier, s.prefixes)
 		if e != nil {
 			s.grant(now, it, e, reason)
 			continue
@@ -30,11 +40,11 @@
 }
 
 // nextWaiting chooses the request to grant next: a class whose share is due,
-// else the highest tier's workspace with the least service. Flows that a limit
-// holds are parked on the way.
-func (s *Scheduler) nextWaiting(now time.Time) (*item, Reason) {
+// else the highest tier's workspace with the least service, down to the lowest
+// tier that has a place. Flows that a limit holds are parked on the way.
+func (s *Scheduler) nextWaiting(now time.Time, lowest int) (*item, Reason) {
 	for {
-		it, reason := s.candidate(now)
+		it, reason := s.candidate(now, lowest)
 		if it == nil {
 			return nil, ""
 		}
@@ -47,11 +57,11 @@
 	}
 }
 
-func (s *Scheduler) candidate(now time.Time) (*item, Reason) {
+func (s *Scheduler) candidate(now time.Time, lowest int) (*item, Reason) {
 	if it := s.dueShare(); it != nil {
 		return it, ReasonShare
 	}
-	for tier := range s.tiers {
+	for tier := range lowest + 1 {
 		if it := s.bestOf(now, &s.tiers[tier]); it != nil {
 			return it, ReasonTier
 		}
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -93,10 +93,6 @@
 	return float64(len(e.running)) / e.bound()
 }
 
-func (e *endpoint) hasRoom() bool {
-	return e.usable() && float64(len(e.running)+1) <= e.bound()
-}
-
 // hasRoomFor reports whether the endpoint has a place for a tier. The last
 // places are kept for the highest tiers, so that a request of theirs rarely has
 // to wait for one.
@@ -108,19 +104,22 @@
 	return float64(len(e.running)+1) <= max(1, e.bound()-kept)
 }
 
-// fits reports whether a request may be granted now: there is a place, cache
-// memory for its prompt and predicted answer, and little prefill ahead.
-func (e *endpoint) fits(now time.Time, it *item, o *Options, need int) bool {
-	if !e.hasRoomFor(it.request.Tier) || now.Before(e.health.pausedUntil) {
+// open reports whether the endpoint can take any request of a tier now: there
+// is a place, no pause after a failure, and little prefill ahead.
+func (e *endpoint) open(now time.Time, tier int, o *Options) bool {
+	if !e.hasRoomFor(tier) || now.Before(e.health.pausedUntil) {
 		return false
 	}
-	if len(e.running) == 0 {
+	return len(e.running) == 0 || e.prefillUntil.Sub(now) <= o.PrefillAhead
+}
+
+// fits reports whether there is cache memory for a prompt and its predicted
+// answer. An idle engine takes any.
+func (e *endpoint) fits(need int) bool {
+	if e.CacheTokens == 0 || len(e.running) == 0 {
 		return true
 	}
-	if e.CacheTokens > 0 && float64(e.cacheUsed+need) > cacheHeadroom*float64(e.CacheTokens) {
-		return false
-	}
-	return e.prefillUntil.Sub(now) <= o.PrefillAhead
+	return float64(e.cacheUsed+need) <= cacheHeadroom*float64(e.CacheTokens)
 }
 
 // uncached is the part of a prompt that the endpoint must read.
--- a/internal/schedule/endpoints.go
+++ b/internal/schedule/endpoints.go
@@ -69,16 +69,23 @@
 	s.byLoad.put(e)
 }
 
-// hasRoom reports whether any endpoint has a place.
-func (s *endpointSet) hasRoom(time.Time) bool {
-	e, ok := s.byLoad.first()
-	return ok && e.hasRoom()
+// lowestTier gives the lowest tier that any of the least loaded endpoints can
+// take now, or -1 if none can take any.
+func (s *endpointSet) lowestTier(now time.Time) int {
+	lowest := -1
+	for _, e := range s.byLoad.elements[:min(candidates, len(s.byLoad.elements))] {
+		for lowest < Tiers-1 && e.open(now, lowest+1, &s.options) {
+			lowest++
+		}
+	}
+	return lowest
 }
 
 // choose gives the endpoint with the least predicted time to the first token,
 // of the least loaded ones and the one that is likely to have the prompt's
-// prefix in its cache.
-func (s *endpointSet) choose(now time.Time, it *item, prefixes *prefixTable) *endpoint {
+// prefix in its cache. It may use the places of a tier, which is not always the
+// request's own.
+func (s *endpointSet) choose(now time.Time, it *item, tier int, prefixes *prefixTable) *endpoint {
 	r := &it.request
 	need := r.PromptTokens + it.predicted
 	var best *endpoint
@@ -93,7 +100,7 @@
 		if i < n {
 			e = s.byLoad.elements[i]
 		}
-		if e == nil || !e.usable() || s.avoids(r, e) || !e.fits(now, it, &s.options, need) {
+		if e == nil || s.avoids(r, e) || !e.open(now, tier, &s.options) || !e.fits(need) {
 			continue
 		}
 		cost := s.cost(now, r, e, prefixes)
