A share's place is not preempted, and goes to a request on time

Cause: in the flood of the highest tier no itinerary that arrived from 10 to 40 s was answered. The list of grants showed why: each one that a share had granted was preempted by the flood before its first token. Ruled out first: that shares never came due (13 grants), that they went to callers about to leave (true as well: oldest first). Change: a request granted by its share can't be preempted; of the oldest 16 flows of a class the share takes one still on time, if any.

--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -58,7 +58,7 @@
 }
 
 func (s *Scheduler) candidate(now time.Time, lowest int) (*item, Reason) {
-	if it := s.dueShare(); it != nil {
+	if it := s.dueShare(now); it != nil {
 		return it, ReasonShare
 	}
 	for tier := range lowest + 1 {
@@ -107,6 +107,7 @@
 	s.bookService(it, f)
 	s.refresh(now, f)
 	s.limitOf(r).use(it.predicted)
+	it.shared = reason == ReasonShare
 	s.endpoints.take(now, it, e)
 	s.prefixes.granted(r, e)
 	it.due = now.Add(s.options.GrantTime)
--- a/internal/schedule/preempt.go
+++ b/internal/schedule/preempt.go
@@ -79,6 +79,10 @@
 	if r.Tier <= to.request.Tier || !r.Repeatable || it.firstToken || it.preempting {
 		return false
 	}
+	if it.shared {
+		// A flood of the highest tier would take back what the share gave.
+		return false
+	}
 	return !it.started || now.Sub(it.sentAt) < preemptAge
 }
 
--- a/internal/schedule/queue.go
+++ b/internal/schedule/queue.go
@@ -31,7 +31,9 @@
 	sentAt        time.Time
 	firstToken    bool
 	preempting    bool
-	tokens        int
+	// shared says that the class's guaranteed share took the place.
+	shared bool
+	tokens int
 	// The last measurement of progress.
 	measuredAt     time.Time
 	measuredTokens int
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -61,8 +61,28 @@
 	return f.head()
 }
 
+// shareCandidates is how many flows are looked at for a request on time.
+const shareCandidates = 16
+
+// next gives a request that can still meet its target, of the flows with the
+// oldest ones, else the oldest of all: a share should not go to a caller who is
+// about to give up while another can be answered in time.
+func (a *shareAccount) next(now time.Time, lateLane bool) *item {
+	var best *item
+	for _, f := range a.flows.elements[:min(shareCandidates, len(a.flows.elements))] {
+		it, onTime := f.next(now, lateLane)
+		if onTime && (best == nil || it.urgency().Before(best.urgency())) {
+			best = it
+		}
+	}
+	if best != nil {
+		return best
+	}
+	return a.head()
+}
+
 // dueShare gives a request whose class has saved up enough for it.
-func (s *Scheduler) dueShare() *item {
+func (s *Scheduler) dueShare(now time.Time) *item {
 	if s.options.NoShares {
 		return nil
 	}
@@ -71,9 +91,9 @@
 		if a.waiting == 0 || a.credit <= 0 {
 			continue
 		}
-		head := a.head()
-		if head != nil && a.credit >= s.work(head) {
-			return head
+		it := a.next(now, !s.options.NoLateLane)
+		if it != nil && a.credit >= s.work(it) {
+			return it
 		}
 	}
 	return nil
