Many daemons schedule as one: rendezvous schedulers, links by drpc, takeover

Cause: each host scheduled alone, so the tiers held host by host only. Change: a shard's requests go to the live host with the highest rendezvous hash, over one drpc stream a pair of hosts (CBOR, shared key proved both ways, beats of 250 ms, 1 s of silence is a loss). Owners announce waiting and running requests to a new scheduler; it holds grants for 0.6 s and adopts what runs. A leaving host says so and hands its shards over.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,9 +23,11 @@
 	"oxbowslip.dev/oxbowslip/internal/dispatch"
 	"oxbowslip.dev/oxbowslip/internal/endpoint"
 	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/fleet"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/inforce"
 	"oxbowslip.dev/oxbowslip/internal/logging"
+	"oxbowslip.dev/oxbowslip/internal/membership"
 	"oxbowslip.dev/oxbowslip/internal/operator"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/platform"
@@ -45,6 +47,7 @@
 	holder    *settings.Holder
 	follower  *inforce.Follower
 	owner     *owner.Owner
+	fleet     *fleet.Fleet
 	shards    *shard.Host
 	client    *endpoint.Client
 	platform  *platform.Client
@@ -75,7 +78,7 @@
 			settings.NewHolder,
 			dispatch.New,
 			endpoint.New,
-			newShards,
+			newFleet,
 			newPlatform,
 			newFollower,
 			newOwner,
@@ -93,10 +96,14 @@
 // stopMargin is the time left to end honestly after the drain's limit.
 const stopMargin = 10 * time.Second
 
-func newShards(clock func() time.Time, d *dispatch.Dispatcher) *shard.Host {
-	host := shard.New(clock, schedule.Options{}, d.Deliver)
-	d.Connect(host.Apply)
-	return host
+func newFleet(config hostconfig.Host, d *dispatch.Dispatcher, client *platform.Client, log *logrus.Logger,
+	clock func() time.Time, random func() float64,
+) *fleet.Fleet {
+	return fleet.New(fleet.Config{
+		Self:   membership.Host{Name: config.Name, Address: config.Peers, Zone: config.Zone},
+		Listen: config.Peers,
+		Key:    config.PeerKey,
+	}, d, client, logging.Part(log, "fleet"), schedule.Options{}, clock, random)
 }
 
 func newPlatform(config hostconfig.Host, c *counters.Counters) *platform.Client {
@@ -121,17 +128,18 @@
 
 // New makes a daemon that has not started.
 func New(config hostconfig.Host, log *logrus.Logger, holder *settings.Holder, follower *inforce.Follower, o *owner.Owner,
-	shards *shard.Host, client *endpoint.Client, platformClient *platform.Client, c *counters.Counters, ring *explain.Ring,
+	f *fleet.Fleet, client *endpoint.Client, platformClient *platform.Client, c *counters.Counters, ring *explain.Ring,
 	table *claims.Table, clock func() time.Time,
 ) *Daemon {
 	d := &Daemon{
-		config: config, log: logging.Part(log, "daemon"), holder: holder, follower: follower, owner: o, shards: shards,
+		config: config, log: logging.Part(log, "daemon"), holder: holder, follower: follower, owner: o, fleet: f, shards: f.Shards(),
 		client: client, platform: platformClient, counters: c, claims: table, hurry: make(chan struct{}), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, table, logging.Part(log, "api"), clock,
 		config.WriteTimeout, d.notReady).HTTP()
 	d.operators = operator.New(config.OperatorKeys, c, ring, holder, d.status).HTTP()
 	c.Gauge("oxbowslip_open_requests", func() float64 { return float64(o.Open()) })
+	c.Gauge("oxbowslip_takeovers", func() float64 { return float64(f.Takeovers()) })
 	c.Gauge("oxbowslip_settings_revision", func() float64 { return float64(d.revision()) })
 	return d
 }
@@ -150,6 +158,12 @@
 	}
 	d.callersAddress = callers.Addr().String()
 	d.operatorsAddress = operators.Addr().String()
+	if err := d.fleet.Start(); err != nil {
+		callers.Close()
+		operators.Close()
+		return err
+	}
+	go d.fleet.Run(d.done)
 	go d.serve(d.callers, callers)
 	go d.serve(d.operators, operators)
 	go d.follower.Run(d.done)
@@ -170,6 +184,15 @@
 // CallersAddress is where callers reach the host.
 func (d *Daemon) CallersAddress() string { return d.callersAddress }
 
+// PeersAddress is where peers reach the host, or empty.
+func (d *Daemon) PeersAddress() string { return d.fleet.PeersAddress() }
+
+// Takeovers counts the shards that came to this host from another.
+func (d *Daemon) Takeovers() int { return d.fleet.Takeovers() }
+
+// Schedulers gives the host that schedules each shard, as this host sees it.
+func (d *Daemon) Schedulers() map[string]string { return d.fleet.Schedulers() }
+
 // OperatorsAddress is where operators reach the host.
 func (d *Daemon) OperatorsAddress() string { return d.operatorsAddress }
 
@@ -199,6 +222,7 @@
 		}
 	}()
 	d.draining.Store(true)
+	d.fleet.Leave()
 	d.callers.SetKeepAlivesEnabled(false)
 	d.log.WithField("open", d.owner.Open()).Info("draining")
 	select {
@@ -246,7 +270,7 @@
 	close(d.done)
 	<-d.ended
 	d.operators.Close()
-	d.shards.Close()
+	d.fleet.Close()
 	d.client.Close()
 	d.platform.Close()
 }
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -18,6 +18,7 @@
 	"oxbowslip.dev/oxbowslip/internal/emulator"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/logging"
+	"oxbowslip.dev/oxbowslip/internal/platform"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/standin"
 )
@@ -67,6 +68,8 @@
 
 // Host is one daemon of the cluster.
 type Host struct {
+	Name   string
+	Zone   string
 	Daemon *daemon.Daemon
 	app    *fx.App
 	// Down says that the host was killed or stopped.
@@ -120,9 +123,23 @@
 			return nil, err
 		}
 	}
+	c.list()
 	return c, c.waitReady(ctx)
 }
 
+// list puts the hosts that are up on the platform's list.
+func (c *Cluster) list() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var hosts []platform.Host
+	for _, host := range c.hosts {
+		if !host.Down {
+			hosts = append(hosts, platform.Host{Name: host.Name, Peers: host.Daemon.PeersAddress(), Zone: host.Zone, State: platform.HostLive})
+		}
+	}
+	c.Platform.SetHosts(hosts)
+}
+
 func (c *Cluster) startEndpoints() error {
 	c.Tree.Endpoints = make(map[string]settings.Endpoint)
 	for model, count := range c.Config.Engines {
@@ -182,7 +199,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hosts = append(c.hosts, &Host{Daemon: d, app: app})
+	c.hosts = append(c.hosts, &Host{Name: config.Name, Zone: config.Zone, Daemon: d, app: app})
 	return nil
 }
 
@@ -231,6 +248,7 @@
 // Kill ends a host as a crash would.
 func (c *Cluster) Kill(host *Host) {
 	c.mark(host)
+	c.relist()
 	host.Daemon.Kill()
 }
 
@@ -238,6 +256,7 @@
 func (c *Cluster) Drain(ctx context.Context, host *Host) (int, error) {
 	err := host.app.Stop(ctx)
 	c.mark(host)
+	c.relist()
 	return host.Daemon.Cut(), err
 }
 
@@ -247,6 +266,13 @@
 	host.Down = true
 }
 
+// relist brings the platform's list up to date after hosts went, late as the
+// platform does.
+func (c *Cluster) relist() { time.AfterFunc(listLag, c.list) }
+
+// listLag is how late the platform's list shows that a host is gone.
+const listLag = 3 * time.Second
+
 // Close ends everything at once.
 func (c *Cluster) Close() {
 	for _, host := range c.Hosts() {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,6 +1,6 @@
 // Package dispatch is the owner's side of scheduling: it asks the scheduler of
-// a shard for grants, waits for its decisions, and tells it how the granted
-// requests go on.
+// a shard for grants, waits for its decisions, tells it how the granted requests
+// go on, and announces them to the next scheduler when the shard moves.
 package dispatch
 
 import (
@@ -12,13 +12,20 @@
 	"oxbowslip.dev/oxbowslip/internal/shard"
 )
 
-// Send hands a message to the scheduler of a shard.
-type Send func(shard string, m *shard.Message)
+// Router is the way to the schedulers.
+type Router interface {
+	// Scheduler gives the host that schedules a shard now.
+	Scheduler(shard string) string
+	// Send hands a message to a host's scheduler. It must not block, and may
+	// lose the message if the host can't be reached.
+	Send(host, shard string, m *shard.Message)
+}
 
 // Dispatcher holds the open requests of this host.
 type Dispatcher struct {
+	router Router
+
 	mu      sync.Mutex
-	send    Send
 	tickets map[string]*Ticket
 }
 
@@ -28,43 +35,23 @@
 }
 
 // Connect sets the way to the schedulers.
-func (d *Dispatcher) Connect(send Send) { d.send = send }
-
-// Open counts the requests that wait or run.
-func (d *Dispatcher) Open() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.tickets)
-}
+func (d *Dispatcher) Connect(router Router) { d.router = router }
 
-// Deliver hands a scheduler's decision to the request that it is for. A
-// decision for a request that is gone is dropped; its owner has withdrawn it.
-func (d *Dispatcher) Deliver(_ string, decision schedule.Decision) {
-	d.mu.Lock()
-	t, ok := d.tickets[decision.ID]
-	d.mu.Unlock()
-	if !ok {
-		return
-	}
-	if decision.Kind == schedule.Preempt {
-		t.preempt()
-		return
-	}
-	select {
-	case t.decisions <- decision:
-	default:
-	}
-}
-
-// Ticket is one request's standing with the scheduler.
+// Ticket is one request's standing with its scheduler.
 type Ticket struct {
 	dispatcher *Dispatcher
 	shard      string
 	request    schedule.Request
 	decisions  chan schedule.Decision
+	preempted  chan struct{}
+
+	// The rest is guarded by the dispatcher's lock.
 
-	mu        sync.Mutex
-	preempted chan struct{}
+	// scheduler is the host that has the request.
+	scheduler string
+	// endpoint is set once the request is granted.
+	endpoint string
+	tokens   int
 }
 
 // Ask submits a request and waits for the decision. It fails only when ctx
@@ -80,7 +67,15 @@
 	d.mu.Lock()
 	d.tickets[request.ID] = t
 	d.mu.Unlock()
-	d.send(shardName, &shard.Message{Kind: shard.Submit, ID: request.ID, Request: request})
+	// The ticket is there before its scheduler is looked up, so that a move of
+	// the shard in between finds it.
+	scheduler := d.router.Scheduler(shardName)
+	d.mu.Lock()
+	if t.scheduler == "" {
+		t.scheduler = scheduler
+	}
+	d.mu.Unlock()
+	t.tell(shard.Message{Kind: shard.Submit, Request: request})
 	select {
 	case decision := <-t.decisions:
 		if decision.Kind == schedule.Refuse {
@@ -88,12 +83,84 @@
 		}
 		return t, decision, nil
 	case <-ctx.Done():
-		t.tell(shard.Message{Kind: shard.Withdraw})
 		d.forget(request.ID)
+		t.tell(shard.Message{Kind: shard.Withdraw})
 		return nil, schedule.Decision{}, ctx.Err()
 	}
 }
 
+// Deliver hands a scheduler's decision to the request that it is for. A decision
+// of a scheduler that does not have the request any more is dropped: its grant
+// becomes void by itself.
+func (d *Dispatcher) Deliver(host, _ string, decision schedule.Decision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t, ok := d.tickets[decision.ID]
+	if !ok || t.scheduler != host {
+		return
+	}
+	if decision.Kind == schedule.Preempt {
+		t.preempt()
+		return
+	}
+	if t.endpoint != "" {
+		return
+	}
+	t.endpoint = decision.Endpoint
+	select {
+	case t.decisions <- decision:
+	default:
+	}
+}
+
+// Move takes the requests of a shard to its new scheduler.
+func (d *Dispatcher) Move(shardName string) {
+	to := d.router.Scheduler(shardName)
+	for _, t := range d.pick(func(t *Ticket) bool { return t.shard == shardName && t.scheduler != to }) {
+		d.mu.Lock()
+		from := t.scheduler
+		t.scheduler = to
+		announcement := t.announcement()
+		d.mu.Unlock()
+		d.router.Send(from, shardName, &shard.Message{Kind: shard.Withdraw, ID: t.request.ID})
+		d.router.Send(to, shardName, announcement)
+	}
+}
+
+// Announce tells a scheduler of all requests that are its own, after its link
+// was lost or opened. What it knows already it ignores.
+func (d *Dispatcher) Announce(host string) {
+	for _, t := range d.pick(func(t *Ticket) bool { return t.scheduler == host }) {
+		d.mu.Lock()
+		announcement := t.announcement()
+		d.mu.Unlock()
+		d.router.Send(host, t.shard, announcement)
+	}
+}
+
+func (d *Dispatcher) pick(match func(t *Ticket) bool) []*Ticket {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var picked []*Ticket
+	for _, t := range d.tickets {
+		if match(t) {
+			picked = append(picked, t)
+		}
+	}
+	return picked
+}
+
+// announcement is what a scheduler that does not know the request must hear. The
+// dispatcher's lock is held.
+func (t *Ticket) announcement() *shard.Message {
+	if t.endpoint == "" {
+		return &shard.Message{Kind: shard.Submit, ID: t.request.ID, Request: t.request}
+	}
+	return &shard.Message{
+		Kind: shard.Adopt, ID: t.request.ID, Request: t.request, Endpoint: t.endpoint, Tokens: t.tokens,
+	}
+}
+
 func (d *Dispatcher) forget(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -107,7 +174,7 @@
 func (t *Ticket) Started() { t.tell(shard.Message{Kind: shard.Started}) }
 
 // FirstToken says that the first token came.
-func (t *Ticket) FirstToken() { t.tell(shard.Message{Kind: shard.FirstToken}) }
+func (t *Ticket) FirstToken() { t.tell(shard.Message{Kind: shard.FirstToken, Tokens: 1}) }
 
 // Progress says how many tokens came so far.
 func (t *Ticket) Progress(tokens int) {
@@ -122,12 +189,16 @@
 
 func (t *Ticket) tell(m shard.Message) {
 	m.ID = t.request.ID
-	t.dispatcher.send(t.shard, &m)
+	d := t.dispatcher
+	d.mu.Lock()
+	t.tokens = max(t.tokens, m.Tokens)
+	host := t.scheduler
+	d.mu.Unlock()
+	d.router.Send(host, t.shard, &m)
 }
 
+// preempt is called with the dispatcher's lock held.
 func (t *Ticket) preempt() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	select {
 	case <-t.preempted:
 	default:
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,311 @@
+// Package fleet joins the hosts into one: it sends each request to the host that
+// schedules its shard, moves the requests when that changes, and schedules the
+// shards that fall to this host.
+package fleet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/dispatch"
+	"oxbowslip.dev/oxbowslip/internal/membership"
+	"oxbowslip.dev/oxbowslip/internal/peer"
+	"oxbowslip.dev/oxbowslip/internal/platform"
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+	"oxbowslip.dev/oxbowslip/internal/shard"
+)
+
+// takeoverHold is how long a host that takes over a shard waits for the other
+// owners before it grants: until then it does not know what they have running.
+const takeoverHold = 600 * time.Millisecond
+
+// listInterval is the mean time between two reads of the platform's list.
+const listInterval = 2 * time.Second
+
+// Config says who a host is among its peers.
+type Config struct {
+	Self membership.Host
+	// Listen is where peers connect; empty means that the host is alone.
+	Listen string
+	Key    string
+}
+
+// Fleet is one host's part in the fleet.
+type Fleet struct {
+	config     Config
+	dispatcher *dispatch.Dispatcher
+	platform   *platform.Client
+	log        *logrus.Entry
+	clock      func() time.Time
+	random     func() float64
+	server     *peer.Server
+	listener   net.Listener
+	shards     *shard.Host
+
+	mu    sync.Mutex
+	view  *membership.View
+	links map[string]*peer.Link
+	// schedulers is the host that each shard's requests go to now.
+	schedulers map[string]string
+	takeovers  int
+	closed     bool
+}
+
+// New makes a host's part of the fleet. Options are those of its schedulers.
+func New(config Config, d *dispatch.Dispatcher, client *platform.Client, log *logrus.Entry, options schedule.Options,
+	clock func() time.Time, random func() float64,
+) *Fleet {
+	f := &Fleet{
+		config: config, dispatcher: d, platform: client, log: log, clock: clock, random: random,
+		view: membership.New(config.Self), links: make(map[string]*peer.Link), schedulers: make(map[string]string),
+	}
+	f.shards = shard.New(clock, options, f.deliver)
+	f.server = peer.NewServer(config.Self.Name, config.Key, clock, f.shards.Apply, f.shards.DropOwner)
+	d.Connect(f)
+	return f
+}
+
+// Shards gives the schedulers of this host.
+func (f *Fleet) Shards() *shard.Host { return f.shards }
+
+// Start listens for peers.
+func (f *Fleet) Start() error {
+	if f.config.Listen == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", f.config.Listen)
+	if err != nil {
+		return merry.Prepend(err, "listen for peers")
+	}
+	f.listener = listener
+	f.server.Serve(listener)
+	return nil
+}
+
+// PeersAddress is where peers reach the host, or empty.
+func (f *Fleet) PeersAddress() string {
+	if f.listener == nil {
+		return ""
+	}
+	return f.listener.Addr().String()
+}
+
+// Run reads the platform's list of hosts until done is closed. While the
+// platform is away, the last list stays.
+func (f *Fleet) Run(done <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-done
+		cancel()
+	}()
+	for {
+		f.readList(ctx)
+		timer := time.NewTimer(time.Duration((0.5 + f.random()) * float64(listInterval)))
+		select {
+		case <-timer.C:
+		case <-done:
+			timer.Stop()
+			return
+		}
+	}
+}
+
+func (f *Fleet) readList(ctx context.Context) {
+	if f.config.Listen == "" {
+		return
+	}
+	list, err := f.platform.Hosts(ctx)
+	if err != nil {
+		return // The client counts it.
+	}
+	hosts := make([]membership.Host, 0, len(list))
+	for _, h := range list {
+		hosts = append(hosts, membership.Host{Name: h.Name, Address: h.Peers, Zone: h.Zone, Leaving: h.State == platform.HostLeaving})
+	}
+	f.mu.Lock()
+	f.view.SetList(hosts)
+	f.mu.Unlock()
+	f.reassign()
+}
+
+// Leave hands this host's shards over: it schedules no more.
+func (f *Fleet) Leave() {
+	f.mu.Lock()
+	f.view.Leave(f.config.Self.Name)
+	f.mu.Unlock()
+	f.server.Leave()
+	f.reassign()
+}
+
+// Close ends all links and schedulers.
+func (f *Fleet) Close() {
+	f.mu.Lock()
+	f.closed = true
+	links := f.links
+	f.links = make(map[string]*peer.Link)
+	f.mu.Unlock()
+	for _, link := range links {
+		link.Close()
+	}
+	if f.listener != nil {
+		f.server.Close()
+	}
+	f.shards.Close()
+}
+
+// Takeovers counts the shards that came to this host from another.
+func (f *Fleet) Takeovers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.takeovers
+}
+
+// Schedulers gives the host that each known shard's requests go to.
+func (f *Fleet) Schedulers() map[string]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	schedulers := make(map[string]string, len(f.schedulers))
+	for name, host := range f.schedulers {
+		schedulers[name] = host
+	}
+	return schedulers
+}
+
+// Scheduler gives the host that a shard's requests go to.
+func (f *Fleet) Scheduler(shardName string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if host, ok := f.schedulers[shardName]; ok {
+		return host
+	}
+	host := f.view.Scheduler(shardName)
+	f.assign(shardName, host)
+	return host.Name
+}
+
+// Send hands a message to a host's scheduler.
+func (f *Fleet) Send(host, shardName string, m *shard.Message) {
+	if host == f.config.Self.Name {
+		f.shards.Apply(shardName, m)
+		return
+	}
+	f.mu.Lock()
+	link := f.links[host]
+	f.mu.Unlock()
+	if link != nil {
+		link.Send(shardName, m)
+	}
+}
+
+// deliver hands a scheduler's decision to the request's owner.
+func (f *Fleet) deliver(shardName string, d schedule.Decision) {
+	if d.Owner == f.config.Self.Name || d.Owner == "" {
+		f.dispatcher.Deliver(f.config.Self.Name, shardName, d)
+		return
+	}
+	f.server.Deliver(shardName, d)
+}
+
+// assign notes a shard's scheduler, and opens a link to it. The lock is held.
+func (f *Fleet) assign(shardName string, host membership.Host) {
+	before, known := f.schedulers[shardName]
+	f.schedulers[shardName] = host.Name
+	if host.Name != f.config.Self.Name {
+		f.link(host)
+		return
+	}
+	if known && before != host.Name {
+		f.takeovers++
+		f.log.WithField("shard", shardName).Info("took over")
+	}
+	if f.view.Others() > 0 {
+		f.shards.Hold(shardName, takeoverHold)
+	}
+}
+
+// link opens a link to a host if there is none. The lock is held.
+func (f *Fleet) link(host membership.Host) {
+	if _, ok := f.links[host.Name]; ok || f.closed {
+		return
+	}
+	f.links[host.Name] = peer.Dial(f.config.Self.Name, host.Name, host.Address, f.config.Key, f.clock, peer.Events{
+		Up: f.linkUp, Down: f.linkDown, Leaving: f.linkLeaving, Decision: f.dispatcher.Deliver,
+	})
+}
+
+// linkUp announces to a scheduler all requests that are its own.
+func (f *Fleet) linkUp(host string) {
+	f.mu.Lock()
+	news := f.view.Suspect(host, false)
+	f.mu.Unlock()
+	if news {
+		f.reassign()
+	}
+	f.dispatcher.Announce(host)
+}
+
+func (f *Fleet) linkDown(host string) {
+	f.mu.Lock()
+	news := f.view.Suspect(host, true)
+	f.mu.Unlock()
+	if news {
+		f.log.WithField("peer", host).Warn("lost")
+		f.reassign()
+	}
+}
+
+func (f *Fleet) linkLeaving(host string) {
+	f.mu.Lock()
+	f.view.Leave(host)
+	f.mu.Unlock()
+	f.reassign()
+}
+
+// reassign moves the shards whose scheduler has changed, with their requests,
+// and ends links that nothing needs.
+func (f *Fleet) reassign() {
+	f.mu.Lock()
+	var moved []string
+	for shardName, before := range f.schedulers {
+		host := f.view.Scheduler(shardName)
+		if host.Name != before {
+			f.assign(shardName, host)
+			moved = append(moved, shardName)
+		}
+	}
+	idle := f.idleLinks()
+	f.mu.Unlock()
+	for _, shardName := range moved {
+		f.dispatcher.Move(shardName)
+	}
+	for _, link := range idle {
+		// In the background: a link's own goroutine may have called.
+		go link.Close()
+	}
+}
+
+// idleLinks takes out the links to hosts that are gone from the list and
+// schedule nothing for this host. The lock is held.
+func (f *Fleet) idleLinks() []*peer.Link {
+	needed := make(map[string]bool)
+	for _, host := range f.schedulers {
+		needed[host] = true
+	}
+	for _, host := range f.view.Hosts() {
+		needed[host.Name] = true
+	}
+	var idle []*peer.Link
+	for name, link := range f.links {
+		if !needed[name] {
+			idle = append(idle, link)
+			delete(f.links, name)
+		}
+	}
+	return idle
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,119 @@
+// Package membership decides which host schedules which shard. It starts from
+// the platform's lagging list of hosts and corrects it by what this host sees of
+// the peers that it works with. It does no input or output.
+package membership
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Host is one host of the fleet.
+type Host struct {
+	Name string
+	// Address is where its peers reach it.
+	Address string
+	Zone    string
+	// Leaving says that the host takes no more work.
+	Leaving bool
+}
+
+// View is what one host knows of the fleet.
+type View struct {
+	self     Host
+	listed   map[string]Host
+	suspects map[string]bool
+	leaving  map[string]bool
+}
+
+// New makes the view of a host that has not read the platform's list.
+func New(self Host) *View {
+	return &View{
+		self: self, listed: make(map[string]Host), suspects: make(map[string]bool), leaving: make(map[string]bool),
+	}
+}
+
+// SetList takes the platform's list. What was seen of hosts that are gone from
+// it is forgotten.
+func (v *View) SetList(hosts []Host) {
+	v.listed = make(map[string]Host, len(hosts))
+	for _, h := range hosts {
+		v.listed[h.Name] = h
+	}
+	for name := range v.suspects {
+		if _, ok := v.listed[name]; !ok {
+			delete(v.suspects, name)
+		}
+	}
+	for name := range v.leaving {
+		if _, ok := v.listed[name]; !ok && name != v.self.Name {
+			delete(v.leaving, name)
+		}
+	}
+}
+
+// Suspect notes whether a peer can't be reached, and reports whether that is
+// news.
+func (v *View) Suspect(name string, suspect bool) bool {
+	if v.suspects[name] == suspect {
+		return false
+	}
+	v.suspects[name] = suspect
+	return true
+}
+
+// Leave notes that a host, perhaps this one, said itself that it is leaving.
+func (v *View) Leave(name string) { v.leaving[name] = true }
+
+// Scheduler gives the host that schedules a shard: the usable host with the
+// highest rendezvous hash. With no other usable, it is this host itself.
+func (v *View) Scheduler(shard string) Host {
+	best, bestWeight := v.self, uint64(0)
+	for _, h := range v.usable() {
+		weight := rendezvous(shard, h.Name)
+		if weight > bestWeight {
+			best, bestWeight = h, weight
+		}
+	}
+	return best
+}
+
+// Others counts the usable hosts besides this one.
+func (v *View) Others() int {
+	n := 0
+	for _, h := range v.usable() {
+		if h.Name != v.self.Name {
+			n++
+		}
+	}
+	return n
+}
+
+// Hosts lists the hosts of the platform's list with what is known of them,
+// sorted by name.
+func (v *View) Hosts() []Host {
+	hosts := make([]Host, 0, len(v.listed))
+	for _, h := range v.listed {
+		h.Leaving = h.Leaving || v.leaving[h.Name]
+		hosts = append(hosts, h)
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Name < hosts[j].Name })
+	return hosts
+}
+
+// usable lists the hosts that may schedule. A host that is not in the list yet
+// is left out, this one too: the others would not send it their requests.
+func (v *View) usable() []Host {
+	var usable []Host
+	for _, h := range v.Hosts() {
+		if !h.Leaving && !v.suspects[h.Name] {
+			usable = append(usable, h)
+		}
+	}
+	return usable
+}
+
+func rendezvous(shard, host string) uint64 {
+	return xxhash.Sum64String(shard + "\x00" + host)
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,248 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+	"oxbowslip.dev/oxbowslip/internal/shard"
+)
+
+// The times of a link.
+const (
+	beatInterval = 250 * time.Millisecond
+	// silence is how long a peer may say nothing before its link is given up.
+	silence     = time.Second
+	dialTimeout = time.Second
+	// firstPause and longPause bound the pause between two tries to connect.
+	firstPause = 100 * time.Millisecond
+	longPause  = 2 * time.Second
+	// queueLength bounds the messages that wait for a link. A link that is
+	// further behind is given up; its owner announces everything anew then.
+	queueLength = 16384
+	// maxBatch bounds the messages of one frame.
+	maxBatch = 256
+)
+
+// Events are what a link tells the host that it belongs to. The functions must
+// not block.
+type Events struct {
+	// Up is called when a link is open, Down when it is lost or can't be opened.
+	Up   func(host string)
+	Down func(host string)
+	// Leaving is called when the peer says that it schedules no more.
+	Leaving func(host string)
+	// Decision hands over a decision of the peer's scheduler.
+	Decision func(host, shard string, decision schedule.Decision)
+}
+
+// Link is this host's connection, as an owner of requests, to the schedulers of
+// a peer.
+type Link struct {
+	self    string
+	host    string
+	address string
+	key     string
+	events  Events
+	clock   func() time.Time
+	done    chan struct{}
+	ended   chan struct{}
+
+	mu    sync.Mutex
+	open  bool
+	queue chan messageForm
+}
+
+// Dial starts a link. It connects, and connects again when it is lost, until
+// Close.
+func Dial(self, host, address, key string, clock func() time.Time, events Events) *Link {
+	l := &Link{
+		self: self, host: host, address: address, key: key, events: events, clock: clock,
+		done: make(chan struct{}), ended: make(chan struct{}),
+	}
+	go l.run()
+	return l
+}
+
+// Close ends the link.
+func (l *Link) Close() {
+	close(l.done)
+	<-l.ended
+}
+
+// Send queues a message. While the link is down messages are dropped: once it
+// is up, the owner announces everything.
+func (l *Link) Send(shardName string, m *shard.Message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.open {
+		return
+	}
+	select {
+	case l.queue <- toForm(l.clock(), shardName, m):
+	default:
+		l.open = false
+		close(l.queue)
+	}
+}
+
+func (l *Link) run() {
+	defer close(l.ended)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-l.done
+		cancel()
+	}()
+	pause := firstPause
+	for ctx.Err() == nil {
+		begun := time.Now()
+		// The error is the reason for trying again; Down tells of it.
+		_ = l.connect(ctx)
+		l.shut()
+		if ctx.Err() != nil {
+			return
+		}
+		l.events.Down(l.host)
+		if time.Since(begun) > longPause {
+			pause = firstPause
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, longPause)
+	}
+}
+
+func (l *Link) shut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.open {
+		l.open = false
+		close(l.queue)
+	}
+}
+
+// connect opens the link and serves it until it breaks.
+func (l *Link) connect(ctx context.Context) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", l.address)
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	conn := drpcconn.New(raw)
+	defer conn.Close()
+	stream, err := conn.NewStream(ctx, rpcName, encoding{})
+	if err != nil {
+		return merry.Wrap(err)
+	}
+	defer stream.Close()
+	watch := newWatchdog(raw)
+	defer watch.stop()
+	if err := l.greet(stream); err != nil {
+		return err
+	}
+	queue := make(chan messageForm, queueLength)
+	l.mu.Lock()
+	l.queue, l.open = queue, true
+	l.mu.Unlock()
+	l.events.Up(l.host)
+	go l.write(stream, raw, queue)
+	return l.read(stream, watch)
+}
+
+// greet proves both sides to each other.
+func (l *Link) greet(stream drpc.Stream) error {
+	nonce := newNonce()
+	if err := stream.MsgSend(&frame{Kind: kindHello, Host: l.self, Nonce: nonce}, encoding{}); err != nil {
+		return merry.Wrap(err)
+	}
+	var challenge frame
+	if err := stream.MsgRecv(&challenge, encoding{}); err != nil {
+		return merry.Wrap(err)
+	}
+	if !hmac.Equal(challenge.Proof, proof(l.key, roleScheduler, nonce)) {
+		return merry.Wrap(ErrWrongKey)
+	}
+	return merry.Wrap(stream.MsgSend(&frame{Kind: kindProof, Proof: proof(l.key, roleOwner, challenge.Nonce)}, encoding{}))
+}
+
+// write sends queued messages in batches, and beats in between.
+func (l *Link) write(stream drpc.Stream, raw net.Conn, queue chan messageForm) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		f := frame{Kind: kindBeat}
+		select {
+		case form, ok := <-queue:
+			if !ok {
+				raw.Close()
+				return
+			}
+			f = frame{Kind: kindMessages, Messages: batch(form, queue)}
+		case <-ticker.C:
+		case <-stream.Context().Done():
+			return
+		}
+		if err := stream.MsgSend(&f, encoding{}); err != nil {
+			return
+		}
+	}
+}
+
+// batch takes what is queued, up to the bound of a frame.
+func batch[T any](first T, queue <-chan T) []T {
+	list := []T{first}
+	for len(list) < maxBatch {
+		select {
+		case next, ok := <-queue:
+			if !ok {
+				return list
+			}
+			list = append(list, next)
+		default:
+			return list
+		}
+	}
+	return list
+}
+
+func (l *Link) read(stream drpc.Stream, watch *watchdog) error {
+	for {
+		var f frame
+		if err := stream.MsgRecv(&f, encoding{}); err != nil {
+			return merry.Wrap(err)
+		}
+		watch.heard()
+		now := l.clock()
+		switch f.Kind {
+		case kindDecisions:
+			for i := range f.Decisions {
+				l.events.Decision(l.host, f.Decisions[i].Shard, f.Decisions[i].decision(now))
+			}
+		case kindLeaving:
+			l.events.Leaving(l.host)
+		}
+	}
+}
+
+// watchdog closes a connection on which nothing is heard.
+type watchdog struct {
+	timer *time.Timer
+}
+
+func newWatchdog(conn net.Conn) *watchdog {
+	return &watchdog{timer: time.AfterFunc(silence, func() { conn.Close() })}
+}
+
+func (w *watchdog) heard() { w.timer.Reset(silence) }
+
+func (w *watchdog) stop() { w.timer.Stop() }
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcserver"
+
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+	"oxbowslip.dev/oxbowslip/internal/shard"
+)
+
+// ownerGrace is how long an owner whose link is lost may stay away before its
+// requests are dropped.
+const ownerGrace = 2 * time.Second
+
+// Server is this host's side, as a scheduler, of the links from owners.
+type Server struct {
+	self  string
+	key   string
+	clock func() time.Time
+	// apply hands an owner's message to a scheduler, drop an owner's end.
+	apply func(shard string, m *shard.Message)
+	drop  func(owner string)
+
+	mu       sync.Mutex
+	sessions map[string]*session
+	leaving  bool
+	cancel   context.CancelFunc
+	ended    chan struct{}
+}
+
+// session is one owner's open link.
+type session struct {
+	owner string
+	queue chan decisionForm
+	leave chan struct{}
+}
+
+// NewServer makes a server that does not listen yet.
+func NewServer(self, key string, clock func() time.Time, apply func(shard string, m *shard.Message), drop func(owner string)) *Server {
+	return &Server{
+		self: self, key: key, clock: clock, apply: apply, drop: drop, sessions: make(map[string]*session), ended: make(chan struct{}),
+	}
+}
+
+// Serve accepts links in the background until Close.
+func (s *Server) Serve(listener net.Listener) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	go func() {
+		defer close(s.ended)
+		// It ends when ctx is cancelled; its error says just that.
+		_ = drpcserver.New(s).Serve(ctx, listener)
+	}()
+}
+
+// Close breaks all links.
+func (s *Server) Close() {
+	s.cancel()
+	<-s.ended
+}
+
+// Leave tells all owners that this host schedules no more.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	for _, session := range s.sessions {
+		close(session.leave)
+	}
+}
+
+// Owners counts the open links.
+func (s *Server) Owners() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// Deliver sends a decision to an owner. Without a link it is dropped: the owner
+// announces its requests when it comes back, or another scheduler has them.
+func (s *Server) Deliver(shardName string, d schedule.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	session, ok := s.sessions[d.Owner]
+	if !ok {
+		return
+	}
+	select {
+	case session.queue <- decisionToForm(s.clock(), shardName, &d):
+	default:
+		// An owner that is so far behind is as good as gone.
+		delete(s.sessions, d.Owner)
+		close(session.queue)
+	}
+}
+
+// HandleRPC serves one link.
+func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+	if rpc != rpcName {
+		return merry.Errorf("unknown call %q", rpc)
+	}
+	owner, err := s.greet(stream)
+	if err != nil {
+		return err
+	}
+	session := s.enter(owner)
+	go s.write(stream, session)
+	err = s.read(stream, owner)
+	s.leave(session)
+	return err
+}
+
+func (s *Server) greet(stream drpc.Stream) (string, error) {
+	var hello frame
+	if err := stream.MsgRecv(&hello, encoding{}); err != nil {
+		return "", merry.Wrap(err)
+	}
+	nonce := newNonce()
+	challenge := frame{Kind: kindChallenge, Host: s.self, Nonce: nonce, Proof: proof(s.key, roleScheduler, hello.Nonce)}
+	if err := stream.MsgSend(&challenge, encoding{}); err != nil {
+		return "", merry.Wrap(err)
+	}
+	var answer frame
+	if err := stream.MsgRecv(&answer, encoding{}); err != nil {
+		return "", merry.Wrap(err)
+	}
+	if !hmac.Equal(answer.Proof, proof(s.key, roleOwner, nonce)) {
+		return "", merry.Wrap(ErrWrongKey)
+	}
+	return hello.Host, nil
+}
+
+func (s *Server) enter(owner string) *session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.sessions[owner]; ok {
+		close(old.queue)
+	}
+	session := &session{owner: owner, queue: make(chan decisionForm, queueLength), leave: make(chan struct{})}
+	if s.leaving {
+		close(session.leave)
+	}
+	s.sessions[owner] = session
+	return session
+}
+
+// leave ends a session, and drops the owner's requests if it does not come back
+// in time.
+func (s *Server) leave(ended *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[ended.owner] != ended {
+		return
+	}
+	delete(s.sessions, ended.owner)
+	close(ended.queue)
+	time.AfterFunc(ownerGrace, func() {
+		s.mu.Lock()
+		_, back := s.sessions[ended.owner]
+		s.mu.Unlock()
+		if !back {
+			s.drop(ended.owner)
+		}
+	})
+}
+
+func (s *Server) write(stream drpc.Stream, session *session) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	leave := session.leave
+	for {
+		f := frame{Kind: kindBeat}
+		select {
+		case form, ok := <-session.queue:
+			if !ok {
+				// The link of the same owner is open anew, or lost; either way this
+				// one is over.
+				_ = stream.Close()
+				return
+			}
+			f = frame{Kind: kindDecisions, Decisions: batch(form, session.queue)}
+		case <-leave:
+			f = frame{Kind: kindLeaving}
+			leave = nil
+		case <-ticker.C:
+		case <-stream.Context().Done():
+			return
+		}
+		if err := stream.MsgSend(&f, encoding{}); err != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) read(stream drpc.Stream, owner string) error {
+	for {
+		var f frame
+		if err := stream.MsgRecv(&f, encoding{}); err != nil {
+			return merry.Wrap(err)
+		}
+		now := s.clock()
+		for i := range f.Messages {
+			s.apply(f.Messages[i].Shard, f.Messages[i].message(now, owner))
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/wire.go
@@ -0,0 +1,137 @@
+// Package peer carries the messages between the hosts of a fleet: from the
+// owners of requests to the schedulers of shards, and their decisions back. It
+// uses one drpc stream for each pair of hosts and direction of work, encoded as
+// CBOR. Peers prove to each other that they know a shared key.
+package peer
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+	"oxbowslip.dev/oxbowslip/internal/shard"
+)
+
+// ErrWrongKey says that a peer does not know the shared key.
+var ErrWrongKey = merry.Sentinel("peer does not know the shared key")
+
+// rpcName is the name of the only call.
+const rpcName = "/oxbowslip.Peer/Link"
+
+// kind says what a frame carries.
+type kind uint8
+
+const (
+	// kindHello opens a link: the owner's name and a nonce.
+	kindHello kind = iota
+	// kindChallenge answers it: the scheduler's proof and a nonce of its own.
+	kindChallenge
+	// kindProof ends the opening: the owner's proof.
+	kindProof
+	// kindBeat shows that the sender is alive.
+	kindBeat
+	kindMessages
+	kindDecisions
+	// kindLeaving says that the sender schedules no more.
+	kindLeaving
+)
+
+// frame is one message of a link. Unused fields are empty.
+type frame struct {
+	Kind      kind           `cbor:"1,keyasint"`
+	Host      string         `cbor:"2,keyasint,omitempty"`
+	Nonce     []byte         `cbor:"3,keyasint,omitempty"`
+	Proof     []byte         `cbor:"4,keyasint,omitempty"`
+	Messages  []messageForm  `cbor:"5,keyasint,omitempty"`
+	Decisions []decisionForm `cbor:"6,keyasint,omitempty"`
+}
+
+// messageForm is an owner's message. Times are sent as ages, since the hosts'
+// clocks differ.
+type messageForm struct {
+	Shard   string        `cbor:"1,keyasint"`
+	Age     time.Duration `cbor:"2,keyasint,omitempty"`
+	Message shard.Message `cbor:"3,keyasint"`
+}
+
+// decisionForm is a scheduler's decision, with the time left for a grant.
+type decisionForm struct {
+	Shard    string            `cbor:"1,keyasint"`
+	Left     time.Duration     `cbor:"2,keyasint,omitempty"`
+	Decision schedule.Decision `cbor:"3,keyasint"`
+}
+
+func toForm(now time.Time, shardName string, m *shard.Message) messageForm {
+	form := messageForm{Shard: shardName, Message: *m}
+	if !m.Request.Arrived.IsZero() {
+		form.Age = now.Sub(m.Request.Arrived)
+		form.Message.Request.Arrived = time.Time{}
+	}
+	return form
+}
+
+func (f *messageForm) message(now time.Time, owner string) *shard.Message {
+	m := f.Message
+	if m.Kind == shard.Submit || m.Kind == shard.Adopt {
+		m.Request.Arrived = now.Add(-f.Age)
+		m.Request.Owner = owner
+	}
+	return &m
+}
+
+func decisionToForm(now time.Time, shardName string, d *schedule.Decision) decisionForm {
+	form := decisionForm{Shard: shardName, Decision: *d}
+	if !d.Until.IsZero() {
+		form.Left = d.Until.Sub(now)
+		form.Decision.Until = time.Time{}
+	}
+	return form
+}
+
+func (f *decisionForm) decision(now time.Time) schedule.Decision {
+	d := f.Decision
+	if d.Kind == schedule.Grant {
+		d.Until = now.Add(f.Left)
+	}
+	return d
+}
+
+// encoding is CBOR for drpc.
+type encoding struct{}
+
+// Marshal encodes a frame.
+func (encoding) Marshal(message drpc.Message) ([]byte, error) { return cbor.Marshal(message) }
+
+// Unmarshal decodes a frame.
+func (encoding) Unmarshal(data []byte, message drpc.Message) error {
+	return cbor.Unmarshal(data, message)
+}
+
+const nonceBytes = 16
+
+func newNonce() []byte {
+	nonce := make([]byte, nonceBytes)
+	// Read never fails; the package says so.
+	_, _ = rand.Read(nonce)
+	return nonce
+}
+
+// proof shows knowledge of the key for a nonce of the other side. The role
+// keeps a proof from being sent back as the other side's own.
+func proof(key, role string, nonce []byte) []byte {
+	mac := hmac.New(sha256.New, []byte(key))
+	mac.Write([]byte(role))
+	mac.Write(nonce)
+	return mac.Sum(nil)
+}
+
+const (
+	roleOwner     = "owner"
+	roleScheduler = "scheduler"
+)
--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -8,6 +8,9 @@
 
 // dispatch grants waiting requests while endpoints have room.
 func (s *Scheduler) dispatch(now time.Time) {
+	if now.Before(s.heldUntil) {
+		return
+	}
 	for s.waiting > 0 {
 		lowest := s.endpoints.lowestTier(now)
 		if lowest < 0 {
--- a/internal/schedule/room.go
+++ b/internal/schedule/room.go
@@ -18,6 +18,10 @@
 	if s.waiting < s.options.MaxWaiting {
 		return "", true
 	}
+	if now.Before(s.heldUntil) && r.Tier < Tiers-1 {
+		// Lower tiers of owners that were not heard yet may have to go first.
+		return "", true
+	}
 	if s.makeRoom(now, r) {
 		return "", true
 	}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -8,6 +8,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 )
 
@@ -226,6 +227,7 @@
 	sequence  uint64
 	aside     []*item
 	held      []*limit
+	heldUntil time.Time
 	// Steps counts the elementary steps of all decisions, for benchmarks.
 	Steps uint64
 }
@@ -292,6 +294,49 @@
 	s.dispatch(now)
 }
 
+// Adopt takes a request that another scheduler granted and that goes on at an
+// endpoint. It takes a place there even if none is free.
+func (s *Scheduler) Adopt(now time.Time, request Request, endpointID string, tokens int) {
+	if _, ok := s.items[request.ID]; ok {
+		return
+	}
+	e, ok := s.endpoints.byID[endpointID]
+	if !ok {
+		return // Its endpoint is out or unknown here; nothing is to be booked.
+	}
+	request.Tier = min(max(request.Tier, 0), Tiers-1)
+	it := s.newItem(request)
+	it.predicted = max(s.predictLength(&request), tokens)
+	it.started, it.sentAt = true, now
+	it.tokens = tokens
+	if tokens > 0 {
+		it.firstToken, it.measuredAt, it.measuredTokens = true, now, tokens
+	}
+	s.items[request.ID] = it
+	s.limitOf(&request).use(it.predicted)
+	s.endpoints.take(now, it, e)
+}
+
+// Hold keeps the scheduler from granting, preempting and, but for the lowest
+// tier, shedding until a time: it has just taken the shard over and does not
+// know yet what runs.
+func (s *Scheduler) Hold(until time.Time) { s.heldUntil = until }
+
+// DropOwner drops all requests of a host that is gone. What it had running has
+// ended with its connections.
+func (s *Scheduler) DropOwner(now time.Time, owner string) {
+	var ids []string
+	for id, it := range s.items {
+		if it.request.Owner == owner {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		s.Withdraw(now, id)
+	}
+}
+
 // Withdraw takes back a request that waits or runs: its caller is gone.
 func (s *Scheduler) Withdraw(now time.Time, id string) {
 	it, ok := s.items[id]
@@ -378,7 +423,10 @@
 		next = now.Add(10 * tickInterval)
 	}
 	if s.expiry.Len() > 0 && s.expiry.elements[0].due.Before(next) {
-		return s.expiry.elements[0].due
+		next = s.expiry.elements[0].due
+	}
+	if s.heldUntil.After(now) && s.heldUntil.Before(next) {
+		next = s.heldUntil
 	}
 	return next
 }
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -28,14 +28,18 @@
 	Progress
 	// Finished: the attempt ended.
 	Finished
+	// Adopt: a request that another scheduler granted goes on at Endpoint.
+	Adopt
 )
 
 // Message is one message from a request's owner to the scheduler of its shard.
 type Message struct {
 	Kind Kind
-	// ID is the request's. Request is set for Submit only.
+	// ID is the request's. Request is set for Submit and Adopt only.
 	ID      string
 	Request schedule.Request
+	// Endpoint is set for Adopt only.
+	Endpoint string
 	// Tokens is the length of the answer so far, Result the end of the attempt.
 	Tokens int
 	Result schedule.Result
@@ -61,7 +65,9 @@
 
 // runner is one scheduler with its timer.
 type runner struct {
-	name  string
+	name string
+	// deliver hands decisions over under mu, so that an owner gets them in the
+	// order in which they were taken.
 	mu    sync.Mutex
 	core  *schedule.Scheduler
 	timer *time.Timer
@@ -139,11 +145,26 @@
 		core.FirstToken(now, m.ID)
 	case Progress:
 		core.Progress(now, m.ID, m.Tokens)
+	case Adopt:
+		core.Adopt(now, m.Request, m.Endpoint, m.Tokens)
 	case Finished:
 		core.Finished(now, m.ID, m.Result, m.Tokens)
 	}
 }
 
+// Hold keeps a shard's scheduler from granting and shedding for a while, until
+// the owners have announced their requests.
+func (h *Host) Hold(shard string, d time.Duration) {
+	h.with(shard, func(now time.Time, core *schedule.Scheduler) { core.Hold(now.Add(d)) })
+}
+
+// DropOwner drops all requests of a host that is gone.
+func (h *Host) DropOwner(owner string) {
+	for _, name := range h.Names() {
+		h.with(name, func(now time.Time, core *schedule.Scheduler) { core.DropOwner(now, owner) })
+	}
+}
+
 // Inspect reads a shard's scheduler under its lock.
 func (h *Host) Inspect(shard string, read func(core *schedule.Scheduler)) {
 	h.with(shard, func(_ time.Time, core *schedule.Scheduler) { read(core) })
