--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -137,7 +137,7 @@
 	}
 	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, table, logging.Part(log, "api"), clock,
 		config.WriteTimeout, d.notReady).HTTP()
-	d.operators = operator.New(config.OperatorKeys, c, ring, holder, d.status).HTTP()
+	d.operators = operator.New(config.OperatorKeys, c, ring, holder, d.Status).HTTP()
 	c.Gauge("oxbowslip_open_requests", func() float64 { return float64(o.Open()) })
 	c.Gauge("oxbowslip_takeovers", func() float64 { return float64(f.Takeovers()) })
 	c.Gauge("oxbowslip_settings_revision", func() float64 { return float64(d.revision()) })
@@ -206,7 +206,7 @@
 func (d *Daemon) Counters() *counters.Counters { return d.counters }
 
 // Ready reports whether the host takes requests and says so to the balancer.
-func (d *Daemon) Ready() bool { return d.status().Ready }
+func (d *Daemon) Ready() bool { return d.Status().Ready }
 
 // Stop ends the host as planned: readiness fails first, then, after the notice,
 // no connection is accepted, and what is in flight ends. When ctx or the limit
@@ -348,7 +348,8 @@
 	return ""
 }
 
-func (d *Daemon) status() operator.Status {
+// Status tells the state of the host.
+func (d *Daemon) Status() operator.Status {
 	problem := d.Problem()
 	status := operator.Status{
 		Host: d.config.Name, Zone: d.config.Zone, Version: Version, Revision: d.revision(), Ready: problem == "",
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -68,7 +68,11 @@
 }
 
 func send(c *qt.C, cluster *demo.Cluster, ctx context.Context, method, path, class, body string) answer {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+cluster.Hosts()[0].Daemon.CallersAddress()+path, bytes.NewReader([]byte(body)))
+	return sendTo(c, cluster.Hosts()[0], ctx, method, path, class, body)
+}
+
+func sendTo(c *qt.C, host *demo.Host, ctx context.Context, method, path, class, body string) answer {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+host.Daemon.CallersAddress()+path, bytes.NewReader([]byte(body)))
 	c.Assert(err, qt.IsNil)
 	r.Header.Set("Authorization", "Bearer "+demo.CallerKey("towpath-hire"))
 	r.Header.Set("X-Request-Class", class)
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -167,6 +167,15 @@
 	return nil
 }
 
+// AddHost starts one more host and waits until it is ready.
+func (c *Cluster) AddHost(ctx context.Context) error {
+	if err := c.startHost(ctx, len(c.Hosts())); err != nil {
+		return err
+	}
+	c.list()
+	return c.waitReady(ctx)
+}
+
 func (c *Cluster) startHost(ctx context.Context, i int) error {
 	config := hostconfig.Host{
 		Name:      fmt.Sprintf("host-%d", i+1),
@@ -213,7 +222,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
 	for _, host := range c.Hosts() {
-		for !host.Daemon.Ready() {
+		for !host.Down && !host.Daemon.Ready() {
 			select {
 			case <-time.After(readyPoll):
 			case <-ctx.Done():
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,80 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func hosts(names ...string) []Host {
+	var list []Host
+	for _, name := range names {
+		list = append(list, Host{Name: name, Address: name + ":1"})
+	}
+	return list
+}
+
+func TestScheduler(t *testing.T) {
+	// With all three, host b has the highest hash for the shard, then a.
+	const shard = "shard-1"
+	full := New(Host{Name: "a"})
+	full.SetList(hosts("a", "b", "c"))
+	first := full.Scheduler(shard).Name
+	full.Suspect(first, true)
+	second := full.Scheduler(shard).Name
+	tests := map[string]struct {
+		self string
+		list []Host
+		edit func(v *View)
+		want string
+	}{
+		"the first in rank":                  {self: "a", list: hosts("a", "b", "c"), want: first},
+		"the same on every host":             {self: "c", list: hosts("c", "b", "a"), want: first},
+		"the next when it is lost":           {self: "c", list: hosts("a", "b", "c"), edit: func(v *View) { v.Suspect(first, true) }, want: second},
+		"the first again when it is back":    {self: "c", list: hosts("a", "b", "c"), edit: func(v *View) { v.Suspect(first, true); v.Suspect(first, false) }, want: first},
+		"the next when it says it is going":  {self: "c", list: hosts("a", "b", "c"), edit: func(v *View) { v.Leave(first) }, want: second},
+		"a leaving host of the list is none": {self: "x", list: []Host{{Name: "a", Leaving: true}, {Name: "b"}}, want: "b"},
+		"alone":                              {self: "x", want: "x"},
+		"all others lost":                    {self: "x", list: hosts("a"), edit: func(v *View) { v.Suspect("a", true) }, want: "x"},
+		"not in the list yet":                {self: "x", list: hosts("a"), want: "a"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			v := New(Host{Name: test.self})
+			v.SetList(test.list)
+			if test.edit != nil {
+				test.edit(v)
+			}
+			c.Assert(v.Scheduler(shard).Name, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestSpread counts the shards that move when a host goes: only its own.
+func TestSpread(t *testing.T) {
+	c := qt.New(t)
+	v := New(Host{Name: "h0"})
+	var names []string
+	for i := range 8 {
+		names = append(names, fmt.Sprint("h", i))
+	}
+	v.SetList(hosts(names...))
+	before := make(map[string]string)
+	count := make(map[string]int)
+	for i := range 800 {
+		shard := fmt.Sprint("shard", i)
+		before[shard] = v.Scheduler(shard).Name
+		count[before[shard]]++
+	}
+	for _, name := range names {
+		c.Assert(count[name] > 60 && count[name] < 140, qt.IsTrue, qt.Commentf("%s has %d of 800", name, count[name]))
+	}
+	v.Suspect("h3", true)
+	for shard, was := range before {
+		if was != "h3" {
+			c.Assert(v.Scheduler(shard).Name, qt.Equals, was)
+		}
+	}
+}
