--- a/cmd/oxbowslip-standin/main.go
+++ b/cmd/oxbowslip-standin/main.go
@@ -10,12 +10,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
 	"oxbowslip.dev/oxbowslip/internal/daemon"
+	"oxbowslip.dev/oxbowslip/internal/platform"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/standin"
 )
@@ -35,6 +37,7 @@
 	Listen   string        `arg:"--listen,required" help:"address" placeholder:"ADDR"`
 	Settings string        `arg:"--settings" help:"settings tree to hold as revision 1" placeholder:"FILE"`
 	HostLag  time.Duration `arg:"--host-lag" default:"5s" help:"age of the list of hosts"`
+	Hosts    []string      `arg:"--host,separate" help:"a live host for the list; may be given several times" placeholder:"NAME=PEERS-ADDR=ZONE"`
 }
 
 type arguments struct {
@@ -96,5 +99,24 @@
 			return err
 		}
 	}
+	hosts, err := parseHosts(command.Hosts)
+	if err != nil {
+		return err
+	}
+	p.SetHosts(hosts)
 	return p.Start(command.Listen)
 }
+
+const hostParts = 3
+
+func parseHosts(list []string) ([]platform.Host, error) {
+	var hosts []platform.Host
+	for _, text := range list {
+		parts := strings.Split(text, "=")
+		if len(parts) != hostParts {
+			return nil, fmt.Errorf("--host %q: want NAME=PEERS-ADDR=ZONE", text)
+		}
+		hosts = append(hosts, platform.Host{Name: parts[0], Peers: parts[1], Zone: parts[2], State: platform.HostLive})
+	}
+	return hosts, nil
+}
--- /dev/null
+++ b/cmd/oxbowslip/main.go
@@ -0,0 +1,167 @@
+// Command oxbowslip is the operators' command line: it reads and changes the
+// settings, shows the state of the fleet and explains decisions.
+//
+// It exits with 0 if all went well, 1 if something failed or a change was not
+// accepted, 2 if its arguments are wrong, and 3 if it is not known whether a
+// change was accepted; giving the same change ID again is safe then.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"oxbowslip.dev/oxbowslip/internal/daemon"
+	"oxbowslip.dev/oxbowslip/internal/operator"
+)
+
+const (
+	exitFailed  = 1
+	exitUsage   = 2
+	exitUnknown = 3
+)
+
+type settingsCommand struct {
+	Get     *getCommand     `arg:"subcommand:get" help:"print the tree in force"`
+	Explain *effectCommand  `arg:"subcommand:explain" help:"show each effective value of a class and where it comes from"`
+	Apply   *applyCommand   `arg:"subcommand:apply" help:"change the tree"`
+	Check   *checkCommand   `arg:"subcommand:check" help:"check a tree in a file"`
+	History *historyCommand `arg:"subcommand:history" help:"list the last changes"`
+}
+
+type getCommand struct{}
+
+type effectCommand struct {
+	Workspace string `arg:"positional,required" placeholder:"WORKSPACE"`
+	Class     string `arg:"positional,required" placeholder:"CLASS"`
+}
+
+type applyCommand struct {
+	Patch string   `arg:"positional,required" help:"a JSON merge patch (RFC 7396), as text or @FILE" placeholder:"PATCH"`
+	Base  uint64   `arg:"--base" help:"the revision that the patch was made on (default: the one in force)"`
+	ID    string   `arg:"--id" help:"the change's ID; give the same again to repeat a change safely"`
+	Hosts []string `arg:"--hosts" help:"operators' addresses of all hosts, to wait until the change is in force on them" placeholder:"ADDR"`
+}
+
+type checkCommand struct {
+	File string `arg:"positional,required" placeholder:"FILE"`
+}
+
+type historyCommand struct {
+	Last int `arg:"--last" default:"10" help:"how many"`
+}
+
+type endpointCommand struct {
+	List *getCommand   `arg:"subcommand:list" help:"list the endpoints with what their schedulers have learned"`
+	In   *stateCommand `arg:"subcommand:in" help:"let an endpoint get work"`
+	Out  *stateCommand `arg:"subcommand:out" help:"let an endpoint get no new work"`
+}
+
+type stateCommand struct {
+	Name  string   `arg:"positional,required" placeholder:"ENDPOINT"`
+	Hosts []string `arg:"--hosts" help:"operators' addresses of all hosts, to wait until the order is in force on them" placeholder:"ADDR"`
+}
+
+type explainCommand struct {
+	ID string `arg:"positional,required" help:"the X-Request-Id of the answer" placeholder:"REQUEST-ID"`
+}
+
+type arguments struct {
+	Settings *settingsCommand `arg:"subcommand:settings" help:"read and change the settings"`
+	Endpoint *endpointCommand `arg:"subcommand:endpoint" help:"list endpoints and order them in or out"`
+	Status   *getCommand      `arg:"subcommand:status" help:"show the state of a host"`
+	Explain  *explainCommand  `arg:"subcommand:explain" help:"tell why a request ran where and when it did, waited or was refused"`
+	Address  string           `arg:"--address,env:OXBOWSLIP_ADDRESS" default:"127.0.0.1:8180" help:"operators' address of a host" placeholder:"ADDR"`
+	Key      string           `arg:"--key,env:OXBOWSLIP_KEY" help:"operator's key"`
+	JSON     bool             `arg:"--json" help:"print JSON for scripts"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string { return "Operates a fleet of oxbowslip routers." }
+
+// Version is shown by --version.
+func (arguments) Version() string { return "oxbowslip " + daemon.Version }
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	run := pick(&args)
+	if run == nil {
+		parser.WriteHelp(os.Stderr)
+		os.Exit(exitUsage)
+	}
+	tool := &tool{client: operator.NewClient(args.Address, args.Key), key: args.Key, json: args.JSON}
+	os.Exit(exitCode(run(context.Background(), tool)))
+}
+
+// command is what a sub-command does.
+type command func(ctx context.Context, t *tool) error
+
+func pick(args *arguments) command {
+	switch {
+	case args.Status != nil:
+		return func(ctx context.Context, t *tool) error { return t.status(ctx) }
+	case args.Explain != nil:
+		return func(ctx context.Context, t *tool) error { return t.explain(ctx, args.Explain.ID) }
+	case args.Settings != nil:
+		return pickSettings(args.Settings)
+	case args.Endpoint != nil:
+		return pickEndpoint(args.Endpoint)
+	}
+	return nil
+}
+
+func pickSettings(s *settingsCommand) command {
+	switch {
+	case s.Get != nil:
+		return func(ctx context.Context, t *tool) error { return t.get(ctx) }
+	case s.Explain != nil:
+		return func(ctx context.Context, t *tool) error {
+			return t.effective(ctx, s.Explain.Workspace, s.Explain.Class)
+		}
+	case s.Apply != nil:
+		return func(ctx context.Context, t *tool) error { return t.apply(ctx, s.Apply) }
+	case s.Check != nil:
+		return func(_ context.Context, t *tool) error { return t.check(s.Check.File) }
+	case s.History != nil:
+		return func(ctx context.Context, t *tool) error { return t.history(ctx, s.History.Last) }
+	}
+	return nil
+}
+
+func pickEndpoint(e *endpointCommand) command {
+	switch {
+	case e.List != nil:
+		return func(ctx context.Context, t *tool) error { return t.endpoints(ctx) }
+	case e.In != nil:
+		return func(ctx context.Context, t *tool) error { return t.order(ctx, e.In, "in") }
+	case e.Out != nil:
+		return func(ctx context.Context, t *tool) error { return t.order(ctx, e.Out, "out") }
+	}
+	return nil
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintln(os.Stderr, "oxbowslip:", err)
+	var refused *operator.Refused
+	if !errors.As(err, &refused) {
+		return exitFailed
+	}
+	for _, fault := range refused.Answer.Faults {
+		fmt.Fprintf(os.Stderr, "  %s: %s\n", fault.Path, fault.Problem)
+	}
+	if other := refused.Answer.Other; other != nil {
+		fmt.Fprintf(os.Stderr, "  revision %d by %s at %s changed %v too:\n  %s\n",
+			other.Revision, other.Who, other.At.Format("2006-01-02 15:04:05"), refused.Answer.Paths, other.Patch)
+	}
+	if refused.Answer.Accepted == "unknown" {
+		return exitUnknown
+	}
+	return exitFailed
+}
--- /dev/null
+++ b/cmd/oxbowslip/tool.go
@@ -0,0 +1,255 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/google/uuid"
+
+	"oxbowslip.dev/oxbowslip/internal/operator"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+	"oxbowslip.dev/oxbowslip/internal/strictjson"
+)
+
+// tool does what the sub-commands say at one host.
+type tool struct {
+	client *operator.Client
+	key    string
+	json   bool
+}
+
+// print writes a value as JSON if that was asked for, else as a table.
+func (t *tool) print(value any, rows func(w *tabwriter.Writer)) error {
+	if t.json {
+		return printJSON(value)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	rows(w)
+	return w.Flush()
+}
+
+func printJSON(value any) error {
+	data, err := json.Marshal(value, strictjson.DurationTexts, json.Deterministic(true), jsontext.WithIndent("  "))
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Println(string(data))
+	return err
+}
+
+func (t *tool) status(ctx context.Context) error {
+	s, err := t.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return t.print(s, func(w *tabwriter.Writer) {
+		state := "ready"
+		if !s.Ready {
+			state = "NOT READY: " + s.Problem
+		}
+		fmt.Fprintf(w, "host %s in %s, version %s: %s\n", s.Host, s.Zone, s.Version, state)
+		fmt.Fprintf(w, "settings revision %d, %d requests open\n\n", s.Revision, s.Open)
+		fmt.Fprintln(w, "shard\tscheduler\twaiting\trunning\tejected")
+		for _, shard := range s.Shards {
+			scheduler, ok := s.Schedulers[shard.Name]
+			if !ok {
+				scheduler = "no request yet"
+			}
+			if scheduler != s.Host {
+				fmt.Fprintf(w, "%s\t%s\t\t\t\n", shard.Name, scheduler)
+				continue
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%s\n", shard.Name, scheduler, shard.Waiting, shard.Running, ejected(&shard))
+		}
+		fmt.Fprintln(w, "\nrefusals since the start")
+		for _, reason := range slices.Sorted(maps.Keys(s.Refusals)) {
+			fmt.Fprintf(w, "%s\t%d\n", reason, s.Refusals[reason])
+		}
+	})
+}
+
+func ejected(shard *operator.ShardStatus) string {
+	var list []string
+	for _, e := range shard.Endpoints {
+		if e.Ejected != "" {
+			list = append(list, e.ID+" ("+string(e.Ejected)+")")
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
+func (t *tool) explain(ctx context.Context, id string) error {
+	r, err := t.client.Explain(ctx, id)
+	if err != nil {
+		return err
+	}
+	return t.print(r, func(w *tabwriter.Writer) {
+		fmt.Fprintf(w, "request %s of %s, class %s (tier %d), shard %s, accepted by %s\n\n", r.ID, r.Workspace, r.Class, r.Tier, r.Shard, r.Host)
+		fmt.Fprintln(w, "time\tstep\tendpoint\treason\tfigures")
+		for _, step := range r.Steps {
+			figures := ""
+			if f := step.Figures; f != nil {
+				figures = fmt.Sprintf("waited %s, %d ahead, %d below; endpoint %d of %.1f, first token expected in %s, %d prompt tokens cached, %d answer tokens expected",
+					f.Waited.Round(time.Millisecond), f.WaitingAhead, f.WaitingBelow, f.InFlight, f.Limit,
+					f.PredictedFirstToken.Round(time.Millisecond), f.CachedTokens, f.AnswerTokens)
+			}
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", step.At.Format("15:04:05.000"), step.What, step.Endpoint, step.Reason, figures)
+		}
+	})
+}
+
+func (t *tool) get(ctx context.Context) error {
+	s, err := t.client.Settings(ctx)
+	if err != nil {
+		return err
+	}
+	return printJSON(s)
+}
+
+func (t *tool) effective(ctx context.Context, workspace, class string) error {
+	list, err := t.client.Effective(ctx, workspace, class)
+	if err != nil {
+		return err
+	}
+	return t.print(list, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "value\teffective\tfrom")
+		for _, e := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\n", e.Field, e.Value, e.Origin)
+		}
+	})
+}
+
+func (t *tool) check(path string) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if _, err := settings.Decode(path, data); err != nil {
+		return err
+	}
+	fmt.Println(path + " is a valid settings tree")
+	return nil
+}
+
+func (t *tool) history(ctx context.Context, last int) error {
+	s, err := t.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "revision\twho\twhen\tID\tpatch")
+	for revision := s.Revision; revision > 1 && s.Revision-revision < uint64(last); revision-- {
+		c, err := t.client.Change(ctx, revision)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", c.Revision, c.Who, c.At.Format("2006-01-02 15:04:05"), c.ID, c.Patch)
+	}
+	return w.Flush()
+}
+
+func (t *tool) apply(ctx context.Context, command *applyCommand) error {
+	patch := []byte(command.Patch)
+	if path, ok := strings.CutPrefix(command.Patch, "@"); ok {
+		var err error
+		if patch, err = os.ReadFile(path); err != nil {
+			return err
+		}
+	}
+	return t.change(ctx, operator.ChangeRequest{ID: command.ID, Base: command.Base, Patch: patch}, command.Hosts)
+}
+
+// statePatch orders one endpoint in or out.
+type statePatch struct {
+	Endpoints map[string]stateValue `json:"endpoints"`
+}
+
+type stateValue struct {
+	State settings.EndpointState `json:"state"`
+}
+
+func (t *tool) order(ctx context.Context, command *stateCommand, state settings.EndpointState) error {
+	patch, err := json.Marshal(statePatch{map[string]stateValue{command.Name: {state}}})
+	if err != nil {
+		return err
+	}
+	return t.change(ctx, operator.ChangeRequest{Patch: patch}, command.Hosts)
+}
+
+// change sends a change and waits until it is in force on the hosts named.
+func (t *tool) change(ctx context.Context, request operator.ChangeRequest, hosts []string) error {
+	if request.ID == "" {
+		request.ID = uuid.NewString()
+	}
+	if request.Base == 0 {
+		s, err := t.client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		request.Base = s.Revision
+	}
+	begun := time.Now()
+	result, err := t.client.Apply(ctx, request)
+	if err != nil {
+		return fmt.Errorf("change %s: %w", request.ID, err)
+	}
+	fmt.Printf("change %s accepted as revision %d\n", request.ID, result.Revision)
+	return t.waitInForce(ctx, result.Revision, hosts, begun)
+}
+
+// How long to wait for hosts, and how often to ask.
+const (
+	inForceTime = 15 * time.Second
+	inForcePoll = 50 * time.Millisecond
+)
+
+func (t *tool) waitInForce(ctx context.Context, revision uint64, hosts []string, begun time.Time) error {
+	if len(hosts) == 0 {
+		return nil
+	}
+	lagging := hosts
+	for time.Since(begun) < inForceTime {
+		lagging = slices.DeleteFunc(slices.Clone(lagging), func(host string) bool {
+			s, err := operator.NewClient(host, t.key).Status(ctx)
+			return err == nil && s.Revision >= revision
+		})
+		if len(lagging) == 0 {
+			fmt.Printf("in force on %d of %d hosts after %.1f s\n", len(hosts), len(hosts), time.Since(begun).Seconds())
+			return nil
+		}
+		time.Sleep(inForcePoll)
+	}
+	return fmt.Errorf("in force on %d of %d hosts after %s; these lag: %s",
+		len(hosts)-len(lagging), len(hosts), inForceTime, strings.Join(lagging, ", "))
+}
+
+func (t *tool) endpoints(ctx context.Context) error {
+	s, err := t.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return t.print(s.Shards, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "endpoint\tshard\tscheduler\tin flight\tlimit\tbetween tokens\tstate")
+		for _, shard := range s.Shards {
+			for _, e := range shard.Endpoints {
+				state := "in"
+				switch {
+				case e.Ejected != "":
+					state = "ejected: " + string(e.Ejected)
+				case e.Probing:
+					state = "probing"
+				}
+				fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.1f\t%s\t%s\n", e.ID, shard.Name, s.Schedulers[shard.Name], e.InFlight, e.Limit,
+					e.Between.Round(time.Millisecond), state)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/accept/accept.go
@@ -0,0 +1,216 @@
+// Package accept takes operators' changes of the settings into the platform's
+// table. A change is accepted by one transaction on the head row; its ID tells a
+// lost answer from a lost race.
+package accept
+
+import (
+	"context"
+	"errors"
+	"net/url"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"oxbowslip.dev/oxbowslip/internal/change"
+	"oxbowslip.dev/oxbowslip/internal/inforce"
+	"oxbowslip.dev/oxbowslip/internal/platform"
+)
+
+// ErrUnknown says that it is not known whether a change was accepted. Sending it
+// again with the same ID is safe.
+var ErrUnknown = merry.Sentinel("it is not known whether the change was accepted; send it again with the same ID")
+
+// ErrAway says that the platform can't be reached and the change was not
+// accepted.
+var ErrAway = merry.Sentinel("the platform is away; the change was not accepted")
+
+// Conflict is a change that was accepted after the base of another and touches
+// the same paths.
+type Conflict struct {
+	Other change.Change
+	Paths []string
+}
+
+// Error names the other change.
+func (c *Conflict) Error() string {
+	return "conflicts with a change that was accepted since"
+}
+
+const (
+	// maxRaces bounds the transactions that may lose against other operators.
+	maxRaces = 8
+	// maxLookups bounds the tries to find out what became of a lost answer.
+	maxLookups  = 5
+	lookupPause = 200 * time.Millisecond
+	// snapshotEvery is how many changes a new host reads at most after the
+	// snapshot.
+	snapshotEvery = 32
+)
+
+// Acceptor accepts changes for one host.
+type Acceptor struct {
+	client *platform.Client
+	clock  func() time.Time
+}
+
+// New makes an acceptor.
+func New(client *platform.Client, clock func() time.Time) *Acceptor {
+	return &Acceptor{client: client, clock: clock}
+}
+
+// Accept takes a change whose ID, base, patch and operator are set, and gives
+// its revision. A change with an ID that was accepted before gives that revision
+// again. The error is a *Conflict, a *strictjson.Error if the tree would not be
+// valid, ErrAway or ErrUnknown.
+func (a *Acceptor) Accept(ctx context.Context, c change.Change) (uint64, error) {
+	if revision, err := a.find(ctx, c.ID); err != nil || revision > 0 {
+		return revision, away(err)
+	}
+	for range maxRaces {
+		revision, err := a.try(ctx, c)
+		switch {
+		case err == nil:
+			return revision, nil
+		case errors.Is(err, platform.ErrConflict):
+			if revision, err := a.find(ctx, c.ID); err != nil || revision > 0 {
+				return revision, away(err)
+			}
+		case errors.Is(err, errLost):
+			return a.lookUp(ctx, c.ID)
+		default:
+			return 0, away(err)
+		}
+	}
+	return 0, merry.Wrap(ErrAway, merry.AppendMessage("too many operators at once"))
+}
+
+// errLost says that the answer to the transaction was lost.
+var errLost = merry.Sentinel("answer lost")
+
+func away(err error) error {
+	if errors.Is(err, platform.ErrUnavailable) {
+		return merry.Wrap(ErrAway, merry.WithCause(err))
+	}
+	return err
+}
+
+// try makes one transaction on the head as it is now.
+func (a *Acceptor) try(ctx context.Context, c change.Change) (uint64, error) {
+	row, head, err := inforce.ReadHead(ctx, a.client)
+	if err != nil {
+		return 0, err
+	}
+	document, err := inforce.ReadDocument(ctx, a.client, head, change.Document{})
+	if err != nil {
+		return 0, err
+	}
+	if err := a.checkConflict(ctx, &c, head.Revision); err != nil {
+		return 0, err
+	}
+	c.Revision = head.Revision + 1
+	c.At = a.clock()
+	next, err := document.Apply(&c)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := next.Tree(); err != nil {
+		return 0, err
+	}
+	head.Revision = c.Revision
+	if c.Revision-head.Snapshot >= snapshotEvery {
+		// The name carries the change's ID: another host may try to accept
+		// another change as the same revision.
+		name := inforce.SnapshotName(c.Revision, c.ID)
+		if err := a.client.PutObject(ctx, name, next.Data); err != nil {
+			return 0, err
+		}
+		head.Snapshot, head.SnapshotName = c.Revision, name
+	}
+	_, err = a.client.Commit(ctx, transaction(row, head, &c))
+	if errors.Is(err, platform.ErrUnavailable) {
+		return 0, merry.Wrap(errLost, merry.WithCause(err))
+	}
+	return c.Revision, err
+}
+
+func transaction(row platform.Row, head inforce.Head, c *change.Change) platform.Transaction {
+	return platform.Transaction{
+		If: []platform.Condition{{Key: inforce.HeadKey, Version: row.Version}, {Key: idKey(c.ID)}},
+		Set: []platform.Write{
+			{Key: inforce.HeadKey, Value: encode(head)},
+			{Key: inforce.ChangeKey(c.Revision), Value: encode(c)},
+			{Key: idKey(c.ID), Value: encode(accepted{c.Revision})},
+		},
+	}
+}
+
+// accepted is the value of a change ID's row.
+type accepted struct {
+	Revision uint64 `json:"revision"`
+}
+
+func idKey(id string) string { return "settings/id/" + url.PathEscape(id) }
+
+func encode(value any) jsontext.Value {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // Plain structs always marshal.
+	}
+	return data
+}
+
+// checkConflict compares a change with all that were accepted since its base.
+func (a *Acceptor) checkConflict(ctx context.Context, c *change.Change, head uint64) error {
+	mine, err := change.Touched(c.Patch)
+	if err != nil {
+		return err
+	}
+	for revision := c.Base + 1; revision <= head; revision++ {
+		other, err := inforce.ReadChange(ctx, a.client, revision)
+		if err != nil {
+			return err
+		}
+		theirs, err := change.Touched(other.Patch)
+		if err != nil {
+			return err
+		}
+		if both := change.Overlap(mine, theirs); len(both) > 0 {
+			return &Conflict{Other: other, Paths: both}
+		}
+	}
+	return nil
+}
+
+// find gives the revision of a change that was accepted, or 0.
+func (a *Acceptor) find(ctx context.Context, id string) (uint64, error) {
+	row, err := a.client.Read(ctx, idKey(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	var value accepted
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return 0, merry.Prepend(err, "change ID's row")
+	}
+	return value.Revision, nil
+}
+
+// lookUp finds out what became of a transaction whose answer was lost. That its
+// row is not there is no answer: the transaction may still be under way.
+func (a *Acceptor) lookUp(ctx context.Context, id string) (uint64, error) {
+	for range maxLookups {
+		if revision, err := a.find(ctx, id); err == nil && revision > 0 {
+			return revision, nil
+		}
+		select {
+		case <-time.After(lookupPause):
+		case <-ctx.Done():
+			return 0, merry.Wrap(ErrUnknown)
+		}
+	}
+	return 0, merry.Wrap(ErrUnknown)
+}
--- /dev/null
+++ b/internal/change/capacity_test.go
@@ -0,0 +1,90 @@
+package change_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"oxbowslip.dev/oxbowslip/internal/change"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// sized makes a tree with so many endpoints, and workspaces, classes and models
+// in the ratio of the fleet to come.
+func sized(endpoints int) *settings.Tree {
+	tree := &settings.Tree{
+		Workspaces: make(map[string]settings.Workspace), Models: make(map[string]settings.Model),
+		Endpoints: make(map[string]settings.Endpoint),
+	}
+	tree.Root.Classes = make(map[string]settings.Class)
+	tier := 1
+	for i := range 12 {
+		tree.Root.Classes[fmt.Sprint("class-", i)] = settings.Class{Values: settings.Values{Tier: &tier}}
+	}
+	for i := range max(1, endpoints*320/3500) {
+		name := fmt.Sprint("workspace-", i)
+		tree.Workspaces[name] = settings.Workspace{Keys: []settings.Key{{Name: "k", SHA256: settings.HashKey(name)}}}
+	}
+	for i := range 21 {
+		tree.Models[fmt.Sprint("model-", i)] = settings.Model{}
+	}
+	for i := range endpoints {
+		tree.Endpoints[fmt.Sprint("engine-", i)] = settings.Endpoint{
+			Address: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250), Zone: fmt.Sprint("zone-", i%16), Model: fmt.Sprint("model-", i%21),
+			ChecksFences: true, Continues: true, CacheTokens: 120_000,
+		}
+	}
+	return tree
+}
+
+var sizes = []int{50, 500, 3500}
+
+// BenchmarkChange is what a change costs each host: apply the patch, check the
+// tree, put it in force.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range sizes {
+		data, err := settings.Encode(sized(n))
+		if err != nil {
+			b.Fatal(err)
+		}
+		canonical, err := change.Canonical(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		document := change.Document{Revision: 1, Data: canonical}
+		patch := &change.Change{Revision: 2, ID: strings.Repeat("x", 36), Patch: []byte(`{"endpoints":{"engine-7":{"state":"out"}}}`)}
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			b.ReportMetric(float64(len(canonical)), "tree-bytes")
+			for b.Loop() {
+				next, err := document.Apply(patch)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := next.Tree(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkIdentify is what a request costs before it is scheduled: its key's
+// workspace and its class's effective values.
+func BenchmarkIdentify(b *testing.B) {
+	for _, n := range sizes {
+		tree := sized(n)
+		b.Run(fmt.Sprintf("workspaces=%d", len(tree.Workspaces)), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				name, ok := tree.WorkspaceOf("workspace-0")
+				if !ok {
+					b.Fatal("unknown key")
+				}
+				if _, ok := tree.Effective(name, "class-3"); !ok {
+					b.Fatal("unknown class")
+				}
+			}
+		})
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,9 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"oxbowslip.dev/oxbowslip/internal/accept"
 	"oxbowslip.dev/oxbowslip/internal/api"
+	"oxbowslip.dev/oxbowslip/internal/change"
 	"oxbowslip.dev/oxbowslip/internal/claims"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/dispatch"
@@ -53,6 +55,7 @@
 	platform  *platform.Client
 	counters  *counters.Counters
 	claims    *claims.Table
+	acceptor  *accept.Acceptor
 	callers   *http.Server
 	operators *http.Server
 
@@ -83,6 +86,7 @@
 			newFollower,
 			newOwner,
 			newClaims,
+			accept.New,
 			New,
 		),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -129,21 +133,36 @@
 // New makes a daemon that has not started.
 func New(config hostconfig.Host, log *logrus.Logger, holder *settings.Holder, follower *inforce.Follower, o *owner.Owner,
 	f *fleet.Fleet, client *endpoint.Client, platformClient *platform.Client, c *counters.Counters, ring *explain.Ring,
-	table *claims.Table, clock func() time.Time,
+	table *claims.Table, acceptor *accept.Acceptor, clock func() time.Time,
 ) *Daemon {
 	d := &Daemon{
 		config: config, log: logging.Part(log, "daemon"), holder: holder, follower: follower, owner: o, fleet: f, shards: f.Shards(),
-		client: client, platform: platformClient, counters: c, claims: table, hurry: make(chan struct{}), done: make(chan struct{}), ended: make(chan struct{}),
+		client: client, platform: platformClient, counters: c, claims: table, acceptor: acceptor, hurry: make(chan struct{}), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, table, logging.Part(log, "api"), clock,
 		config.WriteTimeout, d.notReady).HTTP()
-	d.operators = operator.New(config.OperatorKeys, c, ring, holder, d.Status).HTTP()
+	d.operators = operator.New(config.OperatorKeys, c, ring, operator.Settings{
+		Holder: holder, Accept: d.accept, Document: follower.Document,
+		History: func(ctx context.Context, revision uint64) (change.Change, error) {
+			return inforce.ReadChange(ctx, platformClient, revision)
+		},
+	}, d.Status).HTTP()
 	c.Gauge("oxbowslip_open_requests", func() float64 { return float64(o.Open()) })
 	c.Gauge("oxbowslip_takeovers", func() float64 { return float64(f.Takeovers()) })
 	c.Gauge("oxbowslip_settings_revision", func() float64 { return float64(d.revision()) })
 	return d
 }
 
+// accept takes an operator's change and puts it in force here at once.
+func (d *Daemon) accept(ctx context.Context, c change.Change) (uint64, error) {
+	revision, err := d.acceptor.Accept(ctx, c)
+	if err == nil {
+		d.log.WithFields(logrus.Fields{"revision": revision, "who": c.Who, "change": c.ID}).Info("change accepted")
+		d.follower.Poll(ctx)
+	}
+	return revision, err
+}
+
 // Start listens and begins to follow the settings. It does not wait for them:
 // until they are there, the host is not ready.
 func (d *Daemon) Start(context.Context) error {
@@ -353,11 +372,19 @@
 	problem := d.Problem()
 	status := operator.Status{
 		Host: d.config.Name, Zone: d.config.Zone, Version: Version, Revision: d.revision(), Ready: problem == "",
-		Problem: problem, Open: d.owner.Open(), Now: time.Now(),
+		Problem: problem, Open: d.owner.Open(), Now: time.Now(), Schedulers: d.fleet.Schedulers(),
+		Refusals: make(map[string]uint64),
+	}
+	for _, reason := range request.Reasons {
+		if n := d.counters.Refusals(reason); n > 0 {
+			status.Refusals[string(reason)] = n
+		}
 	}
 	for _, name := range d.shards.Names() {
 		d.shards.Inspect(name, func(core *schedule.Scheduler) {
-			status.Shards = append(status.Shards, operator.ShardStatus{Name: name, Waiting: core.Waiting(), Running: core.Running()})
+			status.Shards = append(status.Shards, operator.ShardStatus{
+				Name: name, Waiting: core.Waiting(), Running: core.Running(), Endpoints: core.Endpoints(),
+			})
 		})
 	}
 	return status
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/go-json-experiment/json"
+	"github.com/google/uuid"
 	"github.com/tidwall/gjson"
 	"github.com/tmaxmax/go-sse"
 
@@ -34,6 +35,8 @@
 	Method  string
 	Path    string
 	Stream  bool
+	// Keyed sends an idempotency key with each request.
+	Keyed bool
 	// PromptWords and AnswerTokens are means.
 	PromptWords  int
 	AnswerTokens int
@@ -44,7 +47,7 @@
 	{Class: "skipper-question", Workspace: "towpath-hire", Rate: 6, Model: "voyage", Stream: true, PromptWords: 30, AnswerTokens: 30},
 	{Class: "itinerary", Workspace: "prairie-boats", Rate: 3, Model: "voyage", Stream: true, PromptWords: 300, AnswerTokens: 90},
 	{Class: "handback-summary", Workspace: "towpath-hire", Rate: 2, Model: "voyage", PromptWords: 400, AnswerTokens: 60},
-	{Class: "booking-confirmation", Workspace: "prairie-boats", Rate: 5, Service: "booking", Method: http.MethodPost, Path: "/confirm"},
+	{Class: "booking-confirmation", Workspace: "prairie-boats", Rate: 5, Service: "booking", Method: http.MethodPost, Path: "/confirm", Keyed: true},
 	{Class: "triage-summary", Workspace: "harbour-bank", Rate: 3, Model: "triage", Stream: true, PromptWords: 800, AnswerTokens: 60},
 	{Class: "root-cause-digest", Workspace: "harbour-bank", Rate: 1, Model: "triage", PromptWords: 600, AnswerTokens: 120},
 	{Class: "fingerprint-lookup", Workspace: "harbour-bank", Rate: 4, Service: "tracker", Method: http.MethodGet, Path: "/fingerprints/7"},
@@ -202,6 +205,9 @@
 	r.Header.Set("Authorization", "Bearer "+CallerKey(s.Workspace))
 	r.Header.Set("X-Request-Class", s.Class)
 	r.Header.Set("Content-Type", "application/json")
+	if s.Keyed {
+		r.Header.Set("Idempotency-Key", uuid.NewString())
+	}
 	return r
 }
 
--- a/internal/demo/order.go
+++ b/internal/demo/order.go
@@ -1,13 +1,14 @@
 package demo
 
 import (
+	"context"
+	"fmt"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/go-json-experiment/json"
 
-	"oxbowslip.dev/oxbowslip/internal/change"
-	"oxbowslip.dev/oxbowslip/internal/inforce"
-	"oxbowslip.dev/oxbowslip/internal/platform"
+	"oxbowslip.dev/oxbowslip/internal/operator"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
@@ -40,25 +41,23 @@
 	return nil
 }
 
-// change puts a change of an endpoint on the platform.
+// change has a change of an endpoint accepted, as an operator would.
 func (c *Cluster) change(endpoint string, p endpointPatch) error {
 	text, err := json.Marshal(patch{map[string]endpointPatch{endpoint: p}})
 	if err != nil {
 		return err
 	}
-	next := change.Change{Revision: c.revision + 1, ID: "demo", Base: c.revision, Patch: text, Who: "demo", At: time.Now()}
-	row, err := json.Marshal(next)
-	if err != nil {
-		return err
+	host, ok := c.Pick()
+	if !ok {
+		return merry.New("no host is ready")
 	}
-	head, err := json.Marshal(inforce.Head{Revision: next.Revision, Snapshot: 1})
+	client := operator.NewClient(host.Daemon.OperatorsAddress(), OperatorKey)
+	done, err := client.Apply(context.Background(), operator.ChangeRequest{
+		ID: fmt.Sprintf("demo-%s-%d", endpoint, time.Now().UnixNano()), Base: host.Daemon.Revision(), Patch: text,
+	})
 	if err != nil {
 		return err
 	}
-	c.Platform.Commit(platform.Transaction{Set: []platform.Write{
-		{Key: inforce.ChangeKey(next.Revision), Value: row},
-		{Key: inforce.HeadKey, Value: head},
-	}})
-	c.revision = next.Revision
+	c.revision = done.Revision
 	return nil
 }
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -28,8 +28,10 @@
 // Head is the value of the head row.
 type Head struct {
 	Revision uint64 `json:"revision"`
-	// Snapshot is the revision of the newest whole tree in the object store.
-	Snapshot uint64 `json:"snapshot"`
+	// Snapshot is the revision of the newest whole tree in the object store,
+	// SnapshotName its object.
+	Snapshot     uint64 `json:"snapshot"`
+	SnapshotName string `json:"snapshot_name"`
 }
 
 // ChangeKey names the row of an accepted change.
@@ -38,8 +40,8 @@
 }
 
 // SnapshotName names the object that holds a whole revision.
-func SnapshotName(revision uint64) string {
-	return "settings-" + strconv.FormatUint(revision, 10)
+func SnapshotName(revision uint64, changeID string) string {
+	return "settings-" + strconv.FormatUint(revision, 10) + "-" + changeID
 }
 
 // Follower keeps a holder up to date.
@@ -115,61 +117,70 @@
 }
 
 func (f *Follower) advance(ctx context.Context) error {
-	head, err := f.readHead(ctx)
+	_, head, err := ReadHead(ctx, f.client)
 	if err != nil {
 		return err
 	}
 	if head.Revision <= f.document.Revision {
 		return nil
 	}
-	document := f.document
-	if document.Revision < head.Snapshot {
-		if document, err = f.readSnapshot(ctx, head.Snapshot); err != nil {
-			return err
-		}
-	}
-	for document.Revision < head.Revision {
-		if document, err = f.readChange(ctx, document); err != nil {
-			return err
-		}
+	document, err := ReadDocument(ctx, f.client, head, f.document)
+	if err != nil {
+		return err
 	}
 	return f.put(document)
 }
 
-func (f *Follower) readHead(ctx context.Context) (Head, error) {
+// ReadHead reads the head row.
+func ReadHead(ctx context.Context, client *platform.Client) (platform.Row, Head, error) {
 	var head Head
-	row, err := f.client.Read(ctx, HeadKey)
+	row, err := client.Read(ctx, HeadKey)
 	if errors.Is(err, platform.ErrNotFound) {
-		return head, merry.New("the platform holds no settings yet")
+		return row, head, merry.New("the platform holds no settings yet")
 	}
 	if err != nil {
-		return head, err
+		return row, head, err
 	}
-	if err := json.Unmarshal(row.Value, &head); err != nil {
-		return head, merry.Prepend(err, "settings head")
-	}
-	return head, nil
+	err = json.Unmarshal(row.Value, &head)
+	return row, head, merry.Prepend(err, "settings head")
 }
 
-func (f *Follower) readSnapshot(ctx context.Context, revision uint64) (change.Document, error) {
-	data, err := f.client.GetObject(ctx, SnapshotName(revision))
-	if err != nil {
-		return change.Document{}, merry.Prepend(err, "settings snapshot")
+// ReadDocument reads the revision of a head, from the snapshot or from an older
+// revision that is known, whichever is newer.
+func ReadDocument(ctx context.Context, client *platform.Client, head Head, known change.Document) (change.Document, error) {
+	document := known
+	if document.Revision < head.Snapshot {
+		data, err := client.GetObject(ctx, head.SnapshotName)
+		if err != nil {
+			return document, merry.Prepend(err, "settings snapshot")
+		}
+		canonical, err := change.Canonical(data)
+		if err != nil {
+			return document, err
+		}
+		document = change.Document{Revision: head.Snapshot, Data: canonical}
+	}
+	for document.Revision < head.Revision {
+		c, err := ReadChange(ctx, client, document.Revision+1)
+		if err != nil {
+			return document, err
+		}
+		if document, err = document.Apply(&c); err != nil {
+			return document, err
+		}
 	}
-	canonical, err := change.Canonical(data)
-	return change.Document{Revision: revision, Data: canonical}, err
+	return document, nil
 }
 
-func (f *Follower) readChange(ctx context.Context, document change.Document) (change.Document, error) {
+// ReadChange reads one accepted change.
+func ReadChange(ctx context.Context, client *platform.Client, revision uint64) (change.Change, error) {
 	var c change.Change
-	row, err := f.client.Read(ctx, ChangeKey(document.Revision+1))
+	row, err := client.Read(ctx, ChangeKey(revision))
 	if err != nil {
-		return document, merry.Prepend(err, "settings change")
-	}
-	if err := json.Unmarshal(row.Value, &c); err != nil {
-		return document, merry.Prepend(err, "settings change")
+		return c, merry.Prepend(err, "settings change")
 	}
-	return document.Apply(&c)
+	err = json.Unmarshal(row.Value, &c)
+	return c, merry.Prepend(err, "settings change")
 }
 
 // put checks a revision and puts it in force. One that this program can't read
--- /dev/null
+++ b/internal/operator/changes.go
@@ -0,0 +1,110 @@
+package operator
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/gorilla/mux"
+
+	"oxbowslip.dev/oxbowslip/internal/accept"
+	"oxbowslip.dev/oxbowslip/internal/change"
+	"oxbowslip.dev/oxbowslip/internal/platform"
+	"oxbowslip.dev/oxbowslip/internal/strictjson"
+)
+
+// ChangeRequest is an operator's change of the settings.
+type ChangeRequest struct {
+	// ID is the operator's own; the same ID is accepted once.
+	ID string `json:"id"`
+	// Base is the revision that the operator saw.
+	Base uint64 `json:"base"`
+	// Patch is a JSON merge patch (RFC 7396) of the tree.
+	Patch jsontext.Value `json:"patch"`
+}
+
+// ChangeAnswer tells what became of a change. Exactly one of Revision and Error
+// is set.
+type ChangeAnswer struct {
+	Revision uint64 `json:"revision,omitzero"`
+	Error    string `json:"error,omitzero"`
+	// Accepted is "yes", "no" or "unknown".
+	Accepted string `json:"accepted"`
+	// Faults lists what would be wrong with the tree.
+	Faults []strictjson.Fault `json:"faults,omitzero"`
+	// Other is the change that is in the way, Paths what both touch.
+	Other *change.Change `json:"other,omitzero"`
+	Paths []string       `json:"paths,omitzero"`
+}
+
+// SettingsAnswer is the tree in force.
+type SettingsAnswer struct {
+	Revision uint64         `json:"revision"`
+	Tree     jsontext.Value `json:"tree"`
+}
+
+const maxChangeBytes = 4 << 20
+
+func (s *Server) showSettings(w http.ResponseWriter, _ *http.Request) {
+	document := s.document()
+	if document.Revision == 0 {
+		answer(w, http.StatusServiceUnavailable, Problem{Error: "no settings are in force yet"})
+		return
+	}
+	answer(w, http.StatusOK, SettingsAnswer{Revision: document.Revision, Tree: document.Data})
+}
+
+func (s *Server) showChange(w http.ResponseWriter, r *http.Request) {
+	// The route allows digits only; a number that is too large names nothing.
+	revision, _ := strconv.ParseUint(mux.Vars(r)["revision"], 10, 64)
+	c, err := s.history(r.Context(), revision)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		answer(w, http.StatusNotFound, Problem{Error: "no such change"})
+	case err != nil:
+		answer(w, http.StatusServiceUnavailable, Problem{Error: "the platform is away"})
+	default:
+		answer(w, http.StatusOK, c)
+	}
+}
+
+func (s *Server) takeChange(w http.ResponseWriter, r *http.Request) {
+	var request ChangeRequest
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	if err == nil {
+		err = json.Unmarshal(data, &request, json.RejectUnknownMembers(true))
+	}
+	if err == nil && request.ID == "" {
+		err = merry.New("the change needs an ID")
+	}
+	if err != nil {
+		answer(w, http.StatusBadRequest, ChangeAnswer{Error: err.Error(), Accepted: "no"})
+		return
+	}
+	c := change.Change{ID: request.ID, Base: request.Base, Patch: request.Patch, Who: who(r)}
+	revision, err := s.accept(r.Context(), c)
+	status, result := changeAnswer(revision, err)
+	answer(w, status, result)
+}
+
+func changeAnswer(revision uint64, err error) (int, ChangeAnswer) {
+	var conflict *accept.Conflict
+	var faults *strictjson.Error
+	switch {
+	case err == nil:
+		return http.StatusOK, ChangeAnswer{Revision: revision, Accepted: "yes"}
+	case errors.As(err, &conflict):
+		return http.StatusConflict, ChangeAnswer{Error: err.Error(), Accepted: "no", Other: &conflict.Other, Paths: conflict.Paths}
+	case errors.As(err, &faults):
+		return http.StatusUnprocessableEntity, ChangeAnswer{Error: "the tree would not be valid", Accepted: "no", Faults: faults.Faults}
+	case errors.Is(err, change.ErrBadPatch):
+		return http.StatusUnprocessableEntity, ChangeAnswer{Error: err.Error(), Accepted: "no"}
+	case errors.Is(err, accept.ErrUnknown):
+		return http.StatusGatewayTimeout, ChangeAnswer{Error: err.Error(), Accepted: "unknown"}
+	}
+	return http.StatusServiceUnavailable, ChangeAnswer{Error: err.Error(), Accepted: "no"}
+}
--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,119 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-json-experiment/json"
+
+	"oxbowslip.dev/oxbowslip/internal/change"
+	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+	"oxbowslip.dev/oxbowslip/internal/strictjson"
+)
+
+// clientTimeout is longer than a host takes to find out about a lost answer.
+const clientTimeout = 20 * time.Second
+
+// Client is an operator's side of the interface of one host.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// NewClient makes a client with an operator's key.
+func NewClient(address, key string) *Client {
+	return &Client{base: "http://" + address, key: key, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Status gives the state of the host.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return get[Status](ctx, c, "/v1/status")
+}
+
+// Settings gives the tree in force on the host.
+func (c *Client) Settings(ctx context.Context) (SettingsAnswer, error) {
+	return get[SettingsAnswer](ctx, c, "/v1/settings")
+}
+
+// Change gives an accepted change.
+func (c *Client) Change(ctx context.Context, revision uint64) (change.Change, error) {
+	return get[change.Change](ctx, c, "/v1/settings/changes/"+strconv.FormatUint(revision, 10))
+}
+
+// Effective gives each effective value of a workspace and class.
+func (c *Client) Effective(ctx context.Context, workspace, class string) ([]settings.Explained, error) {
+	return get[[]settings.Explained](ctx, c, "/v1/settings/effective/"+url.PathEscape(workspace)+"/"+class)
+}
+
+// Explain gives what was decided for a request.
+func (c *Client) Explain(ctx context.Context, id string) (explain.Record, error) {
+	return get[explain.Record](ctx, c, "/v1/requests/"+url.PathEscape(id))
+}
+
+// Refused is a change that was not accepted, or of which that is not known.
+type Refused struct {
+	Answer ChangeAnswer
+}
+
+// Error gives the host's words.
+func (r *Refused) Error() string { return r.Answer.Error }
+
+// Apply sends a change. A change that was not accepted comes back as *Refused.
+func (c *Client) Apply(ctx context.Context, request ChangeRequest) (ChangeAnswer, error) {
+	var result ChangeAnswer
+	body, err := json.Marshal(request)
+	if err != nil {
+		return result, merry.Wrap(err)
+	}
+	_, data, err := c.do(ctx, http.MethodPost, "/v1/settings/changes", body)
+	if err != nil {
+		return result, err
+	}
+	if err := json.Unmarshal(data, &result, strictjson.Durations); err != nil {
+		return result, merry.Wrap(err)
+	}
+	if result.Accepted != "yes" {
+		return result, &Refused{Answer: result}
+	}
+	return result, nil
+}
+
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	var value T
+	status, data, err := c.do(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return value, err
+	}
+	if status != http.StatusOK {
+		var problem Problem
+		if err := json.Unmarshal(data, &problem); err != nil || problem.Error == "" {
+			return value, merry.Errorf("the host answered with status %d", status)
+		}
+		return value, merry.New(problem.Error)
+	}
+	err = json.Unmarshal(data, &value, strictjson.Durations)
+	return value, merry.Wrap(err)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, merry.Wrap(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return 0, nil, merry.Wrap(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, data, merry.Wrap(err)
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"context"
 	"crypto/subtle"
 	"net/http"
 	"strings"
@@ -11,9 +12,11 @@
 	"github.com/go-json-experiment/json"
 	"github.com/gorilla/mux"
 
+	"oxbowslip.dev/oxbowslip/internal/change"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
+	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/strictjson"
 )
@@ -23,6 +26,8 @@
 	Name    string `json:"name"`
 	Waiting int    `json:"waiting"`
 	Running int    `json:"running"`
+	// Endpoints is what the shard's scheduler has learned of each.
+	Endpoints []schedule.EndpointState `json:"endpoints,omitzero"`
 }
 
 // Status is the state of one daemon.
@@ -35,7 +40,12 @@
 	Problem  string        `json:"problem,omitzero"`
 	Open     int           `json:"open"`
 	Shards   []ShardStatus `json:"shards"`
-	Now      time.Time     `json:"now"`
+	// Schedulers gives the host that schedules each shard, as this host sees it.
+	Schedulers map[string]string `json:"schedulers"`
+	// Refusals counts refusals by reason since the start; those at 0 are left
+	// out.
+	Refusals map[string]uint64 `json:"refusals"`
+	Now      time.Time         `json:"now"`
 }
 
 // Problem is an error answer.
@@ -49,12 +59,28 @@
 	counters *counters.Counters
 	ring     *explain.Ring
 	settings *settings.Holder
+	accept   func(ctx context.Context, c change.Change) (uint64, error)
+	document func() change.Document
+	history  func(ctx context.Context, revision uint64) (change.Change, error)
 	status   func() Status
 }
 
+// Settings are the parts of a host that read and change the settings.
+type Settings struct {
+	Holder *settings.Holder
+	// Accept takes a change; Document gives the tree in force; History reads an
+	// accepted change.
+	Accept   func(ctx context.Context, c change.Change) (uint64, error)
+	Document func() change.Document
+	History  func(ctx context.Context, revision uint64) (change.Change, error)
+}
+
 // New makes the operators' server.
-func New(keys []hostconfig.OperatorKey, c *counters.Counters, ring *explain.Ring, s *settings.Holder, status func() Status) *Server {
-	return &Server{keys: keys, counters: c, ring: ring, settings: s, status: status}
+func New(keys []hostconfig.OperatorKey, c *counters.Counters, ring *explain.Ring, s Settings, status func() Status) *Server {
+	return &Server{
+		keys: keys, counters: c, ring: ring, settings: s.Holder, accept: s.Accept, document: s.Document, history: s.History,
+		status: status,
+	}
 }
 
 const readHeaderTime = 10 * time.Second
@@ -68,6 +94,9 @@
 	router.HandleFunc("/v1/status", s.with(hostconfig.RoleRead, s.showStatus)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/requests/{id}", s.with(hostconfig.RoleRead, s.explain)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/settings/effective/{workspace}/{class:.+}", s.with(hostconfig.RoleRead, s.effective)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/settings", s.with(hostconfig.RoleRead, s.showSettings)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/settings/changes/{revision:[0-9]+}", s.with(hostconfig.RoleRead, s.showChange)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/settings/changes", s.with(hostconfig.RoleChange, s.takeChange)).Methods(http.MethodPost)
 	return &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTime}
 }
 
@@ -82,11 +111,20 @@
 		case role == hostconfig.RoleChange && found.Role != hostconfig.RoleChange:
 			answer(w, http.StatusForbidden, Problem{Error: "this key may read, not change"})
 		default:
-			next(w, r)
+			next(w, r.WithContext(context.WithValue(r.Context(), whoKey{}, found.Name)))
 		}
 	}
 }
 
+// whoKey is the context key of the operator's name.
+type whoKey struct{}
+
+// who names the operator of a request that passed with.
+func who(r *http.Request) string {
+	name, _ := r.Context().Value(whoKey{}).(string)
+	return name
+}
+
 // find compares all keys in constant time.
 func (s *Server) find(key string) *hostconfig.OperatorKey {
 	hash := []byte(settings.HashKey(key))
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -53,11 +53,17 @@
 }
 
 // messageForm is an owner's message. Times are sent as ages, since the hosts'
-// clocks differ.
+// clocks differ. Only the first word of a request carries the request itself.
 type messageForm struct {
-	Shard   string        `cbor:"1,keyasint"`
-	Age     time.Duration `cbor:"2,keyasint,omitempty"`
-	Message shard.Message `cbor:"3,keyasint"`
+	_        struct{} `cbor:",toarray"`
+	Shard    string
+	Kind     shard.Kind
+	ID       string
+	Tokens   int
+	Result   schedule.Result
+	Endpoint string
+	Age      time.Duration
+	Request  *schedule.Request
 }
 
 // decisionForm is a scheduler's decision, with the time left for a grant.
@@ -68,21 +74,26 @@
 }
 
 func toForm(now time.Time, shardName string, m *shard.Message) messageForm {
-	form := messageForm{Shard: shardName, Message: *m}
-	if !m.Request.Arrived.IsZero() {
-		form.Age = now.Sub(m.Request.Arrived)
-		form.Message.Request.Arrived = time.Time{}
+	form := messageForm{
+		Shard: shardName, Kind: m.Kind, ID: m.ID, Tokens: m.Tokens, Result: m.Result, Endpoint: m.Endpoint,
+	}
+	if m.Kind == shard.Submit || m.Kind == shard.Adopt {
+		request := m.Request
+		form.Age = now.Sub(request.Arrived)
+		request.Arrived = time.Time{}
+		form.Request = &request
 	}
 	return form
 }
 
 func (f *messageForm) message(now time.Time, owner string) *shard.Message {
-	m := f.Message
-	if m.Kind == shard.Submit || m.Kind == shard.Adopt {
+	m := &shard.Message{Kind: f.Kind, ID: f.ID, Tokens: f.Tokens, Result: f.Result, Endpoint: f.Endpoint}
+	if f.Request != nil {
+		m.Request = *f.Request
 		m.Request.Arrived = now.Add(-f.Age)
 		m.Request.Owner = owner
 	}
-	return &m
+	return m
 }
 
 func decisionToForm(now time.Time, shardName string, d *schedule.Decision) decisionForm {
--- /dev/null
+++ b/internal/peer/wire_test.go
@@ -0,0 +1,83 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+	"oxbowslip.dev/oxbowslip/internal/shard"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// submit is a request of ordinary size: a prompt of 1,500 tokens.
+func submit(i int) *shard.Message {
+	r := schedule.Request{
+		ID: fmt.Sprintf("0c5f3ad2-1111-4222-8333-%012d", i), Owner: "host-1", Workspace: "prairie-boats", Class: "itinerary", Tier: 1,
+		Arrived: now, FirstToken: 1300 * time.Millisecond, BetweenTokens: 48 * time.Millisecond, MaxWait: time.Minute,
+		Repeatable: true, Share: 0.03, Weight: 1, PromptTokens: 1500, MaxTokens: 4096, Prefix: []uint64{1 << 60, 1 << 61, 1 << 62, 1 << 63, 1 << 59},
+		Zone: "prairie-a",
+	}
+	return &shard.Message{Kind: shard.Submit, ID: r.ID, Request: r}
+}
+
+func TestWire(t *testing.T) {
+	c := qt.New(t)
+	later := now.Add(time.Second)
+	form := toForm(later, "voyage", submit(1))
+	data, err := encoding{}.Marshal(&frame{Kind: kindMessages, Messages: []messageForm{form}})
+	c.Assert(err, qt.IsNil)
+	var got frame
+	c.Assert(encoding{}.Unmarshal(data, &got), qt.IsNil)
+	// The other host's clock is an hour ahead; the age is what counts.
+	there := later.Add(time.Hour)
+	m := got.Messages[0].message(there, "host-1")
+	want := submit(1)
+	want.Request.Arrived = there.Add(-time.Second)
+	c.Assert(m, qt.DeepEquals, want)
+	grant := schedule.Decision{Kind: schedule.Grant, ID: "x", Owner: "host-1", Endpoint: "voyage-1", Until: now.Add(2 * time.Second)}
+	decision := decisionToForm(now, "voyage", &grant)
+	c.Assert(decision.decision(there).Until, qt.Equals, there.Add(2*time.Second))
+}
+
+// bytesOf is the size of a frame with one message.
+func bytesOf(f *frame) int {
+	data, err := cbor.Marshal(f)
+	if err != nil {
+		panic(err) // Plain structs always marshal.
+	}
+	return len(data)
+}
+
+// requestBytes is what one request costs on a link, both ways: submit, grant,
+// started, first token, progress every 16 tokens, finished.
+func requestBytes(tokens int) (owner, scheduler int) {
+	id := submit(1).ID
+	owner = bytesOf(&frame{Kind: kindMessages, Messages: []messageForm{toForm(now, "voyage", submit(1))}})
+	kinds := []shard.Kind{shard.Started, shard.FirstToken, shard.Finished}
+	for range tokens / 16 {
+		kinds = append(kinds, shard.Progress)
+	}
+	for _, k := range kinds {
+		owner += bytesOf(&frame{Kind: kindMessages, Messages: []messageForm{toForm(now, "voyage", &shard.Message{Kind: k, ID: id, Tokens: 99})}})
+	}
+	grant := schedule.Decision{
+		Kind: schedule.Grant, ID: id, Owner: "host-1", Endpoint: "voyage-01", Reason: schedule.ReasonTier, Until: now.Add(time.Second),
+		Figures: schedule.Figures{Waited: time.Second, WaitingAhead: 5, PredictedFirstToken: time.Second, Limit: 25.5, AnswerTokens: 300},
+	}
+	scheduler = bytesOf(&frame{Kind: kindDecisions, Decisions: []decisionForm{decisionToForm(now, "voyage", &grant)}})
+	return owner, scheduler
+}
+
+// TestWireBytes bounds what a request costs on a link.
+func TestWireBytes(t *testing.T) {
+	c := qt.New(t)
+	owner, scheduler := requestBytes(310)
+	c.Logf("a request of 310 tokens: %d bytes to the scheduler, %d bytes back", owner, scheduler)
+	c.Assert(owner < 2600, qt.IsTrue, qt.Commentf("%d bytes", owner))
+	c.Assert(scheduler < 400, qt.IsTrue, qt.Commentf("%d bytes", scheduler))
+}
--- a/internal/schedule/health.go
+++ b/internal/schedule/health.go
@@ -173,3 +173,29 @@
 	slices.Sort(s.scratch)
 	return s.scratch[len(s.scratch)/2]
 }
+
+// EndpointState is what a scheduler has learned of an endpoint.
+type EndpointState struct {
+	ID       string  `json:"id"`
+	InFlight int     `json:"in_flight"`
+	Limit    float64 `json:"limit"`
+	// Between is the mean time between tokens.
+	Between time.Duration `json:"between"`
+	// Ejected is why the endpoint gets no work now, or empty.
+	Ejected EjectReason `json:"ejected,omitzero"`
+	Probing bool        `json:"probing,omitzero"`
+}
+
+// Endpoints tells what was learned of each endpoint, in the order of the
+// settings.
+func (s *Scheduler) Endpoints() []EndpointState {
+	states := make([]EndpointState, 0, len(s.endpoints.order))
+	for _, e := range s.endpoints.order {
+		state := EndpointState{ID: e.ID, InFlight: e.inFlight(), Limit: e.bound(), Between: e.between, Probing: e.health.probing}
+		if e.health.ejected {
+			state.Ejected = e.health.reason
+		}
+		states = append(states, state)
+	}
+	return states
+}
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -17,6 +17,8 @@
 
 // Request is what the scheduler knows of a request.
 type Request struct {
+	_ struct{} `cbor:",toarray"` // Its form between hosts has no field names.
+
 	// ID is unique in the fleet. Owner is the host that accepted the request.
 	ID    string
 	Owner string
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -349,3 +350,21 @@
 		}
 	}
 }
+
+// BenchmarkMemory is what a scheduler holds for each request that waits and each
+// that runs.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		before := heapBytes()
+		s, _ := loaded(50_000, 8)
+		b.ReportMetric(float64(heapBytes()-before)/50_000, "B/waiting")
+		runtime.KeepAlive(s)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/standin/seed.go
+++ b/internal/standin/seed.go
@@ -12,6 +12,7 @@
 
 // Seed puts a settings tree on the platform as revision 1.
 func (p *Platform) Seed(tree *settings.Tree) error {
+	name := inforce.SnapshotName(1, "seed")
 	data, err := settings.Encode(tree)
 	if err != nil {
 		return err
@@ -19,11 +20,11 @@
 	if _, err := settings.Decode("seed", data); err != nil {
 		return err
 	}
-	head, err := json.Marshal(inforce.Head{Revision: 1, Snapshot: 1})
+	head, err := json.Marshal(inforce.Head{Revision: 1, Snapshot: 1, SnapshotName: name})
 	if err != nil {
 		return err
 	}
-	p.Put(inforce.SnapshotName(1), data)
+	p.Put(name, data)
 	p.Commit(platform.Transaction{Set: []platform.Write{{Key: inforce.HeadKey, Value: head}}})
 	return nil
 }
