Settings from peers while the platform is away; no idle connection is cut

Cause: a host that could not reach the platform kept what it had for ever, and one that started then never became ready. The rolling restart lost 2 of some thousand requests: a leaving host closed its idle connections at once, just as callers sent the next request on them. Change: a host that can't reach the platform asks up to 3 peers, and fails its readiness 30 s after the last answer of either; a leaving host ends each connection with its next answer and closes idle ones after the notice.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -81,6 +81,7 @@
 			settings.NewHolder,
 			dispatch.New,
 			endpoint.New,
+			func() *documentSource { return new(documentSource) },
 			newFleet,
 			newPlatform,
 			newFollower,
@@ -101,13 +102,13 @@
 const stopMargin = 10 * time.Second
 
 func newFleet(config hostconfig.Host, d *dispatch.Dispatcher, client *platform.Client, log *logrus.Logger,
-	clock func() time.Time, random func() float64,
+	document *documentSource, clock func() time.Time, random func() float64,
 ) *fleet.Fleet {
 	return fleet.New(fleet.Config{
 		Self:   membership.Host{Name: config.Name, Address: config.Peers, Zone: config.Zone},
 		Listen: config.Peers,
-		Key:    config.PeerKey,
-	}, d, client, logging.Part(log, "fleet"), schedule.Options{}, clock, random)
+		Key:    config.PeerKey, FirstPeers: config.FirstPeers,
+	}, d, client, logging.Part(log, "fleet"), schedule.Options{}, document.get, clock, random)
 }
 
 func newPlatform(config hostconfig.Host, c *counters.Counters) *platform.Client {
@@ -115,9 +116,24 @@
 }
 
 func newFollower(config hostconfig.Host, client *platform.Client, holder *settings.Holder, c *counters.Counters,
-	log *logrus.Logger, random func() float64,
+	log *logrus.Logger, document *documentSource, f *fleet.Fleet, clock func() time.Time, random func() float64,
 ) *inforce.Follower {
-	return inforce.New(client, holder, c, logging.Part(log, "settings"), config.Platform.Poll, random)
+	follower := inforce.New(client, holder, c, logging.Part(log, "settings"), config.Platform.Poll, random, f.Settings, clock)
+	document.follower.Store(follower)
+	return follower
+}
+
+// documentSource lets peers read the settings that the follower has. The fleet
+// and the follower need each other, so one is filled in later.
+type documentSource struct {
+	follower atomic.Pointer[inforce.Follower]
+}
+
+func (s *documentSource) get() change.Document {
+	if follower := s.follower.Load(); follower != nil {
+		return follower.Document()
+	}
+	return change.Document{}
 }
 
 func newOwner(config hostconfig.Host, d *dispatch.Dispatcher, s *settings.Holder, c *counters.Counters, ring *explain.Ring,
@@ -141,6 +157,7 @@
 	}
 	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, table, logging.Part(log, "api"), clock,
 		config.WriteTimeout, d.notReady).HTTP()
+	d.callers.Handler = d.closeWhenDraining(d.callers.Handler)
 	d.operators = operator.New(config.OperatorKeys, c, ring, operator.Settings{
 		Holder: holder, Accept: d.accept, Document: follower.Document,
 		History: func(ctx context.Context, revision uint64) (change.Change, error) {
@@ -242,7 +259,6 @@
 	}()
 	d.draining.Store(true)
 	d.fleet.Leave()
-	d.callers.SetKeepAlivesEnabled(false)
 	d.log.WithField("open", d.owner.Open()).Info("draining")
 	select {
 	case <-time.After(d.config.Drain.Notice):
@@ -272,6 +288,18 @@
 	d.callers.Close()
 }
 
+// closeWhenDraining ends each connection of a leaving host with its next answer.
+// Connections that are idle stay open until the notice is over: one that is
+// closed just as its caller sends the next request would lose that request.
+func (d *Daemon) closeWhenDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Hurry ends the wait of a planned stop: what is still in flight is told that
 // the host stops.
 func (d *Daemon) Hurry() { d.hurryOnce.Do(func() { close(d.hurry) }) }
@@ -363,6 +391,8 @@
 		return "no settings yet: " + d.follower.Problem().Error()
 	case d.holder.Current() == nil:
 		return "no settings yet"
+	case d.follower.Stale():
+		return "cut off from the platform and from all peers: the settings may be old"
 	}
 	return ""
 }
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -191,6 +191,11 @@
 		Drain:        hostconfig.Drain{Notice: c.Config.Notice, Limit: time.Minute},
 		WriteTimeout: c.Config.WriteTimeout,
 	}.WithDefaults()
+	for _, host := range c.Hosts() {
+		if !host.Down {
+			config.FirstPeers = append(config.FirstPeers, host.Daemon.PeersAddress())
+		}
+	}
 	if i == 0 {
 		config.Callers, config.Operators = c.Config.Callers, c.Config.Operators
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
 
+	"oxbowslip.dev/oxbowslip/internal/change"
 	"oxbowslip.dev/oxbowslip/internal/dispatch"
 	"oxbowslip.dev/oxbowslip/internal/membership"
 	"oxbowslip.dev/oxbowslip/internal/peer"
@@ -33,6 +34,8 @@
 	// Listen is where peers connect; empty means that the host is alone.
 	Listen string
 	Key    string
+	// FirstPeers are addresses to ask before the platform's list is known.
+	FirstPeers []string
 }
 
 // Fleet is one host's part in the fleet.
@@ -58,18 +61,55 @@
 
 // New makes a host's part of the fleet. Options are those of its schedulers.
 func New(config Config, d *dispatch.Dispatcher, client *platform.Client, log *logrus.Entry, options schedule.Options,
-	clock func() time.Time, random func() float64,
+	settings func() change.Document, clock func() time.Time, random func() float64,
 ) *Fleet {
 	f := &Fleet{
 		config: config, dispatcher: d, platform: client, log: log, clock: clock, random: random,
 		view: membership.New(config.Self), links: make(map[string]*peer.Link), schedulers: make(map[string]string),
 	}
 	f.shards = shard.New(clock, options, f.deliver)
-	f.server = peer.NewServer(config.Self.Name, config.Key, clock, f.shards.Apply, f.shards.DropOwner)
+	f.server = peer.NewServer(config.Self.Name, config.Key, clock, f.shards.Apply, f.shards.DropOwner, settings)
 	d.Connect(f)
 	return f
 }
 
+// maxAsked bounds the peers that are asked for settings at a time.
+const maxAsked = 3
+
+// Settings asks a few peers, picked at random, for settings newer than a
+// revision. It gives the newest, and whether any peer answered.
+func (f *Fleet) Settings(ctx context.Context, newer uint64) (change.Document, bool) {
+	var newest change.Document
+	answered := false
+	for _, address := range f.someAddresses() {
+		document, err := peer.FetchSettings(ctx, f.config.Self.Name, address, f.config.Key, newer)
+		if err != nil {
+			continue // The next may answer; with none, the caller knows.
+		}
+		answered = true
+		if document.Revision > newest.Revision {
+			newest = document
+		}
+	}
+	return newest, answered
+}
+
+func (f *Fleet) someAddresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	addresses := append([]string(nil), f.config.FirstPeers...)
+	for _, h := range f.view.Hosts() {
+		if h.Name != f.config.Self.Name {
+			addresses = append(addresses, h.Address)
+		}
+	}
+	for i := len(addresses) - 1; i > 0; i-- {
+		j := int(f.random() * float64(i+1))
+		addresses[i], addresses[j] = addresses[j], addresses[i]
+	}
+	return addresses[:min(maxAsked, len(addresses))]
+}
+
 // Shards gives the schedulers of this host.
 func (f *Fleet) Shards() *shard.Host { return f.shards }
 
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -52,19 +52,43 @@
 	log      *logrus.Entry
 	poll     time.Duration
 	random   func() float64
+	peers    Peers
+	clock    func() time.Time
 
 	mu       sync.Mutex
 	document change.Document
 	// problem is why nothing newer is in force, or nil.
 	problem error
-	readAt  time.Time
+	// currentAt is when the platform or a peer last showed that nothing newer is
+	// known.
+	currentAt time.Time
 }
 
+// Peers asks other hosts for their settings while the platform is away. It
+// gives the newest document that is newer than the revision, if any, and whether
+// any peer answered.
+type Peers func(ctx context.Context, newer uint64) (document change.Document, answered bool)
+
+// grace is how long a host that hears neither the platform nor a peer trusts its
+// settings.
+const grace = 30 * time.Second
+
 // New makes a follower that has read nothing.
 func New(client *platform.Client, holder *settings.Holder, c *counters.Counters, log *logrus.Entry,
-	poll time.Duration, random func() float64,
+	poll time.Duration, random func() float64, peers Peers, clock func() time.Time,
 ) *Follower {
-	return &Follower{client: client, holder: holder, counters: c, log: log, poll: poll, random: random}
+	return &Follower{
+		client: client, holder: holder, counters: c, log: log, poll: poll, random: random, peers: peers, clock: clock,
+		currentAt: clock(),
+	}
+}
+
+// Stale reports whether the host has been cut off for so long, from the platform
+// and from all peers, that it can't know whether its settings are current.
+func (f *Follower) Stale() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock().Sub(f.currentAt) > grace
 }
 
 // Problem tells why the last read brought nothing, or nil.
@@ -110,10 +134,32 @@
 	if ctx.Err() != nil {
 		return
 	}
+	if err == nil {
+		f.currentAt = f.clock()
+	}
 	if err != nil && f.problem == nil {
 		f.log.WithError(err).Warn("settings can't be read, the last ones stay in force")
 	}
 	f.problem = err
+	if errors.Is(err, platform.ErrUnavailable) {
+		f.askPeers(ctx)
+	}
+}
+
+// askPeers takes newer settings from a peer: one that started earlier, or that
+// still reaches the platform.
+func (f *Follower) askPeers(ctx context.Context) {
+	document, answered := f.peers(ctx, f.document.Revision)
+	if !answered {
+		return
+	}
+	f.currentAt = f.clock()
+	if document.Revision <= f.document.Revision {
+		return
+	}
+	if err := f.put(document); err != nil {
+		f.log.WithError(err).Warn("a peer's settings can't be read")
+	}
 }
 
 func (f *Follower) advance(ctx context.Context) error {
@@ -192,7 +238,6 @@
 		return merry.Prependf(err, "revision %d can't be read by this program", document.Revision)
 	}
 	f.document = document
-	f.readAt = time.Now()
 	if f.holder.Offer(&settings.Revision{Number: document.Revision, Tree: tree}) {
 		f.log.WithField("revision", document.Revision).Info("settings in force")
 	}
--- /dev/null
+++ b/internal/inforce/inforce_test.go
@@ -0,0 +1,63 @@
+package inforce_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/change"
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/inforce"
+	"oxbowslip.dev/oxbowslip/internal/platform"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+	"oxbowslip.dev/oxbowslip/internal/standin"
+)
+
+// TestCutOff takes the platform and then the peers away: the last settings stay
+// in force, and the host finds out when it can no longer trust them.
+func TestCutOff(t *testing.T) {
+	c := qt.New(t)
+	p := standin.NewPlatform(standin.PlatformConfig{})
+	c.Assert(p.Start("127.0.0.1:0"), qt.IsNil)
+	defer p.Close()
+	tree, err := settings.Decode("seed", []byte(`{"root": {}, "workspaces": {"w": {}}}`))
+	c.Assert(err, qt.IsNil)
+	c.Assert(p.Seed(tree), qt.IsNil)
+
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	offered, answers := change.Document{}, true
+	peers := func(context.Context, uint64) (change.Document, bool) { return offered, answers }
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	holder := settings.NewHolder()
+	f := inforce.New(platform.New(p.Address(), time.Minute, nil), holder, counters.New(), logrus.NewEntry(log), time.Second,
+		func() float64 { return 0 }, peers, func() time.Time { return now })
+	steps := []struct {
+		name     string
+		down     bool
+		answers  bool
+		offered  change.Document
+		revision uint64
+		stale    bool
+	}{
+		{name: "the platform is there", revision: 1},
+		{name: "a peer has nothing newer", down: true, answers: true, revision: 1},
+		{name: "a peer has a newer revision", down: true, answers: true, offered: change.Document{Revision: 4, Data: []byte(`{"root":{}}`)}, revision: 4},
+		{name: "a peer has an older revision", down: true, answers: true, offered: change.Document{Revision: 2, Data: []byte(`{"root":{}}`)}, revision: 4},
+		{name: "a peer has one that can't be read", down: true, answers: true, offered: change.Document{Revision: 9, Data: []byte(`{"stem":{}}`)}, revision: 4},
+		{name: "nobody answers", down: true, revision: 4, stale: true},
+		{name: "the platform is back, behind", revision: 4},
+	}
+	for _, s := range steps {
+		p.SetFaults(standin.PlatformFaults{Down: s.down})
+		offered, answers = s.offered, s.answers
+		now = now.Add(time.Minute)
+		f.Poll(context.Background())
+		c.Assert(holder.Current().Number, qt.Equals, s.revision, qt.Commentf(s.name))
+		c.Assert(f.Stale(), qt.Equals, s.stale, qt.Commentf(s.name))
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -25,6 +25,8 @@
 	listed   map[string]Host
 	suspects map[string]bool
 	leaving  map[string]bool
+	// candidates caches the usable hosts; nil means that it is to be made anew.
+	candidates []Host
 }
 
 // New makes the view of a host that has not read the platform's list.
@@ -37,6 +39,7 @@
 // SetList takes the platform's list. What was seen of hosts that are gone from
 // it is forgotten.
 func (v *View) SetList(hosts []Host) {
+	v.candidates = nil
 	v.listed = make(map[string]Host, len(hosts))
 	for _, h := range hosts {
 		v.listed[h.Name] = h
@@ -60,11 +63,15 @@
 		return false
 	}
 	v.suspects[name] = suspect
+	v.candidates = nil
 	return true
 }
 
 // Leave notes that a host, perhaps this one, said itself that it is leaving.
-func (v *View) Leave(name string) { v.leaving[name] = true }
+func (v *View) Leave(name string) {
+	v.leaving[name] = true
+	v.candidates = nil
+}
 
 // Scheduler gives the host that schedules a shard: the usable host with the
 // highest rendezvous hash. With no other usable, it is this host itself.
@@ -105,13 +112,16 @@
 // usable lists the hosts that may schedule. A host that is not in the list yet
 // is left out, this one too: the others would not send it their requests.
 func (v *View) usable() []Host {
-	var usable []Host
+	if v.candidates != nil {
+		return v.candidates
+	}
+	v.candidates = []Host{}
 	for _, h := range v.Hosts() {
 		if !h.Leaving && !v.suspects[h.Name] {
-			usable = append(usable, h)
+			v.candidates = append(v.candidates, h)
 		}
 	}
-	return usable
+	return v.candidates
 }
 
 func rendezvous(shard, host string) uint64 {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -140,14 +140,14 @@
 	}
 	conn := drpcconn.New(raw)
 	defer conn.Close()
-	stream, err := conn.NewStream(ctx, rpcName, encoding{})
+	stream, err := conn.NewStream(ctx, rpcLink, encoding{})
 	if err != nil {
 		return merry.Wrap(err)
 	}
 	defer stream.Close()
 	watch := newWatchdog(raw)
 	defer watch.stop()
-	if err := l.greet(stream); err != nil {
+	if err := greet(stream, l.self, l.key); err != nil {
 		return err
 	}
 	queue := make(chan messageForm, queueLength)
@@ -160,19 +160,19 @@
 }
 
 // greet proves both sides to each other.
-func (l *Link) greet(stream drpc.Stream) error {
+func greet(stream drpc.Stream, self, key string) error {
 	nonce := newNonce()
-	if err := stream.MsgSend(&frame{Kind: kindHello, Host: l.self, Nonce: nonce}, encoding{}); err != nil {
+	if err := stream.MsgSend(&frame{Kind: kindHello, Host: self, Nonce: nonce}, encoding{}); err != nil {
 		return merry.Wrap(err)
 	}
 	var challenge frame
 	if err := stream.MsgRecv(&challenge, encoding{}); err != nil {
 		return merry.Wrap(err)
 	}
-	if !hmac.Equal(challenge.Proof, proof(l.key, roleScheduler, nonce)) {
+	if !hmac.Equal(challenge.Proof, proof(key, roleScheduler, nonce)) {
 		return merry.Wrap(ErrWrongKey)
 	}
-	return merry.Wrap(stream.MsgSend(&frame{Kind: kindProof, Proof: proof(l.key, roleOwner, challenge.Nonce)}, encoding{}))
+	return merry.Wrap(stream.MsgSend(&frame{Kind: kindProof, Proof: proof(key, roleOwner, challenge.Nonce)}, encoding{}))
 }
 
 // write sends queued messages in batches, and beats in between.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 
+	"oxbowslip.dev/oxbowslip/internal/change"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/shard"
 )
@@ -27,6 +28,8 @@
 	// apply hands an owner's message to a scheduler, drop an owner's end.
 	apply func(shard string, m *shard.Message)
 	drop  func(owner string)
+	// settings gives the settings in force.
+	settings func() change.Document
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -43,9 +46,12 @@
 }
 
 // NewServer makes a server that does not listen yet.
-func NewServer(self, key string, clock func() time.Time, apply func(shard string, m *shard.Message), drop func(owner string)) *Server {
+func NewServer(self, key string, clock func() time.Time, apply func(shard string, m *shard.Message), drop func(owner string),
+	settings func() change.Document,
+) *Server {
 	return &Server{
-		self: self, key: key, clock: clock, apply: apply, drop: drop, sessions: make(map[string]*session), ended: make(chan struct{}),
+		self: self, key: key, clock: clock, apply: apply, drop: drop, settings: settings,
+		sessions: make(map[string]*session), ended: make(chan struct{}),
 	}
 }
 
@@ -103,13 +109,17 @@
 
 // HandleRPC serves one link.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
-	if rpc != rpcName {
-		return merry.Errorf("unknown call %q", rpc)
-	}
 	owner, err := s.greet(stream)
 	if err != nil {
 		return err
 	}
+	switch rpc {
+	case rpcLink:
+	case rpcSettings:
+		return s.answerSettings(stream)
+	default:
+		return merry.Errorf("unknown call %q", rpc)
+	}
 	session := s.enter(owner)
 	go s.write(stream, session)
 	err = s.read(stream, owner)
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -21,8 +21,12 @@
 // ErrWrongKey says that a peer does not know the shared key.
 var ErrWrongKey = merry.Sentinel("peer does not know the shared key")
 
-// rpcName is the name of the only call.
-const rpcName = "/oxbowslip.Peer/Link"
+// The names of the calls: a link for scheduling, and one answer with the
+// settings in force.
+const (
+	rpcLink     = "/oxbowslip.Peer/Link"
+	rpcSettings = "/oxbowslip.Peer/Settings"
+)
 
 // kind says what a frame carries.
 type kind uint8
@@ -40,6 +44,9 @@
 	kindDecisions
 	// kindLeaving says that the sender schedules no more.
 	kindLeaving
+	// kindWant asks for settings newer than Revision, kindSettings answers.
+	kindWant
+	kindSettings
 )
 
 // frame is one message of a link. Unused fields are empty.
@@ -50,6 +57,8 @@
 	Proof     []byte         `cbor:"4,keyasint,omitempty"`
 	Messages  []messageForm  `cbor:"5,keyasint,omitempty"`
 	Decisions []decisionForm `cbor:"6,keyasint,omitempty"`
+	Revision  uint64         `cbor:"7,keyasint,omitempty"`
+	Data      []byte         `cbor:"8,keyasint,omitempty"`
 }
 
 // messageForm is an owner's message. Times are sent as ages, since the hosts'
