--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What one does with oxbowslip. Each target is one command to read.
-.PHONY: all build test lint format fuzz demo bench capacity docs-check ci
+.PHONY: all build test lint format random fuzz demo bench replay traces capacity ci
 
 all: build lint test
 
@@ -13,4 +13,31 @@
 
 demo: ; go run ./cmd/oxbowslip-demo --seconds 10
 
+# The long random runs; CI takes a hundred schedules of each.
+random:
+	go test ./internal/replay -run Random -rapid.checks=10000
+	go test ./internal/schedule -run 'Handover|Shares' -rapid.checks=20000
+	go test ./internal/request -run Promises -rapid.checks=50000
+
+fuzz:
+	go test -run none -fuzz '^FuzzDecode$$' -fuzztime 60s ./internal/settings
+	go test -run none -fuzz '^FuzzDecodeChat$$' -fuzztime 60s ./internal/api
+	go test -run none -fuzz '^FuzzEventStream$$' -fuzztime 60s ./internal/api
+
+# All traces under the daemons' policy and the baselines.
+replay: ; go run ./cmd/oxbowslip-replay run --summary --policy all traces/*.jsonl
+
+# Make the traces anew from their descriptions.
+traces:
+	for d in traces/descriptions/*.json; do \
+	  go run ./cmd/oxbowslip-replay generate $$d --out traces/$$(basename $$d .json).jsonl || exit 1; done
+
+bench: ; go test ./internal/daemon -run none -bench . -benchtime 3x
+
+# The slopes of docs/CAPACITY.md.
+capacity:
+	go test ./internal/schedule ./internal/change ./internal/membership -run none -bench . -benchtime 1s
+	go test ./internal/peer -run WireBytes -v
+	go test ./internal/daemon -run RelayAllocations -v
+
 ci: ; bash .ci/run
--- /dev/null
+++ b/internal/counters/counters_test.go
@@ -0,0 +1,60 @@
+package counters
+
+import (
+	"bytes"
+	"os"
+	"regexp"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var metricName = regexp.MustCompile(`oxbowslip_[a-z_]+`)
+
+// TestPage holds docs/metrics.md and the code together: each metric is on the
+// page, and the page names no other.
+func TestPage(t *testing.T) {
+	c := qt.New(t)
+	counters := New()
+	counters.Answered("class", time.Second, true, 5)
+	var out bytes.Buffer
+	counters.Write(&out)
+	page, err := os.ReadFile("../../docs/metrics.md")
+	c.Assert(err, qt.IsNil)
+	documented := names(page)
+	for _, name := range names(out.Bytes()) {
+		c.Check(documented, qt.Contains, name)
+	}
+	gauges := []string{"oxbowslip_open_requests", "oxbowslip_settings_revision", "oxbowslip_takeovers"}
+	known := append(names(out.Bytes()), gauges...)
+	for _, name := range documented {
+		c.Check(known, qt.Contains, name)
+	}
+}
+
+// names lists the metrics that a text names, without a histogram's suffixes.
+func names(text []byte) []string {
+	var list []string
+	for _, name := range metricName.FindAllString(string(text), -1) {
+		name = regexp.MustCompile(`_(bucket|sum|count)$`).ReplaceAllString(name, "")
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// TestDeclared finds every reason at 0 before its first event.
+func TestDeclared(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	New().Write(&out)
+	for _, line := range []string{
+		`oxbowslip_refusals_total{reason="no_room"} 0`,
+		`oxbowslip_retries_total{reason="dial_failed"} 0`,
+		`oxbowslip_wasted_tokens_total{cause="broken"} 0`,
+	} {
+		c.Assert(out.String(), qt.Contains, line)
+	}
+}
--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -219,3 +219,23 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapInuse + stats.StackInuse
 }
+
+// BenchmarkSharedScheduler compares requests at the host that schedules their
+// shard with requests at another host.
+func BenchmarkSharedScheduler(b *testing.B) {
+	c := qt.New(b)
+	cluster := startFleet(c, 2, 2)
+	scheduler := settle(c, cluster)
+	other := cluster.Hosts()[0]
+	if other == scheduler {
+		other = cluster.Hosts()[1]
+	}
+	var here, there []timing
+	for b.Loop() {
+		here = append(here, oneStream(b, scheduler.Daemon.CallersAddress()))
+		there = append(there, oneStream(b, other.Daemon.CallersAddress()))
+	}
+	h, t := firsts(here), firsts(there)
+	b.ReportMetric(float64(t[len(t)/2]-h[len(h)/2])/1e6, "added-p50-ms")
+	b.ReportMetric(float64(t[len(t)*95/100]-h[len(h)*95/100])/1e6, "added-p95-ms")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -65,8 +65,10 @@
 	hurry            chan struct{}
 	hurryOnce        sync.Once
 	cut              atomic.Int64
-	done             chan struct{}
-	ended            chan struct{}
+	// configured is the revision that the schedulers know.
+	configured atomic.Uint64
+	done       chan struct{}
+	ended      chan struct{}
 }
 
 // Options gives the parts of a daemon to fx.
@@ -329,6 +331,7 @@
 		changed := d.holder.Changed()
 		if revision := d.holder.Current(); revision != nil {
 			d.shards.Configure(shardConfigs(revision.Tree))
+			d.configured.Store(revision.Number)
 		}
 		select {
 		case <-changed:
@@ -376,7 +379,7 @@
 
 // notReady gives the refusal for a host without settings.
 func (d *Daemon) notReady() *request.Refusal {
-	if d.holder.Current() != nil {
+	if d.configured.Load() > 0 {
 		return nil
 	}
 	return &request.Refusal{Reason: request.ReasonNotReady, Ran: request.RanNo, Detail: d.Problem()}
@@ -389,7 +392,7 @@
 		return "the host is leaving"
 	case d.holder.Current() == nil && d.follower.Problem() != nil:
 		return "no settings yet: " + d.follower.Problem().Error()
-	case d.holder.Current() == nil:
+	case d.configured.Load() == 0:
 		return "no settings yet"
 	case d.follower.Stale():
 		return "cut off from the platform and from all peers: the settings may be old"
--- a/internal/schedule/room.go
+++ b/internal/schedule/room.go
@@ -6,7 +6,7 @@
 // where the rules allow. A request that was admitted before always has room.
 func (s *Scheduler) admit(now time.Time, it *item) (Reason, bool) {
 	r := &it.request
-	if s.endpoints.count() == 0 {
+	if s.configured && s.endpoints.count() == 0 {
 		return ReasonNoEndpoint, false
 	}
 	if r.Retry {
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -229,7 +229,10 @@
 	sequence  uint64
 	aside     []*item
 	held      []*limit
-	heldUntil time.Time
+	// configured says that the endpoints were set once. Until then requests
+	// wait: their owners may have newer settings than this host.
+	configured bool
+	heldUntil  time.Time
 	// Steps counts the elementary steps of all decisions, for benchmarks.
 	Steps uint64
 }
@@ -270,6 +273,7 @@
 // SetEndpoints replaces the endpoints of the shard. One that is gone gets no
 // new grants; its open grants run out.
 func (s *Scheduler) SetEndpoints(now time.Time, endpoints []Endpoint) {
+	s.configured = true
 	s.endpoints.set(now, endpoints)
 	s.dispatch(now)
 }
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -152,6 +152,8 @@
 				s.Submit(start, Request{ID: "first", Workspace: "z", Arrived: start})
 				s.Started(start, "first")
 				c.Assert(grants(s), qt.DeepEquals, []string{"first"})
+			} else {
+				s.SetEndpoints(start, nil)
 			}
 			var got []string
 			for _, r := range test.requests {
@@ -183,6 +185,16 @@
 	c.Assert(grants(s), qt.DeepEquals, []string{"2"})
 }
 
+// TestUnconfigured submits to a scheduler that does not know its endpoints yet.
+func TestUnconfigured(t *testing.T) {
+	c := qt.New(t)
+	s := New(Options{})
+	s.Submit(start, Request{ID: "1", Arrived: start})
+	c.Assert(s.Take(), qt.HasLen, 0)
+	s.SetEndpoints(start, endpoints(1, 1))
+	c.Assert(grants(s), qt.DeepEquals, []string{"1"})
+}
+
 // TestLimits holds a workspace to its own limits without stopping others.
 func TestLimits(t *testing.T) {
 	c := qt.New(t)
@@ -368,3 +380,19 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// BenchmarkProgress is what one report of progress costs the scheduler.
+func BenchmarkProgress(b *testing.B) {
+	for _, engines := range []int{8, 64} {
+		b.Run(fmt.Sprintf("endpoints=%d", engines), func(b *testing.B) {
+			s, running := loaded(5000, engines)
+			for _, id := range running {
+				s.FirstToken(start, id)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				s.Progress(start.Add(time.Duration(i)*time.Millisecond), running[i%len(running)], 1+i)
+			}
+		})
+	}
+}
