Lost answers to claims are found; slow senders; more invariants in the demo

A claim whose transaction took effect after its caller had gone kept its key for ever. Change: after a lost answer the rows are read; orphaned keys are looked for three times, and one failed call ends a round, since claims wait meanwhile. A read timeout for callers; the demonstration also checks leaving endpoints, planned stops and revisions; shards of a host are taken up before their first request.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -36,7 +36,6 @@
 )
 
 const (
-	readBodyTime   = 30 * time.Second
 	readHeaderTime = 10 * time.Second
 	maxHeaderBytes = 32 << 10
 	maxIDLength    = 128
@@ -52,27 +51,34 @@
 
 // Server answers callers.
 type Server struct {
-	host         string
-	zone         string
-	settings     *settings.Holder
-	owner        *owner.Owner
-	client       *endpoint.Client
-	counters     *counters.Counters
-	claims       Claims
-	log          *logrus.Entry
-	clock        func() time.Time
-	writeTimeout time.Duration
-	ready        func() *request.Refusal
+	host     string
+	zone     string
+	settings *settings.Holder
+	owner    *owner.Owner
+	client   *endpoint.Client
+	counters *counters.Counters
+	claims   Claims
+	log      *logrus.Entry
+	clock    func() time.Time
+	timeouts Timeouts
+	ready    func() *request.Refusal
+}
+
+// Timeouts bound what a caller may hold up.
+type Timeouts struct {
+	// Read is for sending a body, Write for reading what is ready.
+	Read  time.Duration
+	Write time.Duration
 }
 
 // New makes the callers' server. Ready gives the refusal for a host that can't
 // take requests yet, or nil.
 func New(host, zone string, s *settings.Holder, o *owner.Owner, client *endpoint.Client, c *counters.Counters, claims Claims,
-	log *logrus.Entry, clock func() time.Time, writeTimeout time.Duration, ready func() *request.Refusal,
+	log *logrus.Entry, clock func() time.Time, timeouts Timeouts, ready func() *request.Refusal,
 ) *Server {
 	return &Server{
 		host: host, zone: zone, settings: s, owner: o, client: client, counters: c, claims: claims,
-		log: log, clock: clock, writeTimeout: writeTimeout, ready: ready,
+		log: log, clock: clock, timeouts: timeouts, ready: ready,
 	}
 }
 
@@ -220,7 +226,7 @@
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *caller) ([]byte, *fault) {
 	control := http.NewResponseController(w)
 	// Not every writer has deadlines; those of tests don't.
-	_ = control.SetReadDeadline(time.Now().Add(readBodyTime))
+	_ = control.SetReadDeadline(time.Now().Add(s.timeouts.Read))
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(c.policy.MaxBodyBytes)))
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -92,7 +92,7 @@
 		return &fault{reason: request.ReasonBodyTooLarge, detail: "the body is larger than this class allows"}
 	}
 	control := http.NewResponseController(x.w)
-	_ = control.SetReadDeadline(time.Now().Add(readBodyTime))
+	_ = control.SetReadDeadline(time.Now().Add(x.server.timeouts.Read))
 	x.r.Body = http.MaxBytesReader(x.w, x.r.Body, bound)
 	head, err := io.ReadAll(io.LimitReader(x.r.Body, heldBytes))
 	if err != nil {
@@ -201,7 +201,7 @@
 	control := http.NewResponseController(x.w)
 	buffer := make([]byte, heldBytes)
 	for part, readErr := head, error(nil); ; {
-		_ = control.SetWriteDeadline(time.Now().Add(x.server.writeTimeout))
+		_ = control.SetWriteDeadline(time.Now().Add(x.server.timeouts.Write))
 		if _, err := x.w.Write(part); err != nil {
 			return callerLost(err)
 		}
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -67,14 +67,25 @@
 	mu sync.Mutex
 	// orphans are keys whose transaction may have taken effect although the
 	// caller was told that nothing ran. They are given back.
-	orphans map[string]string
+	orphans map[string]orphan
 }
 
+// orphan is a claim that may hold its key for nothing.
+type orphan struct {
+	attempt string
+	// rounds counts the tries to give it back. Its transaction may take effect
+	// only after the first.
+	rounds int
+}
+
+// giveBackRounds is how often an orphan is looked for.
+const giveBackRounds = 3
+
 // New makes a table. Run must be running for claims to be taken.
 func New(host string, client *platform.Client, log *logrus.Entry, clock func() time.Time) *Table {
 	return &Table{
 		host: host, client: client, log: log, clock: clock, queue: make(chan *claim, maxWaiting),
-		orphans: make(map[string]string),
+		orphans: make(map[string]orphan),
 	}
 }
 
@@ -160,6 +171,9 @@
 		if errors.Is(err, platform.ErrConflict) {
 			t.resolve(batch, rows)
 		}
+		if errors.Is(err, platform.ErrUnavailable) {
+			t.lookUp(ctx, batch)
+		}
 	}
 	for _, c := range batch {
 		t.orphan(c)
@@ -167,6 +181,23 @@
 	t.settle(batch, result{err: merry.Wrap(ErrUnavailable, merry.WithCause(err))})
 }
 
+// lookUp reads the rows of a batch whose answer was lost. A claim without a row
+// stays in the batch: its transaction may still be under way, and the next one
+// finds that out.
+func (t *Table) lookUp(ctx context.Context, batch map[string]*claim) {
+	var rows []platform.Row
+	for name := range batch {
+		row, err := t.client.Read(ctx, rowKey(t.clock(), name))
+		if errors.Is(err, platform.ErrUnavailable) {
+			break // The rest would wait for the same.
+		}
+		if err == nil {
+			rows = append(rows, row)
+		}
+	}
+	t.resolve(batch, rows)
+}
+
 // resolve ends the claims whose rows exist: won if the row is their own.
 func (t *Table) resolve(batch map[string]*claim, rows []platform.Row) {
 	for _, row := range rows {
@@ -226,11 +257,13 @@
 }
 
 // orphan notes a claim that may hold its key for nothing.
-func (t *Table) orphan(c *claim) {
+func (t *Table) orphan(c *claim) { t.keep(c.name, orphan{attempt: c.attempt}) }
+
+func (t *Table) keep(name string, o orphan) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.orphans) < maxWaiting {
-		t.orphans[c.name] = c.attempt
+		t.orphans[name] = o
 	}
 }
 
@@ -239,11 +272,19 @@
 func (t *Table) GiveBack(ctx context.Context) {
 	t.mu.Lock()
 	orphans := t.orphans
-	t.orphans = make(map[string]string)
+	t.orphans = make(map[string]orphan)
 	t.mu.Unlock()
-	for name, attempt := range orphans {
-		if err := t.giveBack(ctx, name, attempt); err != nil {
-			t.orphan(&claim{name: name, attempt: attempt})
+	away := false
+	for name, o := range orphans {
+		if !away {
+			// One failed call is enough: claims wait while this runs.
+			away = t.giveBack(ctx, name, o.attempt) != nil
+		}
+		if !away {
+			o.rounds++
+		}
+		if o.rounds < giveBackRounds {
+			t.keep(name, o)
 		}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,7 +158,7 @@
 		client: client, platform: platformClient, counters: c, claims: table, acceptor: acceptor, hurry: make(chan struct{}), done: make(chan struct{}), ended: make(chan struct{}),
 	}
 	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, table, logging.Part(log, "api"), clock,
-		config.WriteTimeout, d.notReady).HTTP()
+		api.Timeouts{Read: config.ReadTimeout, Write: config.WriteTimeout}, d.notReady).HTTP()
 	d.callers.Handler = d.closeWhenDraining(d.callers.Handler)
 	d.operators = operator.New(config.OperatorKeys, c, ring, operator.Settings{
 		Holder: holder, Accept: d.accept, Document: follower.Document,
@@ -331,6 +331,7 @@
 		changed := d.holder.Changed()
 		if revision := d.holder.Current(); revision != nil {
 			d.shards.Configure(shardConfigs(revision.Tree))
+			d.fleet.Expect(d.shards.Names())
 			d.configured.Store(revision.Number)
 		}
 		select {
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -47,10 +47,10 @@
 	Operators string
 	// Notice is how long a leaving host goes on accepting.
 	Notice time.Duration
-	// WriteTimeout bounds how long a caller may take to read; 0 means the
-	// daemon's own.
-	WriteTimeout time.Duration
-	Log          io.Writer
+	// CallerTimeout bounds how long a caller may take to read or to send; 0
+	// means the daemon's own.
+	CallerTimeout time.Duration
+	Log           io.Writer
 	// LogLevel is the daemons' level; empty means warn.
 	LogLevel string
 }
@@ -89,6 +89,10 @@
 	next     int
 	revision uint64
 	client   *http.Client
+	// outSince is when each endpoint was ordered out, cut how many requests
+	// planned stops did not let finish.
+	outSince map[string]time.Time
+	cut      int
 }
 
 // Models of the demonstration and the zones that its endpoints are spread over.
@@ -103,7 +107,7 @@
 	c := &Cluster{
 		Config: config, Tree: tree, Platform: standin.NewPlatform(standin.PlatformConfig{}),
 		Engines: make(map[string]*standin.Engine), Services: make(map[string]*standin.Service),
-		revision: 1, client: &http.Client{Timeout: time.Second},
+		revision: 1, client: &http.Client{Timeout: time.Second}, outSince: make(map[string]time.Time),
 	}
 	if err := c.startEndpoints(); err != nil {
 		return nil, err
@@ -189,7 +193,8 @@
 			{Name: "demo", SHA256: settings.HashKey(OperatorKey), Role: hostconfig.RoleChange},
 		},
 		Drain:        hostconfig.Drain{Notice: c.Config.Notice, Limit: time.Minute},
-		WriteTimeout: c.Config.WriteTimeout,
+		ReadTimeout:  c.Config.CallerTimeout,
+		WriteTimeout: c.Config.CallerTimeout,
 	}.WithDefaults()
 	for _, host := range c.Hosts() {
 		if !host.Down {
@@ -271,7 +276,11 @@
 	err := host.app.Stop(ctx)
 	c.mark(host)
 	c.relist()
-	return host.Daemon.Cut(), err
+	cut := host.Daemon.Cut()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut += cut
+	return cut, err
 }
 
 func (c *Cluster) mark(host *Host) {
--- a/internal/demo/invariants.go
+++ b/internal/demo/invariants.go
@@ -1,7 +1,9 @@
 package demo
 
 import (
+	"context"
 	"fmt"
+	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
@@ -19,6 +21,9 @@
 	{"at-most-once", findRepeated},
 	{"every-class-served", findStarved},
 	{"refusals-have-reasons", findUnexplained},
+	{"leaving-endpoint-gets-no-new-work", findLateWork},
+	{"planned-stop-cuts-nothing", findCut},
+	{"settings-never-go-back", findOlderSettings},
 }
 
 // verify runs all checks and books the violations.
@@ -103,3 +108,44 @@
 	}
 	return found
 }
+
+// outTime is how long after an order an endpoint may still get work.
+const outTime = 2 * time.Second
+
+func findLateWork(c *Cluster, _ *Report) []string {
+	var found []string
+	for endpoint, since := range c.outSince {
+		if late := c.Engines[endpoint].LastBegun().Sub(since); late > outTime {
+			found = append(found, fmt.Sprintf("%s began a request %s after it was ordered out", endpoint, late))
+		}
+	}
+	return found
+}
+
+func findCut(c *Cluster, _ *Report) []string {
+	if c.cut == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d requests were cut", c.cut)}
+}
+
+func findOlderSettings(_ *Cluster, r *Report) []string { return r.older }
+
+// watchRevisions samples the revision in force on each host until ctx ends, and
+// gives the cases in which it went down.
+func watchRevisions(ctx context.Context, c *Cluster) []string {
+	var older []string
+	seen := make(map[string]uint64)
+	for sleep(ctx, revisionPoll) {
+		for _, host := range c.Hosts() {
+			now := host.Daemon.Revision()
+			if now < seen[host.Name] {
+				older = append(older, fmt.Sprintf("%s went from revision %d to %d", host.Name, seen[host.Name], now))
+			}
+			seen[host.Name] = now
+		}
+	}
+	return older
+}
+
+const revisionPoll = 20 * time.Millisecond
--- a/internal/demo/order.go
+++ b/internal/demo/order.go
@@ -24,7 +24,11 @@
 
 // orderOut takes an endpoint out.
 func (c *Cluster) orderOut(endpoint string) error {
-	return c.change(endpoint, endpointPatch{State: settings.StateOut})
+	err := c.change(endpoint, endpointPatch{State: settings.StateOut})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outSince[endpoint] = time.Now()
+	return err
 }
 
 // Readdress moves an endpoint to another address and waits until that is in
--- a/internal/demo/report.go
+++ b/internal/demo/report.go
@@ -43,6 +43,7 @@
 	Notes      []string       `json:"notes,omitzero"`
 	Samples    []Sample       `json:"-"`
 	Length     time.Duration  `json:"-"`
+	older      []string
 	index      map[string]int
 }
 
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -35,12 +35,15 @@
 	go func() { injected <- inject(loadCtx, c, plan.Faults, length) }()
 	shown := make(chan struct{})
 	go l.progress(loadCtx, plan.Progress, shown)
+	watched := make(chan []string, 1)
+	go func() { watched <- watchRevisions(loadCtx, c) }()
 	samples := l.run(loadCtx, plan.Seed, plan.Sources)
 	<-shown
 	notes := <-injected
 	r := newReport(c, samples, time.Since(begun))
 	r.Seed = plan.Seed
 	r.Notes = notes
+	r.older = <-watched
 	for _, fault := range plan.Faults {
 		r.Faults = append(r.Faults, string(fault))
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,8 +55,10 @@
 	links map[string]*peer.Link
 	// schedulers is the host that each shard's requests go to now.
 	schedulers map[string]string
-	takeovers  int
-	closed     bool
+	// expected are the shards of the settings.
+	expected  []string
+	takeovers int
+	closed    bool
 }
 
 // New makes a host's part of the fleet. Options are those of its schedulers.
@@ -174,6 +176,27 @@
 	f.reassign()
 }
 
+// Expect names the shards of the settings. Those that fall to this host are
+// taken up before their first request, which then need not wait for the hold.
+func (f *Fleet) Expect(shards []string) {
+	f.mu.Lock()
+	f.expected = shards
+	f.takeUp()
+	f.mu.Unlock()
+}
+
+// takeUp assigns the expected shards that fall to this host. The lock is held.
+func (f *Fleet) takeUp() {
+	for _, shardName := range f.expected {
+		if _, ok := f.schedulers[shardName]; ok {
+			continue
+		}
+		if host := f.view.Scheduler(shardName); host.Name == f.config.Self.Name {
+			f.assign(shardName, host)
+		}
+	}
+}
+
 // Leave hands this host's shards over: it schedules no more.
 func (f *Fleet) Leave() {
 	f.mu.Lock()
@@ -319,6 +342,7 @@
 			moved = append(moved, shardName)
 		}
 	}
+	f.takeUp()
 	idle := f.idleLinks()
 	f.mu.Unlock()
 	for _, shardName := range moved {
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -34,6 +34,8 @@
 	OperatorKeys []OperatorKey `json:"operator_keys,omitzero"`
 	Log          Log           `json:"log,omitzero"`
 	Drain        Drain         `json:"drain,omitzero"`
+	// ReadTimeout bounds how long a caller may take to send a body.
+	ReadTimeout time.Duration `json:"read_timeout,omitzero"`
 	// WriteTimeout bounds how long a caller may take to read what is ready.
 	WriteTimeout time.Duration `json:"write_timeout,omitzero"`
 }
@@ -84,6 +86,7 @@
 	defaultTimeout      = 2 * time.Second
 	defaultNotice       = 2 * time.Second
 	defaultLimit        = 10 * time.Minute
+	defaultReadTimeout  = 30 * time.Second
 	defaultWriteTimeout = 30 * time.Second
 )
 
@@ -112,6 +115,7 @@
 	setDefault(&h.Platform.Timeout, defaultTimeout)
 	setDefault(&h.Drain.Notice, defaultNotice)
 	setDefault(&h.Drain.Limit, defaultLimit)
+	setDefault(&h.ReadTimeout, defaultReadTimeout)
 	setDefault(&h.WriteTimeout, defaultWriteTimeout)
 	setDefault(&h.Log.Level, "info")
 	setDefault(&h.Log.Format, "text")
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -121,6 +121,7 @@
 // submit starts a request in the model.
 func (e *Engine) submit(id string, body *chatRequest, prompt []byte, done int) {
 	e.executions[id]++
+	e.lastBegun = time.Now()
 	e.streams[id] = newStream(id, answerText{tag: answerTag(prompt)}, done)
 	bound := body.MaxTokens
 	if bound > 0 {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -69,6 +69,7 @@
 	faults     EngineFaults
 	streams    map[string]*stream
 	executions map[string]int
+	lastBegun  time.Time
 	reports    reportHistory
 	order      Order
 	wake       chan struct{}
@@ -180,6 +181,13 @@
 	return counts
 }
 
+// LastBegun tells when the engine last began a request.
+func (e *Engine) LastBegun() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lastBegun
+}
+
 // Generated counts the tokens of all answers.
 func (e *Engine) Generated() int {
 	e.mu.Lock()
