Record and plot traces; an endpoint out gets nothing more, tested under load

Cause: traces could only be generated, and the promise on leaving endpoints was checked in replays and the demonstration only.

--- a/cmd/oxbowslip-replay/main.go
+++ b/cmd/oxbowslip-replay/main.go
@@ -6,15 +6,19 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 
 	"oxbowslip.dev/oxbowslip/internal/daemon"
+	"oxbowslip.dev/oxbowslip/internal/operator"
 	"oxbowslip.dev/oxbowslip/internal/replay"
+	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/strictjson"
 )
 
@@ -27,6 +31,7 @@
 	Files    []string `arg:"positional,required" help:"traces (JSON Lines)" placeholder:"FILE"`
 	Policies []string `arg:"--policy,separate" help:"a policy to run; may be given several times; 'all' means every one (default: current)" placeholder:"NAME"`
 	Summary  bool     `arg:"--summary" help:"one line a run"`
+	Plot     string   `arg:"--plot" help:"draw attainment, waiting requests and goodput over time into PNG files" placeholder:"DIR"`
 	JSON     string   `arg:"--json" help:"write the results as JSON" placeholder:"FILE"`
 }
 
@@ -35,8 +40,16 @@
 	Out         string `arg:"--out,required" help:"the trace to write" placeholder:"FILE"`
 }
 
+type recordCommand struct {
+	From    string `arg:"--from,required" help:"operators' address of a host" placeholder:"ADDR"`
+	Key     string `arg:"--key,env:OXBOWSLIP_KEY" help:"operator's key"`
+	Seconds int    `arg:"--seconds" default:"60" help:"how far back"`
+	Out     string `arg:"--out,required" help:"the trace to write" placeholder:"FILE"`
+}
+
 type arguments struct {
 	Run      *runCommand      `arg:"subcommand:run" help:"replay traces"`
+	Record   *recordCommand   `arg:"subcommand:record" help:"write a trace of a running host's last requests, without contents"`
 	Generate *generateCommand `arg:"subcommand:generate" help:"write a trace from a seeded description"`
 }
 
@@ -56,10 +69,12 @@
 	switch {
 	case args.Run != nil:
 		code, err = run(args.Run)
+	case args.Record != nil:
+		code, err = recordTrace(args.Record)
 	case args.Generate != nil:
 		code, err = generate(args.Generate)
 	default:
-		parser.Fail("name a command: run or generate")
+		parser.Fail("name a command: run, generate or record")
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "oxbowslip-replay:", err)
@@ -91,6 +106,11 @@
 			if policy == replay.Current && !result.OK() {
 				code = exitMissed
 			}
+			if command.Plot != "" {
+				if err := result.Plot(command.Plot); err != nil {
+					return exitUsage, err
+				}
+			}
 			results = append(results, result)
 		}
 		if !command.Summary {
@@ -137,7 +157,11 @@
 	if err != nil {
 		return exitUsage, err
 	}
-	file, err := os.Create(command.Out)
+	return writeTrace(command.Out, trace)
+}
+
+func writeTrace(path string, trace *replay.Trace) (int, error) {
+	file, err := os.Create(path)
 	if err != nil {
 		return exitUsage, err
 	}
@@ -147,3 +171,24 @@
 	}
 	return 0, file.Close()
 }
+
+func recordTrace(command *recordCommand) (int, error) {
+	ctx := context.Background()
+	client := operator.NewClient(command.From, command.Key)
+	answer, err := client.Settings(ctx)
+	if err != nil {
+		return exitMissed, err
+	}
+	tree, err := settings.Decode("the host's settings", answer.Tree)
+	if err != nil {
+		return exitMissed, err
+	}
+	entries, err := client.Recorded(ctx, time.Now().Add(-time.Duration(command.Seconds)*time.Second))
+	if err != nil {
+		return exitMissed, err
+	}
+	if len(entries) == 0 {
+		return exitMissed, fmt.Errorf("%s has no request of the last %d s", command.From, command.Seconds)
+	}
+	return writeTrace(command.Out, replay.Recorded("recorded", tree, entries))
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -21,6 +21,7 @@
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/endpoint"
 	"oxbowslip.dev/oxbowslip/internal/owner"
+	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -58,6 +59,7 @@
 	client   *endpoint.Client
 	counters *counters.Counters
 	claims   Claims
+	recorded *record.Ring
 	log      *logrus.Entry
 	clock    func() time.Time
 	timeouts Timeouts
@@ -73,11 +75,11 @@
 
 // New makes the callers' server. Ready gives the refusal for a host that can't
 // take requests yet, or nil.
-func New(host, zone string, s *settings.Holder, o *owner.Owner, client *endpoint.Client, c *counters.Counters, claims Claims,
+func New(host, zone string, s *settings.Holder, o *owner.Owner, client *endpoint.Client, c *counters.Counters, claims Claims, recorded *record.Ring,
 	log *logrus.Entry, clock func() time.Time, timeouts Timeouts, ready func() *request.Refusal,
 ) *Server {
 	return &Server{
-		host: host, zone: zone, settings: s, owner: o, client: client, counters: c, claims: claims,
+		host: host, zone: zone, settings: s, owner: o, client: client, counters: c, claims: claims, recorded: recorded,
 		log: log, clock: clock, timeouts: timeouts, ready: ready,
 	}
 }
--- a/internal/api/chat.go
+++ b/internal/api/chat.go
@@ -15,6 +15,7 @@
 	"oxbowslip.dev/oxbowslip/internal/endpoint"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/prefix"
+	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
@@ -94,6 +95,9 @@
 		job.CanContinue = x.shardContinues()
 	}
 	end := s.owner.Run(ctx, job)
+	s.recorded.Add(record.Entry{
+		Arrived: c.arrived, Class: c.class, Workspace: c.workspace, Model: x.body.Model, Prompt: req.PromptTokens, Answer: end.Tokens,
+	})
 	x.finish(&end)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,6 +33,7 @@
 	"oxbowslip.dev/oxbowslip/internal/operator"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/platform"
+	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -80,6 +81,7 @@
 			func() func() float64 { return rand.Float64 },
 			counters.New,
 			explain.New,
+			record.New,
 			settings.NewHolder,
 			dispatch.New,
 			endpoint.New,
@@ -151,13 +153,14 @@
 // New makes a daemon that has not started.
 func New(config hostconfig.Host, log *logrus.Logger, holder *settings.Holder, follower *inforce.Follower, o *owner.Owner,
 	f *fleet.Fleet, client *endpoint.Client, platformClient *platform.Client, c *counters.Counters, ring *explain.Ring,
-	table *claims.Table, acceptor *accept.Acceptor, clock func() time.Time,
+	table *claims.Table, acceptor *accept.Acceptor, recorded *record.Ring,
+	clock func() time.Time,
 ) *Daemon {
 	d := &Daemon{
 		config: config, log: logging.Part(log, "daemon"), holder: holder, follower: follower, owner: o, fleet: f, shards: f.Shards(),
 		client: client, platform: platformClient, counters: c, claims: table, acceptor: acceptor, hurry: make(chan struct{}), done: make(chan struct{}), ended: make(chan struct{}),
 	}
-	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, table, logging.Part(log, "api"), clock,
+	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, table, recorded, logging.Part(log, "api"), clock,
 		api.Timeouts{Read: config.ReadTimeout, Write: config.WriteTimeout}, d.notReady).HTTP()
 	d.callers.Handler = d.closeWhenDraining(d.callers.Handler)
 	d.operators = operator.New(config.OperatorKeys, c, ring, operator.Settings{
@@ -165,7 +168,7 @@
 		History: func(ctx context.Context, revision uint64) (change.Change, error) {
 			return inforce.ReadChange(ctx, platformClient, revision)
 		},
-	}, d.Status).HTTP()
+	}, recorded, d.Status).HTTP()
 	c.Gauge("oxbowslip_open_requests", func() float64 { return float64(o.Open()) })
 	c.Gauge("oxbowslip_takeovers", func() float64 { return float64(f.Takeovers()) })
 	c.Gauge("oxbowslip_settings_revision", func() float64 { return float64(d.revision()) })
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"oxbowslip.dev/oxbowslip/internal/demo"
+	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/standin"
 )
 
@@ -184,6 +185,45 @@
 	}
 }
 
+// TestEndpointOut orders an endpoint out under load. Once the order is in force
+// on every host, it gets nothing more, and what it has ends.
+func TestEndpointOut(t *testing.T) {
+	c := qt.New(t)
+	cluster := startFleet(c, 3, 2)
+	settle(c, cluster)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var group sync.WaitGroup
+	for _, host := range cluster.Hosts() {
+		for range 3 {
+			group.Go(func() {
+				for ctx.Err() == nil {
+					got := postTo(c, host, "itinerary", chatBody(true))
+					c.Check(got.text, qt.Equals, standin.Answer([]byte(messages), words))
+				}
+			})
+		}
+	}
+	engine := cluster.Engines["voyage-1"]
+	until(c, "it works", func() bool { return len(engine.Executions()) > 10 })
+	c.Assert(cluster.Order("voyage-1", settings.StateOut), qt.IsNil)
+	// An attempt that was checked just before the order came into force may
+	// still arrive; the requests open now are all that can be.
+	open := 0
+	for _, host := range cluster.Hosts() {
+		open += host.Daemon.Open()
+	}
+	before := len(engine.Executions())
+	other := len(cluster.Engines["voyage-2"].Executions())
+	until(c, "the other one works on", func() bool { return len(cluster.Engines["voyage-2"].Executions()) > other+200 })
+	c.Assert(len(engine.Executions())-before <= open, qt.IsTrue)
+	settled := len(engine.Executions())
+	until(c, "more work elsewhere", func() bool { return len(cluster.Engines["voyage-2"].Executions()) > other+400 })
+	c.Assert(engine.Executions(), qt.HasLen, settled)
+	cancel()
+	group.Wait()
+}
+
 // TestRollingRestart replaces every host, one by one, under load: no answer is
 // cut off and nothing is refused because of it.
 func TestRollingRestart(t *testing.T) {
--- a/internal/demo/faults.go
+++ b/internal/demo/faults.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/standin"
 )
 
@@ -109,7 +110,7 @@
 		}
 		return fmt.Sprintf("the last host stopped as planned and cut %d requests", cut)
 	case EndpointOut:
-		if err := c.orderOut(victim); err != nil {
+		if err := c.Order(victim, settings.StateOut); err != nil {
 			return "the order failed: " + err.Error()
 		}
 		return victim + " was ordered out"
--- a/internal/demo/order.go
+++ b/internal/demo/order.go
@@ -22,13 +22,20 @@
 	Address string                 `json:"address,omitzero"`
 }
 
-// orderOut takes an endpoint out.
-func (c *Cluster) orderOut(endpoint string) error {
-	err := c.change(endpoint, endpointPatch{State: settings.StateOut})
+// Order gives an endpoint a state and waits until that is in force on every
+// host.
+func (c *Cluster) Order(endpoint string, state settings.EndpointState) error {
+	if err := c.change(endpoint, endpointPatch{State: state}); err != nil {
+		return err
+	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.outSince[endpoint] = time.Now()
-	return err
+	delete(c.outSince, endpoint)
+	if state == settings.StateOut {
+		c.outSince[endpoint] = time.Now()
+	}
+	c.mu.Unlock()
+	c.waitInForce()
+	return nil
 }
 
 // Readdress moves an endpoint to another address and waits until that is in
@@ -37,12 +44,17 @@
 	if err := c.change(endpoint, endpointPatch{Address: address}); err != nil {
 		return err
 	}
+	c.waitInForce()
+	return nil
+}
+
+// waitInForce waits until every host that is up has the last change.
+func (c *Cluster) waitInForce() {
 	for _, host := range c.Hosts() {
-		for host.Daemon.Revision() < c.revision {
+		for !host.Down && host.Daemon.Revision() < c.revision {
 			time.Sleep(readyPoll)
 		}
 	}
-	return nil
 }
 
 // change has a change of an endpoint accepted, as an operator would.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -14,6 +14,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/change"
 	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/strictjson"
 )
@@ -58,6 +59,11 @@
 	return get[explain.Record](ctx, c, "/v1/requests/"+url.PathEscape(id))
 }
 
+// Recorded gives the shapes of the host's requests that arrived after a time.
+func (c *Client) Recorded(ctx context.Context, after time.Time) ([]record.Entry, error) {
+	return get[[]record.Entry](ctx, c, "/v1/recorded?after="+url.QueryEscape(after.Format(time.RFC3339Nano)))
+}
+
 // Refused is a change that was not accepted, or of which that is not known.
 type Refused struct {
 	Answer ChangeAnswer
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
+	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/strictjson"
@@ -63,6 +64,7 @@
 	document func() change.Document
 	history  func(ctx context.Context, revision uint64) (change.Change, error)
 	status   func() Status
+	recorded *record.Ring
 }
 
 // Settings are the parts of a host that read and change the settings.
@@ -76,10 +78,10 @@
 }
 
 // New makes the operators' server.
-func New(keys []hostconfig.OperatorKey, c *counters.Counters, ring *explain.Ring, s Settings, status func() Status) *Server {
+func New(keys []hostconfig.OperatorKey, c *counters.Counters, ring *explain.Ring, s Settings, recorded *record.Ring, status func() Status) *Server {
 	return &Server{
 		keys: keys, counters: c, ring: ring, settings: s.Holder, accept: s.Accept, document: s.Document, history: s.History,
-		status: status,
+		status: status, recorded: recorded,
 	}
 }
 
@@ -94,6 +96,7 @@
 	router.HandleFunc("/v1/status", s.with(hostconfig.RoleRead, s.showStatus)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/requests/{id}", s.with(hostconfig.RoleRead, s.explain)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/settings/effective/{workspace}/{class:.+}", s.with(hostconfig.RoleRead, s.effective)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/recorded", s.with(hostconfig.RoleRead, s.showRecorded)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/settings", s.with(hostconfig.RoleRead, s.showSettings)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/settings/changes/{revision:[0-9]+}", s.with(hostconfig.RoleRead, s.showChange)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/settings/changes", s.with(hostconfig.RoleChange, s.takeChange)).Methods(http.MethodPost)
@@ -164,6 +167,15 @@
 	answer(w, http.StatusOK, s.status())
 }
 
+func (s *Server) showRecorded(w http.ResponseWriter, r *http.Request) {
+	after, err := time.Parse(time.RFC3339Nano, r.URL.Query().Get("after"))
+	if err != nil {
+		answer(w, http.StatusBadRequest, Problem{Error: "say after=TIME (RFC 3339)"})
+		return
+	}
+	answer(w, http.StatusOK, s.recorded.Since(after))
+}
+
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	id := mux.Vars(r)["id"]
 	record, ok := s.ring.Get(id)
--- /dev/null
+++ b/internal/replay/record.go
@@ -0,0 +1,35 @@
+package replay
+
+import (
+	"slices"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/record"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// Recorded makes a trace of what a host recorded, with the settings that were in
+// force. A request without an answer is taken to be as long as the shortest that
+// an engine gives. Keys are left out.
+func Recorded(name string, tree *settings.Tree, entries []record.Entry) *Trace {
+	t := &Trace{Header: Header{Format: Format, Name: name, Seed: 1, Settings: withoutKeys(tree), Engines: DefaultEngines}}
+	entries = slices.Clone(entries)
+	slices.SortStableFunc(entries, func(a, b record.Entry) int { return a.Arrived.Compare(b.Arrived) })
+	for _, e := range entries {
+		t.Events = append(t.Events, Event{
+			AtMillis: int(e.Arrived.Sub(entries[0].Arrived) / time.Millisecond),
+			Class:    e.Class, Workspace: e.Workspace, Model: e.Model, Prompt: e.Prompt, Answer: max(1, e.Answer),
+		})
+	}
+	return t
+}
+
+func withoutKeys(tree *settings.Tree) settings.Tree {
+	bare := *tree
+	bare.Workspaces = make(map[string]settings.Workspace, len(tree.Workspaces))
+	for name, workspace := range tree.Workspaces {
+		workspace.Keys = nil
+		bare.Workspaces[name] = workspace
+	}
+	return bare
+}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -5,10 +5,12 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
@@ -81,6 +83,36 @@
 	}
 }
 
+// TestRecorded makes a trace of recorded requests and reads it back. No key of
+// the settings may be in it.
+func TestRecorded(t *testing.T) {
+	c := qt.New(t)
+	tree := &readTrace(c, filepath.Join(traceDir, "engine-slow.jsonl")).Header.Settings
+	tree.Workspaces["heron"] = settings.Workspace{Keys: []settings.Key{{Name: "k", SHA256: settings.HashKey("secret")}}}
+	at := epoch.Add(time.Hour)
+	trace := Recorded("recorded", tree, []record.Entry{
+		{Arrived: at.Add(2 * time.Second), Class: "itinerary", Workspace: "heron", Model: "voyage", Prompt: 900, Answer: 200},
+		{Arrived: at, Class: "skipper-question", Workspace: "heron", Model: "voyage", Prompt: 50},
+	})
+	var text bytes.Buffer
+	c.Assert(Write(&text, trace), qt.IsNil)
+	c.Assert(text.String(), qt.Not(qt.Contains), settings.HashKey("secret"))
+	again, err := Read(&text)
+	c.Assert(err, qt.IsNil)
+	c.Assert(again.Events, qt.DeepEquals, []Event{
+		{Class: "skipper-question", Workspace: "heron", Model: "voyage", Prompt: 50, Answer: 1},
+		{AtMillis: 2000, Class: "itinerary", Workspace: "heron", Model: "voyage", Prompt: 900, Answer: 200},
+	})
+	result, err := Run(again, Current)
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.OK(), qt.IsTrue)
+	folder := t.TempDir()
+	c.Assert(result.Plot(folder), qt.IsNil)
+	files, err := filepath.Glob(filepath.Join(folder, "*.png"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(files, qt.HasLen, 3)
+}
+
 // TestRandomTraces draws small traces with faults, many classes and tight
 // limits, and checks the invariants of every event.
 func TestRandomTraces(t *testing.T) {
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -58,7 +58,9 @@
 	Wasted     float64     `json:"wasted"`
 	Violations []Violation `json:"violations"`
 	Missed     []string    `json:"missed"`
-	Steps      uint64      `json:"steps"`
+	// Series is what happened over time, for plots.
+	Series *Series `json:"-"`
+	Steps  uint64  `json:"steps"`
 }
 
 // OK reports whether all invariants held and all stated outcomes were reached.
@@ -76,6 +78,7 @@
 		w.checkEnd()
 	}
 	r := w.result()
+	r.Series = w.series()
 	if policy == Current {
 		w.checkOutcomes(r)
 	}
