A key whose request did not run is free again; void grants cost no budget

Cause: reading the code as an operator would: a booking refused as not run kept its idempotency key, so that the caller could never book with it; and an order to an endpoint could use up a class's retry budget, as grants to it became void on hosts that had the order first. Change: a refusal with ran: no gives the key back at once; void grants spend no budget and name the endpoint to avoid.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -48,6 +48,8 @@
 	// Claim reports whether the key is this request's. An error means that
 	// nothing is known; the request must not run then.
 	Claim(ctx context.Context, workspace, key, requestID string) (bool, error)
+	// Release gives a key back whose request did not run.
+	Release(workspace, key, requestID string)
 }
 
 // Server answers callers.
@@ -107,6 +109,8 @@
 	workspace string
 	class     string
 	policy    settings.Policy
+	// key is the idempotency key that the request holds, or empty.
+	key string
 }
 
 // fault is a refusal before the request has begun.
@@ -265,9 +269,19 @@
 	case !won:
 		return &fault{reason: request.ReasonKeyUsed, detail: "a request with this idempotency key was accepted before; this one did not run"}
 	}
+	c.key = key
 	return nil
 }
 
+// refuse answers a request of which nothing was sent to the caller. If it did
+// not run, its idempotency key is free again.
+func (s *Server) refuse(w http.ResponseWriter, c *caller, refusal *request.Refusal) {
+	if c.key != "" && refusal.Ran == request.RanNo {
+		s.claims.Release(c.workspace, c.key, c.id)
+	}
+	writeRefusal(w, c.id, refusal, nil)
+}
+
 // scheduleRequest fills in what the scheduler needs to know.
 func (s *Server) scheduleRequest(c *caller) schedule.Request {
 	p := &c.policy
--- a/internal/api/chat.go
+++ b/internal/api/chat.go
@@ -124,7 +124,7 @@
 	case request.OutcomeBroken:
 		x.stream.breakOff(end.Refusal)
 	case request.OutcomeRefused:
-		writeRefusal(x.w, c.id, end.Refusal, nil)
+		s.refuse(x.w, c, end.Refusal)
 	}
 }
 
--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -134,7 +134,7 @@
 	case request.OutcomeBroken:
 		panic(http.ErrAbortHandler)
 	case request.OutcomeRefused:
-		writeRefusal(x.w, c.id, end.Refusal, nil)
+		s.refuse(x.w, c, end.Refusal)
 	}
 }
 
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -13,6 +13,7 @@
 	"github.com/go-json-experiment/json"
 	"github.com/sirupsen/logrus"
 
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/platform"
 )
 
@@ -63,6 +64,8 @@
 	log    *logrus.Entry
 	clock  func() time.Time
 	queue  chan *claim
+	// released wakes Run after a release.
+	released chan struct{}
 
 	mu sync.Mutex
 	// orphans are keys whose transaction may have taken effect although the
@@ -85,7 +88,7 @@
 func New(host string, client *platform.Client, log *logrus.Entry, clock func() time.Time) *Table {
 	return &Table{
 		host: host, client: client, log: log, clock: clock, queue: make(chan *claim, maxWaiting),
-		orphans: make(map[string]orphan),
+		orphans: make(map[string]orphan), released: make(chan struct{}, 1),
 	}
 }
 
@@ -93,7 +96,7 @@
 // request has it. The error is ErrUnavailable or that of ctx; the request must
 // not run then.
 func (t *Table) Claim(ctx context.Context, workspace, key, attempt string) (bool, error) {
-	c := &claim{name: url.PathEscape(workspace) + "/" + url.PathEscape(key), attempt: attempt, result: make(chan result, 1)}
+	c := &claim{name: name(workspace, key), attempt: attempt, result: make(chan result, 1)}
 	select {
 	case t.queue <- c:
 	default:
@@ -108,14 +111,24 @@
 	}
 }
 
+func name(workspace, key string) string {
+	return url.PathEscape(workspace) + "/" + url.PathEscape(key)
+}
+
+// Release gives a key back whose request was refused and did not run, so that
+// its caller can come back with the same key.
+func (t *Table) Release(workspace, key, attempt string) {
+	t.keep(name(workspace, key), orphan{attempt: attempt})
+	select {
+	case t.released <- struct{}{}:
+	default:
+	}
+}
+
 // Run takes claims until done is closed.
 func (t *Table) Run(done <-chan struct{}) {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := lifetime.Context(done)
 	defer cancel()
-	go func() {
-		<-done
-		cancel()
-	}()
 	ticker := time.NewTicker(giveBackEvery)
 	defer ticker.Stop()
 	for {
@@ -124,6 +137,8 @@
 			t.take(ctx, t.batch(first))
 		case <-ticker.C:
 			t.GiveBack(ctx)
+		case <-t.released:
+			t.GiveBack(ctx)
 		case <-ctx.Done():
 			return
 		}
--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -249,6 +249,39 @@
 	}
 }
 
+// TestKeyAfterRefusal has a service refuse a booking unstarted. The caller was
+// told that it did not run, so the same idempotency key must run later, once.
+func TestKeyAfterRefusal(t *testing.T) {
+	c := qt.New(t)
+	cluster := startCluster(c, 1)
+	service := cluster.Services["booking"]
+	book := func() (int, string) {
+		r, err := http.NewRequest(http.MethodPost, "http://"+cluster.Hosts()[0].Daemon.CallersAddress()+"/v1/services/booking/confirm", strings.NewReader("boat 7"))
+		c.Assert(err, qt.IsNil)
+		r.Header.Set("Authorization", "Bearer "+demo.CallerKey("towpath-hire"))
+		r.Header.Set("Idempotency-Key", "boat-7-monday")
+		response, err := http.DefaultClient.Do(r)
+		c.Assert(err, qt.IsNil)
+		defer response.Body.Close()
+		data, err := io.ReadAll(response.Body)
+		c.Assert(err, qt.IsNil)
+		return response.StatusCode, gjson.GetBytes(data, "error.ran").Str
+	}
+	service.SetFaults(standin.ServiceFaults{Refuse: true})
+	status, ran := book()
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(ran, qt.Equals, string(request.RanNo))
+	service.SetFaults(standin.ServiceFaults{})
+	until(c, "the key is free again", func() bool {
+		status, _ := book()
+		return status == http.StatusOK
+	})
+	c.Assert(service.Executions(), qt.HasLen, 1)
+	status, _ = book()
+	c.Assert(status, qt.Equals, http.StatusConflict)
+	c.Assert(service.Executions(), qt.HasLen, 1)
+}
+
 // TestEngineDies kills an engine in the middle of a stream. The answer goes on
 // at another engine from the words that the caller has, and none is missing or
 // doubled.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/change"
 	"oxbowslip.dev/oxbowslip/internal/dispatch"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/membership"
 	"oxbowslip.dev/oxbowslip/internal/peer"
 	"oxbowslip.dev/oxbowslip/internal/platform"
@@ -140,22 +141,7 @@
 // Run reads the platform's list of hosts until done is closed. While the
 // platform is away, the last list stays.
 func (f *Fleet) Run(done <-chan struct{}) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		<-done
-		cancel()
-	}()
-	for {
-		f.readList(ctx)
-		timer := time.NewTimer(time.Duration((0.5 + f.random()) * float64(listInterval)))
-		select {
-		case <-timer.C:
-		case <-done:
-			timer.Stop()
-			return
-		}
-	}
+	lifetime.Every(done, listInterval, f.random, f.readList)
 }
 
 func (f *Fleet) readList(ctx context.Context) {
--- a/internal/inforce/inforce.go
+++ b/internal/inforce/inforce.go
@@ -18,6 +18,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/change"
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/platform"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
@@ -107,23 +108,7 @@
 
 // Run polls until done is closed.
 func (f *Follower) Run(done <-chan struct{}) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go func() {
-		<-done
-		cancel()
-	}()
-	for {
-		f.Poll(ctx)
-		// Half to one and a half of the mean keeps the hosts apart.
-		timer := time.NewTimer(time.Duration((0.5 + f.random()) * float64(f.poll)))
-		select {
-		case <-done:
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
-	}
+	lifetime.Every(done, f.poll, f.random, f.Poll)
 }
 
 // Poll reads the head once and puts what is new in force.
--- /dev/null
+++ b/internal/lifetime/lifetime.go
@@ -0,0 +1,40 @@
+// Package lifetime ties contexts and periodic work to the done channel of a
+// part.
+package lifetime
+
+import (
+	"context"
+	"time"
+)
+
+// Context gives a context that ends when done is closed. The function ends it
+// sooner and must be called.
+func Context(done <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		select {
+		case <-done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// Every calls f at once and then again and again until done is closed, with
+// pauses of half to one and a half of the mean, which keeps many hosts apart.
+// Random gives numbers from 0 up to 1.
+func Every(done <-chan struct{}, mean time.Duration, random func() float64, f func(ctx context.Context)) {
+	ctx, cancel := Context(done)
+	defer cancel()
+	for {
+		f(ctx)
+		timer := time.NewTimer(time.Duration((0.5 + random()) * float64(mean)))
+		select {
+		case <-timer.C:
+		case <-done:
+			timer.Stop()
+			return
+		}
+	}
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -239,7 +239,7 @@
 	r.release(schedule.Failed)
 	if r.life.Tries() > 0 || r.job.Request.Retry {
 		o.counters.Retried(r.life.Retry())
-		if r.life.Retry() != request.RetryPreempted {
+		if retry := r.life.Retry(); retry != request.RetryPreempted && retry != request.RetryGrantVoid {
 			o.budgets.spend(r.job.Request.Class)
 		}
 		r.step("retry", string(r.life.Retry()), nil)
@@ -273,6 +273,8 @@
 	e, ok := o.settings.Current().Tree.Endpoints[decision.Endpoint]
 	if !ok || e.State == settings.StateOut || !dispatch.Usable(decision, o.clock()) {
 		r.release(schedule.Unused)
+		// The scheduler may not have the order yet.
+		r.job.Request.Avoid = append(r.job.Request.Avoid, decision.Endpoint)
 		return r.life.Apply(request.EventGrantVoid, r.facts(false))
 	}
 	r.endpointID, r.endpoint = decision.Endpoint, e
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/shard"
 )
@@ -95,12 +96,8 @@
 
 func (l *Link) run() {
 	defer close(l.ended)
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := lifetime.Context(l.done)
 	defer cancel()
-	go func() {
-		<-l.done
-		cancel()
-	}()
 	pause := firstPause
 	for ctx.Err() == nil {
 		begun := time.Now()
--- a/internal/request/life.go
+++ b/internal/request/life.go
@@ -240,7 +240,8 @@
 	switch {
 	case l.tries >= l.rules.MaxTries, facts.Expired:
 		return l.refuse(reason)
-	case !facts.BudgetLeft:
+	case !facts.BudgetLeft && retry != RetryGrantVoid:
+		// A void grant is no try: nothing was sent, and no endpoint failed.
 		return l.refuse(ReasonRetryBudget)
 	}
 	l.retry = retry
--- a/internal/request/life_test.go
+++ b/internal/request/life_test.go
@@ -117,6 +117,18 @@
 			outcome: OutcomeAnswered,
 			ran:     RanUnknown,
 		},
+		"a void grant needs no budget": {
+			rules: Rules{MaxTries: 1},
+			steps: []step{
+				{EventGrantVoid, Facts{}, ActAsk},
+				{EventGrantVoid, Facts{}, ActAsk},
+				{EventGranted, Facts{}, ActSend},
+				{EventSent, Facts{}, ActNothing},
+				{EventWhole, Facts{}, ActFinish},
+			},
+			outcome: OutcomeAnswered,
+			ran:     RanUnknown,
+		},
 		"the retry budget is used up": {
 			rules: Rules{Repeatable: true, MaxTries: 3},
 			steps: []step{
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -66,8 +66,8 @@
 // runner is one scheduler with its timer.
 type runner struct {
 	name string
-	// deliver hands decisions over under mu, so that an owner gets them in the
-	// order in which they were taken.
+	// mu guards the core. Decisions are handed over under it, so that an owner
+	// gets them in the order in which they were taken.
 	mu    sync.Mutex
 	core  *schedule.Scheduler
 	timer *time.Timer
