Nothing is lost or leaked when hosts are cut off from each other

Cause: a test that cuts the hosts apart under load found a request that waited for ever and places that stayed taken. Ruled out: the wire of the test (the streams were open and beating). A submission or a withdrawal that was lost with its link was never repeated; a grant that became void before it came was forgotten by the scheduler and awaited by the owner; two moves of a shard could interleave. Change: owners repeat what waits every second (a scheduler ignores what it knows); on a new link the scheduler first drops what it held of the owner, who then announces all it has; moves are one at a time; an owner that comes back while it is dropped announces again.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -51,6 +51,9 @@
 	// Poll is the mean time between two reads of the settings' head; 0 means
 	// 200 ms.
 	Poll time.Duration
+	// PeerAddress gives the address that the platform's list shows for a host's
+	// own; nil means the same.
+	PeerAddress func(address string) string
 	// CallerTimeout bounds how long a caller may take to read or to send; 0
 	// means the daemon's own.
 	CallerTimeout time.Duration
@@ -142,7 +145,11 @@
 	var hosts []platform.Host
 	for _, host := range c.hosts {
 		if !host.Down {
-			hosts = append(hosts, platform.Host{Name: host.Name, Peers: host.Daemon.PeersAddress(), Zone: host.Zone, State: platform.HostLive})
+			address := host.Daemon.PeersAddress()
+			if c.Config.PeerAddress != nil {
+				address = c.Config.PeerAddress(address)
+			}
+			hosts = append(hosts, platform.Host{Name: host.Name, Peers: address, Zone: host.Zone, State: platform.HostLive})
 		}
 	}
 	c.Platform.SetHosts(hosts)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,6 +51,8 @@
 	scheduler string
 	// endpoint is set once the request is granted.
 	endpoint string
+	// repeated says that the request has waited through a call of Repeat.
+	repeated bool
 	tokens   int
 }
 
@@ -138,6 +140,26 @@
 	}
 }
 
+// Repeat submits again what has waited through the last call, at the scheduler
+// that has the shard now. A scheduler ignores what it knows. So a request gets
+// its decision even if a message was lost, or a grant was void before it came:
+// the scheduler has forgotten the request then.
+func (d *Dispatcher) Repeat() {
+	for _, t := range d.pick(func(t *Ticket) bool { return t.endpoint == "" }) {
+		to := d.router.Scheduler(t.shard)
+		d.mu.Lock()
+		due := t.repeated && t.endpoint == ""
+		t.repeated = true
+		if due {
+			t.scheduler = to
+		}
+		d.mu.Unlock()
+		if due {
+			d.router.Send(to, t.shard, &shard.Message{Kind: shard.Submit, ID: t.request.ID, Request: t.request})
+		}
+	}
+}
+
 func (d *Dispatcher) pick(match func(t *Ticket) bool) []*Ticket {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+	"oxbowslip.dev/oxbowslip/internal/shard"
+)
+
+// lossyRouter drops the first messages to a host and hands the rest to a
+// channel.
+type lossyRouter struct {
+	mu        sync.Mutex
+	scheduler string
+	lose      int
+	arrived   chan *shard.Message
+}
+
+func (r *lossyRouter) Scheduler(string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.scheduler
+}
+
+func (r *lossyRouter) Send(_, _ string, m *shard.Message) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lose > 0 {
+		r.lose--
+		return
+	}
+	r.arrived <- m
+}
+
+// TestRepeat loses the submission of a request, and then a grant that became
+// void before it came: the scheduler at hand has forgotten the request. It is
+// submitted again each time.
+func TestRepeat(t *testing.T) {
+	c := qt.New(t)
+	router := &lossyRouter{scheduler: "a", lose: 1, arrived: make(chan *shard.Message, 16)}
+	d := New()
+	d.Connect(router)
+	granted := make(chan schedule.Decision, 1)
+	go func() {
+		_, decision, err := d.Ask(context.Background(), "s", schedule.Request{ID: "1"})
+		c.Check(err, qt.IsNil)
+		granted <- decision
+	}()
+	for lost := false; !lost; {
+		router.mu.Lock()
+		lost = router.lose == 0
+		router.mu.Unlock()
+	}
+	d.Repeat()
+	c.Assert(router.arrived, qt.HasLen, 0)
+	d.Repeat()
+	c.Assert((<-router.arrived).Kind, qt.Equals, shard.Submit)
+	// A decision of a host that does not have the request is dropped.
+	d.Deliver("b", "s", schedule.Decision{ID: "1", Endpoint: "e", Until: time.Unix(0, 0)})
+	router.mu.Lock()
+	router.scheduler = "b"
+	router.mu.Unlock()
+	d.Repeat()
+	c.Assert((<-router.arrived).Kind, qt.Equals, shard.Submit)
+	d.Deliver("b", "s", schedule.Decision{ID: "1", Endpoint: "f"})
+	c.Assert((<-granted).Endpoint, qt.Equals, "f")
+	d.Repeat()
+	c.Assert(router.arrived, qt.HasLen, 0)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,9 @@
 // listInterval is the mean time between two reads of the platform's list.
 const listInterval = 2 * time.Second
 
+// repeatInterval is the mean time between two repeats of what waits.
+const repeatInterval = time.Second
+
 // Config says who a host is among its peers.
 type Config struct {
 	Self membership.Host
@@ -53,6 +56,9 @@
 	listener   net.Listener
 	shards     *shard.Host
 
+	// moving keeps two moves of shards apart.
+	moving sync.Mutex
+
 	mu    sync.Mutex
 	view  *membership.View
 	links map[string]*peer.Link
@@ -144,6 +150,7 @@
 // Run reads the platform's list of hosts until done is closed. While the
 // platform is away, the last list stays.
 func (f *Fleet) Run(done <-chan struct{}) {
+	go lifetime.Every(done, repeatInterval, f.random, func(context.Context) { f.dispatcher.Repeat() })
 	lifetime.Every(done, listInterval, f.random, f.readList)
 }
 
@@ -323,6 +330,8 @@
 // reassign moves the shards whose scheduler has changed, with their requests,
 // and ends links that nothing needs.
 func (f *Fleet) reassign() {
+	f.moving.Lock()
+	defer f.moving.Unlock()
 	f.mu.Lock()
 	var moved []string
 	for shardName, before := range f.schedulers {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -45,6 +45,8 @@
 	owner string
 	queue chan decisionForm
 	leave chan struct{}
+	// ended is closed when no more of the owner's messages come from this link.
+	ended chan struct{}
 }
 
 // NewServer makes a server that does not listen yet.
@@ -122,9 +124,16 @@
 	default:
 		return merry.Errorf("unknown call %q", rpc)
 	}
-	session := s.enter(owner)
+	session, old := s.enter(owner)
+	if old != nil {
+		<-old.ended
+	}
+	// The owner announces all it has on a new link. What is held of it from
+	// before is dropped first: it may have ended while no link was there.
+	s.drop(owner)
 	go s.write(stream, session)
 	err = s.read(stream, owner)
+	close(session.ended)
 	s.leave(session)
 	return err
 }
@@ -149,18 +158,22 @@
 	return hello.Host, nil
 }
 
-func (s *Server) enter(owner string) *session {
+// enter makes a session, and closes the owner's old one if there is one.
+func (s *Server) enter(owner string) (entered, old *session) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, ok := s.sessions[owner]; ok {
+	old, ok := s.sessions[owner]
+	if ok {
 		close(old.queue)
 	}
-	session := &session{owner: owner, queue: make(chan decisionForm, queueLength), leave: make(chan struct{})}
+	session := &session{
+		owner: owner, queue: make(chan decisionForm, queueLength), leave: make(chan struct{}), ended: make(chan struct{}),
+	}
 	if s.leaving {
 		close(session.leave)
 	}
 	s.sessions[owner] = session
-	return session
+	return session, old
 }
 
 // leave ends a session, and drops the owner's requests if it does not come back
@@ -179,10 +192,22 @@
 		s.mu.Unlock()
 		if !back {
 			s.drop(ended.owner)
+			s.renew(ended.owner)
 		}
 	})
 }
 
+// renew breaks an owner's link if it has come back while its requests were being
+// dropped: it announces them again on the next.
+func (s *Server) renew(owner string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if session, ok := s.sessions[owner]; ok {
+		delete(s.sessions, owner)
+		close(session.queue)
+	}
+}
+
 func (s *Server) write(stream drpc.Stream, session *session) {
 	ticker := time.NewTicker(beatInterval)
 	defer ticker.Stop()
