--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -119,24 +119,50 @@
 func (d *Dispatcher) Move(shardName string) {
 	to := d.router.Scheduler(shardName)
 	for _, t := range d.pick(func(t *Ticket) bool { return t.shard == shardName && t.scheduler != to }) {
-		d.mu.Lock()
-		from := t.scheduler
-		t.scheduler = to
-		announcement := t.announcement()
-		d.mu.Unlock()
+		from, open := d.hand(t, to)
+		if !open {
+			continue
+		}
 		d.router.Send(from, shardName, &shard.Message{Kind: shard.Withdraw, ID: t.request.ID})
-		d.router.Send(to, shardName, announcement)
+		d.announce(t, to)
 	}
 }
 
+// hand gives a ticket that is still open to another scheduler, and tells which
+// had it.
+func (d *Dispatcher) hand(t *Ticket, to string) (from string, open bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	from = t.scheduler
+	t.scheduler = to
+	return from, d.tickets[t.request.ID] == t
+}
+
 // Announce tells a scheduler of all requests that are its own, after its link
-// was lost or opened. What it knows already it ignores.
+// was opened. What it knows already it ignores.
 func (d *Dispatcher) Announce(host string) {
 	for _, t := range d.pick(func(t *Ticket) bool { return t.scheduler == host }) {
-		d.mu.Lock()
-		announcement := t.announcement()
-		d.mu.Unlock()
-		d.router.Send(host, t.shard, announcement)
+		d.announce(t, host)
+	}
+}
+
+// announce tells a scheduler of one request. The request may end meanwhile, and
+// word of that may come before the announcement, so it is withdrawn then: an
+// announcement that comes last would hold a place for ever.
+func (d *Dispatcher) announce(t *Ticket, host string) {
+	d.mu.Lock()
+	open := d.tickets[t.request.ID] == t && t.scheduler == host
+	announcement := t.announcement()
+	d.mu.Unlock()
+	if !open {
+		return
+	}
+	d.router.Send(host, t.shard, announcement)
+	d.mu.Lock()
+	open = d.tickets[t.request.ID] == t
+	d.mu.Unlock()
+	if !open {
+		d.router.Send(host, t.shard, &shard.Message{Kind: shard.Withdraw, ID: t.request.ID})
 	}
 }
 
@@ -155,7 +181,7 @@
 		}
 		d.mu.Unlock()
 		if due {
-			d.router.Send(to, t.shard, &shard.Message{Kind: shard.Submit, ID: t.request.ID, Request: t.request})
+			d.announce(t, to)
 		}
 	}
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -72,3 +72,32 @@
 	d.Repeat()
 	c.Assert(router.arrived, qt.HasLen, 0)
 }
+
+// endingRouter ends a request just as its announcement is under way.
+type endingRouter struct {
+	kinds []shard.Kind
+	end   func()
+}
+
+func (r *endingRouter) Scheduler(string) string { return "b" }
+
+func (r *endingRouter) Send(_, _ string, m *shard.Message) {
+	if m.Kind == shard.Adopt {
+		// Word of the end overtakes the announcement.
+		r.end()
+	}
+	r.kinds = append(r.kinds, m.Kind)
+}
+
+// TestEndsWhileAnnounced ends a running request while it is announced to a new
+// scheduler: the last word must not be the announcement.
+func TestEndsWhileAnnounced(t *testing.T) {
+	c := qt.New(t)
+	d := New()
+	ticket := &Ticket{dispatcher: d, shard: "s", request: schedule.Request{ID: "1"}, scheduler: "a", endpoint: "e"}
+	router := &endingRouter{end: func() { ticket.Finished(schedule.Answered, 5) }}
+	d.Connect(router)
+	d.tickets["1"] = ticket
+	d.Move("s")
+	c.Assert(router.kinds, qt.DeepEquals, []shard.Kind{shard.Withdraw, shard.Finished, shard.Adopt, shard.Withdraw})
+}
