A replay's time never goes back

Cause: 4,000 random replays: index out of range in the plot's series after 1,035. A request that came back past its longest wait was due in the past; the replay set its timer there, and its clock went back 98 s. Ruled out: an empty trace, unsorted events. Daemons' timers fire at once for such a time, so only replays were wrong. Change: Next is never in the past.

--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -422,7 +422,7 @@
 // tickInterval is how often Tick runs at least while anything waits.
 const tickInterval = 100 * time.Millisecond
 
-// Next tells when Tick is due next.
+// Next tells when Tick is due next. It is never in the past.
 func (s *Scheduler) Next(now time.Time) time.Time {
 	next := now.Add(tickInterval)
 	if s.waiting == 0 {
@@ -434,7 +434,8 @@
 	if s.heldUntil.After(now) && s.heldUntil.Before(next) {
 		next = s.heldUntil
 	}
-	return next
+	// A request that comes back may be past its longest wait already.
+	return latest(next, now)
 }
 
 // release ends an open grant and frees its place.
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -195,6 +195,18 @@
 	c.Assert(grants(s), qt.DeepEquals, []string{"1"})
 }
 
+// TestNextIsNotPast submits a request that is past its longest wait: a replay's
+// time must not go back for it.
+func TestNextIsNotPast(t *testing.T) {
+	c := qt.New(t)
+	s := New(Options{})
+	s.SetEndpoints(start, endpoints(1, 1))
+	s.Submit(start, Request{ID: "1", Arrived: start})
+	now := start.Add(time.Hour)
+	s.Submit(now, Request{ID: "2", Arrived: start, MaxWait: time.Second, Retry: true})
+	c.Assert(s.Next(now), qt.Equals, now)
+}
+
 // TestLimits holds a workspace to its own limits without stopping others.
 func TestLimits(t *testing.T) {
 	c := qt.New(t)
