Look a prompt's prefix up once; drop what nothing uses

Cause: read again as a whole. A prompt's cached part was looked up in the hash table once for each of up to 8 endpoints compared, and twice more for the grant; its length was predicted twice; the length of a part stood as three constants that had to match; four refusal reasons were never given, so their counters could not move; one branch set what was set already. Change: the cached part is found once and handed on; one constant, prefix.TokensPerPart; the unused reasons, parameter and branch are gone.

--- a/internal/api/refuse.go
+++ b/internal/api/refuse.go
@@ -40,7 +40,7 @@
 // statusOf gives the HTTP status and the error type of a refusal.
 func statusOf(reason request.Reason) (int, string) {
 	switch reason {
-	case request.ReasonUnknownKey, request.ReasonUnauthenticated:
+	case request.ReasonUnknownKey:
 		return http.StatusUnauthorized, typeAuth
 	case request.ReasonBadRequest:
 		return http.StatusBadRequest, typeInvalid
@@ -55,7 +55,7 @@
 	case request.ReasonNoRoom, request.ReasonWorkspaceRoom, request.ReasonTooLate, request.ReasonMaxWait:
 		return http.StatusTooManyRequests, typeRateLimit
 	case request.ReasonEndpointFailed, request.ReasonAnswerBroken, request.ReasonWrongAnswer,
-		request.ReasonAnswerTooLarge, request.ReasonRetryBudget:
+		request.ReasonRetryBudget:
 		return http.StatusBadGateway, typeUnavailable
 	case request.ReasonInternal:
 		return http.StatusInternalServerError, typeUnavailable
--- a/internal/emulator/cache.go
+++ b/internal/emulator/cache.go
@@ -1,9 +1,14 @@
 package emulator
 
-import "container/list"
+import (
+	"container/list"
+
+	"oxbowslip.dev/oxbowslip/internal/prefix"
+)
 
 // prefixCache holds the prefixes of prompts that were read, the least recently
-// used first to go. One entry stands for PrefixTokens tokens.
+// used first to go. One entry stands for prefix.TokensPerPart
+// tokens.
 type prefixCache struct {
 	entries map[uint64]*list.Element
 	recent  *list.List
@@ -16,21 +21,21 @@
 }
 
 // match counts the leading entries that are in the cache.
-func (c *prefixCache) match(prefix []uint64) int {
-	for i, hash := range prefix {
+func (c *prefixCache) match(hashes []uint64) int {
+	for i, hash := range hashes {
 		element, ok := c.entries[hash]
 		if !ok {
 			return i
 		}
 		c.recent.MoveToFront(element)
 	}
-	return len(prefix)
+	return len(hashes)
 }
 
-func (c *prefixCache) put(prefix []uint64) {
+func (c *prefixCache) put(hashes []uint64) {
 	// The longest part is the first to go, so it is put in first.
-	for i := len(prefix) - 1; i >= 0; i-- {
-		hash := prefix[i]
+	for i := len(hashes) - 1; i >= 0; i-- {
+		hash := hashes[i]
 		if element, ok := c.entries[hash]; ok {
 			c.recent.MoveToFront(element)
 			continue
@@ -41,7 +46,7 @@
 
 // shrink drops the least recently used entries until the rest fits.
 func (c *prefixCache) shrink(tokens int) {
-	for c.recent.Len()*PrefixTokens > max(tokens, 0) && c.recent.Len() > 0 {
+	for c.recent.Len()*prefix.TokensPerPart > max(tokens, 0) && c.recent.Len() > 0 {
 		hash := c.recent.Remove(c.recent.Back()).(uint64)
 		delete(c.entries, hash)
 		c.evicted = append(c.evicted, hash)
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -10,6 +10,8 @@
 import (
 	"slices"
 	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/prefix"
 )
 
 // Config gives an engine's speed and size.
@@ -48,17 +50,14 @@
 	// that the model will give.
 	PromptTokens int
 	AnswerTokens int
-	// Prefix is the hash of each leading part of the prompt of PrefixTokens
-	// tokens.
+	// Prefix is the hash of each leading part of the prompt of
+	// prefix.TokensPerPart tokens.
 	Prefix []uint64
 	// Done is the number of answer tokens that the prompt ends with, when the
 	// engine goes on from a part of an answer.
 	Done int
 }
 
-// PrefixTokens is the length in tokens of one step of Request.Prefix.
-const PrefixTokens = 256
-
 // Kind is what happened to a request.
 type Kind uint8
 
@@ -293,7 +292,7 @@
 		}
 		memory += q.memory()
 		e.waiting = slices.Delete(e.waiting, best, best+1)
-		q.cached = min(e.cache.match(q.request.Prefix)*PrefixTokens, q.request.PromptTokens)
+		q.cached = min(e.cache.match(q.request.Prefix)*prefix.TokensPerPart, q.request.PromptTokens)
 		e.Reused += q.cached
 		// At least one token is read, so that the answer's first can follow.
 		q.toRead = max(1, q.memory()-q.cached)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -337,9 +337,6 @@
 		cause, outcome = counters.WastePreempted, schedule.Preempted
 		r.job.Request.Avoid = nil
 	}
-	if event == request.EventNotStarted {
-		outcome = schedule.Failed
-	}
 	r.detail = "the endpoint failed"
 	if !r.life.Delivered() || action == request.ActFinish {
 		r.waste(cause)
--- a/internal/prefix/prefix.go
+++ b/internal/prefix/prefix.go
@@ -11,10 +11,10 @@
 // BytesPerToken is the assumed length of a token in a prompt's text.
 const BytesPerToken = 4
 
-// tokensPerPart matches schedule.PrefixTokens and emulator.PrefixTokens.
-const tokensPerPart = 256
+// TokensPerPart is how much longer each part is than the one before.
+const TokensPerPart = 256
 
-const bytesPerPart = tokensPerPart * BytesPerToken
+const bytesPerPart = TokensPerPart * BytesPerToken
 
 // maxParts bounds the parts of one prompt.
 const maxParts = 64
--- a/internal/replay/owner.go
+++ b/internal/replay/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/emulator"
+	"oxbowslip.dev/oxbowslip/internal/prefix"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -48,7 +49,7 @@
 	if event.Document == "" {
 		return nil
 	}
-	parts := event.DocumentTokens / schedule.PrefixTokens
+	parts := event.DocumentTokens / prefix.TokensPerPart
 	hashes := make([]uint64, parts)
 	sum := uint64(14695981039346656037)
 	for _, c := range event.Workspace + "/" + event.Document {
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -11,46 +11,41 @@
 
 // The reasons for a refusal, in the order of a request's way.
 const (
-	ReasonNotReady        Reason = "not_ready"
-	ReasonDraining        Reason = "draining"
-	ReasonUnknownKey      Reason = "unknown_key"
-	ReasonBadRequest      Reason = "bad_request"
-	ReasonBodyTooLarge    Reason = "body_too_large"
-	ReasonSlowCaller      Reason = "slow_caller"
-	ReasonUnknownClass    Reason = "unknown_class"
-	ReasonUnknownModel    Reason = "unknown_model"
-	ReasonUnknownService  Reason = "unknown_service"
-	ReasonKeyUsed         Reason = "idempotency_key_used"
-	ReasonClaimsAway      Reason = "claims_unavailable"
-	ReasonNoRoom          Reason = "no_room"
-	ReasonWorkspaceRoom   Reason = "workspace_room"
-	ReasonTooLate         Reason = "too_late"
-	ReasonMaxWait         Reason = "max_wait"
-	ReasonNoEndpoint      Reason = "no_endpoint"
-	ReasonNoScheduler     Reason = "no_scheduler"
-	ReasonCallerGone      Reason = "caller_gone"
-	ReasonNotStarted      Reason = "endpoint_not_started"
-	ReasonEndpointFailed  Reason = "endpoint_failed"
-	ReasonAnswerBroken    Reason = "answer_broken"
-	ReasonWrongAnswer     Reason = "wrong_answer"
-	ReasonRetryBudget     Reason = "retry_budget"
-	ReasonStopped         Reason = "stopped"
-	ReasonAnswerTooLarge  Reason = "answer_too_large"
-	ReasonInternal        Reason = "internal"
-	ReasonUnauthenticated Reason = "unauthenticated"
+	ReasonNotReady       Reason = "not_ready"
+	ReasonUnknownKey     Reason = "unknown_key"
+	ReasonBadRequest     Reason = "bad_request"
+	ReasonBodyTooLarge   Reason = "body_too_large"
+	ReasonSlowCaller     Reason = "slow_caller"
+	ReasonUnknownClass   Reason = "unknown_class"
+	ReasonUnknownModel   Reason = "unknown_model"
+	ReasonUnknownService Reason = "unknown_service"
+	ReasonKeyUsed        Reason = "idempotency_key_used"
+	ReasonClaimsAway     Reason = "claims_unavailable"
+	ReasonNoRoom         Reason = "no_room"
+	ReasonWorkspaceRoom  Reason = "workspace_room"
+	ReasonTooLate        Reason = "too_late"
+	ReasonMaxWait        Reason = "max_wait"
+	ReasonNoEndpoint     Reason = "no_endpoint"
+	ReasonCallerGone     Reason = "caller_gone"
+	ReasonNotStarted     Reason = "endpoint_not_started"
+	ReasonEndpointFailed Reason = "endpoint_failed"
+	ReasonAnswerBroken   Reason = "answer_broken"
+	ReasonWrongAnswer    Reason = "wrong_answer"
+	ReasonRetryBudget    Reason = "retry_budget"
+	ReasonStopped        Reason = "stopped"
+	ReasonInternal       Reason = "internal"
 )
 
 // Reasons lists every reason, so that each counter exists before its first
 // event.
 var Reasons = []Reason{
-	ReasonNotReady, ReasonDraining, ReasonUnknownKey, ReasonBadRequest,
+	ReasonNotReady, ReasonUnknownKey, ReasonBadRequest,
 	ReasonBodyTooLarge, ReasonSlowCaller, ReasonUnknownClass,
 	ReasonUnknownModel, ReasonUnknownService, ReasonKeyUsed, ReasonClaimsAway,
 	ReasonNoRoom, ReasonWorkspaceRoom, ReasonTooLate, ReasonMaxWait,
-	ReasonNoEndpoint, ReasonNoScheduler, ReasonCallerGone, ReasonNotStarted,
+	ReasonNoEndpoint, ReasonCallerGone, ReasonNotStarted,
 	ReasonEndpointFailed, ReasonAnswerBroken, ReasonWrongAnswer,
-	ReasonRetryBudget, ReasonStopped, ReasonAnswerTooLarge, ReasonInternal,
-	ReasonUnauthenticated,
+	ReasonRetryBudget, ReasonStopped, ReasonInternal,
 }
 
 // RetryReason says why a request was sent again, resumed or put back into the
--- a/internal/schedule/dispatch.go
+++ b/internal/schedule/dispatch.go
@@ -90,23 +90,24 @@
 	}
 }
 
-// grant gives a waiting request a place at an endpoint.
+// grant gives a waiting request, whose length is predicted, a place at an
+// endpoint.
 func (s *Scheduler) grant(now time.Time, it *item, e *endpoint, reason Reason) {
 	r := &it.request
 	f := it.flow
+	cached := s.prefixes.longest(r)
+	it.uncached = e.uncached(r, cached)
 	figures := Figures{
 		Waited:              now.Sub(r.Arrived),
 		WaitingAhead:        s.waitingAtOrAbove(r.Tier) - 1,
 		WaitingBelow:        s.waiting - s.waitingAtOrAbove(r.Tier),
-		PredictedFirstToken: e.predictFirstToken(now, r, s.prefixes),
+		PredictedFirstToken: e.predictFirstToken(now, r, cached),
 		InFlight:            e.inFlight(),
 		Limit:               e.limit,
+		CachedTokens:        r.PromptTokens - it.uncached,
+		AnswerTokens:        it.predicted,
 	}
 	s.removeWaiting(it)
-	it.predicted = s.predictLength(r)
-	it.uncached = e.uncached(r, s.prefixes)
-	figures.CachedTokens = r.PromptTokens - it.uncached
-	figures.AnswerTokens = it.predicted
 	s.bookService(it, f)
 	s.refresh(now, f)
 	s.limitOf(r).use(it.predicted)
--- a/internal/schedule/endpoint.go
+++ b/internal/schedule/endpoint.go
@@ -123,22 +123,21 @@
 }
 
 // uncached is the part of a prompt that the endpoint must read.
-func (e *endpoint) uncached(r *Request, prefixes *prefixTable) int {
-	holder, cached := prefixes.longest(r)
-	if holder != e {
+func (e *endpoint) uncached(r *Request, cached cachedPart) int {
+	if cached.holder != e {
 		return r.PromptTokens
 	}
-	return r.PromptTokens - cached
+	return r.PromptTokens - cached.tokens
 }
 
 // predictFirstToken estimates the time to the first token of a request that is
 // sent now.
-func (e *endpoint) predictFirstToken(now time.Time, r *Request, prefixes *prefixTable) time.Duration {
+func (e *endpoint) predictFirstToken(now time.Time, r *Request, cached cachedPart) time.Duration {
 	if !e.Engine {
 		return 0
 	}
 	ahead := max(0, e.prefillUntil.Sub(now))
-	return ahead + e.readTime(e.uncached(r, prefixes)) + e.between
+	return ahead + e.readTime(e.uncached(r, cached)) + e.between
 }
 
 // readTime is the time that the endpoint takes to read so many prompt tokens.
--- a/internal/schedule/endpoints.go
+++ b/internal/schedule/endpoints.go
@@ -90,20 +90,19 @@
 	need := r.PromptTokens + it.predicted
 	var best *endpoint
 	var bestCost time.Duration
-	var holder *endpoint
-	if !s.options.NoPrefix {
-		holder, _ = prefixes.longest(r)
-	}
+	cached := prefixes.longest(r)
 	n := min(candidates, len(s.byLoad.elements))
 	for i := range n + 1 {
-		e := holder
+		e := cached.holder
 		if i < n {
 			e = s.byLoad.elements[i]
+		} else if s.options.NoPrefix {
+			break
 		}
 		if e == nil || s.avoids(r, e) || !e.open(now, tier, &s.options) || !e.fits(need) {
 			continue
 		}
-		cost := s.cost(now, r, e, prefixes)
+		cost := s.cost(now, r, e, cached)
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -115,10 +114,10 @@
 // engine has, the slower are the tokens of all of them.
 const loadCost = 50 * time.Millisecond
 
-func (s *endpointSet) cost(now time.Time, r *Request, e *endpoint, prefixes *prefixTable) time.Duration {
-	cost := e.predictFirstToken(now, r, prefixes)
+func (s *endpointSet) cost(now time.Time, r *Request, e *endpoint, cached cachedPart) time.Duration {
+	cost := e.predictFirstToken(now, r, cached)
 	if s.options.NoPrefix {
-		cost += e.readTime(r.PromptTokens - e.uncached(r, prefixes))
+		cost += e.readTime(r.PromptTokens - e.uncached(r, cached))
 	}
 	if r.Zone != "" && r.Zone != e.Zone {
 		cost += s.options.ZoneCost
@@ -128,7 +127,7 @@
 
 // leastLoaded gives the usable endpoint with the least load, whether it has
 // room or not.
-func (s *endpointSet) leastLoaded(_ time.Time, r *Request) *endpoint {
+func (s *endpointSet) leastLoaded(r *Request) *endpoint {
 	for _, e := range s.byLoad.elements {
 		if !s.avoids(r, e) {
 			return e
--- a/internal/schedule/prefix.go
+++ b/internal/schedule/prefix.go
@@ -1,11 +1,10 @@
 package schedule
 
+import "oxbowslip.dev/oxbowslip/internal/prefix"
+
 // prefixEntries bounds the prefixes remembered for a shard.
 const prefixEntries = 1 << 14
 
-// PrefixTokens is the length in tokens of one step of Request.Prefix.
-const PrefixTokens = 256
-
 // prefixTable remembers which endpoint was last given a prompt with a prefix.
 // It is a guess at the endpoints' caches: a wrong entry costs time, nothing
 // else. Two generations bound it: when the young one is full, it becomes the
@@ -26,15 +25,21 @@
 	return t.old[hash]
 }
 
-// longest gives the endpoint that was given the longest known part of a
-// prompt, and the tokens of that part.
-func (t *prefixTable) longest(r *Request) (*endpoint, int) {
+// cachedPart is the longest part of a prompt that an endpoint is likely to have
+// in its cache. The zero value means that none has.
+type cachedPart struct {
+	holder *endpoint
+	tokens int
+}
+
+// longest finds the endpoint that was given the longest known part of a prompt.
+func (t *prefixTable) longest(r *Request) cachedPart {
 	for i := len(r.Prefix) - 1; i >= 0; i-- {
 		if e := t.holder(r.Prefix[i]); e != nil {
-			return e, min((i+1)*PrefixTokens, r.PromptTokens)
+			return cachedPart{e, min((i+1)*prefix.TokensPerPart, r.PromptTokens)}
 		}
 	}
-	return nil, 0
+	return cachedPart{}
 }
 
 // granted notes that an endpoint is given a prompt.
--- a/internal/schedule/shares.go
+++ b/internal/schedule/shares.go
@@ -109,7 +109,7 @@
 // as one token of the answer.
 const promptTokensPerAnswerToken = 16
 
-// account books the work of a grant to its class and saves up for the others.
+// accountShare books the work of a grant to its class and saves up for the others.
 func (s *Scheduler) accountShare(now time.Time, it *item, reason Reason) {
 	work := s.work(it)
 	for _, a := range s.shares.order {
@@ -141,10 +141,11 @@
 		if s.shares.owed[tier] == 0 || it.request.Arrived.After(s.shares.owedAt[tier]) {
 			continue
 		}
-		e := s.endpoints.leastLoaded(now, &it.request)
+		e := s.endpoints.leastLoaded(&it.request)
 		if e == nil {
 			return false
 		}
+		it.predicted = s.predictLength(&it.request)
 		s.shares.owed[tier]--
 		s.grant(now, it, e, ReasonGiveBack)
 		return true
