A newer peer's reason does not stop an older host

Cause: found on reading: a refusal's reason from another host's scheduler was looked up among the known ones and used unchecked. A host of a newer version in a rolling upgrade could so stop a request's handler on an older one. Change: a reason that is not known counts as internal.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -72,8 +72,15 @@
 	return c
 }
 
-// Refused counts a refusal.
-func (c *Counters) Refused(reason request.Reason) { c.refusals[reason].Inc() }
+// Refused counts a refusal. A reason of a newer peer that this program does not
+// know counts as internal.
+func (c *Counters) Refused(reason request.Reason) {
+	counter, ok := c.refusals[reason]
+	if !ok {
+		counter = c.refusals[request.ReasonInternal]
+	}
+	counter.Inc()
+}
 
 // Refusals gives the count of a reason.
 func (c *Counters) Refusals(reason request.Reason) uint64 { return c.refusals[reason].Get() }
--- a/internal/counters/counters_test.go
+++ b/internal/counters/counters_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
 var metricName = regexp.MustCompile(`oxbowslip_[a-z_]+`)
@@ -45,6 +47,14 @@
 	return slices.Compact(list)
 }
 
+// TestUnknownReason counts a reason that only a newer peer's scheduler knows.
+func TestUnknownReason(t *testing.T) {
+	c := qt.New(t)
+	counters := New()
+	counters.Refused("some_day")
+	c.Assert(counters.Refusals(request.ReasonInternal), qt.Equals, uint64(1))
+}
+
 // TestDeclared finds every reason at 0 before its first event.
 func TestDeclared(t *testing.T) {
 	c := qt.New(t)
