--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,306 @@
+// Package api is the callers' interface: OpenAI-compatible chat requests and
+// calls of plain services. It names the workspace and class of a request,
+// checks it, and relays the answer.
+package api
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/endpoint"
+	"oxbowslip.dev/oxbowslip/internal/owner"
+	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// The headers of the callers' interface.
+const (
+	HeaderClass          = "X-Request-Class"
+	HeaderRequestID      = "X-Request-Id"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderAttempt        = "X-Attempt"
+	HeaderWorkspace      = "X-Workspace"
+)
+
+const (
+	readBodyTime   = 30 * time.Second
+	readHeaderTime = 10 * time.Second
+	maxHeaderBytes = 32 << 10
+	maxIDLength    = 128
+)
+
+// Claims takes an idempotency key for one request, so that no other host runs
+// the same.
+type Claims interface {
+	// Claim reports whether the key is this request's. An error means that
+	// nothing is known; the request must not run then.
+	Claim(ctx context.Context, workspace, key, requestID string) (bool, error)
+}
+
+// Server answers callers.
+type Server struct {
+	host         string
+	zone         string
+	settings     *settings.Holder
+	owner        *owner.Owner
+	client       *endpoint.Client
+	counters     *counters.Counters
+	claims       Claims
+	log          *logrus.Entry
+	clock        func() time.Time
+	writeTimeout time.Duration
+	ready        func() *request.Refusal
+}
+
+// New makes the callers' server. Ready gives the refusal for a host that can't
+// take requests yet, or nil.
+func New(host, zone string, s *settings.Holder, o *owner.Owner, client *endpoint.Client, c *counters.Counters, claims Claims,
+	log *logrus.Entry, clock func() time.Time, writeTimeout time.Duration, ready func() *request.Refusal,
+) *Server {
+	return &Server{
+		host: host, zone: zone, settings: s, owner: o, client: client, counters: c, claims: claims,
+		log: log, clock: clock, writeTimeout: writeTimeout, ready: ready,
+	}
+}
+
+// HTTP gives the HTTP server, with the limits on what a caller may send.
+func (s *Server) HTTP() *http.Server {
+	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	router.HandleFunc("/v1/chat/completions", s.handle(s.chat)).Methods(http.MethodPost)
+	router.HandleFunc("/v1/models", s.handle(s.models)).Methods(http.MethodGet)
+	router.PathPrefix("/v1/services/{service}").HandlerFunc(s.handle(s.service))
+	router.NotFoundHandler = s.handle(s.notFound)
+	return &http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: readHeaderTime,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          nil,
+	}
+}
+
+// caller is a request with what was found out about its sender.
+type caller struct {
+	id        string
+	arrived   time.Time
+	tree      *settings.Tree
+	workspace string
+	class     string
+	policy    settings.Policy
+}
+
+// fault is a refusal before the request has begun.
+type fault struct {
+	reason request.Reason
+	detail string
+	known  []string
+}
+
+// handle gives each request its ID, checks the key and the class, and turns a
+// fault into an answer.
+func (s *Server) handle(next func(http.ResponseWriter, *http.Request, *caller) *fault) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c := &caller{id: requestID(r), arrived: s.clock()}
+		w.Header().Set(HeaderRequestID, c.id)
+		f := s.identify(r, c)
+		if f == nil {
+			f = next(w, r, c)
+		}
+		if f == nil {
+			return
+		}
+		s.counters.Refused(f.reason)
+		writeRefusal(w, c.id, &request.Refusal{Reason: f.reason, Ran: request.RanNo, Detail: f.detail}, f.known)
+	}
+}
+
+// requestID takes the caller's ID if it is fit for logs and headers, and makes
+// one otherwise. The router adds its own part, so that two callers with the
+// same ID are not mixed up.
+func requestID(r *http.Request) string {
+	own := uuid.NewString()
+	given := r.Header.Get(HeaderRequestID)
+	if given == "" || len(given) > maxIDLength || strings.ContainsFunc(given, notPlain) {
+		return own
+	}
+	return given + "." + own[:8]
+}
+
+func notPlain(c rune) bool {
+	return !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_' || c == '.')
+}
+
+func (s *Server) identify(r *http.Request, c *caller) *fault {
+	if refusal := s.ready(); refusal != nil {
+		return &fault{reason: refusal.Reason, detail: refusal.Detail}
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return &fault{reason: request.ReasonUnknownKey, detail: "send the key as Authorization: Bearer KEY"}
+	}
+	c.tree = s.settings.Current().Tree
+	c.workspace, ok = c.tree.WorkspaceOf(strings.TrimSpace(key))
+	if !ok {
+		return &fault{reason: request.ReasonUnknownKey, detail: "this key belongs to no workspace"}
+	}
+	return nil
+}
+
+// classify finds the class and its effective settings.
+func (c *caller) classify(class string) *fault {
+	if class == "" {
+		class = c.tree.DefaultClass(c.workspace)
+	}
+	policy, ok := c.tree.Effective(c.workspace, class)
+	if !ok {
+		return &fault{
+			reason: request.ReasonUnknownClass,
+			detail: "this workspace has no such request class; name one in " + HeaderClass,
+			known:  c.tree.ClassNames(c.workspace),
+		}
+	}
+	c.class, c.policy = class, policy
+	return nil
+}
+
+func (s *Server) notFound(_ http.ResponseWriter, r *http.Request, _ *caller) *fault {
+	return &fault{
+		reason: request.ReasonUnknownService,
+		detail: "no such path: " + r.Method + " " + r.URL.Path,
+		known:  []string{"POST /v1/chat/completions", "GET /v1/models", "/v1/services/SERVICE/..."},
+	}
+}
+
+// modelList is the answer of /v1/models.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(w http.ResponseWriter, _ *http.Request, c *caller) *fault {
+	list := modelList{Object: "list", Data: []modelInfo{}}
+	for _, name := range c.modelNames() {
+		list.Data = append(list.Data, modelInfo{ID: name, Object: "model", OwnedBy: "oxbowslip"})
+	}
+	writeJSON(w, http.StatusOK, list)
+	return nil
+}
+
+// modelNames lists the models that the workspace may call, sorted.
+func (c *caller) modelNames() []string {
+	var names []string
+	for name := range c.tree.Models {
+		if c.tree.MayCall(c.workspace, name) {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+// readBody reads a whole body within the class's bound and a time limit.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, c *caller) ([]byte, *fault) {
+	control := http.NewResponseController(w)
+	// Not every writer has deadlines; those of tests don't.
+	_ = control.SetReadDeadline(time.Now().Add(readBodyTime))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(c.policy.MaxBodyBytes)))
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return data, nil
+	}
+	return nil, bodyFault(err)
+}
+
+func bodyFault(err error) *fault {
+	var tooLarge *http.MaxBytesError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &tooLarge):
+		return &fault{reason: request.ReasonBodyTooLarge, detail: "the body is larger than this class allows"}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return &fault{reason: request.ReasonSlowCaller, detail: "the body took too long to arrive"}
+	}
+	return &fault{reason: request.ReasonBadRequest, detail: "the body could not be read whole"}
+}
+
+// claim takes the caller's idempotency key, if it sent one.
+func (s *Server) claim(r *http.Request, c *caller) *fault {
+	key := r.Header.Get(HeaderIdempotencyKey)
+	if key == "" {
+		return nil
+	}
+	if len(key) > maxIDLength {
+		return &fault{reason: request.ReasonBadRequest, detail: "the idempotency key is too long"}
+	}
+	won, err := s.claims.Claim(r.Context(), c.workspace, key, c.id)
+	switch {
+	case err != nil:
+		return &fault{reason: request.ReasonClaimsAway, detail: "the idempotency key can't be checked now; nothing ran"}
+	case !won:
+		return &fault{reason: request.ReasonKeyUsed, detail: "a request with this idempotency key was accepted before; this one did not run"}
+	}
+	return nil
+}
+
+// scheduleRequest fills in what the scheduler needs to know.
+func (s *Server) scheduleRequest(c *caller) schedule.Request {
+	p := &c.policy
+	return schedule.Request{
+		ID: c.id, Owner: s.host, Workspace: c.workspace, Class: c.class, Tier: p.Tier, Arrived: c.arrived,
+		FirstToken: p.FirstToken, BetweenTokens: p.BetweenTokens, WholeAnswer: p.WholeAnswer,
+		RefuseLate: p.WhenLate == settings.LateRefuse, MaxWait: p.MaxWait, Repeatable: p.Repeatable,
+		Share: p.Share, Weight: p.Weight, MaxInFlight: p.MaxInFlight, MaxWaiting: p.MaxWaiting,
+		TokensPerMinute: p.TokensPerMinute, Zone: s.zone,
+	}
+}
+
+// maxResumes bounds how often one stream is taken up at its engine.
+const maxResumes = 3
+
+func rules(p *settings.Policy) request.Rules {
+	return request.Rules{Repeatable: p.Repeatable, MaxTries: p.MaxTries, MaxResumes: maxResumes}
+}
+
+// attained reports whether an answer met its class's targets.
+func attained(p *settings.Policy, end *owner.End, whole time.Duration) bool {
+	if p.FirstToken > 0 && end.FirstToken > p.FirstToken {
+		return false
+	}
+	if p.WholeAnswer > 0 && whole > p.WholeAnswer {
+		return false
+	}
+	if p.BetweenTokens == 0 || end.Tokens < 2 || end.FirstToken == 0 {
+		return true
+	}
+	mean := (whole - end.FirstToken) / time.Duration(end.Tokens-1)
+	return mean <= p.BetweenTokens
+}
+
+// cacheSalt keeps the workspaces' cached prompts apart in shared engines.
+func cacheSalt(workspace string) string {
+	sum := sha256.Sum256([]byte("oxbowslip cache " + workspace))
+	return hex.EncodeToString(sum[:16])
+}
+
+func sorted(names []string) []string {
+	sort.Strings(names)
+	return names
+}
--- /dev/null
+++ b/internal/api/body.go
@@ -0,0 +1,99 @@
+package api
+
+import (
+	"fmt"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// chatBody is the part of a caller's chat request that the router reads or
+// sets. All else is passed on as it came. A member that stands twice is a
+// fault: the router and the engine might each take another of the two.
+type chatBody struct {
+	Model               string         `json:"model"`
+	Messages            jsontext.Value `json:"messages"`
+	Stream              bool           `json:"stream,omitzero"`
+	MaxTokens           *int           `json:"max_tokens,omitzero"`
+	MaxCompletionTokens *int           `json:"max_completion_tokens,omitzero"`
+	// The router sets these for the engine; a caller's own values are replaced.
+	Priority             *int           `json:"priority,omitzero"`
+	CacheSalt            string         `json:"cache_salt,omitzero"`
+	ContinueFinalMessage bool           `json:"continue_final_message,omitzero"`
+	AddGenerationPrompt  *bool          `json:"add_generation_prompt,omitzero"`
+	Rest                 jsontext.Value `json:",embed"`
+}
+
+// message is one message of a chat, as the router writes it when it goes on
+// from a part of an answer.
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// decodeChat reads a caller's body. The error says what is wrong with it.
+func decodeChat(data []byte) (*chatBody, error) {
+	body := new(chatBody)
+	if err := json.Unmarshal(data, body); err != nil {
+		return nil, err
+	}
+	if body.Model == "" {
+		return nil, fmt.Errorf(`"model" is missing`)
+	}
+	if body.Messages.Kind() != '[' {
+		return nil, fmt.Errorf(`"messages" must be a list`)
+	}
+	for _, n := range []*int{body.MaxTokens, body.MaxCompletionTokens} {
+		if n != nil && *n < 1 {
+			return nil, fmt.Errorf("the bound on the answer's tokens must be at least 1")
+		}
+	}
+	return body, nil
+}
+
+// maxTokens gives the caller's bound on the answer, or the class's if that is
+// less.
+func (b *chatBody) maxTokens(bound int) int {
+	for _, n := range []*int{b.MaxTokens, b.MaxCompletionTokens} {
+		if n != nil {
+			bound = min(bound, *n)
+		}
+	}
+	return bound
+}
+
+// engineBody writes the body for an engine. With a part of an answer, the
+// engine is asked to go on from it.
+func (b *chatBody) engineBody(priority int, salt string, maxTokens int, part string, partTokens int) ([]byte, error) {
+	out := *b
+	out.Priority = &priority
+	out.CacheSalt = salt
+	left := max(1, maxTokens-partTokens)
+	out.MaxTokens = &left
+	out.MaxCompletionTokens = nil
+	out.ContinueFinalMessage = false
+	out.AddGenerationPrompt = nil
+	if part != "" {
+		messages, err := appendMessage(b.Messages, message{Role: "assistant", Content: part})
+		if err != nil {
+			return nil, err
+		}
+		no := false
+		out.Messages = messages
+		out.ContinueFinalMessage = true
+		out.AddGenerationPrompt = &no
+	}
+	return json.Marshal(&out)
+}
+
+func appendMessage(messages jsontext.Value, m message) (jsontext.Value, error) {
+	var list []jsontext.Value
+	if err := json.Unmarshal(messages, &list); err != nil {
+		return nil, err
+	}
+	last, err := json.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(append(list, last))
+}
--- /dev/null
+++ b/internal/api/chat.go
@@ -0,0 +1,263 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"oxbowslip.dev/oxbowslip/internal/endpoint"
+	"oxbowslip.dev/oxbowslip/internal/owner"
+	"oxbowslip.dev/oxbowslip/internal/prefix"
+	"oxbowslip.dev/oxbowslip/internal/request"
+)
+
+const (
+	maxAnswerBytes = 16 << 20
+	chatPath       = "/v1/chat/completions"
+	streamsPath    = "/v1/streams/"
+	chatIDPrefix   = "chatcmpl-"
+	jsonType       = "application/json"
+	eventType      = "text/event-stream"
+)
+
+// chat answers one chat request.
+func (s *Server) chat(w http.ResponseWriter, r *http.Request, c *caller) *fault {
+	if f := c.classify(r.Header.Get(HeaderClass)); f != nil {
+		return f
+	}
+	data, f := s.readBody(w, r, c)
+	if f != nil {
+		return f
+	}
+	body, err := decodeChat(data)
+	if err != nil {
+		return &fault{reason: request.ReasonBadRequest, detail: "the body is no chat request: " + err.Error()}
+	}
+	if !c.tree.MayCall(c.workspace, body.Model) {
+		return &fault{reason: request.ReasonUnknownModel, detail: "this workspace has no such model", known: c.modelNames()}
+	}
+	if f := s.claim(r, c); f != nil {
+		return f
+	}
+	x := &chatExchange{server: s, caller: c, body: body, w: w, maxTokens: body.maxTokens(c.policy.MaxAnswerTokens)}
+	x.run(r.Context())
+	return nil
+}
+
+// chatExchange is one chat request with its answer.
+type chatExchange struct {
+	server    *Server
+	caller    *caller
+	body      *chatBody
+	w         http.ResponseWriter
+	maxTokens int
+
+	stream *streamRelay
+	// answer is a unary answer that was seen whole.
+	answer *wholeAnswer
+}
+
+// wholeAnswer is an endpoint's answer, held until all of it is there.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (x *chatExchange) run(ctx context.Context) {
+	s, c := x.server, x.caller
+	req := s.scheduleRequest(c)
+	req.PromptTokens = prefix.Tokens(x.body.Messages)
+	req.MaxTokens = x.maxTokens
+	req.Prefix = prefix.Hashes(cacheSalt(c.workspace), x.body.Messages)
+	job := &owner.Job{
+		Request:     req,
+		Shard:       x.body.Model,
+		Rules:       rules(&c.policy),
+		RetryBudget: c.policy.RetryBudget,
+		Attempt:     x.unary,
+	}
+	if c.policy.MaxWait > 0 {
+		job.Deadline = c.arrived.Add(c.policy.MaxWait)
+	}
+	if x.body.Stream {
+		x.stream = newStreamRelay(s, x.w, c)
+		job.Attempt = x.streamAttempt
+		job.Resume = x.streamResume
+		job.CanContinue = x.shardContinues()
+	}
+	end := s.owner.Run(ctx, job)
+	x.finish(&end)
+}
+
+// shardContinues reports whether all engines of the model can go on from a part
+// of an answer, so that any of them may be granted.
+func (x *chatExchange) shardContinues() bool {
+	for _, e := range x.caller.tree.Endpoints {
+		if e.Model == x.body.Model && !e.Continues {
+			return false
+		}
+	}
+	return true
+}
+
+func (x *chatExchange) finish(end *owner.End) {
+	s, c := x.server, x.caller
+	switch end.Outcome {
+	case request.OutcomeAnswered:
+		whole := s.clock().Sub(c.arrived)
+		if x.answer != nil {
+			writeWhole(x.w, x.answer)
+		}
+		s.counters.Answered(c.class, end.FirstToken, attained(&c.policy, end, whole), end.Tokens)
+	case request.OutcomeBroken:
+		x.stream.breakOff(end.Refusal)
+	case request.OutcomeRefused:
+		writeRefusal(x.w, c.id, end.Refusal, nil)
+	}
+}
+
+// call builds the call for an attempt.
+func (x *chatExchange) call(a *owner.Attempt, part string, partTokens int) (endpoint.Call, error) {
+	c := x.caller
+	data, err := x.body.engineBody(c.policy.Tier, cacheSalt(c.workspace), x.maxTokens, part, partTokens)
+	if err != nil {
+		return endpoint.Call{}, err
+	}
+	return endpoint.Call{
+		Address: a.Endpoint.Address,
+		Method:  http.MethodPost,
+		Path:    chatPath,
+		Header: http.Header{
+			"Content-Type":  {jsonType},
+			HeaderRequestID: {c.id},
+			HeaderAttempt:   {strconv.Itoa(a.Number)},
+		},
+		Body:   bytes.NewReader(data),
+		Length: int64(len(data)),
+		Once:   !c.policy.Repeatable,
+		OnSend: a.Sent,
+	}, nil
+}
+
+// unary makes one attempt at a request without a stream. The answer is kept
+// until it is whole.
+func (x *chatExchange) unary(ctx context.Context, a *owner.Attempt) owner.Result {
+	call, err := x.call(a, "", 0)
+	if err != nil {
+		return owner.Result{Event: request.EventBroken, Err: err}
+	}
+	response, err := x.server.client.Do(ctx, call)
+	if err != nil {
+		return failed(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	switch {
+	case err != nil:
+		return owner.Result{Event: request.EventBroken, Err: err}
+	case len(data) > maxAnswerBytes:
+		return owner.Result{Event: request.EventBroken, Err: errors.New("answer too large")}
+	case response.StatusCode >= http.StatusBadRequest:
+		return x.endpointError(response, data, a)
+	case !gjson.ValidBytes(data):
+		return owner.Result{Event: request.EventBroken, Err: errors.New("answer is no JSON")}
+	case gjson.GetBytes(data, "id").String() != chatIDPrefix+x.caller.id:
+		return owner.Result{Event: request.EventWrongAnswer, Err: errors.New("answer to another request")}
+	}
+	if !a.Deliver() {
+		return owner.Result{Event: request.EventBroken}
+	}
+	a.Tokens(int(gjson.GetBytes(data, "usage.completion_tokens").Int()))
+	x.answer = &wholeAnswer{status: response.StatusCode, header: response.Header, body: data}
+	return owner.Result{Event: request.EventWhole}
+}
+
+// endpointError turns an endpoint's error answer into a result. What the
+// endpoint finds wrong with the request itself is the caller's answer.
+func (x *chatExchange) endpointError(response *http.Response, data []byte, a *owner.Attempt) owner.Result {
+	status := response.StatusCode
+	if gjson.GetBytes(data, "error.ran").String() == string(request.RanNo) {
+		return owner.Result{Event: request.EventNotStarted, Err: errors.New("endpoint did not start it: " + response.Status)}
+	}
+	if status >= http.StatusInternalServerError || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout {
+		return owner.Result{Event: request.EventBroken, Err: errors.New("endpoint answered " + response.Status)}
+	}
+	if !a.Deliver() {
+		return owner.Result{Event: request.EventBroken}
+	}
+	x.answer = &wholeAnswer{status: status, header: response.Header, body: data}
+	return owner.Result{Event: request.EventWhole}
+}
+
+// failed turns an error of the client into a result.
+func failed(err error) owner.Result {
+	if endpoint.IsNotSent(err) {
+		return owner.Result{Event: request.EventDialFailed, Err: err}
+	}
+	return owner.Result{Event: request.EventBroken, Err: err}
+}
+
+func writeWhole(w http.ResponseWriter, answer *wholeAnswer) {
+	copyHeaders(w.Header(), answer.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	w.WriteHeader(answer.status)
+	// A write that fails means that the caller is gone.
+	_, _ = w.Write(answer.body)
+}
+
+// streamAttempt sends a request for a stream, or the rest of one that broke.
+func (x *chatExchange) streamAttempt(ctx context.Context, a *owner.Attempt) owner.Result {
+	call, err := x.call(a, x.stream.text(), x.stream.tokens)
+	if err != nil {
+		return owner.Result{Event: request.EventBroken, Err: err}
+	}
+	x.stream.begin()
+	return x.relay(ctx, a, call)
+}
+
+// streamResume takes up a broken stream at its engine, after the last event
+// that came.
+func (x *chatExchange) streamResume(ctx context.Context, a *owner.Attempt) owner.Result {
+	pause := time.NewTimer(resumePause)
+	defer pause.Stop()
+	select {
+	case <-pause.C:
+	case <-ctx.Done():
+		return owner.Result{Event: request.EventCallerGone}
+	}
+	return x.relay(ctx, a, endpoint.Call{
+		Address: a.Endpoint.Address,
+		Method:  http.MethodGet,
+		Path:    streamsPath + x.caller.id,
+		Header:  http.Header{"Last-Event-ID": {x.stream.lastID}, HeaderRequestID: {x.caller.id}},
+	})
+}
+
+// resumePause gives a connection that broke time to come back.
+const resumePause = 20 * time.Millisecond
+
+func (x *chatExchange) relay(ctx context.Context, a *owner.Attempt, call endpoint.Call) owner.Result {
+	ctx, watch := watchStall(ctx)
+	defer watch.stop()
+	response, err := x.server.client.Do(ctx, call)
+	if err != nil {
+		return failed(err)
+	}
+	defer response.Body.Close()
+	if !strings.HasPrefix(response.Header.Get("Content-Type"), eventType) {
+		data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+		if err != nil || response.StatusCode < http.StatusBadRequest || x.stream.started {
+			return owner.Result{Event: request.EventBroken, Err: errors.New("endpoint answered " + response.Status + " instead of a stream")}
+		}
+		return x.endpointError(response, data, a)
+	}
+	return x.stream.copy(response.Body, a, watch)
+}
--- /dev/null
+++ b/internal/api/refuse.go
@@ -0,0 +1,106 @@
+package api
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-json-experiment/json"
+
+	"oxbowslip.dev/oxbowslip/internal/request"
+)
+
+// errorBody is an error in the shape that OpenAI clients know, with the reason
+// and whether the request ran.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string         `json:"message"`
+	Type    string         `json:"type"`
+	Code    string         `json:"code"`
+	Reason  request.Reason `json:"reason"`
+	Ran     request.Ran    `json:"ran"`
+	// RequestID is what an operator needs to explain the refusal.
+	RequestID string `json:"request_id"`
+	// Known lists the names that would have been right.
+	Known []string `json:"known,omitzero"`
+}
+
+// The error types that OpenAI clients tell apart.
+const (
+	typeInvalid     = "invalid_request_error"
+	typeAuth        = "authentication_error"
+	typeRateLimit   = "rate_limit_error"
+	typeUnavailable = "server_error"
+)
+
+// statusOf gives the HTTP status and the error type of a refusal.
+func statusOf(reason request.Reason) (int, string) {
+	switch reason {
+	case request.ReasonUnknownKey, request.ReasonUnauthenticated:
+		return http.StatusUnauthorized, typeAuth
+	case request.ReasonBadRequest:
+		return http.StatusBadRequest, typeInvalid
+	case request.ReasonBodyTooLarge:
+		return http.StatusRequestEntityTooLarge, typeInvalid
+	case request.ReasonSlowCaller:
+		return http.StatusRequestTimeout, typeInvalid
+	case request.ReasonUnknownClass, request.ReasonUnknownModel, request.ReasonUnknownService:
+		return http.StatusNotFound, typeInvalid
+	case request.ReasonKeyUsed:
+		return http.StatusConflict, typeInvalid
+	case request.ReasonNoRoom, request.ReasonWorkspaceRoom, request.ReasonTooLate, request.ReasonMaxWait:
+		return http.StatusTooManyRequests, typeRateLimit
+	case request.ReasonEndpointFailed, request.ReasonAnswerBroken, request.ReasonWrongAnswer,
+		request.ReasonAnswerTooLarge, request.ReasonRetryBudget:
+		return http.StatusBadGateway, typeUnavailable
+	case request.ReasonInternal:
+		return http.StatusInternalServerError, typeUnavailable
+	}
+	return http.StatusServiceUnavailable, typeUnavailable
+}
+
+// leastRetryAfter is what 429 and 503 carry when no better figure is known.
+const leastRetryAfter = time.Second
+
+func newErrorBody(id string, refusal *request.Refusal, known []string) errorBody {
+	_, kind := statusOf(refusal.Reason)
+	return errorBody{Error: errorDetail{
+		Message:   refusal.Detail,
+		Type:      kind,
+		Code:      string(refusal.Reason),
+		Reason:    refusal.Reason,
+		Ran:       refusal.Ran,
+		RequestID: id,
+		Known:     known,
+	}}
+}
+
+// writeRefusal answers a request of which nothing was sent to the caller yet.
+func writeRefusal(w http.ResponseWriter, id string, refusal *request.Refusal, known []string) {
+	status, _ := statusOf(refusal.Reason)
+	header := w.Header()
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		after := max(refusal.RetryAfter, leastRetryAfter)
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+	}
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	writeJSON(w, status, newErrorBody(id, refusal, known))
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A write that fails means that the caller is gone.
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/internal/api/service.go
@@ -0,0 +1,239 @@
+package api
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"oxbowslip.dev/oxbowslip/internal/endpoint"
+	"oxbowslip.dev/oxbowslip/internal/owner"
+	"oxbowslip.dev/oxbowslip/internal/request"
+)
+
+// heldBytes is how much of a call or an answer is held back: a call that fits
+// can be tried again, and an answer that fits is passed on only when whole.
+const heldBytes = 64 << 10
+
+// ServicePrefix begins the names of plain services' shards, which keeps them
+// apart from models.
+const ServicePrefix = "service:"
+
+// service passes a call on to a plain service.
+func (s *Server) service(w http.ResponseWriter, r *http.Request, c *caller) *fault {
+	name := mux.Vars(r)["service"]
+	service, ok := c.tree.Services[name]
+	if !ok {
+		return &fault{reason: request.ReasonUnknownService, detail: "there is no such service", known: c.serviceNames()}
+	}
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+name)
+	if path == "" {
+		path = "/"
+	}
+	class := r.Header.Get(HeaderClass)
+	if routed := service.ClassOfRoute(r.Method, path); routed != "" {
+		// The route's class wins: whether a call may be repeated is a property
+		// of what it does, not of what its caller says.
+		class = routed
+	}
+	if f := c.classify(class); f != nil {
+		return f
+	}
+	x := &serviceExchange{server: s, caller: c, w: w, r: r, name: name, path: withQuery(path, r.URL.RawQuery)}
+	if f := x.readHead(); f != nil {
+		return f
+	}
+	if f := s.claim(r, c); f != nil {
+		return f
+	}
+	x.run(r.Context())
+	return nil
+}
+
+func (c *caller) serviceNames() []string {
+	var names []string
+	for name := range c.tree.Services {
+		names = append(names, name)
+	}
+	return sorted(names)
+}
+
+func withQuery(path, query string) string {
+	if query == "" {
+		return path
+	}
+	return path + "?" + query
+}
+
+// serviceExchange is one call of a plain service.
+type serviceExchange struct {
+	server *Server
+	caller *caller
+	w      http.ResponseWriter
+	r      *http.Request
+	name   string
+	path   string
+	// head is the first part of the body. Whole says that it is all.
+	head   []byte
+	whole  bool
+	answer *wholeAnswer
+}
+
+// readHead reads as much of the body as is held back.
+func (x *serviceExchange) readHead() *fault {
+	bound := int64(x.caller.policy.MaxBodyBytes)
+	if x.r.ContentLength > bound {
+		return &fault{reason: request.ReasonBodyTooLarge, detail: "the body is larger than this class allows"}
+	}
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(time.Now().Add(readBodyTime))
+	x.r.Body = http.MaxBytesReader(x.w, x.r.Body, bound)
+	head, err := io.ReadAll(io.LimitReader(x.r.Body, heldBytes))
+	if err != nil {
+		return bodyFault(err)
+	}
+	x.head = head
+	x.whole = len(head) < heldBytes
+	if x.whole {
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return nil
+}
+
+func (x *serviceExchange) run(ctx context.Context) {
+	s, c := x.server, x.caller
+	jobRules := rules(&c.policy)
+	if !x.whole {
+		// The rest of the body can be read only once.
+		jobRules.MaxTries = 1
+	}
+	job := &owner.Job{
+		Request:     s.scheduleRequest(c),
+		Shard:       ServicePrefix + x.name,
+		Rules:       jobRules,
+		RetryBudget: c.policy.RetryBudget,
+		Attempt:     x.attempt,
+	}
+	if c.policy.MaxWait > 0 {
+		job.Deadline = c.arrived.Add(c.policy.MaxWait)
+	}
+	end := s.owner.Run(ctx, job)
+	switch end.Outcome {
+	case request.OutcomeAnswered:
+		whole := s.clock().Sub(c.arrived)
+		if x.answer != nil {
+			writeWhole(x.w, x.answer)
+		}
+		s.counters.Answered(c.class, whole, attained(&c.policy, &end, whole), 0)
+	case request.OutcomeBroken:
+		panic(http.ErrAbortHandler)
+	case request.OutcomeRefused:
+		writeRefusal(x.w, c.id, end.Refusal, nil)
+	}
+}
+
+// attempt makes one try.
+func (x *serviceExchange) attempt(ctx context.Context, a *owner.Attempt) owner.Result {
+	response, err := x.server.client.Do(ctx, x.call(a))
+	if err != nil {
+		return failed(err)
+	}
+	defer response.Body.Close()
+	head, err := io.ReadAll(io.LimitReader(response.Body, heldBytes))
+	if err != nil {
+		return owner.Result{Event: request.EventBroken, Err: err}
+	}
+	if response.Header.Get("X-Ran") == string(request.RanNo) && response.StatusCode >= http.StatusBadRequest {
+		return owner.Result{Event: request.EventNotStarted, Err: errors.New("service did not start it: " + response.Status)}
+	}
+	if x.caller.policy.Repeatable && isGatewayStatus(response.StatusCode) {
+		return owner.Result{Event: request.EventBroken, Err: errors.New("service answered " + response.Status)}
+	}
+	if !a.Deliver() {
+		return owner.Result{Event: request.EventBroken}
+	}
+	if len(head) < heldBytes {
+		x.answer = &wholeAnswer{status: response.StatusCode, header: response.Header, body: head}
+		return owner.Result{Event: request.EventWhole}
+	}
+	return x.stream(response, head)
+}
+
+// isGatewayStatus reports whether a status says that the service, and not the
+// call, is at fault.
+func isGatewayStatus(status int) bool {
+	return status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout
+}
+
+func (x *serviceExchange) call(a *owner.Attempt) endpoint.Call {
+	header := make(http.Header, len(x.r.Header)+2)
+	copyHeaders(header, x.r.Header)
+	header.Del("Authorization")
+	header.Del(HeaderClass)
+	header.Set(HeaderRequestID, x.caller.id)
+	header.Set(HeaderWorkspace, x.caller.workspace)
+	var body io.Reader = bytes.NewReader(x.head)
+	length := int64(len(x.head))
+	if !x.whole {
+		body = io.MultiReader(body, x.r.Body)
+		length = x.r.ContentLength
+	}
+	return endpoint.Call{
+		Address: a.Endpoint.Address, Method: x.r.Method, Path: x.path, Header: header,
+		Body: body, Length: length, Once: !x.caller.policy.Repeatable, OnSend: a.Sent,
+	}
+}
+
+// stream passes on an answer that is too large to hold back. If it breaks, the
+// caller's transfer breaks too.
+func (x *serviceExchange) stream(response *http.Response, head []byte) owner.Result {
+	copyHeaders(x.w.Header(), response.Header)
+	if length := response.Header.Get("Content-Length"); length != "" {
+		x.w.Header().Set("Content-Length", length)
+	}
+	x.w.WriteHeader(response.StatusCode)
+	control := http.NewResponseController(x.w)
+	buffer := make([]byte, heldBytes)
+	for part, readErr := head, error(nil); ; {
+		_ = control.SetWriteDeadline(time.Now().Add(x.server.writeTimeout))
+		if _, err := x.w.Write(part); err != nil {
+			return callerLost(err)
+		}
+		if readErr == io.EOF {
+			return owner.Result{Event: request.EventWhole}
+		}
+		if readErr != nil {
+			return owner.Result{Event: request.EventBroken, Err: readErr}
+		}
+		var n int
+		n, readErr = response.Body.Read(buffer)
+		part = buffer[:n]
+	}
+}
+
+// hopHeaders are those that hold for one connection only (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// copyHeaders copies what is not for one connection only.
+func copyHeaders(to, from http.Header) {
+	for name, values := range from {
+		to[name] = append([]string(nil), values...)
+	}
+	for _, list := range from["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			to.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		to.Del(name)
+	}
+}
--- /dev/null
+++ b/internal/change/change.go
@@ -0,0 +1,115 @@
+// Package change holds the rules for changes of the settings tree: what a patch
+// touches, when two changes conflict, and how a change makes the next revision.
+// It does no input or output.
+package change
+
+import (
+	"bytes"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// ErrBadPatch says that a patch is no JSON object.
+var ErrBadPatch = merry.Sentinel("the patch is no JSON merge patch")
+
+// Change is one accepted change. Its row in the platform's table never changes.
+type Change struct {
+	Revision uint64 `json:"revision"`
+	// ID is the operator's, so that a change whose answer was lost can be found
+	// again.
+	ID string `json:"id"`
+	// Base is the revision that the operator saw.
+	Base uint64 `json:"base"`
+	// Patch is a JSON merge patch (RFC 7396) of the tree.
+	Patch jsontext.Value `json:"patch"`
+	Who   string         `json:"who"`
+	At    time.Time      `json:"at"`
+}
+
+// Document is a revision of the tree in its canonical form. All hosts that
+// apply the same changes hold the same bytes.
+type Document struct {
+	Revision uint64
+	Data     []byte
+}
+
+// Apply gives the next revision. It does not check whether the tree is valid.
+func (d Document) Apply(c *Change) (Document, error) {
+	data, err := jsonpatch.MergePatch(d.Data, c.Patch)
+	if err != nil {
+		return Document{}, merry.Wrap(ErrBadPatch, merry.WithCause(err))
+	}
+	canonical, err := Canonical(data)
+	if err != nil {
+		return Document{}, err
+	}
+	return Document{Revision: c.Revision, Data: canonical}, nil
+}
+
+// Tree decodes and checks a revision.
+func (d Document) Tree() (*settings.Tree, error) {
+	return settings.Decode("settings", d.Data)
+}
+
+// Canonical sorts the members of all objects and drops white space.
+func Canonical(data []byte) ([]byte, error) {
+	value := jsontext.Value(bytes.Clone(data))
+	if err := value.Canonicalize(); err != nil {
+		return nil, merry.Wrap(ErrBadPatch, merry.WithCause(err))
+	}
+	return value, nil
+}
+
+// Touched lists the paths that a patch sets or removes, sorted.
+func Touched(patch []byte) ([]string, error) {
+	var paths []string
+	if err := touched(patch, "", &paths); err != nil {
+		return nil, err
+	}
+	sort.Strings(paths)
+	return paths, nil
+}
+
+func touched(patch jsontext.Value, path string, paths *[]string) error {
+	if patch.Kind() != '{' {
+		if path == "" {
+			return merry.Wrap(ErrBadPatch)
+		}
+		*paths = append(*paths, path)
+		return nil
+	}
+	members := make(map[string]jsontext.Value)
+	if err := json.Unmarshal(patch, &members); err != nil {
+		return merry.Wrap(ErrBadPatch, merry.WithCause(err))
+	}
+	for name, member := range members {
+		escaped := strings.NewReplacer("~", "~0", "/", "~1").Replace(name)
+		if err := touched(member, path+"/"+escaped, paths); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Overlap lists the paths of a that b also touches: the same value, or one
+// inside the other.
+func Overlap(a, b []string) []string {
+	var both []string
+	for _, p := range a {
+		for _, q := range b {
+			if p == q || strings.HasPrefix(p, q+"/") || strings.HasPrefix(q, p+"/") {
+				both = append(both, p)
+				break
+			}
+		}
+	}
+	return both
+}
--- /dev/null
+++ b/internal/counters/counters.go
@@ -0,0 +1,107 @@
+// Package counters holds the metrics of one daemon. Every series of a closed
+// set exists from the start, so that alerts can be written before its first
+// event.
+package counters
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"oxbowslip.dev/oxbowslip/internal/request"
+)
+
+// Waste says why generated tokens were of no use. The set is closed.
+type Waste string
+
+// The causes of wasted tokens.
+const (
+	WasteCallerGone Waste = "caller_gone"
+	WasteBroken     Waste = "broken"
+	WastePreempted  Waste = "preempted"
+	WasteStopped    Waste = "stopped"
+)
+
+// Wastes lists every cause.
+var Wastes = []Waste{WasteCallerGone, WasteBroken, WastePreempted, WasteStopped}
+
+// Counters are the metrics of one daemon.
+type Counters struct {
+	set      *metrics.Set
+	refusals map[request.Reason]*metrics.Counter
+	retries  map[request.RetryReason]*metrics.Counter
+	wasted   map[Waste]*metrics.Counter
+	// Goodput counts tokens of answers that met their class's targets.
+	Goodput *metrics.Counter
+	// Tokens counts all tokens relayed.
+	Tokens *metrics.Counter
+	// Resends counts bytes-level facts that must stay 0: a second send of a
+	// request that may not be repeated.
+	Resends *metrics.Counter
+	// PlatformErrors counts failed calls to the platform.
+	PlatformErrors *metrics.Counter
+	// SettingsRejected counts revisions that this program can't read.
+	SettingsRejected *metrics.Counter
+}
+
+// New makes all counters at 0.
+func New() *Counters {
+	set := metrics.NewSet()
+	c := &Counters{
+		set:              set,
+		refusals:         make(map[request.Reason]*metrics.Counter),
+		retries:          make(map[request.RetryReason]*metrics.Counter),
+		wasted:           make(map[Waste]*metrics.Counter),
+		Goodput:          set.NewCounter("oxbowslip_goodput_tokens_total"),
+		Tokens:           set.NewCounter("oxbowslip_tokens_total"),
+		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
+		PlatformErrors:   set.NewCounter("oxbowslip_platform_errors_total"),
+		SettingsRejected: set.NewCounter("oxbowslip_settings_rejected_total"),
+	}
+	for _, reason := range request.Reasons {
+		c.refusals[reason] = set.NewCounter(fmt.Sprintf(`oxbowslip_refusals_total{reason=%q}`, reason))
+	}
+	for _, reason := range request.RetryReasons {
+		c.retries[reason] = set.NewCounter(fmt.Sprintf(`oxbowslip_retries_total{reason=%q}`, reason))
+	}
+	for _, cause := range Wastes {
+		c.wasted[cause] = set.NewCounter(fmt.Sprintf(`oxbowslip_wasted_tokens_total{cause=%q}`, cause))
+	}
+	return c
+}
+
+// Refused counts a refusal.
+func (c *Counters) Refused(reason request.Reason) { c.refusals[reason].Inc() }
+
+// Refusals gives the count of a reason.
+func (c *Counters) Refusals(reason request.Reason) uint64 { return c.refusals[reason].Get() }
+
+// Retried counts a retry.
+func (c *Counters) Retried(reason request.RetryReason) { c.retries[reason].Inc() }
+
+// Retries gives the count of a retry reason.
+func (c *Counters) Retries(reason request.RetryReason) uint64 { return c.retries[reason].Get() }
+
+// Wasted counts tokens that were generated in vain.
+func (c *Counters) Wasted(cause Waste, tokens int) { c.wasted[cause].Add(tokens) }
+
+// WastedTokens gives the wasted tokens of a cause.
+func (c *Counters) WastedTokens(cause Waste) uint64 { return c.wasted[cause].Get() }
+
+// Answered counts an answer of a class. Class names are bounded by the root of
+// the settings tree; workspaces are left out to bound the number of series.
+func (c *Counters) Answered(class string, firstToken time.Duration, attained bool, tokens int) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`oxbowslip_answers_total{class=%q,attained="%t"}`, class, attained)).Inc()
+	c.set.GetOrCreateHistogram(fmt.Sprintf(`oxbowslip_first_token_seconds{class=%q}`, class)).Update(firstToken.Seconds())
+	if attained {
+		c.Goodput.Add(tokens)
+	}
+}
+
+// Gauge registers a value that is read when the metrics are.
+func (c *Counters) Gauge(name string, read func() float64) { c.set.GetOrCreateGauge(name, read) }
+
+// Write writes all metrics as Prometheus text.
+func (c *Counters) Write(w io.Writer) { c.set.WritePrometheus(w) }
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,324 @@
+// Package daemon wires the parts of one host and takes them through start and
+// planned stop.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"oxbowslip.dev/oxbowslip/internal/api"
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/dispatch"
+	"oxbowslip.dev/oxbowslip/internal/endpoint"
+	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/hostconfig"
+	"oxbowslip.dev/oxbowslip/internal/inforce"
+	"oxbowslip.dev/oxbowslip/internal/logging"
+	"oxbowslip.dev/oxbowslip/internal/operator"
+	"oxbowslip.dev/oxbowslip/internal/owner"
+	"oxbowslip.dev/oxbowslip/internal/platform"
+	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+	"oxbowslip.dev/oxbowslip/internal/shard"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+// Daemon is one running host.
+type Daemon struct {
+	config    hostconfig.Host
+	log       *logrus.Entry
+	holder    *settings.Holder
+	follower  *inforce.Follower
+	owner     *owner.Owner
+	shards    *shard.Host
+	client    *endpoint.Client
+	platform  *platform.Client
+	counters  *counters.Counters
+	callers   *http.Server
+	operators *http.Server
+
+	callersAddress   string
+	operatorsAddress string
+	draining         atomic.Bool
+	hurry            chan struct{}
+	hurryOnce        sync.Once
+	cut              atomic.Int64
+	done             chan struct{}
+	ended            chan struct{}
+}
+
+// Options gives the parts of a daemon to fx.
+func Options(config hostconfig.Host, log *logrus.Logger) fx.Option {
+	return fx.Options(
+		fx.Supply(config, log),
+		fx.Provide(
+			func() func() time.Time { return time.Now },
+			func() func() float64 { return rand.Float64 },
+			counters.New,
+			explain.New,
+			settings.NewHolder,
+			dispatch.New,
+			endpoint.New,
+			newShards,
+			newPlatform,
+			newFollower,
+			newOwner,
+			New,
+		),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(config.Drain.Limit+stopMargin),
+		fx.Invoke(func(lifecycle fx.Lifecycle, d *Daemon) {
+			lifecycle.Append(fx.Hook{OnStart: d.Start, OnStop: d.Stop})
+		}),
+	)
+}
+
+// stopMargin is the time left to end honestly after the drain's limit.
+const stopMargin = 10 * time.Second
+
+func newShards(clock func() time.Time, d *dispatch.Dispatcher) *shard.Host {
+	host := shard.New(clock, schedule.Options{}, d.Deliver)
+	d.Connect(host.Apply)
+	return host
+}
+
+func newPlatform(config hostconfig.Host, c *counters.Counters) *platform.Client {
+	return platform.New(config.Platform.Address, config.Platform.Timeout, c.PlatformErrors.Inc)
+}
+
+func newFollower(config hostconfig.Host, client *platform.Client, holder *settings.Holder, c *counters.Counters,
+	log *logrus.Logger, random func() float64,
+) *inforce.Follower {
+	return inforce.New(client, holder, c, logging.Part(log, "settings"), config.Platform.Poll, random)
+}
+
+func newOwner(config hostconfig.Host, d *dispatch.Dispatcher, s *settings.Holder, c *counters.Counters, ring *explain.Ring,
+	clock func() time.Time, random func() float64,
+) *owner.Owner {
+	return owner.New(config.Name, d, s, c, ring, clock, random)
+}
+
+// New makes a daemon that has not started.
+func New(config hostconfig.Host, log *logrus.Logger, holder *settings.Holder, follower *inforce.Follower, o *owner.Owner,
+	shards *shard.Host, client *endpoint.Client, platformClient *platform.Client, c *counters.Counters, ring *explain.Ring,
+	clock func() time.Time,
+) *Daemon {
+	d := &Daemon{
+		config: config, log: logging.Part(log, "daemon"), holder: holder, follower: follower, owner: o, shards: shards,
+		client: client, platform: platformClient, counters: c, hurry: make(chan struct{}), done: make(chan struct{}), ended: make(chan struct{}),
+	}
+	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, noClaims{}, logging.Part(log, "api"), clock,
+		config.WriteTimeout, d.notReady).HTTP()
+	d.operators = operator.New(config.OperatorKeys, c, ring, holder, d.status).HTTP()
+	c.Gauge("oxbowslip_open_requests", func() float64 { return float64(o.Open()) })
+	c.Gauge("oxbowslip_settings_revision", func() float64 { return float64(d.revision()) })
+	return d
+}
+
+// noClaims stands until claims are kept in the platform's table.
+type noClaims struct{}
+
+// Claim refuses: without the table nothing is known of other hosts.
+func (noClaims) Claim(context.Context, string, string, string) (bool, error) {
+	return false, merry.New("claims are not kept yet")
+}
+
+// Start listens and begins to follow the settings. It does not wait for them:
+// until they are there, the host is not ready.
+func (d *Daemon) Start(context.Context) error {
+	callers, err := net.Listen("tcp", d.config.Callers)
+	if err != nil {
+		return merry.Prepend(err, "listen for callers")
+	}
+	operators, err := net.Listen("tcp", d.config.Operators)
+	if err != nil {
+		callers.Close()
+		return merry.Prepend(err, "listen for operators")
+	}
+	d.callersAddress = callers.Addr().String()
+	d.operatorsAddress = operators.Addr().String()
+	go d.serve(d.callers, callers)
+	go d.serve(d.operators, operators)
+	go d.follower.Run(d.done)
+	go d.followEndpoints()
+	d.log.WithFields(logrus.Fields{
+		"host": d.config.Name, "callers": d.callersAddress, "operators": d.operatorsAddress,
+	}).Info("started")
+	return nil
+}
+
+func (d *Daemon) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		d.log.WithError(err).Error("listener failed")
+	}
+}
+
+// CallersAddress is where callers reach the host.
+func (d *Daemon) CallersAddress() string { return d.callersAddress }
+
+// OperatorsAddress is where operators reach the host.
+func (d *Daemon) OperatorsAddress() string { return d.operatorsAddress }
+
+// Counters gives the daemon's metrics.
+func (d *Daemon) Counters() *counters.Counters { return d.counters }
+
+// Ready reports whether the host takes requests and says so to the balancer.
+func (d *Daemon) Ready() bool { return d.status().Ready }
+
+// Stop ends the host as planned: readiness fails first, then, after the notice,
+// no connection is accepted, and what is in flight ends. When ctx or the limit
+// ends first, the rest get an honest error.
+func (d *Daemon) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.config.Drain.Limit)
+	defer cancel()
+	go func() {
+		select {
+		case <-d.hurry:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	d.draining.Store(true)
+	d.callers.SetKeepAlivesEnabled(false)
+	d.log.WithField("open", d.owner.Open()).Info("draining")
+	select {
+	case <-time.After(d.config.Drain.Notice):
+	case <-ctx.Done():
+	}
+	shut := make(chan struct{})
+	go func() {
+		defer close(shut)
+		// The error is that of ctx; the rest is closed below.
+		_ = d.callers.Shutdown(ctx)
+	}()
+	cut := d.owner.Drain(ctx)
+	d.cut.Store(int64(cut))
+	<-shut
+	d.callers.Close()
+	d.log.WithField("cut", cut).Info("stopped")
+	d.close()
+	return nil
+}
+
+// Hurry ends the wait of a planned stop: what is still in flight is told that
+// the host stops.
+func (d *Daemon) Hurry() { d.hurryOnce.Do(func() { close(d.hurry) }) }
+
+// Cut counts the requests that a stop did not let finish.
+func (d *Daemon) Cut() int { return int(d.cut.Load()) }
+
+// Kill ends the host at once, as a crash would: no one is told.
+func (d *Daemon) Kill() {
+	d.callers.Close()
+	d.close()
+}
+
+func (d *Daemon) close() {
+	close(d.done)
+	<-d.ended
+	d.operators.Close()
+	d.shards.Close()
+	d.client.Close()
+	d.platform.Close()
+}
+
+// followEndpoints tells the schedulers which endpoints are in.
+func (d *Daemon) followEndpoints() {
+	defer close(d.ended)
+	for {
+		changed := d.holder.Changed()
+		if revision := d.holder.Current(); revision != nil {
+			d.shards.SetEndpoints(endpointsByShard(revision.Tree))
+		}
+		select {
+		case <-changed:
+		case <-d.done:
+			return
+		}
+	}
+}
+
+// endpointsByShard sorts the endpoints that are in by what they serve.
+func endpointsByShard(tree *settings.Tree) map[string][]schedule.Endpoint {
+	shards := make(map[string][]schedule.Endpoint)
+	for _, name := range tree.EndpointNames() {
+		e := tree.Endpoints[name]
+		if e.State == settings.StateOut {
+			continue
+		}
+		shard := e.Model
+		if e.Service != "" {
+			shard = api.ServicePrefix + e.Service
+		}
+		shards[shard] = append(shards[shard], schedule.Endpoint{
+			ID: name, Zone: e.Zone, MaxInFlight: e.MaxInFlight, CacheTokens: e.CacheTokens, Engine: e.Model != "",
+		})
+	}
+	return shards
+}
+
+func (d *Daemon) revision() uint64 {
+	if revision := d.holder.Current(); revision != nil {
+		return revision.Number
+	}
+	return 0
+}
+
+// notReady gives the refusal for a host without settings.
+func (d *Daemon) notReady() *request.Refusal {
+	if d.holder.Current() != nil {
+		return nil
+	}
+	return &request.Refusal{Reason: request.ReasonNotReady, Ran: request.RanNo, Detail: d.Problem()}
+}
+
+// Problem tells why the host is not ready, or is empty.
+func (d *Daemon) Problem() string {
+	switch {
+	case d.draining.Load():
+		return "the host is leaving"
+	case d.holder.Current() == nil && d.follower.Problem() != nil:
+		return "no settings yet: " + d.follower.Problem().Error()
+	case d.holder.Current() == nil:
+		return "no settings yet"
+	}
+	return ""
+}
+
+func (d *Daemon) status() operator.Status {
+	problem := d.Problem()
+	status := operator.Status{
+		Host: d.config.Name, Zone: d.config.Zone, Version: Version, Revision: d.revision(), Ready: problem == "",
+		Problem: problem, Open: d.owner.Open(), Now: time.Now(),
+	}
+	for _, name := range d.shards.Names() {
+		d.shards.Inspect(name, func(core *schedule.Scheduler) {
+			status.Shards = append(status.Shards, operator.ShardStatus{Name: name, Waiting: core.Waiting(), Running: core.Running()})
+		})
+	}
+	return status
+}
+
+// Launch builds and starts a daemon. Stop the application to end it.
+func Launch(ctx context.Context, config hostconfig.Host, log *logrus.Logger) (*Daemon, *fx.App, error) {
+	var d *Daemon
+	app := fx.New(Options(config, log), fx.Populate(&d))
+	if err := app.Start(ctx); err != nil {
+		return nil, nil, merry.Wrap(err)
+	}
+	return d, app, nil
+}
--- /dev/null
+++ b/internal/demo/load.go
@@ -0,0 +1,280 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/tidwall/gjson"
+	"github.com/tmaxmax/go-sse"
+
+	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+	"oxbowslip.dev/oxbowslip/internal/standin"
+)
+
+// Source is one class's part of the load.
+type Source struct {
+	Class     string
+	Workspace string
+	// Rate is the mean number of requests a second.
+	Rate float64
+	// Model is set for chat requests; Service and Path for calls.
+	Model   string
+	Service string
+	Method  string
+	Path    string
+	Stream  bool
+	// PromptWords and AnswerTokens are means.
+	PromptWords  int
+	AnswerTokens int
+}
+
+// DefaultSources is a mixed load of both users' classes.
+var DefaultSources = []Source{
+	{Class: "skipper-question", Workspace: "towpath-hire", Rate: 6, Model: "voyage", Stream: true, PromptWords: 30, AnswerTokens: 30},
+	{Class: "itinerary", Workspace: "prairie-boats", Rate: 3, Model: "voyage", Stream: true, PromptWords: 300, AnswerTokens: 90},
+	{Class: "handback-summary", Workspace: "towpath-hire", Rate: 2, Model: "voyage", PromptWords: 400, AnswerTokens: 60},
+	{Class: "booking-confirmation", Workspace: "prairie-boats", Rate: 5, Service: "booking", Method: http.MethodPost, Path: "/confirm"},
+	{Class: "triage-summary", Workspace: "harbour-bank", Rate: 3, Model: "triage", Stream: true, PromptWords: 800, AnswerTokens: 60},
+	{Class: "root-cause-digest", Workspace: "harbour-bank", Rate: 1, Model: "triage", PromptWords: 600, AnswerTokens: 120},
+	{Class: "fingerprint-lookup", Workspace: "harbour-bank", Rate: 4, Service: "tracker", Method: http.MethodGet, Path: "/fingerprints/7"},
+	{Class: "issue-fetch", Workspace: "harbour-bank", Rate: 4, Service: "tracker", Method: http.MethodGet, Path: "/issues/12"},
+}
+
+// Sample is what became of one request.
+type Sample struct {
+	Source Source
+	ID     string
+	Status int
+	// Answered says that the whole answer came and was right.
+	Answered bool
+	// Wrong says what was wrong with an answer that claimed to be whole.
+	Wrong  string
+	Reason request.Reason
+	Ran    request.Ran
+	// Broken says that the answer broke off and the caller could tell.
+	Broken     bool
+	Begun      time.Time
+	FirstToken time.Duration
+	Whole      time.Duration
+	Tokens     int
+	Host       *Host
+}
+
+// load sends the sources' requests for a time and collects the samples.
+type load struct {
+	cluster *Cluster
+	client  *http.Client
+	mu      sync.Mutex
+	samples []Sample
+	waiting sync.WaitGroup
+}
+
+func newLoad(c *Cluster) *load {
+	return &load{cluster: c, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}}
+}
+
+// run sends every source's requests until ctx ends, and waits for the answers.
+func (l *load) run(ctx context.Context, seed uint64, sources []Source) []Sample {
+	var senders sync.WaitGroup
+	for i, source := range sources {
+		senders.Go(func() { l.send(ctx, rand.New(rand.NewPCG(seed, uint64(i))), source) })
+	}
+	senders.Wait()
+	l.waiting.Wait()
+	l.client.CloseIdleConnections()
+	return l.samples
+}
+
+// send begins requests at random times, whether earlier ones were answered or
+// not.
+func (l *load) send(ctx context.Context, random *rand.Rand, source Source) {
+	for n := 0; ; n++ {
+		gap := time.Duration(random.ExpFloat64() / source.Rate * float64(time.Second))
+		select {
+		case <-time.After(gap):
+		case <-ctx.Done():
+			return
+		}
+		body := source.body(random, n)
+		l.waiting.Go(func() {
+			sample := l.one(source, body)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.samples = append(l.samples, sample)
+		})
+	}
+}
+
+// chatBody is a chat request of the load.
+type chatBody struct {
+	Model    string        `json:"model"`
+	Stream   bool          `json:"stream"`
+	Messages []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// body makes the request's body and the text that its answer must have.
+type body struct {
+	data []byte
+	want string
+}
+
+func (s Source) body(random *rand.Rand, n int) body {
+	if s.Model == "" {
+		text := fmt.Sprintf("%s %d %d", s.Class, n, random.Uint64())
+		return body{data: []byte(text), want: s.Method + " " + s.Path + "\n" + text}
+	}
+	words := 1 + int(random.ExpFloat64()*float64(s.PromptWords))
+	answer := min(1+int(random.ExpFloat64()*float64(s.AnswerTokens)), 400)
+	prompt := fmt.Sprintf("%s %d answer_tokens=%d ", s.Class, random.Uint64(), answer) + strings.Repeat("word ", words)
+	chat := chatBody{Model: s.Model, Stream: s.Stream, Messages: []chatMessage{{Role: "user", Content: prompt}}}
+	data, err := json.Marshal(chat)
+	if err != nil {
+		panic(err) // Plain structs always marshal.
+	}
+	return body{data: data, want: standin.Answer([]byte(gjson.GetBytes(data, "messages").Raw), answer)}
+}
+
+// one sends one request and checks its answer.
+func (l *load) one(source Source, b body) Sample {
+	sample := Sample{Source: source, Begun: time.Now()}
+	host, ok := l.cluster.Pick()
+	if !ok {
+		sample.Reason, sample.Ran = request.ReasonNotReady, request.RanNo
+		return sample
+	}
+	sample.Host = host
+	response, err := l.client.Do(source.request(host.Daemon.CallersAddress(), b.data))
+	if err != nil {
+		sample.Broken = true
+		return sample
+	}
+	defer response.Body.Close()
+	sample.ID = response.Header.Get("X-Request-Id")
+	sample.Status = response.StatusCode
+	if response.StatusCode != http.StatusOK {
+		sample.refused(response)
+		return sample
+	}
+	var text string
+	if source.Stream {
+		text, err = sample.readStream(response.Body)
+	} else {
+		text, err = sample.readWhole(response.Body)
+	}
+	sample.Whole = time.Since(sample.Begun)
+	switch {
+	case err != nil:
+		sample.Broken = true
+	case text != b.want:
+		sample.Wrong = fmt.Sprintf("got %d bytes, wanted %d", len(text), len(b.want))
+	default:
+		sample.Answered = true
+	}
+	return sample
+}
+
+func (s Source) request(address string, data []byte) *http.Request {
+	method, path := http.MethodPost, "/v1/chat/completions"
+	if s.Service != "" {
+		method, path = s.Method, "/v1/services/"+s.Service+s.Path
+	}
+	r, err := http.NewRequest(method, "http://"+address+path, io.NopCloser(bytes.NewReader(data)))
+	if err != nil {
+		panic(err) // The sources' paths are constants.
+	}
+	r.ContentLength = int64(len(data))
+	r.Header.Set("Authorization", "Bearer "+CallerKey(s.Workspace))
+	r.Header.Set("X-Request-Class", s.Class)
+	r.Header.Set("Content-Type", "application/json")
+	return r
+}
+
+func (s *Sample) refused(response *http.Response) {
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		s.Broken = true
+		return
+	}
+	s.Reason = request.Reason(gjson.GetBytes(data, "error.reason").Str)
+	s.Ran = request.Ran(gjson.GetBytes(data, "error.ran").Str)
+}
+
+var errNoEnd = errors.New("no end mark")
+
+func (s *Sample) readStream(r io.Reader) (string, error) {
+	var text strings.Builder
+	for event, err := range sse.Read(r, nil) {
+		if err != nil {
+			return "", err
+		}
+		if event.Data == "[DONE]" {
+			return text.String(), nil
+		}
+		if fault := gjson.Get(event.Data, "error"); fault.Exists() {
+			s.Reason = request.Reason(fault.Get("reason").Str)
+			s.Ran = request.Ran(fault.Get("ran").Str)
+			return "", errNoEnd
+		}
+		if s.Tokens == 0 {
+			s.FirstToken = time.Since(s.Begun)
+		}
+		s.Tokens++
+		text.WriteString(gjson.Get(event.Data, "choices.0.delta.content").Str)
+	}
+	return "", errNoEnd
+}
+
+func (s *Sample) readWhole(r io.Reader) (string, error) {
+	data, err := io.ReadAll(r)
+	if err != nil {
+		return "", err
+	}
+	if s.Source.Service != "" {
+		return string(data), nil
+	}
+	s.Tokens = int(gjson.GetBytes(data, "usage.completion_tokens").Int())
+	return gjson.GetBytes(data, "choices.0.message.content").Str, nil
+}
+
+// attained reports whether the answer met its class's targets as the caller
+// saw it.
+func (s *Sample) attained(policy *settings.Policy) bool {
+	if !s.Answered {
+		return false
+	}
+	if policy.WholeAnswer > 0 && s.Whole > policy.WholeAnswer {
+		return false
+	}
+	if !s.Source.Stream {
+		return true
+	}
+	if policy.FirstToken > 0 && s.FirstToken > policy.FirstToken {
+		return false
+	}
+	return s.Tokens < 2 || policy.BetweenTokens == 0 ||
+		(s.Whole-s.FirstToken)/time.Duration(s.Tokens-1) <= policy.BetweenTokens
+}
+
+// target is a class's targets in short.
+func target(policy *settings.Policy) string {
+	if policy.WholeAnswer > 0 {
+		return "whole " + policy.WholeAnswer.String()
+	}
+	return policy.FirstToken.String() + " +" + strconv.FormatInt(policy.BetweenTokens.Milliseconds(), 10) + "ms"
+}
--- /dev/null
+++ b/internal/emulator/cache.go
@@ -0,0 +1,56 @@
+package emulator
+
+import "container/list"
+
+// prefixCache holds the prefixes of prompts that were read, the least recently
+// used first to go. One entry stands for PrefixTokens tokens.
+type prefixCache struct {
+	entries map[uint64]*list.Element
+	recent  *list.List
+	// evicted collects hashes that were dropped since the last Evicted.
+	evicted []uint64
+}
+
+func newPrefixCache() *prefixCache {
+	return &prefixCache{entries: make(map[uint64]*list.Element), recent: list.New()}
+}
+
+// match counts the leading entries that are in the cache.
+func (c *prefixCache) match(prefix []uint64) int {
+	for i, hash := range prefix {
+		element, ok := c.entries[hash]
+		if !ok {
+			return i
+		}
+		c.recent.MoveToFront(element)
+	}
+	return len(prefix)
+}
+
+func (c *prefixCache) put(prefix []uint64) {
+	// The longest part is the first to go, so it is put in first.
+	for i := len(prefix) - 1; i >= 0; i-- {
+		hash := prefix[i]
+		if element, ok := c.entries[hash]; ok {
+			c.recent.MoveToFront(element)
+			continue
+		}
+		c.entries[hash] = c.recent.PushFront(hash)
+	}
+}
+
+// shrink drops the least recently used entries until the rest fits.
+func (c *prefixCache) shrink(tokens int) {
+	for c.recent.Len()*PrefixTokens > max(tokens, 0) && c.recent.Len() > 0 {
+		hash := c.recent.Remove(c.recent.Back()).(uint64)
+		delete(c.entries, hash)
+		c.evicted = append(c.evicted, hash)
+	}
+}
+
+// Evicted gives the prefixes dropped since the last call.
+func (e *Engine) Evicted() []uint64 {
+	evicted := e.cache.evicted
+	e.cache.evicted = nil
+	return evicted
+}
--- /dev/null
+++ b/internal/endpoint/endpoint.go
@@ -0,0 +1,138 @@
+// Package endpoint sends calls to endpoints over HTTP. It never sends a call
+// twice, and it tells whether a call that failed may have reached the endpoint.
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// The kinds of failure. Test with errors.Is.
+var (
+	// ErrNotSent: no connection was made, so no byte was written.
+	ErrNotSent = merry.Sentinel("endpoint not reached")
+	// ErrBroken: the call may have reached the endpoint, and no answer came.
+	ErrBroken = merry.Sentinel("call broken")
+)
+
+const (
+	dialTimeout  = time.Second
+	idleTimeout  = 30 * time.Second
+	idlePerHost  = 64
+	headerLimit  = 64 << 10
+	writeBufSize = 8 << 10
+	readBufSize  = 8 << 10
+)
+
+// Call is one HTTP call to an endpoint.
+type Call struct {
+	Address string
+	Method  string
+	// Path is escaped, with the query.
+	Path   string
+	Header http.Header
+	// Body may be nil. Length is -1 if it is not known.
+	Body   io.Reader
+	Length int64
+	// Once marks a call that must not run twice. It gets a connection of its
+	// own: a kept one may be closed by the endpoint just as it is used, which
+	// would spend the only try.
+	Once bool
+	// OnSend is called when a connection is there, before the first byte can
+	// be written. It may be called more than once.
+	OnSend func()
+}
+
+// Client holds the connections to endpoints.
+type Client struct {
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+// New makes a client without connections.
+func New() *Client {
+	return &Client{kept: newTransport(false), fresh: newTransport(true)}
+}
+
+func newTransport(fresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableKeepAlives:      fresh,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: headerLimit,
+		WriteBufferSize:        writeBufSize,
+		ReadBufferSize:         readBufSize,
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() {
+	c.kept.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// onceBody hides all but Read, so that http.Transport can't find a way to read
+// the body again. With a body that it can't read again, the transport does not
+// resend by itself: it would resend a GET, or any call with an Idempotency-Key
+// header, on a kept connection that broke.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+type emptyReader struct{}
+
+func (emptyReader) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Do sends a call once. The error is ErrNotSent or ErrBroken with its cause.
+// Redirects are not followed.
+func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
+	target, err := url.Parse("http://" + call.Address + call.Path)
+	if err != nil {
+		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+	sent := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		sent = true
+		if call.OnSend != nil {
+			call.OnSend()
+		}
+	}}
+	body := call.Body
+	if body == nil {
+		body = emptyReader{}
+	}
+	request := (&http.Request{
+		Method:        call.Method,
+		URL:           target,
+		Header:        call.Header,
+		Body:          onceBody{body},
+		ContentLength: call.Length,
+		Host:          call.Address,
+	}).WithContext(httptrace.WithClientTrace(ctx, trace))
+	transport := c.kept
+	if call.Once {
+		transport = c.fresh
+	}
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		return response, nil
+	}
+	if sent {
+		return nil, merry.Wrap(ErrBroken, merry.WithCause(err))
+	}
+	return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+}
+
+// IsNotSent reports whether a call certainly did not reach its endpoint.
+func IsNotSent(err error) bool { return errors.Is(err, ErrNotSent) }
--- /dev/null
+++ b/internal/hostconfig/hostconfig.go
@@ -0,0 +1,126 @@
+// Package hostconfig reads the file that tells one daemon its name, its
+// addresses, its availability zone and where the platform is. All else comes
+// from the settings tree.
+package hostconfig
+
+import (
+	_ "embed"
+	"os"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"oxbowslip.dev/oxbowslip/internal/strictjson"
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+var schema = strictjson.MustCompile("host.json", schemaText)
+
+// Host is the file of one host.
+type Host struct {
+	Name   string `json:"name"`
+	Region string `json:"region,omitzero"`
+	Zone   string `json:"zone"`
+	// Callers, Operators and Peers are addresses to listen on. Port 0 picks a
+	// free port.
+	Callers      string        `json:"callers"`
+	Operators    string        `json:"operators"`
+	Peers        string        `json:"peers,omitzero"`
+	FirstPeers   []string      `json:"first_peers,omitzero"`
+	PeerKey      string        `json:"peer_key,omitzero"`
+	Platform     Platform      `json:"platform"`
+	OperatorKeys []OperatorKey `json:"operator_keys,omitzero"`
+	Log          Log           `json:"log,omitzero"`
+	Drain        Drain         `json:"drain,omitzero"`
+	// WriteTimeout bounds how long a caller may take to read what is ready.
+	WriteTimeout time.Duration `json:"write_timeout,omitzero"`
+}
+
+// Platform says where the platform's service is.
+type Platform struct {
+	Address string `json:"address"`
+	// Poll is the mean time between two reads of the settings' head.
+	Poll    time.Duration `json:"poll,omitzero"`
+	Timeout time.Duration `json:"timeout,omitzero"`
+}
+
+// OperatorRole is what an operator's key allows.
+type OperatorRole string
+
+// The roles of operators.
+const (
+	RoleRead   OperatorRole = "read"
+	RoleChange OperatorRole = "change"
+)
+
+// OperatorKey lets an operator use the operators' interface. Only its hash is
+// kept.
+type OperatorKey struct {
+	Name   string       `json:"name"`
+	SHA256 string       `json:"sha256"`
+	Role   OperatorRole `json:"role"`
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Level  string `json:"level,omitzero"`
+	Format string `json:"format,omitzero"`
+}
+
+// Drain says how a planned stop goes.
+type Drain struct {
+	// Notice is how long the host goes on accepting after its readiness has
+	// failed, for the balancer to see it.
+	Notice time.Duration `json:"notice,omitzero"`
+	// Limit bounds the whole stop.
+	Limit time.Duration `json:"limit,omitzero"`
+}
+
+// The values of what the file leaves out.
+const (
+	defaultPoll         = time.Second
+	defaultTimeout      = 2 * time.Second
+	defaultNotice       = 2 * time.Second
+	defaultLimit        = 10 * time.Minute
+	defaultWriteTimeout = 30 * time.Second
+)
+
+// Load reads and checks a host's file.
+func Load(path string) (Host, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Host{}, merry.Prepend(err, "read host settings")
+	}
+	return Decode(path, data)
+}
+
+// Decode checks a host's file and fills in what it leaves out. The error is a
+// *strictjson.Error with every fault.
+func Decode(document string, data []byte) (Host, error) {
+	host, err := strictjson.Decode[Host](schema, document, data)
+	if err != nil {
+		return Host{}, err
+	}
+	return host.WithDefaults(), nil
+}
+
+// WithDefaults fills in what is left out.
+func (h Host) WithDefaults() Host {
+	setDefault(&h.Platform.Poll, defaultPoll)
+	setDefault(&h.Platform.Timeout, defaultTimeout)
+	setDefault(&h.Drain.Notice, defaultNotice)
+	setDefault(&h.Drain.Limit, defaultLimit)
+	setDefault(&h.WriteTimeout, defaultWriteTimeout)
+	setDefault(&h.Log.Level, "info")
+	setDefault(&h.Log.Format, "text")
+	return h
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/inforce/inforce.go
@@ -0,0 +1,189 @@
+// Package inforce keeps the newest accepted settings in force on this host. It
+// polls the head row of the platform's table with jitter, reads the changes
+// since the revision that it has, and goes on with what it has while the
+// platform is away.
+package inforce
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-json-experiment/json"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/change"
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/platform"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// HeadKey is the row that names the newest revision.
+const HeadKey = "settings/head"
+
+// Head is the value of the head row.
+type Head struct {
+	Revision uint64 `json:"revision"`
+	// Snapshot is the revision of the newest whole tree in the object store.
+	Snapshot uint64 `json:"snapshot"`
+}
+
+// ChangeKey names the row of an accepted change.
+func ChangeKey(revision uint64) string {
+	return fmt.Sprintf("settings/change/%020d", revision)
+}
+
+// SnapshotName names the object that holds a whole revision.
+func SnapshotName(revision uint64) string {
+	return "settings-" + strconv.FormatUint(revision, 10)
+}
+
+// Follower keeps a holder up to date.
+type Follower struct {
+	client   *platform.Client
+	holder   *settings.Holder
+	counters *counters.Counters
+	log      *logrus.Entry
+	poll     time.Duration
+	random   func() float64
+
+	mu       sync.Mutex
+	document change.Document
+	// problem is why nothing newer is in force, or nil.
+	problem error
+	readAt  time.Time
+}
+
+// New makes a follower that has read nothing.
+func New(client *platform.Client, holder *settings.Holder, c *counters.Counters, log *logrus.Entry,
+	poll time.Duration, random func() float64,
+) *Follower {
+	return &Follower{client: client, holder: holder, counters: c, log: log, poll: poll, random: random}
+}
+
+// Problem tells why the last read brought nothing, or nil.
+func (f *Follower) Problem() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.problem
+}
+
+// Document gives the revision that the host has read.
+func (f *Follower) Document() change.Document {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.document
+}
+
+// Run polls until done is closed.
+func (f *Follower) Run(done <-chan struct{}) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-done
+		cancel()
+	}()
+	for {
+		f.Poll(ctx)
+		// Half to one and a half of the mean keeps the hosts apart.
+		timer := time.NewTimer(time.Duration((0.5 + f.random()) * float64(f.poll)))
+		select {
+		case <-done:
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// Poll reads the head once and puts what is new in force.
+func (f *Follower) Poll(ctx context.Context) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	err := f.advance(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil && f.problem == nil {
+		f.log.WithError(err).Warn("settings can't be read, the last ones stay in force")
+	}
+	f.problem = err
+}
+
+func (f *Follower) advance(ctx context.Context) error {
+	head, err := f.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	if head.Revision <= f.document.Revision {
+		return nil
+	}
+	document := f.document
+	if document.Revision < head.Snapshot {
+		if document, err = f.readSnapshot(ctx, head.Snapshot); err != nil {
+			return err
+		}
+	}
+	for document.Revision < head.Revision {
+		if document, err = f.readChange(ctx, document); err != nil {
+			return err
+		}
+	}
+	return f.put(document)
+}
+
+func (f *Follower) readHead(ctx context.Context) (Head, error) {
+	var head Head
+	row, err := f.client.Read(ctx, HeadKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return head, merry.New("the platform holds no settings yet")
+	}
+	if err != nil {
+		return head, err
+	}
+	if err := json.Unmarshal(row.Value, &head); err != nil {
+		return head, merry.Prepend(err, "settings head")
+	}
+	return head, nil
+}
+
+func (f *Follower) readSnapshot(ctx context.Context, revision uint64) (change.Document, error) {
+	data, err := f.client.GetObject(ctx, SnapshotName(revision))
+	if err != nil {
+		return change.Document{}, merry.Prepend(err, "settings snapshot")
+	}
+	canonical, err := change.Canonical(data)
+	return change.Document{Revision: revision, Data: canonical}, err
+}
+
+func (f *Follower) readChange(ctx context.Context, document change.Document) (change.Document, error) {
+	var c change.Change
+	row, err := f.client.Read(ctx, ChangeKey(document.Revision+1))
+	if err != nil {
+		return document, merry.Prepend(err, "settings change")
+	}
+	if err := json.Unmarshal(row.Value, &c); err != nil {
+		return document, merry.Prepend(err, "settings change")
+	}
+	return document.Apply(&c)
+}
+
+// put checks a revision and puts it in force. One that this program can't read
+// is left out, and the last one stays in force.
+func (f *Follower) put(document change.Document) error {
+	tree, err := document.Tree()
+	if err != nil {
+		f.counters.SettingsRejected.Inc()
+		return merry.Prependf(err, "revision %d can't be read by this program", document.Revision)
+	}
+	f.document = document
+	f.readAt = time.Now()
+	if f.holder.Offer(&settings.Revision{Number: document.Revision, Tree: tree}) {
+		f.log.WithField("revision", document.Revision).Info("settings in force")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,59 @@
+// Package logging makes the logger of a program. Each part of a program logs
+// short sentences with its own fixed prefix.
+package logging
+
+import (
+	"io"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+)
+
+// partField is the field that becomes the prefix.
+const partField = "part"
+
+// New makes a logger that writes to w. Level and format are those of a host's
+// settings.
+func New(w io.Writer, level, format string) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, merry.Prepend(err, "log level")
+	}
+	log := logrus.New()
+	log.SetOutput(w)
+	log.SetLevel(parsed)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	if format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	log.AddHook(prefixHook{})
+	return log, nil
+}
+
+// Part gives a logger whose messages begin with the part's name.
+func Part(log *logrus.Logger, part string) *logrus.Entry {
+	return log.WithField(partField, part)
+}
+
+// prefixHook moves the part from the fields to the front of the message.
+type prefixHook struct{}
+
+// Levels says that the hook is for all levels.
+func (prefixHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire changes the entry that is about to be written.
+func (prefixHook) Fire(entry *logrus.Entry) error {
+	part, ok := entry.Data[partField].(string)
+	if !ok {
+		return nil
+	}
+	data := make(logrus.Fields, len(entry.Data))
+	for key, value := range entry.Data {
+		if key != partField {
+			data[key] = value
+		}
+	}
+	entry.Data = data
+	entry.Message = part + ": " + entry.Message
+	return nil
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,167 @@
+// Package operator is the operators' interface of one daemon: health,
+// readiness, metrics, status and explanations.
+package operator
+
+import (
+	"crypto/subtle"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/gorilla/mux"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/hostconfig"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// ShardStatus is the state of one shard.
+type ShardStatus struct {
+	Name    string `json:"name"`
+	Waiting int    `json:"waiting"`
+	Running int    `json:"running"`
+}
+
+// Status is the state of one daemon.
+type Status struct {
+	Host     string        `json:"host"`
+	Zone     string        `json:"zone"`
+	Version  string        `json:"version"`
+	Revision uint64        `json:"revision"`
+	Ready    bool          `json:"ready"`
+	Problem  string        `json:"problem,omitzero"`
+	Open     int           `json:"open"`
+	Shards   []ShardStatus `json:"shards"`
+	Now      time.Time     `json:"now"`
+}
+
+// Problem is an error answer.
+type Problem struct {
+	Error string `json:"error"`
+}
+
+// Server answers operators.
+type Server struct {
+	keys     []hostconfig.OperatorKey
+	counters *counters.Counters
+	ring     *explain.Ring
+	settings *settings.Holder
+	status   func() Status
+}
+
+// New makes the operators' server.
+func New(keys []hostconfig.OperatorKey, c *counters.Counters, ring *explain.Ring, s *settings.Holder, status func() Status) *Server {
+	return &Server{keys: keys, counters: c, ring: ring, settings: s, status: status}
+}
+
+const readHeaderTime = 10 * time.Second
+
+// HTTP gives the HTTP server. Health, readiness and metrics need no key.
+func (s *Server) HTTP() *http.Server {
+	router := mux.NewRouter()
+	router.HandleFunc("/healthz", s.health).Methods(http.MethodGet)
+	router.HandleFunc("/readyz", s.ready).Methods(http.MethodGet)
+	router.HandleFunc("/metrics", s.metrics).Methods(http.MethodGet)
+	router.HandleFunc("/v1/status", s.with(hostconfig.RoleRead, s.showStatus)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/requests/{id}", s.with(hostconfig.RoleRead, s.explain)).Methods(http.MethodGet)
+	router.HandleFunc("/v1/settings/effective/{workspace}/{class:.+}", s.with(hostconfig.RoleRead, s.effective)).Methods(http.MethodGet)
+	return &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTime}
+}
+
+// with lets only operators pass whose key allows the role.
+func (s *Server) with(role hostconfig.OperatorRole, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		found := s.find(key)
+		switch {
+		case found == nil:
+			answer(w, http.StatusUnauthorized, Problem{Error: "send an operator's key as Authorization: Bearer KEY"})
+		case role == hostconfig.RoleChange && found.Role != hostconfig.RoleChange:
+			answer(w, http.StatusForbidden, Problem{Error: "this key may read, not change"})
+		default:
+			next(w, r)
+		}
+	}
+}
+
+// find compares all keys in constant time.
+func (s *Server) find(key string) *hostconfig.OperatorKey {
+	hash := []byte(settings.HashKey(key))
+	var found *hostconfig.OperatorKey
+	for i := range s.keys {
+		if subtle.ConstantTimeCompare(hash, []byte(s.keys[i].SHA256)) == 1 {
+			found = &s.keys[i]
+		}
+	}
+	return found
+}
+
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, struct {
+		OK bool `json:"ok"`
+	}{true})
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	status := s.status()
+	code := http.StatusOK
+	if !status.Ready {
+		code = http.StatusServiceUnavailable
+	}
+	answer(w, code, struct {
+		Ready   bool   `json:"ready"`
+		Problem string `json:"problem,omitzero"`
+	}{status.Ready, status.Problem})
+}
+
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	s.counters.Write(w)
+}
+
+func (s *Server) showStatus(w http.ResponseWriter, _ *http.Request) {
+	answer(w, http.StatusOK, s.status())
+}
+
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	id := mux.Vars(r)["id"]
+	record, ok := s.ring.Get(id)
+	if !ok {
+		answer(w, http.StatusNotFound, Problem{Error: "this host does not remember request " + id})
+		return
+	}
+	answer(w, http.StatusOK, record)
+}
+
+func (s *Server) effective(w http.ResponseWriter, r *http.Request) {
+	revision := s.settings.Current()
+	if revision == nil {
+		answer(w, http.StatusServiceUnavailable, Problem{Error: "no settings are in force yet"})
+		return
+	}
+	vars := mux.Vars(r)
+	list, ok := revision.Tree.Explain(vars["workspace"], vars["class"])
+	if !ok {
+		answer(w, http.StatusNotFound, Problem{Error: "no such workspace or class"})
+		return
+	}
+	answer(w, http.StatusOK, list)
+}
+
+func answer(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value, durationTexts, json.Deterministic(true))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A write that fails means that the operator is gone.
+	_, _ = w.Write(append(data, '\n'))
+}
+
+var durationTexts = json.WithMarshalers(json.MarshalFunc(func(d time.Duration) ([]byte, error) {
+	return []byte(`"` + d.String() + `"`), nil
+}))
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,219 @@
+// Package platform is the client of the platform's service: a transactional
+// table, an object store, a weight store and the list of hosts. Its protocol is
+// JSON over HTTP, described in docs/platform.md.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+)
+
+// The kinds of failure. Test with errors.Is.
+var (
+	// ErrUnavailable: no answer came. A write may have taken effect or not.
+	ErrUnavailable = merry.Sentinel("platform unavailable")
+	// ErrConflict: a condition of a transaction did not hold. Nothing was
+	// written.
+	ErrConflict = merry.Sentinel("transaction conflict")
+	// ErrNotFound: there is no such row or object.
+	ErrNotFound = merry.Sentinel("not found on the platform")
+	// ErrRejected: the platform found the call itself wrong.
+	ErrRejected = merry.Sentinel("platform rejected the call")
+)
+
+// Row is one row of the table.
+type Row struct {
+	Key string `json:"key"`
+	// Version grows with each write of the row; 0 means that it is absent.
+	Version uint64         `json:"version"`
+	Value   jsontext.Value `json:"value"`
+}
+
+// Condition holds if a row has the version; version 0 means absent.
+type Condition struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Write sets a row. A null value deletes it.
+type Write struct {
+	Key   string         `json:"key"`
+	Value jsontext.Value `json:"value"`
+}
+
+// Transaction is done whole or not at all.
+type Transaction struct {
+	If  []Condition `json:"if,omitzero"`
+	Set []Write     `json:"set"`
+}
+
+// Conflict lists the rows whose conditions did not hold, as they are.
+type Conflict struct {
+	Rows []Row `json:"rows"`
+}
+
+// HostState is a host's state in the platform's list.
+type HostState string
+
+// The states of a host.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// Host is one host of the platform's list.
+type Host struct {
+	Name  string    `json:"name"`
+	Peers string    `json:"peers"`
+	Zone  string    `json:"zone"`
+	State HostState `json:"state"`
+}
+
+// HostList is the platform's list, which lags.
+type HostList struct {
+	Hosts []Host `json:"hosts"`
+}
+
+// RowList is the answer to a listing.
+type RowList struct {
+	Rows []Row `json:"rows"`
+}
+
+// Paths of the platform's service.
+const (
+	PathRows         = "/v1/rows"
+	PathTransactions = "/v1/transactions"
+	PathObjects      = "/v1/objects/"
+	PathWeights      = "/v1/weights/"
+	PathHosts        = "/v1/hosts"
+)
+
+const maxAnswerBytes = 64 << 20
+
+// Client talks to the platform.
+type Client struct {
+	base   string
+	http   *http.Client
+	failed func()
+}
+
+// New makes a client. Failed is called for each call without an answer.
+func New(address string, timeout time.Duration, failed func()) *Client {
+	return &Client{
+		base:   "http://" + address,
+		http:   &http.Client{Timeout: timeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+		failed: failed,
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Read gives one row.
+func (c *Client) Read(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := c.call(ctx, http.MethodGet, PathRows+"/"+url.PathEscape(key), nil, &row)
+	return row, err
+}
+
+// List gives all rows whose keys begin with a prefix, sorted by key.
+func (c *Client) List(ctx context.Context, prefix string) ([]Row, error) {
+	var list RowList
+	err := c.call(ctx, http.MethodGet, PathRows+"?prefix="+url.QueryEscape(prefix), nil, &list)
+	return list.Rows, err
+}
+
+// Commit does a transaction. With ErrConflict it gives the rows in the way.
+// With ErrUnavailable it is not known whether the transaction took effect.
+func (c *Client) Commit(ctx context.Context, transaction Transaction) ([]Row, error) {
+	body, err := json.Marshal(transaction)
+	if err != nil {
+		return nil, merry.Wrap(ErrRejected, merry.WithCause(err))
+	}
+	var conflict Conflict
+	err = c.call(ctx, http.MethodPost, PathTransactions, body, &conflict)
+	return conflict.Rows, err
+}
+
+// GetObject reads an object.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	return c.do(ctx, http.MethodGet, PathObjects+url.PathEscape(name), nil)
+}
+
+// PutObject writes an object whole.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	_, err := c.do(ctx, http.MethodPut, PathObjects+url.PathEscape(name), data)
+	return err
+}
+
+// Hosts gives the platform's list of hosts.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	var list HostList
+	err := c.call(ctx, http.MethodGet, PathHosts, nil, &list)
+	return list.Hosts, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, result any) error {
+	data, err := c.do(ctx, method, path, body)
+	if err != nil && !errors.Is(err, ErrConflict) {
+		return err
+	}
+	if decodeErr := json.Unmarshal(data, result); decodeErr != nil {
+		return merry.Wrap(ErrUnavailable, merry.WithCause(decodeErr))
+	}
+	return err
+}
+
+// do makes one call. It gives the answer's body also for ErrConflict.
+func (c *Client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, nil)
+	if err != nil {
+		return nil, merry.Wrap(ErrRejected, merry.WithCause(err))
+	}
+	if body != nil {
+		// No GetBody: the transport must not send a write again by itself.
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		request.ContentLength = int64(len(body))
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, c.unavailable(err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, c.unavailable(err)
+	}
+	return data, c.statusError(response)
+}
+
+func (c *Client) statusError(response *http.Response) error {
+	switch status := response.StatusCode; {
+	case status < http.StatusBadRequest:
+		return nil
+	case status == http.StatusNotFound:
+		return merry.Wrap(ErrNotFound)
+	case status == http.StatusConflict:
+		return merry.Wrap(ErrConflict)
+	case status < http.StatusInternalServerError && status != http.StatusTooManyRequests:
+		return merry.Wrap(ErrRejected, merry.AppendMessage(response.Status))
+	default:
+		return c.unavailable(errors.New(response.Status))
+	}
+}
+
+func (c *Client) unavailable(err error) error {
+	if c.failed != nil {
+		c.failed()
+	}
+	return merry.Wrap(ErrUnavailable, merry.WithCause(err))
+}
--- /dev/null
+++ b/internal/prefix/prefix.go
@@ -0,0 +1,48 @@
+// Package prefix hashes the leading parts of a prompt, so that prompts that
+// begin alike can be sent where their beginning is likely to be cached.
+package prefix
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BytesPerToken is the assumed length of a token in a prompt's text.
+const BytesPerToken = 4
+
+// tokensPerPart matches schedule.PrefixTokens and emulator.PrefixTokens.
+const tokensPerPart = 256
+
+const bytesPerPart = tokensPerPart * BytesPerToken
+
+// maxParts bounds the parts of one prompt.
+const maxParts = 64
+
+// Tokens estimates the tokens of a prompt's text.
+func Tokens(text []byte) int {
+	return (len(text) + BytesPerToken - 1) / BytesPerToken
+}
+
+// Hashes gives the hash of each leading part of a text, the shortest first.
+// The salt is part of every hash, so that texts of different workspaces never
+// match.
+func Hashes(salt string, text []byte) []uint64 {
+	parts := min(len(text)/bytesPerPart, maxParts)
+	if parts == 0 {
+		return nil
+	}
+	hashes := make([]uint64, parts)
+	sum := xxhash.Sum64String(salt)
+	var chain [8]byte
+	digest := xxhash.New()
+	for i := range hashes {
+		digest.Reset()
+		binary.LittleEndian.PutUint64(chain[:], sum)
+		digest.Write(chain[:])
+		digest.Write(text[i*bytesPerPart : (i+1)*bytesPerPart])
+		sum = digest.Sum64()
+		hashes[i] = sum
+	}
+	return hashes
+}
--- /dev/null
+++ b/internal/request/reason.go
@@ -0,0 +1,101 @@
+// Package request holds the rules for the life of one request on the host that
+// owns it: when it may be sent, sent again, resumed or refused, and what the
+// caller is told. It does no input or output.
+package request
+
+import "time"
+
+// Reason says why a request was refused or broken off. The set is closed; each
+// reason has a counter.
+type Reason string
+
+// The reasons for a refusal, in the order of a request's way.
+const (
+	ReasonNotReady        Reason = "not_ready"
+	ReasonDraining        Reason = "draining"
+	ReasonUnknownKey      Reason = "unknown_key"
+	ReasonBadRequest      Reason = "bad_request"
+	ReasonBodyTooLarge    Reason = "body_too_large"
+	ReasonSlowCaller      Reason = "slow_caller"
+	ReasonUnknownClass    Reason = "unknown_class"
+	ReasonUnknownModel    Reason = "unknown_model"
+	ReasonUnknownService  Reason = "unknown_service"
+	ReasonKeyUsed         Reason = "idempotency_key_used"
+	ReasonClaimsAway      Reason = "claims_unavailable"
+	ReasonNoRoom          Reason = "no_room"
+	ReasonWorkspaceRoom   Reason = "workspace_room"
+	ReasonTooLate         Reason = "too_late"
+	ReasonMaxWait         Reason = "max_wait"
+	ReasonNoEndpoint      Reason = "no_endpoint"
+	ReasonNoScheduler     Reason = "no_scheduler"
+	ReasonCallerGone      Reason = "caller_gone"
+	ReasonNotStarted      Reason = "endpoint_not_started"
+	ReasonEndpointFailed  Reason = "endpoint_failed"
+	ReasonAnswerBroken    Reason = "answer_broken"
+	ReasonWrongAnswer     Reason = "wrong_answer"
+	ReasonRetryBudget     Reason = "retry_budget"
+	ReasonStopped         Reason = "stopped"
+	ReasonAnswerTooLarge  Reason = "answer_too_large"
+	ReasonInternal        Reason = "internal"
+	ReasonUnauthenticated Reason = "unauthenticated"
+)
+
+// Reasons lists every reason, so that each counter exists before its first
+// event.
+var Reasons = []Reason{
+	ReasonNotReady, ReasonDraining, ReasonUnknownKey, ReasonBadRequest,
+	ReasonBodyTooLarge, ReasonSlowCaller, ReasonUnknownClass,
+	ReasonUnknownModel, ReasonUnknownService, ReasonKeyUsed, ReasonClaimsAway,
+	ReasonNoRoom, ReasonWorkspaceRoom, ReasonTooLate, ReasonMaxWait,
+	ReasonNoEndpoint, ReasonNoScheduler, ReasonCallerGone, ReasonNotStarted,
+	ReasonEndpointFailed, ReasonAnswerBroken, ReasonWrongAnswer,
+	ReasonRetryBudget, ReasonStopped, ReasonAnswerTooLarge, ReasonInternal,
+	ReasonUnauthenticated,
+}
+
+// RetryReason says why a request was sent again, resumed or put back into the
+// queue. The set is closed; each reason has a counter.
+type RetryReason string
+
+// The reasons for a retry.
+const (
+	RetryDialFailed   RetryReason = "dial_failed"
+	RetryNotStarted   RetryReason = "not_started"
+	RetryBrokenAnswer RetryReason = "broken_answer"
+	RetryWrongAnswer  RetryReason = "wrong_answer"
+	RetryGrantVoid    RetryReason = "grant_void"
+	RetryResume       RetryReason = "resume"
+	RetryContinue     RetryReason = "continue"
+	RetryPreempted    RetryReason = "preempted"
+)
+
+// RetryReasons lists every retry reason.
+var RetryReasons = []RetryReason{
+	RetryDialFailed, RetryNotStarted, RetryBrokenAnswer, RetryWrongAnswer,
+	RetryGrantVoid, RetryResume, RetryContinue, RetryPreempted,
+}
+
+// Ran tells the caller whether a request that was not answered ran.
+type Ran string
+
+// The values of Ran. RanNo is a promise: no byte of the request was written to
+// an endpoint, or every endpoint that got it said that it did not start it.
+const (
+	RanNo      Ran = "no"
+	RanUnknown Ran = "unknown"
+)
+
+// Refusal is a request's end without a whole answer.
+type Refusal struct {
+	Reason Reason
+	Ran    Ran
+	// Detail is a sentence for the caller. It holds no contents of the request.
+	Detail string
+	// RetryAfter is when to come back; 0 means that coming back won't help.
+	RetryAfter time.Duration
+}
+
+// Error gives the reason, whether the request ran, and the detail.
+func (r *Refusal) Error() string {
+	return string(r.Reason) + " (ran: " + string(r.Ran) + "): " + r.Detail
+}
--- /dev/null
+++ b/internal/schedule/dispatch.go
@@ -0,0 +1,139 @@
+package schedule
+
+import "time"
+
+// maxAside bounds the requests passed over in one dispatch because no endpoint
+// with room suits them.
+const maxAside = 8
+
+// dispatch grants waiting requests while endpoints have room.
+func (s *Scheduler) dispatch(now time.Time) {
+	for s.waiting > 0 && s.endpoints.hasRoom(now) {
+		it, reason := s.nextWaiting(now)
+		if it == nil {
+			break
+		}
+		s.Steps++
+		it.predicted = s.predictLength(&it.request)
+		e := s.endpoints.choose(now, it, s.prefixes)
+		if e != nil {
+			s.grant(now, it, e, reason)
+			continue
+		}
+		if len(s.aside) == maxAside {
+			break
+		}
+		s.setAside(it)
+	}
+	s.takeBackAside(now)
+	s.considerPreemption(now)
+}
+
+// nextWaiting chooses the request to grant next: a class whose share is due,
+// else the highest tier's workspace with the least service. Flows that a limit
+// holds are parked on the way.
+func (s *Scheduler) nextWaiting(now time.Time) (*item, Reason) {
+	for {
+		it, reason := s.candidate(now)
+		if it == nil {
+			return nil, ""
+		}
+		l := s.limitOf(&it.request)
+		l.refill(now)
+		if !l.blocks(&it.request) {
+			return it, reason
+		}
+		s.park(it.flow, l)
+	}
+}
+
+func (s *Scheduler) candidate(now time.Time) (*item, Reason) {
+	if it := s.dueShare(); it != nil {
+		return it, ReasonShare
+	}
+	for tier := range s.tiers {
+		if it := s.bestOf(now, &s.tiers[tier]); it != nil {
+			return it, ReasonTier
+		}
+	}
+	return nil, ""
+}
+
+// bestOf chooses within a tier. A workspace's place may be out of date, as
+// requests become late with time; it is put right when it comes to the front.
+func (s *Scheduler) bestOf(now time.Time, t *tierQueue) *item {
+	for {
+		w, ok := t.ready.first()
+		if !ok {
+			return nil
+		}
+		s.Steps++
+		it, onTime := w.pick(now, !s.options.NoLateLane)
+		if onTime == w.onTime {
+			return it
+		}
+		w.onTime = onTime
+		t.ready.put(w)
+	}
+}
+
+// grant gives a waiting request a place at an endpoint.
+func (s *Scheduler) grant(now time.Time, it *item, e *endpoint, reason Reason) {
+	r := &it.request
+	f := it.flow
+	figures := Figures{
+		Waited:              now.Sub(r.Arrived),
+		WaitingAhead:        s.waitingAtOrAbove(r.Tier) - 1,
+		WaitingBelow:        s.waiting - s.waitingAtOrAbove(r.Tier),
+		PredictedFirstToken: e.predictFirstToken(now, r, s.prefixes),
+		InFlight:            e.inFlight(),
+		Limit:               e.limit,
+	}
+	s.removeWaiting(it)
+	it.predicted = s.predictLength(r)
+	it.uncached = e.uncached(r, s.prefixes)
+	figures.CachedTokens = r.PromptTokens - it.uncached
+	figures.AnswerTokens = it.predicted
+	s.bookService(it, f)
+	s.refresh(now, f)
+	s.limitOf(r).use(it.predicted)
+	s.endpoints.take(now, it, e)
+	s.prefixes.granted(r, e)
+	it.due = now.Add(s.options.GrantTime)
+	s.expiry.put(it)
+	s.decisions = append(s.decisions, Decision{
+		Kind:     Grant,
+		ID:       r.ID,
+		Owner:    r.Owner,
+		Endpoint: e.ID,
+		Reason:   reason,
+		Until:    it.due,
+		Figures:  figures,
+	})
+	s.accountShare(now, it, reason)
+}
+
+// bookService charges a grant to its workspace's part of the tier.
+func (s *Scheduler) bookService(it *item, f *flow) {
+	t := &s.tiers[f.key.tier]
+	t.service = max(t.service, f.workspace.service)
+	f.workspace.service += s.work(it) / f.workspace.weight
+}
+
+// setAside passes over a request until the dispatch ends.
+func (s *Scheduler) setAside(it *item) {
+	s.aside = append(s.aside, it)
+	f := it.flow
+	f.items.Delete(it)
+	s.tiers[f.key.tier].update(f.workspace)
+}
+
+// takeBackAside puts the passed-over requests back into their places.
+func (s *Scheduler) takeBackAside(now time.Time) {
+	for i, it := range s.aside {
+		it.flow.items.Set(it)
+		s.refresh(now, it.flow)
+		s.aside[i] = nil
+	}
+	s.aside = s.aside[:0]
+}
--- /dev/null
+++ b/internal/schedule/endpoint.go
@@ -0,0 +1,222 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// The constants of the learned limits.
+const (
+	firstLimit   = 4
+	largestLimit = 512
+	// judgeTime and judgeSamples are how long one judgement of an engine
+	// gathers measurements.
+	judgeTime    = 500 * time.Millisecond
+	judgeSamples = 8
+	// targetHeadroom keeps the mean below the target, so that most requests
+	// meet it.
+	targetHeadroom = 0.92
+	// looseBetween is the target of an engine whose requests have none.
+	looseBetween = 48 * time.Millisecond
+	// cacheHeadroom is the part of the cache memory that is granted.
+	cacheHeadroom = 0.92
+	// firstPrefillCost is the first guess of the time for a prompt token.
+	firstPrefillCost = 80 * time.Microsecond
+	// firstBetween is the first guess of the time for a token of an answer.
+	firstBetween = 25 * time.Millisecond
+)
+
+// endpoint is an endpoint with what was learned of it.
+type endpoint struct {
+	Endpoint
+	gone    bool
+	index   int
+	running []*item
+
+	limit     float64
+	slowStart bool
+	between   time.Duration
+	prefill   time.Duration
+	// prefillUntil is when the prompts that were sent are read.
+	prefillUntil time.Time
+	cacheUsed    int
+
+	// The measurements since the last judgement.
+	window      time.Duration
+	windowSteps int
+	judgedAt    time.Time
+	heardAt     time.Time
+
+	health health
+}
+
+func newEndpoint(now time.Time, config Endpoint, options Options) *endpoint {
+	e := &endpoint{
+		Endpoint:  config,
+		limit:     firstLimit,
+		slowStart: true,
+		between:   firstBetween,
+		prefill:   firstPrefillCost,
+		judgedAt:  now,
+		heardAt:   now,
+	}
+	if !config.Engine {
+		e.limit = largestLimit
+	}
+	if options.FixedLimit > 0 {
+		e.limit = float64(options.FixedLimit)
+	}
+	return e
+}
+
+func (e *endpoint) inFlight() int { return len(e.running) }
+
+// usable reports whether the endpoint may get new work.
+func (e *endpoint) usable() bool { return !e.gone && !e.health.ejected }
+
+// bound is the number of requests that the endpoint may have at a time.
+func (e *endpoint) bound() float64 {
+	limit := e.limit
+	if e.health.probing {
+		limit = 1
+	}
+	if e.MaxInFlight > 0 {
+		limit = min(limit, float64(e.MaxInFlight))
+	}
+	return limit
+}
+
+func (e *endpoint) load() float64 {
+	return float64(len(e.running)) / e.bound()
+}
+
+func (e *endpoint) hasRoom() bool {
+	return e.usable() && float64(len(e.running)+1) <= e.bound()
+}
+
+// fits reports whether a request may be granted now: there is a place, cache
+// memory for its prompt and predicted answer, and little prefill ahead.
+func (e *endpoint) fits(now time.Time, it *item, o *Options, need int) bool {
+	if !e.hasRoom() || slices.Contains(it.request.Avoid, e.ID) {
+		return false
+	}
+	if len(e.running) == 0 {
+		return true
+	}
+	if e.CacheTokens > 0 && float64(e.cacheUsed+need) > cacheHeadroom*float64(e.CacheTokens) {
+		return false
+	}
+	return e.prefillUntil.Sub(now) <= o.PrefillAhead
+}
+
+// uncached is the part of a prompt that the endpoint must read.
+func (e *endpoint) uncached(r *Request, prefixes *prefixTable) int {
+	holder, cached := prefixes.longest(r)
+	if holder != e {
+		return r.PromptTokens
+	}
+	return r.PromptTokens - cached
+}
+
+// predictFirstToken estimates the time to the first token of a request that is
+// sent now.
+func (e *endpoint) predictFirstToken(now time.Time, r *Request, prefixes *prefixTable) time.Duration {
+	if !e.Engine {
+		return 0
+	}
+	ahead := max(0, e.prefillUntil.Sub(now))
+	return ahead + time.Duration(e.uncached(r, prefixes))*e.prefill + e.between
+}
+
+// take books a granted request.
+func (e *endpoint) take(now time.Time, it *item) {
+	it.endpoint = e
+	it.endpointIndex = len(e.running)
+	e.running = append(e.running, it)
+	e.cacheUsed += it.request.PromptTokens + it.predicted
+	e.prefillUntil = latest(e.prefillUntil, now).Add(time.Duration(it.uncached) * e.prefill)
+}
+
+// drop takes a request out of the books.
+func (e *endpoint) drop(it *item) {
+	last := len(e.running) - 1
+	e.running[it.endpointIndex] = e.running[last]
+	e.running[it.endpointIndex].endpointIndex = it.endpointIndex
+	e.running[last] = nil
+	e.running = e.running[:last]
+	e.cacheUsed -= it.request.PromptTokens + it.predicted
+	it.endpoint = nil
+	if last == 0 {
+		e.prefillUntil = time.Time{}
+	}
+}
+
+// learnPrefillTokens is the least prompt that tells something about the cost
+// of reading one.
+const learnPrefillTokens = 128
+
+// firstToken learns the cost of reading prompts.
+func (e *endpoint) firstToken(now time.Time, it *item) {
+	e.heardAt = now
+	if it.uncached < learnPrefillTokens || !it.started {
+		return
+	}
+	read := now.Sub(it.sentAt) - e.between
+	cost := max(0, read) / time.Duration(it.uncached)
+	// Prompts before this one are in the measured time too, so a sample far
+	// above the estimate counts as twice the estimate at most.
+	cost = min(cost, 2*e.prefill)
+	e.prefill += (cost - e.prefill) / 16
+	e.prefill = max(e.prefill, time.Microsecond)
+}
+
+// progress learns the time between tokens, and corrects the predicted length.
+func (e *endpoint) progress(now time.Time, it *item, tokens int) {
+	e.heardAt = now
+	steps := tokens - it.measuredTokens
+	e.window += now.Sub(it.measuredAt)
+	e.windowSteps += steps
+	it.measuredAt = now
+	it.measuredTokens = tokens
+	if tokens > it.predicted {
+		longer := tokens + tokens/4
+		e.cacheUsed += longer - it.predicted
+		it.predicted = longer
+	}
+}
+
+// strictest is the least target between tokens of the running requests.
+func (e *endpoint) strictest() time.Duration {
+	target := looseBetween
+	for _, it := range e.running {
+		if b := it.request.BetweenTokens; b > 0 && b < target {
+			target = b
+		}
+	}
+	return target
+}
+
+// adapt moves the learned limit after a judgement: down in proportion when the
+// engine is slower than the target, up when it is full and has time to spare.
+func (e *endpoint) adapt(mean time.Duration) {
+	target := float64(e.strictest()) * targetHeadroom
+	ratio := target / float64(mean)
+	full := float64(len(e.running)) >= 0.8*e.limit
+	switch {
+	case ratio < 1:
+		e.slowStart = false
+		e.limit = min(e.limit, float64(len(e.running))) * max(0.7, ratio)
+	case full && e.slowStart:
+		e.limit *= 1.5
+	case full:
+		e.limit += max(0.5, min(2, e.limit*(ratio-1)*0.25))
+	}
+	e.limit = min(max(e.limit, 1), largestLimit)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/schedule/endpoints.go
@@ -0,0 +1,177 @@
+package schedule
+
+import (
+	"time"
+)
+
+// candidates is how many of the least loaded endpoints are compared for a
+// request. They are the top of the heap, so that the cost does not grow with
+// the shard.
+const candidates = 7
+
+// endpointSet holds the endpoints of the shard, the least loaded first.
+type endpointSet struct {
+	options    Options
+	byID       map[string]*endpoint
+	order      []*endpoint
+	byLoad     indexedHeap[*endpoint]
+	preempting int
+	scratch    []time.Duration
+}
+
+func newEndpointSet(options Options) endpointSet {
+	return endpointSet{
+		options: options,
+		byID:    make(map[string]*endpoint),
+		byLoad: indexedHeap[*endpoint]{
+			index: func(e *endpoint) *int { return &e.index },
+			less: func(a, b *endpoint) bool {
+				if a.load() != b.load() {
+					return a.load() < b.load()
+				}
+				return a.ID < b.ID
+			},
+		},
+	}
+}
+
+func (s *endpointSet) count() int { return len(s.order) }
+
+// set replaces the endpoints and keeps what was learned of those that stay.
+func (s *endpointSet) set(now time.Time, configs []Endpoint) {
+	old := s.byID
+	s.byID = make(map[string]*endpoint, len(configs))
+	s.order = s.order[:0]
+	for _, config := range configs {
+		e, ok := old[config.ID]
+		if !ok {
+			e = newEndpoint(now, config, s.options)
+		}
+		delete(old, config.ID)
+		e.Endpoint = config
+		s.byID[config.ID] = e
+		s.order = append(s.order, e)
+		s.place(e)
+	}
+	for _, e := range old {
+		e.gone = true
+		s.byLoad.remove(e)
+	}
+}
+
+// place moves an endpoint to its place by load.
+func (s *endpointSet) place(e *endpoint) {
+	if !e.usable() {
+		s.byLoad.remove(e)
+		return
+	}
+	s.byLoad.put(e)
+}
+
+// hasRoom reports whether any endpoint has a place.
+func (s *endpointSet) hasRoom(time.Time) bool {
+	e, ok := s.byLoad.first()
+	return ok && e.hasRoom()
+}
+
+// choose gives the endpoint with the least predicted time to the first token,
+// of the least loaded ones and the one that is likely to have the prompt's
+// prefix in its cache.
+func (s *endpointSet) choose(now time.Time, it *item, prefixes *prefixTable) *endpoint {
+	r := &it.request
+	need := r.PromptTokens + it.predicted
+	var best *endpoint
+	var bestCost time.Duration
+	consider := func(e *endpoint) {
+		if !e.fits(now, it, &s.options, need) {
+			return
+		}
+		cost := s.cost(now, r, e, prefixes)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	for i := range min(candidates, len(s.byLoad.elements)) {
+		consider(s.byLoad.elements[i])
+	}
+	if s.options.NoPrefix {
+		return best
+	}
+	if holder, _ := prefixes.longest(r); holder != nil && holder.usable() {
+		consider(holder)
+	}
+	return best
+}
+
+// loadCost weighs a full endpoint against an empty one: the more requests an
+// engine has, the slower are the tokens of all of them.
+const loadCost = 50 * time.Millisecond
+
+func (s *endpointSet) cost(now time.Time, r *Request, e *endpoint, prefixes *prefixTable) time.Duration {
+	cost := e.predictFirstToken(now, r, prefixes)
+	if s.options.NoPrefix {
+		cost += time.Duration(r.PromptTokens-e.uncached(r, prefixes)) * e.prefill
+	}
+	if r.Zone != "" && r.Zone != e.Zone {
+		cost += s.options.ZoneCost
+	}
+	return cost + time.Duration(e.load()*float64(loadCost))
+}
+
+// leastLoaded gives the usable endpoint with the least load, whether it has
+// room or not.
+func (s *endpointSet) leastLoaded(_ time.Time, r *Request) *endpoint {
+	for _, e := range s.byLoad.elements {
+		avoided := false
+		for _, id := range r.Avoid {
+			avoided = avoided || id == e.ID
+		}
+		if !avoided {
+			return e
+		}
+	}
+	return nil
+}
+
+func (s *endpointSet) take(now time.Time, it *item, e *endpoint) {
+	if len(e.running) == 0 {
+		e.heardAt = now
+	}
+	e.take(now, it)
+	s.place(e)
+}
+
+func (s *endpointSet) release(now time.Time, it *item, result Result) {
+	e := it.endpoint
+	if it.preempting {
+		s.preempting--
+	}
+	e.drop(it)
+	e.health.finished(result)
+	if e.health.failures >= failuresInRow || (e.health.probing && result == Failed) {
+		s.eject(now, e, EjectFailing)
+	}
+	s.place(e)
+}
+
+// leastFirstToken is the time to the first token at an idle engine.
+func (s *endpointSet) leastFirstToken(r *Request) time.Duration {
+	if len(s.order) == 0 || !s.order[0].Engine {
+		return 0
+	}
+	best := s.order[0]
+	for _, e := range s.order[1:min(candidates, len(s.order))] {
+		if e.prefill < best.prefill {
+			best = e
+		}
+	}
+	return time.Duration(r.PromptTokens)*best.prefill + best.between
+}
+
+// leastAnswer is the time for an answer of so many tokens.
+func (s *endpointSet) leastAnswer(tokens int) time.Duration {
+	if len(s.order) == 0 || !s.order[0].Engine {
+		return 0
+	}
+	return time.Duration(tokens) * s.medianBetween()
+}
--- /dev/null
+++ b/internal/schedule/health.go
@@ -0,0 +1,160 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// The constants of ejection.
+const (
+	// slowFactor is how much slower than its peers' median an engine may be.
+	slowFactor = 2.0
+	// failuresInRow is how many failures in a row eject an endpoint.
+	failuresInRow = 3
+	// maxEjected is the part of a shard that may be ejected. With more bad than
+	// that, all are used: a fault that all share is not the endpoints' own.
+	maxEjected = 0.3
+	// silentTime is how long an engine with running requests may say nothing.
+	silentTime   = 3 * time.Second
+	firstEjected = 2 * time.Second
+	longEjected  = 30 * time.Second
+	// probeAnswers is how many answers in a row end the probing.
+	probeAnswers = 2
+)
+
+// health tells whether an endpoint is fit to get work.
+type health struct {
+	ejected bool
+	// probing says that the endpoint is back with one request at a time.
+	probing  bool
+	until    time.Time
+	period   time.Duration
+	failures int
+	answers  int
+	reason   EjectReason
+}
+
+// EjectReason says why an endpoint gets no work for a while.
+type EjectReason string
+
+// The reasons for an ejection.
+const (
+	EjectFailing EjectReason = "failing"
+	EjectSlow    EjectReason = "slow"
+	EjectSilent  EjectReason = "silent"
+)
+
+// finished counts an end of a request at the endpoint.
+func (h *health) finished(result Result) {
+	switch result {
+	case Failed:
+		h.failures++
+		h.answers = 0
+	case Answered:
+		h.failures = 0
+		h.answers++
+		if h.probing && h.answers >= probeAnswers {
+			h.probing = false
+			h.period = 0
+		}
+	}
+}
+
+// eject takes an endpoint out for a while, twice as long each time in a row.
+func (s *endpointSet) eject(now time.Time, e *endpoint, reason EjectReason) {
+	if s.options.NoEjection || !e.usable() || !s.mayEject() {
+		return
+	}
+	h := &e.health
+	h.period = min(max(2*h.period, firstEjected), longEjected)
+	h.ejected = true
+	h.probing = false
+	h.until = now.Add(h.period)
+	h.reason = reason
+	h.answers = 0
+	h.failures = 0
+	s.place(e)
+}
+
+// mayEject reports whether one more endpoint may be taken out.
+func (s *endpointSet) mayEject() bool {
+	ejected := 1
+	for _, e := range s.order {
+		if e.health.ejected || e.health.probing {
+			ejected++
+		}
+	}
+	return float64(ejected) <= max(1, maxEjected*float64(len(s.order))) && len(s.order) > 1
+}
+
+// readmit takes an endpoint back for a probe, with a limit that starts low.
+func (s *endpointSet) readmit(now time.Time, e *endpoint) {
+	e.health.ejected = false
+	e.health.probing = true
+	e.heardAt = now
+	if e.Engine && s.options.FixedLimit == 0 {
+		e.limit = firstLimit
+		e.slowStart = true
+	}
+	e.between = s.medianBetween()
+	s.place(e)
+}
+
+// tick ends ejections and ejects engines that say nothing.
+func (s *endpointSet) tick(now time.Time) {
+	for _, e := range s.order {
+		if e.health.ejected && !now.Before(e.health.until) {
+			s.readmit(now, e)
+		}
+		if e.silent(now) {
+			s.eject(now, e, EjectSilent)
+		}
+	}
+}
+
+// silent reports whether an engine owes tokens and has brought none for long.
+func (e *endpoint) silent(now time.Time) bool {
+	if !e.Engine || e.health.ejected || now.Sub(e.heardAt) < silentTime {
+		return false
+	}
+	for _, it := range e.running {
+		if it.firstToken && now.Sub(it.measuredAt) >= silentTime {
+			return true
+		}
+	}
+	return false
+}
+
+// judge moves an engine's limit and ejects it if it is much slower than its
+// peers.
+func (s *endpointSet) judge(now time.Time, e *endpoint) {
+	if e.windowSteps < judgeSamples || now.Sub(e.judgedAt) < judgeTime {
+		return
+	}
+	mean := e.window / time.Duration(e.windowSteps)
+	e.between += (mean - e.between) / 2
+	if s.options.FixedLimit == 0 {
+		e.adapt(mean)
+	}
+	e.window, e.windowSteps = 0, 0
+	e.judgedAt = now
+	if median := s.medianBetween(); float64(e.between) > slowFactor*float64(median) {
+		s.eject(now, e, EjectSlow)
+	}
+	s.place(e)
+}
+
+// medianBetween is the median time between tokens of the usable engines.
+func (s *endpointSet) medianBetween() time.Duration {
+	s.scratch = s.scratch[:0]
+	for _, e := range s.order {
+		if e.usable() && e.Engine {
+			s.scratch = append(s.scratch, e.between)
+		}
+	}
+	if len(s.scratch) == 0 {
+		return firstBetween
+	}
+	slices.Sort(s.scratch)
+	return s.scratch[len(s.scratch)/2]
+}
--- /dev/null
+++ b/internal/schedule/preempt.go
@@ -0,0 +1,92 @@
+package schedule
+
+import "time"
+
+// preemptAge bounds how long a victim may have run: what it has done is thrown
+// away.
+const preemptAge = 500 * time.Millisecond
+
+// considerPreemption takes a place back from a lower tier for a request that
+// would be late otherwise. A victim must be repeatable, must not have brought
+// its first token, and must have cost less than the request is worth.
+func (s *Scheduler) considerPreemption(now time.Time) {
+	if s.options.NoPreemption {
+		return
+	}
+	it := s.mostUrgent(now)
+	if it == nil || s.endpoints.preempting >= s.tiers[it.request.Tier].count {
+		return
+	}
+	victim := s.victimFor(now, it)
+	if victim == nil {
+		return
+	}
+	victim.preempting = true
+	s.endpoints.preempting++
+	r := &victim.request
+	s.decisions = append(s.decisions, Decision{
+		Kind:     Preempt,
+		ID:       r.ID,
+		Owner:    r.Owner,
+		Endpoint: victim.endpoint.ID,
+		Reason:   ReasonHigherTier,
+		Figures:  Figures{Waited: now.Sub(it.request.Arrived), InFlight: victim.endpoint.inFlight(), Limit: victim.endpoint.limit},
+	})
+}
+
+// mostUrgent gives the next request of the highest waiting tier if it would be
+// late before a place is likely to become free.
+func (s *Scheduler) mostUrgent(now time.Time) *item {
+	for tier := range Tiers - 1 {
+		it := s.bestOf(now, &s.tiers[tier])
+		if it == nil {
+			continue
+		}
+		if it.lateAt.IsZero() || it.late(now) {
+			return nil
+		}
+		if it.lateAt.Sub(now) > 2*s.pace.interval+preemptAge/2 {
+			return nil
+		}
+		return it
+	}
+	return nil
+}
+
+// victimFor finds the granted request of a lower tier that loses least.
+func (s *Scheduler) victimFor(now time.Time, it *item) *item {
+	worth := s.work(it)
+	var victim *item
+	for _, e := range s.endpoints.order {
+		if !e.usable() {
+			continue
+		}
+		for _, v := range e.running {
+			s.Steps++
+			if !v.canYield(now, it) || float64(v.uncached)/promptTokensPerAnswerToken > worth {
+				continue
+			}
+			if victim == nil || v.loses(victim) {
+				victim = v
+			}
+		}
+	}
+	return victim
+}
+
+func (it *item) canYield(now time.Time, to *item) bool {
+	r := &it.request
+	if r.Tier <= to.request.Tier || !r.Repeatable || it.firstToken || it.preempting {
+		return false
+	}
+	return !it.started || now.Sub(it.sentAt) < preemptAge
+}
+
+// loses reports whether giving up it costs less than giving up other: a lower
+// tier first, then the newer one.
+func (it *item) loses(other *item) bool {
+	if it.request.Tier != other.request.Tier {
+		return it.request.Tier > other.request.Tier
+	}
+	return it.sequence > other.sequence
+}
--- /dev/null
+++ b/internal/schedule/prefix.go
@@ -0,0 +1,52 @@
+package schedule
+
+// prefixEntries bounds the prefixes remembered for a shard.
+const prefixEntries = 1 << 14
+
+// PrefixTokens is the length in tokens of one step of Request.Prefix.
+const PrefixTokens = 256
+
+// prefixTable remembers which endpoint was last given a prompt with a prefix.
+// It is a guess at the endpoints' caches: a wrong entry costs time, nothing
+// else. Two generations bound it: when the young one is full, it becomes the
+// old one and the old one is forgotten.
+type prefixTable struct {
+	young map[uint64]*endpoint
+	old   map[uint64]*endpoint
+}
+
+func newPrefixTable() *prefixTable {
+	return &prefixTable{young: make(map[uint64]*endpoint), old: make(map[uint64]*endpoint)}
+}
+
+func (t *prefixTable) holder(hash uint64) *endpoint {
+	if e, ok := t.young[hash]; ok {
+		return e
+	}
+	return t.old[hash]
+}
+
+// longest gives the endpoint that was given the longest known part of a
+// prompt, and the tokens of that part.
+func (t *prefixTable) longest(r *Request) (*endpoint, int) {
+	for i := len(r.Prefix) - 1; i >= 0; i-- {
+		if e := t.holder(r.Prefix[i]); e != nil {
+			return e, min((i+1)*PrefixTokens, r.PromptTokens)
+		}
+	}
+	return nil, 0
+}
+
+// granted notes that an endpoint is given a prompt.
+func (t *prefixTable) granted(r *Request, e *endpoint) {
+	for _, hash := range r.Prefix {
+		t.put(hash, e)
+	}
+}
+
+func (t *prefixTable) put(hash uint64, e *endpoint) {
+	if len(t.young) >= prefixEntries/2 {
+		t.old, t.young = t.young, make(map[uint64]*endpoint, prefixEntries/2)
+	}
+	t.young[hash] = e
+}
--- /dev/null
+++ b/internal/schedule/shares.go
@@ -0,0 +1,125 @@
+package schedule
+
+import "time"
+
+// shareBook keeps the guaranteed shares of the classes: deficit round robin
+// over the work granted.
+//
+// A share must never cost a higher tier a refusal. So each grant that a share
+// takes before a higher tier's waiting request leaves one place owed to the
+// tiers above. A request of those tiers that was waiting then, and is about to
+// be refused, is granted over the limit in its place (see giveBack).
+type shareBook struct {
+	classes map[string]*shareAccount
+	order   []*shareAccount
+	// owed counts the places owed by each tier, and owedAt is when the last of
+	// them was taken.
+	owed   [Tiers]int
+	owedAt [Tiers]time.Time
+}
+
+// shareAccount is what one class has saved up.
+type shareAccount struct {
+	class   string
+	waiting int
+	credit  float64
+	flows   []*flow
+}
+
+// maxCredit bounds what a class saves up, in grants of its own size.
+const maxCredit = 2
+
+func (b *shareBook) account(class string) *shareAccount {
+	a, ok := b.classes[class]
+	if !ok {
+		a = &shareAccount{class: class}
+		b.classes[class] = a
+		b.order = append(b.order, a)
+	}
+	return a
+}
+
+// head gives the class's oldest request that no limit holds.
+func (a *shareAccount) head() *item {
+	var oldest *item
+	for _, f := range a.flows {
+		if f.len() == 0 || f.parked {
+			continue
+		}
+		if it := f.head(); oldest == nil || byArrival(it, oldest) {
+			oldest = it
+		}
+	}
+	return oldest
+}
+
+// dueShare gives a request whose class has saved up enough for it.
+func (s *Scheduler) dueShare() *item {
+	if s.options.NoShares {
+		return nil
+	}
+	for _, a := range s.shares.order {
+		s.Steps++
+		if a.waiting == 0 || a.credit <= 0 {
+			continue
+		}
+		head := a.head()
+		if head != nil && a.credit >= s.work(head) {
+			return head
+		}
+	}
+	return nil
+}
+
+// work is the size of a request in tokens, as the shares and the fair division
+// count it.
+func (s *Scheduler) work(it *item) float64 {
+	return float64(max(1, it.request.PromptTokens/promptTokensPerAnswerToken+s.predictLength(&it.request)))
+}
+
+// promptTokensPerAnswerToken is how many prompt tokens cost an engine as much
+// as one token of the answer.
+const promptTokensPerAnswerToken = 16
+
+// account books the work of a grant to its class and saves up for the others.
+func (s *Scheduler) accountShare(now time.Time, it *item, reason Reason) {
+	work := s.work(it)
+	for _, a := range s.shares.order {
+		s.Steps++
+		if a.waiting == 0 {
+			a.credit = min(a.credit, 0)
+			continue
+		}
+		if head := a.head(); head != nil {
+			a.credit = min(a.credit+head.request.Share*work, maxCredit*s.work(head))
+		}
+	}
+	own := s.shares.account(it.request.Class)
+	own.credit = max(own.credit-work, -maxCredit*work)
+	if reason != ReasonShare {
+		return
+	}
+	if tier := it.request.Tier; s.waitingAtOrAbove(tier)-s.tiers[tier].count > 0 {
+		s.shares.owed[tier]++
+		s.shares.owedAt[tier] = now
+	}
+}
+
+// giveBack grants a request that would be refused for want of capacity in a
+// place that a lower tier's share has taken while it waited. The endpoint gets
+// one more than its limit.
+func (s *Scheduler) giveBack(now time.Time, it *item) bool {
+	for tier := Tiers - 1; tier > it.request.Tier; tier-- {
+		if s.shares.owed[tier] == 0 || it.request.Arrived.After(s.shares.owedAt[tier]) {
+			continue
+		}
+		e := s.endpoints.leastLoaded(now, &it.request)
+		if e == nil {
+			return false
+		}
+		s.shares.owed[tier]--
+		s.grant(now, it, e, ReasonGiveBack)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/settings/holder.go
@@ -0,0 +1,49 @@
+package settings
+
+import "sync"
+
+// Revision is a tree with its place in the order of accepted changes.
+type Revision struct {
+	Number uint64
+	Tree   *Tree
+}
+
+// Holder keeps the revision in force on this host. It only ever goes up.
+type Holder struct {
+	mu      sync.Mutex
+	current *Revision
+	changed chan struct{}
+}
+
+// NewHolder makes a holder with nothing in force.
+func NewHolder() *Holder {
+	return &Holder{changed: make(chan struct{})}
+}
+
+// Current gives the revision in force, or nil before the first.
+func (h *Holder) Current() *Revision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current
+}
+
+// Offer puts a revision in force if it is newer than the one that is.
+func (h *Holder) Offer(revision *Revision) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current != nil && revision.Number <= h.current.Number {
+		return false
+	}
+	h.current = revision
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return true
+}
+
+// Changed gives a channel that is closed when the next revision comes into
+// force.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
--- /dev/null
+++ b/internal/settings/validate.go
@@ -0,0 +1,169 @@
+package settings
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"sort"
+	"strings"
+
+	"oxbowslip.dev/oxbowslip/internal/strictjson"
+)
+
+// maxTotalShare bounds the guaranteed shares of all classes together, so that
+// most of the capacity always follows the tiers.
+const maxTotalShare = 0.5
+
+// Decode reads a tree and checks it whole. The error is a *strictjson.Error
+// with every fault that was found.
+func Decode(document string, data []byte) (*Tree, error) {
+	tree, err := strictjson.Decode[Tree](schema, document, data)
+	if err != nil {
+		return nil, err
+	}
+	if faults := tree.faults(); len(faults) > 0 {
+		return nil, &strictjson.Error{Document: document, Faults: faults}
+	}
+	return &tree, nil
+}
+
+// Encode writes a tree in the form that Decode reads. The same tree always
+// gives the same bytes.
+func Encode(tree *Tree) ([]byte, error) {
+	return strictjson.Encode(tree)
+}
+
+// HashKey gives the form of a caller's key that the settings keep.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// WorkspaceOf names the workspace that a caller's key belongs to. All hashes
+// are compared, each in constant time, so that timing tells nothing.
+func (t *Tree) WorkspaceOf(key string) (string, bool) {
+	hash := []byte(HashKey(key))
+	found := ""
+	for name, workspace := range t.Workspaces {
+		for _, k := range workspace.Keys {
+			if subtle.ConstantTimeCompare(hash, []byte(k.SHA256)) == 1 {
+				found = name
+			}
+		}
+	}
+	return found, found != ""
+}
+
+// ClassOfRoute names the class of a service's call, or "" if no route of the
+// service matches.
+func (s Service) ClassOfRoute(method, path string) string {
+	best := Route{}
+	for _, route := range s.Routes {
+		if route.Method != "" && route.Method != method {
+			continue
+		}
+		if strings.HasPrefix(path, route.Path) && len(route.Path) > len(best.Path) {
+			best = route
+		}
+	}
+	return best.Class
+}
+
+// faults finds what the schema can't express: names that point nowhere, keys
+// used twice, shares that add up to too much.
+func (t *Tree) faults() []strictjson.Fault {
+	var faults []strictjson.Fault
+	add := func(path, format string, args ...any) {
+		faults = append(faults, strictjson.Fault{Path: path, Problem: fmt.Sprintf(format, args...)})
+	}
+	t.checkEndpoints(add)
+	t.checkWorkspaces(add)
+	t.checkServices(add)
+	t.checkShares(add)
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
+	return faults
+}
+
+type addFault func(path, format string, args ...any)
+
+func (t *Tree) checkEndpoints(add addFault) {
+	addresses := make(map[string]string)
+	for _, name := range sortedKeys(t.Endpoints) {
+		endpoint := t.Endpoints[name]
+		path := "/endpoints/" + name
+		if (endpoint.Model == "") == (endpoint.Service == "") {
+			add(path, "set either model or service")
+		}
+		if _, ok := t.Models[endpoint.Model]; endpoint.Model != "" && !ok {
+			add(path+"/model", "no model %q in /models", endpoint.Model)
+		}
+		if _, ok := t.Services[endpoint.Service]; endpoint.Service != "" && !ok {
+			add(path+"/service", "no service %q in /services", endpoint.Service)
+		}
+		if other, ok := addresses[endpoint.Address]; ok {
+			add(path+"/address", "%s has the same address", other)
+		}
+		addresses[endpoint.Address] = name
+	}
+}
+
+func (t *Tree) checkWorkspaces(add addFault) {
+	owners := make(map[string]string)
+	for _, name := range sortedKeys(t.Workspaces) {
+		workspace := t.Workspaces[name]
+		path := "/workspaces/" + name
+		if class := t.DefaultClass(name); class != "" {
+			if _, ok := t.Effective(name, class); !ok {
+				add(path+"/default_class", "no class %q in this workspace", class)
+			}
+		}
+		for i, key := range workspace.Keys {
+			if owner, ok := owners[key.SHA256]; ok {
+				add(fmt.Sprintf("%s/keys/%d", path, i), "the same key stands at %s", owner)
+			}
+			owners[key.SHA256] = path
+		}
+		for i, model := range workspace.Models {
+			if _, ok := t.Models[model]; !ok {
+				add(fmt.Sprintf("%s/models/%d", path, i), "no model %q in /models", model)
+			}
+		}
+	}
+}
+
+func (t *Tree) checkServices(add addFault) {
+	for _, name := range sortedKeys(t.Services) {
+		for i, route := range t.Services[name].Routes {
+			if !t.classExists(route.Class) {
+				add(fmt.Sprintf("/services/%s/routes/%d/class", name, i), "no class %q in /root/classes", route.Class)
+			}
+		}
+	}
+}
+
+func (t *Tree) checkShares(add addFault) {
+	total := 0.0
+	for _, class := range sortedKeys(t.Root.Classes) {
+		if share := t.Root.Classes[class].Values.Share; share != nil {
+			total += *share
+		}
+	}
+	if total > maxTotalShare {
+		add("/root/classes", "the shares add up to %.2f, more than %.2f", total, maxTotalShare)
+	}
+}
+
+func (t *Tree) classExists(class string) bool {
+	_, ok := classLayers(nil, "", t.Root.Classes, strings.Split(class, "/"))
+	return ok
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/shard/shard.go
@@ -0,0 +1,191 @@
+// Package shard hosts the scheduler cores of the shards that this host
+// schedules: it gives them the time, the owners' messages and timers, and hands
+// their decisions to the owners.
+package shard
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+)
+
+// Kind is what an owner tells a scheduler.
+type Kind uint8
+
+// The kinds of message.
+const (
+	// Submit: a request asks for a grant.
+	Submit Kind = iota
+	// Withdraw: the caller is gone.
+	Withdraw
+	// Started: the grant was used.
+	Started
+	// FirstToken: the first token came.
+	FirstToken
+	// Progress: more tokens came.
+	Progress
+	// Finished: the attempt ended.
+	Finished
+)
+
+// Message is one message from a request's owner to the scheduler of its shard.
+type Message struct {
+	Kind Kind
+	// ID is the request's. Request is set for Submit only.
+	ID      string
+	Request schedule.Request
+	// Tokens is the length of the answer so far, Result the end of the attempt.
+	Tokens int
+	Result schedule.Result
+}
+
+// Deliver hands a decision to the host that owns the request. It must not
+// block.
+type Deliver func(shard string, decision schedule.Decision)
+
+// Clock tells the time.
+type Clock func() time.Time
+
+// Host holds the schedulers of this host.
+type Host struct {
+	clock   Clock
+	options schedule.Options
+	deliver Deliver
+
+	mu     sync.Mutex
+	shards map[string]*runner
+	closed bool
+}
+
+// runner is one scheduler with its timer.
+type runner struct {
+	name  string
+	mu    sync.Mutex
+	core  *schedule.Scheduler
+	timer *time.Timer
+	due   time.Time
+}
+
+// New makes a host without shards.
+func New(clock Clock, options schedule.Options, deliver Deliver) *Host {
+	return &Host{clock: clock, options: options, deliver: deliver, shards: make(map[string]*runner)}
+}
+
+// Close stops all timers. Messages that come later change nothing.
+func (h *Host) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+	for _, r := range h.shards {
+		r.timer.Stop()
+	}
+}
+
+// SetEndpoints sets the endpoints of each shard. A shard that is not named
+// loses its endpoints.
+func (h *Host) SetEndpoints(shards map[string][]schedule.Endpoint) {
+	for name, endpoints := range shards {
+		h.with(name, func(now time.Time, core *schedule.Scheduler) {
+			core.SetEndpoints(now, endpoints)
+		})
+	}
+	for _, name := range h.Names() {
+		if _, ok := shards[name]; !ok {
+			h.with(name, func(now time.Time, core *schedule.Scheduler) {
+				core.SetEndpoints(now, nil)
+			})
+		}
+	}
+}
+
+// Names lists the shards, sorted.
+func (h *Host) Names() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	names := make([]string, 0, len(h.shards))
+	for name := range h.shards {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Apply gives one message to a shard's scheduler.
+func (h *Host) Apply(shard string, m *Message) {
+	h.with(shard, func(now time.Time, core *schedule.Scheduler) {
+		apply(core, now, m)
+	})
+}
+
+func apply(core *schedule.Scheduler, now time.Time, m *Message) {
+	switch m.Kind {
+	case Submit:
+		core.Submit(now, m.Request)
+	case Withdraw:
+		core.Withdraw(now, m.ID)
+	case Started:
+		core.Started(now, m.ID)
+	case FirstToken:
+		core.FirstToken(now, m.ID)
+	case Progress:
+		core.Progress(now, m.ID, m.Tokens)
+	case Finished:
+		core.Finished(now, m.ID, m.Result, m.Tokens)
+	}
+}
+
+// Inspect reads a shard's scheduler under its lock.
+func (h *Host) Inspect(shard string, read func(core *schedule.Scheduler)) {
+	h.with(shard, func(_ time.Time, core *schedule.Scheduler) { read(core) })
+}
+
+// with runs f on a shard's core, delivers what it decided, and sets its timer.
+func (h *Host) with(shard string, f func(time.Time, *schedule.Scheduler)) {
+	r := h.runner(shard)
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := h.clock()
+	f(now, r.core)
+	h.settle(r, now)
+}
+
+func (h *Host) settle(r *runner, now time.Time) {
+	for _, decision := range r.core.Take() {
+		h.deliver(r.name, decision)
+	}
+	next := r.core.Next(now)
+	if r.due.After(now) && !next.Before(r.due) {
+		return
+	}
+	r.due = next
+	r.timer.Reset(next.Sub(now))
+}
+
+func (h *Host) runner(shard string) *runner {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return nil
+	}
+	if r, ok := h.shards[shard]; ok {
+		return r
+	}
+	r := &runner{name: shard, core: schedule.New(h.options)}
+	r.timer = time.AfterFunc(time.Hour, func() { h.tick(r) })
+	h.shards[shard] = r
+	return r
+}
+
+func (h *Host) tick(r *runner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := h.clock()
+	r.due = time.Time{}
+	r.core.Tick(now)
+	h.settle(r, now)
+}
--- /dev/null
+++ b/internal/standin/chat.go
@@ -0,0 +1,312 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/gorilla/mux"
+
+	"oxbowslip.dev/oxbowslip/internal/emulator"
+	"oxbowslip.dev/oxbowslip/internal/prefix"
+)
+
+const (
+	maxRequestBytes = 64 << 20
+	endMark         = "[DONE]"
+)
+
+// Chunk is one event of a stream.
+type Chunk struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Model   string        `json:"model"`
+	Choices []ChunkChoice `json:"choices"`
+}
+
+// ChunkChoice is the part of a chunk that carries text.
+type ChunkChoice struct {
+	Index        int    `json:"index"`
+	Delta        Delta  `json:"delta"`
+	FinishReason string `json:"finish_reason,omitzero"`
+}
+
+// Delta is new text.
+type Delta struct {
+	Content string `json:"content,omitzero"`
+}
+
+// Completion is a unary answer.
+type Completion struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Model   string             `json:"model"`
+	Choices []CompletionChoice `json:"choices"`
+	Usage   Usage              `json:"usage"`
+}
+
+// CompletionChoice is the text of a unary answer.
+type CompletionChoice struct {
+	Index        int               `json:"index"`
+	Message      CompletionMessage `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+// CompletionMessage is the assistant's message.
+type CompletionMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// engineError is an error answer. Ran "no" says that the engine did not start
+// the request.
+type engineError struct {
+	Error engineErrorDetail `json:"error"`
+}
+
+type engineErrorDetail struct {
+	Message string `json:"message"`
+	Ran     string `json:"ran,omitzero"`
+}
+
+// chat runs one request.
+func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
+	if err != nil {
+		return
+	}
+	var body chatRequest
+	if err := json.Unmarshal(data, &body); err != nil {
+		writeJSON(w, http.StatusBadRequest, engineError{engineErrorDetail{Message: err.Error()}})
+		return
+	}
+	prompt, done, err := body.split()
+	if err != nil {
+		writeJSON(w, http.StatusBadRequest, engineError{engineErrorDetail{Message: err.Error()}})
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	e.mu.Lock()
+	faults := e.faults
+	refused := faults.Refuse || (done > 0 && !e.config.Continues) || e.order.State == "out"
+	if !refused {
+		e.submit(id, &body, prompt, done)
+	}
+	s := e.streams[id]
+	e.mu.Unlock()
+	if refused {
+		writeJSON(w, http.StatusServiceUnavailable, engineError{engineErrorDetail{Message: "not taking requests", Ran: "no"}})
+		return
+	}
+	if faults.DropAfterReading {
+		panic(http.ErrAbortHandler)
+	}
+	defer e.leave(r, id, s)
+	if body.Stream {
+		e.write(w, r, s, done, faults)
+		return
+	}
+	e.writeWhole(w, r, s, len(prompt), faults)
+}
+
+// submit starts a request in the model.
+func (e *Engine) submit(id string, body *chatRequest, prompt []byte, done int) {
+	e.executions[id]++
+	e.streams[id] = newStream(id, answerText{tag: answerTag(prompt)}, done)
+	bound := body.MaxTokens
+	if bound > 0 {
+		bound += done
+	}
+	e.model.Submit(time.Now(), emulator.Request{
+		ID:           id,
+		Priority:     body.Priority,
+		PromptTokens: prefix.Tokens(prompt),
+		AnswerTokens: answerLength(prompt, bound),
+		Prefix:       prefix.Hashes(body.CacheSalt, prompt),
+		Done:         done,
+	})
+	e.nudge()
+}
+
+// leave cancels a request whose caller went away. A connection that the stand-in
+// broke itself leaves the request running, to be resumed.
+func (e *Engine) leave(r *http.Request, id string, s *stream) {
+	if r.Context().Err() == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.streams[id] != s {
+		return
+	}
+	if _, state, _ := s.look(); state == streamOpen {
+		e.model.Cancel(id)
+		delete(e.streams, id)
+	}
+}
+
+// write sends a stream's events after the first so many words.
+func (e *Engine) write(w http.ResponseWriter, r *http.Request, s *stream, sent int, faults EngineFaults) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	control := http.NewResponseController(w)
+	id := s.id
+	if faults.WrongID {
+		id = "another"
+	}
+	start := sent
+	var buffer []byte
+	for {
+		tokens, state, changed := s.look()
+		for sent < tokens {
+			sent++
+			last := state == streamWhole && sent == tokens
+			buffer = e.appendChunk(buffer[:0], id, s.text.word(sent), sent, last)
+			if _, err := w.Write(buffer); err != nil {
+				return
+			}
+			if faults.BreakAfter > 0 && sent-start >= faults.BreakAfter {
+				// What was written may still leave before the cut.
+				_ = control.Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}
+		switch state {
+		case streamWhole:
+			// A write that fails means that the reader is gone.
+			_, _ = io.WriteString(w, "data: "+endMark+"\n\n")
+			return
+		case streamLost:
+			panic(http.ErrAbortHandler)
+		}
+		if err := control.Flush(); err != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) appendChunk(buffer []byte, id, word string, n int, last bool) []byte {
+	chunk := Chunk{
+		ID: "chatcmpl-" + id, Object: "chat.completion.chunk", Model: e.config.Model,
+		Choices: []ChunkChoice{{Delta: Delta{Content: word}}},
+	}
+	if last {
+		chunk.Choices[0].FinishReason = "stop"
+	}
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		panic(err) // Plain structs always marshal.
+	}
+	buffer = append(buffer, "id: "...)
+	buffer = strconv.AppendInt(buffer, int64(n), 10)
+	buffer = append(buffer, "\ndata: "...)
+	buffer = append(buffer, data...)
+	return append(buffer, "\n\n"...)
+}
+
+// writeWhole waits for the whole answer and sends it.
+func (e *Engine) writeWhole(w http.ResponseWriter, r *http.Request, s *stream, promptBytes int, faults EngineFaults) {
+	for {
+		tokens, state, changed := s.look()
+		switch state {
+		case streamWhole:
+			e.sendCompletion(w, s, tokens, promptBytes, faults)
+			return
+		case streamLost:
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (e *Engine) sendCompletion(w http.ResponseWriter, s *stream, tokens, promptBytes int, faults EngineFaults) {
+	var text strings.Builder
+	for n := 1; n <= tokens; n++ {
+		text.WriteString(s.text.word(n))
+	}
+	id := s.id
+	if faults.WrongID {
+		id = "another"
+	}
+	answer := Completion{
+		ID: "chatcmpl-" + id, Object: "chat.completion", Model: e.config.Model,
+		Choices: []CompletionChoice{{
+			Message:      CompletionMessage{Role: "assistant", Content: text.String()},
+			FinishReason: "stop",
+		}},
+		Usage: Usage{PromptTokens: promptBytes / prefix.BytesPerToken, CompletionTokens: tokens},
+	}
+	if !faults.CutAnswer {
+		writeJSON(w, http.StatusOK, answer)
+		return
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		panic(err) // Plain structs always marshal.
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	// Half of what the length promises: the server breaks the connection.
+	_, _ = w.Write(data[:len(data)/2])
+}
+
+// resume sends the rest of a stream after the event that the reader saw last.
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	s, ok := e.streams[mux.Vars(r)["id"]]
+	faults := e.faults
+	e.mu.Unlock()
+	after, err := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	if !ok || err != nil {
+		writeJSON(w, http.StatusNotFound, engineError{engineErrorDetail{Message: "no such stream"}})
+		return
+	}
+	defer e.leave(r, s.id, s)
+	e.write(w, r, s, after, faults)
+}
+
+func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	model := e.order.Model
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, modelList{Object: "list", Data: []modelInfo{{ID: model, Object: "model"}}})
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID     string `json:"id"`
+	Object string `json:"object"`
+}
+
+func writeJSON(w http.ResponseWriter, status int, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // Plain structs always marshal.
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A write that fails means that the reader is gone.
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/standin/seed.go
@@ -0,0 +1,39 @@
+package standin
+
+import (
+	"net/url"
+
+	"github.com/go-json-experiment/json"
+
+	"oxbowslip.dev/oxbowslip/internal/inforce"
+	"oxbowslip.dev/oxbowslip/internal/platform"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// Seed puts a settings tree on the platform as revision 1.
+func (p *Platform) Seed(tree *settings.Tree) error {
+	data, err := settings.Encode(tree)
+	if err != nil {
+		return err
+	}
+	if _, err := settings.Decode("seed", data); err != nil {
+		return err
+	}
+	head, err := json.Marshal(inforce.Head{Revision: 1, Snapshot: 1})
+	if err != nil {
+		return err
+	}
+	p.Put(inforce.SnapshotName(1), data)
+	p.Commit(platform.Transaction{Set: []platform.Write{{Key: inforce.HeadKey, Value: head}}})
+	return nil
+}
+
+// unescape undoes the escaping of a path's element; one that is malformed
+// names nothing.
+func unescape(element string) string {
+	text, err := url.PathUnescape(element)
+	if err != nil {
+		return ""
+	}
+	return text
+}
--- /dev/null
+++ b/internal/strictjson/strictjson.go
@@ -0,0 +1,123 @@
+// Package strictjson decodes JSON documents that people write by hand. It
+// checks a document against a JSON Schema first, so that one run reports every
+// fault with its path, and only then decodes it into a Go struct.
+package strictjson
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/go-json-experiment/json"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// Fault is one thing that is wrong with a document.
+type Fault struct {
+	// Path is a JSON pointer to the value. The root is "/".
+	Path string `json:"path"`
+	// Problem says what is wrong and what would be right.
+	Problem string `json:"problem"`
+}
+
+// Error lists all faults of a document.
+type Error struct {
+	Document string
+	Faults   []Fault
+}
+
+// Error gives one fault a line.
+func (e *Error) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %d fault(s)", e.Document, len(e.Faults))
+	for _, f := range e.Faults {
+		fmt.Fprintf(&b, "\n  %s: %s", f.Path, f.Problem)
+	}
+	return b.String()
+}
+
+// Schema is a compiled JSON Schema.
+type Schema struct {
+	compiled *jsonschema.Schema
+}
+
+// MustCompile compiles a schema that is part of the program. It panics if the
+// schema itself is wrong, which the first test run shows.
+func MustCompile(name string, text []byte) *Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(text))
+	if err != nil {
+		panic(fmt.Sprintf("schema %s: %v", name, err))
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(name, doc); err != nil {
+		panic(fmt.Sprintf("schema %s: %v", name, err))
+	}
+	return &Schema{compiled: compiler.MustCompile(name)}
+}
+
+// Decode checks data against the schema and decodes it. A fault of the
+// document comes back as *Error. The document's name is used in messages only.
+func Decode[T any](schema *Schema, document string, data []byte) (T, error) {
+	var value T
+	if faults := schema.check(data); len(faults) > 0 {
+		return value, &Error{Document: document, Faults: faults}
+	}
+	if err := json.Unmarshal(data, &value, json.RejectUnknownMembers(true), json.WithUnmarshalers(durations)); err != nil {
+		return value, &Error{Document: document, Faults: []Fault{{Path: "/", Problem: err.Error()}}}
+	}
+	return value, nil
+}
+
+// Encode writes a value in the form that Decode reads, with sorted keys and
+// durations as text.
+func Encode(value any) ([]byte, error) {
+	data, err := json.Marshal(value, json.Deterministic(true), json.WithMarshalers(durationTexts))
+	return data, merry.Wrap(err)
+}
+
+var durations = json.UnmarshalFunc(func(text []byte, d *time.Duration) error {
+	value, err := time.ParseDuration(strings.Trim(string(text), `"`))
+	if err != nil {
+		return err
+	}
+	*d = value
+	return nil
+})
+
+var durationTexts = json.MarshalFunc(func(d time.Duration) ([]byte, error) {
+	return []byte(`"` + d.String() + `"`), nil
+})
+
+func (s *Schema) check(data []byte) []Fault {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return []Fault{{Path: "/", Problem: "not a JSON document: " + err.Error()}}
+	}
+	err = s.compiled.Validate(doc)
+	if err == nil {
+		return nil
+	}
+	invalid, ok := err.(*jsonschema.ValidationError)
+	if !ok {
+		return []Fault{{Path: "/", Problem: err.Error()}}
+	}
+	faults := leaves(invalid, message.NewPrinter(language.English), nil)
+	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
+	return faults
+}
+
+func leaves(e *jsonschema.ValidationError, printer *message.Printer, faults []Fault) []Fault {
+	if len(e.Causes) == 0 {
+		path := "/" + strings.Join(e.InstanceLocation, "/")
+		return append(faults, Fault{Path: path, Problem: e.ErrorKind.LocalizedString(printer)})
+	}
+	for _, cause := range e.Causes {
+		faults = leaves(cause, printer, faults)
+	}
+	return faults
+}
