--- /dev/null
+++ b/cmd/oxbowslip-standin/main.go
@@ -0,0 +1,100 @@
+// Command oxbowslip-standin serves a stand-in for one of the systems that the
+// router works with: a model engine, a plain service or the platform.
+//
+// It exits with 0 when interrupted, 1 if it can't listen, and 2 if its arguments
+// are wrong.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"oxbowslip.dev/oxbowslip/internal/daemon"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+	"oxbowslip.dev/oxbowslip/internal/standin"
+)
+
+type engineCommand struct {
+	Listen    string        `arg:"--listen,required" help:"address" placeholder:"ADDR"`
+	Model     string        `arg:"--model,required" help:"the model that it serves"`
+	ReportLag time.Duration `arg:"--report-lag" default:"1s" help:"age of the load reports"`
+	NoFences  bool          `arg:"--no-fences" help:"take orders with an older fence"`
+}
+
+type serviceCommand struct {
+	Listen string `arg:"--listen,required" help:"address" placeholder:"ADDR"`
+}
+
+type platformCommand struct {
+	Listen   string        `arg:"--listen,required" help:"address" placeholder:"ADDR"`
+	Settings string        `arg:"--settings" help:"settings tree to hold as revision 1" placeholder:"FILE"`
+	HostLag  time.Duration `arg:"--host-lag" default:"5s" help:"age of the list of hosts"`
+}
+
+type arguments struct {
+	Engine   *engineCommand   `arg:"subcommand:engine" help:"a model engine that batches continuously"`
+	Service  *serviceCommand  `arg:"subcommand:service" help:"a plain service that counts executions"`
+	Platform *platformCommand `arg:"subcommand:platform" help:"table, objects, weights and list of hosts"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "Stand-ins for engines, services and the platform. Faults are set with POST /standin/faults."
+}
+
+// Version is shown by --version.
+func (arguments) Version() string { return "oxbowslip-standin " + daemon.Version }
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	var err error
+	switch {
+	case args.Engine != nil:
+		err = startEngine(args.Engine)
+	case args.Service != nil:
+		err = standin.NewService().Start(args.Service.Listen)
+	case args.Platform != nil:
+		err = startPlatform(args.Platform)
+	default:
+		parser.Fail("name a stand-in: engine, service or platform")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "oxbowslip-standin:", err)
+		os.Exit(1)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+}
+
+func startEngine(command *engineCommand) error {
+	return standin.NewEngine(standin.EngineConfig{
+		Name: command.Listen, Model: command.Model, ReportLag: command.ReportLag,
+		ChecksFences: !command.NoFences, Continues: true,
+	}).Start(command.Listen)
+}
+
+func startPlatform(command *platformCommand) error {
+	p := standin.NewPlatform(standin.PlatformConfig{HostLag: command.HostLag, WeightInterval: time.Second})
+	if command.Settings != "" {
+		data, err := os.ReadFile(command.Settings)
+		if err != nil {
+			return err
+		}
+		tree, err := settings.Decode(command.Settings, data)
+		if err != nil {
+			return err
+		}
+		if err := p.Seed(tree); err != nil {
+			return err
+		}
+	}
+	return p.Start(command.Listen)
+}
--- /dev/null
+++ b/internal/hostconfig/hostconfig_test.go
@@ -0,0 +1,51 @@
+package hostconfig
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/strictjson"
+)
+
+func TestDecode(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		// want lists the paths of the faults.
+		want []string
+	}{
+		"least":           {`{"name": "h", "zone": "z", "callers": ":0", "operators": ":0", "platform": {"address": "p:1"}}`, nil},
+		"empty":           {`{}`, []string{"/"}},
+		"several at once": {`{"name": "Host A", "zone": "", "callers": "here", "operators": ":0", "platform": {"address": "p:1", "poll": "often"}}`, []string{"/callers", "/name", "/platform/poll", "/zone"}},
+		"unknown field":   {`{"name": "h", "zone": "z", "callers": ":0", "operators": ":0", "platform": {"address": "p:1"}, "disk": 1}`, []string{"/"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			host, err := Decode("test", []byte(test.text))
+			if test.want == nil {
+				c.Assert(err, qt.IsNil)
+				c.Assert(host.Platform.Poll, qt.Equals, time.Second)
+				c.Assert(host.Drain.Limit, qt.Equals, defaultLimit)
+				return
+			}
+			faults, ok := err.(*strictjson.Error)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%v", err))
+			var paths []string
+			for _, f := range faults.Faults {
+				paths = append(paths, f.Path)
+			}
+			c.Assert(paths, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"host-a.json", "host-b.json"} {
+		c := qt.New(t)
+		_, err := Load(filepath.Join("../../examples", name))
+		c.Assert(err, qt.IsNil)
+	}
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,218 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/strictjson"
+)
+
+const small = `{
+	"root": {
+		"values": {"tier": 2, "max_wait": "1m"},
+		"default_class": "ask",
+		"classes": {
+			"ask": {"values": {"tier": 1, "first_token": "800ms"}, "classes": {"fast": {"values": {"first_token": "300ms"}}}},
+			"digest": {"values": {"tier": 3}}
+		}
+	},
+	"workspaces": {
+		"a": {"values": {"weight": 3}, "classes": {"ask": {"values": {"tier": 0}}, "own": {}}},
+		"b": {"classes": {"digest": {"values": {"enabled": false}}}}
+	}
+}`
+
+func decode(c *qt.C, text string) *Tree {
+	tree, err := Decode("test", []byte(text))
+	c.Assert(err, qt.IsNil)
+	return tree
+}
+
+func TestEffective(t *testing.T) {
+	tree := decode(qt.New(t), small)
+	tests := map[string]struct {
+		workspace, class string
+		known            bool
+		tier             int
+		firstToken       time.Duration
+		weight           float64
+	}{
+		"the root's class":            {"b", "ask", true, 1, 800 * time.Millisecond, 1},
+		"overridden by the workspace": {"a", "ask", true, 0, 800 * time.Millisecond, 3},
+		"nested":                      {"b", "ask/fast", true, 1, 300 * time.Millisecond, 1},
+		"nested below an override":    {"a", "ask/fast", true, 0, 300 * time.Millisecond, 3},
+		"the workspace's own class":   {"a", "own", true, 2, builtIn.FirstToken, 3},
+		"another's own class":         {"b", "own", false, 0, 0, 0},
+		"disabled":                    {"b", "digest", false, 0, 0, 0},
+		"unknown class":               {"a", "none", false, 0, 0, 0},
+		"unknown workspace":           {"c", "ask", false, 0, 0, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			policy, known := tree.Effective(test.workspace, test.class)
+			c.Assert(known, qt.Equals, test.known)
+			if known {
+				c.Assert(policy.Tier, qt.Equals, test.tier)
+				c.Assert(policy.FirstToken, qt.Equals, test.firstToken)
+				c.Assert(policy.Weight, qt.Equals, test.weight)
+				c.Assert(policy.MaxWait, qt.Equals, time.Minute)
+			}
+		})
+	}
+}
+
+func TestExplain(t *testing.T) {
+	c := qt.New(t)
+	list, ok := decode(c, small).Explain("a", "ask/fast")
+	c.Assert(ok, qt.IsTrue)
+	got := make(map[string]Explained)
+	for _, e := range list {
+		got[e.Field] = e
+	}
+	c.Assert(got["tier"], qt.Equals, Explained{"tier", "0", "workspaces/a/classes/ask"})
+	c.Assert(got["first_token"], qt.Equals, Explained{"first_token", "300ms", "root/classes/ask/classes/fast"})
+	c.Assert(got["weight"], qt.Equals, Explained{"weight", "3", "workspaces/a"})
+	c.Assert(got["max_wait"], qt.Equals, Explained{"max_wait", "1m0s", "root"})
+	c.Assert(got["max_tries"], qt.Equals, Explained{"max_tries", "3", originBuiltIn})
+	c.Assert(list, qt.HasLen, reflect.TypeFor[Values]().NumField())
+}
+
+// TestFaults has every fault of a document reported in one go, with its path.
+func TestFaults(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		want []string
+	}{
+		"no JSON":          {`{`, []string{"/"}},
+		"a member twice":   {`{"root": {}, "root": {}}`, []string{"/"}},
+		"unknown field":    {`{"root": {"colour": "red"}}`, []string{"/root"}},
+		"wrong type":       {`{"root": {"values": {"tier": "high"}}}`, []string{"/root/values/tier"}},
+		"several at once":  {`{"root": {"values": {"tier": 9, "max_wait": "long", "share": 2}}}`, []string{"/root/values/max_wait", "/root/values/share", "/root/values/tier"}},
+		"unknown model":    {`{"root": {}, "endpoints": {"e": {"address": "h:1", "zone": "z", "model": "m"}}}`, []string{"/endpoints/e/model"}},
+		"model nor serv":   {`{"root": {}, "endpoints": {"e": {"address": "h:1", "zone": "z"}}}`, []string{"/endpoints/e"}},
+		"address twice":    {`{"root": {}, "models": {"m": {}}, "endpoints": {"e": {"address": "h:1", "zone": "z", "model": "m"}, "f": {"address": "h:1", "zone": "z", "model": "m"}}}`, []string{"/endpoints/f/address"}},
+		"key twice":        {`{"root": {}, "workspaces": {"a": {"keys": [{"name": "k", "sha256": "` + strings.Repeat("a", 64) + `"}]}, "b": {"keys": [{"name": "k", "sha256": "` + strings.Repeat("a", 64) + `"}]}}}`, []string{"/workspaces/b/keys/0"}},
+		"default class":    {`{"root": {"default_class": "x"}, "workspaces": {"a": {}}}`, []string{"/workspaces/a/default_class"}},
+		"route's class":    {`{"root": {}, "services": {"s": {"routes": [{"path": "/", "class": "x"}]}}}`, []string{"/services/s/routes/0/class"}},
+		"shares too large": {`{"root": {"classes": {"a": {"values": {"share": 0.25}}, "b": {"values": {"share": 0.25}}, "c": {"values": {"share": 0.1}}}}}`, []string{"/root/classes"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := Decode("test", []byte(test.text))
+			faults, ok := err.(*strictjson.Error)
+			c.Assert(ok, qt.IsTrue, qt.Commentf("%v", err))
+			var paths []string
+			for _, f := range faults.Faults {
+				paths = append(paths, f.Path)
+				c.Assert(f.Problem, qt.Not(qt.Equals), "")
+			}
+			c.Assert(paths, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestSchema holds the schema and the structs together: a document that sets
+// every value decodes.
+func TestSchema(t *testing.T) {
+	c := qt.New(t)
+	fields := reflect.TypeFor[Values]()
+	policy := reflect.TypeFor[Policy]()
+	for i := range fields.NumField() {
+		name := fields.Field(i).Name
+		other, ok := policy.FieldByName(name)
+		c.Assert(ok, qt.IsTrue, qt.Commentf("Policy has no %s", name))
+		c.Assert(fields.Field(i).Type.Elem(), qt.Equals, other.Type)
+		c.Assert(string(schemaText), qt.Contains, `"`+jsonName(fields.Field(i))+`"`)
+	}
+	c.Assert(policy.NumField(), qt.Equals, fields.NumField())
+}
+
+func TestExamples(t *testing.T) {
+	tests := map[string]struct{ engines, servers, workspaces int }{
+		"canal.json": {35, 3, 10},
+		"kochi.json": {50, 4, 10},
+		"small.json": {2, 1, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			data, err := os.ReadFile(filepath.Join("../../examples", name))
+			c.Assert(err, qt.IsNil)
+			tree := decode(c, string(data))
+			engines, servers := 0, 0
+			for _, e := range tree.Endpoints {
+				if e.Model != "" {
+					engines++
+				} else {
+					servers++
+				}
+			}
+			c.Assert(engines, qt.Equals, test.engines)
+			c.Assert(servers, qt.Equals, test.servers)
+			c.Assert(tree.Workspaces, qt.HasLen, test.workspaces)
+			encoded, err := Encode(tree)
+			c.Assert(err, qt.IsNil)
+			again := decode(c, string(encoded))
+			c.Assert(again, qt.DeepEquals, tree)
+		})
+	}
+}
+
+func TestWorkspaceOf(t *testing.T) {
+	c := qt.New(t)
+	tree := decode(c, small)
+	tree.Workspaces["a"] = Workspace{Keys: []Key{{Name: "k", SHA256: HashKey("secret")}}}
+	name, ok := tree.WorkspaceOf("secret")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(name, qt.Equals, "a")
+	_, ok = tree.WorkspaceOf("")
+	c.Assert(ok, qt.IsFalse)
+}
+
+// TestHolder offers revisions out of order: the one in force only goes up.
+func TestHolder(t *testing.T) {
+	c := qt.New(t)
+	h := NewHolder()
+	c.Assert(h.Current(), qt.IsNil)
+	for _, step := range []struct {
+		number uint64
+		taken  bool
+	}{{2, true}, {1, false}, {2, false}, {5, true}, {4, false}} {
+		changed := h.Changed()
+		c.Assert(h.Offer(&Revision{Number: step.number}), qt.Equals, step.taken)
+		select {
+		case <-changed:
+			c.Assert(step.taken, qt.IsTrue)
+		default:
+			c.Assert(step.taken, qt.IsFalse)
+		}
+	}
+	c.Assert(h.Current().Number, qt.Equals, uint64(5))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(small))
+	f.Add([]byte(`{"root":{"values":{"max_wait":"1h2m"}}}`))
+	f.Add([]byte(`{"root":{}} {}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		tree, err := Decode("fuzz", data)
+		if err != nil {
+			return
+		}
+		encoded, err := Encode(tree)
+		if err != nil {
+			t.Fatalf("a tree that was decoded can't be encoded: %v", err)
+		}
+		if _, err := Decode("fuzz", encoded); err != nil {
+			t.Fatalf("an encoded tree can't be decoded: %v", err)
+		}
+	})
+}
