Hosts share loads, failures and revisions by gossip

Datagrams of a host's whole state; newer settings and endpoints are fetched from the peer that told of them.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -25,15 +25,19 @@
 
 // Snapshot is the whole directory at one revision, as hosts hand it on.
 type Snapshot struct {
-	Revision uint64  `json:"revision"`
-	Entries  []Entry `json:"entries"`
+	Revision uint64 `json:"revision"`
+	// Changed is the revision of the newest change in it, if known.
+	Changed uint64  `json:"changed"`
+	Entries []Entry `json:"entries"`
 }
 
 // Directory is this host's newest knowledge of the endpoints. Its revision only
 // ever goes up.
 type Directory struct {
-	mu       sync.RWMutex
+	mu sync.RWMutex
+	// revision is the state up to which all is known, changed the newest change.
 	revision uint64
+	changed  uint64
 	entries  map[string]Entry
 	// serving lists the endpoints of each service that take new work, by ID.
 	serving map[string][]Entry
@@ -44,13 +48,20 @@
 	return &Directory{entries: make(map[string]Entry), serving: make(map[string][]Entry)}
 }
 
-// Revision is the revision of the newest change that was taken, or 0.
+// Revision is the state of the store up to which all changes are known, or 0.
 func (d *Directory) Revision() uint64 {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.revision
 }
 
+// Changed is the revision of the newest change of an endpoint that is known.
+func (d *Directory) Changed() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.changed
+}
+
 // Apply takes changes that lead to a revision. It reports false, and changes
 // nothing, if the revision is not newer.
 func (d *Directory) Apply(revision uint64, changes []Change) bool {
@@ -60,6 +71,10 @@
 		return false
 	}
 	d.revision = revision
+	if len(changes) == 0 {
+		return true
+	}
+	d.changed = revision
 	for _, change := range changes {
 		if change.Gone {
 			delete(d.entries, change.Entry.ID)
@@ -80,6 +95,7 @@
 		return false
 	}
 	d.revision = snapshot.Revision
+	d.changed = max(d.changed, snapshot.Changed)
 	d.entries = make(map[string]Entry, len(snapshot.Entries))
 	for _, entry := range snapshot.Entries {
 		d.entries[entry.ID] = entry
@@ -92,7 +108,7 @@
 func (d *Directory) Snapshot() Snapshot {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	snapshot := Snapshot{Revision: d.revision, Entries: make([]Entry, 0, len(d.entries))}
+	snapshot := Snapshot{Revision: d.revision, Changed: d.changed, Entries: make([]Entry, 0, len(d.entries))}
 	for _, entry := range d.entries {
 		snapshot.Entries = append(snapshot.Entries, entry)
 	}
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,443 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcserver"
+
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
+)
+
+const (
+	// restInterval is the mean time between beats while nothing changes.
+	restInterval = time.Second
+	// pacePerMember spaces the beats that tell of changes: a host that has many
+	// peers beats less often, so that what it sends does not grow with their number.
+	pacePerMember = 8 * time.Millisecond
+	shortestPace  = 40 * time.Millisecond
+	// silence is how long a member may say nothing.
+	silence = 3500 * time.Millisecond
+	// contactEvery is the number of rests between two tries at addresses that were
+	// not heard.
+	contactEvery = 3
+	// maxKnown bounds the addresses that a beat hands on.
+	maxKnown = 2
+	// catchUpGrace is how long a newer revision may take to come from the store
+	// before a peer is asked.
+	catchUpGrace = 200 * time.Millisecond
+	fetchTimeout = time.Second
+	maxDatagram  = 8 << 10
+)
+
+// State is this host's part of its beats.
+type State struct {
+	Settings  uint64
+	Directory uint64
+	Loads     []EndpointLoad
+	Pauses    []EndpointPause
+}
+
+// Host is what gossip speaks for.
+type Host interface {
+	// State gives what the next beat tells.
+	State() State
+	// Revisions gives the revisions up to which this host knows all.
+	Revisions() Want
+	// Hear takes a peer's loads and pauses.
+	Hear(peer string, loads []EndpointLoad, pauses []EndpointPause)
+	// Lost says that a peer left or fell silent.
+	Lost(peer string)
+	// Newer gives what is newer than a peer's revisions.
+	Newer(want Want) News
+	// Take puts a peer's news in force.
+	Take(peer string, news News)
+}
+
+// Config says who a host is among its peers.
+type Config struct {
+	Name string
+	Zone string
+	// Address is where peers reach the host, by TCP and UDP.
+	Address    string
+	FirstPeers []string
+}
+
+// Gossip is one host's part.
+type Gossip struct {
+	config Config
+	host   Host
+	log    *logrus.Entry
+	clock  func() time.Time
+	random func() float64
+	start  int64
+
+	packets  net.PacketConn
+	listener net.Listener
+	changed  chan struct{}
+	cancel   context.CancelFunc
+
+	mu       sync.Mutex
+	members  *Members
+	sequence uint64
+	rests    int
+	leaving  bool
+	catching bool
+}
+
+// New makes a host's part that does not listen yet.
+func New(config Config, host Host, log *logrus.Entry, clock func() time.Time, random func() float64) *Gossip {
+	g := &Gossip{
+		config: config, host: host, log: log, clock: clock, random: random, start: clock().UnixNano(),
+		changed: make(chan struct{}, 1), members: NewMembers(config.Name, silence),
+	}
+	g.Contact(config.FirstPeers)
+	return g
+}
+
+// Contact notes addresses where peers may be.
+func (g *Gossip) Contact(addresses []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, address := range addresses {
+		if address != g.config.Address {
+			g.members.Contact(address)
+		}
+	}
+}
+
+// Hosts counts the live hosts, this one included.
+func (g *Gossip) Hosts() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Count() + 1
+}
+
+// Changed says that the host's state is worth a beat. It does not block.
+func (g *Gossip) Changed() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Start listens for peers.
+func (g *Gossip) Start() error {
+	listener, err := net.Listen("tcp", g.config.Address)
+	if err != nil {
+		return merry.Prependf(err, "listen for peers on %s", g.config.Address)
+	}
+	if g.config.Address, err = boundAddress(listener); err != nil {
+		listener.Close()
+		return err
+	}
+	packets, err := net.ListenPacket("udp", g.config.Address)
+	if err != nil {
+		listener.Close()
+		return merry.Prependf(err, "listen for beats on %s", g.config.Address)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.listener, g.packets, g.cancel = listener, packets, cancel
+	// It ends when ctx is cancelled; its error says just that.
+	go func() { _ = drpcserver.New(newsHandler{g.host}).Serve(ctx, listener) }()
+	go g.receive()
+	return nil
+}
+
+func boundAddress(listener net.Listener) (string, error) {
+	address := listener.Addr().String()
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return "", merry.Wrap(err)
+	}
+	return address, nil
+}
+
+// Address is where peers reach the host.
+func (g *Gossip) Address() string { return g.config.Address }
+
+// Run sends beats until done is closed.
+func (g *Gossip) Run(done <-chan struct{}) {
+	for {
+		g.beat()
+		if !g.rest(done) {
+			return
+		}
+	}
+}
+
+// rest waits until the next beat is due, and reports false if done was closed.
+func (g *Gossip) rest(done <-chan struct{}) bool {
+	pace := time.NewTimer(max(time.Duration(g.Hosts())*pacePerMember, shortestPace))
+	defer pace.Stop()
+	select {
+	case <-pace.C:
+	case <-done:
+		return false
+	}
+	idle := time.NewTimer(time.Duration((0.75 + 0.5*g.random()) * float64(restInterval)))
+	defer idle.Stop()
+	select {
+	case <-g.changed:
+	case <-idle.C:
+		g.expire()
+	case <-done:
+		return false
+	}
+	return true
+}
+
+// expire drops silent members.
+func (g *Gossip) expire() {
+	g.mu.Lock()
+	g.rests++
+	gone := g.members.Expire(g.clock())
+	hosts := g.members.Count() + 1
+	g.mu.Unlock()
+	for _, name := range gone {
+		g.host.Lost(name)
+		g.log.WithFields(logrus.Fields{"peer": name, "hosts": hosts, "silent_ms": silence.Milliseconds()}).Warn("peer lost")
+	}
+}
+
+// beat tells all members, and now and then the addresses that were not heard.
+func (g *Gossip) beat() {
+	state := g.host.State()
+	g.mu.Lock()
+	if g.leaving {
+		g.mu.Unlock()
+		return
+	}
+	beat := g.newBeat(state)
+	targets := g.targets()
+	g.mu.Unlock()
+	g.send(beat, targets)
+}
+
+// newBeat makes the next beat. The lock is held.
+func (g *Gossip) newBeat(state State) *Beat {
+	g.sequence++
+	beat := &Beat{
+		Host: g.config.Name, Address: g.config.Address, Zone: g.config.Zone, Start: g.start, Sequence: g.sequence,
+		Settings: state.Settings, Directory: state.Directory, Loads: state.Loads, Pauses: state.Pauses, Leaving: g.leaving,
+	}
+	if g.sequence <= contactEvery || g.rests%contactEvery == 0 {
+		beat.Known = g.someMembers()
+	}
+	return beat
+}
+
+// someMembers picks a few addresses to hand on. The lock is held.
+func (g *Gossip) someMembers() []string {
+	live := g.members.Live()
+	var known []string
+	for range min(maxKnown, len(live)) {
+		known = append(known, live[int(g.random()*float64(len(live)))].Address)
+	}
+	return known
+}
+
+// targets lists where the next beat goes. The lock is held.
+func (g *Gossip) targets() []string {
+	var targets []string
+	for _, member := range g.members.Live() {
+		targets = append(targets, member.Address)
+	}
+	if g.sequence <= contactEvery || g.rests%contactEvery == 0 {
+		targets = append(targets, g.members.Unheard()...)
+	}
+	return targets
+}
+
+func (g *Gossip) send(beat *Beat, targets []string) {
+	data, err := cbor.Marshal(beat)
+	if err != nil {
+		g.log.WithError(err).Error("a beat can't be encoded")
+		return
+	}
+	for _, target := range targets {
+		address, err := net.ResolveUDPAddr("udp", target)
+		if err != nil {
+			continue // It came from a peer or a settings file; others are right.
+		}
+		// A lost beat is made good by the next.
+		_, _ = g.packets.WriteTo(data, address)
+	}
+}
+
+// receive takes beats until the socket is closed.
+func (g *Gossip) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := g.packets.ReadFrom(buffer)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		var beat Beat
+		if cbor.Unmarshal(buffer[:n], &beat) == nil {
+			g.heard(&beat)
+		}
+	}
+}
+
+func (g *Gossip) heard(beat *Beat) {
+	g.mu.Lock()
+	counts, isNew := g.members.Heard(g.clock(), beat)
+	hosts := g.members.Count() + 1
+	g.mu.Unlock()
+	if !counts {
+		return
+	}
+	if beat.Leaving {
+		g.host.Lost(beat.Host)
+		g.log.WithFields(logrus.Fields{"peer": beat.Host, "hosts": hosts}).Info("peer leaves")
+		return
+	}
+	g.host.Hear(beat.Host, beat.Loads, beat.Pauses)
+	if isNew {
+		g.log.WithFields(logrus.Fields{"peer": beat.Host, "address": beat.Address, "hosts": hosts}).Info("peer heard")
+		g.Changed()
+	}
+	if g.behind(beat) {
+		g.catchUp(beat.Host, beat.Address)
+	}
+}
+
+// behind reports whether a peer has a newer revision than this host.
+func (g *Gossip) behind(beat *Beat) bool {
+	own := g.host.Revisions()
+	return beat.Settings > own.Settings || beat.Directory > own.Directory
+}
+
+// catchUp fetches what a peer has newer, unless the store brings it first.
+func (g *Gossip) catchUp(peer, address string) {
+	g.mu.Lock()
+	busy := g.catching
+	g.catching = true
+	g.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		defer g.caughtUp()
+		before := g.host.Revisions()
+		if before.Settings > 0 && before.Directory > 0 {
+			time.Sleep(catchUpGrace)
+		}
+		g.mu.Lock()
+		member, ok := g.members.live[peer]
+		want := g.host.Revisions()
+		needed := ok && (member.Settings > want.Settings || member.Directory > want.Directory)
+		g.mu.Unlock()
+		if !needed {
+			return
+		}
+		news, err := Fetch(address, want)
+		if err != nil {
+			g.log.WithError(err).WithField("peer", peer).Warn("newer revisions can't be fetched from a peer")
+			return
+		}
+		g.host.Take(peer, news)
+	}()
+}
+
+func (g *Gossip) caughtUp() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.catching = false
+}
+
+// Leave tells all members that this host leaves.
+func (g *Gossip) Leave() {
+	g.mu.Lock()
+	g.leaving = true
+	beat := g.newBeat(State{})
+	targets := g.targets()
+	g.mu.Unlock()
+	g.send(beat, targets)
+}
+
+// Close ends all links.
+func (g *Gossip) Close() {
+	if g.cancel == nil {
+		return
+	}
+	g.cancel()
+	g.packets.Close()
+	g.listener.Close()
+}
+
+// Fetch asks a peer for what is newer than the given revisions.
+func Fetch(address string, want Want) (News, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return News{}, merry.Wrap(err)
+	}
+	conn := drpcconn.New(raw)
+	defer conn.Close()
+	var news News
+	err = conn.Invoke(ctx, rpcNews, encoding{}, &want, &news)
+	return news, merry.Wrap(err)
+}
+
+// newsHandler answers peers that lack a revision.
+type newsHandler struct{ host Host }
+
+// HandleRPC answers one call.
+func (h newsHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+	if rpc != rpcNews {
+		return merry.Errorf("unknown call %q", rpc)
+	}
+	var want Want
+	if err := stream.MsgRecv(&want, encoding{}); err != nil {
+		return merry.Wrap(err)
+	}
+	news := h.host.Newer(want)
+	return merry.Wrap(stream.MsgSend(&news, encoding{}))
+}
+
+// KeepRegistered calls register until it succeeds, and then list, whose addresses
+// are contacted; it does so again whenever this host hears no other.
+func (g *Gossip) KeepRegistered(done <-chan struct{}, registry Registry) {
+	ctx, cancel := lifetime.Context(done)
+	defer cancel()
+	registered := false
+	lifetime.Every(done, registerInterval, g.random, func(context.Context) {
+		if registered && g.Hosts() > 1 {
+			return
+		}
+		if !registered {
+			if err := registry.Register(ctx, g.config.Name, g.config.Address); err != nil {
+				return // The registry counts it; the next round tries again.
+			}
+			registered = true
+		}
+		if addresses, err := registry.List(ctx); err == nil {
+			g.Contact(addresses)
+			g.Changed()
+		}
+	})
+}
+
+// registerInterval is the mean time between two tries to register.
+const registerInterval = 2 * time.Second
+
+// Registry is where hosts leave their addresses for those that start later.
+type Registry interface {
+	Register(ctx context.Context, name, address string) error
+	Unregister(ctx context.Context, name string) error
+	List(ctx context.Context) ([]string, error)
+}
--- /dev/null
+++ b/internal/gossip/wire.go
@@ -0,0 +1,86 @@
+// Package gossip lets the hosts of a fleet share what each knows: which hosts are
+// there, the work that each has under way at the endpoints, endpoints that failed,
+// and which revisions of the settings and of the directory are the newest. Hosts
+// send each other small datagrams; a host that lacks a newer revision fetches it
+// from the peer that told of it. Nothing is agreed on: every host decides alone from
+// what it has heard.
+package gossip
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+
+	"oxbowslip.dev/oxbowslip/internal/directory"
+)
+
+// Beat is one datagram: a host's whole state that others care about, so that a lost
+// one is made good by the next.
+type Beat struct {
+	_ struct{} `cbor:",toarray"`
+
+	Host    string
+	Address string
+	Zone    string
+	// Start tells the lives of a host apart, Sequence the beats of one life.
+	Start    int64
+	Sequence uint64
+	// Settings and Directory are the newest revisions that the host has.
+	Settings  uint64
+	Directory uint64
+	Leaving   bool
+	Loads     []EndpointLoad
+	Pauses    []EndpointPause
+	// Known are the addresses of a few other hosts.
+	Known []string
+}
+
+// EndpointLoad is the sender's work under way at an endpoint.
+type EndpointLoad struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint string
+	Requests int
+	// Tokens counts prompt tokens that the endpoint has still to read.
+	Tokens int
+}
+
+// EndpointPause says that an endpoint failed the sender.
+type EndpointPause struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint string
+	// Left is how long the sender sends it no new work.
+	Left time.Duration
+}
+
+// Want asks a peer for what is newer than the given revisions.
+type Want struct {
+	_ struct{} `cbor:",toarray"`
+
+	Settings  uint64
+	Directory uint64
+}
+
+// News is the answer to Want. What is not newer is left out.
+type News struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Settings is a configuration as the deployment writes it.
+	Settings []byte
+	Snapshot *directory.Snapshot
+}
+
+const rpcNews = "oxbowslip/news"
+
+// encoding is CBOR for drpc.
+type encoding struct{}
+
+// Marshal encodes a message.
+func (encoding) Marshal(message drpc.Message) ([]byte, error) { return cbor.Marshal(message) }
+
+// Unmarshal decodes a message.
+func (encoding) Unmarshal(data []byte, message drpc.Message) error {
+	return cbor.Unmarshal(data, message)
+}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -18,15 +19,20 @@
 	endpoints *follow.Follower[directory.Change]
 }
 
-func newFollowers(deployment Deployment, holder *settings.Holder, d *directory.Directory, c *counters.Counters,
+func newSettingsSink(deployment Deployment, holder *settings.Holder, c *counters.Counters, log *logrus.Logger, n *news) *settingsSink {
+	return &settingsSink{
+		decode: deployment.Decode, holder: holder, counters: c, log: logging.Part(log, "settings"), changed: n.tell,
+	}
+}
+
+func newFollowers(deployment Deployment, sink *settingsSink, d *directory.Directory, n *news,
 	log *logrus.Logger, clock func() time.Time, random func() float64,
 ) *followers {
-	settingsLog := logging.Part(log, "settings")
 	endpointsLog := logging.Part(log, "endpoints")
+	endpoints := &endpointsSink{directory: d, log: endpointsLog, changed: n.tell}
 	return &followers{
-		settings: follow.New(deployment.Settings,
-			&settingsSink{decode: deployment.Decode, holder: holder, counters: c, log: settingsLog}, settingsLog, random, clock),
-		endpoints: follow.New(deployment.Endpoints, &endpointsSink{directory: d, log: endpointsLog}, endpointsLog, random, clock),
+		settings:  follow.New(deployment.Settings, sink, sink.log, random, clock),
+		endpoints: follow.New(deployment.Endpoints, endpoints, endpointsLog, random, clock),
 	}
 }
 
@@ -41,6 +47,13 @@
 	holder   *settings.Holder
 	counters *counters.Counters
 	log      *logrus.Entry
+	// changed is called when something newer is in force.
+	changed func()
+
+	mu sync.Mutex
+	// newest is the configuration in force, as the deployment wrote it.
+	newest         Document
+	newestRevision uint64
 }
 
 // Replace puts the newest configuration in force.
@@ -61,17 +74,37 @@
 		s.log.WithError(err).Warn("a configuration can't be read, the last one stays in force")
 		return
 	}
-	if s.holder.Offer(revision) {
-		s.log.WithFields(logrus.Fields{
-			"revision": revision.Number, "from": from, "routes": len(revision.Tree.Routes), "workspaces": len(revision.Tree.Workspaces),
-		}).Info("settings in force")
+	if !s.holder.Offer(revision) {
+		return
 	}
+	s.keep(document, revision.Number)
+	s.changed()
+	s.log.WithFields(logrus.Fields{
+		"revision": revision.Number, "from": from, "routes": len(revision.Tree.Routes), "workspaces": len(revision.Tree.Workspaces),
+	}).Info("settings in force")
+}
+
+// keep remembers the document of a revision, for peers that lack it.
+func (s *settingsSink) keep(document Document, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision > s.newestRevision {
+		s.newest, s.newestRevision = document, revision
+	}
+}
+
+// document gives the configuration in force, with its revision.
+func (s *settingsSink) document() (Document, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest, s.newestRevision
 }
 
 // endpointsSink keeps the directory.
 type endpointsSink struct {
 	directory *directory.Directory
 	log       *logrus.Entry
+	changed   func()
 }
 
 // Replace takes the whole table.
@@ -92,6 +125,9 @@
 	if !s.directory.Apply(batch.Revision, batch.Items) {
 		return
 	}
+	if len(batch.Items) > 0 {
+		s.changed()
+	}
 	for _, change := range batch.Items {
 		s.log.WithFields(logrus.Fields{
 			"revision": batch.Revision, "endpoint": change.Entry.ID, "gone": change.Gone, "state": change.Entry.Endpoint.State,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"oxbowslip.dev/oxbowslip/internal/directory"
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/follow"
+	"oxbowslip.dev/oxbowslip/internal/gossip"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/logging"
@@ -43,6 +44,8 @@
 	// Settings is followed for configurations, Endpoints for the endpoints.
 	Settings  follow.Source[Document]
 	Endpoints follow.Source[directory.Change]
+	// Registry is where hosts find each other's addresses.
+	Registry gossip.Registry
 	// Decode turns a configuration into a revision of the settings.
 	Decode func(Document) (*settings.Revision, error)
 	// ReadyPath is where the balancer asks whether the host takes requests.
@@ -79,6 +82,7 @@
 	settings   *settings.Holder
 	directory  *directory.Directory
 	follow     *followers
+	gossip     *gossip.Gossip
 
 	callers   *http.Server
 	readiness *http.Server
@@ -99,7 +103,11 @@
 			settings.NewHolder,
 			directory.New,
 			newClient,
+			func() *news { return new(news) },
+			func() *loadNews { return new(loadNews) },
 			newPlacement,
+			newSettingsSink,
+			newGossip,
 			newBudget,
 			newOwner,
 			newRelay,
@@ -118,13 +126,46 @@
 	return upstream.New(upstream.Config{AnswerID: deployment.Dialect.AnswerID, KeepIdle: keepIdle, DeadPeer: deadPeer}, clock)
 }
 
-func newPlacement(d *directory.Directory, clock func() time.Time) *placement.Scheduler {
-	return placement.New(d, clock, func() {})
+// news tells gossip that this host's state is worth a beat. The parts that tell
+// and gossip need each other, so it is filled in last.
+type news struct{ listener atomic.Pointer[func()] }
+
+func (n *news) tell() {
+	if listener := n.listener.Load(); listener != nil {
+		(*listener)()
+	}
+}
+
+func newPlacement(d *directory.Directory, clock func() time.Time, n *loadNews) *placement.Scheduler {
+	return placement.New(d, clock, n.tell)
 }
 
-func newBudget(config hostconfig.Host, clock func() time.Time) *retrybudget.Budget {
+// loadNews is news of loads, of which only some are worth a beat.
+type loadNews struct{ news }
+
+func newBudget(config hostconfig.Host, g *gossip.Gossip, clock func() time.Time) *retrybudget.Budget {
 	limits := retrybudget.Limits{Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window}
-	return retrybudget.New(limits, func() int { return 8 }, clock)
+	return retrybudget.New(limits, g.Hosts, clock)
+}
+
+func newGossip(config hostconfig.Host, scheduler *placement.Scheduler, holder *settings.Holder, d *directory.Directory,
+	sink *settingsSink, n *news, l *loadNews, log *logrus.Logger, clock func() time.Time, random func() float64,
+) *gossip.Gossip {
+	shared := &sharing{
+		scheduler: scheduler, settings: holder, directory: d, sink: sink, log: logging.Part(log, "endpoints"), clock: clock,
+	}
+	g := gossip.New(gossip.Config{
+		Name: config.Name, Zone: config.Zone, Address: config.Peers, FirstPeers: config.FirstPeers,
+	}, shared, logging.Part(log, "peers"), clock, random)
+	changed := g.Changed
+	n.listener.Store(&changed)
+	loadChanged := func() {
+		if shared.worthTelling() {
+			g.Changed()
+		}
+	}
+	l.listener.Store(&loadChanged)
+	return g
 }
 
 func newOwner(config hostconfig.Host, scheduler *placement.Scheduler, d *directory.Directory, budget *retrybudget.Budget,
@@ -145,11 +186,11 @@
 
 // New makes a router that has not started.
 func New(config hostconfig.Host, deployment Deployment, log *logrus.Logger, c *counters.Counters, o *owner.Owner,
-	client *upstream.Client, holder *settings.Holder, d *directory.Directory, f *followers, server *relay.Server,
+	client *upstream.Client, holder *settings.Holder, d *directory.Directory, f *followers, g *gossip.Gossip, server *relay.Server,
 ) *Router {
 	r := &Router{
 		config: config, deployment: deployment, log: logging.Part(log, "host"), counters: c, owner: o, client: client,
-		settings: holder, directory: d, follow: f, done: make(chan struct{}),
+		settings: holder, directory: d, follow: f, gossip: g, done: make(chan struct{}),
 	}
 	r.callers = &http.Server{
 		Handler: r.closeWhenLeaving(server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -217,6 +258,11 @@
 		}
 		go r.serve(l.server, listener)
 	}
+	if err := r.gossip.Start(); err != nil {
+		return err
+	}
+	go r.gossip.Run(r.done)
+	go r.gossip.KeepRegistered(r.done, r.deployment.Registry)
 	r.follow.run(r.done)
 	go lifetime.Every(r.done, sweepInterval, rand.Float64, func(context.Context) { r.client.Sweep() })
 	r.log.WithFields(logrus.Fields{
@@ -234,6 +280,7 @@
 
 // Reload says that the host's file was read again.
 func (r *Router) Reload(config hostconfig.Host) {
+	r.gossip.Contact(config.FirstPeers)
 	r.log.WithFields(logrus.Fields{"first_peers": config.FirstPeers, "store": config.Platform.Address}).Info("settings file read again")
 }
 
@@ -257,6 +304,8 @@
 	}()
 	cut := r.owner.Drain(ctx)
 	<-shut
+	r.gossip.Leave()
+	r.unregister()
 	last, cancelLast := context.WithTimeout(context.Background(), stopMargin)
 	defer cancelLast()
 	_ = r.callers.Shutdown(last)
@@ -265,8 +314,18 @@
 	return nil
 }
 
+// unregister takes this host's address away, for those that start later.
+func (r *Router) unregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
+	defer cancel()
+	if err := r.deployment.Registry.Unregister(ctx, r.config.Name); err != nil {
+		r.log.WithError(err).Warn("the host's address stays registered")
+	}
+}
+
 func (r *Router) close() {
 	close(r.done)
+	r.gossip.Close()
 	r.callers.Close()
 	r.readiness.Close()
 	r.metrics.Close()
--- /dev/null
+++ b/internal/router/share.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/directory"
+	"oxbowslip.dev/oxbowslip/internal/gossip"
+	"oxbowslip.dev/oxbowslip/internal/placement"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// sharing joins gossip with what this host knows. It implements gossip.Host.
+type sharing struct {
+	scheduler *placement.Scheduler
+	settings  *settings.Holder
+	directory *directory.Directory
+	sink      *settingsSink
+	log       *logrus.Entry
+	clock     func() time.Time
+
+	mu sync.Mutex
+	// told is what the last beat told, to see whether a change is worth one.
+	told map[string]placement.Load
+}
+
+// State gives what the next beat tells.
+func (s *sharing) State() gossip.State {
+	loads, paused := s.scheduler.Own()
+	s.mu.Lock()
+	s.told = loads
+	s.mu.Unlock()
+	state := gossip.State{Settings: s.revision(), Directory: s.directory.Changed()}
+	for endpoint, load := range loads {
+		state.Loads = append(state.Loads, gossip.EndpointLoad{Endpoint: endpoint, Requests: load.Requests, Tokens: load.Tokens})
+	}
+	now := s.clock()
+	for endpoint, until := range paused {
+		state.Pauses = append(state.Pauses, gossip.EndpointPause{Endpoint: endpoint, Left: until.Sub(now)})
+	}
+	return state
+}
+
+func (s *sharing) revision() uint64 {
+	if current := s.settings.Current(); current != nil {
+		return current.Number
+	}
+	return 0
+}
+
+// Revisions gives the revisions up to which this host knows all.
+func (s *sharing) Revisions() gossip.Want {
+	return gossip.Want{Settings: s.revision(), Directory: s.directory.Revision()}
+}
+
+// Hear takes a peer's loads and pauses.
+func (s *sharing) Hear(peer string, loads []gossip.EndpointLoad, pauses []gossip.EndpointPause) {
+	translated := make(map[string]placement.Load, len(loads))
+	for _, load := range loads {
+		translated[load.Endpoint] = placement.Load{Requests: load.Requests, Tokens: load.Tokens}
+	}
+	paused := make(map[string]time.Time, len(pauses))
+	now := s.clock()
+	for _, pause := range pauses {
+		paused[pause.Endpoint] = now.Add(pause.Left)
+	}
+	s.scheduler.SetPeer(peer, translated, paused)
+}
+
+// Lost forgets a peer.
+func (s *sharing) Lost(peer string) { s.scheduler.DropPeer(peer) }
+
+// Newer gives what is newer than a peer's revisions.
+func (s *sharing) Newer(want gossip.Want) gossip.News {
+	var news gossip.News
+	if document, revision := s.sink.document(); revision > want.Settings {
+		news.Settings = document
+	}
+	if snapshot := s.directory.Snapshot(); snapshot.Revision > want.Directory {
+		news.Snapshot = &snapshot
+	}
+	return news
+}
+
+// Take puts a peer's news in force.
+func (s *sharing) Take(peer string, news gossip.News) {
+	if len(news.Settings) > 0 {
+		s.sink.offer(news.Settings, peer)
+	}
+	if news.Snapshot != nil && s.directory.Replace(*news.Snapshot) {
+		s.log.WithFields(logrus.Fields{
+			"revision": news.Snapshot.Revision, "from": peer, "endpoints": len(news.Snapshot.Entries),
+		}).Info("endpoints read")
+	}
+}
+
+// Changes of a load that are worth a beat.
+const (
+	tellTokens   = 1000
+	tellRequests = 2
+)
+
+// worthTelling reports whether the loads differ much from what was told last.
+func (s *sharing) worthTelling() bool {
+	loads, _ := s.scheduler.Own()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for endpoint, load := range loads {
+		if differs(load, s.told[endpoint]) {
+			return true
+		}
+	}
+	for endpoint, load := range s.told {
+		if differs(load, loads[endpoint]) {
+			return true
+		}
+	}
+	return false
+}
+
+func differs(a, b placement.Load) bool {
+	return abs(a.Tokens-b.Tokens) >= tellTokens || abs(a.Requests-b.Requests) >= tellRequests
+}
+
+func abs(n int) int { return max(n, -n) }
