--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -23,12 +24,13 @@
 	// pacePerMember spaces the beats that tell of changes: a host that has many
 	// peers beats less often, so that what it sends does not grow with their number.
 	pacePerMember = 8 * time.Millisecond
-	shortestPace  = 40 * time.Millisecond
+	shortestPace  = 80 * time.Millisecond
 	// silence is how long a member may say nothing.
 	silence = 3500 * time.Millisecond
-	// contactEvery is the number of rests between two tries at addresses that were
-	// not heard.
-	contactEvery = 3
+	// introduceEvery is the number of rests between two introductions, which also go
+	// to the addresses that were not heard. The first beats are introductions too.
+	introduceEvery     = 3
+	firstIntroductions = 2
 	// maxKnown bounds the addresses that a beat hands on.
 	maxKnown = 2
 	// catchUpGrace is how long a newer revision may take to come from the store
@@ -79,6 +81,7 @@
 	clock  func() time.Time
 	random func() float64
 	start  int64
+	life   uint32
 
 	packets  net.PacketConn
 	listener net.Listener
@@ -89,6 +92,8 @@
 	members  *Members
 	sequence uint64
 	rests    int
+	// introduce says that the next beat carries an introduction.
+	introduce bool
 	leaving  bool
 	catching bool
 }
@@ -97,6 +102,7 @@
 func New(config Config, host Host, log *logrus.Entry, clock func() time.Time, random func() float64) *Gossip {
 	g := &Gossip{
 		config: config, host: host, log: log, clock: clock, random: random, start: clock().UnixNano(),
+		life: uint32(random() * math.MaxUint32), introduce: true,
 		changed: make(chan struct{}, 1), members: NewMembers(config.Name, silence),
 	}
 	g.Contact(config.FirstPeers)
@@ -198,6 +204,7 @@
 func (g *Gossip) expire() {
 	g.mu.Lock()
 	g.rests++
+	g.introduce = g.introduce || g.rests%introduceEvery == 0
 	gone := g.members.Expire(g.clock())
 	hosts := g.members.Count() + 1
 	g.mu.Unlock()
@@ -225,11 +232,13 @@
 func (g *Gossip) newBeat(state State) *Beat {
 	g.sequence++
 	beat := &Beat{
-		Host: g.config.Name, Address: g.config.Address, Zone: g.config.Zone, Start: g.start, Sequence: g.sequence,
-		Settings: state.Settings, Directory: state.Directory, Loads: state.Loads, Pauses: state.Pauses, Leaving: g.leaving,
+		Life: g.life, Sequence: g.sequence, Settings: state.Settings, Directory: state.Directory,
+		Loads: state.Loads, Pauses: state.Pauses, Leaving: g.leaving,
 	}
-	if g.sequence <= contactEvery || g.rests%contactEvery == 0 {
-		beat.Known = g.someMembers()
+	if g.introduce {
+		beat.Intro = &Intro{
+			Host: g.config.Name, Address: g.config.Address, Zone: g.config.Zone, Start: g.start, Known: g.someMembers(),
+		}
 	}
 	return beat
 }
@@ -250,9 +259,10 @@
 	for _, member := range g.members.Live() {
 		targets = append(targets, member.Address)
 	}
-	if g.sequence <= contactEvery || g.rests%contactEvery == 0 {
+	if g.introduce {
 		targets = append(targets, g.members.Unheard()...)
 	}
+	g.introduce = g.sequence < firstIntroductions
 	return targets
 }
 
@@ -292,31 +302,32 @@
 
 func (g *Gossip) heard(beat *Beat) {
 	g.mu.Lock()
-	counts, isNew := g.members.Heard(g.clock(), beat)
+	member, isNew, counts := g.members.Heard(g.clock(), beat)
+	g.introduce = g.introduce || isNew
 	hosts := g.members.Count() + 1
 	g.mu.Unlock()
 	if !counts {
 		return
 	}
 	if beat.Leaving {
-		g.host.Lost(beat.Host)
-		g.log.WithFields(logrus.Fields{"peer": beat.Host, "hosts": hosts}).Info("peer leaves")
+		g.host.Lost(member.Name)
+		g.log.WithFields(logrus.Fields{"peer": member.Name, "hosts": hosts}).Info("peer leaves")
 		return
 	}
-	g.host.Hear(beat.Host, beat.Loads, beat.Pauses)
+	g.host.Hear(member.Name, beat.Loads, beat.Pauses)
 	if isNew {
-		g.log.WithFields(logrus.Fields{"peer": beat.Host, "address": beat.Address, "hosts": hosts}).Info("peer heard")
+		g.log.WithFields(logrus.Fields{"peer": member.Name, "address": member.Address, "hosts": hosts}).Info("peer heard")
 		g.Changed()
 	}
-	if g.behind(beat) {
-		g.catchUp(beat.Host, beat.Address)
+	if g.behind(&member) {
+		g.catchUp(member.Name, member.Address)
 	}
 }
 
 // behind reports whether a peer has a newer revision than this host.
-func (g *Gossip) behind(beat *Beat) bool {
+func (g *Gossip) behind(member *Member) bool {
 	own := g.host.Revisions()
-	return beat.Settings > own.Settings || beat.Directory > own.Directory
+	return member.Settings > own.Settings || member.Directory > own.Directory
 }
 
 // catchUp fetches what a peer has newer, unless the store brings it first.
@@ -336,13 +347,11 @@
 		}
 		g.mu.Lock()
 		member, ok := g.members.live[peer]
-		want := g.host.Revisions()
-		needed := ok && (member.Settings > want.Settings || member.Directory > want.Directory)
 		g.mu.Unlock()
-		if !needed {
+		if !ok || !g.behind(member) {
 			return
 		}
-		news, err := Fetch(address, want)
+		news, err := Fetch(address, g.host.Revisions())
 		if err != nil {
 			g.log.WithError(err).WithField("peer", peer).Warn("newer revisions can't be fetched from a peer")
 			return
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -14,6 +14,7 @@
 	Settings uint64
 	// Directory is the newest revision of the directory that the member has.
 	Directory uint64
+	life      uint32
 	start     int64
 	sequence  uint64
 	heard     time.Time
@@ -26,42 +27,73 @@
 	// silence is how long a member may say nothing before it counts as gone.
 	silence time.Duration
 	live    map[string]*Member
+	// names finds the member that a life belongs to.
+	names map[uint32]string
 	// contacts are addresses where a host may be that was not heard yet.
 	contacts map[string]bool
 }
 
 // NewMembers makes the view of a host that has heard no other.
 func NewMembers(self string, silence time.Duration) *Members {
-	return &Members{self: self, silence: silence, live: make(map[string]*Member), contacts: make(map[string]bool)}
+	return &Members{
+		self: self, silence: silence, live: make(map[string]*Member), names: make(map[uint32]string), contacts: make(map[string]bool),
+	}
 }
 
 // Contact notes an address where a host may be.
 func (m *Members) Contact(address string) { m.contacts[address] = true }
 
-// Heard takes a beat. It reports whether the beat counts, being no echo and not
-// older than the last one of its host, and whether the host is new.
-func (m *Members) Heard(now time.Time, beat *Beat) (counts, isNew bool) {
-	if beat.Host == m.self {
-		return false, false
+// Heard takes a beat. It gives the member that sent it, or false if the beat does
+// not count: it is an echo, it is older than the last one of its host, or its sender
+// has not introduced itself. IsNew says that the member was not live before.
+func (m *Members) Heard(now time.Time, beat *Beat) (member Member, isNew, counts bool) {
+	if beat.Intro != nil {
+		isNew = m.introduce(beat)
 	}
-	member, known := m.live[beat.Host]
-	if known && (beat.Start < member.start || (beat.Start == member.start && beat.Sequence <= member.sequence)) {
-		return false, false
+	known, ok := m.live[m.names[beat.Life]]
+	if !ok || known.life != beat.Life || beat.Sequence <= known.sequence {
+		return Member{}, false, false
 	}
+	known.sequence, known.heard = beat.Sequence, now
+	known.Settings, known.Directory = beat.Settings, beat.Directory
 	if beat.Leaving {
-		delete(m.live, beat.Host)
-		delete(m.contacts, beat.Address)
-		return true, false
+		m.forget(known.Name)
+		delete(m.contacts, known.Address)
 	}
-	m.live[beat.Host] = &Member{
-		Name: beat.Host, Address: beat.Address, Zone: beat.Zone, Settings: beat.Settings, Directory: beat.Directory,
-		start: beat.Start, sequence: beat.Sequence, heard: now,
+	return *known, isNew, true
+}
+
+// introduce takes an introduction, and reports whether its host is new.
+func (m *Members) introduce(beat *Beat) bool {
+	intro := beat.Intro
+	if intro.Host == m.self {
+		return false
 	}
-	m.contacts[beat.Address] = true
-	for _, address := range beat.Known {
+	known, ok := m.live[intro.Host]
+	if ok && intro.Start < known.start {
+		return false
+	}
+	for _, address := range intro.Known {
 		m.contacts[address] = true
 	}
-	return true, !known
+	if ok && known.life == beat.Life {
+		return false
+	}
+	m.forget(intro.Host)
+	m.live[intro.Host] = &Member{
+		Name: intro.Host, Address: intro.Address, Zone: intro.Zone, life: beat.Life, start: intro.Start,
+	}
+	m.names[beat.Life] = intro.Host
+	m.contacts[intro.Address] = true
+	return true
+}
+
+// forget drops a member.
+func (m *Members) forget(name string) {
+	if member, ok := m.live[name]; ok {
+		delete(m.names, member.life)
+		delete(m.live, name)
+	}
 }
 
 // Expire drops the members that have been silent for too long, and names them.
@@ -69,7 +101,7 @@
 	var gone []string
 	for name, member := range m.live {
 		if now.Sub(member.heard) > m.silence {
-			delete(m.live, name)
+			m.forget(name)
 			gone = append(gone, name)
 		}
 	}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -9,6 +9,7 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
 
@@ -20,29 +21,52 @@
 type Beat struct {
 	_ struct{} `cbor:",toarray"`
 
-	Host    string
-	Address string
-	Zone    string
-	// Start tells the lives of a host apart, Sequence the beats of one life.
-	Start    int64
+	// Life names the sender: each start of a host draws a new number. Sequence
+	// numbers the beats of one life.
+	Life     uint32
 	Sequence uint64
+	// Intro is sent now and then, and as soon as a host is new. Beats between are
+	// shorter by it.
+	Intro *Intro
 	// Settings and Directory are the newest revisions that the host has.
 	Settings  uint64
 	Directory uint64
 	Leaving   bool
 	Loads     []EndpointLoad
 	Pauses    []EndpointPause
+}
+
+// Intro says who sends the beats of a life.
+type Intro struct {
+	_ struct{} `cbor:",toarray"`
+
+	Host    string
+	Address string
+	Zone    string
+	// Start orders the lives of a host.
+	Start int64
 	// Known are the addresses of a few other hosts.
 	Known []string
 }
 
+// EndpointKey is a short name of an endpoint: a hash of its ID. Two endpoints with
+// the same key would share their loads, which costs a worse choice and no more.
+type EndpointKey uint32
+
+// KeyOf gives the key of an endpoint.
+func KeyOf(endpoint string) EndpointKey { return EndpointKey(xxhash.Sum64String(endpoint)) }
+
+// TokenUnit is the unit of token counts in beats.
+const TokenUnit = 64
+
 // EndpointLoad is the sender's work under way at an endpoint.
 type EndpointLoad struct {
 	_ struct{} `cbor:",toarray"`
 
-	Endpoint string
+	Endpoint EndpointKey
 	Requests int
-	// Tokens counts prompt tokens that the endpoint has still to read.
+	// Tokens counts prompt tokens that the endpoint has still to read, in units of
+	// TokenUnit.
 	Tokens int
 }
 
@@ -50,7 +74,7 @@
 type EndpointPause struct {
 	_ struct{} `cbor:",toarray"`
 
-	Endpoint string
+	Endpoint EndpointKey
 	// Left is how long the sender sends it no new work.
 	Left time.Duration
 }
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -94,8 +94,16 @@
 	Notice time.Duration `json:"notice,omitzero"`
 	// Limit bounds the whole stop.
 	Limit time.Duration `json:"limit,omitzero"`
+	// Grace is when the platform kills a host that it has told to stop. If it is
+	// set, the limit lies before it.
+	Grace time.Duration `json:"grace,omitzero"`
 }
 
+// gracePart is the part of the grace time for which a host lets requests finish:
+// until well into the last sixth, in which cutting a request that still runs is
+// nobody's fault, and with time left to end in order.
+const gracePart = 0.88
+
 // The values of what the file leaves out.
 const (
 	defaultPoll         = time.Second
@@ -133,6 +141,9 @@
 	setDefault(&h.Platform.Poll, defaultPoll)
 	setDefault(&h.Platform.Timeout, defaultTimeout)
 	setDefault(&h.Drain.Notice, defaultNotice)
+	if h.Drain.Grace > 0 {
+		setDefault(&h.Drain.Limit, time.Duration(gracePart*float64(h.Drain.Grace)))
+	}
 	setDefault(&h.Drain.Limit, defaultLimit)
 	setDefault(&h.ReadTimeout, defaultReadTimeout)
 	setDefault(&h.WriteTimeout, defaultWriteTimeout)
--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -49,3 +49,14 @@
 		c.Assert(err, qt.IsNil)
 	}
 }
+
+func TestDrainEndsInTheLastSixthOfTheGrace(t *testing.T) {
+	for name, grace := range map[string]time.Duration{"short": 3 * time.Second, "usual": 8 * time.Second, "long": 30 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			host := Host{Drain: Drain{Grace: grace}}.WithDefaults()
+			c.Assert(host.Drain.Limit > grace*5/6, qt.IsTrue)
+			c.Assert(host.Drain.Limit < grace*9/10, qt.IsTrue)
+		})
+	}
+}
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -7,6 +7,8 @@
 
 import (
 	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/gossip"
 )
 
 // Load is the work that one host has under way at an endpoint.
@@ -37,7 +39,7 @@
 // peerLoads is what one peer has told of its loads.
 type peerLoads struct {
 	at    time.Time
-	loads map[string]Load
+	loads map[gossip.EndpointKey]Load
 }
 
 // peerLoadAge is how long a peer's word on its loads counts.
@@ -47,12 +49,17 @@
 type Board struct {
 	own    map[string]*Load
 	peers  map[string]peerLoads
+	// peerPauses are the pauses that peers have told of.
+	peerPauses map[gossip.EndpointKey]time.Time
 	pauses map[string]*pause
 }
 
 // NewBoard makes an empty board.
 func NewBoard() *Board {
-	return &Board{own: make(map[string]*Load), peers: make(map[string]peerLoads), pauses: make(map[string]*pause)}
+	return &Board{
+		own: make(map[string]*Load), peers: make(map[string]peerLoads),
+		peerPauses: make(map[gossip.EndpointKey]time.Time), pauses: make(map[string]*pause),
+	}
 }
 
 // Begin books a request that goes to an endpoint.
@@ -94,7 +101,7 @@
 }
 
 // SetPeer takes a peer's loads.
-func (b *Board) SetPeer(now time.Time, peer string, loads map[string]Load) {
+func (b *Board) SetPeer(now time.Time, peer string, loads map[gossip.EndpointKey]Load) {
 	b.peers[peer] = peerLoads{at: now, loads: loads}
 }
 
@@ -108,9 +115,10 @@
 	if own, ok := b.own[endpoint]; ok {
 		total = *own
 	}
+	key := gossip.KeyOf(endpoint)
 	for _, peer := range b.peers {
 		if now.Sub(peer.at) <= peerLoadAge {
-			total.add(peer.loads[endpoint])
+			total.add(peer.loads[key])
 		}
 	}
 	return total
@@ -140,18 +148,13 @@
 func (b *Board) Answered(endpoint string) { delete(b.pauses, endpoint) }
 
 // Pause takes a peer's word that an endpoint failed.
-func (b *Board) Pause(endpoint string, until time.Time) {
-	p, ok := b.pauses[endpoint]
-	if !ok {
-		p = new(pause)
-		b.pauses[endpoint] = p
-	}
-	if until.After(p.until) {
-		p.until = until
+func (b *Board) Pause(endpoint gossip.EndpointKey, until time.Time) {
+	if until.After(b.peerPauses[endpoint]) {
+		b.peerPauses[endpoint] = until
 	}
 }
 
-// Paused gives the endpoints that are paused, with the end of each pause.
+// Paused gives the endpoints that this host has paused, with the end of each pause.
 func (b *Board) Paused(now time.Time) map[string]time.Time {
 	paused := make(map[string]time.Time)
 	for endpoint, p := range b.pauses {
@@ -164,5 +167,5 @@
 
 func (b *Board) paused(now time.Time, endpoint string) bool {
 	p, ok := b.pauses[endpoint]
-	return ok && now.Before(p.until)
+	return (ok && now.Before(p.until)) || now.Before(b.peerPauses[gossip.KeyOf(endpoint)])
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/directory"
+	"oxbowslip.dev/oxbowslip/internal/gossip"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 )
@@ -69,7 +70,7 @@
 }
 
 // SetPeer takes a peer's loads and pauses.
-func (s *Scheduler) SetPeer(peer string, loads map[string]Load, paused map[string]time.Time) {
+func (s *Scheduler) SetPeer(peer string, loads map[gossip.EndpointKey]Load, paused map[gossip.EndpointKey]time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.board.SetPeer(s.clock(), peer, loads)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,7 +68,7 @@
 	// memoryPart is the part of the host's memory that the heap may take.
 	memoryPart = 0.6
 	// stopMargin is the time left to end honestly after the drain's limit.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 300 * time.Millisecond
 )
 
 // Router is one running host.
@@ -292,6 +292,7 @@
 	defer cancel()
 	r.leaving.Store(true)
 	r.log.WithField("open", r.owner.Open()).Info("leaving")
+	go r.unregister()
 	select {
 	case <-time.After(r.config.Drain.Notice):
 	case <-ctx.Done():
@@ -305,7 +306,6 @@
 	cut := r.owner.Drain(ctx)
 	<-shut
 	r.gossip.Leave()
-	r.unregister()
 	last, cancelLast := context.WithTimeout(context.Background(), stopMargin)
 	defer cancelLast()
 	_ = r.callers.Shutdown(last)
--- a/internal/router/share.go
+++ b/internal/router/share.go
@@ -34,11 +34,13 @@
 	s.mu.Unlock()
 	state := gossip.State{Settings: s.revision(), Directory: s.directory.Changed()}
 	for endpoint, load := range loads {
-		state.Loads = append(state.Loads, gossip.EndpointLoad{Endpoint: endpoint, Requests: load.Requests, Tokens: load.Tokens})
+		state.Loads = append(state.Loads, gossip.EndpointLoad{
+			Endpoint: gossip.KeyOf(endpoint), Requests: load.Requests, Tokens: load.Tokens / gossip.TokenUnit,
+		})
 	}
 	now := s.clock()
 	for endpoint, until := range paused {
-		state.Pauses = append(state.Pauses, gossip.EndpointPause{Endpoint: endpoint, Left: until.Sub(now)})
+		state.Pauses = append(state.Pauses, gossip.EndpointPause{Endpoint: gossip.KeyOf(endpoint), Left: until.Sub(now)})
 	}
 	return state
 }
@@ -57,11 +59,11 @@
 
 // Hear takes a peer's loads and pauses.
 func (s *sharing) Hear(peer string, loads []gossip.EndpointLoad, pauses []gossip.EndpointPause) {
-	translated := make(map[string]placement.Load, len(loads))
+	translated := make(map[gossip.EndpointKey]placement.Load, len(loads))
 	for _, load := range loads {
-		translated[load.Endpoint] = placement.Load{Requests: load.Requests, Tokens: load.Tokens}
+		translated[load.Endpoint] = placement.Load{Requests: load.Requests, Tokens: load.Tokens * gossip.TokenUnit}
 	}
-	paused := make(map[string]time.Time, len(pauses))
+	paused := make(map[gossip.EndpointKey]time.Time, len(pauses))
 	now := s.clock()
 	for _, pause := range pauses {
 		paused[pause.Endpoint] = now.Add(pause.Left)
@@ -98,7 +100,7 @@
 
 // Changes of a load that are worth a beat.
 const (
-	tellTokens   = 1000
+	tellTokens   = 2000
 	tellRequests = 2
 )
 
