--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -124,6 +124,14 @@
 	return entry.Endpoint, ok && entry.Endpoint.State != settings.StateOut
 }
 
+// Lookup gives an endpoint that is known, also one that takes no new work.
+func (d *Directory) Lookup(id string) (settings.Endpoint, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	entry, ok := d.entries[id]
+	return entry.Endpoint, ok
+}
+
 // Serving lists the endpoints of a service that take new work, by ID. The list
 // must not be changed.
 func (d *Directory) Serving(service string) []Entry {
--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -31,6 +31,9 @@
 	Number     int
 	EndpointID string
 	Endpoint   settings.Endpoint
+	// FetchFrom is the address of an endpoint from which this one can copy a shared
+	// part of the prompt, or empty.
+	FetchFrom string
 	state      atomic.Int32
 }
 
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -252,6 +252,7 @@
 	ticket     Ticket
 	endpointID string
 	endpoint   settings.Endpoint
+	fetchFrom  string
 	tokens     int
 	// base is the tokens that earlier attempts brought, which this one goes on
 	// from.
@@ -326,7 +327,7 @@
 		r.job.Request.Avoid = append(r.job.Request.Avoid, decision.Endpoint)
 		return r.life.Apply(request.EventGrantVoid, r.facts(false))
 	}
-	r.endpointID, r.endpoint = decision.Endpoint, e
+	r.endpointID, r.endpoint, r.fetchFrom = decision.Endpoint, e, decision.FetchFrom
 	r.base = r.tokens
 	r.lastTold = time.Time{}
 	return r.life.Apply(request.EventGranted, r.facts(false))
@@ -336,7 +337,7 @@
 func (r *run) attempt(ctx context.Context, try func(context.Context, *Attempt) Result) request.Action {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &Attempt{run: r, Number: r.life.Tries(), EndpointID: r.endpointID, Endpoint: r.endpoint}
+	a := &Attempt{run: r, Number: r.life.Tries(), EndpointID: r.endpointID, Endpoint: r.endpoint, FetchFrom: r.fetchFrom}
 	done := make(chan struct{})
 	go a.watch(r.ticket.Preempted(), cancel, done)
 	result := try(ctx, a)
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -52,13 +52,19 @@
 	// peerPauses are the pauses that peers have told of.
 	peerPauses map[gossip.EndpointKey]time.Time
 	pauses map[string]*pause
+	// holders are the endpoints that each prefix was sent to, with the last time.
+	holders map[uint64]map[string]time.Time
 }
 
+// holderAge is how long an endpoint counts as holding a prefix after its last use.
+const holderAge = 30 * time.Second
+
 // NewBoard makes an empty board.
 func NewBoard() *Board {
 	return &Board{
 		own: make(map[string]*Load), peers: make(map[string]peerLoads),
 		peerPauses: make(map[gossip.EndpointKey]time.Time), pauses: make(map[string]*pause),
+		holders: make(map[uint64]map[string]time.Time),
 	}
 }
 
@@ -72,6 +78,30 @@
 	load.add(Load{Requests: 1, Tokens: tokens})
 }
 
+// Hold notes that an endpoint reads a prefix, and so holds it from now on.
+func (b *Board) Hold(now time.Time, prefix uint64, endpoint string) {
+	held, ok := b.holders[prefix]
+	if !ok {
+		held = make(map[string]time.Time)
+		b.holders[prefix] = held
+	}
+	held[endpoint] = now
+}
+
+// Expire forgets what is too old to count.
+func (b *Board) Expire(now time.Time) {
+	for prefix, held := range b.holders {
+		for endpoint, at := range held {
+			if now.Sub(at) > holderAge {
+				delete(held, endpoint)
+			}
+		}
+		if len(held) == 0 {
+			delete(b.holders, prefix)
+		}
+	}
+}
+
 // Read books that an endpoint has read a request's prompt.
 func (b *Board) Read(endpoint string, tokens int) {
 	if load, ok := b.own[endpoint]; ok {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -17,9 +17,9 @@
 	// longPrefix is the length of a shared prefix, in tokens, from which it pays
 	// to send a request where the prefix was read before.
 	longPrefix = 1500
-	// rereadCost weighs a token that would be read again against one that waits
-	// before the request.
-	rereadCost = 3
+	// moveCost weighs a token that is copied from the endpoint that holds it against
+	// one that waits before the request.
+	moveCost = 3.0
 	// zoneTokens is the work that it takes to leave the own availability zone.
 	zoneTokens = 150
 )
@@ -33,6 +33,21 @@
 	Load Load
 	// Cached is the prompt tokens that the endpoint should have read before.
 	Cached int
+	// FetchFrom is another endpoint that should hold what this one lacks, or empty.
+	FetchFrom string
+	// Cost is what the choice was made by, in prompt tokens.
+	Cost int
+}
+
+// question is a request as the choice sees it.
+type question struct {
+	request *schedule.Request
+	// prefix names the part of the prompt that others share, shared is its length.
+	prefix uint64
+	shared int
+	// home is the endpoint where the prefix belongs, or empty.
+	home string
+	held map[string]time.Time
 }
 
 // Choose picks the endpoint with the least work for a request: what waits there,
@@ -44,38 +59,44 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	key, shared := sharedPrefix(request)
-	home := ""
-	if shared >= longPrefix {
-		home = rendezvous(key, candidates)
+	q := question{request: request}
+	q.prefix, q.shared = sharedPrefix(request)
+	if q.shared >= longPrefix {
+		q.home = rendezvous(q.prefix, candidates)
+		q.held = b.holders[q.prefix]
 	}
 	var best Choice
-	bestCost := 0
 	for i := range candidates {
-		choice, cost := b.weigh(now, request, &candidates[i], home, shared)
-		if best.Endpoint == "" || cost < bestCost {
-			best, bestCost = choice, cost
+		choice := b.weigh(now, &q, &candidates[i])
+		if best.Endpoint == "" || choice.Cost < best.Cost {
+			best = choice
 		}
 	}
+	if q.home != "" {
+		b.Hold(now, q.prefix, best.Endpoint)
+	}
 	return best, true
 }
 
-// weigh gives the cost of sending a request to an endpoint, in prompt tokens.
-func (b *Board) weigh(now time.Time, request *schedule.Request, e *directory.Entry, home string, shared int) (Choice, int) {
-	choice := Choice{Endpoint: e.ID, Tokens: request.PromptTokens, Load: b.Total(now, e.ID)}
-	cost := choice.Load.Requests*requestTokens + choice.Load.Tokens
-	if e.Endpoint.Zone != request.Zone {
-		cost += zoneTokens
+// weigh gives the cost of sending a request to an endpoint.
+func (b *Board) weigh(now time.Time, q *question, e *directory.Entry) Choice {
+	choice := Choice{Endpoint: e.ID, Tokens: q.request.PromptTokens, Load: b.Total(now, e.ID)}
+	choice.Cost = choice.Load.Requests*requestTokens + choice.Load.Tokens
+	if e.Endpoint.Zone != q.request.Zone {
+		choice.Cost += zoneTokens
 	}
-	if home == "" {
-		return choice, cost
+	if q.home == "" {
+		return choice
 	}
-	if e.ID == home {
-		choice.Cached = shared
-		choice.Tokens -= shared
-		return choice, cost
+	_, holds := q.held[e.ID]
+	if holds || e.ID == q.home {
+		choice.Cached = q.shared
+		choice.Tokens -= q.shared
+		return choice
 	}
-	return choice, cost + shared*rereadCost
+	choice.FetchFrom = q.home
+	choice.Cost += int(float64(q.shared) * moveCost)
+	return choice
 }
 
 // candidates leaves out endpoints that failed lately, then those to avoid, as
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -52,7 +52,12 @@
 		}, nil
 	}
 	s.changed()
+	var fetchFrom string
+	if source, known := s.directory.Lookup(choice.FetchFrom); known {
+		fetchFrom = source.Address
+	}
 	decision := schedule.Decision{
+		FetchFrom: fetchFrom,
 		Kind: schedule.Grant, ID: request.ID, Owner: request.Owner, Endpoint: choice.Endpoint,
 		Reason: schedule.ReasonTier, Until: now.Add(grantTime),
 		Figures: schedule.Figures{
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -36,6 +36,9 @@
 	// Workspace is empty for a public call.
 	Workspace string
 	Tier      int
+	// FetchFrom is the address of another endpoint that should hold a part of the
+	// prompt, or empty.
+	FetchFrom string
 	// Left is the time that remains for the call.
 	Left time.Duration
 }
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -100,7 +100,7 @@
 	copyHeaders(header, x.r.Header)
 	header.Del("Authorization")
 	x.server.Dialect.Prepare(header, Send{
-		EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, Left: x.limit.Sub(x.server.Clock()),
+		EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, FetchFrom: a.FetchFrom, Left: x.limit.Sub(x.server.Clock()),
 	})
 	if x.stream.lastID != "" {
 		header.Set(headerLastID, x.stream.lastID)
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -141,7 +141,10 @@
 	ID       string
 	Owner    string
 	Endpoint string
-	Reason   Reason
+	// FetchFrom is the address of another endpoint that should hold a shared part
+	// of the prompt, or empty.
+	FetchFrom string
+	Reason    Reason
 	// Until is when an unused grant becomes void.
 	Until time.Time
 	// RetryAfter is when a refused caller should come back.
