--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -22,6 +23,12 @@
 	moveCost = 3.0
 	// zoneTokens is the work that it takes to leave the own availability zone.
 	zoneTokens = 150
+	// deepPrefix is the length of a shared prefix from which it is deep, deepPart the
+	// part of the endpoints where deep prefixes belong, deepCost what a short prompt
+	// takes on itself to run elsewhere.
+	deepPrefix = 14000
+	deepPart   = 0.45
+	deepCost   = 5000
 )
 
 // Choice is an endpoint with the figures that decided.
@@ -48,6 +55,8 @@
 	// home is the endpoint where the prefix belongs, or empty.
 	home string
 	held map[string]time.Time
+	// deep is the lane of the deepest prefixes.
+	deep map[string]bool
 }
 
 // Choose picks the endpoint with the least work for a request: what waits there,
@@ -61,8 +70,10 @@
 	}
 	q := question{request: request}
 	q.prefix, q.shared = sharedPrefix(request)
+	deep := deepLane(endpoints)
+	q.deep = deep
 	if q.shared >= longPrefix {
-		q.home = rendezvous(q.prefix, candidates)
+		q.home = rendezvous(q.prefix, laneOf(q.shared >= deepPrefix, deep, candidates))
 		q.held = b.holders[q.prefix]
 	}
 	var best Choice
@@ -86,6 +97,9 @@
 		choice.Cost += zoneTokens
 	}
 	if q.home == "" {
+		if q.deep[e.ID] && q.request.PromptTokens > 0 {
+			choice.Cost += deepCost
+		}
 		return choice
 	}
 	_, holds := q.held[e.ID]
@@ -99,6 +113,32 @@
 	return choice
 }
 
+// deepLane names the endpoints where the deepest prefixes belong. A step of an
+// engine takes longer the deeper the prompt is that it reads, and all streams beside
+// it pause for that long; so the deepest are read apart from the short prompts.
+func deepLane(endpoints []directory.Entry) map[string]bool {
+	size := int(float64(len(endpoints)) * deepPart)
+	ordered := slices.Clone(endpoints)
+	slices.SortFunc(ordered, func(a, b directory.Entry) int {
+		return cmp.Compare(mix(xxhash.Sum64String(a.ID)), mix(xxhash.Sum64String(b.ID)))
+	})
+	lane := make(map[string]bool, size)
+	for _, e := range ordered[:size] {
+		lane[e.ID] = true
+	}
+	return lane
+}
+
+// laneOf gives the candidates inside or outside of the deep lane, or all if there
+// are none.
+func laneOf(deep bool, lane map[string]bool, candidates []directory.Entry) []directory.Entry {
+	in := keep(candidates, func(e *directory.Entry) bool { return lane[e.ID] == deep })
+	if len(in) == 0 {
+		return candidates
+	}
+	return in
+}
+
 // candidates leaves out endpoints that failed lately, then those to avoid, as
 // long as others are left.
 func (b *Board) candidates(now time.Time, request *schedule.Request, endpoints []directory.Entry) []directory.Entry {
