--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -94,8 +94,8 @@
 	rests    int
 	// introduce says that the next beat carries an introduction.
 	introduce bool
-	leaving  bool
-	catching bool
+	leaving   bool
+	catching  bool
 }
 
 // New makes a host's part that does not listen yet.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -86,14 +86,14 @@
 
 // Owner runs the jobs of this host.
 type Owner struct {
-	host       string
-	scheduler  Scheduler
-	endpoints  Endpoints
-	counters   *counters.Counters
-	ring       *explain.Ring
-	budgets    Budget
-	clock      func() time.Time
-	random     func() float64
+	host      string
+	scheduler Scheduler
+	endpoints Endpoints
+	counters  *counters.Counters
+	ring      *explain.Ring
+	budgets   Budget
+	clock     func() time.Time
+	random    func() float64
 
 	mu      sync.Mutex
 	open    int
@@ -142,16 +142,16 @@
 	clock func() time.Time, random func() float64,
 ) *Owner {
 	return &Owner{
-		host:       host,
-		scheduler:  scheduler,
-		endpoints:  endpoints,
-		counters:   c,
-		ring:       ring,
-		budgets:    budget,
-		clock:      clock,
-		random:     random,
-		idle:       make(chan struct{}, 1),
-		stopped:    make(chan struct{}),
+		host:      host,
+		scheduler: scheduler,
+		endpoints: endpoints,
+		counters:  c,
+		ring:      ring,
+		budgets:   budget,
+		clock:     clock,
+		random:    random,
+		idle:      make(chan struct{}, 1),
+		stopped:   make(chan struct{}),
 	}
 }
 
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -47,11 +47,11 @@
 
 // Board is one host's view of the work at all endpoints.
 type Board struct {
-	own    map[string]*Load
-	peers  map[string]peerLoads
+	own   map[string]*Load
+	peers map[string]peerLoads
 	// peerPauses are the pauses that peers have told of.
 	peerPauses map[gossip.EndpointKey]time.Time
-	pauses map[string]*pause
+	pauses     map[string]*pause
 	// holders are the endpoints that each prefix was sent to, with the last time.
 	holders map[uint64]map[string]time.Time
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -58,7 +58,7 @@
 	}
 	decision := schedule.Decision{
 		FetchFrom: fetchFrom,
-		Kind: schedule.Grant, ID: request.ID, Owner: request.Owner, Endpoint: choice.Endpoint,
+		Kind:      schedule.Grant, ID: request.ID, Owner: request.Owner, Endpoint: choice.Endpoint,
 		Reason: schedule.ReasonTier, Until: now.Add(grantTime),
 		Figures: schedule.Figures{
 			InFlight: choice.Load.Requests, WaitingAhead: choice.Load.Tokens, CachedTokens: choice.Cached,
