--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -36,6 +36,8 @@
 	// Workspace is empty for a public call.
 	Workspace string
 	Tier      int
+	// Urgency orders the classes inside a tier.
+	Urgency int
 	// FetchFrom is the address of another endpoint that should hold a part of the
 	// prompt, or empty.
 	FetchFrom string
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -43,7 +43,7 @@
 
 func (x *exchange) scheduleRequest() schedule.Request {
 	r := schedule.Request{
-		ID: x.call.ID, Owner: x.server.Host, Workspace: x.workspace, Class: x.route.Class, Tier: x.policy.Tier,
+		ID: x.call.ID, Owner: x.server.Host, Workspace: x.workspace, Class: x.route.Class, Tier: x.policy.Tier, Urgency: x.policy.Urgency,
 		Arrived: x.arrived, FirstToken: x.policy.FirstToken, WholeAnswer: x.policy.WholeAnswer,
 		Repeatable: x.policy.Repeatable, PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Zone: x.server.Zone,
 	}
@@ -100,7 +100,7 @@
 	copyHeaders(header, x.r.Header)
 	header.Del("Authorization")
 	x.server.Dialect.Prepare(header, Send{
-		EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, FetchFrom: a.FetchFrom, Left: x.limit.Sub(x.server.Clock()),
+		EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, Urgency: x.policy.Urgency, FetchFrom: a.FetchFrom, Left: x.limit.Sub(x.server.Clock()),
 	})
 	if x.stream.lastID != "" {
 		header.Set(headerLastID, x.stream.lastID)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -210,7 +210,7 @@
 // log writes the request's end with the figures that decided it.
 func (x *exchange) log(end *owner.End) {
 	fields := logrus.Fields{
-		"id": x.call.ID, "class": x.route.Class, "workspace": x.workspace, "tier": x.policy.Tier,
+		"id": x.call.ID, "class": x.route.Class, "workspace": x.workspace, "tier": x.policy.Tier, "urgency": x.policy.Urgency,
 		"service": x.target, "endpoint": end.Endpoint, "tries": end.Tries, "sends": end.Sends,
 		"revision": x.revision, "took_ms": x.server.Clock().Sub(x.arrived).Milliseconds(),
 		"first_ms": end.FirstToken.Milliseconds(), "events": x.stream.events, "pause_ms": x.stream.longest.Milliseconds(),
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -26,6 +26,8 @@
 	Workspace string
 	Class     string
 	Tier      int
+	// Urgency orders the classes inside a tier; 0 is the most urgent.
+	Urgency int
 	Arrived   time.Time
 	// FirstToken, BetweenTokens and WholeAnswer are targets; 0 means none.
 	FirstToken    time.Duration
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -170,6 +170,7 @@
 type Values struct {
 	Enabled         *bool          `json:"enabled,omitzero"`
 	Tier            *int           `json:"tier,omitzero"`
+	Urgency         *int           `json:"urgency,omitzero"`
 	FirstToken      *time.Duration `json:"first_token,omitzero"`
 	BetweenTokens   *time.Duration `json:"between_tokens,omitzero"`
 	WholeAnswer     *time.Duration `json:"whole_answer,omitzero"`
@@ -197,6 +198,8 @@
 	Enabled bool
 	// Tier orders service levels; 0 is the highest.
 	Tier int
+	// Urgency orders the classes inside a tier; 0 is the most urgent.
+	Urgency int
 	// FirstToken, BetweenTokens and WholeAnswer are the targets; 0 means none.
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
