Under overload the least urgent wait a little and are refused

Cause: at five times the traffic engines ran 64 requests each beside constant prefill, so the streams of all classes paused too long. Ruled out: preemption, memory.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -59,12 +59,10 @@
 	deep map[string]bool
 }
 
-// Choose picks the endpoint with the least work for a request: what waits there,
-// and what of the prompt it must still read. Endpoints that the request should
-// avoid or that failed lately come in question only when there is no other. It
-// reports false if there is no endpoint at all.
-func (b *Board) Choose(now time.Time, request *schedule.Request, endpoints []directory.Entry) (Choice, bool) {
-	candidates := b.candidates(now, request, endpoints)
+// Choose picks, of the candidates among a service's endpoints, the one with the
+// least work for a request: what waits there, and what of the prompt it must still
+// read. It reports false if there is no candidate.
+func (b *Board) Choose(now time.Time, request *schedule.Request, endpoints, candidates []directory.Entry) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -139,8 +137,8 @@
 	return in
 }
 
-// candidates leaves out endpoints that failed lately, then those to avoid, as
-// long as others are left.
+// candidates leaves out the endpoints that a request should avoid, then those that
+// failed lately, each as long as others are left.
 func (b *Board) candidates(now time.Time, request *schedule.Request, endpoints []directory.Entry) []directory.Entry {
 	fresh := keep(endpoints, func(e *directory.Entry) bool { return !slices.Contains(request.Avoid, e.ID) })
 	if len(fresh) == 0 {
--- /dev/null
+++ b/internal/placement/room.go
@@ -0,0 +1,54 @@
+package placement
+
+import (
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/directory"
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+)
+
+// Ranks are the ends of the order of requests, from the settings in force.
+type Ranks struct {
+	// LowestTier is the highest number of a tier that a request can have.
+	LowestTier int
+	// LeastUrgent is the highest number of an urgency inside a tier.
+	LeastUrgent int
+}
+
+// leastRoom is the part of an engine's places up to which it takes the least urgent
+// requests of the lowest tier. More urgent ones may take more, the most urgent all:
+// so under overload the least urgent are the first to wait and to be refused. It
+// lies above one half: as long as half of the places are free, nobody is refused.
+const leastRoom = 0.56
+
+// room gives how many open requests an engine may have for a request to be sent
+// there, or false if there is no bound.
+func (r *Ranks) room(request *schedule.Request, e *directory.Entry) (int, bool) {
+	if request.PromptTokens == 0 || e.Endpoint.MaxInFlight == 0 || request.Tier < r.LowestTier || r.LeastUrgent == 0 || request.Urgency == 0 {
+		return 0, false
+	}
+	grade := float64(min(request.Urgency, r.LeastUrgent)) / float64(r.LeastUrgent)
+	part := 1 - (1-leastRoom)*grade
+	return int(part * float64(e.Endpoint.MaxInFlight)), true
+}
+
+// withRoom leaves out the endpoints that have no room for a request.
+func (b *Board) withRoom(now time.Time, ranks *Ranks, request *schedule.Request, endpoints []directory.Entry) []directory.Entry {
+	return keep(endpoints, func(e *directory.Entry) bool {
+		room, bounded := ranks.room(request, e)
+		return !bounded || b.Total(now, e.ID).Requests < room
+	})
+}
+
+// How long a request waits for room: a part of its target, since a request that is
+// refused late is worth less than one that is refused early.
+const (
+	waitPart    = 6
+	longestWait = 500 * time.Millisecond
+	// roomCheck is the time between two looks for room.
+	roomCheck = 20 * time.Millisecond
+)
+
+func waitFor(request *schedule.Request) time.Duration {
+	return min(max(request.FirstToken, request.WholeAnswer)/waitPart, longestWait)
+}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -16,6 +16,8 @@
 	grantTime = 100 * time.Millisecond
 	// noEndpointRetry is when a request comes back that found no endpoint.
 	noEndpointRetry = 500 * time.Millisecond
+	// noRoomRetry is when a request comes back that found no room.
+	noRoomRetry = 2 * time.Second
 )
 
 // Scheduler grants endpoints to the requests of this host. It implements
@@ -28,6 +30,7 @@
 
 	mu    sync.Mutex
 	board *Board
+	ranks Ranks
 }
 
 // New makes a scheduler that has sent nothing. Changed is called, outside of any
@@ -36,37 +39,80 @@
 	return &Scheduler{directory: d, clock: clock, changed: changed, board: NewBoard()}
 }
 
-// Ask grants an endpoint at once, or refuses if the service has none.
-func (s *Scheduler) Ask(_ context.Context, service string, request schedule.Request) (owner.Ticket, schedule.Decision, error) {
+// SetRanks takes the ends of the order of requests.
+func (s *Scheduler) SetRanks(ranks Ranks) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ranks = ranks
+}
+
+// Ask grants an endpoint as soon as one has room, or refuses: at once if the service
+// has no endpoint, and after a short wait if none has room.
+func (s *Scheduler) Ask(ctx context.Context, service string, request schedule.Request) (owner.Ticket, schedule.Decision, error) {
+	asked := s.clock()
+	until := asked.Add(waitFor(&request))
+	for {
+		choice, reason := s.choose(service, &request)
+		now := s.clock()
+		if reason == "" {
+			s.changed()
+			return s.grant(&request, &choice, now.Sub(asked), now)
+		}
+		if reason == schedule.ReasonNoEndpoint || !now.Before(until) {
+			return nil, refusal(&request, reason, now.Sub(asked)), nil
+		}
+		select {
+		case <-time.After(roomCheck):
+		case <-ctx.Done():
+			return nil, schedule.Decision{}, ctx.Err()
+		}
+	}
+}
+
+// choose picks an endpoint and books the request there, or gives the reason why
+// there is none.
+func (s *Scheduler) choose(service string, request *schedule.Request) (Choice, schedule.Reason) {
 	now := s.clock()
 	endpoints := s.directory.Serving(service)
 	s.mu.Lock()
-	choice, ok := s.board.Choose(now, &request, endpoints)
-	if ok {
-		s.board.Begin(choice.Endpoint, choice.Tokens)
+	defer s.mu.Unlock()
+	if len(endpoints) == 0 {
+		return Choice{}, schedule.ReasonNoEndpoint
 	}
-	s.mu.Unlock()
+	candidates := s.board.withRoom(now, &s.ranks, request, s.board.candidates(now, request, endpoints))
+	choice, ok := s.board.Choose(now, request, endpoints, candidates)
 	if !ok {
-		return nil, schedule.Decision{
-			Kind: schedule.Refuse, ID: request.ID, Reason: schedule.ReasonNoEndpoint, RetryAfter: noEndpointRetry,
-		}, nil
+		return Choice{}, schedule.ReasonNoRoom
 	}
-	s.changed()
+	s.board.Begin(choice.Endpoint, choice.Tokens)
+	return choice, ""
+}
+
+func (s *Scheduler) grant(request *schedule.Request, choice *Choice, waited time.Duration, now time.Time) (owner.Ticket, schedule.Decision, error) {
 	var fetchFrom string
 	if source, known := s.directory.Lookup(choice.FetchFrom); known {
 		fetchFrom = source.Address
 	}
 	decision := schedule.Decision{
-		FetchFrom: fetchFrom,
-		Kind:      schedule.Grant, ID: request.ID, Owner: request.Owner, Endpoint: choice.Endpoint,
+		Kind: schedule.Grant, ID: request.ID, Owner: request.Owner, Endpoint: choice.Endpoint, FetchFrom: fetchFrom,
 		Reason: schedule.ReasonTier, Until: now.Add(grantTime),
 		Figures: schedule.Figures{
-			InFlight: choice.Load.Requests, WaitingAhead: choice.Load.Tokens, CachedTokens: choice.Cached,
+			Waited: waited, InFlight: choice.Load.Requests, WaitingAhead: choice.Load.Tokens, CachedTokens: choice.Cached,
 		},
 	}
 	return &ticket{scheduler: s, endpoint: choice.Endpoint, tokens: choice.Tokens}, decision, nil
 }
 
+func refusal(request *schedule.Request, reason schedule.Reason, waited time.Duration) schedule.Decision {
+	retryAfter := noEndpointRetry
+	if reason == schedule.ReasonNoRoom {
+		retryAfter = noRoomRetry
+	}
+	return schedule.Decision{
+		Kind: schedule.Refuse, ID: request.ID, Reason: reason, RetryAfter: retryAfter, Figures: schedule.Figures{Waited: waited},
+	}
+}
+
 // Own gives a copy of this host's loads, and the endpoints that it has paused.
 func (s *Scheduler) Own() (loads map[string]Load, paused map[string]time.Time) {
 	s.mu.Lock()
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -10,6 +10,7 @@
 	"oxbowslip.dev/oxbowslip/internal/directory"
 	"oxbowslip.dev/oxbowslip/internal/follow"
 	"oxbowslip.dev/oxbowslip/internal/logging"
+	"oxbowslip.dev/oxbowslip/internal/placement"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
@@ -19,12 +20,34 @@
 	endpoints *follow.Follower[directory.Change]
 }
 
-func newSettingsSink(deployment Deployment, holder *settings.Holder, c *counters.Counters, log *logrus.Logger, n *news) *settingsSink {
+func newSettingsSink(deployment Deployment, holder *settings.Holder, c *counters.Counters, log *logrus.Logger, n *news,
+	scheduler *placement.Scheduler,
+) *settingsSink {
 	return &settingsSink{
+		inForce: func(tree *settings.Tree) { scheduler.SetRanks(ranksOf(tree)) },
 		decode: deployment.Decode, holder: holder, counters: c, log: logging.Part(log, "settings"), changed: n.tell,
 	}
 }
 
+// ranksOf finds the ends of the order of requests in a tree.
+func ranksOf(tree *settings.Tree) placement.Ranks {
+	var ranks placement.Ranks
+	for _, workspace := range tree.Workspaces {
+		if tier := workspace.Values.Tier; tier != nil {
+			ranks.LowestTier = max(ranks.LowestTier, *tier)
+		}
+	}
+	for _, class := range tree.Root.Classes {
+		if urgency := class.Values.Urgency; urgency != nil {
+			ranks.LeastUrgent = max(ranks.LeastUrgent, *urgency)
+		}
+		if tier := class.Values.Tier; tier != nil && len(tree.Workspaces) == 0 {
+			ranks.LowestTier = max(ranks.LowestTier, *tier)
+		}
+	}
+	return ranks
+}
+
 func newFollowers(deployment Deployment, sink *settingsSink, d *directory.Directory, n *news,
 	log *logrus.Logger, clock func() time.Time, random func() float64,
 ) *followers {
@@ -47,6 +70,8 @@
 	holder   *settings.Holder
 	counters *counters.Counters
 	log      *logrus.Entry
+	// inForce takes each tree that comes into force.
+	inForce func(*settings.Tree)
 	// changed is called when something newer is in force.
 	changed func()
 
@@ -78,6 +103,7 @@
 		return
 	}
 	s.keep(document, revision.Number)
+	s.inForce(revision.Tree)
 	s.changed()
 	s.log.WithFields(logrus.Fields{
 		"revision": revision.Number, "from": from, "routes": len(revision.Tree.Routes), "workspaces": len(revision.Tree.Workspaces),
