--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -34,6 +34,8 @@
 // Choice is an endpoint with the figures that decided.
 type Choice struct {
 	Endpoint string
+	// Places is how many requests the endpoint runs at once; 0 means unknown.
+	Places int
 	// Tokens is the prompt tokens that the endpoint has to read.
 	Tokens int
 	// Load is the work there before this request.
@@ -89,7 +91,7 @@
 
 // weigh gives the cost of sending a request to an endpoint.
 func (b *Board) weigh(now time.Time, q *question, e *directory.Entry) Choice {
-	choice := Choice{Endpoint: e.ID, Tokens: q.request.PromptTokens, Load: b.Total(now, e.ID)}
+	choice := Choice{Endpoint: e.ID, Places: e.Endpoint.MaxInFlight, Tokens: q.request.PromptTokens, Load: b.Total(now, e.ID)}
 	choice.Cost = choice.Load.Requests*requestTokens + choice.Load.Tokens
 	if e.Endpoint.Zone != q.request.Zone {
 		choice.Cost += zoneTokens
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -21,22 +21,29 @@
 // lies above one half: as long as half of the places are free, nobody is refused.
 const leastRoom = 0.56
 
-// room gives how many open requests an engine may have for a request to be sent
-// there, or false if there is no bound.
-func (r *Ranks) room(request *schedule.Request, e *directory.Entry) (int, bool) {
-	if request.PromptTokens == 0 || e.Endpoint.MaxInFlight == 0 || request.Tier < r.LowestTier || r.LeastUrgent == 0 || request.Urgency == 0 {
-		return 0, false
+// isLeast reports whether a request is among the first to wait. Such a request waits
+// for the endpoint that holds its prefix: to read the prefix elsewhere would take
+// from the others what is scarce.
+func (r *Ranks) isLeast(request *schedule.Request) bool {
+	return request.Tier >= r.LowestTier && request.Urgency >= r.LeastUrgent
+}
+
+// hasRoom reports whether an endpoint with a number of places and of open requests
+// has room for a request. Zero places means that the number is not known.
+func (r *Ranks) hasRoom(request *schedule.Request, places, open int) bool {
+	unbounded := request.PromptTokens == 0 || places == 0 || request.Tier < r.LowestTier
+	if unbounded || r.LeastUrgent == 0 || request.Urgency == 0 {
+		return true
 	}
 	grade := float64(min(request.Urgency, r.LeastUrgent)) / float64(r.LeastUrgent)
 	part := 1 - (1-leastRoom)*grade
-	return int(part * float64(e.Endpoint.MaxInFlight)), true
+	return open < int(part*float64(places))
 }
 
 // withRoom leaves out the endpoints that have no room for a request.
 func (b *Board) withRoom(now time.Time, ranks *Ranks, request *schedule.Request, endpoints []directory.Entry) []directory.Entry {
 	return keep(endpoints, func(e *directory.Entry) bool {
-		room, bounded := ranks.room(request, e)
-		return !bounded || b.Total(now, e.ID).Requests < room
+		return ranks.hasRoom(request, e.Endpoint.MaxInFlight, b.Total(now, e.ID).Requests)
 	})
 }
 
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -79,9 +79,12 @@
 	if len(endpoints) == 0 {
 		return Choice{}, schedule.ReasonNoEndpoint
 	}
-	candidates := s.board.withRoom(now, &s.ranks, request, s.board.candidates(now, request, endpoints))
+	candidates := s.board.candidates(now, request, endpoints)
+	if !s.ranks.isLeast(request) {
+		candidates = s.board.withRoom(now, &s.ranks, request, candidates)
+	}
 	choice, ok := s.board.Choose(now, request, endpoints, candidates)
-	if !ok {
+	if !ok || !s.ranks.hasRoom(request, choice.Places, choice.Load.Requests) {
 		return Choice{}, schedule.ReasonNoRoom
 	}
 	s.board.Begin(choice.Endpoint, choice.Tokens)
