--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -41,11 +41,13 @@
 	entries  map[string]Entry
 	// serving lists the endpoints of each service that take new work, by ID.
 	serving map[string][]Entry
+	// leaving lists those that do not.
+	leaving map[string][]Entry
 }
 
 // New makes an empty directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]Entry), serving: make(map[string][]Entry)}
+	return &Directory{entries: make(map[string]Entry), serving: make(map[string][]Entry), leaving: make(map[string][]Entry)}
 }
 
 // Revision is the state of the store up to which all changes are known, or 0.
@@ -140,18 +142,30 @@
 	return d.serving[service]
 }
 
+// Leaving lists the endpoints of a service that take no new work any more, by ID.
+// The list must not be changed.
+func (d *Directory) Leaving(service string) []Entry {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.leaving[service]
+}
+
 // index sorts the entries by what they serve. The lock is held.
 func (d *Directory) index() {
 	d.serving = make(map[string][]Entry, len(d.serving))
+	d.leaving = make(map[string][]Entry)
 	for _, entry := range d.entries {
+		lists := d.serving
 		if entry.Endpoint.State == settings.StateOut {
-			continue
+			lists = d.leaving
 		}
 		service := entry.Endpoint.Service
-		d.serving[service] = append(d.serving[service], entry)
+		lists[service] = append(lists[service], entry)
 	}
-	for _, entries := range d.serving {
-		slices.SortFunc(entries, byID)
+	for _, lists := range []map[string][]Entry{d.serving, d.leaving} {
+		for _, entries := range lists {
+			slices.SortFunc(entries, byID)
+		}
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -63,8 +63,9 @@
 
 // Choose picks, of the candidates among a service's endpoints, the one with the
 // least work for a request: what waits there, and what of the prompt it must still
-// read. It reports false if there is no candidate.
-func (b *Board) Choose(now time.Time, request *schedule.Request, endpoints, candidates []directory.Entry) (Choice, bool) {
+// read. Leaving are endpoints of the service that take no new work but can still be
+// copied from. It reports false if there is no candidate.
+func (b *Board) Choose(now time.Time, request *schedule.Request, endpoints, candidates, leaving []directory.Entry) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -84,11 +85,38 @@
 		}
 	}
 	if q.home != "" {
+		best.FetchFrom = b.source(now, &q, best.Endpoint, leaving)
 		b.Hold(now, q.prefix, best.Endpoint)
 	}
 	return best, true
 }
 
+// source names an endpoint from which another can copy a prefix that it may lack:
+// its home, else one that held it last, else the one that was its home before it
+// began to leave. An engine that holds the prefix itself copies nothing.
+func (b *Board) source(now time.Time, q *question, endpoint string, leaving []directory.Entry) string {
+	if _, holds := q.held[endpoint]; holds {
+		return ""
+	}
+	if q.home != endpoint {
+		return q.home
+	}
+	newest := ""
+	for other, at := range q.held {
+		if !b.paused(now, other) && (newest == "" || at.After(q.held[newest])) {
+			newest = other
+		}
+	}
+	if newest != "" {
+		return newest
+	}
+	alive := keep(leaving, func(e *directory.Entry) bool { return !b.paused(now, e.ID) })
+	if len(alive) == 0 {
+		return ""
+	}
+	return rendezvous(q.prefix, alive)
+}
+
 // weigh gives the cost of sending a request to an endpoint.
 func (b *Board) weigh(now time.Time, q *question, e *directory.Entry) Choice {
 	choice := Choice{Endpoint: e.ID, Places: e.Endpoint.MaxInFlight, Tokens: q.request.PromptTokens, Load: b.Total(now, e.ID)}
@@ -108,7 +136,6 @@
 		choice.Tokens -= q.shared
 		return choice
 	}
-	choice.FetchFrom = q.home
 	choice.Cost += int(float64(q.shared) * moveCost)
 	return choice
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -83,7 +83,7 @@
 	if !s.ranks.isLeast(request) {
 		candidates = s.board.withRoom(now, &s.ranks, request, candidates)
 	}
-	choice, ok := s.board.Choose(now, request, endpoints, candidates)
+	choice, ok := s.board.Choose(now, request, endpoints, candidates, s.directory.Leaving(service))
 	if !ok || !s.ranks.hasRoom(request, choice.Places, choice.Load.Requests) {
 		return Choice{}, schedule.ReasonNoRoom
 	}
