--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -46,6 +46,7 @@
 	Directory uint64
 	Loads     []EndpointLoad
 	Pauses    []EndpointPause
+	Reads     []PrefixRead
 }
 
 // Host is what gossip speaks for.
@@ -54,8 +55,8 @@
 	State() State
 	// Revisions gives the revisions up to which this host knows all.
 	Revisions() Want
-	// Hear takes a peer's loads and pauses.
-	Hear(peer string, loads []EndpointLoad, pauses []EndpointPause)
+	// Hear takes what a peer tells of its work.
+	Hear(peer string, beat *Beat)
 	// Lost says that a peer left or fell silent.
 	Lost(peer string)
 	// Newer gives what is newer than a peer's revisions.
@@ -233,7 +234,7 @@
 	g.sequence++
 	beat := &Beat{
 		Life: g.life, Sequence: g.sequence, Settings: state.Settings, Directory: state.Directory,
-		Loads: state.Loads, Pauses: state.Pauses, Leaving: g.leaving,
+		Loads: state.Loads, Pauses: state.Pauses, Reads: state.Reads, Leaving: g.leaving,
 	}
 	if g.introduce {
 		beat.Intro = &Intro{
@@ -314,7 +315,7 @@
 		g.log.WithFields(logrus.Fields{"peer": member.Name, "hosts": hosts}).Info("peer leaves")
 		return
 	}
-	g.host.Hear(member.Name, beat.Loads, beat.Pauses)
+	g.host.Hear(member.Name, beat)
 	if isNew {
 		g.log.WithFields(logrus.Fields{"peer": member.Name, "address": member.Address, "hosts": hosts}).Info("peer heard")
 		g.Changed()
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -34,6 +34,20 @@
 	Leaving   bool
 	Loads     []EndpointLoad
 	Pauses    []EndpointPause
+	// Reads are the prefixes that the sender lately sent to endpoints. Each is told
+	// in a few beats, since one may be lost.
+	Reads []PrefixRead
+}
+
+// PrefixKey is a short name of a shared part of prompts.
+type PrefixKey uint32
+
+// PrefixRead says that an endpoint was sent a prompt with a prefix, and so holds it.
+type PrefixRead struct {
+	_ struct{} `cbor:",toarray"`
+
+	Prefix   PrefixKey
+	Endpoint EndpointKey
 }
 
 // Intro says who sends the beats of a life.
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -52,19 +52,20 @@
 	// peerPauses are the pauses that peers have told of.
 	peerPauses map[gossip.EndpointKey]time.Time
 	pauses     map[string]*pause
-	// holders are the endpoints that each prefix was sent to, with the last time.
-	holders map[uint64]map[string]time.Time
+	// holders are the endpoints that each prefix was sent to, by this host or a peer,
+	// with the last time.
+	holders map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time
 }
 
 // holderAge is how long an endpoint counts as holding a prefix after its last use.
-const holderAge = 30 * time.Second
+const holderAge = time.Minute
 
 // NewBoard makes an empty board.
 func NewBoard() *Board {
 	return &Board{
 		own: make(map[string]*Load), peers: make(map[string]peerLoads),
 		peerPauses: make(map[gossip.EndpointKey]time.Time), pauses: make(map[string]*pause),
-		holders: make(map[uint64]map[string]time.Time),
+		holders: make(map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time),
 	}
 }
 
@@ -78,14 +79,17 @@
 	load.add(Load{Requests: 1, Tokens: tokens})
 }
 
-// Hold notes that an endpoint reads a prefix, and so holds it from now on.
-func (b *Board) Hold(now time.Time, prefix uint64, endpoint string) {
-	held, ok := b.holders[prefix]
+// Hold notes that an endpoint reads a prefix, and so holds it from now on. It
+// reports whether that is news.
+func (b *Board) Hold(now time.Time, read gossip.PrefixRead) bool {
+	held, ok := b.holders[read.Prefix]
 	if !ok {
-		held = make(map[string]time.Time)
-		b.holders[prefix] = held
+		held = make(map[gossip.EndpointKey]time.Time)
+		b.holders[read.Prefix] = held
 	}
-	held[endpoint] = now
+	_, known := held[read.Endpoint]
+	held[read.Endpoint] = now
+	return !known
 }
 
 // Expire forgets what is too old to count.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oxbowslip.dev/oxbowslip/internal/directory"
+	"oxbowslip.dev/oxbowslip/internal/gossip"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 )
 
@@ -42,6 +43,8 @@
 	Load Load
 	// Cached is the prompt tokens that the endpoint should have read before.
 	Cached int
+	// Prefix names the shared part of the prompt; 0 means that it is not worth it.
+	Prefix gossip.PrefixKey
 	// FetchFrom is another endpoint that should hold what this one lacks, or empty.
 	FetchFrom string
 	// Cost is what the choice was made by, in prompt tokens.
@@ -56,7 +59,9 @@
 	shared int
 	// home is the endpoint where the prefix belongs, or empty.
 	home string
-	held map[string]time.Time
+	held map[gossip.EndpointKey]time.Time
+	// heldHere says that a candidate holds the prefix.
+	heldHere bool
 	// deep is the lane of the deepest prefixes.
 	deep map[string]bool
 }
@@ -75,7 +80,8 @@
 	q.deep = deep
 	if q.shared >= longPrefix {
 		q.home = rendezvous(q.prefix, laneOf(q.shared >= deepPrefix, deep, candidates))
-		q.held = b.holders[q.prefix]
+		q.held = b.holders[gossip.PrefixKey(q.prefix)]
+		q.heldHere = slices.ContainsFunc(candidates, func(e directory.Entry) bool { return q.holds(&e) })
 	}
 	var best Choice
 	for i := range candidates {
@@ -85,36 +91,39 @@
 		}
 	}
 	if q.home != "" {
-		best.FetchFrom = b.source(now, &q, best.Endpoint, leaving)
-		b.Hold(now, q.prefix, best.Endpoint)
+		best.Prefix = gossip.PrefixKey(q.prefix)
+		best.FetchFrom = b.source(now, &q, best.Endpoint, slices.Concat(endpoints, leaving))
 	}
 	return best, true
 }
 
-// source names an endpoint from which another can copy a prefix that it may lack:
-// its home, else one that held it last, else the one that was its home before it
-// began to leave. An engine that holds the prefix itself copies nothing.
-func (b *Board) source(now time.Time, q *question, endpoint string, leaving []directory.Entry) string {
-	if _, holds := q.held[endpoint]; holds {
-		return ""
-	}
-	if q.home != endpoint {
-		return q.home
-	}
-	newest := ""
-	for other, at := range q.held {
-		if !b.paused(now, other) && (newest == "" || at.After(q.held[newest])) {
-			newest = other
+// holds reports whether an endpoint was sent the prefix.
+func (q *question) holds(e *directory.Entry) bool {
+	_, ok := q.held[gossip.KeyOf(e.ID)]
+	return ok
+}
+
+// cached reports whether an endpoint should have the prefix: it was sent there, or
+// it belongs there and no candidate was sent it that this host has heard of.
+func (q *question) cached(e *directory.Entry) bool {
+	return q.holds(e) || (!q.heldHere && e.ID == q.home)
+}
+
+// source names the endpoint that was sent a prefix last, for one to copy from that
+// was not. It is empty if there is none.
+func (b *Board) source(now time.Time, q *question, endpoint string, endpoints []directory.Entry) string {
+	newest, at := "", time.Time{}
+	for i := range endpoints {
+		e := &endpoints[i]
+		sent, ok := q.held[gossip.KeyOf(e.ID)]
+		if ok && e.ID == endpoint {
+			return ""
+		}
+		if ok && sent.After(at) && !b.paused(now, e.ID) {
+			newest, at = e.ID, sent
 		}
 	}
-	if newest != "" {
-		return newest
-	}
-	alive := keep(leaving, func(e *directory.Entry) bool { return !b.paused(now, e.ID) })
-	if len(alive) == 0 {
-		return ""
-	}
-	return rendezvous(q.prefix, alive)
+	return newest
 }
 
 // weigh gives the cost of sending a request to an endpoint.
@@ -130,8 +139,7 @@
 		}
 		return choice
 	}
-	_, holds := q.held[e.ID]
-	if holds || e.ID == q.home {
+	if q.cached(e) {
 		choice.Cached = q.shared
 		choice.Tokens -= q.shared
 		return choice
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -31,6 +31,7 @@
 	mu    sync.Mutex
 	board *Board
 	ranks Ranks
+	reads []untold
 }
 
 // New makes a scheduler that has sent nothing. Changed is called, outside of any
@@ -88,9 +89,62 @@
 		return Choice{}, schedule.ReasonNoRoom
 	}
 	s.board.Begin(choice.Endpoint, choice.Tokens)
+	if choice.Prefix != 0 {
+		s.read(now, gossip.PrefixRead{Prefix: choice.Prefix, Endpoint: gossip.KeyOf(choice.Endpoint)})
+	}
 	return choice, ""
 }
 
+// read notes a prefix that an endpoint is sent, to be told to the peers if it is
+// news. The lock is held.
+func (s *Scheduler) read(now time.Time, read gossip.PrefixRead) {
+	if s.board.Hold(now, read) {
+		s.reads = append(s.reads, untold{read: read, beats: beatsPerRead})
+	}
+}
+
+// beatsPerRead is in how many beats a read is told.
+const beatsPerRead = 3
+
+// untold is a read that is to be told in some more beats.
+type untold struct {
+	read  gossip.PrefixRead
+	beats int
+}
+
+// Reads gives the reads for the next beat.
+func (s *Scheduler) Reads() []gossip.PrefixRead {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var reads []gossip.PrefixRead
+	left := s.reads[:0]
+	for _, u := range s.reads {
+		reads = append(reads, u.read)
+		if u.beats--; u.beats > 0 {
+			left = append(left, u)
+		}
+	}
+	s.reads = left
+	return reads
+}
+
+// HearReads takes the reads that a peer tells of.
+func (s *Scheduler) HearReads(reads []gossip.PrefixRead) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	for _, read := range reads {
+		s.board.Hold(now, read)
+	}
+}
+
+// Sweep forgets what is too old to count.
+func (s *Scheduler) Sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Expire(s.clock())
+}
+
 func (s *Scheduler) grant(request *schedule.Request, choice *Choice, waited time.Duration, now time.Time) (owner.Ticket, schedule.Decision, error) {
 	var fetchFrom string
 	if source, known := s.directory.Lookup(choice.FetchFrom); known {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -207,6 +207,14 @@
 	return x.policy.WholeAnswer == 0 || whole <= x.policy.WholeAnswer
 }
 
+// sharedPart names the last part of the prompt that other requests share.
+func (x *exchange) sharedPart() string {
+	if n := len(x.call.Parts); n > 1 {
+		return x.call.Parts[n-2].ID
+	}
+	return ""
+}
+
 // log writes the request's end with the figures that decided it.
 func (x *exchange) log(end *owner.End) {
 	fields := logrus.Fields{
@@ -214,7 +222,7 @@
 		"service": x.target, "endpoint": end.Endpoint, "tries": end.Tries, "sends": end.Sends,
 		"revision": x.revision, "took_ms": x.server.Clock().Sub(x.arrived).Milliseconds(),
 		"first_ms": end.FirstToken.Milliseconds(), "events": x.stream.events, "pause_ms": x.stream.longest.Milliseconds(),
-		"steps": end.Steps,
+		"prompt": x.call.PromptTokens, "prefix": x.sharedPart(), "steps": end.Steps,
 	}
 	log := x.server.Log.WithFields(fields)
 	switch end.Outcome {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -81,6 +81,7 @@
 	client     *upstream.Client
 	settings   *settings.Holder
 	directory  *directory.Directory
+	scheduler  *placement.Scheduler
 	follow     *followers
 	gossip     *gossip.Gossip
 
@@ -186,11 +187,11 @@
 
 // New makes a router that has not started.
 func New(config hostconfig.Host, deployment Deployment, log *logrus.Logger, c *counters.Counters, o *owner.Owner,
-	client *upstream.Client, holder *settings.Holder, d *directory.Directory, f *followers, g *gossip.Gossip, server *relay.Server,
+	client *upstream.Client, holder *settings.Holder, d *directory.Directory, scheduler *placement.Scheduler, f *followers, g *gossip.Gossip, server *relay.Server,
 ) *Router {
 	r := &Router{
 		config: config, deployment: deployment, log: logging.Part(log, "host"), counters: c, owner: o, client: client,
-		settings: holder, directory: d, follow: f, gossip: g, done: make(chan struct{}),
+		settings: holder, directory: d, scheduler: scheduler, follow: f, gossip: g, done: make(chan struct{}),
 	}
 	r.callers = &http.Server{
 		Handler: r.closeWhenLeaving(server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -264,7 +265,10 @@
 	go r.gossip.Run(r.done)
 	go r.gossip.KeepRegistered(r.done, r.deployment.Registry)
 	r.follow.run(r.done)
-	go lifetime.Every(r.done, sweepInterval, rand.Float64, func(context.Context) { r.client.Sweep() })
+	go lifetime.Every(r.done, sweepInterval, rand.Float64, func(context.Context) {
+		r.client.Sweep()
+		r.scheduler.Sweep()
+	})
 	r.log.WithFields(logrus.Fields{
 		"host": r.config.Name, "zone": r.config.Zone, "callers": r.config.Callers, "store": r.config.Platform.Address,
 		"first_peers": r.config.FirstPeers, "memory_mb": r.config.MemoryMB,
--- a/internal/router/share.go
+++ b/internal/router/share.go
@@ -32,7 +32,7 @@
 	s.mu.Lock()
 	s.told = loads
 	s.mu.Unlock()
-	state := gossip.State{Settings: s.revision(), Directory: s.directory.Changed()}
+	state := gossip.State{Settings: s.revision(), Directory: s.directory.Changed(), Reads: s.scheduler.Reads()}
 	for endpoint, load := range loads {
 		state.Loads = append(state.Loads, gossip.EndpointLoad{
 			Endpoint: gossip.KeyOf(endpoint), Requests: load.Requests, Tokens: load.Tokens / gossip.TokenUnit,
@@ -57,18 +57,19 @@
 	return gossip.Want{Settings: s.revision(), Directory: s.directory.Revision()}
 }
 
-// Hear takes a peer's loads and pauses.
-func (s *sharing) Hear(peer string, loads []gossip.EndpointLoad, pauses []gossip.EndpointPause) {
-	translated := make(map[gossip.EndpointKey]placement.Load, len(loads))
-	for _, load := range loads {
+// Hear takes what a peer tells of its work.
+func (s *sharing) Hear(peer string, beat *gossip.Beat) {
+	translated := make(map[gossip.EndpointKey]placement.Load, len(beat.Loads))
+	for _, load := range beat.Loads {
 		translated[load.Endpoint] = placement.Load{Requests: load.Requests, Tokens: load.Tokens * gossip.TokenUnit}
 	}
-	paused := make(map[gossip.EndpointKey]time.Time, len(pauses))
+	paused := make(map[gossip.EndpointKey]time.Time, len(beat.Pauses))
 	now := s.clock()
-	for _, pause := range pauses {
+	for _, pause := range beat.Pauses {
 		paused[pause.Endpoint] = now.Add(pause.Left)
 	}
 	s.scheduler.SetPeer(peer, translated, paused)
+	s.scheduler.HearReads(beat.Reads)
 }
 
 // Lost forgets a peer.
