--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -142,6 +142,17 @@
 	return d.serving[service]
 }
 
+// CountServing counts the endpoints of all services that take new work.
+func (d *Directory) CountServing() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	count := 0
+	for _, entries := range d.serving {
+		count += len(entries)
+	}
+	return count
+}
+
 // Leaving lists the endpoints of a service that take no new work any more, by ID.
 // The list must not be changed.
 func (d *Directory) Leaving(service string) []Entry {
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -25,7 +25,7 @@
 ) *settingsSink {
 	return &settingsSink{
 		inForce: func(tree *settings.Tree) { scheduler.SetRanks(ranksOf(tree)) },
-		decode: deployment.Decode, holder: holder, counters: c, log: logging.Part(log, "settings"), changed: n.tell,
+		decode:  deployment.Decode, holder: holder, counters: c, log: logging.Part(log, "settings"), changed: n.tell,
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -347,3 +347,6 @@
 		next.ServeHTTP(w, request)
 	})
 }
+
+// Endpoints counts the endpoints that take new work, as far as this host knows.
+func (r *Router) Endpoints() int { return r.directory.CountServing() }
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -28,7 +28,7 @@
 	Tier      int
 	// Urgency orders the classes inside a tier; 0 is the most urgent.
 	Urgency int
-	Arrived   time.Time
+	Arrived time.Time
 	// FirstToken, BetweenTokens and WholeAnswer are targets; 0 means none.
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
