--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,51 @@
+package directory
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+func entry(id, service string, state settings.EndpointState) Entry {
+	return Entry{ID: id, Endpoint: settings.Endpoint{Service: service, State: state}}
+}
+
+func ids(entries []Entry) []string {
+	list := []string{}
+	for _, e := range entries {
+		list = append(list, e.ID)
+	}
+	return list
+}
+
+func TestApply(t *testing.T) {
+	c := qt.New(t)
+	d := New()
+	c.Assert(d.Apply(5, []Change{{Entry: entry("b", "s", settings.StateIn)}, {Entry: entry("a", "s", settings.StateIn)}}), qt.IsTrue)
+	c.Check(ids(d.Serving("s")), qt.DeepEquals, []string{"a", "b"})
+	c.Check(d.Apply(5, []Change{{Entry: entry("a", "s", settings.StateIn), Gone: true}}), qt.IsFalse, qt.Commentf("not newer"))
+	c.Check(d.Apply(6, []Change{{Entry: entry("a", "s", settings.StateOut)}}), qt.IsTrue)
+	c.Check(ids(d.Serving("s")), qt.DeepEquals, []string{"b"})
+	c.Check(ids(d.Leaving("s")), qt.DeepEquals, []string{"a"})
+	_, in := d.Endpoint("a")
+	c.Check(in, qt.IsFalse)
+	_, known := d.Lookup("a")
+	c.Check(known, qt.IsTrue)
+	c.Check(d.Apply(7, nil), qt.IsTrue)
+	c.Check([]uint64{d.Revision(), d.Changed()}, qt.DeepEquals, []uint64{7, 6})
+	c.Check(d.Apply(8, []Change{{Entry: entry("b", "s", ""), Gone: true}}), qt.IsTrue)
+	c.Check(d.Serving("s"), qt.HasLen, 0)
+}
+
+func TestReplaceNeverGoesBack(t *testing.T) {
+	c := qt.New(t)
+	newer, older := New(), New()
+	newer.Apply(9, []Change{{Entry: entry("x", "s", settings.StateIn)}})
+	older.Apply(4, []Change{{Entry: entry("y", "s", settings.StateIn)}})
+	c.Check(newer.Replace(older.Snapshot()), qt.IsFalse)
+	c.Check(older.Replace(newer.Snapshot()), qt.IsTrue)
+	c.Check(older.Snapshot(), qt.DeepEquals, newer.Snapshot())
+	c.Check(ids(older.Serving("s")), qt.DeepEquals, []string{"x"})
+}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,106 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+)
+
+// reading is what the next call of a source gives.
+type reading struct {
+	batch Batch[string]
+	err   error
+}
+
+// scripted is a source that gives prepared readings, and then blocks.
+type scripted struct {
+	loads, waits chan reading
+	after        chan uint64
+}
+
+func (s *scripted) Load(ctx context.Context) (Batch[string], error) { return next(ctx, s.loads) }
+
+func (s *scripted) Wait(ctx context.Context, after uint64) (Batch[string], error) {
+	s.after <- after
+	return next(ctx, s.waits)
+}
+
+func next(ctx context.Context, readings chan reading) (Batch[string], error) {
+	select {
+	case r := <-readings:
+		return r.batch, r.err
+	case <-ctx.Done():
+		return Batch[string]{}, ctx.Err()
+	}
+}
+
+// recorder takes what a follower reads.
+type recorder struct{ taken chan string }
+
+func (r *recorder) Replace(batch Batch[string]) { r.note("whole", batch) }
+func (r *recorder) Apply(batch Batch[string])   { r.note("change", batch) }
+
+func (r *recorder) note(kind string, batch Batch[string]) {
+	for _, item := range batch.Items {
+		r.taken <- kind + " " + item
+	}
+}
+
+func batch(revision uint64, items ...string) reading {
+	return reading{batch: Batch[string]{Revision: revision, Items: items}}
+}
+
+func TestFollow(t *testing.T) {
+	away := errors.New("away")
+	tests := map[string]struct {
+		loads, waits []reading
+		want         []string
+	}{
+		"whole, then changes": {
+			[]reading{batch(3, "a")}, []reading{batch(4, "b"), batch(5), batch(6, "c")}, []string{"whole a", "change b", "change c"},
+		},
+		"the store is away at first": {
+			[]reading{{err: away}, {err: away}, batch(3, "a")}, nil, []string{"whole a"},
+		},
+		"the store is away for a while": {
+			[]reading{batch(3, "a")}, []reading{{err: away}, {err: away}, batch(4, "b")}, []string{"whole a", "change b"},
+		},
+		"history is gone": {
+			[]reading{batch(3, "a"), batch(9, "z")}, []reading{{err: ErrHistoryGone}}, []string{"whole a", "whole z"},
+		},
+		"an old answer is left out": {
+			[]reading{batch(3, "a")}, []reading{batch(2, "old"), batch(4, "b")}, []string{"whole a", "change b"},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99)}
+			for _, r := range test.loads {
+				source.loads <- r
+			}
+			for _, r := range test.waits {
+				source.waits <- r
+			}
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			sink := &recorder{taken: make(chan string, 9)}
+			follower := New(source, sink, logrus.NewEntry(log), func() float64 { return 0 }, time.Now)
+			done, ended := make(chan struct{}), make(chan struct{})
+			go func() {
+				follower.Run(done)
+				close(ended)
+			}()
+			for _, want := range test.want {
+				c.Check(<-sink.taken, qt.Equals, want)
+			}
+			close(done)
+			<-ended
+		})
+	}
+}
--- /dev/null
+++ b/internal/gossip/gossip_test.go
@@ -0,0 +1,201 @@
+package gossip
+
+import (
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/directory"
+)
+
+var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+func intro(host string, started int64, known ...string) *Intro {
+	return &Intro{Host: host, Address: host + ":1", Zone: "z", Start: started, Known: known}
+}
+
+func TestMembers(t *testing.T) {
+	type heard struct {
+		beat  Beat
+		isNew bool
+		ok    bool
+	}
+	tests := map[string]struct {
+		beats []heard
+		live  int
+	}{
+		"introduced": {[]heard{{Beat{Life: 1, Sequence: 1, Intro: intro("a", 1)}, true, true}, {Beat{Life: 1, Sequence: 2}, false, true}}, 1},
+		"a beat without an introduction does not count": {[]heard{{Beat{Life: 1, Sequence: 1}, false, false}}, 0},
+		"an echo does not count":                        {[]heard{{Beat{Life: 9, Sequence: 1, Intro: intro("self", 1)}, false, false}}, 0},
+		"a late beat does not count": {[]heard{
+			{Beat{Life: 1, Sequence: 2, Intro: intro("a", 1)}, true, true},
+			{Beat{Life: 1, Sequence: 1}, false, false},
+		}, 1},
+		"a new life takes the place of the old": {[]heard{
+			{Beat{Life: 1, Sequence: 50, Intro: intro("a", 1)}, true, true},
+			{Beat{Life: 2, Sequence: 1, Intro: intro("a", 2)}, true, true},
+			{Beat{Life: 1, Sequence: 51}, false, false},
+			{Beat{Life: 1, Sequence: 52, Intro: intro("a", 1)}, false, false},
+		}, 1},
+		"leaving": {[]heard{
+			{Beat{Life: 1, Sequence: 1, Intro: intro("a", 1)}, true, true},
+			{Beat{Life: 1, Sequence: 2, Leaving: true}, false, true},
+		}, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			m := NewMembers("self", time.Second)
+			for _, h := range test.beats {
+				_, isNew, ok := m.Heard(start, &h.beat)
+				c.Check([]bool{isNew, ok}, qt.DeepEquals, []bool{h.isNew, h.ok})
+			}
+			c.Check(m.Count(), qt.Equals, test.live)
+		})
+	}
+}
+
+func TestSilentMembersExpire(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers("self", time.Second)
+	m.Heard(start, &Beat{Life: 1, Sequence: 1, Intro: intro("a", 1, "c:1")})
+	m.Heard(start.Add(900*time.Millisecond), &Beat{Life: 2, Sequence: 1, Intro: intro("b", 1)})
+	c.Check(m.Unheard(), qt.DeepEquals, []string{"c:1"})
+	c.Check(m.Expire(start.Add(1100*time.Millisecond)), qt.DeepEquals, []string{"a"})
+	c.Check(m.Unheard(), qt.DeepEquals, []string{"a:1", "c:1"}, qt.Commentf("it is tried again: it may come back"))
+	c.Check(m.Live(), qt.HasLen, 1)
+}
+
+// node is a host that records what it hears.
+type node struct {
+	gossip *Gossip
+	done   chan struct{}
+
+	mu    sync.Mutex
+	state State
+	has   Want
+	heard map[string]*Beat
+	lost  []string
+	taken []string
+}
+
+func (n *node) State() State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state
+}
+
+func (n *node) Revisions() Want {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.has
+}
+
+func (n *node) Hear(peer string, beat *Beat) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heard[peer] = beat
+}
+
+func (n *node) Lost(peer string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost = append(n.lost, peer)
+}
+
+func (n *node) Newer(want Want) News {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var news News
+	if n.has.Settings > want.Settings {
+		news.Settings = []byte("settings")
+	}
+	if n.has.Directory > want.Directory {
+		news.Snapshot = &directory.Snapshot{Revision: n.has.Directory}
+	}
+	return news
+}
+
+func (n *node) Take(_ string, news News) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.taken = append(n.taken, string(news.Settings))
+	if news.Snapshot != nil {
+		n.has.Directory = news.Snapshot.Revision
+	}
+	n.has.Settings = 7
+}
+
+func (n *node) look(f func() bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return f()
+}
+
+func startNode(c *qt.C, name string, first ...string) *node {
+	n := &node{heard: make(map[string]*Beat), done: make(chan struct{})}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n.gossip = New(Config{Name: name, Address: "127.0.0.1:0", FirstPeers: first}, n, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 })
+	c.Assert(n.gossip.Start(), qt.IsNil)
+	ended := make(chan struct{})
+	go func() {
+		n.gossip.Run(n.done)
+		close(ended)
+	}()
+	c.Cleanup(func() {
+		n.stop()
+		<-ended
+		n.gossip.Close()
+	})
+	return n
+}
+
+func (n *node) stop() {
+	select {
+	case <-n.done:
+	default:
+		close(n.done)
+	}
+}
+
+func eventually(c *qt.C, what string, reached func() bool) {
+	for deadline := time.Now().Add(20 * time.Second); !reached(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			c.Fatalf("never reached: %s", what)
+		}
+	}
+}
+
+func TestHostsFindEachOtherAndShare(t *testing.T) {
+	c := qt.New(t)
+	a := startNode(c, "a")
+	b := startNode(c, "b", a.gossip.Address())
+	d := startNode(c, "d", b.gossip.Address())
+	for _, n := range []*node{a, b, d} {
+		eventually(c, "three hosts", func() bool { return n.gossip.Hosts() == 3 })
+	}
+	a.mu.Lock()
+	a.state = State{Loads: []EndpointLoad{{Endpoint: 5, Requests: 2, Tokens: 9}}, Settings: 7, Directory: 8}
+	a.has = Want{Settings: 7, Directory: 8}
+	a.mu.Unlock()
+	a.gossip.Changed()
+	for _, n := range []*node{b, d} {
+		eventually(c, "the load is heard", func() bool {
+			return n.look(func() bool {
+				return n.heard["a"] != nil && len(n.heard["a"].Loads) == 1 && n.heard["a"].Loads[0].Tokens == 9
+			})
+		})
+		eventually(c, "newer revisions are fetched", func() bool {
+			return n.look(func() bool { return len(n.taken) > 0 && n.taken[0] == "settings" && n.has.Directory == 8 })
+		})
+	}
+	a.stop()
+	a.gossip.Leave()
+	eventually(c, "a left", func() bool { return b.gossip.Hosts() == 2 && d.gossip.Hosts() == 2 })
+	c.Check(b.look(func() bool { return len(b.lost) == 1 && b.lost[0] == "a" }), qt.IsTrue)
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,302 @@
+package placement
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/directory"
+	"oxbowslip.dev/oxbowslip/internal/gossip"
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+const places = 64
+
+func entries(ids ...string) []directory.Entry {
+	list := make([]directory.Entry, 0, len(ids))
+	for _, id := range ids {
+		list = append(list, directory.Entry{ID: id, Endpoint: settings.Endpoint{Zone: "a", Service: "llm", MaxInFlight: places, State: settings.StateIn}})
+	}
+	return list
+}
+
+// short is a request without a shared prefix worth keeping, long one with 10,000
+// shared tokens of 12,000.
+func short() *schedule.Request {
+	return &schedule.Request{ID: "short", Zone: "a", PromptTokens: 500}
+}
+
+func long(prefix uint64) *schedule.Request {
+	return &schedule.Request{
+		ID: "long", Zone: "a", PromptTokens: 12_000, Prefix: []uint64{prefix, prefix + 1}, PrefixTokens: []int{10_000, 12_000},
+	}
+}
+
+func (b *Board) choose(request *schedule.Request, endpoints []directory.Entry) Choice {
+	choice, _ := b.Choose(start, request, endpoints, b.candidates(start, request, endpoints), nil)
+	return choice
+}
+
+func TestChoose(t *testing.T) {
+	three := entries("e1", "e2", "e3")
+	home := NewBoard().choose(long(7), three).Endpoint
+	other := "e1"
+	if home == other {
+		other = "e2"
+	}
+	tests := map[string]struct {
+		prepare func(b *Board)
+		request *schedule.Request
+		want    string
+	}{
+		"a short prompt goes to the least work": {
+			func(b *Board) { b.Begin("e1", 100); b.Begin("e2", 5000) }, short(), "e3",
+		},
+		"work of peers counts": {
+			func(b *Board) {
+				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}, gossip.KeyOf("e3"): {Tokens: 9000}})
+			}, short(), "e2",
+		},
+		"work of a peer that fell silent does not": {
+			func(b *Board) {
+				b.SetPeer(start.Add(-time.Minute), "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}})
+				b.Begin("e2", 0)
+				b.Begin("e3", 0)
+			}, short(), "e1",
+		},
+		"a long prompt goes home past some work": {
+			func(b *Board) { b.Begin(home, 20_000) }, long(7), home,
+		},
+		"a long prompt goes where it was sent": {
+			func(b *Board) {
+				b.Hold(start, gossip.PrefixRead{Prefix: 7, Endpoint: gossip.KeyOf(other)})
+			}, long(7), other,
+		},
+		"a home far behind is left": {
+			func(b *Board) { b.Begin(home, 60_000); b.Begin(third(home, other), 1000) }, long(7), other,
+		},
+		"a paused home is left": {
+			func(b *Board) { b.Failed(start, home); b.Begin(third(home, other), 60_000) }, long(7), other,
+		},
+		"a home that a peer paused is left": {
+			func(b *Board) {
+				b.Pause(gossip.KeyOf(home), start.Add(time.Second))
+				b.Begin(third(home, other), 60_000)
+			}, long(7), other,
+		},
+		"all paused: one is used all the same": {
+			func(b *Board) {
+				b.Failed(start, "e1")
+				b.Failed(start, "e2")
+				b.Failed(start, "e3")
+				b.Begin("e1", 0)
+				b.Begin("e2", 0)
+			}, short(), "e3",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := NewBoard()
+			test.prepare(b)
+			qt.Check(t, b.choose(test.request, three).Endpoint, qt.Equals, test.want)
+		})
+	}
+}
+
+func third(a, b string) string {
+	for _, id := range []string{"e1", "e2", "e3"} {
+		if id != a && id != b {
+			return id
+		}
+	}
+	return ""
+}
+
+func TestAvoidedEndpointsAreTheLastResort(t *testing.T) {
+	request := short()
+	request.Avoid = []string{"e1", "e2"}
+	qt.Check(t, NewBoard().choose(request, entries("e1", "e2", "e3")).Endpoint, qt.Equals, "e3")
+	qt.Check(t, NewBoard().choose(request, entries("e1")).Endpoint, qt.Equals, "e1")
+}
+
+func TestAllHostsFindTheSameHome(t *testing.T) {
+	for prefix := range uint64(100) {
+		first := NewBoard().choose(long(prefix*977), entries("e1", "e2", "e3", "e4", "e5")).Endpoint
+		second := NewBoard().choose(long(prefix*977), entries("e5", "e3", "e1", "e4", "e2")).Endpoint
+		qt.Assert(t, first, qt.Equals, second)
+	}
+}
+
+func TestDeepPrefixesAreApart(t *testing.T) {
+	c := qt.New(t)
+	all := entries("e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9")
+	lane := deepLane(all)
+	c.Assert(lane, qt.HasLen, 4)
+	for prefix := range uint64(50) {
+		shallow := long(prefix * 977)
+		deep := long(prefix * 977)
+		deep.PromptTokens, deep.PrefixTokens = 22_000, []int{20_000, 22_000}
+		c.Check(lane[NewBoard().choose(shallow, all).Endpoint], qt.IsFalse)
+		c.Check(lane[NewBoard().choose(deep, all).Endpoint], qt.IsTrue)
+	}
+	c.Check(lane[NewBoard().choose(short(), all).Endpoint], qt.IsFalse)
+	alone := long(7)
+	alone.PromptTokens, alone.PrefixTokens = 22_000, []int{20_000, 22_000}
+	c.Check(NewBoard().choose(alone, entries("e1")).Endpoint, qt.Equals, "e1")
+}
+
+func TestSource(t *testing.T) {
+	three := entries("e1", "e2", "e3")
+	tests := map[string]struct {
+		held   []string
+		paused []string
+		to     string
+		want   string
+	}{
+		"nobody holds it":        {nil, nil, "e1", ""},
+		"it holds it itself":     {[]string{"e1", "e2"}, nil, "e1", ""},
+		"another holds it":       {[]string{"e2"}, nil, "e1", "e2"},
+		"the last one is asked":  {[]string{"e3", "e2"}, nil, "e1", "e2"},
+		"one that failed is not": {[]string{"e3", "e2"}, []string{"e2"}, "e1", "e3"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := NewBoard()
+			for i, id := range test.held {
+				b.Hold(start.Add(time.Duration(i)), gossip.PrefixRead{Prefix: 7, Endpoint: gossip.KeyOf(id)})
+			}
+			for _, id := range test.paused {
+				b.Failed(start, id)
+			}
+			q := question{prefix: 7, held: b.holders[7]}
+			qt.Check(t, b.source(start, &q, test.to, three), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestPausesGrowAndEnd(t *testing.T) {
+	c := qt.New(t)
+	b := NewBoard()
+	c.Check(b.Failed(start, "e1"), qt.Equals, start.Add(time.Second))
+	c.Check(b.Failed(start.Add(time.Millisecond), "e1"), qt.Equals, start.Add(time.Second), qt.Commentf("failures under way together are one"))
+	c.Check(b.Failed(start.Add(2*time.Second), "e1"), qt.Equals, start.Add(4*time.Second))
+	b.Answered("e1")
+	c.Check(b.Failed(start.Add(9*time.Second), "e1"), qt.Equals, start.Add(10*time.Second))
+	c.Check(b.Paused(start.Add(20*time.Second)), qt.HasLen, 0)
+}
+
+func TestRoomByUrgency(t *testing.T) {
+	ranks := Ranks{LowestTier: 1, LeastUrgent: 2}
+	tests := map[string]struct {
+		tier, urgency, open int
+		want                bool
+	}{
+		"least urgent, half of the places taken": {1, 2, 32, true},
+		"least urgent, more taken":               {1, 2, 36, false},
+		"more urgent, as many taken":             {1, 1, 36, true},
+		"more urgent, nearly all taken":          {1, 1, 60, false},
+		"most urgent, all taken":                 {1, 0, 100, true},
+		"a higher tier, all taken":               {0, 2, 100, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			request := short()
+			request.Tier, request.Urgency = test.tier, test.urgency
+			qt.Check(t, ranks.hasRoom(request, places, test.open), qt.Equals, test.want)
+		})
+	}
+}
+
+func newScheduler(clock func() time.Time) *Scheduler {
+	d := directory.New()
+	changes := []directory.Change{}
+	for _, e := range entries("e1", "e2") {
+		changes = append(changes, directory.Change{Entry: e})
+	}
+	d.Apply(1, changes)
+	s := New(d, clock, func() {})
+	s.SetRanks(Ranks{LowestTier: 0, LeastUrgent: 2})
+	return s
+}
+
+// filled books as many requests at both endpoints.
+func filled(s *Scheduler, open int) {
+	for range open {
+		s.board.Begin("e1", 0)
+		s.board.Begin("e2", 0)
+	}
+}
+
+func TestTheLeastUrgentAreRefusedFirst(t *testing.T) {
+	c := qt.New(t)
+	// Each look at the clock is 100 ms later, so that the wait for room ends.
+	now := start
+	s := newScheduler(func() time.Time { now = now.Add(100 * time.Millisecond); return now })
+	filled(s, 40)
+	least, more, most := short(), short(), short()
+	least.Urgency, more.Urgency = 2, 1
+	least.FirstToken, more.FirstToken, most.FirstToken = time.Second, time.Second, time.Second
+	_, decision, err := s.Ask(context.Background(), "llm", *least)
+	c.Assert(err, qt.IsNil)
+	c.Check(decision.Kind, qt.Equals, schedule.Refuse)
+	c.Check(decision.Reason, qt.Equals, schedule.ReasonNoRoom)
+	c.Check(decision.RetryAfter > 0, qt.IsTrue)
+	for _, request := range []*schedule.Request{more, most} {
+		_, decision, err = s.Ask(context.Background(), "llm", *request)
+		c.Assert(err, qt.IsNil)
+		c.Check(decision.Kind, qt.Equals, schedule.Grant)
+	}
+}
+
+func TestNoEndpointIsToldAtOnce(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(func() time.Time { return start })
+	_, decision, err := s.Ask(context.Background(), "nothing", *short())
+	c.Assert(err, qt.IsNil)
+	c.Check(decision.Kind, qt.Equals, schedule.Refuse)
+	c.Check(decision.Reason, qt.Equals, schedule.ReasonNoEndpoint)
+}
+
+func TestATicketGivesItsWorkBack(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(func() time.Time { return start })
+	ticket, _, err := s.Ask(context.Background(), "llm", *long(7))
+	c.Assert(err, qt.IsNil)
+	loads, _ := s.Own()
+	c.Assert(loads, qt.HasLen, 1)
+	for _, load := range loads {
+		c.Check(load, qt.Equals, Load{Requests: 1, Tokens: 2000})
+	}
+	ticket.FirstToken()
+	loads, _ = s.Own()
+	for _, load := range loads {
+		c.Check(load, qt.Equals, Load{Requests: 1})
+	}
+	ticket.Finished(schedule.Answered, 0)
+	loads, _ = s.Own()
+	c.Check(loads, qt.HasLen, 0)
+}
+
+func TestANewReadIsToldInSomeBeats(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(func() time.Time { return start })
+	for range 2 {
+		_, _, err := s.Ask(context.Background(), "llm", *long(7))
+		c.Assert(err, qt.IsNil)
+	}
+	for range beatsPerRead {
+		c.Check(s.Reads(), qt.HasLen, 1)
+	}
+	c.Check(s.Reads(), qt.HasLen, 0)
+	peer := newScheduler(func() time.Time { return start })
+	peer.HearReads([]gossip.PrefixRead{{Prefix: 7, Endpoint: gossip.KeyOf("e2")}})
+	ticket, decision, err := peer.Ask(context.Background(), "llm", *long(7))
+	c.Assert(err, qt.IsNil)
+	ticket.Finished(schedule.Answered, 0)
+	c.Check(decision.Endpoint, qt.Equals, "e2")
+}
--- /dev/null
+++ b/internal/retrybudget/retrybudget_test.go
@@ -0,0 +1,49 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestBudget(t *testing.T) {
+	limits := Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}
+	tests := map[string]struct {
+		hosts, firsts int
+		want          int
+	}{
+		"the slack is shared":            {hosts: 5, firsts: 0, want: 7},
+		"first tries add to it":          {hosts: 5, firsts: 100, want: 21},
+		"no host knows of others":        {hosts: 0, firsts: 0, want: 35},
+		"many hosts leave nothing alone": {hosts: 100, firsts: 0, want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(0, 0)
+			b := New(limits, func() int { return test.hosts }, func() time.Time { return now })
+			for range test.firsts {
+				b.FirstTry("s", 0)
+			}
+			retries := 0
+			for b.Has("s") {
+				b.Spend("s")
+				retries++
+			}
+			c.Check(retries, qt.Equals, test.want)
+			now = now.Add(9 * time.Second)
+			c.Check(b.Has("s"), qt.IsFalse)
+			now = now.Add(2 * time.Second)
+			c.Check(b.Has("s"), qt.Equals, test.hosts < 100)
+		})
+	}
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	c := qt.New(t)
+	b := New(Limits{Slack: 2, Window: time.Second}, func() int { return 1 }, func() time.Time { return time.Unix(0, 0) })
+	b.Spend("a")
+	c.Check(b.Has("a"), qt.IsFalse)
+	c.Check(b.Has("b"), qt.IsTrue)
+}
