--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -46,7 +46,14 @@
 	// Refusals counts refusals by reason since the start; those at 0 are left
 	// out.
 	Refusals map[string]uint64 `json:"refusals"`
-	Now      time.Time         `json:"now"`
+	// Hosts counts the hosts that this one hears, itself included. Directory is the
+	// revision up to which it knows the endpoints, Endpoints their number, Paused
+	// those that it sends no new work.
+	Hosts     int       `json:"hosts,omitzero"`
+	Directory uint64    `json:"directory,omitzero"`
+	Endpoints int       `json:"endpoints,omitzero"`
+	Paused    []string  `json:"paused,omitzero"`
+	Now       time.Time `json:"now"`
 }
 
 // Problem is an error answer.
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -159,8 +159,8 @@
 }
 
 // Failed pauses an endpoint that broke a connection, could not be reached or
-// stayed silent. It gives the end of the pause.
-func (b *Board) Failed(now time.Time, endpoint string) time.Time {
+// stayed silent. It gives the end of the pause, and whether the pause is new.
+func (b *Board) Failed(now time.Time, endpoint string) (until time.Time, isNew bool) {
 	p, ok := b.pauses[endpoint]
 	if !ok {
 		p = new(pause)
@@ -168,24 +168,34 @@
 	}
 	if now.Before(p.until) {
 		// Failures of requests that were under way together are one.
-		return p.until
+		return p.until, false
 	}
 	p.until = now.Add(min(firstPause<<p.failures, longPause))
 	p.failures = min(p.failures+1, maxFailures)
-	return p.until
+	return p.until, true
 }
 
 // maxFailures bounds the doubling of pauses.
 const maxFailures = 8
 
-// Answered ends the doubt about an endpoint.
-func (b *Board) Answered(endpoint string) { delete(b.pauses, endpoint) }
+// Answered ends the doubt about an endpoint, and reports whether there was one.
+func (b *Board) Answered(endpoint string) bool {
+	_, doubted := b.pauses[endpoint]
+	delete(b.pauses, endpoint)
+	return doubted
+}
+
+// samePause is how far apart two words on one pause may be: each tells the time left,
+// and travels for a while.
+const samePause = 100 * time.Millisecond
 
-// Pause takes a peer's word that an endpoint failed.
-func (b *Board) Pause(endpoint gossip.EndpointKey, until time.Time) {
-	if until.After(b.peerPauses[endpoint]) {
-		b.peerPauses[endpoint] = until
+// Pause takes a peer's word that an endpoint failed, and reports whether it is news.
+func (b *Board) Pause(endpoint gossip.EndpointKey, until time.Time) bool {
+	if !until.After(b.peerPauses[endpoint].Add(samePause)) {
+		return false
 	}
+	b.peerPauses[endpoint] = until
+	return true
 }
 
 // Paused gives the endpoints that this host has paused, with the end of each pause.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/directory"
 	"oxbowslip.dev/oxbowslip/internal/gossip"
@@ -182,11 +184,16 @@
 func TestPausesGrowAndEnd(t *testing.T) {
 	c := qt.New(t)
 	b := NewBoard()
-	c.Check(b.Failed(start, "e1"), qt.Equals, start.Add(time.Second))
-	c.Check(b.Failed(start.Add(time.Millisecond), "e1"), qt.Equals, start.Add(time.Second), qt.Commentf("failures under way together are one"))
-	c.Check(b.Failed(start.Add(2*time.Second), "e1"), qt.Equals, start.Add(4*time.Second))
-	b.Answered("e1")
-	c.Check(b.Failed(start.Add(9*time.Second), "e1"), qt.Equals, start.Add(10*time.Second))
+	failed := func(after time.Duration) time.Time {
+		until, _ := b.Failed(start.Add(after), "e1")
+		return until
+	}
+	c.Check(failed(0), qt.Equals, start.Add(time.Second))
+	c.Check(failed(time.Millisecond), qt.Equals, start.Add(time.Second), qt.Commentf("failures under way together are one"))
+	c.Check(failed(2*time.Second), qt.Equals, start.Add(4*time.Second))
+	c.Check(b.Answered("e1"), qt.IsTrue)
+	c.Check(b.Answered("e1"), qt.IsFalse)
+	c.Check(failed(9*time.Second), qt.Equals, start.Add(10*time.Second))
 	c.Check(b.Paused(start.Add(20*time.Second)), qt.HasLen, 0)
 }
 
@@ -219,7 +226,9 @@
 		changes = append(changes, directory.Change{Entry: e})
 	}
 	d.Apply(1, changes)
-	s := New(d, clock, func() {})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := New(d, logrus.NewEntry(log), clock, func() {})
 	s.SetRanks(Ranks{LowestTier: 0, LeastUrgent: 2})
 	return s
 }
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"oxbowslip.dev/oxbowslip/internal/directory"
 	"oxbowslip.dev/oxbowslip/internal/gossip"
 	"oxbowslip.dev/oxbowslip/internal/owner"
@@ -24,6 +26,7 @@
 // owner.Scheduler; a shard is a service.
 type Scheduler struct {
 	directory *directory.Directory
+	log       *logrus.Entry
 	clock     func() time.Time
 	// changed is told when this host's loads or pauses changed.
 	changed func()
@@ -36,8 +39,8 @@
 
 // New makes a scheduler that has sent nothing. Changed is called, outside of any
 // lock, when this host's loads or pauses changed; it must not block.
-func New(d *directory.Directory, clock func() time.Time, changed func()) *Scheduler {
-	return &Scheduler{directory: d, clock: clock, changed: changed, board: NewBoard()}
+func New(d *directory.Directory, log *logrus.Entry, clock func() time.Time, changed func()) *Scheduler {
+	return &Scheduler{directory: d, log: log, clock: clock, changed: changed, board: NewBoard()}
 }
 
 // SetRanks takes the ends of the order of requests.
@@ -183,7 +186,9 @@
 	defer s.mu.Unlock()
 	s.board.SetPeer(s.clock(), peer, loads)
 	for endpoint, until := range paused {
-		s.board.Pause(endpoint, until)
+		if s.board.Pause(endpoint, until) {
+			s.log.WithFields(logrus.Fields{"endpoint_key": endpoint, "from": peer, "until": until}).Info("endpoint paused, as a peer says")
+		}
 	}
 }
 
@@ -194,20 +199,26 @@
 	s.board.DropPeer(peer)
 }
 
-// Failed pauses an endpoint, and gives the end of the pause.
-func (s *Scheduler) Failed(endpoint string) time.Time {
+// Failed pauses an endpoint.
+func (s *Scheduler) Failed(endpoint string, cause error) {
 	s.mu.Lock()
-	until := s.board.Failed(s.clock(), endpoint)
+	until, isNew := s.board.Failed(s.clock(), endpoint)
 	s.mu.Unlock()
+	if !isNew {
+		return
+	}
 	s.changed()
-	return until
+	s.log.WithError(cause).WithFields(logrus.Fields{"endpoint": endpoint, "until": until}).Warn("endpoint paused")
 }
 
 // Answered ends the doubt about an endpoint.
 func (s *Scheduler) Answered(endpoint string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.board.Answered(endpoint)
+	doubted := s.board.Answered(endpoint)
+	s.mu.Unlock()
+	if doubted {
+		s.log.WithField("endpoint", endpoint).Info("endpoint answers again")
+	}
 }
 
 // ticket is one granted request. It implements owner.Ticket.
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -63,7 +63,7 @@
 func (x *exchange) attempt(ctx context.Context, a *owner.Attempt) owner.Result {
 	answer, err := x.server.Client.Do(ctx, x.upstreamCall(a))
 	if err != nil {
-		x.failed(ctx, a)
+		x.failed(ctx, a, err)
 		if errors.Is(err, upstream.ErrNotSent) {
 			return owner.Result{Event: request.EventDialFailed, Err: err}
 		}
@@ -80,9 +80,9 @@
 }
 
 // failed tells of an endpoint's failure, unless the request itself was ended.
-func (x *exchange) failed(ctx context.Context, a *owner.Attempt) {
+func (x *exchange) failed(ctx context.Context, a *owner.Attempt, cause error) {
 	if ctx.Err() == nil {
-		x.server.Health.Failed(a.EndpointID)
+		x.server.Health.Failed(a.EndpointID, cause)
 	}
 }
 
@@ -90,7 +90,7 @@
 	// The rest of the answer is read so that the connection can be kept.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxPlainBytes))
 	if x.server.Dialect.OtherEndpoint(answer.Status) {
-		x.server.Health.Failed(a.EndpointID)
+		x.server.Health.Failed(a.EndpointID, errors.New("another endpoint has its address"))
 	}
 	return owner.Result{Event: request.EventNotStarted, Err: errors.New("not started: " + strconv.Itoa(answer.Status))}
 }
@@ -139,7 +139,7 @@
 		err = errors.New("answer too large")
 	}
 	if err != nil {
-		x.failed(ctx, a)
+		x.failed(ctx, a, err)
 		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	plain := &plainAnswer{status: answer.Status, header: answer.Header, body: body}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/logging"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -20,7 +21,7 @@
 // Health takes what requests show of endpoints.
 type Health interface {
 	// Failed says that an endpoint could not be reached, or broke a call.
-	Failed(endpoint string) time.Time
+	Failed(endpoint string, cause error)
 	// Answered says that an endpoint gave a whole answer.
 	Answered(endpoint string)
 }
@@ -50,11 +51,20 @@
 	Write time.Duration
 }
 
+// answeredLines bounds the log lines a second for requests that were answered at
+// the first try. All others have a line each.
+const answeredLines = 50
+
 // Server answers the callers of routes. It is an http.Handler.
-type Server struct{ Parts }
+type Server struct {
+	Parts
+	answered *logging.Sampler
+}
 
 // New makes a server.
-func New(parts Parts) *Server { return &Server{Parts: parts} }
+func New(parts Parts) *Server {
+	return &Server{Parts: parts, answered: logging.NewSampler(answeredLines)}
+}
 
 // notReadyRetry is when to come back to a host that knows no settings yet.
 const notReadyRetry = 500 * time.Millisecond
@@ -217,6 +227,13 @@
 
 // log writes the request's end with the figures that decided it.
 func (x *exchange) log(end *owner.End) {
+	leftOut := int64(0)
+	if end.Outcome == request.OutcomeAnswered && end.Tries <= 1 {
+		var ok bool
+		if leftOut, ok = x.server.answered.Allow(x.server.Clock()); !ok {
+			return
+		}
+	}
 	fields := logrus.Fields{
 		"id": x.call.ID, "class": x.route.Class, "workspace": x.workspace, "tier": x.policy.Tier, "urgency": x.policy.Urgency,
 		"service": x.target, "endpoint": end.Endpoint, "tries": end.Tries, "sends": end.Sends,
@@ -224,6 +241,9 @@
 		"first_ms": end.FirstToken.Milliseconds(), "events": x.stream.events, "pause_ms": x.stream.longest.Milliseconds(),
 		"prompt": x.call.PromptTokens, "prefix": x.sharedPart(), "steps": end.Steps,
 	}
+	if leftOut > 0 {
+		fields["lines_left_out"] = leftOut
+	}
 	log := x.server.Log.WithFields(fields)
 	switch end.Outcome {
 	case request.OutcomeAnswered:
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -47,7 +47,7 @@
 		}
 	}
 	if err := scanner.Err(); err != nil {
-		x.failed(ctx, a)
+		x.failed(ctx, a, err)
 		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	x.server.Health.Answered(a.EndpointID)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,8 +27,10 @@
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/logging"
+	"oxbowslip.dev/oxbowslip/internal/operator"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/placement"
+	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/relay"
 	"oxbowslip.dev/oxbowslip/internal/retrybudget"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -88,6 +90,7 @@
 	callers   *http.Server
 	readiness *http.Server
 	metrics   *http.Server
+	operators *http.Server
 	leaving   atomic.Bool
 	done      chan struct{}
 }
@@ -101,6 +104,7 @@
 			func() func() float64 { return rand.Float64 },
 			counters.New,
 			explain.New,
+			record.New,
 			settings.NewHolder,
 			directory.New,
 			newClient,
@@ -137,8 +141,8 @@
 	}
 }
 
-func newPlacement(d *directory.Directory, clock func() time.Time, n *loadNews) *placement.Scheduler {
-	return placement.New(d, clock, n.tell)
+func newPlacement(d *directory.Directory, log *logrus.Logger, clock func() time.Time, n *loadNews) *placement.Scheduler {
+	return placement.New(d, logging.Part(log, "endpoints"), clock, n.tell)
 }
 
 // loadNews is news of loads, of which only some are worth a beat.
@@ -188,6 +192,7 @@
 // New makes a router that has not started.
 func New(config hostconfig.Host, deployment Deployment, log *logrus.Logger, c *counters.Counters, o *owner.Owner,
 	client *upstream.Client, holder *settings.Holder, d *directory.Directory, scheduler *placement.Scheduler, f *followers, g *gossip.Gossip, server *relay.Server,
+	ring *explain.Ring, recorded *record.Ring,
 ) *Router {
 	r := &Router{
 		config: config, deployment: deployment, log: logging.Part(log, "host"), counters: c, owner: o, client: client,
@@ -198,6 +203,11 @@
 	}
 	r.readiness = &http.Server{Handler: r.readinessHandler(), ReadHeaderTimeout: headerTimeout}
 	r.metrics = &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout}
+	r.operators = operator.New(config.OperatorKeys, c, ring, r.operatorSettings(), recorded, r.Status).HTTP()
+	c.Gauge("oxbowslip_settings_revision", func() float64 { return float64(r.revision()) })
+	c.Gauge("oxbowslip_directory_revision", func() float64 { return float64(d.Revision()) })
+	c.Gauge("oxbowslip_endpoints", func() float64 { return float64(d.CountServing()) })
+	c.Gauge("oxbowslip_hosts", func() float64 { return float64(g.Hosts()) })
 	c.Gauge("oxbowslip_open_requests", func() float64 { return float64(o.Open()) })
 	c.Gauge("oxbowslip_upstream_connections_made", func() float64 { return float64(client.Dials()) })
 	return r
@@ -248,6 +258,7 @@
 		{r.callers, r.config.Callers, "callers"},
 		{r.readiness, r.config.Readiness, "readiness"},
 		{r.metrics, r.config.Metrics, "metrics"},
+		{r.operators, r.config.Operators, "operators"},
 	}
 	for _, l := range listens {
 		if l.address == "" {
@@ -333,6 +344,7 @@
 	r.callers.Close()
 	r.readiness.Close()
 	r.metrics.Close()
+	r.operators.Close()
 	r.client.Close()
 }
 
