--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -126,11 +126,11 @@
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
 	wire, err := encode(call)
 	if err != nil {
-		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	conn, err := c.connect(ctx, call)
 	if err != nil {
-		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	if call.OnSend != nil {
 		call.OnSend()
@@ -141,7 +141,7 @@
 	answer, err := x.read(call)
 	if err != nil {
 		x.abandon()
-		return nil, merry.Wrap(ErrBroken, merry.WithCause(err))
+		return nil, merry.Wrap(ErrBroken, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	return answer, nil
 }
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,251 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const headerID = "X-Call"
+
+func newClient(clock func() time.Time) *Client {
+	return New(Config{AnswerID: func(h http.Header) string { return h.Get(headerID) }, KeepIdle: 10 * time.Second, DeadPeer: time.Second}, clock)
+}
+
+// peer is a server on bare connections. Each connection is served by the handler,
+// which gets the number of the connection.
+type peer struct {
+	listener net.Listener
+	mu       sync.Mutex
+	accepted int
+}
+
+func startPeer(c *qt.C, serve func(number int, conn net.Conn, reader *bufio.Reader)) *peer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	p := &peer{listener: listener}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.accepted++
+			number := p.accepted
+			p.mu.Unlock()
+			go func() {
+				defer conn.Close()
+				serve(number, conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return p
+}
+
+func (p *peer) call(id, body string) *Call {
+	return &Call{Address: p.listener.Addr().String(), ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Body: []byte(body)}
+}
+
+func (p *peer) connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted
+}
+
+// answers gives a handler that answers each request with texts that are made from
+// its number on the connection.
+func answers(texts ...string) func(int, net.Conn, *bufio.Reader) {
+	return func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for _, text := range texts {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, text); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func answerText(id, body string, headers ...string) string {
+	return "HTTP/1.1 200 OK\r\nX-Call: " + id + "\r\n" + strings.Join(headers, "") + "Content-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func (p *peer) do(client *Client, call *Call) (string, error) {
+	answer, err := client.Do(context.Background(), call)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+func TestWhichConnectionsAreKept(t *testing.T) {
+	tests := map[string]struct {
+		serve       func(int, net.Conn, *bufio.Reader)
+		connections int
+	}{
+		"a whole answer":                         {answers(answerText("1", "a"), answerText("2", "b")), 1},
+		"the endpoint closes it":                 {answers(answerText("1", "a", "Connection: close\r\n"), answerText("2", "b")), 2},
+		"the endpoint keeps it for no time":      {answers(answerText("1", "a", "Keep-Alive: timeout=1\r\n"), answerText("2", "b")), 2},
+		"bytes are left on it":                   {answers(answerText("1", "a")+answerText("1", "surplus"), answerText("2", "b")), 2},
+		"a surplus answer comes before the next": {answers(answerText("1", "a"), answerText("1", "x")+answerText("2", "b")), 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(0, 0)
+			client := newClient(func() time.Time { return now })
+			c.Cleanup(client.Close)
+			second := func(number int, conn net.Conn, reader *bufio.Reader) {
+				if number == 2 {
+					answers(answerText("2", "b"))(number, conn, reader)
+					return
+				}
+				test.serve(number, conn, reader)
+			}
+			p := startPeer(c, second)
+			got, err := p.do(client, p.call("1", "hello"))
+			c.Assert(err, qt.IsNil)
+			c.Assert(got, qt.Equals, "a")
+			now = now.Add(700 * time.Millisecond)
+			got, err = p.do(client, p.call("2", "hello"))
+			c.Assert(err, qt.IsNil)
+			c.Check(got, qt.Equals, "b")
+			c.Check(p.connections(), qt.Equals, test.connections)
+			c.Check(client.Dials(), qt.Equals, uint64(test.connections))
+		})
+	}
+}
+
+func TestAnEarlyAnswerToALargeCall(t *testing.T) {
+	c := qt.New(t)
+	client := newClient(time.Now)
+	c.Cleanup(client.Close)
+	// The endpoint answers after the head and reads nothing of the body.
+	p := startPeer(c, func(number int, conn net.Conn, reader *bufio.Reader) {
+		if number > 1 {
+			answers(answerText("2", "b"))(number, conn, reader)
+			return
+		}
+		if _, err := http.ReadRequest(reader); err == nil {
+			_, _ = io.WriteString(conn, answerText("1", "early"))
+		}
+		// The connection stays open until the client closes it.
+		for _, err := reader.ReadByte(); err == nil; _, err = reader.ReadByte() {
+			if client.Dials() > 1 {
+				return
+			}
+		}
+	})
+	got, err := p.do(client, p.call("1", strings.Repeat("x", 8<<20)))
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.Equals, "early")
+	got, err = p.do(client, p.call("2", "small"))
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.Equals, "b")
+}
+
+func TestFailures(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		want error
+	}{
+		"closed without a word":           {"", ErrBroken},
+		"closed inside the head":          {"HTTP/1.1 200 O", ErrBroken},
+		"an answer to nobody":             {"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", ErrBroken},
+		"another's answer without an end": {"HTTP/1.1 200 OK\r\nX-Call: 9\r\n\r\nx", ErrBroken},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			client := newClient(time.Now)
+			p := startPeer(c, answers(test.text))
+			sent := false
+			call := p.call("1", "hello")
+			call.OnSend = func() { sent = true }
+			_, err := p.do(client, call)
+			c.Check(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(sent, qt.IsTrue)
+			c.Check(p.connections(), qt.Equals, 1, qt.Commentf("nothing is sent twice"))
+		})
+	}
+}
+
+func TestNobodyListens(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	address := listener.Addr().String()
+	listener.Close()
+	_, err = newClient(time.Now).Do(context.Background(), &Call{Address: address, ID: "1", Method: http.MethodGet, Target: "/", Host: "h"})
+	c.Check(errors.Is(err, ErrNotSent), qt.IsTrue)
+	c.Check(err, qt.ErrorMatches, "(?s).*refused.*")
+}
+
+func TestAnAnswerWithoutALengthEndsWithItsConnection(t *testing.T) {
+	for name, reset := range map[string]bool{"closed": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			client := newClient(time.Now)
+			read := make(chan struct{})
+			p := startPeer(c, func(_ int, conn net.Conn, reader *bufio.Reader) {
+				answers("HTTP/1.1 200 OK\r\nX-Call: 1\r\n\r\nbody")(1, conn, reader)
+				<-read
+				if reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			})
+			answer, err := client.Do(context.Background(), p.call("1", ""))
+			c.Assert(err, qt.IsNil)
+			defer answer.Close()
+			c.Check(answer.Framed, qt.IsFalse)
+			body := make([]byte, 4)
+			_, err = io.ReadFull(answer, body)
+			c.Assert(err, qt.IsNil)
+			close(read)
+			_, err = io.ReadAll(answer)
+			c.Check(err != nil, qt.Equals, reset)
+		})
+	}
+}
+
+func TestTheCallerGoesAway(t *testing.T) {
+	c := qt.New(t)
+	client := newClient(time.Now)
+	arrived, closed := make(chan struct{}), make(chan struct{})
+	p := startPeer(c, func(_ int, _ net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		close(arrived)
+		for _, err := reader.ReadByte(); err == nil; _, err = reader.ReadByte() {
+			continue
+		}
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := client.Do(ctx, p.call("1", ""))
+	c.Check(errors.Is(err, ErrBroken), qt.IsTrue)
+	<-closed
+}
