--- a/cmd/oxbowslip/main.go
+++ b/cmd/oxbowslip/main.go
@@ -69,7 +69,18 @@
 	ID string `arg:"positional,required" help:"the X-Request-Id of the answer" placeholder:"REQUEST-ID"`
 }
 
+type logsCommand struct {
+	ID    string   `arg:"positional,required" help:"the request's ID" placeholder:"REQUEST-ID"`
+	Files []string `arg:"positional" help:"saved logs of hosts (default: standard input)" placeholder:"FILE"`
+}
+
+type doctorCommand struct {
+	Hosts []string `arg:"--hosts,required" help:"operators' addresses of all hosts" placeholder:"ADDR"`
+}
+
 type arguments struct {
+	Logs     *logsCommand     `arg:"subcommand:logs" help:"tell what saved logs say of a request"`
+	Doctor   *doctorCommand   `arg:"subcommand:doctor" help:"ask all hosts and tell what is wrong"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"read and change the settings"`
 	Endpoint *endpointCommand `arg:"subcommand:endpoint" help:"list endpoints and order them in or out"`
 	Status   *getCommand      `arg:"subcommand:status" help:"show the state of a host"`
@@ -106,6 +117,10 @@
 		return func(ctx context.Context, t *tool) error { return t.status(ctx) }
 	case args.Explain != nil:
 		return func(ctx context.Context, t *tool) error { return t.explain(ctx, args.Explain.ID) }
+	case args.Logs != nil:
+		return func(_ context.Context, t *tool) error { return t.logs(args.Logs.ID, args.Logs.Files) }
+	case args.Doctor != nil:
+		return func(ctx context.Context, t *tool) error { return t.doctor(ctx, args.Doctor.Hosts) }
 	case args.Settings != nil:
 		return pickSettings(args.Settings)
 	case args.Endpoint != nil:
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
@@ -24,7 +25,7 @@
 	log.SetLevel(parsed)
 	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	if format == "json" {
-		log.SetFormatter(&logrus.JSONFormatter{})
+		log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	}
 	log.AddHook(prefixHook{})
 	return log, nil
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -121,20 +121,20 @@
 // Figures are the numbers that a decision was taken on.
 type Figures struct {
 	// Waited is how long the request had waited.
-	Waited time.Duration
+	Waited time.Duration `json:",omitzero"`
 	// WaitingAhead counts the waiting requests of the same and higher tiers.
-	WaitingAhead int
+	WaitingAhead int `json:",omitzero"`
 	// WaitingBelow counts the waiting requests of lower tiers.
-	WaitingBelow int
+	WaitingBelow int `json:",omitzero"`
 	// PredictedFirstToken is the time to the first token from now.
-	PredictedFirstToken time.Duration
+	PredictedFirstToken time.Duration `json:",omitzero"`
 	// InFlight and Limit are those of the endpoint.
-	InFlight int
-	Limit    float64
+	InFlight int     `json:",omitzero"`
+	Limit    float64 `json:",omitzero"`
 	// CachedTokens is the part of the prompt expected in the endpoint's cache.
-	CachedTokens int
+	CachedTokens int `json:",omitzero"`
 	// AnswerTokens is the predicted length of the answer.
-	AnswerTokens int
+	AnswerTokens int `json:",omitzero"`
 }
 
 // Decision is one result of the scheduler.
