--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -23,7 +23,7 @@
 	// one that waits before the request.
 	moveCost = 3.0
 	// zoneTokens is the work that it takes to leave the own availability zone.
-	zoneTokens = 150
+	zoneTokens = 400
 	// deepPrefix is the length of a shared prefix from which it is deep, deepPart the
 	// part of the endpoints where deep prefixes belong, deepCost what a short prompt
 	// takes on itself to run elsewhere.
