--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -49,6 +50,13 @@
 	longPause  = time.Second
 )
 
+// spacing is the least time between a change and the next call: changes that come
+// close together are read in one call.
+const spacing = 250 * time.Millisecond
+
+// gateCheck is the time between two looks at a closed gate.
+const gateCheck = 100 * time.Millisecond
+
 // Follower keeps a sink up to date.
 type Follower[T any] struct {
 	source Source[T]
@@ -56,6 +64,11 @@
 	log    *logrus.Entry
 	random func() float64
 	clock  func() time.Time
+	// gate reports whether this host is to read the table itself; while it is not,
+	// peers bring what is new.
+	gate func() bool
+	// healthy says that the last call brought an answer.
+	healthy atomic.Bool
 
 	revision uint64
 	loaded   bool
@@ -64,15 +77,26 @@
 }
 
 // New makes a follower that has read nothing. Random gives numbers from 0 up to 1.
-func New[T any](source Source[T], sink Sink[T], log *logrus.Entry, random func() float64, clock func() time.Time) *Follower[T] {
-	return &Follower[T]{source: source, sink: sink, log: log, random: random, clock: clock}
+func New[T any](source Source[T], sink Sink[T], log *logrus.Entry, random func() float64, clock func() time.Time, gate func() bool) *Follower[T] {
+	return &Follower[T]{source: source, sink: sink, log: log, random: random, clock: clock, gate: gate}
 }
 
+// Healthy reports whether the follower reads the table and its last call brought an
+// answer.
+func (f *Follower[T]) Healthy() bool { return f.healthy.Load() }
+
 // Run follows the table until done is closed.
 func (f *Follower[T]) Run(done <-chan struct{}) {
 	ctx, cancel := lifetime.Context(done)
 	defer cancel()
 	for ctx.Err() == nil {
+		if !f.gate() {
+			f.rest()
+			if !sleep(ctx, gateCheck) {
+				return
+			}
+			continue
+		}
 		err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
@@ -84,6 +108,16 @@
 	}
 }
 
+// rest ends the reading until the gate opens again. The table is read whole then:
+// what came from peers meanwhile is not counted here.
+func (f *Follower[T]) rest() {
+	if f.loaded {
+		f.log.WithField("revision", f.revision).Info("peers read the store now")
+	}
+	f.loaded, f.failures = false, 0
+	f.healthy.Store(false)
+}
+
 // step reads the table whole or waits for its next changes.
 func (f *Follower[T]) step(ctx context.Context) error {
 	if !f.loaded {
@@ -108,11 +142,15 @@
 		f.revision = batch.Revision
 		f.sink.Apply(batch)
 	}
+	if len(batch.Items) > 0 {
+		sleep(ctx, spacing)
+	}
 	return nil
 }
 
 // note logs the loss and the return of the store, once each.
 func (f *Follower[T]) note(err error) {
+	f.healthy.Store(err == nil)
 	switch {
 	case err != nil && f.failures == 0:
 		f.lostAt = f.clock()
@@ -132,7 +170,12 @@
 // pause waits before the next try, and reports false if ctx ended.
 func (f *Follower[T]) pause(ctx context.Context) bool {
 	span := min(firstPause<<min(f.failures-1, 4), longPause)
-	timer := time.NewTimer(time.Duration((0.5 + 0.5*f.random()) * float64(span)))
+	return sleep(ctx, time.Duration((0.5+0.5*f.random())*float64(span)))
+}
+
+// sleep waits, and reports false if ctx ended.
+func sleep(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,7 +91,7 @@
 			log := logrus.New()
 			log.SetOutput(io.Discard)
 			sink := &recorder{taken: make(chan string, 9)}
-			follower := New(source, sink, logrus.NewEntry(log), func() float64 { return 0 }, time.Now)
+			follower := New(source, sink, logrus.NewEntry(log), func() float64 { return 0 }, time.Now, func() bool { return true })
 			done, ended := make(chan struct{}), make(chan struct{})
 			go func() {
 				follower.Run(done)
@@ -104,3 +105,51 @@
 		})
 	}
 }
+
+func TestAClosedGate(t *testing.T) {
+	c := qt.New(t)
+	source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99)}
+	source.loads <- batch(3, "a")
+	source.loads <- batch(9, "z")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	sink := &recorder{taken: make(chan string, 9)}
+	var open atomic.Bool
+	looks := make(chan struct{})
+	follower := New(source, sink, logrus.NewEntry(log), func() float64 { return 0 }, time.Now, func() bool {
+		looks <- struct{}{}
+		return open.Load()
+	})
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		follower.Run(done)
+		close(ended)
+	}()
+	<-looks
+	<-looks
+	c.Check(source.loads, qt.HasLen, 2, qt.Commentf("nothing is read while the gate is closed"))
+	open.Store(true)
+	for len(sink.taken) == 0 {
+		<-looks
+	}
+	c.Check(<-sink.taken, qt.Equals, "whole a")
+	c.Check(follower.Healthy(), qt.IsTrue)
+	open.Store(false)
+	source.waits <- batch(4)
+	<-looks
+	<-looks
+	c.Check(follower.Healthy(), qt.IsFalse)
+	open.Store(true)
+	for len(sink.taken) == 0 {
+		<-looks
+	}
+	c.Check(<-sink.taken, qt.Equals, "whole z", qt.Commentf("the table is read whole again"))
+	close(done)
+	go func() {
+		for range looks {
+			continue
+		}
+	}()
+	<-ended
+	close(looks)
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -31,8 +32,8 @@
 	// to the addresses that were not heard. The first beats are introductions too.
 	introduceEvery     = 3
 	firstIntroductions = 2
-	// maxKnown bounds the addresses that a beat hands on.
-	maxKnown = 2
+	// maxKnown bounds the addresses that an introduction hands on.
+	maxKnown = 12
 	// catchUpGrace is how long a newer revision may take to come from the store
 	// before a peer is asked.
 	catchUpGrace = 200 * time.Millisecond
@@ -47,6 +48,8 @@
 	Loads     []EndpointLoad
 	Pauses    []EndpointPause
 	Reads     []PrefixRead
+	Reading   bool
+	Delta     *DirectoryDelta
 }
 
 // Host is what gossip speaks for.
@@ -84,6 +87,9 @@
 	start  int64
 	life   uint32
 
+	// registered says that this host's address is in the registry.
+	registered atomic.Bool
+
 	packets  net.PacketConn
 	listener net.Listener
 	changed  chan struct{}
@@ -128,6 +134,16 @@
 	return g.members.Count() + 1
 }
 
+// ShouldRead reports whether this host is one of those that read the store for all.
+func (g *Gossip) ShouldRead() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.ShouldRead()
+}
+
+// Registered reports whether this host's address is in the registry.
+func (g *Gossip) Registered() bool { return g.registered.Load() }
+
 // Changed says that the host's state is worth a beat. It does not block.
 func (g *Gossip) Changed() {
 	select {
@@ -235,6 +251,7 @@
 	beat := &Beat{
 		Life: g.life, Sequence: g.sequence, Settings: state.Settings, Directory: state.Directory,
 		Loads: state.Loads, Pauses: state.Pauses, Reads: state.Reads, Leaving: g.leaving,
+		Reading: state.Reading, Delta: state.Delta,
 	}
 	if g.introduce {
 		beat.Intro = &Intro{
@@ -419,21 +436,25 @@
 	return merry.Wrap(stream.MsgSend(&news, encoding{}))
 }
 
-// KeepRegistered calls register until it succeeds, and then list, whose addresses
-// are contacted; it does so again whenever this host hears no other.
+// KeepRegistered registers this host if it is one of those that read the store, or
+// hears no other, and contacts the hosts that have registered. It lists them again
+// whenever it hears no other.
 func (g *Gossip) KeepRegistered(done <-chan struct{}, registry Registry) {
 	ctx, cancel := lifetime.Context(done)
 	defer cancel()
-	registered := false
+	if !sleepUnless(done, settleTime) {
+		return
+	}
 	lifetime.Every(done, registerInterval, g.random, func(context.Context) {
-		if registered && g.Hosts() > 1 {
+		alone := g.Hosts() == 1
+		if !alone && (g.registered.Load() || !g.ShouldRead()) {
 			return
 		}
-		if !registered {
+		if !g.registered.Load() {
 			if err := registry.Register(ctx, g.config.Name, g.config.Address); err != nil {
 				return // The registry counts it; the next round tries again.
 			}
-			registered = true
+			g.registered.Store(true)
 		}
 		if addresses, err := registry.List(ctx); err == nil {
 			g.Contact(addresses)
@@ -442,6 +463,21 @@
 	})
 }
 
+// settleTime is how long a host waits for its first peers before it decides whether
+// it is alone.
+const settleTime = 400 * time.Millisecond
+
+func sleepUnless(done <-chan struct{}, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-done:
+		return false
+	}
+}
+
 // registerInterval is the mean time between two tries to register.
 const registerInterval = 2 * time.Second
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -1,7 +1,10 @@
 package gossip
 
 import (
+	"cmp"
+	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -199,3 +202,44 @@
 	eventually(c, "a left", func() bool { return b.gossip.Hosts() == 2 && d.gossip.Hosts() == 2 })
 	c.Check(b.look(func() bool { return len(b.lost) == 1 && b.lost[0] == "a" }), qt.IsTrue)
 }
+
+func TestReaders(t *testing.T) {
+	tests := map[string]struct {
+		hosts int
+		// failing is how many of the first readers get no answers.
+		failing int
+		want    int
+	}{
+		"a small fleet: each for itself": {8, 0, 8},
+		"a large one: a few for all":     {40, 0, readers},
+		"others take over":               {40, 2, readers + 2},
+		"a store that is down for all":   {40, 40, readerRanks},
+		"a huge one has no more readers": {380, 0, readers},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			names := make([]string, 0, test.hosts)
+			for n := range test.hosts {
+				names = append(names, fmt.Sprintf("host-%d", n))
+			}
+			slices.SortFunc(names, func(a, b string) int { return cmp.Compare(rankOf(a), rankOf(b)) })
+			// Each host in its order sees which of those before it read.
+			reading := make(map[string]bool)
+			should := 0
+			for i, self := range names {
+				m := NewMembers(self, time.Second)
+				for j, other := range names {
+					if other != self {
+						m.Heard(start, &Beat{Life: uint32(j + 1), Sequence: 1, Intro: intro(other, 1), Reading: reading[other]})
+					}
+				}
+				if m.ShouldRead() {
+					should++
+					reading[self] = i >= test.failing
+				}
+			}
+			c.Check(should, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -14,10 +14,12 @@
 	Settings uint64
 	// Directory is the newest revision of the directory that the member has.
 	Directory uint64
-	life      uint32
-	start     int64
-	sequence  uint64
-	heard     time.Time
+	// reading says that the member reads the store and gets its answers.
+	reading  bool
+	life     uint32
+	start    int64
+	sequence uint64
+	heard    time.Time
 }
 
 // Members is what one host knows of the others. It does no input or output and
@@ -55,7 +57,7 @@
 		return Member{}, false, false
 	}
 	known.sequence, known.heard = beat.Sequence, now
-	known.Settings, known.Directory = beat.Settings, beat.Directory
+	known.Settings, known.Directory, known.reading = beat.Settings, beat.Directory, beat.Reading
 	if beat.Leaving {
 		m.forget(known.Name)
 		delete(m.contacts, known.Address)
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -32,11 +32,39 @@
 	Settings  uint64
 	Directory uint64
 	Leaving   bool
-	Loads     []EndpointLoad
-	Pauses    []EndpointPause
+	// Reading says that the sender reads the store, and gets its answers.
+	Reading bool
+	Loads   []EndpointLoad
+	Pauses  []EndpointPause
 	// Reads are the prefixes that the sender lately sent to endpoints. Each is told
 	// in a few beats, since one may be lost.
 	Reads []PrefixRead
+	// Delta is the newest change of the directory, told in a few beats.
+	Delta *DirectoryDelta
+}
+
+// DirectoryDelta holds all changes of the directory after one revision up to another.
+// A host that knows all up to From knows all up to To with it.
+type DirectoryDelta struct {
+	_ struct{} `cbor:",toarray"`
+
+	From    uint64
+	To      uint64
+	Changes []EndpointChange
+}
+
+// EndpointChange sets an endpoint, or drops it.
+type EndpointChange struct {
+	_ struct{} `cbor:",toarray"`
+
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Version string
+	Places  int
+	Out     bool
+	Gone    bool
 }
 
 // PrefixKey is a short name of a shared part of prompts.
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -9,6 +10,7 @@
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/directory"
 	"oxbowslip.dev/oxbowslip/internal/follow"
+	"oxbowslip.dev/oxbowslip/internal/gossip"
 	"oxbowslip.dev/oxbowslip/internal/logging"
 	"oxbowslip.dev/oxbowslip/internal/placement"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -48,15 +50,36 @@
 	return ranks
 }
 
-func newFollowers(deployment Deployment, sink *settingsSink, d *directory.Directory, n *news,
-	log *logrus.Logger, clock func() time.Time, random func() float64,
+func newEndpointsSink(d *directory.Directory, n *news, log *logrus.Logger) *endpointsSink {
+	return &endpointsSink{directory: d, log: logging.Part(log, "endpoints"), changed: n.tell}
+}
+
+func newFollowers(deployment Deployment, sink *settingsSink, endpoints *endpointsSink, gate *readGate,
+	clock func() time.Time, random func() float64,
 ) *followers {
-	endpointsLog := logging.Part(log, "endpoints")
-	endpoints := &endpointsSink{directory: d, log: endpointsLog, changed: n.tell}
-	return &followers{
-		settings:  follow.New(deployment.Settings, sink, sink.log, random, clock),
-		endpoints: follow.New(deployment.Endpoints, endpoints, endpointsLog, random, clock),
+	f := &followers{
+		settings:  follow.New(deployment.Settings, sink, sink.log, random, clock, gate.open),
+		endpoints: follow.New(deployment.Endpoints, endpoints, endpoints.log, random, clock, gate.open),
 	}
+	gate.followers.Store(f)
+	return f
+}
+
+// readGate says whether this host reads the store, and whether it gets answers. Its
+// parts need each other, so they are filled in last.
+type readGate struct {
+	gossip    atomic.Pointer[gossip.Gossip]
+	followers atomic.Pointer[followers]
+}
+
+func (g *readGate) open() bool {
+	shared := g.gossip.Load()
+	return shared == nil || shared.ShouldRead()
+}
+
+func (g *readGate) reading() bool {
+	f := g.followers.Load()
+	return f != nil && f.settings.Healthy() && f.endpoints.Healthy()
 }
 
 func (f *followers) run(done <-chan struct{}) {
@@ -131,6 +154,75 @@
 	directory *directory.Directory
 	log       *logrus.Entry
 	changed   func()
+
+	mu sync.Mutex
+	// delta is the newest change, beats in how many more beats it is told.
+	delta *gossip.DirectoryDelta
+	beats int
+}
+
+// beatsPerDelta is in how many beats a change is told, maxDelta the number of
+// endpoints up to which it is.
+const (
+	beatsPerDelta = 3
+	maxDelta      = 12
+)
+
+// nextDelta gives the change for the next beat, or nil.
+func (s *endpointsSink) nextDelta() *gossip.DirectoryDelta {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.beats == 0 {
+		return nil
+	}
+	s.beats--
+	return s.delta
+}
+
+func (s *endpointsSink) keepDelta(from, to uint64, changes []directory.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delta, s.beats = nil, 0
+	if len(changes) > maxDelta {
+		return
+	}
+	s.delta, s.beats = &gossip.DirectoryDelta{From: from, To: to}, beatsPerDelta
+	for i := range changes {
+		s.delta.Changes = append(s.delta.Changes, toWire(&changes[i]))
+	}
+}
+
+func toWire(change *directory.Change) gossip.EndpointChange {
+	e := &change.Entry.Endpoint
+	return gossip.EndpointChange{
+		ID: change.Entry.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Version: e.Version,
+		Places: e.MaxInFlight, Out: e.State == settings.StateOut, Gone: change.Gone,
+	}
+}
+
+func fromWire(change *gossip.EndpointChange) directory.Change {
+	state := settings.StateIn
+	if change.Out {
+		state = settings.StateOut
+	}
+	return directory.Change{Gone: change.Gone, Entry: directory.Entry{ID: change.ID, Endpoint: settings.Endpoint{
+		Service: change.Service, Address: change.Address, Zone: change.Zone, Version: change.Version,
+		MaxInFlight: change.Places, State: state,
+	}}}
+}
+
+// hear takes a peer's change, if this host knows all that came before it.
+func (s *endpointsSink) hear(peer string, delta *gossip.DirectoryDelta) {
+	if s.directory.Revision() < delta.From {
+		return
+	}
+	changes := make([]directory.Change, 0, len(delta.Changes))
+	for i := range delta.Changes {
+		changes = append(changes, fromWire(&delta.Changes[i]))
+	}
+	if s.directory.Apply(delta.To, changes) {
+		s.logChanges(delta.To, peer, changes)
+	}
 }
 
 // Replace takes the whole table.
@@ -148,15 +240,21 @@
 
 // Apply takes changes.
 func (s *endpointsSink) Apply(batch follow.Batch[directory.Change]) {
+	from := s.directory.Changed()
 	if !s.directory.Apply(batch.Revision, batch.Items) {
 		return
 	}
 	if len(batch.Items) > 0 {
+		s.keepDelta(from, batch.Revision, batch.Items)
 		s.changed()
 	}
-	for _, change := range batch.Items {
+	s.logChanges(batch.Revision, "store", batch.Items)
+}
+
+func (s *endpointsSink) logChanges(revision uint64, from string, changes []directory.Change) {
+	for _, change := range changes {
 		s.log.WithFields(logrus.Fields{
-			"revision": batch.Revision, "endpoint": change.Entry.ID, "gone": change.Gone, "state": change.Entry.Endpoint.State,
+			"revision": revision, "from": from, "endpoint": change.Entry.ID, "gone": change.Gone, "state": change.Entry.Endpoint.State,
 			"service": change.Entry.Endpoint.Service, "address": change.Entry.Endpoint.Address,
 		}).Info("endpoint changed")
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -112,6 +112,8 @@
 			func() *loadNews { return new(loadNews) },
 			newPlacement,
 			newSettingsSink,
+			newEndpointsSink,
+			func() *readGate { return new(readGate) },
 			newGossip,
 			newBudget,
 			newOwner,
@@ -154,14 +156,15 @@
 }
 
 func newGossip(config hostconfig.Host, scheduler *placement.Scheduler, holder *settings.Holder, d *directory.Directory,
-	sink *settingsSink, n *news, l *loadNews, log *logrus.Logger, clock func() time.Time, random func() float64,
+	sink *settingsSink, endpoints *endpointsSink, gate *readGate, n *news, l *loadNews, log *logrus.Logger, clock func() time.Time, random func() float64,
 ) *gossip.Gossip {
 	shared := &sharing{
-		scheduler: scheduler, settings: holder, directory: d, sink: sink, log: logging.Part(log, "endpoints"), clock: clock,
+		scheduler: scheduler, settings: holder, directory: d, sink: sink, endpoints: endpoints, gate: gate, log: logging.Part(log, "endpoints"), clock: clock,
 	}
 	g := gossip.New(gossip.Config{
 		Name: config.Name, Zone: config.Zone, Address: config.Peers, FirstPeers: config.FirstPeers,
 	}, shared, logging.Part(log, "peers"), clock, random)
+	gate.gossip.Store(g)
 	changed := g.Changed
 	n.listener.Store(&changed)
 	loadChanged := func() {
@@ -331,6 +334,9 @@
 
 // unregister takes this host's address away, for those that start later.
 func (r *Router) unregister() {
+	if !r.gossip.Registered() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
 	defer cancel()
 	if err := r.deployment.Registry.Unregister(ctx, r.config.Name); err != nil {
--- a/internal/router/share.go
+++ b/internal/router/share.go
@@ -18,6 +18,8 @@
 	settings  *settings.Holder
 	directory *directory.Directory
 	sink      *settingsSink
+	endpoints *endpointsSink
+	gate      *readGate
 	log       *logrus.Entry
 	clock     func() time.Time
 
@@ -32,7 +34,10 @@
 	s.mu.Lock()
 	s.told = loads
 	s.mu.Unlock()
-	state := gossip.State{Settings: s.revision(), Directory: s.directory.Changed(), Reads: s.scheduler.Reads()}
+	state := gossip.State{
+		Settings: s.revision(), Directory: s.directory.Changed(), Reads: s.scheduler.Reads(),
+		Reading: s.gate.reading(), Delta: s.endpoints.nextDelta(),
+	}
 	for endpoint, load := range loads {
 		state.Loads = append(state.Loads, gossip.EndpointLoad{
 			Endpoint: gossip.KeyOf(endpoint), Requests: load.Requests, Tokens: load.Tokens / gossip.TokenUnit,
@@ -70,6 +75,9 @@
 	}
 	s.scheduler.SetPeer(peer, translated, paused)
 	s.scheduler.HearReads(beat.Reads)
+	if beat.Delta != nil {
+		s.endpoints.hear(peer, beat.Delta)
+	}
 }
 
 // Lost forgets a peer.
