Silent endpoints are left where the request can go elsewhere

Cause: a grey server that hangs holds a lookup to its deadline; nothing told it from a slow one. Ruled out: pausing the endpoint for it, which under overload would pause sound ones.

--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -61,6 +61,9 @@
 
 // attempt makes one try at an endpoint.
 func (x *exchange) attempt(ctx context.Context, a *owner.Attempt) owner.Result {
+	ctx, cancel, watch := watchStall(ctx, x.silenceBefore(a))
+	defer cancel(nil)
+	defer watch.stop()
 	answer, err := x.server.Client.Do(ctx, x.upstreamCall(a))
 	if err != nil {
 		x.failed(ctx, a, err)
@@ -74,7 +77,8 @@
 		return x.notStarted(a, answer)
 	}
 	if x.policy.Stream && answer.Status == http.StatusOK {
-		return x.relayStream(ctx, a, answer)
+		watch.begin(ctx, cancel, x.silenceWithin(a))
+		return x.relayStream(ctx, a, answer, watch)
 	}
 	return x.holdPlain(ctx, a, answer)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -33,11 +33,12 @@
 }
 
 // relayStream passes whole events on until the stream ends or breaks.
-func (x *exchange) relayStream(ctx context.Context, a *owner.Attempt, answer *upstream.Answer) owner.Result {
+func (x *exchange) relayStream(ctx context.Context, a *owner.Attempt, answer *upstream.Answer, watch *stallWatch) owner.Result {
 	scanner := bufio.NewScanner(answer)
 	scanner.Buffer(make([]byte, 0, firstEventBytes), maxEventBytes)
 	scanner.Split(splitEvents)
 	for scanner.Scan() {
+		watch.heard()
 		event := scanner.Bytes()
 		if !x.stream.isNext(eventID(event)) {
 			continue
