--- a/internal/api/chat.go
+++ b/internal/api/chat.go
@@ -13,6 +13,7 @@
 	"github.com/tidwall/gjson"
 
 	"oxbowslip.dev/oxbowslip/internal/endpoint"
+	"oxbowslip.dev/oxbowslip/internal/hopheader"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/prefix"
 	"oxbowslip.dev/oxbowslip/internal/record"
@@ -210,7 +211,7 @@
 }
 
 func writeWhole(w http.ResponseWriter, answer *wholeAnswer) {
-	copyHeaders(w.Header(), answer.header)
+	hopheader.Copy(w.Header(), answer.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
 	w.WriteHeader(answer.status)
 	// A write that fails means that the caller is gone.
--- a/internal/api/service.go
+++ b/internal/api/service.go
@@ -6,13 +6,13 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/textproto"
 	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
 
 	"oxbowslip.dev/oxbowslip/internal/endpoint"
+	"oxbowslip.dev/oxbowslip/internal/hopheader"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
@@ -173,7 +173,7 @@
 
 func (x *serviceExchange) call(a *owner.Attempt) endpoint.Call {
 	header := make(http.Header, len(x.r.Header)+2)
-	copyHeaders(header, x.r.Header)
+	hopheader.Copy(header, x.r.Header)
 	header.Del("Authorization")
 	header.Del(HeaderClass)
 	header.Set(HeaderRequestID, x.caller.id)
@@ -193,7 +193,7 @@
 // stream passes on an answer that is too large to hold back. If it breaks, the
 // caller's transfer breaks too.
 func (x *serviceExchange) stream(response *http.Response, head []byte) owner.Result {
-	copyHeaders(x.w.Header(), response.Header)
+	hopheader.Copy(x.w.Header(), response.Header)
 	if length := response.Header.Get("Content-Length"); length != "" {
 		x.w.Header().Set("Content-Length", length)
 	}
@@ -216,24 +216,3 @@
 		part = buffer[:n]
 	}
 }
-
-// hopHeaders are those that hold for one connection only (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// copyHeaders copies what is not for one connection only.
-func copyHeaders(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
-	}
-	for _, list := range from["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			to.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		to.Del(name)
-	}
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"oxbowslip.dev/oxbowslip/internal/fleet"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/inforce"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/logging"
 	"oxbowslip.dev/oxbowslip/internal/membership"
 	"oxbowslip.dev/oxbowslip/internal/operator"
@@ -180,7 +181,7 @@
 	}
 	d.callers = api.New(config.Name, config.Zone, holder, o, client, c, table, recorded, logging.Part(log, "api"), clock,
 		api.Timeouts{Read: config.ReadTimeout, Write: config.WriteTimeout}, d.notReady).HTTP()
-	d.callers.Handler = d.closeWhenDraining(d.callers.Handler)
+	d.callers.Handler = lifetime.CloseWhen(&d.draining, d.callers.Handler)
 	d.operators = operator.New(config.OperatorKeys, c, ring, operator.Settings{
 		Holder: holder, Accept: d.accept, Document: follower.Document,
 		History: func(ctx context.Context, revision uint64) (change.Change, error) {
@@ -311,18 +312,6 @@
 	d.callers.Close()
 }
 
-// closeWhenDraining ends each connection of a leaving host with its next answer.
-// Connections that are idle stay open until the notice is over: one that is
-// closed just as its caller sends the next request would lose that request.
-func (d *Daemon) closeWhenDraining(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if d.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Hurry ends the wait of a planned stop: what is still in flight is told that
 // the host stops.
 func (d *Daemon) Hurry() { d.hurryOnce.Do(func() { close(d.hurry) }) }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -92,7 +92,7 @@
 	for ctx.Err() == nil {
 		if !f.gate() {
 			f.rest()
-			if !sleep(ctx, gateCheck) {
+			if !lifetime.Sleep(ctx, gateCheck) {
 				return
 			}
 			continue
@@ -143,7 +143,7 @@
 		f.sink.Apply(batch)
 	}
 	if len(batch.Items) > 0 {
-		sleep(ctx, spacing)
+		lifetime.Sleep(ctx, spacing)
 	}
 	return nil
 }
@@ -170,17 +170,5 @@
 // pause waits before the next try, and reports false if ctx ended.
 func (f *Follower[T]) pause(ctx context.Context) bool {
 	span := min(firstPause<<min(f.failures-1, 4), longPause)
-	return sleep(ctx, time.Duration((0.5+0.5*f.random())*float64(span)))
-}
-
-// sleep waits, and reports false if ctx ended.
-func sleep(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return lifetime.Sleep(ctx, time.Duration((0.5+0.5*f.random())*float64(span)))
 }
--- /dev/null
+++ b/internal/gossip/capacity_test.go
@@ -0,0 +1,40 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// TestBeatBytes measures the slopes of docs/CAPACITY.md, and bounds them: a beat
+// must fit a datagram.
+func TestBeatBytes(t *testing.T) {
+	c := qt.New(t)
+	size := func(endpoints, reads int, intro bool) int {
+		beat := Beat{Life: 4_000_000_000, Sequence: 70_000, Settings: 12_000, Directory: 900_000}
+		for n := range endpoints {
+			key := KeyOf(fmt.Sprintf("endpoint-%d", n))
+			beat.Loads = append(beat.Loads, EndpointLoad{Endpoint: key, Requests: 3, Tokens: 200})
+		}
+		for n := range reads {
+			beat.Reads = append(beat.Reads, PrefixRead{Prefix: PrefixKey(4e9 - float64(n)), Endpoint: KeyOf("e")})
+		}
+		if intro {
+			beat.Intro = &Intro{Host: "front-north-wharf-1", Address: "10.1.0.40:8229", Zone: "north-wharf", Start: time.Now().UnixNano()}
+			for n := range maxKnown {
+				beat.Intro.Known = append(beat.Intro.Known, fmt.Sprintf("10.1.0.%d:8229", n))
+			}
+		}
+		data, err := cbor.Marshal(&beat)
+		c.Assert(err, qt.IsNil)
+		return len(data)
+	}
+	empty := size(0, 0, false)
+	t.Logf("empty %d B, an endpoint %d B, a read %d B, an introduction %d B", empty, (size(100, 0, false)-empty)/100,
+		(size(0, 100, false)-empty)/100, size(0, 0, true)-empty)
+	c.Check(empty < 40, qt.IsTrue)
+	c.Check(size(100, 12, true) < maxDatagram, qt.IsTrue)
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -442,7 +442,7 @@
 func (g *Gossip) KeepRegistered(done <-chan struct{}, registry Registry) {
 	ctx, cancel := lifetime.Context(done)
 	defer cancel()
-	if !sleepUnless(done, settleTime) {
+	if !lifetime.Sleep(ctx, settleTime) {
 		return
 	}
 	lifetime.Every(done, registerInterval, g.random, func(context.Context) {
@@ -467,17 +467,6 @@
 // it is alone.
 const settleTime = 400 * time.Millisecond
 
-func sleepUnless(done <-chan struct{}, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-done:
-		return false
-	}
-}
-
 // registerInterval is the mean time between two tries to register.
 const registerInterval = 2 * time.Second
 
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -21,6 +21,18 @@
 	return ctx, cancel
 }
 
+// Sleep waits for a span, and reports false if ctx ended sooner.
+func Sleep(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Every calls f at once and then again and again until done is closed, with
 // pauses of half to one and a half of the mean, which keeps many hosts apart.
 // Random gives numbers from 0 up to 1.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,6 +13,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -465,14 +466,7 @@
 
 func (r *run) pause(ctx context.Context) bool {
 	span := min(firstPause<<min(r.life.Tries(), 10), longPause)
-	timer := time.NewTimer(time.Duration(r.owner.random() * float64(span)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return lifetime.Sleep(ctx, time.Duration(r.owner.random()*float64(span)))
 }
 
 func (r *run) end() End {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -9,6 +9,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/directory"
 	"oxbowslip.dev/oxbowslip/internal/gossip"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 )
@@ -65,9 +66,7 @@
 		if reason == schedule.ReasonNoEndpoint || !now.Before(until) {
 			return nil, refusal(&request, reason, now.Sub(asked)), nil
 		}
-		select {
-		case <-time.After(roomCheck):
-		case <-ctx.Done():
+		if !lifetime.Sleep(ctx, roomCheck) {
 			return nil, schedule.Decision{}, ctx.Err()
 		}
 	}
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -5,13 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/textproto"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"oxbowslip.dev/oxbowslip/internal/hopheader"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
@@ -101,7 +100,7 @@
 
 func (x *exchange) upstreamCall(a *owner.Attempt) *upstream.Call {
 	header := make(http.Header, len(x.r.Header)+4)
-	copyHeaders(header, x.r.Header)
+	hopheader.Copy(header, x.r.Header)
 	header.Del("Authorization")
 	x.server.Dialect.Prepare(header, Send{
 		EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, Urgency: x.policy.Urgency, FetchFrom: a.FetchFrom, Left: x.limit.Sub(x.server.Clock()),
@@ -170,30 +169,9 @@
 
 // write sends the answer to the caller.
 func (p *plainAnswer) write(w http.ResponseWriter) {
-	copyHeaders(w.Header(), p.header)
+	hopheader.Copy(w.Header(), p.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(p.body)))
 	w.WriteHeader(p.status)
 	// A write that fails means that the caller is gone.
 	_, _ = w.Write(p.body)
 }
-
-// hopHeaders are those that hold for one connection only (RFC 9110, 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// copyHeaders copies what is not for one connection only.
-func copyHeaders(to, from http.Header) {
-	for name, values := range from {
-		to[name] = append([]string(nil), values...)
-	}
-	for _, list := range from["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			to.Del(textproto.TrimString(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		to.Del(name)
-	}
-}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/hopheader"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/upstream"
@@ -85,7 +86,7 @@
 		return
 	}
 	x.stream.started = true
-	copyHeaders(x.w.Header(), answer.Header)
+	hopheader.Copy(x.w.Header(), answer.Header)
 	x.w.WriteHeader(answer.Status)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -202,7 +202,7 @@
 		settings: holder, directory: d, scheduler: scheduler, follow: f, gossip: g, done: make(chan struct{}),
 	}
 	r.callers = &http.Server{
-		Handler: r.closeWhenLeaving(server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: lifetime.CloseWhen(&r.leaving, server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	r.readiness = &http.Server{Handler: r.readinessHandler(), ReadHeaderTimeout: headerTimeout}
 	r.metrics = &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout}
@@ -354,17 +354,5 @@
 	r.client.Close()
 }
 
-// closeWhenLeaving ends each connection of a leaving host with its next answer.
-// Connections that rest stay open until the notice is over: one that is closed just
-// as its caller sends the next request would lose that request.
-func (r *Router) closeWhenLeaving(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
-		if r.leaving.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, request)
-	})
-}
-
 // Endpoints counts the endpoints that take new work, as far as this host knows.
 func (r *Router) Endpoints() int { return r.directory.CountServing() }
--- a/internal/settings/effective.go
+++ b/internal/settings/effective.go
@@ -34,11 +34,17 @@
 	if !ok {
 		return Policy{}, false
 	}
+	policy := merge(layers)
+	return policy, policy.Enabled
+}
+
+// merge lets each layer override those before it.
+func merge(layers []layer) Policy {
 	policy := builtIn
 	for _, l := range layers {
 		override(&policy, &l.values)
 	}
-	return policy, policy.Enabled
+	return policy
 }
 
 // RoutePolicy gives the policy of a host route's class for a workspace, or for
@@ -51,10 +57,7 @@
 	if !ok {
 		return Policy{}, false
 	}
-	policy := builtIn
-	for _, l := range layers {
-		override(&policy, &l.values)
-	}
+	policy := merge(layers)
 	return policy, policy.Enabled
 }
 
