--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,13 @@
 # What one does with oxbowslip. Each target is one command to read.
-.PHONY: all build test lint format random fuzz demo bench replay traces capacity ci
+.PHONY: all build front test lint format random fuzz demo bench replay traces capacity ci
 
 all: build lint test
 
 build: ; go build ./...
 
+# The daemon for the users' platform, as deploy/system.toml builds it.
+front: ; go build -ldflags=-linkmode=external -o target/ ./platform/oxbowslip-front
+
 test: ; go test -race ./...
 
 lint: ; go vet ./... && go tool staticcheck ./...
@@ -38,6 +41,7 @@
 capacity:
 	go test ./internal/schedule ./internal/change ./internal/membership -run none -bench . -benchtime 1s
 	go test ./internal/peer -run WireBytes -v
+	go test ./internal/gossip -run BeatBytes -v
 	go test ./internal/daemon -run RelayAllocations -v
 
 ci: ; bash .ci/run
