One broken call alone is no pause

Cause: a reset of one answer by a sound server (answer_lost) paused it for all hosts, and its prefixes were read again elsewhere. Ruled out: crashes, where many calls break at once or the next dial fails.

--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -30,10 +30,18 @@
 	longPause  = 8 * time.Second
 )
 
+// doubtTime is how close together two broken calls must be, without a whole answer
+// between them, for the endpoint to be paused. One broken call alone says little: a
+// sound endpoint loses an answer now and then, and to move its prefixes is dear.
+const doubtTime = 2 * time.Second
+
 // pause keeps new work from an endpoint that failed.
 type pause struct {
-	until    time.Time
+	until time.Time
+	// failures counts the pauses so far.
 	failures int
+	// broken is when the last call broke.
+	broken time.Time
 }
 
 // peerLoads is what one peer has told of its loads.
@@ -160,12 +168,22 @@
 
 // Failed pauses an endpoint that broke a connection, could not be reached or
 // stayed silent. It gives the end of the pause, and whether the pause is new.
-func (b *Board) Failed(now time.Time, endpoint string) (until time.Time, isNew bool) {
+//
+// An endpoint that could not be reached is paused at once, one that broke a call when
+// it breaks another soon after.
+func (b *Board) Failed(now time.Time, endpoint string, reached bool) (until time.Time, isNew bool) {
 	p, ok := b.pauses[endpoint]
 	if !ok {
 		p = new(pause)
 		b.pauses[endpoint] = p
 	}
+	alone := now.Sub(p.broken) > doubtTime
+	if reached {
+		p.broken = now
+	}
+	if reached && alone {
+		return p.until, false
+	}
 	if now.Before(p.until) {
 		// Failures of requests that were under way together are one.
 		return p.until, false
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -83,7 +83,7 @@
 			func(b *Board) { b.Begin(home, 60_000); b.Begin(third(home, other), 1000) }, long(7), other,
 		},
 		"a paused home is left": {
-			func(b *Board) { b.Failed(start, home); b.Begin(third(home, other), 60_000) }, long(7), other,
+			func(b *Board) { b.Failed(start, home, false); b.Begin(third(home, other), 60_000) }, long(7), other,
 		},
 		"a home that a peer paused is left": {
 			func(b *Board) {
@@ -93,9 +93,9 @@
 		},
 		"all paused: one is used all the same": {
 			func(b *Board) {
-				b.Failed(start, "e1")
-				b.Failed(start, "e2")
-				b.Failed(start, "e3")
+				b.Failed(start, "e1", false)
+				b.Failed(start, "e2", false)
+				b.Failed(start, "e3", false)
 				b.Begin("e1", 0)
 				b.Begin("e2", 0)
 			}, short(), "e3",
@@ -173,7 +173,7 @@
 				b.Hold(start.Add(time.Duration(i)), gossip.PrefixRead{Prefix: 7, Endpoint: gossip.KeyOf(id)})
 			}
 			for _, id := range test.paused {
-				b.Failed(start, id)
+				b.Failed(start, id, false)
 			}
 			q := question{prefix: 7, held: b.holders[7]}
 			qt.Check(t, b.source(start, &q, test.to, three), qt.Equals, test.want)
@@ -185,7 +185,7 @@
 	c := qt.New(t)
 	b := NewBoard()
 	failed := func(after time.Duration) time.Time {
-		until, _ := b.Failed(start.Add(after), "e1")
+		until, _ := b.Failed(start.Add(after), "e1", false)
 		return until
 	}
 	c.Check(failed(0), qt.Equals, start.Add(time.Second))
@@ -309,3 +309,24 @@
 	ticket.Finished(schedule.Answered, 0)
 	c.Check(decision.Endpoint, qt.Equals, "e2")
 }
+
+func TestOneBrokenCallAloneIsNoPause(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(b *Board)
+		want    bool
+	}{
+		"alone":                    {func(b *Board) { b.Failed(start, "e1", true) }, false},
+		"two together":             {func(b *Board) { b.Failed(start, "e1", true); b.Failed(start, "e1", true) }, true},
+		"two, far apart":           {func(b *Board) { b.Failed(start.Add(-time.Minute), "e1", true); b.Failed(start, "e1", true) }, false},
+		"two, an answer between":   {func(b *Board) { b.Failed(start, "e1", true); b.Answered("e1"); b.Failed(start, "e1", true) }, false},
+		"not reached":              {func(b *Board) { b.Failed(start, "e1", false) }, true},
+		"broken, then unreachable": {func(b *Board) { b.Failed(start, "e1", true); b.Failed(start, "e1", false) }, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := NewBoard()
+			test.prepare(b)
+			qt.Check(t, b.paused(start, "e1"), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -198,10 +198,11 @@
 	s.board.DropPeer(peer)
 }
 
-// Failed pauses an endpoint.
-func (s *Scheduler) Failed(endpoint string, cause error) {
+// Failed books a failure of an endpoint, which may pause it. Reached says that the
+// endpoint was reached and broke the call.
+func (s *Scheduler) Failed(endpoint string, reached bool, cause error) {
 	s.mu.Lock()
-	until, isNew := s.board.Failed(s.clock(), endpoint)
+	until, isNew := s.board.Failed(s.clock(), endpoint, reached)
 	s.mu.Unlock()
 	if !isNew {
 		return
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -85,7 +85,7 @@
 // failed tells of an endpoint's failure, unless the request itself was ended.
 func (x *exchange) failed(ctx context.Context, a *owner.Attempt, cause error) {
 	if ctx.Err() == nil {
-		x.server.Health.Failed(a.EndpointID, cause)
+		x.server.Health.Failed(a.EndpointID, !errors.Is(cause, upstream.ErrNotSent), cause)
 	}
 }
 
@@ -93,7 +93,7 @@
 	// The rest of the answer is read so that the connection can be kept.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxPlainBytes))
 	if x.server.Dialect.OtherEndpoint(answer.Status) {
-		x.server.Health.Failed(a.EndpointID, errors.New("another endpoint has its address"))
+		x.server.Health.Failed(a.EndpointID, false, errors.New("another endpoint has its address"))
 	}
 	return owner.Result{Event: request.EventNotStarted, Err: errors.New("not started: " + strconv.Itoa(answer.Status))}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,8 +20,8 @@
 
 // Health takes what requests show of endpoints.
 type Health interface {
-	// Failed says that an endpoint could not be reached, or broke a call.
-	Failed(endpoint string, cause error)
+	// Failed says that an endpoint could not be reached, or was and broke a call.
+	Failed(endpoint string, reached bool, cause error)
 	// Answered says that an endpoint gave a whole answer.
 	Answered(endpoint string)
 }
