--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -34,7 +34,10 @@
 	// FetchFrom is the address of an endpoint from which this one can copy a shared
 	// part of the prompt, or empty.
 	FetchFrom string
-	state     atomic.Int32
+	// TokensAhead is the prompt tokens that the endpoint had to read when it was
+	// granted, the request's own among them.
+	TokensAhead int
+	state       atomic.Int32
 }
 
 // watch cancels the attempt when the scheduler takes the endpoint back, unless
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -254,6 +254,7 @@
 	endpointID string
 	endpoint   settings.Endpoint
 	fetchFrom  string
+	ahead      int
 	tokens     int
 	// base is the tokens that earlier attempts brought, which this one goes on
 	// from.
@@ -329,6 +330,7 @@
 		return r.life.Apply(request.EventGrantVoid, r.facts(false))
 	}
 	r.endpointID, r.endpoint, r.fetchFrom = decision.Endpoint, e, decision.FetchFrom
+	r.ahead = decision.Figures.WaitingAhead + r.job.Request.PromptTokens - decision.Figures.CachedTokens
 	r.base = r.tokens
 	r.lastTold = time.Time{}
 	return r.life.Apply(request.EventGranted, r.facts(false))
@@ -338,7 +340,7 @@
 func (r *run) attempt(ctx context.Context, try func(context.Context, *Attempt) Result) request.Action {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &Attempt{run: r, Number: r.life.Tries(), EndpointID: r.endpointID, Endpoint: r.endpoint, FetchFrom: r.fetchFrom}
+	a := &Attempt{run: r, Number: r.life.Tries(), EndpointID: r.endpointID, Endpoint: r.endpoint, FetchFrom: r.fetchFrom, TokensAhead: r.ahead}
 	done := make(chan struct{})
 	go a.watch(r.ticket.Preempted(), cancel, done)
 	result := try(ctx, a)
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -82,9 +82,10 @@
 	return x.holdPlain(ctx, a, answer)
 }
 
-// failed tells of an endpoint's failure, unless the request itself was ended.
+// failed tells of an endpoint's failure, unless the request itself was ended. Silence
+// is a failure too.
 func (x *exchange) failed(ctx context.Context, a *owner.Attempt, cause error) {
-	if ctx.Err() == nil {
+	if ctx.Err() == nil || errors.Is(context.Cause(ctx), owner.ErrStalled) {
 		x.server.Health.Failed(a.EndpointID, !errors.Is(cause, upstream.ErrNotSent), cause)
 	}
 }
--- a/internal/relay/stall.go
+++ b/internal/relay/stall.go
@@ -14,6 +14,11 @@
 	// plainSilence is in targets, streamSilence in the targets for pauses.
 	plainSilence  = 2
 	streamSilence = 4
+	// streamBegin is in targets for the first event, beside the time to read prompts.
+	streamBegin = 2
+	// slowestReading is the prompt tokens a millisecond that an engine reads at the
+	// least: a quarter of what the slowest of them does.
+	slowestReading = 9
 )
 
 // stallWatch ends an attempt when its endpoint is silent for too long.
@@ -56,12 +61,16 @@
 	}
 }
 
-// silenceBefore bounds the time before a plain answer, silenceWithin the pauses of a
-// stream. They are 0 where the request can't be sent elsewhere.
+// silenceBefore bounds the time before an answer begins, silenceWithin the pauses of a
+// stream. They are 0 where the request can't be sent elsewhere. A stream begins when
+// its prompt is read, and those that wait before it.
 func (x *exchange) silenceBefore(a *owner.Attempt) time.Duration {
-	if x.policy.Stream || !x.policy.Repeatable || a.Number >= x.policy.MaxTries {
+	if !x.policy.Repeatable || a.Number >= x.policy.MaxTries {
 		return 0
 	}
+	if x.policy.Stream {
+		return streamBegin*x.policy.FirstToken + time.Duration(a.TokensAhead/slowestReading)*time.Millisecond
+	}
 	return plainSilence * x.policy.WholeAnswer
 }
 
