No call to the store is held after a failure

Ruled out: gossip (it spread the change as soon as one host had it), readiness. Test: TestNoCallIsHeldAfterAFailure.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -32,8 +32,8 @@
 	// Load reads the whole table.
 	Load(ctx context.Context) (Batch[T], error)
 	// Wait gives the changes after a revision as soon as there are any. It gives
-	// an empty batch after a while without changes.
-	Wait(ctx context.Context, after uint64) (Batch[T], error)
+	// an empty batch when there were none for the time that it is held.
+	Wait(ctx context.Context, after uint64, held time.Duration) (Batch[T], error)
 }
 
 // Sink takes what a follower reads.
@@ -44,6 +44,11 @@
 	Apply(batch Batch[T])
 }
 
+// holdTime is how long the store may hold a call while there are no changes. After a
+// failure it holds none: a call that a silent store never answers would hide for so
+// long that the store is back.
+const holdTime = 5 * time.Second
+
 // Pauses between tries while the store is away.
 const (
 	firstPause = 150 * time.Millisecond
@@ -129,7 +134,11 @@
 		f.revision, f.loaded = batch.Revision, true
 		return nil
 	}
-	batch, err := f.source.Wait(ctx, f.revision)
+	held := holdTime
+	if f.failures > 0 {
+		held = 0
+	}
+	batch, err := f.source.Wait(ctx, f.revision, held)
 	if errors.Is(err, ErrHistoryGone) {
 		f.log.WithField("revision", f.revision).Warn("history is gone, the table is read anew")
 		f.loaded = false
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -22,12 +22,15 @@
 type scripted struct {
 	loads, waits chan reading
 	after        chan uint64
+	// held are the times for which the calls might be held.
+	held chan time.Duration
 }
 
 func (s *scripted) Load(ctx context.Context) (Batch[string], error) { return next(ctx, s.loads) }
 
-func (s *scripted) Wait(ctx context.Context, after uint64) (Batch[string], error) {
+func (s *scripted) Wait(ctx context.Context, after uint64, held time.Duration) (Batch[string], error) {
 	s.after <- after
+	s.held <- held
 	return next(ctx, s.waits)
 }
 
@@ -81,7 +84,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99)}
+			source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99), held: make(chan time.Duration, 99)}
 			for _, r := range test.loads {
 				source.loads <- r
 			}
@@ -108,7 +111,7 @@
 
 func TestAClosedGate(t *testing.T) {
 	c := qt.New(t)
-	source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99)}
+	source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99), held: make(chan time.Duration, 99)}
 	source.loads <- batch(3, "a")
 	source.loads <- batch(9, "z")
 	log := logrus.New()
@@ -153,3 +156,30 @@
 	<-ended
 	close(looks)
 }
+
+// TestNoCallIsHeldAfterAFailure is the day store-silent: calls that were held by a
+// silent store hid its return for 6.5 s, and with it a change (CONFIG, DENIED).
+func TestNoCallIsHeldAfterAFailure(t *testing.T) {
+	c := qt.New(t)
+	source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99), held: make(chan time.Duration, 99)}
+	source.loads <- batch(3, "a")
+	source.waits <- reading{err: errors.New("silent")}
+	source.waits <- reading{err: errors.New("silent")}
+	source.waits <- batch(4, "b")
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	sink := &recorder{taken: make(chan string, 9)}
+	follower := New(source, sink, logrus.NewEntry(log), func() float64 { return 0 }, time.Now, func() bool { return true })
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		follower.Run(done)
+		close(ended)
+	}()
+	c.Check(<-sink.taken, qt.Equals, "whole a")
+	c.Check(<-sink.taken, qt.Equals, "change b")
+	for _, want := range []time.Duration{holdTime, 0, 0, holdTime} {
+		c.Check(<-source.held, qt.Equals, want)
+	}
+	close(done)
+	<-ended
+}
