--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -63,6 +63,8 @@
 	// holders are the endpoints that each prefix was sent to, by this host or a peer,
 	// with the last time.
 	holders map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time
+	// records tell how the streams of short prompts fare, by service.
+	records map[string]*pauseRecord
 }
 
 // holderAge is how long an endpoint counts as holding a prefix after its last use.
@@ -73,7 +75,7 @@
 	return &Board{
 		own: make(map[string]*Load), peers: make(map[string]peerLoads),
 		peerPauses: make(map[gossip.EndpointKey]time.Time), pauses: make(map[string]*pause),
-		holders: make(map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time),
+		holders: make(map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time), records: make(map[string]*pauseRecord),
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -24,12 +23,6 @@
 	moveCost = 3.0
 	// zoneTokens is the work that it takes to leave the own availability zone.
 	zoneTokens = 400
-	// deepPrefix is the length of a shared prefix from which it is deep, deepPart the
-	// part of the endpoints where deep prefixes belong, deepCost what a short prompt
-	// takes on itself to run elsewhere.
-	deepPrefix = 14000
-	deepPart   = 0.45
-	deepCost   = 5000
 )
 
 // Choice is an endpoint with the figures that decided.
@@ -62,24 +55,21 @@
 	held map[gossip.EndpointKey]time.Time
 	// heldHere says that a candidate holds the prefix.
 	heldHere bool
-	// deep is the lane of the deepest prefixes.
-	deep map[string]bool
+	lanes    map[string]lane
 }
 
 // Choose picks, of the candidates among a service's endpoints, the one with the
 // least work for a request: what waits there, and what of the prompt it must still
 // read. Leaving are endpoints of the service that take no new work but can still be
 // copied from. It reports false if there is no candidate.
-func (b *Board) Choose(now time.Time, request *schedule.Request, endpoints, candidates, leaving []directory.Entry) (Choice, bool) {
+func (b *Board) Choose(now time.Time, service string, request *schedule.Request, endpoints, candidates, leaving []directory.Entry) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	q := question{request: request}
+	q := question{request: request, lanes: lanesOf(endpoints, b.shortLane(now, service))}
 	q.prefix, q.shared = sharedPrefix(request)
-	deep := deepLane(endpoints)
-	q.deep = deep
 	if q.shared >= longPrefix {
-		q.home = rendezvous(q.prefix, laneOf(q.shared >= deepPrefix, deep, candidates))
+		q.home = rendezvous(q.prefix, inLane(q.lane(), q.lanes, candidates))
 		q.held = b.holders[gossip.PrefixKey(q.prefix)]
 		q.heldHere = slices.ContainsFunc(candidates, func(e directory.Entry) bool { return q.holds(&e) })
 	}
@@ -97,6 +87,22 @@
 	return best, true
 }
 
+// lane gives the lane where the request's prefix belongs.
+func (q *question) lane() lane {
+	if q.shared >= deepPrefix {
+		return laneDeep
+	}
+	return laneShallow
+}
+
+// apart reports whether an endpoint is one that short prompts keep away from.
+func (q *question) apart(e *directory.Entry, shortLane bool) bool {
+	if shortLane {
+		return q.lanes[e.ID] != laneShort
+	}
+	return q.lanes[e.ID] == laneDeep
+}
+
 // holds reports whether an endpoint was sent the prefix.
 func (q *question) holds(e *directory.Entry) bool {
 	_, ok := q.held[gossip.KeyOf(e.ID)]
@@ -134,8 +140,8 @@
 		choice.Cost += zoneTokens
 	}
 	if q.home == "" {
-		if q.deep[e.ID] && q.request.PromptTokens > 0 {
-			choice.Cost += deepCost
+		if q.request.PromptTokens > 0 && q.apart(e, b.shortLane(now, e.Endpoint.Service)) {
+			choice.Cost += laneCost
 		}
 		return choice
 	}
@@ -148,32 +154,6 @@
 	return choice
 }
 
-// deepLane names the endpoints where the deepest prefixes belong. A step of an
-// engine takes longer the deeper the prompt is that it reads, and all streams beside
-// it pause for that long; so the deepest are read apart from the short prompts.
-func deepLane(endpoints []directory.Entry) map[string]bool {
-	size := int(float64(len(endpoints)) * deepPart)
-	ordered := slices.Clone(endpoints)
-	slices.SortFunc(ordered, func(a, b directory.Entry) int {
-		return cmp.Compare(mix(xxhash.Sum64String(a.ID)), mix(xxhash.Sum64String(b.ID)))
-	})
-	lane := make(map[string]bool, size)
-	for _, e := range ordered[:size] {
-		lane[e.ID] = true
-	}
-	return lane
-}
-
-// laneOf gives the candidates inside or outside of the deep lane, or all if there
-// are none.
-func laneOf(deep bool, lane map[string]bool, candidates []directory.Entry) []directory.Entry {
-	in := keep(candidates, func(e *directory.Entry) bool { return lane[e.ID] == deep })
-	if len(in) == 0 {
-		return candidates
-	}
-	return in
-}
-
 // candidates leaves out the endpoints that a request should avoid, then those that
 // failed lately, each as long as others are left.
 func (b *Board) candidates(now time.Time, request *schedule.Request, endpoints []directory.Entry) []directory.Entry {
--- /dev/null
+++ b/internal/placement/lanes.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oxbowslip.dev/oxbowslip/internal/directory"
+)
+
+// Lanes keep prompts apart that harm each other. While an engine reads a long prompt,
+// each of its steps takes longer, and the streams beside it pause for as long as an
+// event's steps take together: the deeper the prompt, the longer. The lanes of a
+// service follow from a hash of its endpoints' IDs, so hosts need no word to find the
+// same. Hosts that differ for a while send a prefix where it was sent before, so that
+// costs little.
+const (
+	// deepPrefix is the length of a shared prefix from which it is deep, deepPart the
+	// part of the endpoints where deep prefixes belong.
+	deepPrefix = 14000
+	deepPart   = 0.45
+	// shortPart is the part of the endpoints that is kept from long prefixes while
+	// streams of short prompts pause too long.
+	shortPart = 0.25
+	// laneCost is what a short prompt takes on itself, in prompt tokens, to run apart
+	// from long ones.
+	laneCost = 5000
+)
+
+// lane says which prompts an endpoint is for.
+type lane int
+
+const (
+	laneShallow lane = iota
+	laneDeep
+	laneShort
+)
+
+// lanesOf gives the lane of each endpoint of a service.
+func lanesOf(endpoints []directory.Entry, shortLane bool) map[string]lane {
+	ordered := slices.Clone(endpoints)
+	slices.SortFunc(ordered, func(a, b directory.Entry) int {
+		return cmp.Compare(mix(xxhash.Sum64String(a.ID)), mix(xxhash.Sum64String(b.ID)))
+	})
+	deep := int(float64(len(ordered)) * deepPart)
+	short := 0
+	if shortLane && len(ordered) > 2 {
+		short = int(math.Ceil(float64(len(ordered)) * shortPart))
+	}
+	lanes := make(map[string]lane, len(ordered))
+	for i, e := range ordered {
+		switch {
+		case i < deep:
+			lanes[e.ID] = laneDeep
+		case i >= len(ordered)-short:
+			lanes[e.ID] = laneShort
+		default:
+			lanes[e.ID] = laneShallow
+		}
+	}
+	return lanes
+}
+
+// inLane gives the candidates of a lane, or all if there are none.
+func inLane(wanted lane, lanes map[string]lane, candidates []directory.Entry) []directory.Entry {
+	in := keep(candidates, func(e *directory.Entry) bool { return lanes[e.ID] == wanted })
+	if len(in) == 0 {
+		return candidates
+	}
+	return in
+}
+
+// When a service gets a lane for short prompts: while more of their streams than
+// laneOpens pause for longer than they should, and for laneTime after.
+const (
+	laneOpens = 0.10
+	laneTime  = 20 * time.Second
+	// latePart is the part of the target for pauses from which a stream counts as
+	// late, lateWeight the weight of one stream in the average.
+	latePart   = 0.97
+	lateWeight = 0.10
+)
+
+// pauseRecord is how the streams of short prompts fare at a service.
+type pauseRecord struct {
+	// late is a moving average of the part of streams that paused too long.
+	late float64
+	// until is when the lane for short prompts closes.
+	until time.Time
+}
+
+// Streamed books the longest pause of a stream of a short prompt, against its target.
+// It reports whether the service has got a lane for short prompts by it.
+func (b *Board) Streamed(now time.Time, service string, longest, target time.Duration) bool {
+	record, ok := b.records[service]
+	if !ok {
+		record = new(pauseRecord)
+		b.records[service] = record
+	}
+	sample := 0.0
+	if float64(longest) > latePart*float64(target) {
+		sample = 1
+	}
+	record.late += lateWeight * (sample - record.late)
+	if record.late < laneOpens {
+		return false
+	}
+	opened := !b.shortLane(now, service)
+	record.until = now.Add(laneTime)
+	return opened
+}
+
+// shortLane reports whether a service has a lane for short prompts.
+func (b *Board) shortLane(now time.Time, service string) bool {
+	record, ok := b.records[service]
+	return ok && now.Before(record.until)
+}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -40,7 +40,7 @@
 }
 
 func (b *Board) choose(request *schedule.Request, endpoints []directory.Entry) Choice {
-	choice, _ := b.Choose(start, request, endpoints, b.candidates(start, request, endpoints), nil)
+	choice, _ := b.Choose(start, "llm", request, endpoints, b.candidates(start, request, endpoints), nil)
 	return choice
 }
 
@@ -134,24 +134,57 @@
 	}
 }
 
-func TestDeepPrefixesAreApart(t *testing.T) {
+func TestLanes(t *testing.T) {
 	c := qt.New(t)
 	all := entries("e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9")
-	lane := deepLane(all)
-	c.Assert(lane, qt.HasLen, 4)
-	for prefix := range uint64(50) {
-		shallow := long(prefix * 977)
-		deep := long(prefix * 977)
-		deep.PromptTokens, deep.PrefixTokens = 22_000, []int{20_000, 22_000}
-		c.Check(lane[NewBoard().choose(shallow, all).Endpoint], qt.IsFalse)
-		c.Check(lane[NewBoard().choose(deep, all).Endpoint], qt.IsTrue)
+	for _, shortLane := range []bool{false, true} {
+		lanes := lanesOf(all, shortLane)
+		b := NewBoard()
+		if shortLane {
+			b.records["llm"] = &pauseRecord{until: start.Add(time.Second)}
+		}
+		for prefix := range uint64(50) {
+			shallow := long(prefix * 977)
+			deep := long(prefix * 977)
+			deep.PromptTokens, deep.PrefixTokens = 22_000, []int{20_000, 22_000}
+			c.Check(lanes[b.choose(shallow, all).Endpoint], qt.Equals, laneShallow)
+			c.Check(lanes[b.choose(deep, all).Endpoint], qt.Equals, laneDeep)
+		}
+		want := laneShallow
+		if shortLane {
+			want = laneShort
+		}
+		c.Check(lanes[b.choose(short(), all).Endpoint], qt.Equals, want)
 	}
-	c.Check(lane[NewBoard().choose(short(), all).Endpoint], qt.IsFalse)
 	alone := long(7)
 	alone.PromptTokens, alone.PrefixTokens = 22_000, []int{20_000, 22_000}
 	c.Check(NewBoard().choose(alone, entries("e1")).Endpoint, qt.Equals, "e1")
 }
 
+func TestTheShortLaneOpensAndCloses(t *testing.T) {
+	c := qt.New(t)
+	b := NewBoard()
+	opened := 0
+	for range 20 {
+		if b.Streamed(start, "llm", 310*time.Millisecond, 300*time.Millisecond) {
+			opened++
+		}
+	}
+	c.Check(opened, qt.Equals, 1)
+	c.Check(b.shortLane(start, "llm"), qt.IsTrue)
+	c.Check(b.shortLane(start, "other"), qt.IsFalse)
+	c.Check(b.shortLane(start.Add(laneTime), "llm"), qt.IsFalse)
+	calm := NewBoard()
+	for n := range 100 {
+		pause := 200 * time.Millisecond
+		if n%25 == 0 {
+			pause = 310 * time.Millisecond
+		}
+		calm.Streamed(start, "llm", pause, 300*time.Millisecond)
+	}
+	c.Check(calm.shortLane(start, "llm"), qt.IsFalse, qt.Commentf("a few late streams open no lane"))
+}
+
 func TestSource(t *testing.T) {
 	three := entries("e1", "e2", "e3")
 	tests := map[string]struct {
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -86,7 +86,7 @@
 	if !s.ranks.isLeast(request) {
 		candidates = s.board.withRoom(now, &s.ranks, request, candidates)
 	}
-	choice, ok := s.board.Choose(now, request, endpoints, candidates, s.directory.Leaving(service))
+	choice, ok := s.board.Choose(now, service, request, endpoints, candidates, s.directory.Leaving(service))
 	if !ok || !s.ranks.hasRoom(request, choice.Places, choice.Load.Requests) {
 		return Choice{}, schedule.ReasonNoRoom
 	}
@@ -211,6 +211,21 @@
 	s.log.WithError(cause).WithFields(logrus.Fields{"endpoint": endpoint, "until": until}).Warn("endpoint paused")
 }
 
+// Streamed books how long a stream paused, against its target.
+func (s *Scheduler) Streamed(service string, request *schedule.Request, longest, target time.Duration) {
+	if _, shared := sharedPrefix(request); shared >= longPrefix || target == 0 {
+		return
+	}
+	s.mu.Lock()
+	opened := s.board.Streamed(s.clock(), service, longest, target)
+	s.mu.Unlock()
+	if opened {
+		s.log.WithFields(logrus.Fields{
+			"service": service, "pause_ms": longest.Milliseconds(), "target_ms": target.Milliseconds(),
+		}).Info("short prompts get endpoints of their own, their streams pause too long")
+	}
+}
+
 // Answered ends the doubt about an endpoint.
 func (s *Scheduler) Answered(endpoint string) {
 	s.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"oxbowslip.dev/oxbowslip/internal/logging"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/upstream"
 )
@@ -24,6 +25,8 @@
 	Failed(endpoint string, reached bool, cause error)
 	// Answered says that an endpoint gave a whole answer.
 	Answered(endpoint string)
+	// Streamed says how long a stream paused, against its target.
+	Streamed(service string, request *schedule.Request, longest, target time.Duration)
 }
 
 // Parts are what a server works with.
@@ -190,7 +193,11 @@
 	s := x.server
 	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.limit, owner.ErrTimeLimit)
 	defer cancel()
-	end := s.Owner.Run(ctx, x.job())
+	job := x.job()
+	end := s.Owner.Run(ctx, job)
+	if x.stream.events > 1 && end.Sends == 1 {
+		s.Health.Streamed(x.target, &job.Request, x.stream.longest, x.policy.MaxPause)
+	}
 	x.log(&end)
 	switch end.Outcome {
 	case request.OutcomeAnswered:
