--- a/internal/placement/lanes.go
+++ b/internal/placement/lanes.go
@@ -76,7 +76,7 @@
 // When a service gets a lane for short prompts: while more of their streams than
 // laneOpens pause for longer than they should, and for laneTime after.
 const (
-	laneOpens = 0.10
+	laneOpens = 0.15
 	laneTime  = 20 * time.Second
 	// latePart is the part of the target for pauses from which a stream counts as
 	// late, lateWeight the weight of one stream in the average.
