--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -12,11 +12,7 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
-	"storj.io/drpc"
-	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcserver"
-
-	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
 const (
@@ -342,48 +338,6 @@
 	}
 }
 
-// behind reports whether a peer has a newer revision than this host.
-func (g *Gossip) behind(member *Member) bool {
-	own := g.host.Revisions()
-	return member.Settings > own.Settings || member.Directory > own.Directory
-}
-
-// catchUp fetches what a peer has newer, unless the store brings it first.
-func (g *Gossip) catchUp(peer, address string) {
-	g.mu.Lock()
-	busy := g.catching
-	g.catching = true
-	g.mu.Unlock()
-	if busy {
-		return
-	}
-	go func() {
-		defer g.caughtUp()
-		before := g.host.Revisions()
-		if before.Settings > 0 && before.Directory > 0 {
-			time.Sleep(catchUpGrace)
-		}
-		g.mu.Lock()
-		member, ok := g.members.live[peer]
-		g.mu.Unlock()
-		if !ok || !g.behind(member) {
-			return
-		}
-		news, err := Fetch(address, g.host.Revisions())
-		if err != nil {
-			g.log.WithError(err).WithField("peer", peer).Warn("newer revisions can't be fetched from a peer")
-			return
-		}
-		g.host.Take(peer, news)
-	}()
-}
-
-func (g *Gossip) caughtUp() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.catching = false
-}
-
 // Leave tells all members that this host leaves.
 func (g *Gossip) Leave() {
 	g.mu.Lock()
@@ -403,76 +357,3 @@
 	g.packets.Close()
 	g.listener.Close()
 }
-
-// Fetch asks a peer for what is newer than the given revisions.
-func Fetch(address string, want Want) (News, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return News{}, merry.Wrap(err)
-	}
-	conn := drpcconn.New(raw)
-	defer conn.Close()
-	var news News
-	err = conn.Invoke(ctx, rpcNews, encoding{}, &want, &news)
-	return news, merry.Wrap(err)
-}
-
-// newsHandler answers peers that lack a revision.
-type newsHandler struct{ host Host }
-
-// HandleRPC answers one call.
-func (h newsHandler) HandleRPC(stream drpc.Stream, rpc string) error {
-	if rpc != rpcNews {
-		return merry.Errorf("unknown call %q", rpc)
-	}
-	var want Want
-	if err := stream.MsgRecv(&want, encoding{}); err != nil {
-		return merry.Wrap(err)
-	}
-	news := h.host.Newer(want)
-	return merry.Wrap(stream.MsgSend(&news, encoding{}))
-}
-
-// KeepRegistered registers this host if it is one of those that read the store, or
-// hears no other, and contacts the hosts that have registered. It lists them again
-// whenever it hears no other.
-func (g *Gossip) KeepRegistered(done <-chan struct{}, registry Registry) {
-	ctx, cancel := lifetime.Context(done)
-	defer cancel()
-	if !lifetime.Sleep(ctx, settleTime) {
-		return
-	}
-	lifetime.Every(done, registerInterval, g.random, func(context.Context) {
-		alone := g.Hosts() == 1
-		if !alone && (g.registered.Load() || !g.ShouldRead()) {
-			return
-		}
-		if !g.registered.Load() {
-			if err := registry.Register(ctx, g.config.Name, g.config.Address); err != nil {
-				return // The registry counts it; the next round tries again.
-			}
-			g.registered.Store(true)
-		}
-		if addresses, err := registry.List(ctx); err == nil {
-			g.Contact(addresses)
-			g.Changed()
-		}
-	})
-}
-
-// settleTime is how long a host waits for its first peers before it decides whether
-// it is alone.
-const settleTime = 400 * time.Millisecond
-
-// registerInterval is the mean time between two tries to register.
-const registerInterval = 2 * time.Second
-
-// Registry is where hosts leave their addresses for those that start later.
-type Registry interface {
-	Register(ctx context.Context, name, address string) error
-	Unregister(ctx context.Context, name string) error
-	List(ctx context.Context) ([]string, error)
-}
