--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -288,30 +288,13 @@
 	case <-time.After(d.config.Drain.Notice):
 	case <-ctx.Done():
 	}
-	shut := make(chan struct{})
-	go func() {
-		defer close(shut)
-		// The error is that of ctx; the rest is closed below.
-		_ = d.callers.Shutdown(ctx)
-	}()
-	cut := d.owner.Drain(ctx)
+	cut := lifetime.Finish(ctx, d.callers, d.owner.Drain, stopMargin/2)
 	d.cut.Store(int64(cut))
-	<-shut
-	d.finishAnswers()
 	d.log.WithField("cut", cut).Info("stopped")
 	d.close()
 	return nil
 }
 
-// finishAnswers waits for the last answers, errors among them, to leave.
-func (d *Daemon) finishAnswers() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
-	defer cancel()
-	// A caller that has not read its answer by then is cut off.
-	_ = d.callers.Shutdown(ctx)
-	d.callers.Close()
-}
-
 // Hurry ends the wait of a planned stop: what is still in flight is told that
 // the host stops.
 func (d *Daemon) Hurry() { d.hurryOnce.Do(func() { close(d.hurry) }) }
--- a/internal/lifetime/leaving.go
+++ b/internal/lifetime/leaving.go
@@ -1,8 +1,10 @@
 package lifetime
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // CloseWhen ends each connection of a host that leaves with its next answer.
@@ -16,3 +18,23 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// Finish lets a server that leaves finish: it takes no new connections, drain waits for
+// what is in flight until ctx ends, and the last answers have the margin to leave. It
+// gives the number of requests that drain had to cut.
+func Finish(ctx context.Context, server *http.Server, drain func(ctx context.Context) int, margin time.Duration) int {
+	shut := make(chan struct{})
+	go func() {
+		defer close(shut)
+		// The error is that of ctx; the rest is closed below.
+		_ = server.Shutdown(ctx)
+	}()
+	cut := drain(ctx)
+	<-shut
+	last, cancel := context.WithTimeout(context.Background(), margin)
+	defer cancel()
+	// A caller that has not read its answer by then is cut off.
+	_ = server.Shutdown(last)
+	server.Close()
+	return cut
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -315,18 +315,8 @@
 	case <-time.After(r.config.Drain.Notice):
 	case <-ctx.Done():
 	}
-	shut := make(chan struct{})
-	go func() {
-		defer close(shut)
-		// The error is that of ctx; the rest is closed below.
-		_ = r.callers.Shutdown(ctx)
-	}()
-	cut := r.owner.Drain(ctx)
-	<-shut
+	cut := lifetime.Finish(ctx, r.callers, r.owner.Drain, stopMargin)
 	r.gossip.Leave()
-	last, cancelLast := context.WithTimeout(context.Background(), stopMargin)
-	defer cancelLast()
-	_ = r.callers.Shutdown(last)
 	r.close()
 	r.log.WithField("cut", cut).Info("stopped")
 	return nil
