--- a/cmd/oxbowslip/main.go
+++ b/cmd/oxbowslip/main.go
@@ -28,12 +28,18 @@
 	Get     *getCommand     `arg:"subcommand:get" help:"print the tree in force"`
 	Explain *effectCommand  `arg:"subcommand:explain" help:"show each effective value of a class and where it comes from"`
 	Apply   *applyCommand   `arg:"subcommand:apply" help:"change the tree"`
+	Diff    *checkCommand   `arg:"subcommand:diff" help:"print the patch from the tree in force to one in a file"`
+	Watch   *getCommand     `arg:"subcommand:watch" help:"print what each new revision changes"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"check a tree in a file"`
 	History *historyCommand `arg:"subcommand:history" help:"list the last changes"`
 }
 
 type getCommand struct{}
 
+type statusCommand struct {
+	Watch bool `arg:"--watch" help:"show it again every second"`
+}
+
 type effectCommand struct {
 	Workspace string `arg:"positional,required" placeholder:"WORKSPACE"`
 	Class     string `arg:"positional,required" placeholder:"CLASS"`
@@ -83,7 +89,7 @@
 	Doctor   *doctorCommand   `arg:"subcommand:doctor" help:"ask all hosts and tell what is wrong"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"read and change the settings"`
 	Endpoint *endpointCommand `arg:"subcommand:endpoint" help:"list endpoints and order them in or out"`
-	Status   *getCommand      `arg:"subcommand:status" help:"show the state of a host"`
+	Status   *statusCommand   `arg:"subcommand:status" help:"show the state of a host"`
 	Explain  *explainCommand  `arg:"subcommand:explain" help:"tell why a request ran where and when it did, waited or was refused"`
 	Address  string           `arg:"--address,env:OXBOWSLIP_ADDRESS" default:"127.0.0.1:8180" help:"operators' address of a host" placeholder:"ADDR"`
 	Key      string           `arg:"--key,env:OXBOWSLIP_KEY" help:"operator's key"`
@@ -114,7 +120,12 @@
 func pick(args *arguments) command {
 	switch {
 	case args.Status != nil:
-		return func(ctx context.Context, t *tool) error { return t.status(ctx) }
+		return func(ctx context.Context, t *tool) error {
+			if args.Status.Watch {
+				return repeat(ctx, t.status)
+			}
+			return t.status(ctx)
+		}
 	case args.Explain != nil:
 		return func(ctx context.Context, t *tool) error { return t.explain(ctx, args.Explain.ID) }
 	case args.Logs != nil:
@@ -139,6 +150,10 @@
 		}
 	case s.Apply != nil:
 		return func(ctx context.Context, t *tool) error { return t.apply(ctx, s.Apply) }
+	case s.Diff != nil:
+		return func(ctx context.Context, t *tool) error { return t.diff(ctx, s.Diff.File) }
+	case s.Watch != nil:
+		return func(ctx context.Context, t *tool) error { return t.watchSettings(ctx) }
 	case s.Check != nil:
 		return func(_ context.Context, t *tool) error { return t.check(s.Check.File) }
 	case s.History != nil:
