--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -22,8 +22,14 @@
 	// peers beats less often, so that what it sends does not grow with their number.
 	pacePerMember = 8 * time.Millisecond
 	shortestPace  = 80 * time.Millisecond
-	// silence is how long a member may say nothing.
-	silence = 3500 * time.Millisecond
+	// silence is how long a member may say nothing, silencePerMember the least for
+	// each member of a fleet so large that its hosts beat rarely.
+	silence          = 3500 * time.Millisecond
+	silencePerMember = 30 * time.Millisecond
+	// fullBeats is the number of hosts up to which beats tell of loads and reads. In
+	// a larger fleet they would cost more than they are worth: each host has little
+	// of the load of an endpoint, and the homes of prefixes need no word.
+	fullBeats = 120
 	// introduceEvery is the number of rests between two introductions, which also go
 	// to the addresses that were not heard. The first beats are introductions too.
 	introduceEvery     = 3
@@ -89,6 +95,7 @@
 	packets  net.PacketConn
 	listener net.Listener
 	changed  chan struct{}
+	urgent   chan struct{}
 	cancel   context.CancelFunc
 
 	mu       sync.Mutex
@@ -106,7 +113,7 @@
 	g := &Gossip{
 		config: config, host: host, log: log, clock: clock, random: random, start: clock().UnixNano(),
 		life: uint32(random() * math.MaxUint32), introduce: true,
-		changed: make(chan struct{}, 1), members: NewMembers(config.Name, silence),
+		changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1), members: NewMembers(config.Name),
 	}
 	g.Contact(config.FirstPeers)
 	return g
@@ -148,6 +155,15 @@
 	}
 }
 
+// ChangedRevision says that this host has read a newer revision from the store. The
+// next beat does not wait for its turn. It does not block.
+func (g *Gossip) ChangedRevision() {
+	select {
+	case g.urgent <- struct{}{}:
+	default:
+	}
+}
+
 // Start listens for peers.
 func (g *Gossip) Start() error {
 	listener, err := net.Listen("tcp", g.config.Address)
@@ -198,6 +214,8 @@
 	defer pace.Stop()
 	select {
 	case <-pace.C:
+	case <-g.urgent:
+		return true
 	case <-done:
 		return false
 	}
@@ -205,6 +223,7 @@
 	defer idle.Stop()
 	select {
 	case <-g.changed:
+	case <-g.urgent:
 	case <-idle.C:
 		g.expire()
 	case <-done:
@@ -218,12 +237,13 @@
 	g.mu.Lock()
 	g.rests++
 	g.introduce = g.introduce || g.rests%introduceEvery == 0
-	gone := g.members.Expire(g.clock())
+	limit := max(silence, time.Duration(g.members.Count())*silencePerMember)
+	gone := g.members.Expire(g.clock(), limit)
 	hosts := g.members.Count() + 1
 	g.mu.Unlock()
 	for _, name := range gone {
 		g.host.Lost(name)
-		g.log.WithFields(logrus.Fields{"peer": name, "hosts": hosts, "silent_ms": silence.Milliseconds()}).Warn("peer lost")
+		g.log.WithFields(logrus.Fields{"peer": name, "hosts": hosts, "silent_ms": limit.Milliseconds()}).Warn("peer lost")
 	}
 }
 
@@ -249,6 +269,9 @@
 		Loads: state.Loads, Pauses: state.Pauses, Reads: state.Reads, Leaving: g.leaving,
 		Reading: state.Reading, Delta: state.Delta,
 	}
+	if g.members.Count() >= fullBeats {
+		beat.Loads, beat.Reads = nil, nil
+	}
 	if g.introduce {
 		beat.Intro = &Intro{
 			Host: g.config.Name, Address: g.config.Address, Zone: g.config.Zone, Start: g.start, Known: g.someMembers(),
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -11,8 +11,6 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
-
-	"oxbowslip.dev/oxbowslip/internal/directory"
 )
 
 var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
@@ -52,7 +50,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			m := NewMembers("self", time.Second)
+			m := NewMembers("self")
 			for _, h := range test.beats {
 				_, isNew, ok := m.Heard(start, &h.beat)
 				c.Check([]bool{isNew, ok}, qt.DeepEquals, []bool{h.isNew, h.ok})
@@ -64,11 +62,11 @@
 
 func TestSilentMembersExpire(t *testing.T) {
 	c := qt.New(t)
-	m := NewMembers("self", time.Second)
+	m := NewMembers("self")
 	m.Heard(start, &Beat{Life: 1, Sequence: 1, Intro: intro("a", 1, "c:1")})
 	m.Heard(start.Add(900*time.Millisecond), &Beat{Life: 2, Sequence: 1, Intro: intro("b", 1)})
 	c.Check(m.Unheard(), qt.DeepEquals, []string{"c:1"})
-	c.Check(m.Expire(start.Add(1100*time.Millisecond)), qt.DeepEquals, []string{"a"})
+	c.Check(m.Expire(start.Add(1100*time.Millisecond), time.Second), qt.DeepEquals, []string{"a"})
 	c.Check(m.Unheard(), qt.DeepEquals, []string{"a:1", "c:1"}, qt.Commentf("it is tried again: it may come back"))
 	c.Check(m.Live(), qt.HasLen, 1)
 }
@@ -118,7 +116,7 @@
 		news.Settings = []byte("settings")
 	}
 	if n.has.Directory > want.Directory {
-		news.Snapshot = &directory.Snapshot{Revision: n.has.Directory}
+		news.Snapshot = &DirectorySnapshot{Revision: n.has.Directory}
 	}
 	return news
 }
@@ -229,7 +227,7 @@
 			reading := make(map[string]bool)
 			should := 0
 			for i, self := range names {
-				m := NewMembers(self, time.Second)
+				m := NewMembers(self)
 				for j, other := range names {
 					if other != self {
 						m.Heard(start, &Beat{Life: uint32(j + 1), Sequence: 1, Intro: intro(other, 1), Reading: reading[other]})
@@ -244,3 +242,38 @@
 		})
 	}
 }
+
+// TestARevisionDoesNotWaitForItsTurn is the sweep at 300 hosts: beats came 2.4 s apart,
+// and a change of the configuration was in force after 5 s (CONFIG, DENIED).
+func TestARevisionDoesNotWaitForItsTurn(t *testing.T) {
+	c := qt.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := New(Config{Name: "a"}, &node{}, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 })
+	for n := range 300 {
+		g.members.Heard(time.Now(), &Beat{Life: uint32(n + 1), Sequence: 1, Intro: intro(fmt.Sprintf("host-%d", n), 1)})
+	}
+	// Its turn would come in some seconds, and with a change only then.
+	g.Changed()
+	g.ChangedRevision()
+	begun := make(chan bool)
+	go func() { begun <- g.rest(make(chan struct{})) }()
+	c.Check(<-begun, qt.IsTrue)
+	c.Check(g.changed, qt.HasLen, 1, qt.Commentf("the change of loads still waits for its turn"))
+}
+
+func TestBeatsOfALargeFleetTellNoLoads(t *testing.T) {
+	for name, hosts := range map[string]int{"small": 100, "large": 300} {
+		t.Run(name, func(t *testing.T) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			g := New(Config{Name: "a"}, &node{}, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 })
+			for n := range hosts {
+				g.members.Heard(time.Now(), &Beat{Life: uint32(n + 1), Sequence: 1, Intro: intro(fmt.Sprintf("host-%d", n), 1)})
+			}
+			beat := g.newBeat(State{Settings: 3, Loads: []EndpointLoad{{Endpoint: 1}}})
+			qt.Check(t, len(beat.Loads) > 0, qt.Equals, hosts < fullBeats)
+			qt.Check(t, beat.Settings, qt.Equals, uint64(3))
+		})
+	}
+}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -26,9 +26,7 @@
 // takes the time as a parameter.
 type Members struct {
 	self string
-	// silence is how long a member may say nothing before it counts as gone.
-	silence time.Duration
-	live    map[string]*Member
+	live map[string]*Member
 	// names finds the member that a life belongs to.
 	names map[uint32]string
 	// contacts are addresses where a host may be that was not heard yet.
@@ -36,9 +34,9 @@
 }
 
 // NewMembers makes the view of a host that has heard no other.
-func NewMembers(self string, silence time.Duration) *Members {
+func NewMembers(self string) *Members {
 	return &Members{
-		self: self, silence: silence, live: make(map[string]*Member), names: make(map[uint32]string), contacts: make(map[string]bool),
+		self: self, live: make(map[string]*Member), names: make(map[uint32]string), contacts: make(map[string]bool),
 	}
 }
 
@@ -98,11 +96,12 @@
 	}
 }
 
-// Expire drops the members that have been silent for too long, and names them.
-func (m *Members) Expire(now time.Time) []string {
+// Expire drops the members that have been silent for longer than a limit, and names
+// them.
+func (m *Members) Expire(now time.Time, limit time.Duration) []string {
 	var gone []string
 	for name, member := range m.live {
-		if now.Sub(member.heard) > m.silence {
+		if now.Sub(member.heard) > limit {
 			m.forget(name)
 			gone = append(gone, name)
 		}
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -12,8 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
-
-	"oxbowslip.dev/oxbowslip/internal/directory"
 )
 
 // Beat is one datagram: a host's whole state that others care about, so that a lost
@@ -135,7 +133,17 @@
 
 	// Settings is a configuration as the deployment writes it.
 	Settings []byte
-	Snapshot *directory.Snapshot
+	Snapshot *DirectorySnapshot
+}
+
+// DirectorySnapshot is the whole directory.
+type DirectorySnapshot struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Revision is the state up to which all is known, Changed the newest change.
+	Revision uint64
+	Changed  uint64
+	Entries  []EndpointChange
 }
 
 const rpcNews = "oxbowslip/news"
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -87,6 +87,10 @@
 	go f.endpoints.Run(done)
 }
 
+// fromStore names the store as the source of news. Only news from there is told to all
+// at once: a host that has it from a peer would only repeat it.
+const fromStore = "store"
+
 // settingsSink puts configurations in force.
 type settingsSink struct {
 	decode   func(Document) (*settings.Revision, error)
@@ -111,7 +115,7 @@
 // last one stays.
 func (s *settingsSink) Apply(batch follow.Batch[Document]) {
 	for _, document := range batch.Items {
-		s.offer(document, "store")
+		s.offer(document, fromStore)
 	}
 }
 
@@ -127,7 +131,9 @@
 	}
 	s.keep(document, revision.Number)
 	s.inForce(revision.Tree)
-	s.changed()
+	if from == fromStore {
+		s.changed()
+	}
 	s.log.WithFields(logrus.Fields{
 		"revision": revision.Number, "from": from, "routes": len(revision.Tree.Routes), "workspaces": len(revision.Tree.Workspaces),
 	}).Info("settings in force")
@@ -248,7 +254,7 @@
 		s.keepDelta(from, batch.Revision, batch.Items)
 		s.changed()
 	}
-	s.logChanges(batch.Revision, "store", batch.Items)
+	s.logChanges(batch.Revision, fromStore, batch.Items)
 }
 
 func (s *endpointsSink) logChanges(revision uint64, from string, changes []directory.Change) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -165,7 +165,7 @@
 		Name: config.Name, Zone: config.Zone, Address: config.Peers, FirstPeers: config.FirstPeers,
 	}, shared, logging.Part(log, "peers"), clock, random)
 	gate.gossip.Store(g)
-	changed := g.Changed
+	changed := g.ChangedRevision
 	n.listener.Store(&changed)
 	loadChanged := func() {
 		if shared.worthTelling() {
--- a/internal/router/share.go
+++ b/internal/router/share.go
@@ -90,7 +90,7 @@
 		news.Settings = document
 	}
 	if snapshot := s.directory.Snapshot(); snapshot.Revision > want.Directory {
-		news.Snapshot = &snapshot
+		news.Snapshot = snapshotToWire(&snapshot)
 	}
 	return news
 }
@@ -100,13 +100,29 @@
 	if len(news.Settings) > 0 {
 		s.sink.offer(news.Settings, peer)
 	}
-	if news.Snapshot != nil && s.directory.Replace(*news.Snapshot) {
+	if news.Snapshot != nil && s.directory.Replace(snapshotFromWire(news.Snapshot)) {
 		s.log.WithFields(logrus.Fields{
 			"revision": news.Snapshot.Revision, "from": peer, "endpoints": len(news.Snapshot.Entries),
 		}).Info("endpoints read")
 	}
 }
 
+func snapshotToWire(snapshot *directory.Snapshot) *gossip.DirectorySnapshot {
+	wire := &gossip.DirectorySnapshot{Revision: snapshot.Revision, Changed: snapshot.Changed}
+	for i := range snapshot.Entries {
+		wire.Entries = append(wire.Entries, toWire(&directory.Change{Entry: snapshot.Entries[i]}))
+	}
+	return wire
+}
+
+func snapshotFromWire(wire *gossip.DirectorySnapshot) directory.Snapshot {
+	snapshot := directory.Snapshot{Revision: wire.Revision, Changed: wire.Changed}
+	for i := range wire.Entries {
+		snapshot.Entries = append(snapshot.Entries, fromWire(&wire.Entries[i]).Entry)
+	}
+	return snapshot
+}
+
 // Changes of a load that are worth a beat.
 const (
 	tellTokens   = 2000
