--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -79,9 +79,12 @@
 
 func (g *readGate) reading() bool {
 	f := g.followers.Load()
-	return f != nil && f.settings.Healthy() && f.endpoints.Healthy()
+	return f != nil && f.healthy()
 }
 
+// healthy reports whether the host reads the store and gets answers.
+func (f *followers) healthy() bool { return f.settings.Healthy() && f.endpoints.Healthy() }
+
 func (f *followers) run(done <-chan struct{}) {
 	go f.settings.Run(done)
 	go f.endpoints.Run(done)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -17,7 +17,6 @@
 	"github.com/gorilla/mux"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/directory"
@@ -32,7 +31,6 @@
 	"oxbowslip.dev/oxbowslip/internal/placement"
 	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/relay"
-	"oxbowslip.dev/oxbowslip/internal/retrybudget"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/upstream"
 )
@@ -91,131 +89,64 @@
 	readiness *http.Server
 	metrics   *http.Server
 	operators *http.Server
+	clock     func() time.Time
 	leaving   atomic.Bool
-	done      chan struct{}
+	// contact is when the host last heard the store or a peer, in ns.
+	contact atomic.Int64
+	done    chan struct{}
 }
 
-// Options gives the parts of a router to fx.
-func Options(config hostconfig.Host, deployment Deployment, log *logrus.Logger) fx.Option {
-	return fx.Options(
-		fx.Supply(config, deployment, log),
-		fx.Provide(
-			func() func() time.Time { return time.Now },
-			func() func() float64 { return rand.Float64 },
-			counters.New,
-			explain.New,
-			record.New,
-			settings.NewHolder,
-			directory.New,
-			newClient,
-			func() *news { return new(news) },
-			func() *loadNews { return new(loadNews) },
-			newPlacement,
-			newSettingsSink,
-			newEndpointsSink,
-			func() *readGate { return new(readGate) },
-			newGossip,
-			newBudget,
-			newOwner,
-			newRelay,
-			newFollowers,
-			New,
-		),
-		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.StopTimeout(config.Drain.Limit+config.Drain.Notice+2*stopMargin),
-		fx.Invoke(func(lifecycle fx.Lifecycle, r *Router) {
-			lifecycle.Append(fx.Hook{OnStart: r.Start, OnStop: r.Stop})
-		}),
-	)
-}
-
-func newClient(deployment Deployment, clock func() time.Time) *upstream.Client {
-	return upstream.New(upstream.Config{AnswerID: deployment.Dialect.AnswerID, KeepIdle: keepIdle, DeadPeer: deadPeer}, clock)
-}
-
-// news tells gossip that this host's state is worth a beat. The parts that tell
-// and gossip need each other, so it is filled in last.
-type news struct{ listener atomic.Pointer[func()] }
-
-func (n *news) tell() {
-	if listener := n.listener.Load(); listener != nil {
-		(*listener)()
-	}
-}
-
-func newPlacement(d *directory.Directory, log *logrus.Logger, clock func() time.Time, n *loadNews) *placement.Scheduler {
-	return placement.New(d, logging.Part(log, "endpoints"), clock, n.tell)
-}
-
-// loadNews is news of loads, of which only some are worth a beat.
-type loadNews struct{ news }
-
-func newBudget(config hostconfig.Host, g *gossip.Gossip, clock func() time.Time) *retrybudget.Budget {
-	limits := retrybudget.Limits{Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window}
-	return retrybudget.New(limits, g.Hosts, clock)
-}
-
-func newGossip(config hostconfig.Host, scheduler *placement.Scheduler, holder *settings.Holder, d *directory.Directory,
-	sink *settingsSink, endpoints *endpointsSink, gate *readGate, n *news, l *loadNews, log *logrus.Logger, clock func() time.Time, random func() float64,
-) *gossip.Gossip {
-	shared := &sharing{
-		scheduler: scheduler, settings: holder, directory: d, sink: sink, endpoints: endpoints, gate: gate, log: logging.Part(log, "endpoints"), clock: clock,
-	}
-	g := gossip.New(gossip.Config{
-		Name: config.Name, Zone: config.Zone, Address: config.Peers, FirstPeers: config.FirstPeers,
-	}, shared, logging.Part(log, "peers"), clock, random)
-	gate.gossip.Store(g)
-	changed := g.ChangedRevision
-	n.listener.Store(&changed)
-	loadChanged := func() {
-		if shared.worthTelling() {
-			g.Changed()
-		}
-	}
-	l.listener.Store(&loadChanged)
-	return g
-}
+// Parts are what a router is made of.
+type Parts struct {
+	fx.In
 
-func newOwner(config hostconfig.Host, scheduler *placement.Scheduler, d *directory.Directory, budget *retrybudget.Budget,
-	c *counters.Counters, ring *explain.Ring, clock func() time.Time, random func() float64,
-) *owner.Owner {
-	return owner.New(config.Name, scheduler, d.Endpoint, budget, c, ring, clock, random)
-}
-
-func newRelay(config hostconfig.Host, deployment Deployment, holder *settings.Holder, o *owner.Owner, client *upstream.Client,
-	scheduler *placement.Scheduler, c *counters.Counters, log *logrus.Logger, clock func() time.Time, random func() float64,
-) *relay.Server {
-	return relay.New(relay.Parts{
-		Host: config.Name, Zone: config.Zone, Settings: holder, Owner: o, Client: client, Health: scheduler,
-		Dialect: deployment.Dialect, Counters: c, Log: logging.Part(log, "request"), Clock: clock, Random: random,
-		Timeouts: relay.Timeouts{Read: config.ReadTimeout, Write: config.WriteTimeout},
-	})
+	Config     hostconfig.Host
+	Deployment Deployment
+	Log        *logrus.Logger
+	Counters   *counters.Counters
+	Explained  *explain.Ring
+	Recorded   *record.Ring
+	Settings   *settings.Holder
+	Directory  *directory.Directory
+	Scheduler  *placement.Scheduler
+	Owner      *owner.Owner
+	Client     *upstream.Client
+	Gossip     *gossip.Gossip
+	Relay      *relay.Server
+	Clock      func() time.Time
 }
 
 // New makes a router that has not started.
-func New(config hostconfig.Host, deployment Deployment, log *logrus.Logger, c *counters.Counters, o *owner.Owner,
-	client *upstream.Client, holder *settings.Holder, d *directory.Directory, scheduler *placement.Scheduler, f *followers, g *gossip.Gossip, server *relay.Server,
-	ring *explain.Ring, recorded *record.Ring,
-) *Router {
+func New(p Parts, f *followers) *Router {
 	r := &Router{
-		config: config, deployment: deployment, log: logging.Part(log, "host"), counters: c, owner: o, client: client,
-		settings: holder, directory: d, scheduler: scheduler, follow: f, gossip: g, done: make(chan struct{}),
+		config: p.Config, deployment: p.Deployment, log: logging.Part(p.Log, "host"), counters: p.Counters, owner: p.Owner,
+		client: p.Client, settings: p.Settings, directory: p.Directory, scheduler: p.Scheduler, follow: f, gossip: p.Gossip,
+		clock: p.Clock, done: make(chan struct{}),
 	}
+	r.contact.Store(p.Clock().UnixNano())
 	r.callers = &http.Server{
-		Handler: lifetime.CloseWhen(&r.leaving, server), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: lifetime.CloseWhen(&r.leaving, p.Relay), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	r.readiness = &http.Server{Handler: r.readinessHandler(), ReadHeaderTimeout: headerTimeout}
 	r.metrics = &http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout}
-	r.operators = operator.New(config.OperatorKeys, c, ring, r.operatorSettings(), recorded, r.Status).HTTP()
-	c.Gauge("oxbowslip_settings_revision", func() float64 { return float64(r.revision()) })
-	c.Gauge("oxbowslip_directory_revision", func() float64 { return float64(d.Revision()) })
-	c.Gauge("oxbowslip_endpoints", func() float64 { return float64(d.CountServing()) })
-	c.Gauge("oxbowslip_hosts", func() float64 { return float64(g.Hosts()) })
-	c.Gauge("oxbowslip_open_requests", func() float64 { return float64(o.Open()) })
-	c.Gauge("oxbowslip_upstream_connections_made", func() float64 { return float64(client.Dials()) })
+	r.operators = operator.New(p.Config.OperatorKeys, p.Counters, p.Explained, r.operatorSettings(), p.Recorded, r.Status).HTTP()
+	r.gauges()
 	return r
 }
 
+func (r *Router) gauges() {
+	for name, read := range map[string]func() float64{
+		"oxbowslip_settings_revision":         func() float64 { return float64(r.revision()) },
+		"oxbowslip_directory_revision":        func() float64 { return float64(r.directory.Revision()) },
+		"oxbowslip_endpoints":                 func() float64 { return float64(r.directory.CountServing()) },
+		"oxbowslip_hosts":                     func() float64 { return float64(r.gossip.Hosts()) },
+		"oxbowslip_open_requests":             func() float64 { return float64(r.owner.Open()) },
+		"oxbowslip_upstream_connections_made": func() float64 { return float64(r.client.Dials()) },
+	} {
+		r.counters.Gauge(name, read)
+	}
+}
+
 func (r *Router) readinessHandler() http.Handler {
 	router := mux.NewRouter()
 	router.HandleFunc(r.deployment.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -243,10 +174,25 @@
 		return "no settings yet"
 	case r.directory.Revision() == 0:
 		return "no endpoints yet"
+	case r.clock().UnixNano()-r.contact.Load() > int64(cutOffTime):
+		return "cut off from the store and from all peers: the settings may be old"
 	}
 	return ""
 }
 
+// cutOffTime is how long a host that hears neither the store nor a peer trusts its
+// settings.
+const cutOffTime = 30 * time.Second
+
+// sweep does what is due now and then.
+func (r *Router) sweep(context.Context) {
+	r.client.Sweep()
+	r.scheduler.Sweep()
+	if r.follow.healthy() || r.gossip.Hosts() > 1 {
+		r.contact.Store(r.clock().UnixNano())
+	}
+}
+
 // Start listens and begins to follow the store. It does not wait for the store:
 // until its settings are there, the host is not ready.
 func (r *Router) Start(context.Context) error {
@@ -279,10 +225,7 @@
 	go r.gossip.Run(r.done)
 	go r.gossip.KeepRegistered(r.done, r.deployment.Registry)
 	r.follow.run(r.done)
-	go lifetime.Every(r.done, sweepInterval, rand.Float64, func(context.Context) {
-		r.client.Sweep()
-		r.scheduler.Sweep()
-	})
+	go lifetime.Every(r.done, sweepInterval, rand.Float64, r.sweep)
 	r.log.WithFields(logrus.Fields{
 		"host": r.config.Name, "zone": r.config.Zone, "callers": r.config.Callers, "store": r.config.Platform.Address,
 		"first_peers": r.config.FirstPeers, "memory_mb": r.config.MemoryMB,
