Sums of peers' loads and the lanes are kept, not found for each request

Cause: read for 300 hosts and 3,000 endpoints: a request looked up each peer's load at each endpoint (900,000 look-ups) and sorted all endpoints. Ruled out: nothing else grows with hosts times endpoints.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -38,16 +38,17 @@
 	// revision is the state up to which all is known, changed the newest change.
 	revision uint64
 	changed  uint64
-	entries  map[string]Entry
+	// entries are never changed, only replaced.
+	entries map[string]*Entry
 	// serving lists the endpoints of each service that take new work, by ID.
-	serving map[string][]Entry
+	serving map[string][]*Entry
 	// leaving lists those that do not.
-	leaving map[string][]Entry
+	leaving map[string][]*Entry
 }
 
 // New makes an empty directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]Entry), serving: make(map[string][]Entry), leaving: make(map[string][]Entry)}
+	return &Directory{entries: make(map[string]*Entry), serving: make(map[string][]*Entry), leaving: make(map[string][]*Entry)}
 }
 
 // Revision is the state of the store up to which all changes are known, or 0.
@@ -82,7 +83,7 @@
 			delete(d.entries, change.Entry.ID)
 			continue
 		}
-		d.entries[change.Entry.ID] = change.Entry
+		d.entries[change.Entry.ID] = &change.Entry
 	}
 	d.index()
 	return true
@@ -98,9 +99,9 @@
 	}
 	d.revision = snapshot.Revision
 	d.changed = max(d.changed, snapshot.Changed)
-	d.entries = make(map[string]Entry, len(snapshot.Entries))
+	d.entries = make(map[string]*Entry, len(snapshot.Entries))
 	for _, entry := range snapshot.Entries {
-		d.entries[entry.ID] = entry
+		d.entries[entry.ID] = &entry
 	}
 	d.index()
 	return true
@@ -112,9 +113,9 @@
 	defer d.mu.RUnlock()
 	snapshot := Snapshot{Revision: d.revision, Changed: d.changed, Entries: make([]Entry, 0, len(d.entries))}
 	for _, entry := range d.entries {
-		snapshot.Entries = append(snapshot.Entries, entry)
+		snapshot.Entries = append(snapshot.Entries, *entry)
 	}
-	slices.SortFunc(snapshot.Entries, byID)
+	slices.SortFunc(snapshot.Entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return snapshot
 }
 
@@ -123,7 +124,10 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	entry, ok := d.entries[id]
-	return entry.Endpoint, ok && entry.Endpoint.State != settings.StateOut
+	if !ok {
+		return settings.Endpoint{}, false
+	}
+	return entry.Endpoint, entry.Endpoint.State != settings.StateOut
 }
 
 // Lookup gives an endpoint that is known, also one that takes no new work.
@@ -131,12 +135,15 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	entry, ok := d.entries[id]
-	return entry.Endpoint, ok
+	if !ok {
+		return settings.Endpoint{}, false
+	}
+	return entry.Endpoint, true
 }
 
 // Serving lists the endpoints of a service that take new work, by ID. The list
 // must not be changed.
-func (d *Directory) Serving(service string) []Entry {
+func (d *Directory) Serving(service string) []*Entry {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.serving[service]
@@ -155,7 +162,7 @@
 
 // Leaving lists the endpoints of a service that take no new work any more, by ID.
 // The list must not be changed.
-func (d *Directory) Leaving(service string) []Entry {
+func (d *Directory) Leaving(service string) []*Entry {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.leaving[service]
@@ -163,8 +170,8 @@
 
 // index sorts the entries by what they serve. The lock is held.
 func (d *Directory) index() {
-	d.serving = make(map[string][]Entry, len(d.serving))
-	d.leaving = make(map[string][]Entry)
+	d.serving = make(map[string][]*Entry, len(d.serving))
+	d.leaving = make(map[string][]*Entry)
 	for _, entry := range d.entries {
 		lists := d.serving
 		if entry.Endpoint.State == settings.StateOut {
@@ -173,11 +180,11 @@
 		service := entry.Endpoint.Service
 		lists[service] = append(lists[service], entry)
 	}
-	for _, lists := range []map[string][]Entry{d.serving, d.leaving} {
+	for _, lists := range []map[string][]*Entry{d.serving, d.leaving} {
 		for _, entries := range lists {
 			slices.SortFunc(entries, byID)
 		}
 	}
 }
 
-func byID(a, b Entry) int { return cmp.Compare(a.ID, b.ID) }
+func byID(a, b *Entry) int { return cmp.Compare(a.ID, b.ID) }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -12,7 +12,7 @@
 	return Entry{ID: id, Endpoint: settings.Endpoint{Service: service, State: state}}
 }
 
-func ids(entries []Entry) []string {
+func ids(entries []*Entry) []string {
 	list := []string{}
 	for _, e := range entries {
 		list = append(list, e.ID)
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -57,6 +57,8 @@
 type Board struct {
 	own   map[string]*Load
 	peers map[string]peerLoads
+	// peerTotals are the sums over all peers.
+	peerTotals map[gossip.EndpointKey]Load
 	// peerPauses are the pauses that peers have told of.
 	peerPauses map[gossip.EndpointKey]time.Time
 	pauses     map[string]*pause
@@ -65,6 +67,8 @@
 	holders map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time
 	// records tell how the streams of short prompts fare, by service.
 	records map[string]*pauseRecord
+	// lanes are remembered by service.
+	lanes map[string]laneMemory
 }
 
 // holderAge is how long an endpoint counts as holding a prefix after its last use.
@@ -73,9 +77,10 @@
 // NewBoard makes an empty board.
 func NewBoard() *Board {
 	return &Board{
-		own: make(map[string]*Load), peers: make(map[string]peerLoads),
+		own: make(map[string]*Load), peers: make(map[string]peerLoads), peerTotals: make(map[gossip.EndpointKey]Load),
 		peerPauses: make(map[gossip.EndpointKey]time.Time), pauses: make(map[string]*pause),
 		holders: make(map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time), records: make(map[string]*pauseRecord),
+		lanes: make(map[string]laneMemory),
 	}
 }
 
@@ -104,6 +109,11 @@
 
 // Expire forgets what is too old to count.
 func (b *Board) Expire(now time.Time) {
+	for name, peer := range b.peers {
+		if now.Sub(peer.at) > peerLoadAge {
+			b.DropPeer(name)
+		}
+	}
 	for prefix, held := range b.holders {
 		for endpoint, at := range held {
 			if now.Sub(at) > holderAge {
@@ -146,24 +156,33 @@
 
 // SetPeer takes a peer's loads.
 func (b *Board) SetPeer(now time.Time, peer string, loads map[gossip.EndpointKey]Load) {
+	b.DropPeer(peer)
 	b.peers[peer] = peerLoads{at: now, loads: loads}
+	for key, load := range loads {
+		total := b.peerTotals[key]
+		total.add(load)
+		b.peerTotals[key] = total
+	}
 }
 
 // DropPeer forgets a peer that left.
-func (b *Board) DropPeer(peer string) { delete(b.peers, peer) }
+func (b *Board) DropPeer(peer string) {
+	for key, load := range b.peers[peer].loads {
+		total := b.peerTotals[key]
+		total.add(Load{Requests: -load.Requests, Tokens: -load.Tokens})
+		b.peerTotals[key] = total
+		if total == (Load{}) {
+			delete(b.peerTotals, key)
+		}
+	}
+	delete(b.peers, peer)
+}
 
-// Total is the load of an endpoint from this host and from all peers that were
-// heard lately.
-func (b *Board) Total(now time.Time, endpoint string) Load {
-	var total Load
+// Total is the load of an endpoint from this host and from all peers.
+func (b *Board) Total(endpoint string) Load {
+	total := b.peerTotals[gossip.KeyOf(endpoint)]
 	if own, ok := b.own[endpoint]; ok {
-		total = *own
-	}
-	key := gossip.KeyOf(endpoint)
-	for _, peer := range b.peers {
-		if now.Sub(peer.at) <= peerLoadAge {
-			total.add(peer.loads[key])
-		}
+		total.add(*own)
 	}
 	return total
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -56,26 +56,29 @@
 	// heldHere says that a candidate holds the prefix.
 	heldHere bool
 	lanes    map[string]lane
+	// shortLane says that there is a lane for short prompts.
+	shortLane bool
 }
 
 // Choose picks, of the candidates among a service's endpoints, the one with the
 // least work for a request: what waits there, and what of the prompt it must still
 // read. Leaving are endpoints of the service that take no new work but can still be
 // copied from. It reports false if there is no candidate.
-func (b *Board) Choose(now time.Time, service string, request *schedule.Request, endpoints, candidates, leaving []directory.Entry) (Choice, bool) {
+func (b *Board) Choose(now time.Time, service string, request *schedule.Request, endpoints, candidates, leaving []*directory.Entry) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	q := question{request: request, lanes: lanesOf(endpoints, b.shortLane(now, service))}
+	q := question{request: request, shortLane: b.shortLane(now, service)}
+	q.lanes = b.lanesFor(service, endpoints, q.shortLane)
 	q.prefix, q.shared = sharedPrefix(request)
 	if q.shared >= longPrefix {
 		q.home = rendezvous(q.prefix, inLane(q.lane(), q.lanes, candidates))
 		q.held = b.holders[gossip.PrefixKey(q.prefix)]
-		q.heldHere = slices.ContainsFunc(candidates, func(e directory.Entry) bool { return q.holds(&e) })
+		q.heldHere = slices.ContainsFunc(candidates, q.holds)
 	}
 	var best Choice
 	for i := range candidates {
-		choice := b.weigh(now, &q, &candidates[i])
+		choice := b.weigh(&q, candidates[i])
 		if best.Endpoint == "" || choice.Cost < best.Cost {
 			best = choice
 		}
@@ -96,8 +99,8 @@
 }
 
 // apart reports whether an endpoint is one that short prompts keep away from.
-func (q *question) apart(e *directory.Entry, shortLane bool) bool {
-	if shortLane {
+func (q *question) apart(e *directory.Entry) bool {
+	if q.shortLane {
 		return q.lanes[e.ID] != laneShort
 	}
 	return q.lanes[e.ID] == laneDeep
@@ -117,10 +120,10 @@
 
 // source names the endpoint that was sent a prefix last, for one to copy from that
 // was not. It is empty if there is none.
-func (b *Board) source(now time.Time, q *question, endpoint string, endpoints []directory.Entry) string {
+func (b *Board) source(now time.Time, q *question, endpoint string, endpoints []*directory.Entry) string {
 	newest, at := "", time.Time{}
 	for i := range endpoints {
-		e := &endpoints[i]
+		e := endpoints[i]
 		sent, ok := q.held[gossip.KeyOf(e.ID)]
 		if ok && e.ID == endpoint {
 			return ""
@@ -133,14 +136,14 @@
 }
 
 // weigh gives the cost of sending a request to an endpoint.
-func (b *Board) weigh(now time.Time, q *question, e *directory.Entry) Choice {
-	choice := Choice{Endpoint: e.ID, Places: e.Endpoint.MaxInFlight, Tokens: q.request.PromptTokens, Load: b.Total(now, e.ID)}
+func (b *Board) weigh(q *question, e *directory.Entry) Choice {
+	choice := Choice{Endpoint: e.ID, Places: e.Endpoint.MaxInFlight, Tokens: q.request.PromptTokens, Load: b.Total(e.ID)}
 	choice.Cost = choice.Load.Requests*requestTokens + choice.Load.Tokens
 	if e.Endpoint.Zone != q.request.Zone {
 		choice.Cost += zoneTokens
 	}
 	if q.home == "" {
-		if q.request.PromptTokens > 0 && q.apart(e, b.shortLane(now, e.Endpoint.Service)) {
+		if q.request.PromptTokens > 0 && q.apart(e) {
 			choice.Cost += laneCost
 		}
 		return choice
@@ -156,7 +159,7 @@
 
 // candidates leaves out the endpoints that a request should avoid, then those that
 // failed lately, each as long as others are left.
-func (b *Board) candidates(now time.Time, request *schedule.Request, endpoints []directory.Entry) []directory.Entry {
+func (b *Board) candidates(now time.Time, request *schedule.Request, endpoints []*directory.Entry) []*directory.Entry {
 	fresh := keep(endpoints, func(e *directory.Entry) bool { return !slices.Contains(request.Avoid, e.ID) })
 	if len(fresh) == 0 {
 		fresh = endpoints
@@ -168,10 +171,10 @@
 	return healthy
 }
 
-func keep(endpoints []directory.Entry, wanted func(e *directory.Entry) bool) []directory.Entry {
-	kept := make([]directory.Entry, 0, len(endpoints))
+func keep(endpoints []*directory.Entry, wanted func(e *directory.Entry) bool) []*directory.Entry {
+	kept := make([]*directory.Entry, 0, len(endpoints))
 	for i := range endpoints {
-		if wanted(&endpoints[i]) {
+		if wanted(endpoints[i]) {
 			kept = append(kept, endpoints[i])
 		}
 	}
@@ -190,7 +193,7 @@
 
 // rendezvous names the endpoint with the highest hash for a key: all hosts find
 // the same without a word, and an endpoint that goes moves only its own keys.
-func rendezvous(key uint64, endpoints []directory.Entry) string {
+func rendezvous(key uint64, endpoints []*directory.Entry) string {
 	best, highest := "", uint64(0)
 	for i := range endpoints {
 		hash := mix(key ^ xxhash.Sum64String(endpoints[i].ID))
--- a/internal/placement/lanes.go
+++ b/internal/placement/lanes.go
@@ -40,9 +40,9 @@
 )
 
 // lanesOf gives the lane of each endpoint of a service.
-func lanesOf(endpoints []directory.Entry, shortLane bool) map[string]lane {
+func lanesOf(endpoints []*directory.Entry, shortLane bool) map[string]lane {
 	ordered := slices.Clone(endpoints)
-	slices.SortFunc(ordered, func(a, b directory.Entry) int {
+	slices.SortFunc(ordered, func(a, b *directory.Entry) int {
 		return cmp.Compare(mix(xxhash.Sum64String(a.ID)), mix(xxhash.Sum64String(b.ID)))
 	})
 	deep := int(float64(len(ordered)) * deepPart)
@@ -64,8 +64,28 @@
 	return lanes
 }
 
+// laneMemory is the lanes of a service as they were found last.
+type laneMemory struct {
+	// endpoints is the list that they were found for. A directory makes a new list
+	// for each of its revisions.
+	endpoints []*directory.Entry
+	shortLane bool
+	lanes     map[string]lane
+}
+
+// lanesFor gives the lanes of a service, anew only if its endpoints have changed.
+func (b *Board) lanesFor(service string, endpoints []*directory.Entry, shortLane bool) map[string]lane {
+	memory := b.lanes[service]
+	same := len(memory.endpoints) == len(endpoints) && len(endpoints) > 0 && &memory.endpoints[0] == &endpoints[0]
+	if !same || memory.shortLane != shortLane {
+		memory = laneMemory{endpoints: endpoints, shortLane: shortLane, lanes: lanesOf(endpoints, shortLane)}
+		b.lanes[service] = memory
+	}
+	return memory.lanes
+}
+
 // inLane gives the candidates of a lane, or all if there are none.
-func inLane(wanted lane, lanes map[string]lane, candidates []directory.Entry) []directory.Entry {
+func inLane(wanted lane, lanes map[string]lane, candidates []*directory.Entry) []*directory.Entry {
 	in := keep(candidates, func(e *directory.Entry) bool { return lanes[e.ID] == wanted })
 	if len(in) == 0 {
 		return candidates
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -19,10 +19,10 @@
 
 const places = 64
 
-func entries(ids ...string) []directory.Entry {
-	list := make([]directory.Entry, 0, len(ids))
+func entries(ids ...string) []*directory.Entry {
+	list := make([]*directory.Entry, 0, len(ids))
 	for _, id := range ids {
-		list = append(list, directory.Entry{ID: id, Endpoint: settings.Endpoint{Zone: "a", Service: "llm", MaxInFlight: places, State: settings.StateIn}})
+		list = append(list, &directory.Entry{ID: id, Endpoint: settings.Endpoint{Zone: "a", Service: "llm", MaxInFlight: places, State: settings.StateIn}})
 	}
 	return list
 }
@@ -39,7 +39,7 @@
 	}
 }
 
-func (b *Board) choose(request *schedule.Request, endpoints []directory.Entry) Choice {
+func (b *Board) choose(request *schedule.Request, endpoints []*directory.Entry) Choice {
 	choice, _ := b.Choose(start, "llm", request, endpoints, b.candidates(start, request, endpoints), nil)
 	return choice
 }
@@ -64,9 +64,24 @@
 				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}, gossip.KeyOf("e3"): {Tokens: 9000}})
 			}, short(), "e2",
 		},
+		"a peer's last word counts": {
+			func(b *Board) {
+				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e2"): {Requests: 50}})
+				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}, gossip.KeyOf("e3"): {Tokens: 9000}})
+			}, short(), "e2",
+		},
+		"work of a peer that left does not count": {
+			func(b *Board) {
+				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}})
+				b.DropPeer("p")
+				b.Begin("e2", 0)
+				b.Begin("e3", 0)
+			}, short(), "e1",
+		},
 		"work of a peer that fell silent does not": {
 			func(b *Board) {
 				b.SetPeer(start.Add(-time.Minute), "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}})
+				b.Expire(start)
 				b.Begin("e2", 0)
 				b.Begin("e3", 0)
 			}, short(), "e1",
@@ -256,7 +271,7 @@
 	d := directory.New()
 	changes := []directory.Change{}
 	for _, e := range entries("e1", "e2") {
-		changes = append(changes, directory.Change{Entry: e})
+		changes = append(changes, directory.Change{Entry: *e})
 	}
 	d.Apply(1, changes)
 	log := logrus.New()
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -41,9 +41,9 @@
 }
 
 // withRoom leaves out the endpoints that have no room for a request.
-func (b *Board) withRoom(now time.Time, ranks *Ranks, request *schedule.Request, endpoints []directory.Entry) []directory.Entry {
+func (b *Board) withRoom(ranks *Ranks, request *schedule.Request, endpoints []*directory.Entry) []*directory.Entry {
 	return keep(endpoints, func(e *directory.Entry) bool {
-		return ranks.hasRoom(request, e.Endpoint.MaxInFlight, b.Total(now, e.ID).Requests)
+		return ranks.hasRoom(request, e.Endpoint.MaxInFlight, b.Total(e.ID).Requests)
 	})
 }
 
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -84,7 +84,7 @@
 	}
 	candidates := s.board.candidates(now, request, endpoints)
 	if !s.ranks.isLeast(request) {
-		candidates = s.board.withRoom(now, &s.ranks, request, candidates)
+		candidates = s.board.withRoom(&s.ranks, request, candidates)
 	}
 	choice, ok := s.board.Choose(now, service, request, endpoints, candidates, s.directory.Leaving(service))
 	if !ok || !s.ranks.hasRoom(request, choice.Places, choice.Load.Requests) {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -138,5 +137,3 @@
 	}
 	return 0, nil, nil
 }
-
-var _ io.Reader = (*upstream.Answer)(nil)
