What is too old is forgotten; tests let hosts pick their ports

They are dropped with the other old things. A run of the platform's tests failed once: a port that was free when it was picked was taken when the host listened. Hosts now listen on port 0 and tell where.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -125,7 +125,7 @@
 	defer g.mu.Unlock()
 	for _, address := range addresses {
 		if address != g.config.Address {
-			g.members.Contact(address)
+			g.members.Contact(g.clock(), address)
 		}
 	}
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -69,6 +69,8 @@
 	c.Check(m.Expire(start.Add(1100*time.Millisecond), time.Second), qt.DeepEquals, []string{"a"})
 	c.Check(m.Unheard(), qt.DeepEquals, []string{"a:1", "c:1"}, qt.Commentf("it is tried again: it may come back"))
 	c.Check(m.Live(), qt.HasLen, 1)
+	m.Expire(start.Add(contactAge+500*time.Millisecond), time.Hour)
+	c.Check(m.Unheard(), qt.HasLen, 0, qt.Commentf("addresses that nobody names are forgotten"))
 }
 
 // node is a host that records what it hears.
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -29,26 +29,29 @@
 	live map[string]*Member
 	// names finds the member that a life belongs to.
 	names map[uint32]string
-	// contacts are addresses where a host may be that was not heard yet.
-	contacts map[string]bool
+	// contacts are addresses where a host may be, with when they were last named.
+	contacts map[string]time.Time
 }
 
 // NewMembers makes the view of a host that has heard no other.
 func NewMembers(self string) *Members {
 	return &Members{
-		self: self, live: make(map[string]*Member), names: make(map[uint32]string), contacts: make(map[string]bool),
+		self: self, live: make(map[string]*Member), names: make(map[uint32]string), contacts: make(map[string]time.Time),
 	}
 }
 
+// contactAge is how long an address is tried that nobody names any more.
+const contactAge = 10 * time.Minute
+
 // Contact notes an address where a host may be.
-func (m *Members) Contact(address string) { m.contacts[address] = true }
+func (m *Members) Contact(now time.Time, address string) { m.contacts[address] = now }
 
 // Heard takes a beat. It gives the member that sent it, or false if the beat does
 // not count: it is an echo, it is older than the last one of its host, or its sender
 // has not introduced itself. IsNew says that the member was not live before.
 func (m *Members) Heard(now time.Time, beat *Beat) (member Member, isNew, counts bool) {
 	if beat.Intro != nil {
-		isNew = m.introduce(beat)
+		isNew = m.introduce(now, beat)
 	}
 	known, ok := m.live[m.names[beat.Life]]
 	if !ok || known.life != beat.Life || beat.Sequence <= known.sequence {
@@ -64,7 +67,7 @@
 }
 
 // introduce takes an introduction, and reports whether its host is new.
-func (m *Members) introduce(beat *Beat) bool {
+func (m *Members) introduce(now time.Time, beat *Beat) bool {
 	intro := beat.Intro
 	if intro.Host == m.self {
 		return false
@@ -74,8 +77,9 @@
 		return false
 	}
 	for _, address := range intro.Known {
-		m.contacts[address] = true
+		m.Contact(now, address)
 	}
+	m.Contact(now, intro.Address)
 	if ok && known.life == beat.Life {
 		return false
 	}
@@ -84,7 +88,6 @@
 		Name: intro.Host, Address: intro.Address, Zone: intro.Zone, life: beat.Life, start: intro.Start,
 	}
 	m.names[beat.Life] = intro.Host
-	m.contacts[intro.Address] = true
 	return true
 }
 
@@ -97,8 +100,13 @@
 }
 
 // Expire drops the members that have been silent for longer than a limit, and names
-// them.
+// them. Addresses that nobody has named for long are forgotten.
 func (m *Members) Expire(now time.Time, limit time.Duration) []string {
+	for address, named := range m.contacts {
+		if now.Sub(named) > contactAge {
+			delete(m.contacts, address)
+		}
+	}
 	var gone []string
 	for name, member := range m.live {
 		if now.Sub(member.heard) > limit {
--- a/internal/gossip/registry.go
+++ b/internal/gossip/registry.go
@@ -27,6 +27,7 @@
 			}
 			g.registered.Store(true)
 		}
+		g.Contact(g.config.FirstPeers)
 		if addresses, err := registry.List(ctx); err == nil {
 			g.Contact(addresses)
 			g.Changed()
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -114,6 +114,11 @@
 			b.DropPeer(name)
 		}
 	}
+	for endpoint, until := range b.peerPauses {
+		if !now.Before(until) {
+			delete(b.peerPauses, endpoint)
+		}
+	}
 	for prefix, held := range b.holders {
 		for endpoint, at := range held {
 			if now.Sub(at) > holderAge {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -243,6 +243,9 @@
 	c.Check(b.Answered("e1"), qt.IsFalse)
 	c.Check(failed(9*time.Second), qt.Equals, start.Add(10*time.Second))
 	c.Check(b.Paused(start.Add(20*time.Second)), qt.HasLen, 0)
+	b.Pause(gossip.KeyOf("e1"), start.Add(time.Second))
+	b.Expire(start.Add(time.Second))
+	c.Check(b.peerPauses, qt.HasLen, 0)
 }
 
 func TestRoomByUrgency(t *testing.T) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -89,6 +89,7 @@
 	readiness *http.Server
 	metrics   *http.Server
 	operators *http.Server
+	bound     Addresses
 	clock     func() time.Time
 	leaving   atomic.Bool
 	// contact is when the host last heard the store or a peer, in ns.
@@ -193,6 +194,23 @@
 	}
 }
 
+// Addresses are where a host listens. One that it does not listen on is empty.
+type Addresses struct {
+	Callers   string
+	Readiness string
+	Metrics   string
+	Operators string
+	Peers     string
+}
+
+// Addresses tells where the host listens, after Start. A port 0 in its file was
+// replaced by the one that was picked.
+func (r *Router) Addresses() Addresses {
+	bound := r.bound
+	bound.Peers = r.gossip.Address()
+	return bound
+}
+
 // Start listens and begins to follow the store. It does not wait for the store:
 // until its settings are there, the host is not ready.
 func (r *Router) Start(context.Context) error {
@@ -203,11 +221,12 @@
 		server  *http.Server
 		address string
 		what    string
+		bound   *string
 	}{
-		{r.callers, r.config.Callers, "callers"},
-		{r.readiness, r.config.Readiness, "readiness"},
-		{r.metrics, r.config.Metrics, "metrics"},
-		{r.operators, r.config.Operators, "operators"},
+		{r.callers, r.config.Callers, "callers", &r.bound.Callers},
+		{r.readiness, r.config.Readiness, "readiness", &r.bound.Readiness},
+		{r.metrics, r.config.Metrics, "metrics", &r.bound.Metrics},
+		{r.operators, r.config.Operators, "operators", &r.bound.Operators},
 	}
 	for _, l := range listens {
 		if l.address == "" {
@@ -217,6 +236,7 @@
 		if err != nil {
 			return merry.Prependf(err, "listen for %s on %s", l.what, l.address)
 		}
+		*l.bound = listener.Addr().String()
 		go r.serve(l.server, listener)
 	}
 	if err := r.gossip.Start(); err != nil {
