Settings and directory are fetched apart; a loaded directory tells its newest change

Ruled out: the beats, which went out at once. On the way the platform's tests showed two faults of the directory: after a load it told no newest change, and an entry that went while the history was lost was told to nobody.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -99,10 +99,17 @@
 	}
 	d.revision = snapshot.Revision
 	d.changed = max(d.changed, snapshot.Changed)
+	before := d.entries
 	d.entries = make(map[string]*Entry, len(snapshot.Entries))
 	for _, entry := range snapshot.Entries {
 		d.entries[entry.ID] = &entry
 	}
+	for id := range before {
+		if _, ok := d.entries[id]; !ok {
+			// That it went is a change which no entry shows.
+			d.changed = snapshot.Revision
+		}
+	}
 	d.index()
 	return true
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -49,3 +49,24 @@
 	c.Check(older.Snapshot(), qt.DeepEquals, newer.Snapshot())
 	c.Check(ids(older.Serving("s")), qt.DeepEquals, []string{"x"})
 }
+
+// TestAnEntryThatWentIsAChange is a reader whose feed lost its history while a server
+// left: it reads the table whole, and the hosts that rely on it must hear of it.
+func TestAnEntryThatWentIsAChange(t *testing.T) {
+	tests := map[string]struct {
+		entries []Entry
+		changed uint64
+	}{
+		"nothing new":        {[]Entry{entry("a", "s", settings.StateIn), entry("b", "s", settings.StateIn)}, 4},
+		"one went":           {[]Entry{entry("a", "s", settings.StateIn)}, 9},
+		"one went, one came": {[]Entry{entry("a", "s", settings.StateIn), entry("c", "s", settings.StateIn)}, 9},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			d := New()
+			d.Apply(4, []Change{{Entry: entry("a", "s", settings.StateIn)}, {Entry: entry("b", "s", settings.StateIn)}})
+			qt.Assert(t, d.Replace(Snapshot{Revision: 9, Changed: 4, Entries: test.entries}), qt.IsTrue)
+			qt.Check(t, d.Changed(), qt.Equals, test.changed)
+		})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -24,7 +24,9 @@
 type Batch[T any] struct {
 	// Revision is the state of the store that the batch leads to.
 	Revision uint64
-	Items    []T
+	// Changed is the revision of the newest change in the batch, or 0 if it has none.
+	Changed uint64
+	Items   []T
 }
 
 // Source is a table of the store.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -39,8 +39,8 @@
 	// catchUpGrace is how long a newer revision may take to come from the store
 	// before a peer is asked.
 	catchUpGrace = 200 * time.Millisecond
-	fetchTimeout = time.Second
-	maxDatagram  = 8 << 10
+	fetchTimeout = 3 * time.Second
+	maxDatagram  = 16 << 10
 )
 
 // State is this host's part of its beats.
@@ -105,7 +105,8 @@
 	// introduce says that the next beat carries an introduction.
 	introduce bool
 	leaving   bool
-	catching  bool
+	// catching says which topics are being fetched.
+	catching [topics]bool
 }
 
 // New makes a host's part that does not listen yet.
@@ -182,7 +183,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.listener, g.packets, g.cancel = listener, packets, cancel
 	// It ends when ctx is cancelled; its error says just that.
-	go func() { _ = drpcserver.New(newsHandler{g.host}).Serve(ctx, listener) }()
+	go func() { _ = drpcserver.New(newNewsHandler(g.host)).Serve(ctx, listener) }()
 	go g.receive()
 	return nil
 }
@@ -356,9 +357,7 @@
 		g.log.WithFields(logrus.Fields{"peer": member.Name, "address": member.Address, "hosts": hosts}).Info("peer heard")
 		g.Changed()
 	}
-	if g.behind(&member) {
-		g.catchUp(member.Name, member.Address)
-	}
+	g.catchUp(member)
 }
 
 // Leave tells all members that this host leaves.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -126,11 +126,13 @@
 func (n *node) Take(_ string, news News) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.taken = append(n.taken, string(news.Settings))
+	if len(news.Settings) > 0 {
+		n.taken = append(n.taken, string(news.Settings))
+		n.has.Settings = 7
+	}
 	if news.Snapshot != nil {
 		n.has.Directory = news.Snapshot.Revision
 	}
-	n.has.Settings = 7
 }
 
 func (n *node) look(f func() bool) bool {
@@ -279,3 +281,29 @@
 		})
 	}
 }
+
+// TestTheSettingsDoNotWaitForTheDirectory is the sweep at 300 hosts once more: the
+// settings were fetched with a directory of 3,000 entries, and behind it (CONFIG).
+func TestTheSettingsDoNotWaitForTheDirectory(t *testing.T) {
+	c := qt.New(t)
+	peer := &node{has: Want{Settings: 7, Directory: 8}}
+	own := Want{Settings: 3, Directory: 4}
+	member := &Member{Settings: 7, Directory: 8}
+	for _, test := range []struct {
+		topic               topic
+		settings, directory bool
+	}{{topicSettings, true, false}, {topicDirectory, false, true}} {
+		c.Check(test.topic.behind(own, member), qt.IsTrue)
+		news := peer.Newer(test.topic.want(own))
+		c.Check(len(news.Settings) > 0, qt.Equals, test.settings)
+		c.Check(news.Snapshot != nil, qt.Equals, test.directory)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := New(Config{Name: "a"}, peer, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 })
+	c.Check(g.begin(topicDirectory), qt.IsTrue)
+	c.Check(g.begin(topicDirectory), qt.IsFalse)
+	c.Check(g.begin(topicSettings), qt.IsTrue)
+	g.end(topicDirectory)
+	c.Check(g.begin(topicDirectory), qt.IsTrue)
+}
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"time"
 
@@ -10,46 +11,91 @@
 	"storj.io/drpc/drpcconn"
 )
 
-// behind reports whether a peer has a newer revision than this host.
-func (g *Gossip) behind(member *Member) bool {
+// topic is one of the things that a host may lack. They are fetched apart: a change
+// of the settings must not wait for a large directory.
+type topic int
+
+const (
+	topicSettings topic = iota
+	topicDirectory
+	topics
+)
+
+// want asks for what is newer of a topic, and for nothing else.
+func (t topic) want(own Want) Want {
+	if t == topicSettings {
+		own.Directory = math.MaxUint64
+		return own
+	}
+	own.Settings = math.MaxUint64
+	return own
+}
+
+// behind reports whether a member has a newer revision of a topic than this host.
+func (t topic) behind(own Want, member *Member) bool {
+	if t == topicSettings {
+		return member.Settings > own.Settings
+	}
+	return member.Directory > own.Directory
+}
+
+// catchUp fetches what a member has newer, unless the store brings it first.
+func (g *Gossip) catchUp(member Member) {
 	own := g.host.Revisions()
-	return member.Settings > own.Settings || member.Directory > own.Directory
+	for t := range topics {
+		if t.behind(own, &member) && g.begin(t) {
+			go g.fetch(t, member.Name, own)
+		}
+	}
+}
+
+// begin reports whether a fetch of a topic may begin: only one does at a time.
+func (g *Gossip) begin(t topic) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.catching[t] {
+		return false
+	}
+	g.catching[t] = true
+	return true
 }
 
-// catchUp fetches what a peer has newer, unless the store brings it first.
-func (g *Gossip) catchUp(peer, address string) {
+func (g *Gossip) end(t topic) {
 	g.mu.Lock()
-	busy := g.catching
-	g.catching = true
-	g.mu.Unlock()
-	if busy {
+	defer g.mu.Unlock()
+	g.catching[t] = false
+}
+
+// fetch takes a topic from a member that told of a newer revision, after a grace for
+// the store to bring it. A host that knows nothing at all does not wait.
+func (g *Gossip) fetch(t topic, peer string, before Want) {
+	defer g.end(t)
+	if before.Settings > 0 && before.Directory > 0 {
+		time.Sleep(catchUpGrace)
+	}
+	member, ok := g.member(peer)
+	own := g.host.Revisions()
+	if !ok || !t.behind(own, &member) {
 		return
 	}
-	go func() {
-		defer g.caughtUp()
-		before := g.host.Revisions()
-		if before.Settings > 0 && before.Directory > 0 {
-			time.Sleep(catchUpGrace)
-		}
-		g.mu.Lock()
-		member, ok := g.members.live[peer]
-		g.mu.Unlock()
-		if !ok || !g.behind(member) {
-			return
-		}
-		news, err := Fetch(address, g.host.Revisions())
-		if err != nil {
-			g.log.WithError(err).WithField("peer", peer).Warn("newer revisions can't be fetched from a peer")
-			return
-		}
-		g.host.Take(peer, news)
-	}()
+	news, err := Fetch(member.Address, t.want(own))
+	if err != nil {
+		g.log.WithError(err).WithField("peer", peer).Warn("newer revisions can't be fetched from a peer")
+		return
+	}
+	g.host.Take(peer, news)
+	g.Changed()
 }
 
-func (g *Gossip) caughtUp() {
+// member gives a copy of a live member.
+func (g *Gossip) member(name string) (Member, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.catching = false
+	member, ok := g.members.live[name]
+	if !ok {
+		return Member{}, false
+	}
+	return *member, true
 }
 
 // Fetch asks a peer for what is newer than the given revisions.
@@ -68,8 +114,21 @@
 	return news, merry.Wrap(err)
 }
 
+// maxSnapshots bounds the snapshots of the directory that a host sends at a time. More
+// would share its link, and none would arrive in time; those that are turned away ask
+// again, and by then others have it too.
+const maxSnapshots = 4
+
 // newsHandler answers peers that lack a revision.
-type newsHandler struct{ host Host }
+type newsHandler struct {
+	host Host
+	// sending holds a token for each snapshot that is being sent.
+	sending chan struct{}
+}
+
+func newNewsHandler(host Host) newsHandler {
+	return newsHandler{host: host, sending: make(chan struct{}, maxSnapshots)}
+}
 
 // HandleRPC answers one call.
 func (h newsHandler) HandleRPC(stream drpc.Stream, rpc string) error {
@@ -81,5 +140,13 @@
 		return merry.Wrap(err)
 	}
 	news := h.host.Newer(want)
+	if news.Snapshot != nil {
+		select {
+		case h.sending <- struct{}{}:
+			defer func() { <-h.sending }()
+		default:
+			news.Snapshot = nil
+		}
+	}
 	return merry.Wrap(stream.MsgSend(&news, encoding{}))
 }
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -174,7 +174,7 @@
 // endpoints up to which it is.
 const (
 	beatsPerDelta = 3
-	maxDelta      = 12
+	maxDelta      = 64
 )
 
 // nextDelta gives the change for the next beat, or nil.
@@ -236,7 +236,7 @@
 
 // Replace takes the whole table.
 func (s *endpointsSink) Replace(batch follow.Batch[directory.Change]) {
-	snapshot := directory.Snapshot{Revision: batch.Revision}
+	snapshot := directory.Snapshot{Revision: batch.Revision, Changed: batch.Changed}
 	for _, change := range batch.Items {
 		if !change.Gone {
 			snapshot.Entries = append(snapshot.Entries, change.Entry)
