--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -46,6 +46,32 @@
 // recorder takes what a follower reads.
 type recorder struct{ taken chan string }
 
+// newScripted makes a source without readings.
+func newScripted() *scripted {
+	return &scripted{
+		loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99), held: make(chan time.Duration, 99),
+	}
+}
+
+// start runs a follower of a source until stop is called.
+func start(source *scripted, gate func() bool) (f *Follower[string], sink *recorder, stop func()) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	sink = &recorder{taken: make(chan string, 9)}
+	f = New(source, sink, logrus.NewEntry(log), func() float64 { return 0 }, time.Now, gate)
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		f.Run(done)
+		close(ended)
+	}()
+	return f, sink, func() {
+		close(done)
+		<-ended
+	}
+}
+
+func open() bool { return true }
+
 func (r *recorder) Replace(batch Batch[string]) { r.note("whole", batch) }
 func (r *recorder) Apply(batch Batch[string])   { r.note("change", batch) }
 
@@ -84,76 +110,58 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99), held: make(chan time.Duration, 99)}
+			source := newScripted()
 			for _, r := range test.loads {
 				source.loads <- r
 			}
 			for _, r := range test.waits {
 				source.waits <- r
 			}
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			sink := &recorder{taken: make(chan string, 9)}
-			follower := New(source, sink, logrus.NewEntry(log), func() float64 { return 0 }, time.Now, func() bool { return true })
-			done, ended := make(chan struct{}), make(chan struct{})
-			go func() {
-				follower.Run(done)
-				close(ended)
-			}()
+			_, sink, stop := start(source, open)
 			for _, want := range test.want {
 				c.Check(<-sink.taken, qt.Equals, want)
 			}
-			close(done)
-			<-ended
+			stop()
 		})
 	}
 }
 
 func TestAClosedGate(t *testing.T) {
 	c := qt.New(t)
-	source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99), held: make(chan time.Duration, 99)}
+	source := newScripted()
 	source.loads <- batch(3, "a")
 	source.loads <- batch(9, "z")
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	sink := &recorder{taken: make(chan string, 9)}
-	var open atomic.Bool
+	var gate atomic.Bool
 	looks := make(chan struct{})
-	follower := New(source, sink, logrus.NewEntry(log), func() float64 { return 0 }, time.Now, func() bool {
+	follower, sink, stop := start(source, func() bool {
 		looks <- struct{}{}
-		return open.Load()
+		return gate.Load()
 	})
-	done, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		follower.Run(done)
-		close(ended)
-	}()
 	<-looks
 	<-looks
 	c.Check(source.loads, qt.HasLen, 2, qt.Commentf("nothing is read while the gate is closed"))
-	open.Store(true)
+	gate.Store(true)
 	for len(sink.taken) == 0 {
 		<-looks
 	}
 	c.Check(<-sink.taken, qt.Equals, "whole a")
 	c.Check(follower.Healthy(), qt.IsTrue)
-	open.Store(false)
+	gate.Store(false)
 	source.waits <- batch(4)
 	<-looks
 	<-looks
 	c.Check(follower.Healthy(), qt.IsFalse)
-	open.Store(true)
+	gate.Store(true)
 	for len(sink.taken) == 0 {
 		<-looks
 	}
 	c.Check(<-sink.taken, qt.Equals, "whole z", qt.Commentf("the table is read whole again"))
-	close(done)
 	go func() {
 		for range looks {
 			continue
 		}
 	}()
-	<-ended
+	stop()
 	close(looks)
 }
 
@@ -161,25 +169,16 @@
 // silent store hid its return for 6.5 s, and with it a change (CONFIG, DENIED).
 func TestNoCallIsHeldAfterAFailure(t *testing.T) {
 	c := qt.New(t)
-	source := &scripted{loads: make(chan reading, 9), waits: make(chan reading, 9), after: make(chan uint64, 99), held: make(chan time.Duration, 99)}
+	source := newScripted()
 	source.loads <- batch(3, "a")
 	source.waits <- reading{err: errors.New("silent")}
 	source.waits <- reading{err: errors.New("silent")}
 	source.waits <- batch(4, "b")
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	sink := &recorder{taken: make(chan string, 9)}
-	follower := New(source, sink, logrus.NewEntry(log), func() float64 { return 0 }, time.Now, func() bool { return true })
-	done, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		follower.Run(done)
-		close(ended)
-	}()
+	_, sink, stop := start(source, open)
 	c.Check(<-sink.taken, qt.Equals, "whole a")
 	c.Check(<-sink.taken, qt.Equals, "change b")
 	for _, want := range []time.Duration{holdTime, 0, 0, holdTime} {
 		c.Check(<-source.held, qt.Equals, want)
 	}
-	close(done)
-	<-ended
+	stop()
 }
