A slow sender is told that nothing ran

Cause: after the read deadline of a body had passed, it was reset before the 408 was written; net/http reads the rest of a body before it answers, so the host waited for the sender for ever. The twin in api.readBody resets it only after a whole body. Now so does this one. Test: TestASlowSenderIsToldThatNothingRan (it hung for 600 s before).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -172,8 +172,10 @@
 	// Not every writer has deadlines; those of tests don't.
 	_ = control.SetReadDeadline(time.Now().Add(x.server.Timeouts.Read))
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(x.policy.MaxBodyBytes)))
-	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
+		// After a failure the deadline stays: net/http reads the rest of a body
+		// before it answers, and a sender that has stopped would hold that up.
+		_ = control.SetReadDeadline(time.Time{})
 		x.body = body
 		return nil
 	}
