--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -171,10 +171,7 @@
 	if err != nil {
 		return merry.Prependf(err, "listen for peers on %s", g.config.Address)
 	}
-	if g.config.Address, err = boundAddress(listener); err != nil {
-		listener.Close()
-		return err
-	}
+	g.config.Address = listener.Addr().String()
 	packets, err := net.ListenPacket("udp", g.config.Address)
 	if err != nil {
 		listener.Close()
@@ -188,14 +185,6 @@
 	return nil
 }
 
-func boundAddress(listener net.Listener) (string, error) {
-	address := listener.Addr().String()
-	if _, _, err := net.SplitHostPort(address); err != nil {
-		return "", merry.Wrap(err)
-	}
-	return address, nil
-}
-
 // Address is where peers reach the host.
 func (g *Gossip) Address() string { return g.config.Address }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,7 +99,6 @@
 	route     settings.HostRoute
 	workspace string
 	policy    settings.Policy
-	service   settings.Service
 	target    string
 	body      []byte
 	// limit is when the request's time is over.
@@ -160,7 +159,6 @@
 		return refuse(request.ReasonUnknownRoute, "no class "+route.Class)
 	}
 	x.target = route.Pick(x.server.Random())
-	x.service = tree.Services[x.target]
 	return nil
 }
 
