--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -22,10 +22,11 @@
 	WasteBroken     Waste = "broken"
 	WastePreempted  Waste = "preempted"
 	WasteStopped    Waste = "stopped"
+	WasteTimeLimit  Waste = "time_limit"
 )
 
 // Wastes lists every cause.
-var Wastes = []Waste{WasteCallerGone, WasteBroken, WastePreempted, WasteStopped}
+var Wastes = []Waste{WasteCallerGone, WasteBroken, WastePreempted, WasteStopped, WasteTimeLimit}
 
 // Counters are the metrics of one daemon.
 type Counters struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,7 +143,19 @@
 func newOwner(config hostconfig.Host, d *dispatch.Dispatcher, s *settings.Holder, c *counters.Counters, ring *explain.Ring,
 	clock func() time.Time, random func() float64,
 ) *owner.Owner {
-	return owner.New(config.Name, d, s, c, ring, clock, random)
+	endpoints := func(id string) (settings.Endpoint, bool) {
+		e, ok := s.Current().Tree.Endpoints[id]
+		return e, ok && e.State != settings.StateOut
+	}
+	return owner.New(config.Name, sharedScheduler{d}, endpoints, owner.NewClassBudget(), c, ring, clock, random)
+}
+
+// sharedScheduler asks the schedulers of the fleet.
+type sharedScheduler struct{ dispatcher *dispatch.Dispatcher }
+
+// Ask submits a request to the host that schedules its shard.
+func (s sharedScheduler) Ask(ctx context.Context, shardName string, r schedule.Request) (owner.Ticket, schedule.Decision, error) {
+	return s.dispatcher.Ask(ctx, shardName, r)
 }
 
 func newClaims(config hostconfig.Host, client *platform.Client, log *logrus.Logger, clock func() time.Time) *claims.Table {
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,134 @@
+// Package directory keeps the endpoints that announce themselves: who serves
+// which service, where, and whether it takes new work. It does no input or
+// output.
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// Entry is one endpoint with its ID.
+type Entry struct {
+	ID       string            `json:"id"`
+	Endpoint settings.Endpoint `json:"endpoint"`
+}
+
+// Change sets the entry of an endpoint, or drops it.
+type Change struct {
+	Entry Entry
+	Gone  bool
+}
+
+// Snapshot is the whole directory at one revision, as hosts hand it on.
+type Snapshot struct {
+	Revision uint64  `json:"revision"`
+	Entries  []Entry `json:"entries"`
+}
+
+// Directory is this host's newest knowledge of the endpoints. Its revision only
+// ever goes up.
+type Directory struct {
+	mu       sync.RWMutex
+	revision uint64
+	entries  map[string]Entry
+	// serving lists the endpoints of each service that take new work, by ID.
+	serving map[string][]Entry
+}
+
+// New makes an empty directory.
+func New() *Directory {
+	return &Directory{entries: make(map[string]Entry), serving: make(map[string][]Entry)}
+}
+
+// Revision is the revision of the newest change that was taken, or 0.
+func (d *Directory) Revision() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.revision
+}
+
+// Apply takes changes that lead to a revision. It reports false, and changes
+// nothing, if the revision is not newer.
+func (d *Directory) Apply(revision uint64, changes []Change) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if revision <= d.revision {
+		return false
+	}
+	d.revision = revision
+	for _, change := range changes {
+		if change.Gone {
+			delete(d.entries, change.Entry.ID)
+			continue
+		}
+		d.entries[change.Entry.ID] = change.Entry
+	}
+	d.index()
+	return true
+}
+
+// Replace takes a whole directory. It reports false, and changes nothing, if the
+// snapshot is not newer.
+func (d *Directory) Replace(snapshot Snapshot) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if snapshot.Revision <= d.revision {
+		return false
+	}
+	d.revision = snapshot.Revision
+	d.entries = make(map[string]Entry, len(snapshot.Entries))
+	for _, entry := range snapshot.Entries {
+		d.entries[entry.ID] = entry
+	}
+	d.index()
+	return true
+}
+
+// Snapshot gives a copy of the whole directory.
+func (d *Directory) Snapshot() Snapshot {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	snapshot := Snapshot{Revision: d.revision, Entries: make([]Entry, 0, len(d.entries))}
+	for _, entry := range d.entries {
+		snapshot.Entries = append(snapshot.Entries, entry)
+	}
+	slices.SortFunc(snapshot.Entries, byID)
+	return snapshot
+}
+
+// Endpoint gives an endpoint, and whether it is known and takes new work.
+func (d *Directory) Endpoint(id string) (settings.Endpoint, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	entry, ok := d.entries[id]
+	return entry.Endpoint, ok && entry.Endpoint.State != settings.StateOut
+}
+
+// Serving lists the endpoints of a service that take new work, by ID. The list
+// must not be changed.
+func (d *Directory) Serving(service string) []Entry {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.serving[service]
+}
+
+// index sorts the entries by what they serve. The lock is held.
+func (d *Directory) index() {
+	d.serving = make(map[string][]Entry, len(d.serving))
+	for _, entry := range d.entries {
+		if entry.Endpoint.State == settings.StateOut {
+			continue
+		}
+		service := entry.Endpoint.Service
+		d.serving[service] = append(d.serving[service], entry)
+	}
+	for _, entries := range d.serving {
+		slices.SortFunc(entries, byID)
+	}
+}
+
+func byID(a, b Entry) int { return cmp.Compare(a.ID, b.ID) }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/schedule"
 	"oxbowslip.dev/oxbowslip/internal/shard"
@@ -253,8 +252,3 @@
 		close(t.preempted)
 	}
 }
-
-// Usable reports whether a grant may still be used.
-func Usable(decision schedule.Decision, now time.Time) bool {
-	return now.Before(decision.Until)
-}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,143 @@
+// Package follow keeps a host up to date with a table of the store: it reads the
+// table whole, then waits for changes, and reads it whole again when the store has
+// dropped the changes that it lacks. While the store is away it tries on, and the
+// last state stays.
+package follow
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
+)
+
+// ErrHistoryGone is given by a Source when changes since the revision are not to
+// be had any more.
+var ErrHistoryGone = merry.Sentinel("the store has dropped these changes")
+
+// Batch is a part of a table's history, or the whole table.
+type Batch[T any] struct {
+	// Revision is the state of the store that the batch leads to.
+	Revision uint64
+	Items    []T
+}
+
+// Source is a table of the store.
+type Source[T any] interface {
+	// Load reads the whole table.
+	Load(ctx context.Context) (Batch[T], error)
+	// Wait gives the changes after a revision as soon as there are any. It gives
+	// an empty batch after a while without changes.
+	Wait(ctx context.Context, after uint64) (Batch[T], error)
+}
+
+// Sink takes what a follower reads.
+type Sink[T any] interface {
+	// Replace takes a whole table.
+	Replace(batch Batch[T])
+	// Apply takes changes.
+	Apply(batch Batch[T])
+}
+
+// Pauses between tries while the store is away.
+const (
+	firstPause = 150 * time.Millisecond
+	longPause  = time.Second
+)
+
+// Follower keeps a sink up to date.
+type Follower[T any] struct {
+	source Source[T]
+	sink   Sink[T]
+	log    *logrus.Entry
+	random func() float64
+	clock  func() time.Time
+
+	revision uint64
+	loaded   bool
+	failures int
+	lostAt   time.Time
+}
+
+// New makes a follower that has read nothing. Random gives numbers from 0 up to 1.
+func New[T any](source Source[T], sink Sink[T], log *logrus.Entry, random func() float64, clock func() time.Time) *Follower[T] {
+	return &Follower[T]{source: source, sink: sink, log: log, random: random, clock: clock}
+}
+
+// Run follows the table until done is closed.
+func (f *Follower[T]) Run(done <-chan struct{}) {
+	ctx, cancel := lifetime.Context(done)
+	defer cancel()
+	for ctx.Err() == nil {
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		if err != nil && !f.pause(ctx) {
+			return
+		}
+	}
+}
+
+// step reads the table whole or waits for its next changes.
+func (f *Follower[T]) step(ctx context.Context) error {
+	if !f.loaded {
+		batch, err := f.source.Load(ctx)
+		if err != nil {
+			return err
+		}
+		f.sink.Replace(batch)
+		f.revision, f.loaded = batch.Revision, true
+		return nil
+	}
+	batch, err := f.source.Wait(ctx, f.revision)
+	if errors.Is(err, ErrHistoryGone) {
+		f.log.WithField("revision", f.revision).Warn("history is gone, the table is read anew")
+		f.loaded = false
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if batch.Revision > f.revision {
+		f.revision = batch.Revision
+		f.sink.Apply(batch)
+	}
+	return nil
+}
+
+// note logs the loss and the return of the store, once each.
+func (f *Follower[T]) note(err error) {
+	switch {
+	case err != nil && f.failures == 0:
+		f.lostAt = f.clock()
+		f.log.WithError(err).WithField("revision", f.revision).Warn("store lost, the last state stays in force")
+	case err == nil && f.failures > 0:
+		f.log.WithFields(logrus.Fields{
+			"failures": f.failures, "away_ms": f.clock().Sub(f.lostAt).Milliseconds(), "revision": f.revision,
+		}).Info("store regained")
+	}
+	if err != nil {
+		f.failures++
+		return
+	}
+	f.failures = 0
+}
+
+// pause waits before the next try, and reports false if ctx ended.
+func (f *Follower[T]) pause(ctx context.Context) bool {
+	span := min(firstPause<<min(f.failures-1, 4), longPause)
+	timer := time.NewTimer(time.Duration((0.5 + 0.5*f.random()) * float64(span)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -38,6 +38,22 @@
 	ReadTimeout time.Duration `json:"read_timeout,omitzero"`
 	// WriteTimeout bounds how long a caller may take to read what is ready.
 	WriteTimeout time.Duration `json:"write_timeout,omitzero"`
+	// Readiness is the address where the balancer asks whether the host takes
+	// requests; Metrics is the one of the metrics. Both may be left out.
+	Readiness string `json:"readiness,omitzero"`
+	Metrics   string `json:"metrics,omitzero"`
+	// MemoryMB is the memory that the host may use, in MB; 0 means no bound.
+	MemoryMB int `json:"memory_mb,omitzero"`
+	// Retries bounds the retries of all hosts together.
+	Retries Retries `json:"retries,omitzero"`
+}
+
+// Retries bounds the retries of all hosts together at one service: in each window,
+// Ratio times the first tries and Slack more.
+type Retries struct {
+	Ratio  float64       `json:"ratio,omitzero"`
+	Slack  float64       `json:"slack,omitzero"`
+	Window time.Duration `json:"window,omitzero"`
 }
 
 // Platform says where the platform's service is.
@@ -88,6 +104,9 @@
 	defaultLimit        = 10 * time.Minute
 	defaultReadTimeout  = 30 * time.Second
 	defaultWriteTimeout = 30 * time.Second
+	defaultRetryRatio   = 0.1
+	defaultRetrySlack   = 10
+	defaultRetryWindow  = 10 * time.Second
 )
 
 // Load reads and checks a host's file.
@@ -117,6 +136,9 @@
 	setDefault(&h.Drain.Limit, defaultLimit)
 	setDefault(&h.ReadTimeout, defaultReadTimeout)
 	setDefault(&h.WriteTimeout, defaultWriteTimeout)
+	setDefault(&h.Retries.Ratio, defaultRetryRatio)
+	setDefault(&h.Retries.Slack, defaultRetrySlack)
+	setDefault(&h.Retries.Window, defaultRetryWindow)
 	setDefault(&h.Log.Level, "info")
 	setDefault(&h.Log.Format, "text")
 	return h
--- a/internal/owner/budget.go
+++ b/internal/owner/budget.go
@@ -9,18 +9,20 @@
 	fullBudget  = 50
 )
 
-// budgets bounds retries to a fraction of first tries, class by class.
-type budgets struct {
+// ClassBudget bounds retries to a fraction of first tries, class by class, on
+// this host alone.
+type ClassBudget struct {
 	mu   sync.Mutex
 	left map[string]float64
 }
 
-func newBudgets() *budgets {
-	return &budgets{left: make(map[string]float64)}
+// NewClassBudget makes a budget in which every class may retry a few times.
+func NewClassBudget() *ClassBudget {
+	return &ClassBudget{left: make(map[string]float64)}
 }
 
-// firstTry adds what one first try earns.
-func (b *budgets) firstTry(class string, fraction float64) {
+// FirstTry adds what one first try earns.
+func (b *ClassBudget) FirstTry(class string, fraction float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	left, ok := b.left[class]
@@ -30,15 +32,15 @@
 	b.left[class] = min(left+fraction, fullBudget)
 }
 
-// has reports whether the class may retry once more.
-func (b *budgets) has(class string) bool {
+// Has reports whether the class may retry once more.
+func (b *ClassBudget) Has(class string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.left[class] >= 1
 }
 
-// spend takes one retry.
-func (b *budgets) spend(class string) {
+// Spend takes one retry.
+func (b *ClassBudget) Spend(class string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.left[class]--
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -12,7 +12,6 @@
 	"github.com/ansel1/merry/v2"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
-	"oxbowslip.dev/oxbowslip/internal/dispatch"
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/schedule"
@@ -27,6 +26,8 @@
 	ErrPreempted = merry.Sentinel("preempted")
 	// ErrStalled: the endpoint sent nothing for too long.
 	ErrStalled = merry.Sentinel("endpoint stalled")
+	// ErrTimeLimit: the request's time is over.
+	ErrTimeLimit = merry.Sentinel("time limit reached")
 	// ErrSlowCaller: the caller did not read what was ready.
 	ErrSlowCaller = merry.Sentinel("caller does not read")
 )
@@ -38,6 +39,8 @@
 	Rules   request.Rules
 	// RetryBudget is the class's retries as a fraction of its first tries.
 	RetryBudget float64
+	// BudgetGroup names the retry budget; empty means the class.
+	BudgetGroup string
 	// Deadline is when no retry begins any more; zero means never.
 	Deadline time.Time
 	// CanContinue says that a broken answer can be gone on with elsewhere.
@@ -48,6 +51,13 @@
 	Resume func(ctx context.Context, a *Attempt) Result
 }
 
+func (j *Job) budgetGroup() string {
+	if j.BudgetGroup != "" {
+		return j.BudgetGroup
+	}
+	return j.Request.Class
+}
+
 // Result is how an attempt ended.
 type Result struct {
 	// Event is EventWhole, EventBroken, EventNotStarted, EventWrongAnswer,
@@ -70,16 +80,18 @@
 	FirstToken time.Duration
 	Tries      int
 	Sends      int
+	// Steps are the decisions on the way, the earliest first.
+	Steps []explain.Step
 }
 
 // Owner runs the jobs of this host.
 type Owner struct {
 	host       string
-	dispatcher *dispatch.Dispatcher
-	settings   *settings.Holder
+	scheduler  Scheduler
+	endpoints  Endpoints
 	counters   *counters.Counters
 	ring       *explain.Ring
-	budgets    *budgets
+	budgets    Budget
 	clock      func() time.Time
 	random     func() float64
 
@@ -89,17 +101,53 @@
 	stopped chan struct{}
 }
 
+// Scheduler grants endpoints to requests.
+type Scheduler interface {
+	// Ask submits a request and waits for the decision. It fails only when ctx
+	// ends; the request is withdrawn then. A granted ticket must be finished.
+	Ask(ctx context.Context, shard string, request schedule.Request) (Ticket, schedule.Decision, error)
+}
+
+// Ticket is the standing of one granted request with its scheduler.
+type Ticket interface {
+	// Preempted is closed when the scheduler takes the endpoint back.
+	Preempted() <-chan struct{}
+	// Started says that the grant is used.
+	Started()
+	// FirstToken says that the first token came.
+	FirstToken()
+	// Progress says how many tokens came so far.
+	Progress(tokens int)
+	// Finished ends the attempt and gives the place back.
+	Finished(result schedule.Result, tokens int)
+}
+
+// Endpoints gives the newest knowledge of an endpoint, and whether it may
+// receive work.
+type Endpoints func(id string) (settings.Endpoint, bool)
+
+// Budget bounds retries. Group is a class or a service, as the budget sees fit.
+type Budget interface {
+	// FirstTry adds what one first try earns; fraction is the retries allowed for
+	// each first try.
+	FirstTry(group string, fraction float64)
+	// Has reports whether the group may retry once more.
+	Has(group string) bool
+	// Spend takes one retry.
+	Spend(group string)
+}
+
 // New makes an owner. Random gives numbers from 0 up to 1.
-func New(host string, d *dispatch.Dispatcher, s *settings.Holder, c *counters.Counters, ring *explain.Ring,
+func New(host string, scheduler Scheduler, endpoints Endpoints, budget Budget, c *counters.Counters, ring *explain.Ring,
 	clock func() time.Time, random func() float64,
 ) *Owner {
 	return &Owner{
 		host:       host,
-		dispatcher: d,
-		settings:   s,
+		scheduler:  scheduler,
+		endpoints:  endpoints,
 		counters:   c,
 		ring:       ring,
-		budgets:    newBudgets(),
+		budgets:    budget,
 		clock:      clock,
 		random:     random,
 		idle:       make(chan struct{}, 1),
@@ -171,7 +219,7 @@
 	defer o.cancelOnStop(cancel)()
 
 	r := &run{owner: o, job: job, life: request.NewLife(job.Rules), arrived: job.Request.Arrived}
-	o.budgets.firstTry(job.Request.Class, job.RetryBudget)
+	o.budgets.FirstTry(job.budgetGroup(), job.RetryBudget)
 	o.ring.Begin(explain.Record{
 		ID: job.Request.ID, Host: o.host, Workspace: job.Request.Workspace,
 		Class: job.Request.Class, Shard: job.Shard, Tier: job.Request.Tier,
@@ -201,7 +249,7 @@
 	life    *request.Life
 	arrived time.Time
 
-	ticket     *dispatch.Ticket
+	ticket     Ticket
 	endpointID string
 	endpoint   settings.Endpoint
 	tokens     int
@@ -213,6 +261,7 @@
 	toldTokens int
 	retryAfter time.Duration
 	detail     string
+	steps      []explain.Step
 }
 
 func (r *run) loop(ctx context.Context) {
@@ -240,18 +289,18 @@
 	if r.life.Tries() > 0 || r.job.Request.Retry {
 		o.counters.Retried(r.life.Retry())
 		if retry := r.life.Retry(); retry != request.RetryPreempted && retry != request.RetryGrantVoid {
-			o.budgets.spend(r.job.Request.Class)
+			o.budgets.Spend(r.job.budgetGroup())
 		}
 		r.step("retry", string(r.life.Retry()), nil)
 		if !r.pause(ctx) {
 			return r.gone(ctx)
 		}
 	}
-	ticket, decision, err := o.dispatcher.Ask(ctx, r.job.Shard, r.job.Request)
+	ticket, decision, err := o.scheduler.Ask(ctx, r.job.Shard, r.job.Request)
 	if err != nil {
 		return r.gone(ctx)
 	}
-	o.ring.Add(r.job.Request.ID, explain.Step{
+	r.note(explain.Step{
 		At: o.clock(), What: decision.Kind.String(), Endpoint: decision.Endpoint,
 		Reason: string(decision.Reason), Figures: &decision.Figures,
 	})
@@ -270,8 +319,8 @@
 // ordered out since it was decided.
 func (r *run) accept(decision schedule.Decision) request.Action {
 	o := r.owner
-	e, ok := o.settings.Current().Tree.Endpoints[decision.Endpoint]
-	if !ok || e.State == settings.StateOut || !dispatch.Usable(decision, o.clock()) {
+	e, ok := o.endpoints(decision.Endpoint)
+	if !ok || !decision.Usable(o.clock()) {
 		r.release(schedule.Unused)
 		// The scheduler may not have the order yet.
 		r.job.Request.Avoid = append(r.job.Request.Avoid, decision.Endpoint)
@@ -299,10 +348,11 @@
 	case errors.Is(cause, ErrPreempted):
 		event = request.EventPreempted
 	case errors.Is(cause, ErrStopped):
-		r.detail = "the host stops"
 		r.waste(counters.WasteStopped)
-		r.life.Refuse(request.ReasonStopped)
-		return request.ActFinish
+		return r.gone(ctx)
+	case errors.Is(cause, ErrTimeLimit):
+		r.waste(counters.WasteTimeLimit)
+		return r.gone(ctx)
 	case errors.Is(cause, ErrSlowCaller), errors.Is(result.Err, ErrSlowCaller):
 		r.detail = "the caller did not read its answer"
 		r.waste(counters.WasteCallerGone)
@@ -359,12 +409,17 @@
 
 // gone ends the job after its context ended.
 func (r *run) gone(ctx context.Context) request.Action {
-	if errors.Is(context.Cause(ctx), ErrStopped) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, ErrStopped):
 		r.detail = "the host stops"
 		r.life.Refuse(request.ReasonStopped)
-		return request.ActFinish
+	case errors.Is(cause, ErrTimeLimit):
+		r.detail = "the request's time is over"
+		r.life.Refuse(request.ReasonTimeLimit)
+	default:
+		return r.life.Apply(request.EventCallerGone, request.Facts{})
 	}
-	return r.life.Apply(request.EventCallerGone, request.Facts{})
+	return request.ActFinish
 }
 
 func (r *run) release(result schedule.Result) {
@@ -386,16 +441,21 @@
 		CanResume:   canResume,
 		CanContinue: r.job.CanContinue,
 		Expired:     !deadline.IsZero() && r.owner.clock().After(deadline),
-		BudgetLeft:  r.owner.budgets.has(r.job.Request.Class),
+		BudgetLeft:  r.owner.budgets.Has(r.job.budgetGroup()),
 	}
 }
 
 func (r *run) step(what, reason string, figures *schedule.Figures) {
-	r.owner.ring.Add(r.job.Request.ID, explain.Step{
+	r.note(explain.Step{
 		At: r.owner.clock(), What: what, Endpoint: r.endpointID, Reason: reason, Figures: figures,
 	})
 }
 
+func (r *run) note(step explain.Step) {
+	r.owner.ring.Add(r.job.Request.ID, step)
+	r.steps = append(r.steps, step)
+}
+
 // The pauses before retries: full jitter over a doubling span.
 const (
 	firstPause = 20 * time.Millisecond
@@ -437,5 +497,6 @@
 		r.owner.counters.Refused(request.ReasonCallerGone)
 		r.step("caller gone", "", nil)
 	}
+	end.Steps = r.steps
 	return end
 }
--- /dev/null
+++ b/internal/placement/board.go
@@ -0,0 +1,168 @@
+// Package placement chooses endpoints on the host that owns a request, at once
+// and without asking another host. It works from a board of what this host has
+// sent where, what its peers have told of theirs, and which endpoints failed
+// lately. Board and choice do no input or output and take the time as a
+// parameter; Scheduler is the shell round them.
+package placement
+
+import (
+	"time"
+)
+
+// Load is the work that one host has under way at an endpoint.
+type Load struct {
+	// Requests counts the open requests.
+	Requests int
+	// Tokens counts the prompt tokens that the endpoint has still to read.
+	Tokens int
+}
+
+func (l *Load) add(other Load) {
+	l.Requests += other.Requests
+	l.Tokens += other.Tokens
+}
+
+// Pauses after failures: each failure in a row doubles the pause.
+const (
+	firstPause = time.Second
+	longPause  = 8 * time.Second
+)
+
+// pause keeps new work from an endpoint that failed.
+type pause struct {
+	until    time.Time
+	failures int
+}
+
+// peerLoads is what one peer has told of its loads.
+type peerLoads struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// peerLoadAge is how long a peer's word on its loads counts.
+const peerLoadAge = 3 * time.Second
+
+// Board is one host's view of the work at all endpoints.
+type Board struct {
+	own    map[string]*Load
+	peers  map[string]peerLoads
+	pauses map[string]*pause
+}
+
+// NewBoard makes an empty board.
+func NewBoard() *Board {
+	return &Board{own: make(map[string]*Load), peers: make(map[string]peerLoads), pauses: make(map[string]*pause)}
+}
+
+// Begin books a request that goes to an endpoint.
+func (b *Board) Begin(endpoint string, tokens int) {
+	load, ok := b.own[endpoint]
+	if !ok {
+		load = new(Load)
+		b.own[endpoint] = load
+	}
+	load.add(Load{Requests: 1, Tokens: tokens})
+}
+
+// Read books that an endpoint has read a request's prompt.
+func (b *Board) Read(endpoint string, tokens int) {
+	if load, ok := b.own[endpoint]; ok {
+		load.Tokens -= tokens
+	}
+}
+
+// End books the end of a request; tokens is what was not read.
+func (b *Board) End(endpoint string, tokens int) {
+	load, ok := b.own[endpoint]
+	if !ok {
+		return
+	}
+	load.add(Load{Requests: -1, Tokens: -tokens})
+	if *load == (Load{}) {
+		delete(b.own, endpoint)
+	}
+}
+
+// Own gives a copy of this host's loads.
+func (b *Board) Own() map[string]Load {
+	loads := make(map[string]Load, len(b.own))
+	for endpoint, load := range b.own {
+		loads[endpoint] = *load
+	}
+	return loads
+}
+
+// SetPeer takes a peer's loads.
+func (b *Board) SetPeer(now time.Time, peer string, loads map[string]Load) {
+	b.peers[peer] = peerLoads{at: now, loads: loads}
+}
+
+// DropPeer forgets a peer that left.
+func (b *Board) DropPeer(peer string) { delete(b.peers, peer) }
+
+// Total is the load of an endpoint from this host and from all peers that were
+// heard lately.
+func (b *Board) Total(now time.Time, endpoint string) Load {
+	var total Load
+	if own, ok := b.own[endpoint]; ok {
+		total = *own
+	}
+	for _, peer := range b.peers {
+		if now.Sub(peer.at) <= peerLoadAge {
+			total.add(peer.loads[endpoint])
+		}
+	}
+	return total
+}
+
+// Failed pauses an endpoint that broke a connection, could not be reached or
+// stayed silent. It gives the end of the pause.
+func (b *Board) Failed(now time.Time, endpoint string) time.Time {
+	p, ok := b.pauses[endpoint]
+	if !ok {
+		p = new(pause)
+		b.pauses[endpoint] = p
+	}
+	if now.Before(p.until) {
+		// Failures of requests that were under way together are one.
+		return p.until
+	}
+	p.until = now.Add(min(firstPause<<p.failures, longPause))
+	p.failures = min(p.failures+1, maxFailures)
+	return p.until
+}
+
+// maxFailures bounds the doubling of pauses.
+const maxFailures = 8
+
+// Answered ends the doubt about an endpoint.
+func (b *Board) Answered(endpoint string) { delete(b.pauses, endpoint) }
+
+// Pause takes a peer's word that an endpoint failed.
+func (b *Board) Pause(endpoint string, until time.Time) {
+	p, ok := b.pauses[endpoint]
+	if !ok {
+		p = new(pause)
+		b.pauses[endpoint] = p
+	}
+	if until.After(p.until) {
+		p.until = until
+	}
+}
+
+// Paused gives the endpoints that are paused, with the end of each pause.
+func (b *Board) Paused(now time.Time) map[string]time.Time {
+	paused := make(map[string]time.Time)
+	for endpoint, p := range b.pauses {
+		if now.Before(p.until) {
+			paused[endpoint] = p.until
+		}
+	}
+	return paused
+}
+
+func (b *Board) paused(now time.Time, endpoint string) bool {
+	p, ok := b.pauses[endpoint]
+	return ok && now.Before(p.until)
+}
--- /dev/null
+++ b/internal/placement/scheduler.go
@@ -0,0 +1,139 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/directory"
+	"oxbowslip.dev/oxbowslip/internal/owner"
+	"oxbowslip.dev/oxbowslip/internal/schedule"
+)
+
+const (
+	// grantTime is how long a grant may be used.
+	grantTime = 100 * time.Millisecond
+	// noEndpointRetry is when a request comes back that found no endpoint.
+	noEndpointRetry = 500 * time.Millisecond
+)
+
+// Scheduler grants endpoints to the requests of this host. It implements
+// owner.Scheduler; a shard is a service.
+type Scheduler struct {
+	directory *directory.Directory
+	clock     func() time.Time
+	// changed is told when this host's loads or pauses changed.
+	changed func()
+
+	mu    sync.Mutex
+	board *Board
+}
+
+// New makes a scheduler that has sent nothing. Changed is called, outside of any
+// lock, when this host's loads or pauses changed; it must not block.
+func New(d *directory.Directory, clock func() time.Time, changed func()) *Scheduler {
+	return &Scheduler{directory: d, clock: clock, changed: changed, board: NewBoard()}
+}
+
+// Ask grants an endpoint at once, or refuses if the service has none.
+func (s *Scheduler) Ask(_ context.Context, service string, request schedule.Request) (owner.Ticket, schedule.Decision, error) {
+	now := s.clock()
+	endpoints := s.directory.Serving(service)
+	s.mu.Lock()
+	choice, ok := s.board.Choose(now, &request, endpoints)
+	if ok {
+		s.board.Begin(choice.Endpoint, choice.Tokens)
+	}
+	s.mu.Unlock()
+	if !ok {
+		return nil, schedule.Decision{
+			Kind: schedule.Refuse, ID: request.ID, Reason: schedule.ReasonNoEndpoint, RetryAfter: noEndpointRetry,
+		}, nil
+	}
+	s.changed()
+	decision := schedule.Decision{
+		Kind: schedule.Grant, ID: request.ID, Owner: request.Owner, Endpoint: choice.Endpoint,
+		Reason: schedule.ReasonTier, Until: now.Add(grantTime),
+		Figures: schedule.Figures{
+			InFlight: choice.Load.Requests, WaitingAhead: choice.Load.Tokens, CachedTokens: choice.Cached,
+		},
+	}
+	return &ticket{scheduler: s, endpoint: choice.Endpoint, tokens: choice.Tokens}, decision, nil
+}
+
+// Own gives a copy of this host's loads, and the endpoints that it has paused.
+func (s *Scheduler) Own() (loads map[string]Load, paused map[string]time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.Own(), s.board.Paused(s.clock())
+}
+
+// SetPeer takes a peer's loads and pauses.
+func (s *Scheduler) SetPeer(peer string, loads map[string]Load, paused map[string]time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.SetPeer(s.clock(), peer, loads)
+	for endpoint, until := range paused {
+		s.board.Pause(endpoint, until)
+	}
+}
+
+// DropPeer forgets a peer that left.
+func (s *Scheduler) DropPeer(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.DropPeer(peer)
+}
+
+// Failed pauses an endpoint, and gives the end of the pause.
+func (s *Scheduler) Failed(endpoint string) time.Time {
+	s.mu.Lock()
+	until := s.board.Failed(s.clock(), endpoint)
+	s.mu.Unlock()
+	s.changed()
+	return until
+}
+
+// Answered ends the doubt about an endpoint.
+func (s *Scheduler) Answered(endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.board.Answered(endpoint)
+}
+
+// ticket is one granted request. It implements owner.Ticket.
+type ticket struct {
+	scheduler *Scheduler
+	endpoint  string
+	// tokens is what the endpoint has still to read.
+	tokens int
+}
+
+// Preempted gives nil: this scheduler takes no endpoint back.
+func (t *ticket) Preempted() <-chan struct{} { return nil }
+
+// Started does nothing: the grant was booked when it was given.
+func (t *ticket) Started() {}
+
+// FirstToken books that the prompt was read.
+func (t *ticket) FirstToken() {
+	s := t.scheduler
+	s.mu.Lock()
+	s.board.Read(t.endpoint, t.tokens)
+	t.tokens = 0
+	s.mu.Unlock()
+	s.changed()
+}
+
+// Progress does nothing: only prompts and open requests count as work.
+func (t *ticket) Progress(int) {}
+
+// Finished gives the place back.
+func (t *ticket) Finished(schedule.Result, int) {
+	s := t.scheduler
+	s.mu.Lock()
+	s.board.End(t.endpoint, t.tokens)
+	t.tokens = 0
+	s.mu.Unlock()
+	s.changed()
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,230 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/owner"
+	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+	"oxbowslip.dev/oxbowslip/internal/upstream"
+)
+
+// Health takes what requests show of endpoints.
+type Health interface {
+	// Failed says that an endpoint could not be reached, or broke a call.
+	Failed(endpoint string) time.Time
+	// Answered says that an endpoint gave a whole answer.
+	Answered(endpoint string)
+}
+
+// Parts are what a server works with.
+type Parts struct {
+	Host     string
+	Zone     string
+	Settings *settings.Holder
+	Owner    *owner.Owner
+	Client   *upstream.Client
+	Health   Health
+	Dialect  Dialect
+	Counters *counters.Counters
+	Log      *logrus.Entry
+	Clock    func() time.Time
+	// Random gives numbers from 0 up to 1.
+	Random func() float64
+	// Timeouts bound what a caller may hold up.
+	Timeouts Timeouts
+}
+
+// Timeouts bound what a caller may hold up: Read is for sending a body, Write for
+// reading what is ready.
+type Timeouts struct {
+	Read  time.Duration
+	Write time.Duration
+}
+
+// Server answers the callers of routes. It is an http.Handler.
+type Server struct{ Parts }
+
+// New makes a server.
+func New(parts Parts) *Server { return &Server{Parts: parts} }
+
+// notReadyRetry is when to come back to a host that knows no settings yet.
+const notReadyRetry = 500 * time.Millisecond
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	x := &exchange{server: s, w: w, r: r, arrived: s.Clock()}
+	if refusal := x.admit(); refusal != nil {
+		s.Counters.Refused(refusal.Reason)
+		s.Log.WithFields(logrus.Fields{
+			"id": x.call.ID, "reason": refusal.Reason, "detail": refusal.Detail, "revision": x.revision,
+			"path": r.URL.Path, "workspace": x.workspace,
+		}).Warn("refused before a decision")
+		writeRefusal(w, x.call.ID, refusal)
+		return
+	}
+	x.run()
+}
+
+// exchange is one request on its way.
+type exchange struct {
+	server  *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+
+	call      Call
+	revision  uint64
+	route     settings.HostRoute
+	workspace string
+	policy    settings.Policy
+	service   settings.Service
+	target    string
+	body      []byte
+	// limit is when the request's time is over.
+	limit time.Time
+
+	stream eventRelay
+	// answer is the whole answer for the caller, failure an endpoint's own failure
+	// that is passed on if nothing better comes.
+	answer  *plainAnswer
+	failure *plainAnswer
+}
+
+func refuse(reason request.Reason, detail string) *request.Refusal {
+	return &request.Refusal{Reason: reason, Ran: request.RanNo, Detail: detail}
+}
+
+// admit finds what the request is and whether it may run, and reads its body. All
+// faults end here, with nothing sent.
+func (x *exchange) admit() *request.Refusal {
+	call, err := x.server.Dialect.Read(x.r)
+	x.call = call
+	if err != nil {
+		return refuse(request.ReasonBadRequest, err.Error())
+	}
+	current := x.server.Settings.Current()
+	if current == nil {
+		refusal := refuse(request.ReasonNotReady, "this host knows no settings yet")
+		refusal.RetryAfter = notReadyRetry
+		return refusal
+	}
+	x.revision = current.Number
+	if refusal := x.classify(current.Tree); refusal != nil {
+		return refusal
+	}
+	x.limit = x.arrived.Add(x.policy.TimeLimit)
+	if patience := x.call.Patience; patience > 0 && (patience < x.policy.TimeLimit || x.policy.TimeLimit == 0) {
+		x.limit = x.arrived.Add(patience)
+	}
+	return x.readBody()
+}
+
+// classify finds the route, the workspace and the settings that hold for them.
+func (x *exchange) classify(tree *settings.Tree) *request.Refusal {
+	host, _, _ := strings.Cut(x.r.Host, ":")
+	route, ok := tree.RouteFor(host, x.r.URL.Path)
+	if !ok {
+		return refuse(request.ReasonUnknownRoute, "no route for "+host+x.r.URL.Path)
+	}
+	x.route = route
+	if !route.Public && len(tree.Workspaces) > 0 {
+		x.workspace, ok = tree.WorkspaceOf(x.call.Key)
+		if !ok {
+			return refuse(request.ReasonUnknownKey, "this key belongs to no workspace")
+		}
+	}
+	x.policy, ok = tree.RoutePolicy(x.workspace, route.Class)
+	if !ok {
+		return refuse(request.ReasonUnknownRoute, "no class "+route.Class)
+	}
+	x.target = route.Pick(x.server.Random())
+	x.service = tree.Services[x.target]
+	return nil
+}
+
+func (x *exchange) readBody() *request.Refusal {
+	if x.r.ContentLength > int64(x.policy.MaxBodyBytes) {
+		return refuse(request.ReasonBodyTooLarge, "the body is larger than this route allows")
+	}
+	control := http.NewResponseController(x.w)
+	// Not every writer has deadlines; those of tests don't.
+	_ = control.SetReadDeadline(time.Now().Add(x.server.Timeouts.Read))
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, int64(x.policy.MaxBodyBytes)))
+	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		x.body = body
+		return nil
+	}
+	var tooLarge *http.MaxBytesError
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuse(request.ReasonBodyTooLarge, "the body is larger than this route allows")
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return refuse(request.ReasonSlowCaller, "the body took too long to arrive")
+	}
+	return refuse(request.ReasonBadRequest, "the body could not be read whole")
+}
+
+// run takes the request through its attempts and answers the caller.
+func (x *exchange) run() {
+	s := x.server
+	ctx, cancel := context.WithDeadlineCause(x.r.Context(), x.limit, owner.ErrTimeLimit)
+	defer cancel()
+	end := s.Owner.Run(ctx, x.job())
+	x.log(&end)
+	switch end.Outcome {
+	case request.OutcomeAnswered:
+		if x.answer != nil {
+			x.answer.write(x.w)
+		}
+		whole := s.Clock().Sub(x.arrived)
+		s.Counters.Answered(x.route.Class, whole, x.attained(&end, whole), 0)
+	case request.OutcomeBroken:
+		panic(http.ErrAbortHandler)
+	case request.OutcomeRefused:
+		if x.failure != nil {
+			x.failure.write(x.w)
+			return
+		}
+		writeRefusal(x.w, x.call.ID, end.Refusal)
+	}
+}
+
+func (x *exchange) attained(end *owner.End, whole time.Duration) bool {
+	if x.policy.Stream {
+		return x.policy.FirstToken == 0 || (end.FirstToken > 0 && end.FirstToken <= x.policy.FirstToken && x.stream.longest <= x.policy.MaxPause)
+	}
+	return x.policy.WholeAnswer == 0 || whole <= x.policy.WholeAnswer
+}
+
+// log writes the request's end with the figures that decided it.
+func (x *exchange) log(end *owner.End) {
+	fields := logrus.Fields{
+		"id": x.call.ID, "class": x.route.Class, "workspace": x.workspace, "tier": x.policy.Tier,
+		"service": x.target, "endpoint": end.Endpoint, "tries": end.Tries, "sends": end.Sends,
+		"revision": x.revision, "took_ms": x.server.Clock().Sub(x.arrived).Milliseconds(),
+		"first_ms": end.FirstToken.Milliseconds(), "events": x.stream.events, "pause_ms": x.stream.longest.Milliseconds(),
+		"steps": end.Steps,
+	}
+	log := x.server.Log.WithFields(fields)
+	switch end.Outcome {
+	case request.OutcomeAnswered:
+		log.Info("answered")
+	case request.OutcomeCallerGone:
+		log.Warn("caller gone")
+	default:
+		log.WithFields(logrus.Fields{
+			"reason": end.Refusal.Reason, "ran": end.Refusal.Ran, "detail": end.Refusal.Detail,
+		}).Warn("given up")
+	}
+}
--- a/internal/request/life.go
+++ b/internal/request/life.go
@@ -68,6 +68,12 @@
 	Repeatable bool
 	// MaxTries bounds the times the request is sent or tried to be sent.
 	MaxTries int
+	// MaxDials bounds the failed dials that do not count against MaxTries; 0
+	// means that all of them count.
+	MaxDials int
+	// ResendNotStarted allows another endpoint for a request that may not be
+	// repeated, after each endpoint that got it said that it did not start it.
+	ResendNotStarted bool
 	// MaxResumes bounds the times a stream is taken up at its engine.
 	MaxResumes int
 }
@@ -92,6 +98,7 @@
 	reason    Reason
 	retry     RetryReason
 	tries     int
+	dials     int
 	resumes   int
 	sends     int
 	inFlight  bool
@@ -116,6 +123,7 @@
 	case EventGrantVoid:
 		return l.again(RetryGrantVoid, ReasonNoEndpoint, facts)
 	case EventDialFailed:
+		l.forgiveDial()
 		return l.again(RetryDialFailed, ReasonEndpointFailed, facts)
 	case EventSent:
 		l.sends++
@@ -161,7 +169,7 @@
 // Retry tells why the last ActAsk or ActResume is a retry.
 func (l *Life) Retry() RetryReason { return l.retry }
 
-// Sends counts the times the request may have reached an endpoint.
+// Sends counts the times the request may have been run by an endpoint.
 func (l *Life) Sends() int { return l.sends }
 
 // Tries counts the grants that were used, with or without a send.
@@ -179,7 +187,7 @@
 }
 
 func (l *Life) granted() Action {
-	if l.sends > 0 && !l.rules.Repeatable {
+	if l.Ran() == RanUnknown && !l.rules.Repeatable {
 		// This can't come: nothing asks again for such a request once it was
 		// sent. It is checked here because it is the promise itself.
 		return l.refuse(ReasonInternal)
@@ -188,8 +196,17 @@
 	return ActSend
 }
 
+// forgiveDial gives a try back that reached no endpoint.
+func (l *Life) forgiveDial() {
+	if l.dials < l.rules.MaxDials {
+		l.dials++
+		l.tries--
+	}
+}
+
 func (l *Life) notStarted(facts Facts) Action {
-	if !l.rules.Repeatable {
+	l.sends--
+	if !l.rules.Repeatable && !l.rules.ResendNotStarted {
 		return l.refuse(ReasonNotStarted)
 	}
 	return l.again(RetryNotStarted, ReasonNotStarted, facts)
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -25,6 +25,9 @@
 	ReasonWorkspaceRoom  Reason = "workspace_room"
 	ReasonTooLate        Reason = "too_late"
 	ReasonMaxWait        Reason = "max_wait"
+	ReasonTimeLimit      Reason = "time_limit"
+	ReasonHeadTooLarge   Reason = "head_too_large"
+	ReasonUnknownRoute   Reason = "unknown_route"
 	ReasonNoEndpoint     Reason = "no_endpoint"
 	ReasonCallerGone     Reason = "caller_gone"
 	ReasonNotStarted     Reason = "endpoint_not_started"
@@ -45,7 +48,7 @@
 	ReasonNoRoom, ReasonWorkspaceRoom, ReasonTooLate, ReasonMaxWait,
 	ReasonNoEndpoint, ReasonCallerGone, ReasonNotStarted,
 	ReasonEndpointFailed, ReasonAnswerBroken, ReasonWrongAnswer,
-	ReasonRetryBudget, ReasonStopped, ReasonInternal,
+	ReasonRetryBudget, ReasonStopped, ReasonInternal, ReasonTimeLimit, ReasonHeadTooLarge, ReasonUnknownRoute,
 }
 
 // RetryReason says why a request was sent again, resumed or put back into the
--- a/internal/schedule/schedule.go
+++ b/internal/schedule/schedule.go
@@ -54,6 +54,8 @@
 	// Prefix is the hash of each leading part of the prompt, the shortest
 	// first, with the workspace as a part of each hash.
 	Prefix []uint64
+	// PrefixTokens is the tokens up to the end of each part in Prefix, if known.
+	PrefixTokens []int
 	// Zone is the owner's availability zone.
 	Zone string
 	// Avoid names endpoints that have failed the request.
@@ -147,6 +149,9 @@
 	Figures    Figures
 }
 
+// Usable reports whether a grant may still be used.
+func (d *Decision) Usable(now time.Time) bool { return now.Before(d.Until) }
+
 // Result is how a granted request ended.
 type Result uint8
 
--- a/internal/settings/effective.go
+++ b/internal/settings/effective.go
@@ -41,6 +41,23 @@
 	return policy, policy.Enabled
 }
 
+// RoutePolicy gives the policy of a host route's class for a workspace, or for
+// no workspace if the name is empty.
+func (t *Tree) RoutePolicy(workspace, class string) (Policy, bool) {
+	if workspace != "" {
+		return t.Effective(workspace, class)
+	}
+	layers, ok := classLayers([]layer{{"root", t.Root.Values}}, "root", t.Root.Classes, strings.Split(class, "/"))
+	if !ok {
+		return Policy{}, false
+	}
+	policy := builtIn
+	for _, l := range layers {
+		override(&policy, &l.values)
+	}
+	return policy, policy.Enabled
+}
+
 // Explain lists each effective value of a workspace and class in the order of
 // Values, with the node that it comes from.
 func (t *Tree) Explain(workspace, class string) ([]Explained, bool) {
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -22,6 +22,8 @@
 	Models     map[string]Model     `json:"models,omitzero"`
 	Services   map[string]Service   `json:"services,omitzero"`
 	Endpoints  map[string]Endpoint  `json:"endpoints,omitzero"`
+	// Routes name the class and the services of calls by host name and path.
+	Routes []HostRoute `json:"routes,omitzero"`
 }
 
 // Root is the top of the tree. Its classes are known to every workspace.
@@ -63,9 +65,44 @@
 	MaxWaiting int `json:"max_waiting,omitzero"`
 }
 
-// Service is a plain HTTP service behind the router.
+// Service is an HTTP service behind the router.
 type Service struct {
 	Routes []Route `json:"routes,omitzero"`
+	// MaxConnections bounds the connections that one endpoint takes from all
+	// hosts together; 0 means unknown.
+	MaxConnections int `json:"max_connections,omitzero"`
+	// Engine is set if the service's endpoints are engines.
+	Engine *EngineShape `json:"engine,omitzero"`
+}
+
+// EngineShape is what all engines of a service have in common.
+type EngineShape struct {
+	// Slots is how many requests an engine runs at once.
+	Slots int `json:"slots,omitzero"`
+	// CacheTokens is the size of its cache memory in tokens, CacheTokenBytes the
+	// size of one token there.
+	CacheTokens     int `json:"cache_tokens,omitzero"`
+	CacheTokenBytes int `json:"cache_token_bytes,omitzero"`
+}
+
+// HostRoute sends the calls of a host name and path prefix to services. The
+// longest prefix that matches wins.
+type HostRoute struct {
+	Name string `json:"name"`
+	Host string `json:"host"`
+	Path string `json:"path"`
+	// Class gives the calls their settings.
+	Class string `json:"class"`
+	// Targets are the services that share the calls by weight.
+	Targets []Target `json:"targets"`
+	// Public calls need no key.
+	Public bool `json:"public,omitzero"`
+}
+
+// Target is one service of a route with its part of the calls.
+type Target struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
 }
 
 // Route names the class of calls with a method and a path prefix. An empty
@@ -148,6 +185,10 @@
 	TokensPerMinute *int           `json:"tokens_per_minute,omitzero"`
 	MaxBodyBytes    *int           `json:"max_body_bytes,omitzero"`
 	MaxAnswerTokens *int           `json:"max_answer_tokens,omitzero"`
+	TimeLimit       *time.Duration `json:"time_limit,omitzero"`
+	Stream          *bool          `json:"stream,omitzero"`
+	Resumable       *bool          `json:"resumable,omitzero"`
+	MaxPause        *time.Duration `json:"max_pause,omitzero"`
 }
 
 // Policy is the effective value of each field for one workspace and class.
@@ -180,6 +221,14 @@
 	TokensPerMinute int
 	MaxBodyBytes    int
 	MaxAnswerTokens int
+	// TimeLimit bounds the whole request; 0 means no bound.
+	TimeLimit time.Duration
+	// Stream says that answers are event streams, Resumable that another
+	// endpoint can go on with a broken one after its last event.
+	Stream    bool
+	Resumable bool
+	// MaxPause is the target for the time between two events; 0 means none.
+	MaxPause time.Duration
 }
 
 // builtIn is what holds where the tree says nothing.
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -70,6 +70,39 @@
 	return best.Class
 }
 
+// RouteFor gives the route of a call: of the routes of its host, the one with the
+// longest prefix of its path.
+func (t *Tree) RouteFor(host, path string) (HostRoute, bool) {
+	best := HostRoute{}
+	found := false
+	for _, route := range t.Routes {
+		if route.Host != host || !strings.HasPrefix(path, route.Path) {
+			continue
+		}
+		if !found || len(route.Path) > len(best.Path) {
+			best, found = route, true
+		}
+	}
+	return best, found
+}
+
+// Pick chooses one of the route's services by weight. At is a number from 0 up
+// to 1.
+func (r *HostRoute) Pick(at float64) string {
+	total := 0.0
+	for _, target := range r.Targets {
+		total += target.Weight
+	}
+	at *= total
+	for _, target := range r.Targets {
+		if at < target.Weight {
+			return target.Service
+		}
+		at -= target.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
 // faults finds what the schema can't express: names that point nowhere, keys
 // used twice, shares that add up to too much.
 func (t *Tree) faults() []strictjson.Fault {
@@ -80,6 +113,7 @@
 	t.checkEndpoints(add)
 	t.checkWorkspaces(add)
 	t.checkServices(add)
+	t.checkHostRoutes(add)
 	t.checkShares(add)
 	sort.SliceStable(faults, func(i, j int) bool { return faults[i].Path < faults[j].Path })
 	return faults
@@ -142,6 +176,20 @@
 	}
 }
 
+func (t *Tree) checkHostRoutes(add addFault) {
+	for i, route := range t.Routes {
+		path := fmt.Sprintf("/routes/%d", i)
+		if !t.classExists(route.Class) {
+			add(path+"/class", "no class %q in /root/classes", route.Class)
+		}
+		for j, target := range route.Targets {
+			if _, ok := t.Services[target.Service]; !ok {
+				add(fmt.Sprintf("%s/targets/%d/service", path, j), "no service %q in /services", target.Service)
+			}
+		}
+	}
+}
+
 func (t *Tree) checkShares(add addFault) {
 	total := 0.0
 	for _, class := range sortedKeys(t.Root.Classes) {
--- /dev/null
+++ b/internal/upstream/connection.go
@@ -0,0 +1,94 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// How the kernel probes a connection on which nothing is sent.
+const (
+	keepAlivePeriod = time.Second
+	keepAliveProbes = 2
+)
+
+// idleMargin is the part of the time that an endpoint keeps an idle connection
+// for which it is used here: it may close a little early, and a call that crosses
+// the close is lost.
+const idleMargin = 0.6
+
+// connection is a connection to an endpoint with what was read ahead.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	// last says that the endpoint closes the connection after its answer.
+	last bool
+	// expires is when a kept connection is not used any more.
+	expires time.Time
+}
+
+// note takes what an answer says of its connection.
+func (c *connection) note(response *http.Response, now time.Time, keepIdle time.Duration) {
+	c.last = response.Close
+	if stated, ok := keepAliveTimeout(response.Header.Get("Keep-Alive")); ok {
+		keepIdle = time.Duration(float64(stated) * idleMargin)
+	}
+	c.expires = now.Add(keepIdle)
+}
+
+// keepAliveTimeout reads the timeout of a Keep-Alive header (RFC 2068, 19.7.1.1).
+func keepAliveTimeout(value string) (time.Duration, bool) {
+	for parameter := range strings.SplitSeq(value, ",") {
+		name, seconds, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		n, err := strconv.Atoi(strings.TrimSpace(seconds))
+		return time.Duration(n) * time.Second, err == nil && n > 0
+	}
+	return 0, false
+}
+
+// quiet reports whether a kept connection is open with nothing to read. Bytes
+// there would belong to no call.
+func (c *connection) quiet() bool {
+	holder, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = peekErr == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// socketOptions bounds how long sent bytes may stay without an acknowledgement.
+func socketOptions(deadPeer time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		if deadPeer == 0 {
+			return nil
+		}
+		var optionErr error
+		err := raw.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(deadPeer.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return optionErr
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,352 @@
+// Package upstream sends calls to endpoints, one at a time on each kept
+// connection. It never sends a call twice by itself, it tells whether a call that
+// failed may have reached the endpoint, and it binds answers to calls by their ID,
+// since a faulty endpoint may send a surplus answer where the next one is due.
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+)
+
+// The kinds of failure. Test with errors.Is.
+var (
+	// ErrNotSent: no connection was made, so no byte was written.
+	ErrNotSent = merry.Sentinel("endpoint not reached")
+	// ErrBroken: the call may have reached the endpoint, and no whole answer
+	// came.
+	ErrBroken = merry.Sentinel("call broken")
+)
+
+const (
+	// inlineBytes is the size up to which a call is written before its answer is
+	// read. Larger calls are written beside the reading: an endpoint may answer
+	// before it has read them.
+	inlineBytes = 4 << 10
+	// maxSurplus bounds the answers to other calls that are dropped in search of
+	// the right one.
+	maxSurplus   = 4
+	readBufBytes = 8 << 10
+	// idlePerAddress bounds the kept connections of an endpoint.
+	idlePerAddress = 16
+	defaultConnect = time.Second
+)
+
+// Call is one HTTP call to an endpoint.
+type Call struct {
+	Address string
+	// ID is what the answer must carry.
+	ID     string
+	Method string
+	// Target is the request target as it goes on the wire: an escaped path with
+	// the query. Host is the value of the Host header.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ConnectTimeout bounds the making of a connection; 0 means a second.
+	ConnectTimeout time.Duration
+	// OnSend is called once, when a connection is there, before the first byte
+	// is written.
+	OnSend func()
+}
+
+// Answer is the beginning of an endpoint's answer. Close must be called.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Framed says that the answer states its end by a length or by chunks. An
+	// answer that does not ends with its connection.
+	Framed bool
+
+	body     io.ReadCloser
+	exchange *exchange
+	whole    bool
+}
+
+// Config says how a client recognises answers and keeps connections.
+type Config struct {
+	// AnswerID gives the ID of the call that an answer belongs to.
+	AnswerID func(http.Header) string
+	// KeepIdle is how long a connection may rest if its endpoint does not say.
+	KeepIdle time.Duration
+	// DeadPeer is how long an endpoint's machine may leave sent bytes without an
+	// acknowledgement before the connection counts as broken.
+	DeadPeer time.Duration
+}
+
+// Client holds the connections to endpoints.
+type Client struct {
+	config Config
+	clock  func() time.Time
+
+	mu     sync.Mutex
+	idle   map[string][]*connection
+	closed bool
+	dials  uint64
+}
+
+// New makes a client without connections.
+func New(config Config, clock func() time.Time) *Client {
+	return &Client{config: config, clock: clock, idle: make(map[string][]*connection)}
+}
+
+// Close closes the idle connections and keeps no more.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, kept := range c.idle {
+		for _, conn := range kept {
+			conn.Close()
+		}
+	}
+	clear(c.idle)
+}
+
+// Dials counts the connections that were made.
+func (c *Client) Dials() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dials
+}
+
+// Do sends a call once and waits for the head of its answer. The error is
+// ErrNotSent or ErrBroken with its cause. When ctx ends, the connection is closed.
+func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
+	wire, err := encode(call)
+	if err != nil {
+		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+	conn, err := c.connect(ctx, call)
+	if err != nil {
+		return nil, merry.Wrap(ErrNotSent, merry.WithCause(err))
+	}
+	if call.OnSend != nil {
+		call.OnSend()
+	}
+	x := &exchange{client: c, conn: conn, address: call.Address, written: make(chan error, 1)}
+	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
+	x.write(wire)
+	answer, err := x.read(call)
+	if err != nil {
+		x.abandon()
+		return nil, merry.Wrap(ErrBroken, merry.WithCause(err))
+	}
+	return answer, nil
+}
+
+// encode gives the bytes of a call.
+func encode(call *Call) ([]byte, error) {
+	header := call.Header
+	if header == nil {
+		header = make(http.Header)
+	}
+	if _, ok := header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		header["User-Agent"] = []string{""}
+	}
+	request := &http.Request{
+		Method: call.Method,
+		URL:    &url.URL{Scheme: "http", Host: call.Address, Opaque: call.Target},
+		Host:   call.Host,
+		Header: header,
+	}
+	if len(call.Body) > 0 {
+		request.Body = io.NopCloser(bytes.NewReader(call.Body))
+		request.ContentLength = int64(len(call.Body))
+	}
+	var wire bytes.Buffer
+	if err := request.Write(&wire); err != nil {
+		return nil, err
+	}
+	return wire.Bytes(), nil
+}
+
+// exchange is one call on one connection.
+type exchange struct {
+	client  *Client
+	conn    *connection
+	address string
+	stop    func() bool
+	written chan error
+}
+
+// write sends the call, beside the reading if it is large.
+func (x *exchange) write(wire []byte) {
+	if len(wire) <= inlineBytes {
+		_, err := x.conn.Write(wire)
+		x.written <- err
+		return
+	}
+	go func() {
+		_, err := x.conn.Write(wire)
+		x.written <- err
+	}()
+}
+
+// read finds the answer to the call. Answers to other calls are dropped.
+func (x *exchange) read(call *Call) (*Answer, error) {
+	request := &http.Request{Method: call.Method}
+	for surplus := 0; surplus <= maxSurplus; {
+		response, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		if x.client.config.AnswerID(response.Header) == call.ID {
+			return x.answer(response), nil
+		}
+		if !framed(response) {
+			return nil, errors.New("an answer to another call without an end")
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, err
+		}
+		surplus++
+	}
+	return nil, errors.New("too many answers to other calls")
+}
+
+func (x *exchange) answer(response *http.Response) *Answer {
+	x.conn.note(response, x.client.clock(), x.client.config.KeepIdle)
+	return &Answer{
+		Status: response.StatusCode, Header: response.Header, Framed: framed(response),
+		body: response.Body, exchange: x,
+	}
+}
+
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// abandon closes the connection, which tells the endpoint that no answer is
+// wanted any more.
+func (x *exchange) abandon() {
+	x.stop()
+	x.conn.Close()
+}
+
+// Read gives the next bytes of the answer. It ends with io.EOF only if the whole
+// answer was there.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.body.Read(p)
+	if err == io.EOF {
+		a.whole = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. The connection is kept if the whole answer was read
+// and nothing is left on it.
+func (a *Answer) Close() {
+	x := a.exchange
+	if !x.stop() || !a.whole || !a.Framed || x.conn.last || x.conn.reader.Buffered() > 0 {
+		x.conn.Close()
+		return
+	}
+	select {
+	case err := <-x.written:
+		if err != nil {
+			x.conn.Close()
+			return
+		}
+	default:
+		// The endpoint answered before it had read the call; the rest of it is
+		// still on its way.
+		x.conn.Close()
+		return
+	}
+	x.client.keep(x.address, x.conn)
+}
+
+// connect takes a kept connection that still lives, or makes one.
+func (c *Client) connect(ctx context.Context, call *Call) (*connection, error) {
+	for {
+		conn := c.take(call.Address)
+		if conn == nil {
+			return c.dial(ctx, call)
+		}
+		if c.clock().Before(conn.expires) && conn.quiet() {
+			return conn, nil
+		}
+		conn.Close()
+	}
+}
+
+func (c *Client) dial(ctx context.Context, call *Call) (*connection, error) {
+	timeout := call.ConnectTimeout
+	if timeout == 0 {
+		timeout = defaultConnect
+	}
+	dialer := &net.Dialer{
+		Timeout: timeout,
+		Control: socketOptions(c.config.DeadPeer),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
+		},
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", call.Address)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.dials++
+	c.mu.Unlock()
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufBytes)}, nil
+}
+
+func (c *Client) take(address string) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.idle[address]
+	if len(kept) == 0 {
+		return nil
+	}
+	conn := kept[len(kept)-1]
+	c.idle[address] = kept[:len(kept)-1]
+	return conn
+}
+
+func (c *Client) keep(address string, conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || len(c.idle[address]) >= idlePerAddress {
+		conn.Close()
+		return
+	}
+	c.idle[address] = append(c.idle[address], conn)
+}
+
+// Sweep closes the kept connections that have rested too long.
+func (c *Client) Sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock()
+	for address, kept := range c.idle {
+		fresh := kept[:0]
+		for _, conn := range kept {
+			if now.Before(conn.expires) {
+				fresh = append(fresh, conn)
+				continue
+			}
+			conn.Close()
+		}
+		c.idle[address] = fresh
+		if len(fresh) == 0 {
+			delete(c.idle, address)
+		}
+	}
+}
