Changes of the settings go with the beats, as patches; directories are packed

Four hosts read the store; 296 fetched the whole configuration from them over links of 10 to 200 Mbit/s, and the beat that told of it came only in its turn when its sender had it from a peer. Ruled out: the store (acknowledged in 0.19 s, read by four hosts at once) and lost beats (the same host heard others of that reader).

Change: package pack (Zstandard by klauspost/compress, whose raw dictionaries make patches). A host that reads the store tells the newest change of the settings in three beats as a patch on the configuration before, whether it had it from the store or from a peer first. Who lacks the base fetches as before, packed.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -28,12 +28,26 @@
 // Wastes lists every cause.
 var Wastes = []Waste{WasteCallerGone, WasteBroken, WastePreempted, WasteStopped, WasteTimeLimit}
 
+// PeerTraffic says what a host sends to its peers. The set is closed.
+type PeerTraffic string
+
+// What hosts send to each other.
+const (
+	PeerBeats         PeerTraffic = "beats"
+	PeerIntroductions PeerTraffic = "introductions"
+	PeerNews          PeerTraffic = "news"
+)
+
+// PeerTraffics lists every kind.
+var PeerTraffics = []PeerTraffic{PeerBeats, PeerIntroductions, PeerNews}
+
 // Counters are the metrics of one daemon.
 type Counters struct {
 	set      *metrics.Set
 	refusals map[request.Reason]*metrics.Counter
 	retries  map[request.RetryReason]*metrics.Counter
 	wasted   map[Waste]*metrics.Counter
+	peers    map[PeerTraffic]*metrics.Counter
 	// Goodput counts tokens of answers that met their class's targets.
 	Goodput *metrics.Counter
 	// Tokens counts all tokens relayed.
@@ -55,6 +69,7 @@
 		refusals:         make(map[request.Reason]*metrics.Counter),
 		retries:          make(map[request.RetryReason]*metrics.Counter),
 		wasted:           make(map[Waste]*metrics.Counter),
+		peers:            make(map[PeerTraffic]*metrics.Counter),
 		Goodput:          set.NewCounter("oxbowslip_goodput_tokens_total"),
 		Tokens:           set.NewCounter("oxbowslip_tokens_total"),
 		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
@@ -70,9 +85,15 @@
 	for _, cause := range Wastes {
 		c.wasted[cause] = set.NewCounter(fmt.Sprintf(`oxbowslip_wasted_tokens_total{cause=%q}`, cause))
 	}
+	for _, kind := range PeerTraffics {
+		c.peers[kind] = set.NewCounter(fmt.Sprintf(`oxbowslip_peer_sent_bytes_total{kind=%q}`, kind))
+	}
 	return c
 }
 
+// SentToPeers counts bytes that were sent to peers, without what lies below UDP or TCP.
+func (c *Counters) SentToPeers(kind PeerTraffic, bytes int) { c.peers[kind].Add(bytes) }
+
 // Refused counts a refusal. A reason of a newer peer that this program does not
 // know counts as internal.
 func (c *Counters) Refused(reason request.Reason) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc/drpcserver"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
 )
 
 const (
@@ -52,6 +54,7 @@
 	Reads     []PrefixRead
 	Reading   bool
 	Delta     *DirectoryDelta
+	Patch     *SettingsPatch
 }
 
 // Host is what gossip speaks for.
@@ -86,8 +89,10 @@
 	log    *logrus.Entry
 	clock  func() time.Time
 	random func() float64
-	start  int64
-	life   uint32
+	// sent counts what goes to peers.
+	sent  func(kind counters.PeerTraffic, bytes int)
+	start int64
+	life  uint32
 
 	// registered says that this host's address is in the registry.
 	registered atomic.Bool
@@ -110,9 +115,11 @@
 }
 
 // New makes a host's part that does not listen yet.
-func New(config Config, host Host, log *logrus.Entry, clock func() time.Time, random func() float64) *Gossip {
+func New(config Config, host Host, log *logrus.Entry, clock func() time.Time, random func() float64,
+	sent func(kind counters.PeerTraffic, bytes int),
+) *Gossip {
 	g := &Gossip{
-		config: config, host: host, log: log, clock: clock, random: random, start: clock().UnixNano(),
+		config: config, host: host, log: log, clock: clock, random: random, sent: sent, start: clock().UnixNano(),
 		life: uint32(random() * math.MaxUint32), introduce: true,
 		changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1), members: NewMembers(config.Name),
 	}
@@ -180,7 +187,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.listener, g.packets, g.cancel = listener, packets, cancel
 	// It ends when ctx is cancelled; its error says just that.
-	go func() { _ = drpcserver.New(newNewsHandler(g.host)).Serve(ctx, listener) }()
+	go func() { _ = drpcserver.New(newNewsHandler(g.host, g.sent)).Serve(ctx, listener) }()
 	go g.receive()
 	return nil
 }
@@ -257,7 +264,7 @@
 	beat := &Beat{
 		Life: g.life, Sequence: g.sequence, Settings: state.Settings, Directory: state.Directory,
 		Loads: state.Loads, Pauses: state.Pauses, Reads: state.Reads, Leaving: g.leaving,
-		Reading: state.Reading, Delta: state.Delta,
+		Reading: state.Reading, Delta: state.Delta, Patch: state.Patch,
 	}
 	if g.members.Count() >= fullBeats {
 		beat.Loads, beat.Reads = nil, nil
@@ -299,6 +306,11 @@
 		g.log.WithError(err).Error("a beat can't be encoded")
 		return
 	}
+	kind := counters.PeerBeats
+	if beat.Intro != nil {
+		kind = counters.PeerIntroductions
+	}
+	g.sent(kind, len(data)*len(targets))
 	for _, target := range targets {
 		address, err := net.ResolveUDPAddr("udp", target)
 		if err != nil {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -11,6 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
 )
 
 var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
@@ -145,7 +147,7 @@
 	n := &node{heard: make(map[string]*Beat), done: make(chan struct{})}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n.gossip = New(Config{Name: name, Address: "127.0.0.1:0", FirstPeers: first}, n, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 })
+	n.gossip = New(Config{Name: name, Address: "127.0.0.1:0", FirstPeers: first}, n, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 }, func(counters.PeerTraffic, int) {})
 	c.Assert(n.gossip.Start(), qt.IsNil)
 	ended := make(chan struct{})
 	go func() {
@@ -253,7 +255,7 @@
 	c := qt.New(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	g := New(Config{Name: "a"}, &node{}, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 })
+	g := New(Config{Name: "a"}, &node{}, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 }, func(counters.PeerTraffic, int) {})
 	for n := range 300 {
 		g.members.Heard(time.Now(), &Beat{Life: uint32(n + 1), Sequence: 1, Intro: intro(fmt.Sprintf("host-%d", n), 1)})
 	}
@@ -271,7 +273,7 @@
 		t.Run(name, func(t *testing.T) {
 			log := logrus.New()
 			log.SetOutput(io.Discard)
-			g := New(Config{Name: "a"}, &node{}, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 })
+			g := New(Config{Name: "a"}, &node{}, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 }, func(counters.PeerTraffic, int) {})
 			for n := range hosts {
 				g.members.Heard(time.Now(), &Beat{Life: uint32(n + 1), Sequence: 1, Intro: intro(fmt.Sprintf("host-%d", n), 1)})
 			}
@@ -300,7 +302,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	g := New(Config{Name: "a"}, peer, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 })
+	g := New(Config{Name: "a"}, peer, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 }, func(counters.PeerTraffic, int) {})
 	c.Check(g.begin(topicDirectory), qt.IsTrue)
 	c.Check(g.begin(topicDirectory), qt.IsFalse)
 	c.Check(g.begin(topicSettings), qt.IsTrue)
--- a/internal/gossip/news.go
+++ b/internal/gossip/news.go
@@ -9,6 +9,8 @@
 	"github.com/ansel1/merry/v2"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
 )
 
 // topic is one of the things that a host may lack. They are fetched apart: a change
@@ -122,12 +124,13 @@
 // newsHandler answers peers that lack a revision.
 type newsHandler struct {
 	host Host
+	sent func(kind counters.PeerTraffic, bytes int)
 	// sending holds a token for each snapshot that is being sent.
 	sending chan struct{}
 }
 
-func newNewsHandler(host Host) newsHandler {
-	return newsHandler{host: host, sending: make(chan struct{}, maxSnapshots)}
+func newNewsHandler(host Host, sent func(kind counters.PeerTraffic, bytes int)) newsHandler {
+	return newsHandler{host: host, sent: sent, sending: make(chan struct{}, maxSnapshots)}
 }
 
 // HandleRPC answers one call.
@@ -148,5 +151,6 @@
 			news.Snapshot = nil
 		}
 	}
+	h.sent(counters.PeerNews, news.size())
 	return merry.Wrap(stream.MsgSend(&news, encoding{}))
 }
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -39,6 +39,19 @@
 	Reads []PrefixRead
 	// Delta is the newest change of the directory, told in a few beats.
 	Delta *DirectoryDelta
+	// Patch is the newest change of the settings, told in a few beats.
+	Patch *SettingsPatch
+}
+
+// SettingsPatch turns a configuration into the next. A host that holds another than
+// From can't use it.
+type SettingsPatch struct {
+	_ struct{} `cbor:",toarray"`
+
+	From uint64
+	To   uint64
+	// Data is the newer configuration, packed on the older one (see package pack).
+	Data []byte
 }
 
 // DirectoryDelta holds all changes of the directory after one revision up to another.
@@ -131,11 +144,22 @@
 type News struct {
 	_ struct{} `cbor:",toarray"`
 
-	// Settings is a configuration as the deployment writes it.
+	// Settings is a configuration as the deployment writes it, packed on the one of
+	// revision Base, or by itself if Base is 0.
 	Settings []byte
+	Base     uint64
 	Snapshot *DirectorySnapshot
 }
 
+// size is about the number of bytes of the news.
+func (n *News) size() int {
+	size := len(n.Settings)
+	if n.Snapshot != nil {
+		size += len(n.Snapshot.Entries)
+	}
+	return size
+}
+
 // DirectorySnapshot is the whole directory.
 type DirectorySnapshot struct {
 	_ struct{} `cbor:",toarray"`
@@ -143,7 +167,8 @@
 	// Revision is the state up to which all is known, Changed the newest change.
 	Revision uint64
 	Changed  uint64
-	Entries  []EndpointChange
+	// Entries are EndpointChanges in CBOR, packed by themselves.
+	Entries []byte
 }
 
 const rpcNews = "oxbowslip/news"
--- a/internal/router/share.go
+++ b/internal/router/share.go
@@ -36,7 +36,7 @@
 	s.mu.Unlock()
 	state := gossip.State{
 		Settings: s.revision(), Directory: s.directory.Changed(), Reads: s.scheduler.Reads(),
-		Reading: s.gate.reading(), Delta: s.endpoints.nextDelta(),
+		Reading: s.gate.reading(), Delta: s.endpoints.nextDelta(), Patch: s.sink.documents.nextPatch(),
 	}
 	for endpoint, load := range loads {
 		state.Loads = append(state.Loads, gossip.EndpointLoad{
@@ -75,6 +75,9 @@
 	}
 	s.scheduler.SetPeer(peer, translated, paused)
 	s.scheduler.HearReads(beat.Reads)
+	if beat.Patch != nil {
+		s.sink.hear(peer, beat.Patch)
+	}
 	if beat.Delta != nil {
 		s.endpoints.hear(peer, beat.Delta)
 	}
@@ -86,11 +89,15 @@
 // Newer gives what is newer than a peer's revisions.
 func (s *sharing) Newer(want gossip.Want) gossip.News {
 	var news gossip.News
-	if document, revision := s.sink.document(); revision > want.Settings {
-		news.Settings = document
+	var err error
+	news.Settings, news.Base, err = s.sink.documents.packed(want.Settings)
+	if err != nil {
+		s.log.WithError(err).Error("the settings can't be packed for a peer")
 	}
-	if snapshot := s.directory.Snapshot(); snapshot.Revision > want.Directory {
-		news.Snapshot = snapshotToWire(&snapshot)
+	if s.directory.Revision() > want.Directory {
+		if news.Snapshot, err = s.endpoints.packed(); err != nil {
+			s.log.WithError(err).Error("the endpoints can't be packed for a peer")
+		}
 	}
 	return news
 }
@@ -98,29 +105,11 @@
 // Take puts a peer's news in force.
 func (s *sharing) Take(peer string, news gossip.News) {
 	if len(news.Settings) > 0 {
-		s.sink.offer(news.Settings, peer)
-	}
-	if news.Snapshot != nil && s.directory.Replace(snapshotFromWire(news.Snapshot)) {
-		s.log.WithFields(logrus.Fields{
-			"revision": news.Snapshot.Revision, "from": peer, "endpoints": len(news.Snapshot.Entries),
-		}).Info("endpoints read")
-	}
-}
-
-func snapshotToWire(snapshot *directory.Snapshot) *gossip.DirectorySnapshot {
-	wire := &gossip.DirectorySnapshot{Revision: snapshot.Revision, Changed: snapshot.Changed}
-	for i := range snapshot.Entries {
-		wire.Entries = append(wire.Entries, toWire(&directory.Change{Entry: snapshot.Entries[i]}))
+		s.sink.take(peer, news.Base, news.Settings)
 	}
-	return wire
-}
-
-func snapshotFromWire(wire *gossip.DirectorySnapshot) directory.Snapshot {
-	snapshot := directory.Snapshot{Revision: wire.Revision, Changed: wire.Changed}
-	for i := range wire.Entries {
-		snapshot.Entries = append(snapshot.Entries, fromWire(&wire.Entries[i]).Entry)
+	if news.Snapshot != nil {
+		s.endpoints.take(peer, news.Snapshot)
 	}
-	return snapshot
 }
 
 // Changes of a load that are worth a beat.
--- a/internal/router/wire.go
+++ b/internal/router/wire.go
@@ -25,13 +25,12 @@
 )
 
 // Options gives the parts of a router to fx.
-func Options(config hostconfig.Host, deployment Deployment, log *logrus.Logger) fx.Option {
+func Options(config hostconfig.Host, deployment Deployment, c *counters.Counters, log *logrus.Logger) fx.Option {
 	return fx.Options(
-		fx.Supply(config, deployment, log),
+		fx.Supply(config, deployment, c, log),
 		fx.Provide(
 			func() func() time.Time { return time.Now },
 			func() func() float64 { return rand.Float64 },
-			counters.New,
 			explain.New,
 			record.New,
 			settings.NewHolder,
@@ -85,14 +84,14 @@
 }
 
 func newGossip(config hostconfig.Host, scheduler *placement.Scheduler, holder *settings.Holder, d *directory.Directory,
-	sink *settingsSink, endpoints *endpointsSink, gate *readGate, n *news, l *loadNews, log *logrus.Logger, clock func() time.Time, random func() float64,
+	sink *settingsSink, endpoints *endpointsSink, gate *readGate, n *news, l *loadNews, c *counters.Counters, log *logrus.Logger, clock func() time.Time, random func() float64,
 ) *gossip.Gossip {
 	shared := &sharing{
 		scheduler: scheduler, settings: holder, directory: d, sink: sink, endpoints: endpoints, gate: gate, log: logging.Part(log, "endpoints"), clock: clock,
 	}
 	g := gossip.New(gossip.Config{
 		Name: config.Name, Zone: config.Zone, Address: config.Peers, FirstPeers: config.FirstPeers,
-	}, shared, logging.Part(log, "peers"), clock, random)
+	}, shared, logging.Part(log, "peers"), clock, random, c.SentToPeers)
 	gate.gossip.Store(g)
 	changed := g.ChangedRevision
 	n.listener.Store(&changed)
