The streams of all hosts open the lane for short prompts

The lane that keeps them apart was opened by each of 78 hosts from its own two streams a second: the first at 1.6 s, the last at 15 s (their log lines "short prompts get endpoints of their own"). Ruled out: slow servers alone (11 of 90 were slow for 6 s; one held 71 of 1,224 late streams, the rest were spread over 102 endpoints), late first events (70 of 6,300). So it must open on evidence, and sooner.

Change: beats tell how many streams of short prompts a host has had lately (a time constant of 3 s) and how many were late; with 25 or more of all hosts together, 15 in 100 late open the lane. A host's own rule stays.

Tests: TestTheStreamsOfAllHostsOpenALane, TestRecentStreamsAreTold.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -55,6 +55,7 @@
 	Reading   bool
 	Delta     *DirectoryDelta
 	Patch     *SettingsPatch
+	Streams   []StreamCount
 }
 
 // Host is what gossip speaks for.
@@ -264,10 +265,10 @@
 	beat := &Beat{
 		Life: g.life, Sequence: g.sequence, Settings: state.Settings, Directory: state.Directory,
 		Loads: state.Loads, Pauses: state.Pauses, Reads: state.Reads, Leaving: g.leaving,
-		Reading: state.Reading, Delta: state.Delta, Patch: state.Patch,
+		Reading: state.Reading, Delta: state.Delta, Patch: state.Patch, Streams: state.Streams,
 	}
 	if g.members.Count() >= fullBeats {
-		beat.Loads, beat.Reads = nil, nil
+		beat.Loads, beat.Reads, beat.Streams = nil, nil, nil
 	}
 	if g.introduce {
 		beat.Intro = &Intro{
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -39,6 +39,8 @@
 	Reads []PrefixRead
 	// Delta is the newest change of the directory, told in a few beats.
 	Delta *DirectoryDelta
+	// Streams tell how the sender's streams of short prompts have fared lately.
+	Streams []StreamCount
 	// Patch is the newest change of the settings, told in a few beats.
 	Patch *SettingsPatch
 }
@@ -123,6 +125,25 @@
 	Tokens int
 }
 
+// ServiceKey is a short name of a service: a hash of its name.
+type ServiceKey uint32
+
+// KeyOfService gives the key of a service.
+func KeyOfService(service string) ServiceKey { return ServiceKey(xxhash.Sum64String(service)) }
+
+// StreamUnit is the number of units that one stream counts in beats.
+const StreamUnit = 8
+
+// StreamCount counts the sender's recent streams of short prompts at a service, and
+// those that paused for too long, in units of 1/StreamUnit.
+type StreamCount struct {
+	_ struct{} `cbor:",toarray"`
+
+	Service ServiceKey
+	Late    int
+	All     int
+}
+
 // EndpointPause says that an endpoint failed the sender.
 type EndpointPause struct {
 	_ struct{} `cbor:",toarray"`
--- a/internal/placement/board.go
+++ b/internal/placement/board.go
@@ -44,10 +44,11 @@
 	broken time.Time
 }
 
-// peerLoads is what one peer has told of its loads.
-type peerLoads struct {
-	at    time.Time
-	loads map[gossip.EndpointKey]Load
+// peerWord is what one peer has told of its work.
+type peerWord struct {
+	at      time.Time
+	loads   map[gossip.EndpointKey]Load
+	streams map[gossip.ServiceKey]streamCount
 }
 
 // peerLoadAge is how long a peer's word on its loads counts.
@@ -56,7 +57,7 @@
 // Board is one host's view of the work at all endpoints.
 type Board struct {
 	own   map[string]*Load
-	peers map[string]peerLoads
+	peers map[string]peerWord
 	// peerTotals are the sums over all peers.
 	peerTotals map[gossip.EndpointKey]Load
 	// peerPauses are the pauses that peers have told of.
@@ -66,7 +67,7 @@
 	// with the last time.
 	holders map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time
 	// records tell how the streams of short prompts fare, by service.
-	records map[string]*pauseRecord
+	records map[string]*streamRecord
 	// lanes are remembered by service.
 	lanes map[string]laneMemory
 }
@@ -77,9 +78,9 @@
 // NewBoard makes an empty board.
 func NewBoard() *Board {
 	return &Board{
-		own: make(map[string]*Load), peers: make(map[string]peerLoads), peerTotals: make(map[gossip.EndpointKey]Load),
+		own: make(map[string]*Load), peers: make(map[string]peerWord), peerTotals: make(map[gossip.EndpointKey]Load),
 		peerPauses: make(map[gossip.EndpointKey]time.Time), pauses: make(map[string]*pause),
-		holders: make(map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time), records: make(map[string]*pauseRecord),
+		holders: make(map[gossip.PrefixKey]map[gossip.EndpointKey]time.Time), records: make(map[string]*streamRecord),
 		lanes: make(map[string]laneMemory),
 	}
 }
@@ -159,10 +160,10 @@
 	return loads
 }
 
-// SetPeer takes a peer's loads.
-func (b *Board) SetPeer(now time.Time, peer string, loads map[gossip.EndpointKey]Load) {
+// SetPeer takes a peer's loads, and how its streams fare.
+func (b *Board) SetPeer(now time.Time, peer string, loads map[gossip.EndpointKey]Load, streams map[gossip.ServiceKey]streamCount) {
 	b.DropPeer(peer)
-	b.peers[peer] = peerLoads{at: now, loads: loads}
+	b.peers[peer] = peerWord{at: now, loads: loads, streams: streams}
 	for key, load := range loads {
 		total := b.peerTotals[key]
 		total.add(load)
--- a/internal/placement/lanes.go
+++ b/internal/placement/lanes.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -92,49 +91,3 @@
 	}
 	return in
 }
-
-// When a service gets a lane for short prompts: while more of their streams than
-// laneOpens pause for longer than they should, and for laneTime after.
-const (
-	laneOpens = 0.15
-	laneTime  = 20 * time.Second
-	// latePart is the part of the target for pauses from which a stream counts as
-	// late, lateWeight the weight of one stream in the average.
-	latePart   = 0.97
-	lateWeight = 0.10
-)
-
-// pauseRecord is how the streams of short prompts fare at a service.
-type pauseRecord struct {
-	// late is a moving average of the part of streams that paused too long.
-	late float64
-	// until is when the lane for short prompts closes.
-	until time.Time
-}
-
-// Streamed books the longest pause of a stream of a short prompt, against its target.
-// It reports whether the service has got a lane for short prompts by it.
-func (b *Board) Streamed(now time.Time, service string, longest, target time.Duration) bool {
-	record, ok := b.records[service]
-	if !ok {
-		record = new(pauseRecord)
-		b.records[service] = record
-	}
-	sample := 0.0
-	if float64(longest) > latePart*float64(target) {
-		sample = 1
-	}
-	record.late += lateWeight * (sample - record.late)
-	if record.late < laneOpens {
-		return false
-	}
-	opened := !b.shortLane(now, service)
-	record.until = now.Add(laneTime)
-	return opened
-}
-
-// shortLane reports whether a service has a lane for short prompts.
-func (b *Board) shortLane(now time.Time, service string) bool {
-	record, ok := b.records[service]
-	return ok && now.Before(record.until)
-}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -61,18 +62,18 @@
 		},
 		"work of peers counts": {
 			func(b *Board) {
-				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}, gossip.KeyOf("e3"): {Tokens: 9000}})
+				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}, gossip.KeyOf("e3"): {Tokens: 9000}}, nil)
 			}, short(), "e2",
 		},
 		"a peer's last word counts": {
 			func(b *Board) {
-				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e2"): {Requests: 50}})
-				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}, gossip.KeyOf("e3"): {Tokens: 9000}})
+				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e2"): {Requests: 50}}, nil)
+				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}, gossip.KeyOf("e3"): {Tokens: 9000}}, nil)
 			}, short(), "e2",
 		},
 		"work of a peer that left does not count": {
 			func(b *Board) {
-				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}})
+				b.SetPeer(start, "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}}, nil)
 				b.DropPeer("p")
 				b.Begin("e2", 0)
 				b.Begin("e3", 0)
@@ -80,7 +81,7 @@
 		},
 		"work of a peer that fell silent does not": {
 			func(b *Board) {
-				b.SetPeer(start.Add(-time.Minute), "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}})
+				b.SetPeer(start.Add(-time.Minute), "p", map[gossip.EndpointKey]Load{gossip.KeyOf("e1"): {Requests: 30}}, nil)
 				b.Expire(start)
 				b.Begin("e2", 0)
 				b.Begin("e3", 0)
@@ -156,7 +157,7 @@
 		lanes := lanesOf(all, shortLane)
 		b := NewBoard()
 		if shortLane {
-			b.records["llm"] = &pauseRecord{until: start.Add(time.Second)}
+			b.records["llm"] = &streamRecord{until: start.Add(time.Second)}
 		}
 		for prefix := range uint64(50) {
 			shallow := long(prefix * 977)
@@ -381,3 +382,46 @@
 		})
 	}
 }
+
+// TestTheStreamsOfAllHostsOpenALane is scale-2 of the grown Kochi site: each of 78 hosts
+// saw two streams of short prompts a second, and the last opened its lane after 15 s,
+// when one stream in four was late.
+func TestTheStreamsOfAllHostsOpenALane(t *testing.T) {
+	count := func(late, all int) []gossip.StreamCount {
+		return []gossip.StreamCount{{Service: gossip.KeyOfService("llm"), Late: late * gossip.StreamUnit, All: all * gossip.StreamUnit}}
+	}
+	tests := map[string]struct {
+		peers [][]gossip.StreamCount
+		want  bool
+	}{
+		"many late":          {[][]gossip.StreamCount{count(3, 15), count(3, 15)}, true},
+		"few late":           {[][]gossip.StreamCount{count(3, 15), count(0, 15)}, false},
+		"too few to tell":    {[][]gossip.StreamCount{count(10, 10)}, false},
+		"at another service": {[][]gossip.StreamCount{{{Service: 1, Late: 800, All: 800}}}, false},
+		"nothing told":       {nil, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := start
+			s := newScheduler(func() time.Time { return now })
+			s.Streamed("llm", short(), 100*time.Millisecond, 400*time.Millisecond)
+			for n, streams := range test.peers {
+				s.SetPeer(fmt.Sprint("peer-", n), nil, nil, streams)
+			}
+			qt.Check(t, s.board.shortLane(now, "llm"), qt.Equals, test.want)
+			qt.Check(t, s.board.shortLane(now.Add(laneTime), "llm"), qt.IsFalse)
+		})
+	}
+}
+
+func TestRecentStreamsAreTold(t *testing.T) {
+	c := qt.New(t)
+	now := start
+	s := newScheduler(func() time.Time { return now })
+	c.Check(s.Streams(), qt.HasLen, 0)
+	s.Streamed("llm", short(), 500*time.Millisecond, 400*time.Millisecond)
+	s.Streamed("llm", short(), 100*time.Millisecond, 400*time.Millisecond)
+	c.Check(s.Streams(), qt.DeepEquals, []gossip.StreamCount{{Service: gossip.KeyOfService("llm"), Late: 8, All: 16}})
+	now = now.Add(recentTime)
+	c.Check(s.Streams(), qt.HasLen, 0, qt.Commentf("less than one stream is left of two"))
+}
--- a/internal/placement/scheduler.go
+++ b/internal/placement/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -179,11 +180,28 @@
 	return s.board.Own(), s.board.Paused(s.clock())
 }
 
-// SetPeer takes a peer's loads and pauses.
-func (s *Scheduler) SetPeer(peer string, loads map[gossip.EndpointKey]Load, paused map[gossip.EndpointKey]time.Time) {
+// Streams tells how this host's streams of short prompts have fared lately.
+func (s *Scheduler) Streams() []gossip.StreamCount {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.board.SetPeer(s.clock(), peer, loads)
+	var counts []gossip.StreamCount
+	for service, recent := range s.board.Streams(s.clock()) {
+		counts = append(counts, gossip.StreamCount{
+			Service: service, Late: int(math.Round(recent.late * gossip.StreamUnit)), All: int(math.Round(recent.all * gossip.StreamUnit)),
+		})
+	}
+	return counts
+}
+
+// SetPeer takes a peer's loads and pauses, and how its streams fare.
+func (s *Scheduler) SetPeer(peer string, loads map[gossip.EndpointKey]Load, paused map[gossip.EndpointKey]time.Time, streams []gossip.StreamCount) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock()
+	s.board.SetPeer(now, peer, loads, streamCounts(streams))
+	for _, service := range s.board.OpenLanes(now) {
+		s.log.WithField("service", service).Info("short prompts get endpoints of their own, too many streams of all hosts pause too long")
+	}
 	for endpoint, until := range paused {
 		if s.board.Pause(endpoint, until) {
 			s.log.WithFields(logrus.Fields{"endpoint_key": endpoint, "from": peer, "until": until}).Info("endpoint paused, as a peer says")
@@ -191,6 +209,14 @@
 	}
 }
 
+func streamCounts(told []gossip.StreamCount) map[gossip.ServiceKey]streamCount {
+	counts := make(map[gossip.ServiceKey]streamCount, len(told))
+	for _, count := range told {
+		counts[count.Service] = streamCount{late: float64(count.Late) / gossip.StreamUnit, all: float64(count.All) / gossip.StreamUnit}
+	}
+	return counts
+}
+
 // DropPeer forgets a peer that left.
 func (s *Scheduler) DropPeer(peer string) {
 	s.mu.Lock()
--- a/internal/router/share.go
+++ b/internal/router/share.go
@@ -36,7 +36,7 @@
 	s.mu.Unlock()
 	state := gossip.State{
 		Settings: s.revision(), Directory: s.directory.Changed(), Reads: s.scheduler.Reads(),
-		Reading: s.gate.reading(), Delta: s.endpoints.nextDelta(), Patch: s.sink.documents.nextPatch(),
+		Reading: s.gate.reading(), Delta: s.endpoints.nextDelta(), Patch: s.sink.documents.nextPatch(), Streams: s.scheduler.Streams(),
 	}
 	for endpoint, load := range loads {
 		state.Loads = append(state.Loads, gossip.EndpointLoad{
@@ -73,7 +73,7 @@
 	for _, pause := range beat.Pauses {
 		paused[pause.Endpoint] = now.Add(pause.Left)
 	}
-	s.scheduler.SetPeer(peer, translated, paused)
+	s.scheduler.SetPeer(peer, translated, paused, beat.Streams)
 	s.scheduler.HearReads(beat.Reads)
 	if beat.Patch != nil {
 		s.sink.hear(peer, beat.Patch)
