Introductions go to strangers only; silent members are dropped on busy hosts too

Found on the way: members were expired only after a rest in which nothing had changed, so a busy host kept dead peers, and dead readers of the store, in its count.

Change: an introduction is a datagram of its own, sent to addresses that were not heard and in answer to one that asks; it hands on 64, 16 or 4 addresses, by how many the asker lacks. A beat of an unknown life makes its address be asked. Some member is asked every 3 s. Members expire after each rest.

Tests: TestOnlyStrangersAreIntroducedTo, TestAnUnknownSenderIsAsked, TestStrangers.

--- a/internal/gossip/capacity_test.go
+++ b/internal/gossip/capacity_test.go
@@ -24,7 +24,7 @@
 		}
 		if intro {
 			beat.Intro = &Intro{Host: "front-north-wharf-1", Address: "10.1.0.40:8229", Zone: "north-wharf", Start: time.Now().UnixNano()}
-			for n := range maxKnown {
+			for n := range manyKnown {
 				beat.Intro.Known = append(beat.Intro.Known, fmt.Sprintf("10.1.0.%d:8229", n))
 			}
 		}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,12 +33,14 @@
 	// a larger fleet they would cost more than they are worth: each host has little
 	// of the load of an endpoint, and the homes of prefixes need no word.
 	fullBeats = 120
-	// introduceEvery is the number of rests between two introductions, which also go
-	// to the addresses that were not heard. The first beats are introductions too.
-	introduceEvery     = 3
-	firstIntroductions = 2
-	// maxKnown bounds the addresses that an introduction hands on.
-	maxKnown = 12
+	// An introduction hands on addresses: many to a host that knows less than half as
+	// many hosts, some to one that knows fewer, and a few to others.
+	manyKnown = 64
+	someKnown = 16
+	fewKnown  = 4
+	// askInterval is the mean time between two questions to some member for hosts that
+	// this one does not know.
+	askInterval = 3 * time.Second
 	// catchUpGrace is how long a newer revision may take to come from the store
 	// before a peer is asked.
 	catchUpGrace = 200 * time.Millisecond
@@ -107,10 +110,11 @@
 	mu       sync.Mutex
 	members  *Members
 	sequence uint64
-	rests    int
-	// introduce says that the next beat carries an introduction.
-	introduce bool
-	leaving   bool
+	// told is what the last beat said of this host, without its work.
+	told State
+	// askAt is when some member is asked next.
+	askAt   time.Time
+	leaving bool
 	// catching says which topics are being fetched.
 	catching [topics]bool
 }
@@ -121,7 +125,7 @@
 ) *Gossip {
 	g := &Gossip{
 		config: config, host: host, log: log, clock: clock, random: random, sent: sent, start: clock().UnixNano(),
-		life: uint32(random() * math.MaxUint32), introduce: true,
+		life:    uint32(random() * math.MaxUint32),
 		changed: make(chan struct{}, 1), urgent: make(chan struct{}, 1), members: NewMembers(config.Name),
 	}
 	g.Contact(config.FirstPeers)
@@ -203,6 +207,7 @@
 		if !g.rest(done) {
 			return
 		}
+		g.expire()
 	}
 }
 
@@ -223,7 +228,6 @@
 	case <-g.changed:
 	case <-g.urgent:
 	case <-idle.C:
-		g.expire()
 	case <-done:
 		return false
 	}
@@ -233,8 +237,6 @@
 // expire drops silent members.
 func (g *Gossip) expire() {
 	g.mu.Lock()
-	g.rests++
-	g.introduce = g.introduce || g.rests%introduceEvery == 0
 	limit := max(silence, time.Duration(g.members.Count())*silencePerMember)
 	gone := g.members.Expire(g.clock(), limit)
 	hosts := g.members.Count() + 1
@@ -245,7 +247,7 @@
 	}
 }
 
-// beat tells all members, and now and then the addresses that were not heard.
+// beat tells all members, and introduces this host to the addresses that were not heard.
 func (g *Gossip) beat() {
 	state := g.host.State()
 	g.mu.Lock()
@@ -254,14 +256,29 @@
 		return
 	}
 	beat := g.newBeat(state)
-	targets := g.targets()
+	members := g.addresses()
+	introduction := g.newIntroduction(true, 0)
+	unheard := append(g.members.Unheard(g.clock()), g.someoneToAsk()...)
 	g.mu.Unlock()
-	g.send(beat, targets)
+	g.send(beat, members)
+	g.send(introduction, unheard)
+}
+
+// someoneToAsk picks a member to ask for hosts that this one does not know, if that is
+// due. The lock is held.
+func (g *Gossip) someoneToAsk() []string {
+	now := g.clock()
+	if now.Before(g.askAt) {
+		return nil
+	}
+	g.askAt = now.Add(time.Duration((0.5 + g.random()) * float64(askInterval)))
+	return g.someMembers(1)
 }
 
 // newBeat makes the next beat. The lock is held.
 func (g *Gossip) newBeat(state State) *Beat {
 	g.sequence++
+	g.told = State{Settings: state.Settings, Directory: state.Directory, Reading: state.Reading}
 	beat := &Beat{
 		Life: g.life, Sequence: g.sequence, Settings: state.Settings, Directory: state.Directory,
 		Loads: state.Loads, Pauses: state.Pauses, Reads: state.Reads, Leaving: g.leaving,
@@ -270,38 +287,62 @@
 	if g.members.Count() >= fullBeats {
 		beat.Loads, beat.Reads, beat.Streams = nil, nil, nil
 	}
-	if g.introduce {
-		beat.Intro = &Intro{
-			Host: g.config.Name, Address: g.config.Address, Zone: g.config.Zone, Start: g.start, Known: g.someMembers(),
-		}
-	}
 	return beat
 }
 
-// someMembers picks a few addresses to hand on. The lock is held.
-func (g *Gossip) someMembers() []string {
-	live := g.members.Live()
-	var known []string
-	for range min(maxKnown, len(live)) {
-		known = append(known, live[int(g.random()*float64(len(live)))].Address)
+// newIntroduction makes a beat that says who this host is, and nothing of its work. Ask
+// wants an introduction in return; known is how many other hosts it names. The lock is
+// held.
+func (g *Gossip) newIntroduction(ask bool, known int) *Beat {
+	g.sequence++
+	return &Beat{
+		Life: g.life, Sequence: g.sequence, Settings: g.told.Settings, Directory: g.told.Directory, Reading: g.told.Reading,
+		Intro: &Intro{
+			Host: g.config.Name, Address: g.config.Address, Zone: g.config.Zone, Start: g.start, Ask: ask,
+			Hosts: g.members.Count() + 1, Known: g.someMembers(known),
+		},
 	}
-	return known
 }
 
-// targets lists where the next beat goes. The lock is held.
-func (g *Gossip) targets() []string {
-	var targets []string
+// someMembers picks addresses to hand on, at most a number of them. The lock is held.
+func (g *Gossip) someMembers(most int) []string {
+	if most == 0 {
+		return nil
+	}
+	live := g.addresses()
+	first := int(g.random() * float64(len(live)))
+	known := slices.Concat(live[first:], live[:first])
+	return known[:min(most, len(known))]
+}
+
+// addresses lists where the members are. The lock is held.
+func (g *Gossip) addresses() []string {
+	addresses := make([]string, 0, g.members.Count())
 	for _, member := range g.members.Live() {
-		targets = append(targets, member.Address)
+		addresses = append(addresses, member.Address)
 	}
-	if g.introduce {
-		targets = append(targets, g.members.Unheard()...)
+	return addresses
+}
+
+// answer introduces this host to one that asked.
+func (g *Gossip) answer(asked *Intro) {
+	g.mu.Lock()
+	known := fewKnown
+	switch hosts := g.members.Count() + 1; {
+	case 2*asked.Hosts < hosts:
+		known = manyKnown
+	case asked.Hosts < hosts:
+		known = someKnown
 	}
-	g.introduce = g.sequence < firstIntroductions
-	return targets
+	introduction := g.newIntroduction(false, known)
+	g.mu.Unlock()
+	g.send(introduction, []string{asked.Address})
 }
 
 func (g *Gossip) send(beat *Beat, targets []string) {
+	if len(targets) == 0 {
+		return
+	}
 	data, err := cbor.Marshal(beat)
 	if err != nil {
 		g.log.WithError(err).Error("a beat can't be encoded")
@@ -326,7 +367,7 @@
 func (g *Gossip) receive() {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := g.packets.ReadFrom(buffer)
+		n, from, err := g.packets.ReadFrom(buffer)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
@@ -335,16 +376,20 @@
 		}
 		var beat Beat
 		if cbor.Unmarshal(buffer[:n], &beat) == nil {
-			g.heard(&beat)
+			g.heard(&beat, from.String())
 		}
 	}
 }
 
-func (g *Gossip) heard(beat *Beat) {
+// heard takes a beat that came from an address.
+func (g *Gossip) heard(beat *Beat, from string) {
 	g.mu.Lock()
 	member, isNew, counts := g.members.Heard(g.clock(), beat)
-	g.introduce = g.introduce || isNew
+	if !counts && beat.Intro == nil && !g.members.Knows(beat.Life) {
+		g.members.Stranger(g.clock(), from)
+	}
 	hosts := g.members.Count() + 1
+	leaving := g.leaving
 	g.mu.Unlock()
 	if !counts {
 		return
@@ -354,7 +399,11 @@
 		g.log.WithFields(logrus.Fields{"peer": member.Name, "hosts": hosts}).Info("peer leaves")
 		return
 	}
-	g.host.Hear(member.Name, beat)
+	if beat.Intro == nil {
+		g.host.Hear(member.Name, beat)
+	} else if beat.Intro.Ask && !leaving {
+		g.answer(beat.Intro)
+	}
 	if isNew {
 		g.log.WithFields(logrus.Fields{"peer": member.Name, "address": member.Address, "hosts": hosts}).Info("peer heard")
 		g.Changed()
@@ -367,9 +416,9 @@
 	g.mu.Lock()
 	g.leaving = true
 	beat := g.newBeat(State{})
-	targets := g.targets()
+	members := g.addresses()
 	g.mu.Unlock()
-	g.send(beat, targets)
+	g.send(beat, members)
 }
 
 // Close ends all links.
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,12 +69,14 @@
 	m := NewMembers("self")
 	m.Heard(start, &Beat{Life: 1, Sequence: 1, Intro: intro("a", 1, "c:1")})
 	m.Heard(start.Add(900*time.Millisecond), &Beat{Life: 2, Sequence: 1, Intro: intro("b", 1)})
-	c.Check(m.Unheard(), qt.DeepEquals, []string{"c:1"})
+	c.Check(m.Unheard(start.Add(time.Second)), qt.DeepEquals, []string{"c:1"})
 	c.Check(m.Expire(start.Add(1100*time.Millisecond), time.Second), qt.DeepEquals, []string{"a"})
-	c.Check(m.Unheard(), qt.DeepEquals, []string{"a:1", "c:1"}, qt.Commentf("it is tried again: it may come back"))
+	c.Check(m.Unheard(start.Add(1100*time.Millisecond)), qt.DeepEquals, []string{"a:1"}, qt.Commentf("it is tried again: it may come back"))
+	c.Check(m.Unheard(start.Add(1200*time.Millisecond)), qt.HasLen, 0, qt.Commentf("each address has been tried just now"))
+	c.Check(m.Unheard(start.Add(time.Second+contactInterval)), qt.DeepEquals, []string{"c:1"})
 	c.Check(m.Live(), qt.HasLen, 1)
 	m.Expire(start.Add(contactAge+500*time.Millisecond), time.Hour)
-	c.Check(m.Unheard(), qt.HasLen, 0, qt.Commentf("addresses that nobody names are forgotten"))
+	c.Check(m.Unheard(start.Add(time.Hour)), qt.HasLen, 0, qt.Commentf("addresses that nobody names are forgotten"))
 }
 
 // node is a host that records what it hears.
@@ -86,6 +90,15 @@
 	heard map[string]*Beat
 	lost  []string
 	taken []string
+	// introductions counts what was sent.
+	introductions atomic.Int32
+}
+
+// count is told of each send.
+func (n *node) count(kind counters.PeerTraffic, _ int) {
+	if kind == counters.PeerIntroductions {
+		n.introductions.Add(1)
+	}
 }
 
 func (n *node) State() State {
@@ -147,7 +160,7 @@
 	n := &node{heard: make(map[string]*Beat), done: make(chan struct{})}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	n.gossip = New(Config{Name: name, Address: "127.0.0.1:0", FirstPeers: first}, n, logrus.NewEntry(log), time.Now, func() float64 { return 0.5 }, func(counters.PeerTraffic, int) {})
+	n.gossip = New(Config{Name: name, Address: "127.0.0.1:0", FirstPeers: first}, n, logrus.NewEntry(log), time.Now, rand.Float64, n.count)
 	c.Assert(n.gossip.Start(), qt.IsNil)
 	ended := make(chan struct{})
 	go func() {
@@ -309,3 +322,58 @@
 	g.end(topicDirectory)
 	c.Check(g.begin(topicDirectory), qt.IsTrue)
 }
+
+// TestOnlyStrangersAreIntroducedTo is a fleet of 297 hosts: nine tenths of what hosts told
+// each other were introductions, sent to all whenever one host was new.
+func TestOnlyStrangersAreIntroducedTo(t *testing.T) {
+	c := qt.New(t)
+	a := startNode(c, "a")
+	b := startNode(c, "b", a.gossip.Address())
+	eventually(c, "both hosts", func() bool { return a.gossip.Hosts() == 2 && b.gossip.Hosts() == 2 })
+	sent := b.introductions.Load()
+	late := startNode(c, "late", a.gossip.Address())
+	for _, n := range []*node{a, b, late} {
+		eventually(c, "three hosts", func() bool { return n.gossip.Hosts() == 3 })
+	}
+	// b introduces itself to the new host: by itself or asked, and at most both.
+	c.Check(b.introductions.Load()-sent <= 2, qt.IsTrue, qt.Commentf("%d introductions", b.introductions.Load()-sent))
+}
+
+// TestAnUnknownSenderIsAsked is the loss of an introduction: without it, the beats of its
+// sender would never count.
+func TestAnUnknownSenderIsAsked(t *testing.T) {
+	c := qt.New(t)
+	a := startNode(c, "a")
+	b := startNode(c, "b", a.gossip.Address())
+	eventually(c, "both hosts", func() bool { return a.gossip.Hosts() == 2 && b.gossip.Hosts() == 2 })
+	a.gossip.mu.Lock()
+	a.gossip.members.forget("b")
+	delete(a.gossip.members.contacts, b.gossip.Address())
+	a.gossip.mu.Unlock()
+	eventually(c, "b is known again", func() bool { return a.gossip.Hosts() == 2 })
+}
+
+func TestStrangers(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(m *Members)
+		want    []string
+	}{
+		"an unknown address": {func(m *Members) { m.Stranger(start, "x:1") }, []string{"x:1"}},
+		"a member's address, with another life": {func(m *Members) {
+			m.Heard(start, &Beat{Life: 1, Sequence: 1, Intro: intro("a", 1)})
+			m.Stranger(start, "a:1")
+		}, []string{"a:1"}},
+		"asked a moment ago": {func(m *Members) {
+			m.Stranger(start, "x:1")
+			m.Unheard(start)
+			m.Stranger(start, "x:1")
+		}, nil},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := NewMembers("self")
+			test.prepare(m)
+			qt.Check(t, m.Unheard(start.Add(time.Second)), qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -29,22 +29,45 @@
 	live map[string]*Member
 	// names finds the member that a life belongs to.
 	names map[uint32]string
-	// contacts are addresses where a host may be, with when they were last named.
-	contacts map[string]time.Time
+	// contacts are addresses where a host may be.
+	contacts map[string]*contact
 }
 
 // NewMembers makes the view of a host that has heard no other.
 func NewMembers(self string) *Members {
 	return &Members{
-		self: self, live: make(map[string]*Member), names: make(map[uint32]string), contacts: make(map[string]time.Time),
+		self: self, live: make(map[string]*Member), names: make(map[uint32]string), contacts: make(map[string]*contact),
 	}
 }
 
-// contactAge is how long an address is tried that nobody names any more.
-const contactAge = 10 * time.Minute
+// contact is an address where a host may be.
+type contact struct {
+	// named is when the address was last named, tried when it was last sent an
+	// introduction.
+	named time.Time
+	tried time.Time
+	// stranger says that a beat came from there whose sender is not known: it was not
+	// heard to introduce itself.
+	stranger bool
+}
+
+const (
+	// contactAge is how long an address is tried that nobody names any more.
+	contactAge = 10 * time.Minute
+	// contactInterval is the time between two introductions to an address that does
+	// not answer.
+	contactInterval = 3 * time.Second
+)
 
 // Contact notes an address where a host may be.
-func (m *Members) Contact(now time.Time, address string) { m.contacts[address] = now }
+func (m *Members) Contact(now time.Time, address string) {
+	known, ok := m.contacts[address]
+	if !ok {
+		known = new(contact)
+		m.contacts[address] = known
+	}
+	known.named = now
+}
 
 // Heard takes a beat. It gives the member that sent it, or false if the beat does
 // not count: it is an echo, it is older than the last one of its host, or its sender
@@ -91,6 +114,12 @@
 	return true
 }
 
+// Knows reports whether a life is that of a member.
+func (m *Members) Knows(life uint32) bool {
+	_, ok := m.names[life]
+	return ok
+}
+
 // forget drops a member.
 func (m *Members) forget(name string) {
 	if member, ok := m.live[name]; ok {
@@ -102,8 +131,8 @@
 // Expire drops the members that have been silent for longer than a limit, and names
 // them. Addresses that nobody has named for long are forgotten.
 func (m *Members) Expire(now time.Time, limit time.Duration) []string {
-	for address, named := range m.contacts {
-		if now.Sub(named) > contactAge {
+	for address, known := range m.contacts {
+		if now.Sub(known.named) > contactAge {
 			delete(m.contacts, address)
 		}
 	}
@@ -130,17 +159,29 @@
 // Count is the number of members, this host left out.
 func (m *Members) Count() int { return len(m.live) }
 
-// Unheard lists the addresses where a host may be that is not a member now.
-func (m *Members) Unheard() []string {
+// Stranger notes that a beat of an unknown sender came from an address.
+func (m *Members) Stranger(now time.Time, address string) {
+	if _, ok := m.contacts[address]; !ok {
+		m.Contact(now, address)
+	}
+	m.contacts[address].stranger = true
+}
+
+// Unheard lists the addresses that are to be asked for an introduction now, and counts
+// them as tried: those where a host may be that is not a member, and strangers'.
+func (m *Members) Unheard(now time.Time) []string {
 	heard := make(map[string]bool, len(m.live))
 	for _, member := range m.live {
 		heard[member.Address] = true
 	}
 	var addresses []string
-	for address := range m.contacts {
-		if !heard[address] {
-			addresses = append(addresses, address)
+	for address, known := range m.contacts {
+		wanted := known.stranger || !heard[address]
+		if !wanted || (!known.tried.IsZero() && now.Sub(known.tried) < contactInterval) {
+			continue
 		}
+		known.tried, known.stranger = now, false
+		addresses = append(addresses, address)
 	}
 	slices.Sort(addresses)
 	return addresses
--- a/internal/gossip/wire.go
+++ b/internal/gossip/wire.go
@@ -23,8 +23,8 @@
 	// numbers the beats of one life.
 	Life     uint32
 	Sequence uint64
-	// Intro is sent now and then, and as soon as a host is new. Beats between are
-	// shorter by it.
+	// Intro is sent to hosts that do not know the sender, or ask. A beat with it tells
+	// nothing of the sender's work.
 	Intro *Intro
 	// Settings and Directory are the newest revisions that the host has.
 	Settings  uint64
@@ -100,8 +100,12 @@
 	Zone    string
 	// Start orders the lives of a host.
 	Start int64
-	// Known are the addresses of a few other hosts.
+	// Known are the addresses of some other hosts.
 	Known []string
+	// Ask wants the receiver to introduce itself too: the sender has not heard it.
+	Ask bool
+	// Hosts is how many hosts the sender knows, itself included.
+	Hosts int
 }
 
 // EndpointKey is a short name of an endpoint: a hash of its ID. Two endpoints with
