Entries that lapse together are kept for 1.5 s

Change: when at least two, and half or more, of a service's entries that take work go in one change, they are kept as lapsed for 1.5 s, less than DrainMs, then dropped if they have not come back. An entry that says it leaves is never kept.

Ruled out: to go by whether the store was away: in a large fleet only a few hosts know that.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -44,11 +44,14 @@
 	serving map[string][]*Entry
 	// leaving lists those that do not.
 	leaving map[string][]*Entry
+	// lapsed are the entries that are kept though they are gone, with the revision at
+	// which they went: see lapse.go.
+	lapsed map[string]uint64
 }
 
 // New makes an empty directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]*Entry), serving: make(map[string][]*Entry), leaving: make(map[string][]*Entry)}
+	return &Directory{entries: make(map[string]*Entry), serving: make(map[string][]*Entry), leaving: make(map[string][]*Entry), lapsed: make(map[string]uint64)}
 }
 
 // Revision is the state of the store up to which all changes are known, or 0.
@@ -78,12 +81,17 @@
 		return true
 	}
 	d.changed = revision
+	var gone []string
 	for _, change := range changes {
 		if change.Gone {
-			delete(d.entries, change.Entry.ID)
-			continue
+			gone = append(gone, change.Entry.ID)
+		}
+	}
+	d.drop(gone)
+	for _, change := range changes {
+		if !change.Gone {
+			d.set(change.Entry)
 		}
-		d.entries[change.Entry.ID] = &change.Entry
 	}
 	d.index()
 	return true
@@ -99,17 +107,22 @@
 	}
 	d.revision = snapshot.Revision
 	d.changed = max(d.changed, snapshot.Changed)
-	before := d.entries
-	d.entries = make(map[string]*Entry, len(snapshot.Entries))
-	for _, entry := range snapshot.Entries {
-		d.entries[entry.ID] = &entry
+	listed := make(map[string]bool, len(snapshot.Entries))
+	for i := range snapshot.Entries {
+		listed[snapshot.Entries[i].ID] = true
 	}
-	for id := range before {
-		if _, ok := d.entries[id]; !ok {
+	var gone []string
+	for id := range d.entries {
+		if _, lapsed := d.lapsed[id]; !lapsed && !listed[id] {
+			gone = append(gone, id)
 			// That it went is a change which no entry shows.
 			d.changed = snapshot.Revision
 		}
 	}
+	d.drop(gone)
+	for _, entry := range snapshot.Entries {
+		d.set(entry)
+	}
 	d.index()
 	return true
 }
@@ -119,8 +132,10 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	snapshot := Snapshot{Revision: d.revision, Changed: d.changed, Entries: make([]Entry, 0, len(d.entries))}
-	for _, entry := range d.entries {
-		snapshot.Entries = append(snapshot.Entries, *entry)
+	for id, entry := range d.entries {
+		if _, lapsed := d.lapsed[id]; !lapsed {
+			snapshot.Entries = append(snapshot.Entries, *entry)
+		}
 	}
 	slices.SortFunc(snapshot.Entries, func(a, b Entry) int { return cmp.Compare(a.ID, b.ID) })
 	return snapshot
@@ -175,13 +190,19 @@
 	return d.leaving[service]
 }
 
+// set takes an entry. The lock is held.
+func (d *Directory) set(entry Entry) {
+	delete(d.lapsed, entry.ID)
+	d.entries[entry.ID] = &entry
+}
+
 // index sorts the entries by what they serve. The lock is held.
 func (d *Directory) index() {
 	d.serving = make(map[string][]*Entry, len(d.serving))
 	d.leaving = make(map[string][]*Entry)
 	for _, entry := range d.entries {
 		lists := d.serving
-		if entry.Endpoint.State == settings.StateOut {
+		if entry.isLeaving() {
 			lists = d.leaving
 		}
 		service := entry.Endpoint.Service
@@ -194,4 +215,7 @@
 	}
 }
 
+// isLeaving reports whether the endpoint takes no new work any more.
+func (e *Entry) isLeaving() bool { return e.Endpoint.State == settings.StateOut }
+
 func byID(a, b *Entry) int { return cmp.Compare(a.ID, b.ID) }
--- a/internal/router/documents_test.go
+++ b/internal/router/documents_test.go
@@ -47,7 +47,7 @@
 	scheduler := placement.New(d, logrus.NewEntry(log), time.Now, func() {})
 	host = &sharing{
 		scheduler: scheduler, settings: settings.NewHolder(), directory: d, gate: new(readGate), log: logrus.NewEntry(log), clock: time.Now,
-		endpoints: &endpointsSink{directory: d, log: logrus.NewEntry(log), changed: tell},
+		endpoints: &endpointsSink{directory: d, log: logrus.NewEntry(log), changed: tell, after: func(time.Duration, func()) {}},
 	}
 	host.sink = &settingsSink{
 		decode: decodeConfiguration, holder: host.settings, counters: counters.New(), log: logrus.NewEntry(log),
@@ -175,3 +175,25 @@
 	host.Take("peer", gossip.News{Snapshot: &gossip.DirectorySnapshot{Revision: 9, Entries: []byte("damaged")}})
 	c.Check(host.directory.Revision(), qt.Equals, uint64(8))
 }
+
+// TestWhatDoesNotComeBackIsDropped is a lapse in which one of two endpoints has ended.
+func TestWhatDoesNotComeBackIsDropped(t *testing.T) {
+	c := qt.New(t)
+	host, _ := newSharing(true)
+	var due []func()
+	host.endpoints.after = func(span time.Duration, run func()) {
+		c.Check(span, qt.Equals, lapseGrace)
+		due = append(due, run)
+	}
+	in := func(id string) directory.Change {
+		return directory.Change{Entry: directory.Entry{ID: id, Endpoint: settings.Endpoint{Service: "llm", State: settings.StateIn}}}
+	}
+	host.endpoints.Apply(follow.Batch[directory.Change]{Revision: 3, Items: []directory.Change{in("a"), in("b")}})
+	gone := []directory.Change{{Entry: directory.Entry{ID: "a"}, Gone: true}, {Entry: directory.Entry{ID: "b"}, Gone: true}}
+	host.endpoints.Apply(follow.Batch[directory.Change]{Revision: 7, Items: gone})
+	c.Check(host.directory.Serving("llm"), qt.HasLen, 2)
+	host.endpoints.Apply(follow.Batch[directory.Change]{Revision: 8, Items: []directory.Change{in("b")}})
+	c.Assert(due, qt.HasLen, 1)
+	due[0]()
+	c.Check(host.directory.Serving("llm"), qt.HasLen, 1)
+}
--- a/internal/router/endpoints_sink.go
+++ b/internal/router/endpoints_sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -20,6 +21,8 @@
 	directory *directory.Directory
 	log       *logrus.Entry
 	changed   func()
+	// after runs a function once a span has passed.
+	after func(span time.Duration, run func())
 
 	mu sync.Mutex
 	// delta is the newest change, beats in how many more beats it is told.
@@ -91,6 +94,7 @@
 	}
 	if s.directory.Apply(delta.To, changes) {
 		s.logChanges(delta.To, peer, changes)
+		s.watchLapse()
 	}
 }
 
@@ -118,6 +122,7 @@
 	}
 	if s.directory.Replace(directory.Snapshot{Revision: packed.Revision, Changed: packed.Changed, Entries: entries}) {
 		s.log.WithFields(logrus.Fields{"revision": packed.Revision, "from": peer, "endpoints": len(entries)}).Info("endpoints read")
+		s.watchLapse()
 	}
 }
 
@@ -159,6 +164,7 @@
 	}
 	if s.directory.Replace(snapshot) {
 		s.log.WithFields(logrus.Fields{"revision": batch.Revision, "endpoints": len(snapshot.Entries)}).Info("endpoints read")
+		s.watchLapse()
 	}
 }
 
@@ -173,6 +179,26 @@
 		s.changed()
 	}
 	s.logChanges(batch.Revision, fromStore, batch.Items)
+	s.watchLapse()
+}
+
+// lapseGrace is how long entries are kept that lapsed while the store was away. The
+// endpoints that live are back in about a second.
+const lapseGrace = 1500 * time.Millisecond
+
+// watchLapse takes lapsed entries away after a while, if there are any.
+func (s *endpointsSink) watchLapse() {
+	revision := s.directory.Revision()
+	lapsed := s.directory.Lapsed(revision)
+	if lapsed == 0 {
+		return
+	}
+	s.log.WithFields(logrus.Fields{"lapsed": lapsed, "revision": revision}).Warn("entries lapsed together, they are kept for a while")
+	s.after(lapseGrace, func() {
+		if dropped := s.directory.DropLapsed(revision); len(dropped) > 0 {
+			s.log.WithFields(logrus.Fields{"endpoints": dropped, "revision": revision}).Warn("lapsed entries have not come back")
+		}
+	})
 }
 
 func (s *endpointsSink) logChanges(revision uint64, from string, changes []directory.Change) {
@@ -185,5 +211,9 @@
 }
 
 func newEndpointsSink(d *directory.Directory, n *news, log *logrus.Logger) *endpointsSink {
-	return &endpointsSink{directory: d, log: logging.Part(log, "endpoints"), changed: n.tell}
+	return &endpointsSink{directory: d, log: logging.Part(log, "endpoints"), changed: n.tell, after: afterFunc}
 }
+
+// afterFunc runs a function after a span. It can't be stopped: what runs is harmless when
+// the host has ended.
+func afterFunc(span time.Duration, run func()) { time.AfterFunc(span, run) }
