--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # What one does with oxbowslip. Each target is one command to read.
-.PHONY: all build front test lint format random fuzz demo bench replay traces capacity ci
+.PHONY: all build front test lint format random fuzz soak mutations demo bench replay traces capacity ci
 
 all: build lint test
 
@@ -27,6 +27,12 @@
 	go test -run none -fuzz '^FuzzDecodeChat$$' -fuzztime 60s ./internal/api
 	go test -run none -fuzz '^FuzzEventStream$$' -fuzztime 60s ./internal/api
 
+# Random days against real daemons on loopback, with faults from outside. CI plays one.
+soak: ; go test ./platform/soak -count=1 -timeout 60m -soak.seed 1 -soak.seeds 50
+
+# Promises switched off in the product, which the soak must find.
+mutations: ; go test ./platform/soak -count=1 -timeout 30m -run Mutations -v -soak.mutations
+
 # All traces under the daemons' policy and the baselines.
 replay: ; go run ./cmd/oxbowslip-replay run --summary --policy all traces/*.jsonl
 
--- a/internal/gossip/capacity_test.go
+++ b/internal/gossip/capacity_test.go
@@ -13,7 +13,7 @@
 // must fit a datagram.
 func TestBeatBytes(t *testing.T) {
 	c := qt.New(t)
-	size := func(endpoints, reads int, intro bool) int {
+	size := func(endpoints, reads, services, known int) int {
 		beat := Beat{Life: 4_000_000_000, Sequence: 70_000, Settings: 12_000, Directory: 900_000}
 		for n := range endpoints {
 			key := KeyOf(fmt.Sprintf("endpoint-%d", n))
@@ -22,9 +22,12 @@
 		for n := range reads {
 			beat.Reads = append(beat.Reads, PrefixRead{Prefix: PrefixKey(4e9 - float64(n)), Endpoint: KeyOf("e")})
 		}
-		if intro {
+		for n := range services {
+			beat.Streams = append(beat.Streams, StreamCount{Service: KeyOfService(fmt.Sprint(n)), Late: 20, All: 300})
+		}
+		if known >= 0 {
 			beat.Intro = &Intro{Host: "front-north-wharf-1", Address: "10.1.0.40:8229", Zone: "north-wharf", Start: time.Now().UnixNano()}
-			for n := range manyKnown {
+			for n := range known {
 				beat.Intro.Known = append(beat.Intro.Known, fmt.Sprintf("10.1.0.%d:8229", n))
 			}
 		}
@@ -32,9 +35,13 @@
 		c.Assert(err, qt.IsNil)
 		return len(data)
 	}
-	empty := size(0, 0, false)
-	t.Logf("empty %d B, an endpoint %d B, a read %d B, an introduction %d B", empty, (size(100, 0, false)-empty)/100,
-		(size(0, 100, false)-empty)/100, size(0, 0, true)-empty)
+	// A beat without an introduction knows of no address.
+	const plain = -1
+	empty := size(0, 0, 0, plain)
+	t.Logf("empty %d B, an endpoint %d B, a read %d B, a service with streams %d B; an introduction with no address %d B, with many %d B",
+		empty, (size(100, 0, 0, plain)-empty)/100, (size(0, 100, 0, plain)-empty)/100, size(0, 0, 1, plain)-empty,
+		size(0, 0, 0, 0), size(0, 0, 0, manyKnown))
 	c.Check(empty < 40, qt.IsTrue)
-	c.Check(size(100, 12, true) < maxDatagram, qt.IsTrue)
+	c.Check(size(100, 12, 4, plain) < maxDatagram, qt.IsTrue)
+	c.Check(size(0, 0, 0, manyKnown) < maxDatagram, qt.IsTrue)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -247,7 +247,8 @@
 	r.follow.run(r.done)
 	go lifetime.Every(r.done, sweepInterval, rand.Float64, r.sweep)
 	r.log.WithFields(logrus.Fields{
-		"host": r.config.Name, "zone": r.config.Zone, "callers": r.config.Callers, "store": r.config.Platform.Address,
+		"host": r.config.Name, "zone": r.config.Zone, "callers": r.bound.Callers, "readiness": r.bound.Readiness,
+		"peers": r.gossip.Address(), "store": r.config.Platform.Address,
 		"first_peers": r.config.FirstPeers, "memory_mb": r.config.MemoryMB,
 	}).Info("started")
 	return nil
