The last change of an entry counts

That change applied all entries that went before those that were set, so one that was set and went in one batch stayed for good.

Test: TestTheLastChangeCounts, two of its five cases fail before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -81,14 +81,19 @@
 		return true
 	}
 	d.changed = revision
+	// Only the last change of an entry counts: it may come and go in one batch.
+	last := make(map[string]*Change, len(changes))
+	for i := range changes {
+		last[changes[i].Entry.ID] = &changes[i]
+	}
 	var gone []string
-	for _, change := range changes {
+	for id, change := range last {
 		if change.Gone {
-			gone = append(gone, change.Entry.ID)
+			gone = append(gone, id)
 		}
 	}
 	d.drop(gone)
-	for _, change := range changes {
+	for _, change := range last {
 		if !change.Gone {
 			d.set(change.Entry)
 		}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -70,3 +70,32 @@
 		})
 	}
 }
+
+// TestTheLastChangeCounts is scale-2 of the canal site: a server that left and ended
+// between two reads of the feed stayed in the directory for good.
+func TestTheLastChangeCounts(t *testing.T) {
+	set := func(state settings.EndpointState) Change { return Change{Entry: entry("a", "s", state)} }
+	gone := Change{Entry: Entry{ID: "a"}, Gone: true}
+	tests := map[string]struct {
+		changes []Change
+		known   bool
+		serving int
+	}{
+		"leaves and goes":      {[]Change{set(settings.StateOut), gone}, false, 0},
+		"comes and goes":       {[]Change{set(settings.StateIn), gone}, false, 0},
+		"goes and comes back":  {[]Change{gone, set(settings.StateIn)}, true, 1},
+		"goes, comes, leaves":  {[]Change{gone, set(settings.StateIn), set(settings.StateOut)}, true, 0},
+		"comes, goes and back": {[]Change{set(settings.StateIn), gone, set(settings.StateIn)}, true, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := New()
+			d.Apply(3, []Change{set(settings.StateIn), {Entry: entry("b", "other", settings.StateIn)}})
+			d.Apply(4, test.changes)
+			_, known := d.Lookup("a")
+			c.Check(known, qt.Equals, test.known)
+			c.Check(d.Serving("s"), qt.HasLen, test.serving)
+		})
+	}
+}
