--- a/internal/router/settings_sink.go
+++ b/internal/router/settings_sink.go
@@ -11,8 +11,9 @@
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
-// fromStore names the store as the source of news. Only news from there is told to all
-// at once: a host that has it from a peer would only repeat it.
+// fromStore names the store as the source of news. What is from there is told to all at
+// once. What a peer told is told on only by hosts that read the store themselves: they hear
+// each other first now and then, and one of them may have lost its beat.
 const fromStore = "store"
 
 // settingsSink puts configurations in force.
