A lapse is watched at its own revision

Found on reading the change: after a change, the sink asked the directory for its newest revision and looked for entries that lapsed at it. A peer's change in between hid the lapse, and the entries that were kept would not have been dropped until the next lapse. The revision of the change is passed now.

Test: TestALapseIsWatchedThoughTheDirectoryMovedOn, which fails with the old lookup.

--- a/internal/router/documents_test.go
+++ b/internal/router/documents_test.go
@@ -197,3 +197,25 @@
 	due[0]()
 	c.Check(host.directory.Serving("llm"), qt.HasLen, 1)
 }
+
+// TestALapseIsWatchedThoughTheDirectoryMovedOn is a lapse from the store with a peer's
+// change right behind it, before the lapse was looked for: nothing would have ended it.
+func TestALapseIsWatchedThoughTheDirectoryMovedOn(t *testing.T) {
+	c := qt.New(t)
+	host, _ := newSharing(true)
+	in := func(id string) directory.Change {
+		return directory.Change{Entry: directory.Entry{ID: id, Endpoint: settings.Endpoint{Service: "llm", State: settings.StateIn}}}
+	}
+	gone := func(id string) directory.Change {
+		return directory.Change{Entry: directory.Entry{ID: id}, Gone: true}
+	}
+	var due []func()
+	host.endpoints.after = func(_ time.Duration, run func()) { due = append(due, run) }
+	host.directory.Apply(3, []directory.Change{in("a"), in("b")})
+	host.directory.Apply(7, []directory.Change{gone("a"), gone("b")})
+	host.directory.Apply(8, []directory.Change{in("c")})
+	host.endpoints.watchLapse(7)
+	c.Assert(due, qt.HasLen, 1)
+	due[0]()
+	c.Check(host.directory.Serving("llm"), qt.HasLen, 1)
+}
--- a/internal/router/endpoints_sink.go
+++ b/internal/router/endpoints_sink.go
@@ -94,7 +94,7 @@
 	}
 	if s.directory.Apply(delta.To, changes) {
 		s.logChanges(delta.To, peer, changes)
-		s.watchLapse()
+		s.watchLapse(delta.To)
 	}
 }
 
@@ -122,7 +122,7 @@
 	}
 	if s.directory.Replace(directory.Snapshot{Revision: packed.Revision, Changed: packed.Changed, Entries: entries}) {
 		s.log.WithFields(logrus.Fields{"revision": packed.Revision, "from": peer, "endpoints": len(entries)}).Info("endpoints read")
-		s.watchLapse()
+		s.watchLapse(packed.Revision)
 	}
 }
 
@@ -164,7 +164,7 @@
 	}
 	if s.directory.Replace(snapshot) {
 		s.log.WithFields(logrus.Fields{"revision": batch.Revision, "endpoints": len(snapshot.Entries)}).Info("endpoints read")
-		s.watchLapse()
+		s.watchLapse(batch.Revision)
 	}
 }
 
@@ -179,16 +179,16 @@
 		s.changed()
 	}
 	s.logChanges(batch.Revision, fromStore, batch.Items)
-	s.watchLapse()
+	s.watchLapse(batch.Revision)
 }
 
 // lapseGrace is how long entries are kept that lapsed while the store was away. The
 // endpoints that live are back in about a second.
 const lapseGrace = 1500 * time.Millisecond
 
-// watchLapse takes lapsed entries away after a while, if there are any.
-func (s *endpointsSink) watchLapse() {
-	revision := s.directory.Revision()
+// watchLapse takes the entries away after a while that lapsed at a revision, if there are
+// any. The directory may have moved on since.
+func (s *endpointsSink) watchLapse(revision uint64) {
 	lapsed := s.directory.Lapsed(revision)
 	if lapsed == 0 {
 		return
