What a server receives: a host's headers come from hosts only; urgency before tier

Cause: Dialect.Prepare changed the caller's headers in place and knew two that a caller may not set. And a header named by Connection was dropped even where it describes the request (X-Model, X-Request-Id): the request was lost. TIER: the number sent to servers put the workspace's tier before the class's urgency, so that servers preempted urgent classes of a lower tier.

Change: Prepare builds the headers from the caller's; hostHeaders come from the host or are absent, callerHeaders arrive as sent. priority puts the urgency first. oxbowslipd's plain calls drop a caller's X-Attempt.

Why it is safe: hosts of both versions may run side by side, the header's form is the same. Tests: TestCallersCannotOrderServers failed in all five cases before.

--- a/internal/daemon/api/service.go
+++ b/internal/daemon/api/service.go
@@ -167,6 +167,8 @@
 	httprelay.CopyHeader(header, x.r.Header)
 	header.Del("Authorization")
 	header.Del(HeaderClass)
+	// Only a host numbers attempts, and it does so in chat calls alone.
+	header.Del(HeaderAttempt)
 	header.Set(HeaderRequestID, x.caller.id)
 	header.Set(HeaderWorkspace, x.caller.workspace)
 	var body io.Reader = bytes.NewReader(x.head)
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -106,10 +106,7 @@
 }
 
 func (x *exchange) upstreamCall(a *owner.Attempt) *upstream.Call {
-	header := make(http.Header, len(x.r.Header)+4)
-	httprelay.CopyHeader(header, x.r.Header)
-	header.Del("Authorization")
-	x.server.parts.Dialect.Prepare(header, Send{
+	header := x.server.parts.Dialect.Prepare(x.r.Header, Send{
 		EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, Urgency: x.policy.Urgency, FetchFrom: a.FetchFrom,
 		Left: x.limit.Sub(x.server.parts.Clock()),
 	})
--- a/internal/front/relay/dialect.go
+++ b/internal/front/relay/dialect.go
@@ -46,8 +46,9 @@
 type Dialect interface {
 	// Read returns the call of a request. The text of the error goes to the caller.
 	Read(r *http.Request) (Call, error)
-	// Prepare sets the headers of a call for an endpoint.
-	Prepare(header http.Header, send Send)
+	// Prepare returns the headers of a call for an endpoint, made from the caller's. What only a
+	// host may say is in them only if the host says it.
+	Prepare(caller http.Header, send Send) http.Header
 	// AnswerID returns the ID of the call that an endpoint's answer belongs to.
 	AnswerID(header http.Header) string
 	// NotStarted reports whether an endpoint says that it did not start a call.
