--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -29,6 +29,9 @@
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
 	WholeAnswer   time.Duration
+	// MaxPause is the target for the time between two events of a stream; 0 means none. Only the
+	// owner's host uses it.
+	MaxPause time.Duration `cbor:"-"`
 	// RefuseLate is set if an answer that misses its target is of no use to the caller.
 	RefuseLate bool
 	// MaxWait bounds the time until a grant; 0 means no bound.
--- /dev/null
+++ b/internal/front/engine/service.go
@@ -0,0 +1,143 @@
+package engine
+
+import (
+	"maps"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
+)
+
+// Stream is what a host saw of a stream that ended whole.
+type Stream struct {
+	// Events is their number, and Lasted the time from the first to the last.
+	Events int
+	Lasted time.Duration
+	// Longest is the longest pause between two of them, Beside the prompt tokens that the endpoint had
+	// to read when it ended, as far as this host knew.
+	Longest time.Duration
+	Beside  int
+}
+
+// Service is what a host knows of the engines and the traffic of one service.
+type Service struct {
+	own   Figures
+	peers map[string]Report
+	// merged are the figures of this host and its peers together.
+	merged Figures
+	sent   ownTraffic
+	// long are the classes whose prompts are kept away from those of all others, short is the number of
+	// endpoints that are kept for the others.
+	long  map[keys.Class]bool
+	short int
+	// neededAt is when that many were last needed.
+	neededAt  time.Time
+	refreshAt time.Time
+	// met is the chance that a short stream beside long prompts misses its target, tightest the least
+	// target for pauses of the short classes.
+	met      float64
+	tightest time.Duration
+}
+
+// Report is what a host reports of a service to its peers.
+type Report struct {
+	Figures Figures
+	Traffic Traffic
+}
+
+// NewService returns a service of which nothing was observed.
+func NewService() *Service {
+	return &Service{own: firstFigures(), merged: firstFigures(), peers: make(map[string]Report), sent: ownTraffic{traffic: make(Traffic)}}
+}
+
+// Figures returns the figures of this host and its peers together.
+func (s *Service) Figures() *Figures { return &s.merged }
+
+// minRead is the least number of prompt tokens from which the time to the first event says how fast an
+// engine reads; below it other work weighs more. Not measured.
+const minRead = 1000
+
+// Began observes the first event of a stream that came a time after the call was sent, with a number of
+// prompt tokens that the endpoint had to read for it, and none waiting before them.
+func (s *Service) Began(unread int, took time.Duration) {
+	if unread < minRead {
+		return
+	}
+	s.own.ReadRate.observe(float64(unread)/milliseconds(took), 0.5, firstReadRate)
+}
+
+// Streamed observes a stream that ended whole.
+func (s *Service) Streamed(stream Stream) {
+	if rest := stream.Events - 2; rest > 1 {
+		// Most streams run beside some reading, so the lower quarter stands for those that do not.
+		s.own.EventTime.observe(milliseconds(stream.Lasted-stream.Longest)/float64(rest), 0.25, firstEventTime)
+	}
+	s.observeEventRead(float64(stream.Beside), milliseconds(stream.Longest))
+}
+
+const (
+	// besideMargin is how many times as many tokens must have been unread at an endpoint as were read in
+	// a pause there, for the pause to show how many are read in an event: peers' reports lag, and some of
+	// them may have been read before. Not measured.
+	besideMargin = 1.5
+	// leastBeside is the least part of what is taken to be read in an event that must have been unread:
+	// pauses beside short prompts show nothing. Not measured.
+	leastBeside = 0.5
+)
+
+// observeEventRead observes a stream's longest pause in ms, beside a number of unread prompt tokens.
+func (s *Service) observeEventRead(beside, longest float64) {
+	read := (longest/s.merged.growth(beside) - s.merged.EventTime.Value) * s.merged.ReadRate.Value
+	if beside >= besideMargin*read && beside >= leastBeside*s.merged.EventRead.Value {
+		s.own.EventRead.observe(read, 0.5, firstEventRead)
+	}
+}
+
+// SetPeer replaces the report of a peer.
+func (s *Service) SetPeer(peer string, report Report) {
+	s.peers[peer] = report
+}
+
+// DropPeer forgets the report of a peer.
+func (s *Service) DropPeer(peer string) {
+	delete(s.peers, peer)
+}
+
+// Report returns what peers should know.
+func (s *Service) Report(now time.Time) Report {
+	s.sent.fade(now)
+	return Report{Figures: s.own, Traffic: maps.Clone(s.sent.traffic)}
+}
+
+// refreshInterval is how often the figures of all hosts are put together and the split is decided anew:
+// some heartbeats. Not measured.
+const refreshInterval = 100 * time.Millisecond
+
+// Decide puts the figures of all hosts together and decides the split, if that is due. It reports whether
+// the split has changed.
+func (s *Service) Decide(now time.Time, fleet *Fleet) bool {
+	if now.Before(s.refreshAt) {
+		return false
+	}
+	s.refreshAt = now.Add(refreshInterval)
+	s.merged = Figures{
+		ReadRate:  s.mergeOne(firstReadRate, func(f *Figures) *Figure { return &f.ReadRate }),
+		EventTime: s.mergeOne(firstEventTime, func(f *Figures) *Figure { return &f.EventTime }),
+		EventRead: s.mergeOne(firstEventRead, func(f *Figures) *Figure { return &f.EventRead }),
+	}
+	return s.decideSplit(now, fleet)
+}
+
+// mergeOne returns the mean of one figure over all hosts, each by its samples, and the first value.
+func (s *Service) mergeOne(first float64, of func(*Figures) *Figure) Figure {
+	var m mean
+	m.add(first, priorSamples)
+	own := of(&s.own)
+	m.add(own.Value, own.Samples)
+	for _, report := range s.peers {
+		theirs := of(&report.Figures)
+		m.add(min(max(theirs.Value, first/mostFactor), first*mostFactor), min(theirs.Samples, maxSamples))
+	}
+	return Figure{Value: m.value(), Samples: m.weight}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/front/engine/traffic.go
@@ -0,0 +1,96 @@
+package engine
+
+import (
+	"math"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
+)
+
+// trafficTime is the time constant with which a host forgets the traffic: long against the noise of some
+// tens of requests a second, short enough to follow a burst of some seconds.
+const trafficTime = 6 * time.Second
+
+// Arrival is a request as it is sent to an endpoint.
+type Arrival struct {
+	Class keys.Class
+	// Prompt is its length in tokens, Unread the part that the endpoint has to read.
+	Prompt int
+	Unread int
+}
+
+// Demand is what came of a request class lately, the older the less, and what is open of it.
+type Demand struct {
+	Requests float64
+	// Prompt is the number of prompt tokens, Unread that of those to read.
+	Prompt float64
+	Unread float64
+	// Open is the number of requests that have been sent and have not ended.
+	Open float64
+}
+
+func (d *Demand) add(other *Demand) {
+	d.Requests += other.Requests
+	d.Prompt += other.Prompt
+	d.Unread += other.Unread
+	d.Open += other.Open
+}
+
+func (d *Demand) times(factor float64) Demand {
+	return Demand{Requests: d.Requests * factor, Prompt: d.Prompt * factor, Unread: d.Unread * factor, Open: d.Open * factor}
+}
+
+// Traffic is the demand of each class.
+type Traffic map[keys.Class]Demand
+
+// add adds what another host sent.
+func (t Traffic) add(other Traffic) {
+	for class, demand := range other {
+		sum := t[class]
+		sum.add(&demand)
+		t[class] = sum
+	}
+}
+
+// ownTraffic is what this host sent, as of a time.
+type ownTraffic struct {
+	traffic Traffic
+	at      time.Time
+}
+
+// fade brings the counts to a later time.
+func (t *ownTraffic) fade(now time.Time) {
+	left := math.Exp(-float64(now.Sub(t.at)) / float64(trafficTime))
+	for class, demand := range t.traffic {
+		faded := demand.times(left)
+		faded.Open = demand.Open
+		t.traffic[class] = faded
+	}
+	t.at = now
+}
+
+// Arrived counts a request that this host sends.
+func (s *Service) Arrived(now time.Time, a Arrival) {
+	s.sent.fade(now)
+	s.sent.traffic.add(Traffic{a.Class: {Requests: 1, Prompt: float64(a.Prompt), Unread: float64(a.Unread), Open: 1}})
+}
+
+// Ended counts the end of a request that this host sent.
+func (s *Service) Ended(class keys.Class) {
+	s.sent.traffic.add(Traffic{class: {Open: -1}})
+}
+
+// allTraffic returns what all hosts sent lately. Peers that report nothing, as in a large fleet, are
+// taken to send as much as this host.
+func (s *Service) allTraffic(now time.Time, hosts int) Traffic {
+	s.sent.fade(now)
+	factor := float64(max(hosts-len(s.peers), 1))
+	all := make(Traffic, len(s.sent.traffic))
+	for class, demand := range s.sent.traffic {
+		all[class] = demand.times(factor)
+	}
+	for _, report := range s.peers {
+		all.add(report.Traffic)
+	}
+	return all
+}
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -130,7 +130,7 @@
 func newSettingsSink(p settingsParts) *peersync.Settings {
 	return peersync.NewSettings(peersync.SettingsParts{
 		Decode: p.Deployment.Decode, Holder: p.Holder, Counters: p.Counters, Log: logging.Part(p.Log, "settings"),
-		InForce: func(tree *settings.Tree) { p.Placer.SetBounds(placement.PriorityBoundsOf(tree)) },
+		InForce: p.Placer.SetSettings,
 		Changed: p.Late.revisionChanged, ReadsStore: p.Late.readsStore,
 	})
 }
--- a/internal/front/gossip/capacity_test.go
+++ b/internal/front/gossip/capacity_test.go
@@ -15,7 +15,7 @@
 // must fit a datagram.
 func TestHeartbeatBytes(t *testing.T) {
 	c := qt.New(t)
-	size := func(endpoints, reads, services, known int) int {
+	size := func(endpoints, reads, known int) int {
 		heartbeat := Heartbeat{Incarnation: 4_000_000_000, Sequence: 70_000, Settings: 12_000, Directory: 900_000}
 		for n := range endpoints {
 			key := keys.OfEndpoint(fmt.Sprintf("endpoint-%d", n))
@@ -24,9 +24,6 @@
 		for n := range reads {
 			heartbeat.Holders = append(heartbeat.Holders, Holder{Prefix: keys.Prefix(4e9 - float64(n)), Endpoint: keys.OfEndpoint("e")})
 		}
-		for n := range services {
-			heartbeat.Streams = append(heartbeat.Streams, StreamCount{Service: keys.OfService(fmt.Sprint(n)), Late: 20, All: 300})
-		}
 		if known >= 0 {
 			heartbeat.Announcement = &Announcement{Host: "front-north-wharf-1", Address: "10.1.0.40:8229", Zone: "north-wharf", Start: time.Now().UnixNano()}
 			for n := range known {
@@ -39,11 +36,35 @@
 	}
 	// A heartbeat without an announcement knows of no address.
 	const plain = -1
-	empty := size(0, 0, 0, plain)
-	t.Logf("empty %d B, an endpoint %d B, a read %d B, a service with streams %d B; an introduction with no address %d B, with many %d B",
-		empty, (size(100, 0, 0, plain)-empty)/100, (size(0, 100, 0, plain)-empty)/100, size(0, 0, 1, plain)-empty,
-		size(0, 0, 0, 0), size(0, 0, 0, manyAddresses))
+	empty := size(0, 0, plain)
+	t.Logf("empty %d B, an endpoint %d B, a read %d B; an introduction with no address %d B, with many %d B",
+		empty, (size(100, 0, plain)-empty)/100, (size(0, 100, plain)-empty)/100, size(0, 0, 0), size(0, 0, manyAddresses))
 	c.Check(empty < 40, qt.IsTrue)
-	c.Check(size(100, 12, 4, plain) < maxDatagram, qt.IsTrue)
-	c.Check(size(0, 0, 0, manyAddresses) < maxDatagram, qt.IsTrue)
+	c.Check(size(100, 12, plain) < maxDatagram, qt.IsTrue)
+	c.Check(size(0, 0, manyAddresses) < maxDatagram, qt.IsTrue)
+}
+
+// TestReportBytes measures reports, and bounds them: they are sent to all hosts some times a second.
+func TestReportBytes(t *testing.T) {
+	c := qt.New(t)
+	size := func(endpoints, classes int) int {
+		engines := EngineReport{
+			Service:  keys.OfService("llm"),
+			ReadRate: Figure{Value: 41.3, Samples: 100}, EventTime: Figure{Value: 20.7, Samples: 100}, EventRead: Figure{Value: 201.9, Samples: 100},
+		}
+		for n := range classes {
+			engines.Classes = append(engines.Classes, ClassDemand{Class: keys.OfClass(fmt.Sprint(n)), Requests: 300, Prompt: 5000, Unread: 900, Open: 20})
+		}
+		report := Report{Incarnation: 4_000_000_000, Sequence: 70_000, Engines: []EngineReport{engines}}
+		for n := range endpoints {
+			report.Delays = append(report.Delays, EndpointDelay{Endpoint: keys.OfEndpoint(fmt.Sprint(n)), LogSum: -30, Samples: 100})
+		}
+		data, err := cbor.Marshal(&report)
+		c.Assert(err, qt.IsNil)
+		return len(data)
+	}
+	empty := size(0, 0)
+	t.Logf("empty %d B, a class %d B, an endpoint with a delay %d B", empty, (size(0, 100)-empty)/100, (size(100, 0)-empty)/100)
+	c.Check(empty < 50, qt.IsTrue)
+	c.Check(size(100, 12) < maxDatagram, qt.IsTrue)
 }
--- a/internal/front/gossip/golden_test.go
+++ b/internal/front/gossip/golden_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/proof/golden"
@@ -26,6 +28,14 @@
 			Streams: []StreamCount{{Service: 15, Late: 16, All: 17}},
 			Patch:   &SettingsPatch{From: 18, To: 19, Data: []byte("patch")},
 		},
+		"report": &Report{
+			Incarnation: 1, Sequence: 2,
+			Engines: []EngineReport{{
+				Service: 3, ReadRate: Figure{Value: 4, Samples: 5}, EventTime: Figure{Value: 6, Samples: 7}, EventRead: Figure{Value: 8, Samples: 9},
+				Classes: []ClassDemand{{Class: 10, Requests: 11, Prompt: 12, Unread: 13, Open: 14}},
+			}},
+			Delays: []EndpointDelay{{Endpoint: 15, LogSum: -16, Samples: 17}},
+		},
 		"beat-reading": &Heartbeat{ReadsStore: true},
 		"introduction": &Heartbeat{Incarnation: 1, Sequence: 2, Announcement: &Announcement{
 			Host: "h", Address: "10.0.0.2:2", Zone: "b", Start: 3, KnownAddresses: []string{"10.0.0.3:3"}, WantReply: true, Hosts: 4,
@@ -39,13 +49,25 @@
 }
 
 // TestGoldenMessages holds the encoded form of each message to what hosts of commit
-// 4c58500 send, and decodes what they sent.
+// 4c58500 send, and decodes what they sent. Reports came later.
 func TestGoldenMessages(t *testing.T) {
 	for name, message := range messages() {
 		t.Run(name, func(t *testing.T) { golden.Message(t, name, message) })
 	}
 }
 
+// TestOlderHostsIgnoreReports: a host of commit 4c58500 takes a datagram for a heartbeat or drops it, so
+// that a report must not decode as one, nor a heartbeat as a report.
+func TestOlderHostsIgnoreReports(t *testing.T) {
+	c := qt.New(t)
+	data, err := cbor.Marshal(messages()["report"])
+	c.Assert(err, qt.IsNil)
+	c.Check(cbor.Unmarshal(data, new(Heartbeat)), qt.IsNotNil)
+	data, err = cbor.Marshal(messages()["beat"])
+	c.Assert(err, qt.IsNil)
+	c.Check(cbor.Unmarshal(data, new(Report)), qt.IsNotNil)
+}
+
 // TestGoldenKeys holds the short names that hosts use for endpoints and services, and the
 // units of the counts: a host that derived them otherwise would misread its peers.
 func TestGoldenKeys(t *testing.T) {
@@ -53,6 +75,7 @@
 	c.Check(keys.OfEndpoint("engine-1"), qt.Equals, keys.Endpoint(0x777cfdda))
 	c.Check(keys.OfService("llm"), qt.Equals, keys.Service(0x76664828))
 	c.Check(TokenUnit, qt.Equals, 64)
-	c.Check(StreamUnit, qt.Equals, 8)
+	c.Check(RequestUnit, qt.Equals, 8)
+	c.Check(keys.OfClass("chat"), qt.Equals, keys.Class(xxhash.Sum64String("chat")))
 	c.Check(rpcSync, qt.Equals, "oxbowslip/news")
 }
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -35,7 +35,12 @@
 	ReadsStore bool
 	Delta      *DirectoryDelta
 	Patch      *SettingsPatch
-	Streams    []StreamCount
+}
+
+// Observed is what this host's next report carries.
+type Observed struct {
+	Engines []EngineReport
+	Delays  []EndpointDelay
 }
 
 // Host is the host that gossip exchanges messages for. Its methods may be called concurrently
@@ -47,6 +52,10 @@
 	Revisions() SyncRequest
 	// Received handles a peer's heartbeat that has no announcement.
 	Received(peer string, heartbeat *Heartbeat)
+	// Observed returns what the next report carries.
+	Observed() Observed
+	// Reported handles a peer's report.
+	Reported(peer string, observed Observed)
 	// Lost is called when a peer left or fell silent.
 	Lost(peer string)
 	// Respond returns what is newer than a peer's revisions.
@@ -102,8 +111,11 @@
 	// last is what the last heartbeat carried, without its lists.
 	last State
 	// askAt is when some member is asked next for hosts that this one does not know.
-	askAt   time.Time
-	leaving bool
+	askAt time.Time
+	// reportAt is when the next report is due, reports counts them.
+	reportAt time.Time
+	reports  uint64
+	leaving  bool
 	// syncing is which topics are being fetched.
 	syncing [topics]bool
 }
--- a/internal/front/gossip/gossip_test.go
+++ b/internal/front/gossip/gossip_test.go
@@ -79,6 +79,32 @@
 	c.Check(m.ToAnnounceTo(start.Add(time.Hour)), qt.HasLen, 0, qt.Commentf("addresses that nobody names are forgotten"))
 }
 
+func TestReportsOfMembersCount(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers("self")
+	m.Received(start, &Heartbeat{Incarnation: 1, Sequence: 1, Announcement: announcement("a", 1)})
+	name, counts := m.Reported(&Report{Incarnation: 1, Sequence: 2})
+	c.Check(name, qt.Equals, "a")
+	c.Check(counts, qt.IsTrue)
+	_, counts = m.Reported(&Report{Incarnation: 1, Sequence: 1})
+	c.Check(counts, qt.IsFalse, qt.Commentf("an older one came late"))
+	_, counts = m.Reported(&Report{Incarnation: 2, Sequence: 3})
+	c.Check(counts, qt.IsFalse, qt.Commentf("of an unknown host"))
+}
+
+func TestHostsReportWhatTheyObserved(t *testing.T) {
+	c := qt.New(t)
+	a := startNode(c, "a")
+	b := startNode(c, "b", a.gossip.Address())
+	delays := []EndpointDelay{{Endpoint: 5, LogSum: 6, Samples: 7}}
+	a.look(func() bool { a.observed.Delays = delays; return true })
+	eventually(c, "b has the report of a", func() bool {
+		a.gossip.Changed()
+		return b.look(func() bool { return len(b.reported["a"].Delays) == 1 })
+	})
+	c.Check(b.look(func() bool { return b.reported["a"].Delays[0] == delays[0] }), qt.IsTrue)
+}
+
 // node is a host that records what it receives.
 type node struct {
 	gossip *Gossip
@@ -88,6 +114,8 @@
 	state    State
 	has      SyncRequest
 	received map[string]*Heartbeat
+	observed Observed
+	reported map[string]Observed
 	lost     []string
 	taken    []string
 	// announcements counts what was sent.
@@ -119,6 +147,18 @@
 	n.received[peer] = heartbeat
 }
 
+func (n *node) Observed() Observed {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.observed
+}
+
+func (n *node) Reported(peer string, observed Observed) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.reported[peer] = observed
+}
+
 func (n *node) Lost(peer string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -157,7 +197,7 @@
 }
 
 func startNode(c *qt.C, name string, first ...string) *node {
-	n := &node{received: make(map[string]*Heartbeat), done: make(chan struct{})}
+	n := &node{received: make(map[string]*Heartbeat), reported: make(map[string]Observed), done: make(chan struct{})}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n.gossip = New(Parts{
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -25,8 +25,12 @@
 	members := g.addresses()
 	announcement := g.newAnnouncement(true, 0)
 	targets := append(g.members.ToAnnounceTo(g.parts.Clock()), g.memberToAsk()...)
+	report := g.newReport()
 	g.mu.Unlock()
 	g.send(heartbeat, members)
+	if report != nil {
+		g.sendDatagram(counters.PeerHeartbeats, report, members)
+	}
 	g.send(announcement, targets)
 }
 
@@ -48,14 +52,26 @@
 	h := &Heartbeat{
 		Incarnation: g.incarnation, Sequence: g.sequence, Settings: state.Settings, Directory: state.Directory,
 		Loads: state.Loads, Ejections: state.Ejections, Holders: state.Holders, Leaving: g.leaving,
-		ReadsStore: state.ReadsStore, Delta: state.Delta, Patch: state.Patch, Streams: state.Streams,
+		ReadsStore: state.ReadsStore, Delta: state.Delta, Patch: state.Patch,
 	}
 	if g.members.Count() >= fullHeartbeats {
-		h.Loads, h.Holders, h.Streams = nil, nil, nil
+		h.Loads, h.Holders = nil, nil
 	}
 	return h
 }
 
+// newReport returns the next report, or nil if none is due. The lock is held.
+func (g *Gossip) newReport() *Report {
+	now := g.parts.Clock()
+	if now.Before(g.reportAt) || g.members.Count() >= fullHeartbeats {
+		return nil
+	}
+	g.reportAt = now.Add(reportInterval)
+	observed := g.parts.Host.Observed()
+	g.reports++
+	return &Report{Incarnation: g.incarnation, Sequence: g.reports, Engines: observed.Engines, Delays: observed.Delays}
+}
+
 // newAnnouncement returns a heartbeat that says who this host is, with the addresses of at
 // most a number of other hosts. The lock is held.
 func (g *Gossip) newAnnouncement(wantReply bool, addresses int) *Heartbeat {
@@ -99,18 +115,23 @@
 }
 
 func (g *Gossip) send(h *Heartbeat, targets []string) {
+	kind := counters.PeerHeartbeats
+	if h.Announcement != nil {
+		kind = counters.PeerAnnouncements
+	}
+	g.sendDatagram(kind, h, targets)
+}
+
+// sendDatagram sends a message to some addresses.
+func (g *Gossip) sendDatagram(kind counters.PeerTraffic, message any, targets []string) {
 	if len(targets) == 0 {
 		return
 	}
-	data, err := cbor.Marshal(h)
+	data, err := cbor.Marshal(message)
 	if err != nil {
-		g.parts.Log.WithError(err).Error("a heartbeat can't be encoded")
+		g.parts.Log.WithError(err).Error("a datagram can't be encoded")
 		return
 	}
-	kind := counters.PeerHeartbeats
-	if h.Announcement != nil {
-		kind = counters.PeerAnnouncements
-	}
 	g.parts.Sent(kind, len(data)*len(targets))
 	for _, target := range targets {
 		address, err := net.ResolveUDPAddr("udp", target)
@@ -135,12 +156,33 @@
 			// A single datagram could not be read, such as one that was refused.
 			continue
 		}
-		var h Heartbeat
-		if err := cbor.Unmarshal(buffer[:n], &h); err != nil {
-			g.parts.Log.WithError(err).WithField("address", from.String()).Debug("a datagram is no heartbeat")
-			continue
-		}
-		g.received(&h, from.String())
+		g.decode(buffer[:n], from.String())
+	}
+}
+
+// decode handles a datagram: a heartbeat, or a report, which has fewer fields.
+func (g *Gossip) decode(data []byte, from string) {
+	var h Heartbeat
+	err := cbor.Unmarshal(data, &h)
+	if err == nil {
+		g.received(&h, from)
+		return
+	}
+	var r Report
+	if cbor.Unmarshal(data, &r) == nil {
+		g.reported(&r)
+		return
+	}
+	g.parts.Log.WithError(err).WithField("address", from).Debug("a datagram is neither a heartbeat nor a report")
+}
+
+// reported handles a report.
+func (g *Gossip) reported(r *Report) {
+	g.mu.Lock()
+	member, counts := g.members.Reported(r)
+	g.mu.Unlock()
+	if counts {
+		g.parts.Host.Reported(member, Observed{Engines: r.Engines, Delays: r.Delays})
 	}
 }
 
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -19,6 +19,7 @@
 	incarnation uint32
 	start       int64
 	sequence    uint64
+	reports     uint64
 	lastSeen    time.Time
 }
 
@@ -104,6 +105,16 @@
 	return true
 }
 
+// Reported handles a report. It returns the member that sent it, and whether it is newer than the last one.
+func (m *Members) Reported(r *Report) (name string, counts bool) {
+	known, ok := m.live[m.names[r.Incarnation]]
+	if !ok || known.incarnation != r.Incarnation || r.Sequence <= known.reports {
+		return "", false
+	}
+	known.reports = r.Sequence
+	return known.Name, true
+}
+
 // Knows reports whether an incarnation is that of a member.
 func (m *Members) Knows(incarnation uint32) bool {
 	_, ok := m.names[incarnation]
--- a/internal/front/gossip/messages.go
+++ b/internal/front/gossip/messages.go
@@ -9,8 +9,10 @@
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
-// The messages are CBOR arrays without field names, so that the order of the fields must not
-// change; new fields go last. testdata/golden holds their encoded form.
+// The messages are CBOR arrays without field names. Hosts of different versions run side by side, and a
+// host can't decode an array of another length than it knows, so that the fields must not change: what
+// is new goes into a message of its own, which older hosts ignore. testdata/golden holds the encoded
+// form of each.
 
 // Heartbeat is one datagram: all of a host's state that others use, so that the next one
 // makes up for one that is lost.
@@ -38,11 +40,33 @@
 	// Delta is the newest change of the directory, Patch that of the settings, each in a few
 	// heartbeats.
 	Delta *DirectoryDelta
-	// Streams are the sender's recent streams of short prompts.
+	// Streams are recent streams of short prompts. Only hosts before 0.3 send and use them.
 	Streams []StreamCount
 	Patch   *SettingsPatch
 }
 
+// Report is a datagram with what the sender has observed of endpoints. It is sent with some of the
+// heartbeats.
+type Report struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Incarnation identifies the sender as in Heartbeat, Sequence counts its reports.
+	Incarnation uint32
+	Sequence    uint64
+	Engines     []EngineReport
+	Delays      []EndpointDelay
+}
+
+// EndpointDelay sums what the sender observed of how much longer than predicted an endpoint takes
+// (placement.Delay).
+type EndpointDelay struct {
+	_ struct{} `cbor:",toarray"`
+
+	Endpoint keys.Endpoint
+	LogSum   int
+	Samples  int
+}
+
 // SettingsPatch turns one configuration into the next. A host that has another one than From
 // can't use it.
 type SettingsPatch struct {
@@ -117,11 +141,8 @@
 	Tokens int
 }
 
-// StreamUnit is the number of units of StreamCount that one stream counts.
-const StreamUnit = 8
-
-// StreamCount counts the sender's recent streams of short prompts at a service, and those
-// that paused for too long, in units of 1/StreamUnit of a stream.
+// StreamCount counts recent streams of short prompts at a service, and those that paused for too long,
+// in eighths of a stream. Only hosts before 0.3 send and use it.
 type StreamCount struct {
 	_ struct{} `cbor:",toarray"`
 
@@ -130,6 +151,40 @@
 	All     int
 }
 
+// EngineReport is what the sender knows of the engines and the traffic of a service. The fields mean
+// what those of package engine mean.
+type EngineReport struct {
+	_ struct{} `cbor:",toarray"`
+
+	Service   keys.Service
+	ReadRate  Figure
+	EventTime Figure
+	EventRead Figure
+	Classes   []ClassDemand
+}
+
+// RequestUnit is the number of units of ClassDemand.Requests that one request counts.
+const RequestUnit = 8
+
+// ClassDemand is what the sender sent of a request class lately. The tokens are in units of TokenUnit.
+type ClassDemand struct {
+	_ struct{} `cbor:",toarray"`
+
+	Class    keys.Class
+	Requests int
+	Prompt   int
+	Unread   int
+	Open     int
+}
+
+// Figure is a learned quantity with the number of samples that it rests on.
+type Figure struct {
+	_ struct{} `cbor:",toarray"`
+
+	Value   float32
+	Samples int
+}
+
 // Ejection is an endpoint that the sender sends no new work.
 type Ejection struct {
 	_ struct{} `cbor:",toarray"`
--- a/internal/front/gossip/rules.go
+++ b/internal/front/gossip/rules.go
@@ -25,6 +25,10 @@
 // pace returns the least time between two heartbeats in a fleet of a number of hosts.
 func pace(hosts int) time.Duration { return max(time.Duration(hosts)*pacePerMember, minPace) }
 
+// reportInterval is the least time between two reports: what they carry changes within seconds. Not
+// measured.
+const reportInterval = 200 * time.Millisecond
+
 const (
 	// silenceLimit is how long a member may send nothing before it is dropped: three idle
 	// intervals and some delay. Not measured.
--- a/internal/front/keys/keys.go
+++ b/internal/front/keys/keys.go
@@ -20,5 +20,11 @@
 // OfService returns the key of a service.
 func OfService(name string) Service { return Service(xxhash.Sum64String(name)) }
 
+// Class is the key of a request class's name.
+type Class uint32
+
+// OfClass returns the key of a request class.
+func OfClass(name string) Class { return Class(xxhash.Sum64String(name)) }
+
 // Prefix is the key of a shared part of prompts: the low bits of its hash.
 type Prefix uint32
--- /dev/null
+++ b/internal/front/peersync/engines.go
@@ -0,0 +1,83 @@
+package peersync
+
+import (
+	"math"
+
+	"oxbowslip.dev/oxbowslip/internal/front/engine"
+	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/placement"
+)
+
+// Observed returns what the next report carries.
+func (s *Sync) Observed() gossip.Observed {
+	observed := s.parts.Placer.Observed()
+	var report gossip.Observed
+	for service, engines := range observed.Engines {
+		report.Engines = append(report.Engines, toEngineReport(service, &engines))
+	}
+	for endpoint, delay := range observed.Delays {
+		report.Delays = append(report.Delays, gossip.EndpointDelay{Endpoint: endpoint, LogSum: delay.LogSum, Samples: delay.Samples})
+	}
+	return report
+}
+
+// Reported handles a peer's report.
+func (s *Sync) Reported(peer string, report gossip.Observed) {
+	observed := placement.Observed{
+		Engines: make(map[keys.Service]engine.Report, len(report.Engines)), Delays: make(map[keys.Endpoint]placement.Delay, len(report.Delays)),
+	}
+	for i := range report.Engines {
+		observed.Engines[report.Engines[i].Service] = fromEngineReport(&report.Engines[i])
+	}
+	for _, delay := range report.Delays {
+		observed.Delays[delay.Endpoint] = placement.Delay{LogSum: delay.LogSum, Samples: delay.Samples}
+	}
+	s.parts.Placer.SetObserved(peer, observed)
+}
+
+// toEngineReport turns what this host knows of a service into its form in heartbeats.
+func toEngineReport(service keys.Service, r *engine.Report) gossip.EngineReport {
+	report := gossip.EngineReport{
+		Service:  service,
+		ReadRate: toFigure(r.Figures.ReadRate), EventTime: toFigure(r.Figures.EventTime),
+		EventRead: toFigure(r.Figures.EventRead),
+	}
+	for class, d := range r.Traffic {
+		if requests := toUnits(d.Requests * gossip.RequestUnit); requests > 0 {
+			report.Classes = append(report.Classes, gossip.ClassDemand{
+				Class: class, Requests: requests, Prompt: toUnits(d.Prompt / gossip.TokenUnit),
+				Unread: toUnits(d.Unread / gossip.TokenUnit), Open: toUnits(d.Open),
+			})
+		}
+	}
+	return report
+}
+
+// fromEngineReport is the reverse of toEngineReport.
+func fromEngineReport(r *gossip.EngineReport) engine.Report {
+	report := engine.Report{
+		Figures: engine.Figures{
+			ReadRate: fromFigure(r.ReadRate), EventTime: fromFigure(r.EventTime),
+			EventRead: fromFigure(r.EventRead),
+		},
+		Traffic: make(engine.Traffic, len(r.Classes)),
+	}
+	for _, d := range r.Classes {
+		report.Traffic[d.Class] = engine.Demand{
+			Requests: float64(d.Requests) / gossip.RequestUnit, Prompt: float64(d.Prompt) * gossip.TokenUnit,
+			Unread: float64(d.Unread) * gossip.TokenUnit, Open: float64(d.Open),
+		}
+	}
+	return report
+}
+
+func toFigure(f engine.Figure) gossip.Figure {
+	return gossip.Figure{Value: float32(f.Value), Samples: toUnits(f.Samples)}
+}
+
+func fromFigure(f gossip.Figure) engine.Figure {
+	return engine.Figure{Value: float64(f.Value), Samples: float64(f.Samples)}
+}
+
+func toUnits(count float64) int { return int(math.Round(count)) }
--- a/internal/front/peersync/peersync.go
+++ b/internal/front/peersync/peersync.go
@@ -9,7 +9,6 @@
 package peersync
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -78,18 +77,9 @@
 	for _, h := range p.Placer.HoldersToReport() {
 		state.Holders = append(state.Holders, gossip.Holder{Prefix: h.Prefix, Endpoint: h.Endpoint})
 	}
-	for service, count := range p.Placer.RecentStreams() {
-		state.Streams = append(state.Streams, toStreamUnits(service, count))
-	}
 	return state
 }
 
-func toStreamUnits(service keys.Service, count placement.StreamCount) gossip.StreamCount {
-	return gossip.StreamCount{
-		Service: service, Late: int(math.Round(count.Late * gossip.StreamUnit)), All: int(math.Round(count.All * gossip.StreamUnit)),
-	}
-}
-
 // Revisions returns the revisions up to which this host knows all changes.
 func (s *Sync) Revisions() gossip.SyncRequest {
 	return gossip.SyncRequest{Settings: s.parts.Holder.Number(), Directory: s.parts.Directory.Revision()}
@@ -110,7 +100,6 @@
 func reportOf(h *gossip.Heartbeat, now time.Time) placement.PeerReport {
 	report := placement.PeerReport{
 		Loads: make(map[keys.Endpoint]placement.Load, len(h.Loads)), Ejected: make(map[keys.Endpoint]time.Time, len(h.Ejections)),
-		Streams: make(map[keys.Service]placement.StreamCount, len(h.Streams)),
 	}
 	for _, load := range h.Loads {
 		report.Loads[load.Endpoint] = placement.Load{Requests: load.Requests, Tokens: load.Tokens * gossip.TokenUnit}
@@ -118,11 +107,6 @@
 	for _, ejection := range h.Ejections {
 		report.Ejected[ejection.Endpoint] = now.Add(ejection.Left)
 	}
-	for _, count := range h.Streams {
-		report.Streams[count.Service] = placement.StreamCount{
-			Late: float64(count.Late) / gossip.StreamUnit, All: float64(count.All) / gossip.StreamUnit,
-		}
-	}
 	for _, holder := range h.Holders {
 		report.Holders = append(report.Holders, placement.Holder{Prefix: holder.Prefix, Endpoint: holder.Endpoint})
 	}
--- a/internal/front/peersync/peersync_test.go
+++ b/internal/front/peersync/peersync_test.go
@@ -14,8 +14,10 @@
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
@@ -220,15 +222,19 @@
 	c.Check(host.parts.Directory.Serving("llm"), qt.HasLen, 1)
 }
 
-func TestStreamsAreCountedInUnits(t *testing.T) {
-	tests := map[string]struct {
-		count placement.StreamCount
-		want  gossip.StreamCount
-	}{
-		"whole streams": {placement.StreamCount{Late: 1, All: 2}, gossip.StreamCount{Service: 5, Late: 8, All: 16}},
-		"rounded":       {placement.StreamCount{Late: 0.05, All: 1.07}, gossip.StreamCount{Service: 5, Late: 0, All: 9}},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) { qt.Check(t, toStreamUnits(5, test.count), qt.Equals, test.want) })
-	}
+func TestEngineReportsGoThroughHeartbeats(t *testing.T) {
+	report := engine.Report{
+		Figures: engine.Figures{
+			ReadRate: engine.Figure{Value: 37.5, Samples: 4}, EventTime: engine.Figure{Value: 20, Samples: 5},
+			EventRead: engine.Figure{Value: 250, Samples: 6},
+		},
+		Traffic: engine.Traffic{
+			7: {Requests: 1.5, Prompt: 6400, Unread: 640, Open: 3},
+			8: {Requests: 0.01, Prompt: 10},
+		},
+	}
+	sent := toEngineReport(5, &report)
+	qt.Check(t, sent.Service, qt.Equals, keys.Service(5))
+	delete(report.Traffic, 8) // Less than a unit is left of it.
+	qt.Check(t, fromEngineReport(&sent), qt.DeepEquals, report)
 }
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -1,11 +1,13 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
@@ -26,6 +28,8 @@
 	// zoneCost is the cost of another zone, for the price of bytes between zones. Measured
 	// (f86bd10): 150 gave 5.07 and 5.05; 400: 5.10 and 5.06; 800: 5.09 and 5.06.
 	zoneCost = 400
+	// missCost is the cost of one stream that misses its target.
+	missCost = 50000
 )
 
 // Choice is an endpoint with the figures that it was chosen by.
@@ -61,8 +65,12 @@
 	holders   map[keys.Endpoint]time.Time
 	// heldByCandidate is set if a candidate holds the prefix.
 	heldByCandidate bool
-	partitions      map[string]partition
-	shortOpen       bool
+	now             time.Time
+	engines         *engine.Service
+	// shortSet is the endpoints that are kept for short prompts; long is set if the request should
+	// run apart from them.
+	shortSet shortSet
+	long     bool
 }
 
 // Choose picks the candidate with the least cost for a request. Endpoints are all of the
@@ -88,32 +96,62 @@
 }
 
 func (v *View) newQuery(now time.Time, service string, request *admission.Request, endpoints, candidates []*directory.Entry) *query {
-	q := &query{request: request, shortOpen: v.lateness.isOpen(now, service)}
-	q.partitions = v.partitions.get(service, endpoints, q.shortOpen)
+	engines := v.engines.get(keys.OfService(service))
+	q := &query{request: request, now: now, engines: engines, long: engines.IsLong(keys.OfClass(request.Class))}
+	q.shortSet = v.partitions.get(service, endpoints, min(engines.Short(), len(endpoints)-1))
 	q.prefix, q.shared = sharedPrefix(request)
 	if q.shared >= minSharedPrefix {
-		q.preferred = rendezvous(q.prefix, inPartition(q.partition(), q.partitions, candidates))
+		q.preferred = rendezvous(q.prefix, inPartition(!q.long, q.shortSet, candidates))
 		q.holders = v.holders[keys.Prefix(q.prefix)]
 		q.heldByCandidate = slices.ContainsFunc(candidates, q.isHolder)
 	}
 	return q
 }
 
-// partition returns the one where the request's prefix belongs.
-func (q *query) partition() partition {
-	if q.shared >= deepPrefix {
-		return partitionDeep
+// isApart reports whether an endpoint is in the request's partition.
+func (q *query) isApart(e *directory.Entry) bool {
+	return len(q.shortSet) == 0 || q.shortSet[e.ID] != q.long
+}
+
+// misses returns how many streams are expected to miss their targets if the request goes to an endpoint:
+// the request itself, and those beside it.
+func (q *query) misses(e *directory.Entry, choice *Choice, delay float64) float64 {
+	if q.request.PromptTokens == 0 {
+		return 0
+	}
+	late := max(q.firstLate(choice, delay), fullShare(choice))
+	if q.isApart(e) {
+		return late
 	}
-	return partitionShared
+	if q.long {
+		return late + min(q.engines.HarmTo(q.request.PromptTokens)*float64(choice.Load.Requests), 1)
+	}
+	return max(late, q.engines.ShortMixed(choice.Load.Tokens))
 }
 
-// mixes reports whether an endpoint also gets prompts that a short one should run apart
-// from.
-func (q *query) mixes(e *directory.Entry) bool {
-	if q.shortOpen {
-		return q.partitions[e.ID] != partitionShort
+// firstSpread is the spread of the time to the first event as a part of the predicted one, as the scale of
+// a logistic distribution. Not measured.
+const firstSpread = 0.2
+
+// firstLate returns the chance that the first event comes after its target.
+func (q *query) firstLate(choice *Choice, delay float64) float64 {
+	if q.request.FirstToken == 0 {
+		return 0
+	}
+	predicted := float64(q.engines.Figures().ReadTime(choice.Load.Tokens+choice.Tokens)) * delay
+	return 1 / (1 + math.Exp((1-predicted/float64(q.request.FirstToken))/firstSpread))
+}
+
+// nearlyFull is the part of an endpoint's slots from which a request may find none. Not measured.
+const nearlyFull = 0.9
+
+// fullShare returns the chance that the request has to wait for a slot.
+func fullShare(choice *Choice) float64 {
+	if choice.Slots == 0 {
+		return 0
 	}
-	return q.partitions[e.ID] == partitionDeep
+	taken := float64(choice.Load.Requests) / float64(choice.Slots)
+	return min(max((taken-nearlyFull)/(1-nearlyFull), 0), 1)
 }
 
 // isHolder reports whether an endpoint was sent the prefix.
@@ -131,22 +169,24 @@
 // weigh returns the cost of sending a request to an endpoint, with its figures.
 func (v *View) weigh(q *query, e *directory.Entry) Choice {
 	choice := Choice{Endpoint: e.ID, Slots: e.Endpoint.MaxInFlight, Tokens: q.request.PromptTokens, Load: v.loads.Total(e.ID)}
-	choice.Cost = choice.Load.Requests*requestCost + choice.Load.Tokens
-	if e.Endpoint.Zone != q.request.Zone {
-		choice.Cost += zoneCost
-	}
-	if q.preferred == "" {
-		if q.request.PromptTokens > 0 && q.mixes(e) {
-			choice.Cost += mixingCost
-		}
-		return choice
-	}
-	if q.isCached(e) {
+	delay := v.delays.factor(q.now, e.ID)
+	work := choice.Load.Requests*requestCost + choice.Load.Tokens
+	moved := 0
+	switch {
+	case q.preferred == "":
+		work += choice.Tokens
+	case q.isCached(e):
 		choice.Cached = q.shared
 		choice.Tokens -= q.shared
-		return choice
+		work += choice.Tokens
+	default:
+		work += choice.Tokens - q.shared
+		moved = int(float64(q.shared) * uncachedWeight)
+	}
+	choice.Cost = int(float64(work)*delay) + moved + int(missCost*q.misses(e, &choice, delay))
+	if e.Endpoint.Zone != q.request.Zone {
+		choice.Cost += zoneCost
 	}
-	choice.Cost += int(float64(q.shared) * uncachedWeight)
 	return choice
 }
 
--- a/internal/front/placement/load.go
+++ b/internal/front/placement/load.go
@@ -29,9 +29,8 @@
 
 // peerReport is the newest report of one peer.
 type peerReport struct {
-	at      time.Time
-	loads   map[keys.Endpoint]Load
-	streams map[keys.Service]StreamCount
+	at    time.Time
+	loads map[keys.Endpoint]Load
 }
 
 // loadTable holds the loads of all hosts at all endpoints.
@@ -86,9 +85,9 @@
 }
 
 // SetPeer replaces the report of a peer.
-func (t *loadTable) SetPeer(now time.Time, peer string, loads map[keys.Endpoint]Load, streams map[keys.Service]StreamCount) {
+func (t *loadTable) SetPeer(now time.Time, peer string, loads map[keys.Endpoint]Load) {
 	t.DropPeer(peer)
-	t.peers[peer] = peerReport{at: now, loads: loads, streams: streams}
+	t.peers[peer] = peerReport{at: now, loads: loads}
 	for key, load := range loads {
 		total := t.peerTotals[key]
 		total.add(load)
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -6,7 +6,7 @@
 // It owns what this host knows of the endpoints: the loads, ejections, prefixes and late
 // streams of this host, and what its peers report of theirs. It relies on package directory
 // for the endpoints of a service. View and the rules (admit.go, affinity.go, cost.go,
-// ejection.go, lateness.go, partition.go) do no input or output and take the time as a
+// ejection.go, partition.go) do no input or output and take the time as a
 // parameter; Placer adds the lock, the clock, the wait for a slot and the log.
 package placement
 
@@ -19,9 +19,11 @@
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/owner"
+	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
 // grantValidity is how long a grant may stay unused. The owner uses it at once, so it only
@@ -45,6 +47,7 @@
 	mu         sync.Mutex
 	view       *View
 	bounds     PriorityBounds
+	targets    map[keys.Class]engine.Targets
 	newHolders []newHolder
 }
 
@@ -60,11 +63,12 @@
 	return &Placer{directory: d, log: log, clock: clock, changed: changed, view: NewView()}
 }
 
-// SetBounds replaces the ends of the order of requests.
-func (p *Placer) SetBounds(bounds PriorityBounds) {
+// SetSettings takes what placement needs of the settings in force.
+func (p *Placer) SetSettings(tree *settings.Tree) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.bounds = bounds
+	p.bounds = PriorityBoundsOf(tree)
+	p.targets = targetsOf(tree)
 }
 
 // Ask returns a grant as soon as an endpoint of the service admits the request, or a
@@ -78,7 +82,7 @@
 		now := p.clock()
 		if reason == "" {
 			p.changed()
-			return &ticket{placer: p, endpoint: choice.Endpoint, unprocessed: choice.Tokens}, p.grant(&request, &choice, now.Sub(asked), now), nil
+			return &ticket{placer: p, service: keys.OfService(service), class: keys.OfClass(request.Class), prompt: request.PromptTokens > 0, endpoint: choice.Endpoint, unprocessed: choice.Tokens, behind: choice.Load.Tokens}, p.grant(&request, &choice, now.Sub(asked), now), nil
 		}
 		if reason == admission.ReasonNoEndpoint || !now.Before(until) {
 			return nil, refusal(&request, reason, now.Sub(asked)), nil
@@ -103,17 +107,41 @@
 	if !p.bounds.isLeast(request) {
 		candidates = p.view.admitting(&p.bounds, request, candidates)
 	}
+	p.decideSplit(now, service, endpoints)
 	choice, ok := p.view.Choose(now, service, request, endpoints, candidates, p.directory.Leaving(service))
 	if !ok || !p.bounds.admits(request, choice.Slots, choice.Load.Requests) {
 		return Choice{}, admission.ReasonNoRoom
 	}
 	p.view.loads.Begin(choice.Endpoint, choice.Tokens)
+	if request.PromptTokens > 0 {
+		p.view.engines.get(keys.OfService(service)).Arrived(now, engine.Arrival{
+			Class: keys.OfClass(request.Class), Prompt: request.PromptTokens, Unread: choice.Tokens,
+		})
+	}
 	if choice.Prefix != 0 {
 		p.noteOwnHolder(now, Holder{Prefix: choice.Prefix, Endpoint: keys.OfEndpoint(choice.Endpoint)})
 	}
 	return choice, ""
 }
 
+// decideSplit decides how many endpoints of a service are kept for short prompts, if that is due. The
+// lock is held.
+func (p *Placer) decideSplit(now time.Time, service string, endpoints []*directory.Entry) {
+	engines := p.view.engines.get(keys.OfService(service))
+	fleet := engine.Fleet{
+		Endpoints: len(endpoints), Slots: endpoints[0].Endpoint.MaxInFlight, Hosts: p.view.Hosts(), Targets: p.targets,
+	}
+	if !engines.Decide(now, &fleet) {
+		return
+	}
+	f := engines.Figures()
+	p.log.WithFields(logrus.Fields{
+		"service": service, "short": engines.Short(), "endpoints": fleet.Endpoints,
+		"read_rate": f.ReadRate.Value, "event_ms": f.EventTime.Value, "event_read": f.EventRead.Value,
+		"samples": f.ReadRate.Samples,
+	}).Info("endpoints kept for short prompts")
+}
+
 // noteOwnHolder notes a prefix that an endpoint is sent, to be reported to peers if it is
 // new. The lock is held.
 func (p *Placer) noteOwnHolder(now time.Time, h Holder) {
@@ -166,11 +194,29 @@
 	return p.view.loads.Own(), p.view.ejections.Ejected(p.clock())
 }
 
-// RecentStreams returns how this host's recent streams of short prompts went, for peers.
-func (p *Placer) RecentStreams() map[keys.Service]StreamCount {
+// Observed returns what this host has observed of endpoints, for peers.
+func (p *Placer) Observed() Observed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock()
+	observed := Observed{
+		Engines: make(map[keys.Service]engine.Report, len(p.view.engines)), Delays: make(map[keys.Endpoint]Delay),
+	}
+	for service, s := range p.view.engines {
+		observed.Engines[service] = s.Report(now)
+	}
+	for endpoint, delay := range p.view.delays.Own(now) {
+		observed.Delays[keys.OfEndpoint(endpoint)] = delay
+	}
+	return observed
+}
+
+// SetObserved replaces what a peer has observed of endpoints.
+func (p *Placer) SetObserved(peer string, observed Observed) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.view.lateness.Recent(p.clock())
+	p.view.engines.setPeer(peer, observed.Engines)
+	p.view.delays.SetPeer(peer, observed.Delays)
 }
 
 // SetPeer replaces the report of a peer.
@@ -178,13 +224,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock()
-	p.view.loads.SetPeer(now, peer, report.Loads, report.Streams)
+	p.view.loads.SetPeer(now, peer, report.Loads)
 	for _, h := range report.Holders {
 		p.view.holders.Note(now, h)
 	}
-	for _, service := range p.view.lateness.openByAll(now, p.view.loads.peers) {
-		p.log.WithField("service", service).Info("short prompts get endpoints of their own: too many streams of all hosts pause too long")
-	}
 	for endpoint, until := range report.Ejected {
 		if p.view.ejections.EjectByPeer(endpoint, until) {
 			p.log.WithFields(logrus.Fields{"endpoint_key": endpoint, "from": peer, "until": until}).Info("endpoint ejected by a peer")
@@ -197,6 +240,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.view.loads.DropPeer(peer)
+	p.view.engines.dropPeer(peer)
+	p.view.delays.DropPeer(peer)
 }
 
 // Expire forgets what is too old to count. It is called about once a second.
@@ -231,18 +276,16 @@
 	}
 }
 
-// Streamed counts the longest pause of a stream against its target. Only streams of short
-// prompts with a target count.
-func (p *Placer) Streamed(service string, request *admission.Request, longest, target time.Duration) {
-	if _, shared := sharedPrefix(request); shared >= minSharedPrefix || target == 0 {
-		return
-	}
+// Streamed observes a whole stream.
+func (p *Placer) Streamed(service string, stream engine.Stream) {
 	p.mu.Lock()
-	average, opened := p.view.lateness.Streamed(p.clock(), service, longest, target)
-	p.mu.Unlock()
-	if opened {
-		p.log.WithFields(logrus.Fields{
-			"service": service, "pause_ms": longest.Milliseconds(), "target_ms": target.Milliseconds(), "late": average,
-		}).Info("short prompts get endpoints of their own: their streams pause too long")
-	}
+	defer p.mu.Unlock()
+	p.view.engines.get(keys.OfService(service)).Streamed(stream)
+}
+
+// Unread returns the prompt tokens that an endpoint has still to read for all hosts.
+func (p *Placer) Unread(endpoint string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.loads.Total(endpoint).Tokens
 }
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
+	"math"
 	"testing"
 	"time"
 
@@ -12,6 +12,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
@@ -31,12 +32,12 @@
 // short is a request without a shared prefix worth keeping, long one with 10,000
 // shared tokens of 12,000.
 func short() *admission.Request {
-	return &admission.Request{ID: "short", Zone: "a", PromptTokens: 500}
+	return &admission.Request{ID: "short", Class: "short", Zone: "a", PromptTokens: 500}
 }
 
 func long(prefix uint64) *admission.Request {
 	return &admission.Request{
-		ID: "long", Zone: "a", PromptTokens: 12_000, Prefix: []uint64{prefix, prefix + 1}, PrefixTokens: []int{10_000, 12_000},
+		ID: "long", Class: "long", Zone: "a", PromptTokens: 12_000, Prefix: []uint64{prefix, prefix + 1}, PrefixTokens: []int{10_000, 12_000},
 	}
 }
 
@@ -62,18 +63,18 @@
 		},
 		"work of peers counts": {
 			func(b *View) {
-				b.loads.SetPeer(start, "p", map[keys.Endpoint]Load{keys.OfEndpoint("e1"): {Requests: 30}, keys.OfEndpoint("e3"): {Tokens: 9000}}, nil)
+				b.loads.SetPeer(start, "p", map[keys.Endpoint]Load{keys.OfEndpoint("e1"): {Requests: 30}, keys.OfEndpoint("e3"): {Tokens: 9000}})
 			}, short(), "e2",
 		},
 		"a peer's last word counts": {
 			func(b *View) {
-				b.loads.SetPeer(start, "p", map[keys.Endpoint]Load{keys.OfEndpoint("e2"): {Requests: 50}}, nil)
-				b.loads.SetPeer(start, "p", map[keys.Endpoint]Load{keys.OfEndpoint("e1"): {Requests: 30}, keys.OfEndpoint("e3"): {Tokens: 9000}}, nil)
+				b.loads.SetPeer(start, "p", map[keys.Endpoint]Load{keys.OfEndpoint("e2"): {Requests: 50}})
+				b.loads.SetPeer(start, "p", map[keys.Endpoint]Load{keys.OfEndpoint("e1"): {Requests: 30}, keys.OfEndpoint("e3"): {Tokens: 9000}})
 			}, short(), "e2",
 		},
 		"work of a peer that left does not count": {
 			func(b *View) {
-				b.loads.SetPeer(start, "p", map[keys.Endpoint]Load{keys.OfEndpoint("e1"): {Requests: 30}}, nil)
+				b.loads.SetPeer(start, "p", map[keys.Endpoint]Load{keys.OfEndpoint("e1"): {Requests: 30}})
 				b.loads.DropPeer("p")
 				b.loads.Begin("e2", 0)
 				b.loads.Begin("e3", 0)
@@ -81,7 +82,7 @@
 		},
 		"work of a peer that fell silent does not": {
 			func(b *View) {
-				b.loads.SetPeer(start.Add(-time.Minute), "p", map[keys.Endpoint]Load{keys.OfEndpoint("e1"): {Requests: 30}}, nil)
+				b.loads.SetPeer(start.Add(-time.Minute), "p", map[keys.Endpoint]Load{keys.OfEndpoint("e1"): {Requests: 30}})
 				b.Expire(start)
 				b.loads.Begin("e2", 0)
 				b.loads.Begin("e3", 0)
@@ -153,55 +154,104 @@
 	}
 }
 
+// split returns a view in which long prompts harm the streams of short ones, and a number of endpoints
+// is kept for the latter.
+func split(c *qt.C, endpoints []*directory.Entry) (*View, int) {
+	v := NewView()
+	engines := v.engines.get(keys.OfService("llm"))
+	for range 60 {
+		engines.Arrived(start, engine.Arrival{Class: keys.OfClass("long"), Prompt: 12_000, Unread: 12_000})
+		engines.Ended(keys.OfClass("long"))
+		engines.Arrived(start, engine.Arrival{Class: keys.OfClass("short"), Prompt: 500, Unread: 500})
+	}
+	target := engine.Targets{First: time.Second, Pause: 150 * time.Millisecond}
+	engines.Decide(start, &engine.Fleet{
+		Endpoints: len(endpoints), Slots: slots, Hosts: 1,
+		Targets: map[keys.Class]engine.Targets{keys.OfClass("long"): {First: time.Second, Pause: time.Second}, keys.OfClass("short"): target},
+	})
+	c.Assert(engines.IsLong(keys.OfClass("long")), qt.IsTrue)
+	c.Assert(engines.IsLong(keys.OfClass("short")), qt.IsFalse)
+	return v, engines.Short()
+}
+
 func TestPartitions(t *testing.T) {
 	c := qt.New(t)
 	all := entries("e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9")
-	for _, shortOpen := range []bool{false, true} {
-		partitions := partitionsOf(all, shortOpen)
-		b := NewView()
-		if shortOpen {
-			b.lateness["llm"] = &streamRecord{openUntil: start.Add(time.Second)}
-		}
-		for prefix := range uint64(50) {
-			shallow := long(prefix * 977)
-			deep := long(prefix * 977)
-			deep.PromptTokens, deep.PrefixTokens = 22_000, []int{20_000, 22_000}
-			c.Check(partitions[b.choose(shallow, all).Endpoint], qt.Equals, partitionShared)
-			c.Check(partitions[b.choose(deep, all).Endpoint], qt.Equals, partitionDeep)
-		}
-		want := partitionShared
-		if shortOpen {
-			want = partitionShort
+	v, number := split(c, all)
+	c.Assert(number > 0 && number < len(all), qt.IsTrue)
+	kept := shortSetOf(all, number)
+	for prefix := range uint64(50) {
+		c.Check(kept[v.choose(long(prefix*977), all).Endpoint], qt.IsFalse)
+	}
+	c.Check(kept[v.choose(short(), all).Endpoint], qt.IsTrue)
+	// A short prompt leaves its partition only when that has no slots left.
+	for id := range kept {
+		for range slots {
+			v.loads.Begin(id, 0)
 		}
-		c.Check(partitions[b.choose(short(), all).Endpoint], qt.Equals, want)
 	}
-	alone := long(7)
-	alone.PromptTokens, alone.PrefixTokens = 22_000, []int{20_000, 22_000}
-	c.Check(NewView().choose(alone, entries("e1")).Endpoint, qt.Equals, "e1")
+	c.Check(kept[v.choose(short(), all).Endpoint], qt.IsFalse)
+	alone := entries("e1")
+	c.Check(v.choose(long(7), alone).Endpoint, qt.Equals, "e1")
+	c.Check(v.choose(short(), alone).Endpoint, qt.Equals, "e1")
 }
 
-func TestTheShortPartitionOpensAndCloses(t *testing.T) {
-	c := qt.New(t)
-	b := NewView()
-	opened := 0
-	for range 20 {
-		if _, open := b.lateness.Streamed(start, "llm", 310*time.Millisecond, 300*time.Millisecond); open {
-			opened++
+// TestASlowEndpointGetsLess has two endpoints with equal work, one of which took four times as long as
+// predicted to begin answers, by this host's own calls or by a peer's.
+func TestASlowEndpointGetsLess(t *testing.T) {
+	slow := func(v *View) {
+		for range 4 {
+			v.delays.Began(start, "e1", 100*time.Millisecond, 400*time.Millisecond)
 		}
 	}
-	c.Check(opened, qt.Equals, 1)
-	c.Check(b.lateness.isOpen(start, "llm"), qt.IsTrue)
-	c.Check(b.lateness.isOpen(start, "other"), qt.IsFalse)
-	c.Check(b.lateness.isOpen(start.Add(openTime), "llm"), qt.IsFalse)
-	calm := NewView()
-	for n := range 100 {
-		pause := 200 * time.Millisecond
-		if n%25 == 0 {
-			pause = 310 * time.Millisecond
+	tests := map[string]struct {
+		observe func(v *View)
+		want    string
+	}{
+		"by its own calls": {slow, "e2"},
+		"by a peer's": {func(v *View) {
+			peer := NewView()
+			slow(peer)
+			v.delays.SetPeer("p", map[keys.Endpoint]Delay{keys.OfEndpoint("e1"): peer.delays.Own(start)["e1"]})
+		}, "e2"},
+		"long ago": {func(v *View) {
+			for range 4 {
+				v.delays.Began(start.Add(-time.Minute), "e1", 100*time.Millisecond, 400*time.Millisecond)
+			}
+		}, "e1"},
+		"too short to tell": {func(v *View) {
+			for range 4 {
+				v.delays.Began(start, "e1", time.Millisecond, 400*time.Millisecond)
+			}
+		}, "e1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := NewView()
+			v.loads.Begin("e1", 1000)
+			v.loads.Begin("e2", 1001)
+			test.observe(v)
+			qt.Check(t, v.choose(short(), entries("e1", "e2")).Endpoint, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestMoreWorkNeverCostsLess adds work to an endpoint and compares its cost.
+func TestMoreWorkNeverCostsLess(t *testing.T) {
+	c := qt.New(t)
+	all := entries("e1", "e2", "e3", "e4")
+	v, _ := split(c, all)
+	for _, request := range []*admission.Request{short(), long(7)} {
+		request.FirstToken = time.Second
+		before := math.MinInt
+		for range 80 {
+			q := v.newQuery(start, "llm", request, all, all)
+			cost := v.weigh(q, all[0]).Cost
+			c.Check(cost >= before, qt.IsTrue)
+			before = cost
+			v.loads.Begin("e1", 700)
 		}
-		calm.lateness.Streamed(start, "llm", pause, 300*time.Millisecond)
 	}
-	c.Check(calm.lateness.isOpen(start, "llm"), qt.IsFalse, qt.Commentf("a few late streams partition nothing"))
 }
 
 func TestSource(t *testing.T) {
@@ -283,7 +333,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := New(d, logrus.NewEntry(log), clock, func() {})
-	s.SetBounds(PriorityBounds{LowestTier: 0, LeastUrgent: 2})
+	least := 2
+	s.SetSettings(&settings.Tree{Root: settings.Root{Classes: map[string]settings.Class{"c": {Values: settings.Values{Urgency: &least}}}}})
 	return s
 }
 
@@ -392,48 +443,6 @@
 	}
 }
 
-// TestTheStreamsOfAllHostsOpenAPartition is scale-2 of the grown Kochi site: each of 78 hosts
-// saw two streams of short prompts a second, and the last was partitioned after 15 s,
-// when one stream in four was late.
-func TestTheStreamsOfAllHostsOpenAPartition(t *testing.T) {
-	type counts = map[keys.Service]StreamCount
-	count := func(late, all float64) counts { return counts{keys.OfService("llm"): {Late: late, All: all}} }
-	tests := map[string]struct {
-		peers []counts
-		want  bool
-	}{
-		"many late":          {[]counts{count(3, 15), count(3, 15)}, true},
-		"few late":           {[]counts{count(3, 15), count(0, 15)}, false},
-		"too few to tell":    {[]counts{count(10, 10)}, false},
-		"at another service": {[]counts{{1: {Late: 100, All: 100}}}, false},
-		"nothing reported":   {nil, false},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			now := start
-			s := newPlacer(func() time.Time { return now })
-			s.Streamed("llm", short(), 100*time.Millisecond, 400*time.Millisecond)
-			for n, streams := range test.peers {
-				s.SetPeer(fmt.Sprint("peer-", n), PeerReport{Streams: streams})
-			}
-			qt.Check(t, s.view.lateness.isOpen(now, "llm"), qt.Equals, test.want)
-			qt.Check(t, s.view.lateness.isOpen(now.Add(openTime), "llm"), qt.IsFalse)
-		})
-	}
-}
-
-func TestRecentStreamsAreReported(t *testing.T) {
-	c := qt.New(t)
-	now := start
-	s := newPlacer(func() time.Time { return now })
-	c.Check(s.RecentStreams(), qt.HasLen, 0)
-	s.Streamed("llm", short(), 500*time.Millisecond, 400*time.Millisecond)
-	s.Streamed("llm", short(), 100*time.Millisecond, 400*time.Millisecond)
-	c.Check(s.RecentStreams(), qt.DeepEquals, map[keys.Service]StreamCount{keys.OfService("llm"): {Late: 1, All: 2}})
-	now = now.Add(recentTime)
-	c.Check(s.RecentStreams(), qt.HasLen, 0, qt.Commentf("less than one stream is left of two"))
-}
-
 func TestPriorityBoundsOf(t *testing.T) {
 	one, two := 1, 2
 	tests := map[string]struct {
--- a/internal/front/placement/ticket.go
+++ b/internal/front/placement/ticket.go
@@ -1,25 +1,44 @@
 package placement
 
-import "oxbowslip.dev/oxbowslip/internal/admission"
+import (
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/admission"
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
+)
 
 // ticket is one granted request. It implements owner.Ticket.
 type ticket struct {
-	placer   *Placer
+	placer  *Placer
+	service keys.Service
+	class   keys.Class
+	// prompt is set if the request has a prompt.
+	prompt   bool
 	endpoint string
-	// unprocessed is the part of the prompt, in tokens, that the endpoint has not processed.
+	// unprocessed is the part of the prompt, in tokens, that the endpoint has not processed, behind
+	// those of other prompts that it had to process when the request was granted.
 	unprocessed int
+	behind      int
+	startedAt   time.Time
 }
 
 // Preempted returns nil: a placer takes no endpoint back.
 func (t *ticket) Preempted() <-chan struct{} { return nil }
 
-// Started does nothing: the request was counted when it was granted.
-func (t *ticket) Started() {}
+// Started notes when the request is sent. It was counted when it was granted.
+func (t *ticket) Started() { t.startedAt = t.placer.clock() }
 
 // FirstToken notes that the whole prompt was processed.
 func (t *ticket) FirstToken() {
 	p := t.placer
 	p.mu.Lock()
+	now := p.clock()
+	engines := p.view.engines.get(t.service)
+	took := now.Sub(t.startedAt)
+	if t.behind == 0 {
+		engines.Began(t.unprocessed, took)
+	}
+	p.view.delays.Began(now, t.endpoint, engines.Figures().ReadTime(t.behind+t.unprocessed), took)
 	p.view.loads.Processed(t.endpoint, t.unprocessed)
 	t.unprocessed = 0
 	p.mu.Unlock()
@@ -34,6 +53,9 @@
 	p := t.placer
 	p.mu.Lock()
 	p.view.loads.End(t.endpoint, t.unprocessed)
+	if t.prompt {
+		p.view.engines.get(t.service).Ended(t.class)
+	}
 	t.unprocessed = 0
 	p.mu.Unlock()
 	p.changed()
--- a/internal/front/placement/view.go
+++ b/internal/front/placement/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
@@ -12,14 +13,15 @@
 	loads      loadTable
 	ejections  ejectionTable
 	holders    holderTable
-	lateness   latenessTable
+	engines    engineTable
+	delays     delayTable
 	partitions partitionCache
 }
 
 // NewView returns a view in which nothing was sent yet.
 func NewView() *View {
 	return &View{
-		loads: newLoadTable(), ejections: newEjectionTable(), holders: make(holderTable), lateness: make(latenessTable),
+		loads: newLoadTable(), ejections: newEjectionTable(), holders: make(holderTable), engines: make(engineTable), delays: newDelayTable(),
 		partitions: make(partitionCache),
 	}
 }
@@ -29,13 +31,22 @@
 	Loads map[keys.Endpoint]Load
 	// Ejected are the endpoints that the peer has ejected, with the end of each ejection.
 	Ejected map[keys.Endpoint]time.Time
-	Streams map[keys.Service]StreamCount
 	Holders []Holder
 }
 
+// Observed is what a host has observed of endpoints.
+type Observed struct {
+	Engines map[keys.Service]engine.Report
+	Delays  map[keys.Endpoint]Delay
+}
+
 // Expire forgets what is too old to count.
 func (v *View) Expire(now time.Time) {
 	v.loads.expire(now)
 	v.ejections.expire(now)
 	v.holders.expire(now)
+	v.delays.expire(now)
 }
+
+// Hosts returns the number of live hosts whose loads are known, this one included.
+func (v *View) Hosts() int { return len(v.loads.peers) + 1 }
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -48,7 +48,7 @@
 	p := &x.server.parts
 	r := admission.Request{
 		ID: x.call.ID, Owner: p.Host, Workspace: x.workspace, Class: x.route.Class, Tier: x.policy.Tier, Urgency: x.policy.Urgency,
-		Arrived: x.arrived, FirstToken: x.policy.FirstToken, WholeAnswer: x.policy.WholeAnswer,
+		Arrived: x.arrived, FirstToken: x.policy.FirstToken, WholeAnswer: x.policy.WholeAnswer, MaxPause: x.policy.MaxPause,
 		Repeatable: x.policy.Repeatable, PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Zone: p.Zone,
 	}
 	hash := xxhash.New()
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -100,7 +100,7 @@
 	job := x.job()
 	end := p.Owner.Run(ctx, job)
 	if x.stream.events > 1 && end.Sends == 1 {
-		p.Health.Streamed(x.service, &job.Request, x.stream.longestPause, x.policy.MaxPause)
+		p.Health.Streamed(x.service, x.stream.observed())
 	}
 	x.logEnd(&end)
 	switch end.Outcome {
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -14,8 +14,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/logging"
@@ -30,8 +30,10 @@
 	Failed(endpoint string, reached bool, cause error)
 	// Answered is called when an endpoint gave a whole answer.
 	Answered(endpoint string)
-	// Streamed is called with the longest pause of a whole stream and the target for pauses.
-	Streamed(service string, request *admission.Request, longest, target time.Duration)
+	// Streamed is called with what was seen of a whole stream.
+	Streamed(service string, stream engine.Stream)
+	// Unread returns the prompt tokens that an endpoint has still to read, as far as is known.
+	Unread(endpoint string) int
 }
 
 // Parts are what a server works with.
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/owner"
@@ -28,11 +29,21 @@
 	// started is set once the head went to the caller.
 	started bool
 	// events is the number of events that were passed on, lastID the ID of the last.
-	events int
-	lastID string
-	lastAt time.Time
-	// longestPause is the longest time between two events.
+	events  int
+	lastID  string
+	lastAt  time.Time
+	firstAt time.Time
+	// longestPause is the longest time between two events, and beside the prompt tokens that the
+	// endpoint had to read when it ended.
 	longestPause time.Duration
+	beside       int
+}
+
+// observed returns what was seen of the stream.
+func (s *streamState) observed() engine.Stream {
+	return engine.Stream{
+		Events: s.events, Lasted: s.lastAt.Sub(s.firstAt), Longest: s.longestPause, Beside: s.beside,
+	}
 }
 
 // relayStream passes whole events on until the stream ends or breaks. It blocks while the
@@ -78,7 +89,9 @@
 	if err := control.Flush(); err != nil {
 		return &owner.Result{Event: request.EventCallerGone, Err: err}
 	}
-	x.stream.passed(x.server.parts.Clock(), eventID(event))
+	if x.stream.passed(x.server.parts.Clock(), eventID(event)) {
+		x.stream.beside = x.server.parts.Health.Unread(a.EndpointID)
+	}
 	a.Tokens(x.stream.events)
 	return nil
 }
@@ -94,16 +107,22 @@
 	x.w.WriteHeader(answer.Status)
 }
 
-// passed counts an event that went to the caller.
-func (s *streamState) passed(now time.Time, id string) {
-	if s.events > 0 {
-		s.longestPause = max(s.longestPause, now.Sub(s.lastAt))
+// passed counts an event that went to the caller, and reports whether the pause before it was the
+// longest.
+func (s *streamState) passed(now time.Time, id string) bool {
+	longest := false
+	if s.events == 0 {
+		s.firstAt = now
+	} else if pause := now.Sub(s.lastAt); pause > s.longestPause {
+		s.longestPause = pause
+		longest = true
 	}
 	s.events++
 	s.lastAt = now
 	if id != "" {
 		s.lastID = id
 	}
+	return longest
 }
 
 // isNext reports whether an event follows the last one that was passed on. Endpoints number
