Admission by class before tier, refusal of hopeless waits, refused demand counts

Change: the part of the slots goes by urgency, then tier; a less urgent request whose first event is predicted after four targets is refused at once, to come back when the wait will have been read, spread by half; the cost of a full endpoint grows with its queue; refused requests count in the split.

--- a/internal/front/engine/traffic.go
+++ b/internal/front/engine/traffic.go
@@ -99,6 +99,13 @@
 	s.sent.traffic.add(Traffic{a.Class: {Requests: 1, Prompt: float64(a.Prompt), Unread: float64(a.Unread), Open: 1}})
 }
 
+// Refused counts a request that this host refused for lack of room: it belongs to what the endpoints are
+// divided by.
+func (s *Service) Refused(now time.Time, a Arrival) {
+	s.Arrived(now, a)
+	s.Ended(a.Class)
+}
+
 // Ended counts the end of a request that this host sent.
 func (s *Service) Ended(class keys.Class) {
 	s.sent.traffic.add(Traffic{class: {Open: -1}})
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -111,8 +111,8 @@
 	return upstream.New(upstream.Config{AnswerID: deployment.Dialect.AnswerID, KeepIdle: keepIdle, DeadPeer: deadPeer}, clock)
 }
 
-func newPlacer(d *directory.Directory, log *logrus.Logger, clock func() time.Time, l *late) *placement.Placer {
-	return placement.New(d, logging.Part(log, "endpoints"), clock, l.loadChanged)
+func newPlacer(d *directory.Directory, log *logrus.Logger, clock func() time.Time, random func() float64, l *late) *placement.Placer {
+	return placement.New(d, logging.Part(log, "endpoints"), clock, random, l.loadChanged)
 }
 
 // settingsParts are what the sink of the settings is made of.
--- a/internal/front/placement/admit.go
+++ b/internal/front/placement/admit.go
@@ -8,17 +8,23 @@
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
-// Under overload the least urgent requests wait a little and are refused first. The rule:
-// the less urgent a request, the smaller the part of an engine's slots up to which it is
-// admitted. Requests of higher tiers, the most urgent of the lowest tier, and calls of plain
-// services are always admitted: engines order those themselves by the priority they are sent.
-
-// leastUrgentSlots is the part of an engine's slots up to which the least urgent requests of
-// the lowest tier are admitted. More urgent ones are admitted up to a part between it and
-// all. It lies above one half because the users price a refusal while half of the slots are
-// free. Measured with five times the usual traffic (b054636, 6ab330c, worth): pwhc-shared
-// 0.69 without it, 0.80 with it; mfs-kochi 0.43 and 0.67; standard days unchanged.
-const leastUrgentSlots = 0.56
+// Under overload the least urgent requests wait a little and are refused first. The rule: the less urgent
+// a request, by its class and then by its workspace's tier, the smaller the part of an engine's slots up to
+// which it is admitted; and it is not admitted where its answer would begin so late that callers give up.
+// Requests of the most urgent classes and calls of plain services are always admitted: engines order those
+// themselves by the priority they are sent.
+
+const (
+	// leastUrgentSlots is the part of an engine's slots up to which the least urgent requests of the
+	// lowest tier are admitted. More urgent ones are admitted up to a part between it and all. It lies
+	// above one half because the users price a refusal while half of the slots are free. Measured with
+	// five times the usual traffic (b054636, 6ab330c, worth): pwhc-shared 0.69 without it, 0.80 with it;
+	// mfs-kochi 0.43 and 0.67; standard days unchanged.
+	leastUrgentSlots = 0.56
+	// hopelessTargets is how many targets the first event may be predicted to take. Callers on the users'
+	// platform give up a stream after four.
+	hopelessTargets = 4
+)
 
 // PriorityBounds are the ends of the order of requests, by the settings in force.
 type PriorityBounds struct {
@@ -54,18 +60,34 @@
 	return request.Tier >= b.LowestTier && request.Urgency >= b.LeastUrgent
 }
 
+// grade returns how little urgent a request is, from 0 to 1.
+func (b *PriorityBounds) grade(request *admission.Request) float64 {
+	tiers := b.LowestTier + 1
+	rank := min(request.Urgency, b.LeastUrgent)*tiers + min(request.Tier, b.LowestTier)
+	return float64(rank) / float64(max(b.LeastUrgent*tiers+b.LowestTier, 1))
+}
+
+// isBounded reports whether a request may be refused for lack of room.
+func (b *PriorityBounds) isBounded(request *admission.Request) bool {
+	return request.PromptTokens > 0 && b.LeastUrgent > 0 && request.Urgency > 0
+}
+
 // admits reports whether a request is admitted to an endpoint with a number of slots and of
 // open requests. Zero slots means that their number is not known.
 func (b *PriorityBounds) admits(request *admission.Request, slots, open int) bool {
-	unbounded := request.PromptTokens == 0 || slots == 0 || request.Tier < b.LowestTier
-	if unbounded || b.LeastUrgent == 0 || request.Urgency == 0 {
+	if !b.isBounded(request) || slots == 0 {
 		return true
 	}
-	grade := float64(min(request.Urgency, b.LeastUrgent)) / float64(b.LeastUrgent)
-	part := 1 - (1-leastUrgentSlots)*grade
+	part := 1 - (1-leastUrgentSlots)*b.grade(request)
 	return open < int(part*float64(slots))
 }
 
+// admitsChoice reports whether a request is admitted to the endpoint that was chosen for it.
+func (b *PriorityBounds) admitsChoice(request *admission.Request, choice *Choice) bool {
+	hopeless := request.FirstToken > 0 && choice.First > hopelessTargets*request.FirstToken
+	return b.admits(request, choice.Slots, choice.Load.Requests) && (!hopeless || !b.isBounded(request))
+}
+
 // admitting leaves out the endpoints that do not admit a request.
 func (v *View) admitting(bounds *PriorityBounds, request *admission.Request, endpoints []*directory.Entry) []*directory.Entry {
 	return keep(endpoints, func(e *directory.Entry) bool {
@@ -90,20 +112,25 @@
 	return min(max(request.FirstToken, request.WholeAnswer)/waitPart, maxWait)
 }
 
-// When a refused caller should come back. Not measured: callers heed it only up to a third
-// of the time that they have left.
+// When a refused caller should come back: callers heed it only up to a third of the time that they have
+// left. None of these was measured.
 const (
-	// noSlotRetry is about the time in which an engine finishes a few requests.
-	noSlotRetry = 2 * time.Second
+	// leastRoomRetry and mostRoomRetry bound the time after which there should be room.
+	leastRoomRetry = 500 * time.Millisecond
+	mostRoomRetry  = 4 * time.Second
+	// roomRetrySpread is the part by which those refused together come back at different times.
+	roomRetrySpread = 0.5
 	// noEndpointRetry is about the time in which an endpoint's entry comes back or a host
 	// learns of one.
 	noEndpointRetry = 500 * time.Millisecond
 )
 
-// retryAfter returns when to come back after a refusal.
-func retryAfter(reason admission.Reason) time.Duration {
-	if reason == admission.ReasonNoRoom {
-		return noSlotRetry
+// retryAfter returns when to come back after a refusal: when what waits at the endpoint that was chosen
+// will be read, and at once where there is none. Random is from 0 up to 1.
+func retryAfter(reason admission.Reason, choice *Choice, random float64) time.Duration {
+	if reason != admission.ReasonNoRoom {
+		return noEndpointRetry
 	}
-	return noEndpointRetry
+	after := min(max(choice.First, leastRoomRetry), mostRoomRetry)
+	return time.Duration(float64(after) * (1 + roomRetrySpread*random))
 }
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -48,6 +48,8 @@
 	// FetchFrom is the ID of another endpoint that should hold what this one lacks, or
 	// empty.
 	FetchFrom string
+	// First is the predicted time to the first event.
+	First time.Duration
 	// Cost is what the choice was made by, in prompt tokens.
 	Cost int
 }
@@ -115,11 +117,11 @@
 
 // misses returns how many streams are expected to miss their targets if the request goes to an endpoint:
 // the request itself, and those beside it.
-func (q *query) misses(e *directory.Entry, choice *Choice, delay float64) float64 {
+func (q *query) misses(e *directory.Entry, choice *Choice) float64 {
 	if q.request.PromptTokens == 0 {
 		return 0
 	}
-	late := max(q.firstLate(choice, delay), fullShare(choice))
+	late := max(q.firstLate(choice), fullShare(choice))
 	if q.isApart(e) {
 		return late
 	}
@@ -134,24 +136,27 @@
 const firstSpread = 0.2
 
 // firstLate returns the chance that the first event comes after its target.
-func (q *query) firstLate(choice *Choice, delay float64) float64 {
+func (q *query) firstLate(choice *Choice) float64 {
 	if q.request.FirstToken == 0 {
 		return 0
 	}
-	predicted := float64(q.engines.Figures().ReadTime(choice.Load.Tokens+choice.Tokens)) * delay
-	return 1 / (1 + math.Exp((1-predicted/float64(q.request.FirstToken))/firstSpread))
+	return 1 / (1 + math.Exp((1-float64(choice.First)/float64(q.request.FirstToken))/firstSpread))
 }
 
 // nearlyFull is the part of an endpoint's slots from which a request may find none. Not measured.
 const nearlyFull = 0.9
 
-// fullShare returns the chance that the request has to wait for a slot.
+// fullCost is how much worse it is than a miss to wait until as many requests have ended as an endpoint has
+// slots: callers give up. Not measured.
+const fullCost = 4
+
+// fullShare returns the chance that the request has to wait for a slot, and more the longer it has to.
 func fullShare(choice *Choice) float64 {
 	if choice.Slots == 0 {
 		return 0
 	}
 	taken := float64(choice.Load.Requests) / float64(choice.Slots)
-	return min(max((taken-nearlyFull)/(1-nearlyFull), 0), 1)
+	return min(max((taken-nearlyFull)/(1-nearlyFull), 0), 1) + fullCost*max(taken-1, 0)
 }
 
 // isHolder reports whether an endpoint was sent the prefix.
@@ -183,7 +188,8 @@
 		work += choice.Tokens - q.shared
 		moved = int(float64(q.shared) * uncachedWeight)
 	}
-	choice.Cost = int(float64(work)*delay) + moved + int(missCost*q.misses(e, &choice, delay))
+	choice.First = time.Duration(float64(q.engines.Figures().ReadTime(choice.Load.Tokens+choice.Tokens)) * delay)
+	choice.Cost = int(float64(work)*delay) + moved + int(missCost*q.misses(e, &choice))
 	if e.Endpoint.Zone != q.request.Zone {
 		choice.Cost += zoneCost
 	}
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -41,6 +41,8 @@
 	directory *directory.Directory
 	log       *logrus.Entry
 	clock     func() time.Time
+	// random returns numbers from 0 up to 1.
+	random func() float64
 	// changed is called when this host's loads or ejections have changed.
 	changed func()
 
@@ -59,8 +61,8 @@
 
 // New returns a placer that has sent nothing. Changed is called, outside of any lock, when
 // this host's loads or ejections have changed; it must not block.
-func New(d *directory.Directory, log *logrus.Entry, clock func() time.Time, changed func()) *Placer {
-	return &Placer{directory: d, log: log, clock: clock, changed: changed, view: NewView()}
+func New(d *directory.Directory, log *logrus.Entry, clock func() time.Time, random func() float64, changed func()) *Placer {
+	return &Placer{directory: d, log: log, clock: clock, random: random, changed: changed, view: NewView()}
 }
 
 // SetSettings takes what placement needs of the settings in force.
@@ -85,7 +87,8 @@
 			return &ticket{placer: p, service: keys.OfService(service), class: keys.OfClass(request.Class), prompt: request.PromptTokens > 0, endpoint: choice.Endpoint, unprocessed: choice.Tokens, behind: choice.Load.Tokens}, p.grant(&request, &choice, now.Sub(asked), now), nil
 		}
 		if reason == admission.ReasonNoEndpoint || !now.Before(until) {
-			return nil, refusal(&request, reason, now.Sub(asked)), nil
+			p.refused(now, service, &request, reason)
+			return nil, p.refusal(&request, reason, &choice, now.Sub(asked)), nil
 		}
 		if !lifetime.Sleep(ctx, slotPoll) {
 			return nil, admission.Decision{}, ctx.Err()
@@ -109,8 +112,8 @@
 	}
 	p.decideSplit(now, service, endpoints)
 	choice, ok := p.view.Choose(now, service, request, endpoints, candidates, p.directory.Leaving(service))
-	if !ok || !p.bounds.admits(request, choice.Slots, choice.Load.Requests) {
-		return Choice{}, admission.ReasonNoRoom
+	if !ok || !p.bounds.admitsChoice(request, &choice) {
+		return choice, admission.ReasonNoRoom
 	}
 	p.view.loads.Begin(choice.Endpoint, choice.Tokens)
 	if request.PromptTokens > 0 {
@@ -164,12 +167,24 @@
 	}
 }
 
-func refusal(request *admission.Request, reason admission.Reason, waited time.Duration) admission.Decision {
+func (p *Placer) refusal(request *admission.Request, reason admission.Reason, choice *Choice, waited time.Duration) admission.Decision {
 	return admission.Decision{
-		Kind: admission.Refuse, ID: request.ID, Reason: reason, RetryAfter: retryAfter(reason), Figures: admission.Figures{Waited: waited},
+		Kind: admission.Refuse, ID: request.ID, Reason: reason, RetryAfter: retryAfter(reason, choice, p.random()), Figures: admission.Figures{Waited: waited},
 	}
 }
 
+// refused counts a request that found no room.
+func (p *Placer) refused(now time.Time, service string, request *admission.Request, reason admission.Reason) {
+	if reason != admission.ReasonNoRoom {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.view.engines.get(keys.OfService(service)).Refused(now, engine.Arrival{
+		Class: keys.OfClass(request.Class), Prompt: request.PromptTokens, Unread: request.PromptTokens,
+	})
+}
+
 // HoldersToReport returns the holders for the next report to peers.
 func (p *Placer) HoldersToReport() []Holder {
 	p.mu.Lock()
