--- a/internal/front/engine/split.go
+++ b/internal/front/engine/split.go
@@ -45,10 +45,8 @@
 	leastGain = 0.01
 	// cutTime is how long a cut stays at the least. Not measured.
 	cutTime = 10 * time.Second
-	// keptFactor is by how much the gain of the cut in force counts for more, keptGain the part of the
-	// requests that is added to it: under overload both predictions are near their end. Not measured.
+	// keptFactor is by how much the gain of the cut in force counts for more. Not measured.
 	keptFactor = 2
-	keptGain   = 0.03
 	// leastRequests is how many requests of a class must have come lately to judge it. Not measured.
 	leastRequests = 3
 	// mostReading is the part of the time that the endpoints of a side may read on average. Not measured.
@@ -155,7 +153,7 @@
 		_, late := s.bestSize(loads[:cut], loads[cut:], fleet)
 		saved := mixed - late
 		if s.isCut(loads[:cut]) {
-			saved = keptFactor*saved + keptGain*requests
+			saved *= keptFactor
 		}
 		if saved > gain {
 			best, gain = cut, saved
