--- a/internal/front/engine/split.go
+++ b/internal/front/engine/split.go
@@ -1,9 +1,7 @@
 package engine
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
@@ -13,8 +11,9 @@
 // reads a long prompt, each of its steps takes longer, and the streams beside it pause.
 //
 // The classes are cut in two by the length of their prompts, where the fewest requests are predicted to be
-// late; if that saves next to nothing, there is no cut. Each side gets endpoints in proportion to its
-// prompt tokens, and slots for the streams that it has open. All hosts decide from the same reports.
+// late (predict.go); if that saves next to nothing, there is no cut. The number of endpoints for the short
+// classes is the one with the fewest late requests, within what both sides have to read. All hosts decide
+// from the same reports, and a decision stays for a while.
 
 // Targets are those of a request class.
 type Targets struct {
@@ -37,9 +36,6 @@
 }
 
 const (
-	// usableSlots is the part of the slots that streams may take on average: bursts need the rest.
-	// Not measured.
-	usableSlots = 0.65
 	// leastGain is the part of the requests that a cut must save from being late to be made. Not
 	// measured.
 	leastGain = 0.01
@@ -47,8 +43,6 @@
 	cutTime = 10 * time.Second
 	// keptFactor is by how much the gain of the cut in force counts for more. Not measured.
 	keptFactor = 2
-	// leastRequests is how many requests of a class must have come lately to judge it. Not measured.
-	leastRequests = 3
 	// mostReading is the part of the time that the endpoints of a side may read on average. Not measured.
 	mostReading = 0.7
 	// sizesTried is how many numbers of endpoints are compared at a time. Not measured.
@@ -72,34 +66,6 @@
 // IsLong reports whether a class's prompts are to be kept away from those of short classes.
 func (s *Service) IsLong(class keys.Class) bool { return s.long[class] }
 
-// classLoad is the load of one class on all endpoints, for a prediction.
-type classLoad struct {
-	class keys.Class
-	Targets
-	// rate is in requests a ms, prompt and unread are the mean prompt tokens of one.
-	rate, prompt, unread float64
-	// open is the number of open requests.
-	open float64
-}
-
-// loads returns the load of each class, those with the longest prompts first.
-func (s *Service) loads(now time.Time, fleet *Fleet) []classLoad {
-	var loads []classLoad
-	for class, d := range s.allTraffic(now, fleet.Hosts) {
-		if d.Requests < leastRequests {
-			continue
-		}
-		loads = append(loads, classLoad{
-			class: class, Targets: fleet.Targets[class], rate: d.Requests / milliseconds(trafficTime),
-			prompt: d.Prompt / d.Requests, unread: d.Unread / d.Requests, open: d.Open,
-		})
-	}
-	slices.SortFunc(loads, func(a, b classLoad) int {
-		return cmp.Or(-cmp.Compare(a.prompt, b.prompt), cmp.Compare(a.class, b.class))
-	})
-	return loads
-}
-
 // decideSplit decides the cut and the number of endpoints on each side. It reports whether either has
 // changed.
 func (s *Service) decideSplit(now time.Time, fleet *Fleet) bool {
@@ -204,19 +170,6 @@
 	return least, max(most, least)
 }
 
-// overflow predicts the requests a ms that find no slot at a number of endpoints.
-func overflow(loads []classLoad, endpoints float64, fleet *Fleet) float64 {
-	if fleet.Slots == 0 {
-		return 0
-	}
-	var open, rate float64
-	for _, l := range loads {
-		open += l.open
-		rate += l.rate
-	}
-	return rate * max(1-endpoints*float64(fleet.Slots)*usableSlots/max(open, 1), 0)
-}
-
 // isCut reports whether the classes are the long ones already.
 func (s *Service) isCut(loads []classLoad) bool {
 	for _, l := range loads {
@@ -227,97 +180,6 @@
 	return len(loads) == len(s.long)
 }
 
-// late predicts the requests a ms that are late if classes share a number of endpoints.
-func (s *Service) late(loads []classLoad, endpoints float64) float64 {
-	late := 0.0
-	for i := range loads {
-		l := &loads[i]
-		late += l.rate * max(s.latePause(l, loads, endpoints), s.lateFirst(l, loads, endpoints))
-	}
-	return late
-}
-
-// latePause returns the chance that a stream of a class pauses too long: it meets the harmful prompts that
-// are read at its endpoint while it lasts. The busier the endpoint, the more prompts are read at a time.
-func (s *Service) latePause(victim *classLoad, loads []classLoad, endpoints float64) float64 {
-	idle := 1 - min(s.busy(loads, endpoints), mostBusy)
-	harmful := 0.0
-	for _, l := range loads {
-		harmful += l.rate * s.merged.meanHarm(l.unread, 1/idle, victim.Pause)
-	}
-	return 1 - math.Exp(-harmful*victim.open/victim.rate/max(endpoints, 1))
-}
-
-// busy returns the part of the time that endpoints are busy reading.
-func (s *Service) busy(loads []classLoad, endpoints float64) float64 {
-	unread := 0.0
-	for _, l := range loads {
-		unread += l.rate * l.unread
-	}
-	return unread / s.merged.ReadRate.Value / max(endpoints, 1)
-}
-
-// mostBusy bounds the part of the time that an engine is taken to read, where queues would have no end.
-const mostBusy = 0.95
-
-// burstiness is by how much longer requests wait than if they came one by one. Measured (mean worth of six
-// days on omed-mty, pwhc-shared, mfs-kochi): 1 gave .737, .831, .848, 2 gave .743, .829, .845, 4 gave .741,
-// .831, .854.
-const burstiness = 3
-
-// lateFirst returns the chance that the first event of a class's request comes late: that of a queue in
-// which more urgent prompts are read first, with an exponential wait.
-func (s *Service) lateFirst(waiting *classLoad, loads []classLoad, endpoints float64) float64 {
-	if waiting.First == 0 {
-		return 0
-	}
-	var before, all, square float64
-	for _, l := range loads {
-		read := l.unread / s.merged.ReadRate.Value
-		busy := l.rate / max(endpoints, 1) * read
-		all += busy
-		square += busy * read
-		if l.Urgency < waiting.Urgency {
-			before += busy
-		}
-	}
-	before, all = min(before, mostBusy), min(all, mostBusy)
-	wait := burstiness * square / (1 - before) / (1 - all)
-	if wait <= 0 {
-		return 0
-	}
-	own := waiting.unread / s.merged.ReadRate.Value
-	return all * math.Exp(-max(milliseconds(waiting.First)-own, 0)/wait)
-}
-
-// tightestPause returns the least target for pauses, or 0.
-func tightestPause(loads []classLoad) time.Duration {
-	var least time.Duration
-	for _, l := range loads {
-		if l.Pause > 0 && (least == 0 || l.Pause < least) {
-			least = l.Pause
-		}
-	}
-	return least
-}
-
-// chanceMet returns the chance that a stream of the short classes misses its target if it runs at one of
-// the endpoints for long ones.
-func (s *Service) chanceMet(long, short []classLoad, endpoints float64) float64 {
-	var harmful, rate, open float64
-	for _, l := range long {
-		harmful += l.rate * s.merged.meanHarm(l.unread, 1, s.tightest)
-	}
-	for _, l := range short {
-		rate += l.rate
-		open += l.open
-	}
-	if rate == 0 {
-		return 0
-	}
-	return 1 - math.Exp(-harmful*open/rate/max(endpoints, 1))
-}
-
 // settle returns the number of endpoints for the short classes if a size would be best: the one in force as
 // long as it is about right. It falls only once it has been too large for a while, since streams that run
 // at an endpoint suffer from the long prompts that are sent there next.
