--- a/internal/front/engine/service.go
+++ b/internal/front/engine/service.go
@@ -62,6 +62,14 @@
 // the median is 27, and 16 on omed-mty-grown, where requests also wait for slots.
 const undisturbed = 0.8
 
+const (
+	// besideNothing is the quantile of the observed times between events that stands for streams beside
+	// which nothing is read: most run beside something. Not measured.
+	besideNothing = 0.25
+	// median is the quantile for what is observed as it is.
+	median = 0.5
+)
+
 // Began observes the first event of a stream that came a time after the call was sent, with a number of
 // prompt tokens that the endpoint had to read for it, and none waiting before them.
 func (s *Service) Began(unread int, took time.Duration) {
@@ -74,8 +82,7 @@
 // Streamed observes a stream that ended whole.
 func (s *Service) Streamed(stream Stream) {
 	if rest := stream.Events - 2; rest > 1 {
-		// Most streams run beside some reading, so the lower quarter stands for those that do not.
-		s.own.EventTime.observe(milliseconds(stream.Lasted-stream.Longest)/float64(rest), 0.25, firstEventTime)
+		s.own.EventTime.observe(milliseconds(stream.Lasted-stream.Longest)/float64(rest), besideNothing, firstEventTime)
 	}
 	s.observeEventRead(float64(stream.Beside), milliseconds(stream.Longest))
 }
@@ -94,7 +101,7 @@
 func (s *Service) observeEventRead(beside, longest float64) {
 	read := (longest/s.merged.growth(beside) - s.merged.EventTime.Value) * s.merged.ReadRate.Value
 	if beside >= besideMargin*read && beside >= leastBeside*s.merged.EventRead.Value {
-		s.own.EventRead.observe(read, 0.5, firstEventRead)
+		s.own.EventRead.observe(read, median, firstEventRead)
 	}
 }
 
