--- a/internal/front/engine/split.go
+++ b/internal/front/engine/split.go
@@ -66,7 +66,7 @@
 // IsLong reports whether a class's prompts are to be kept away from those of short classes.
 func (s *Service) IsLong(class keys.Class) bool { return s.long[class] }
 
-// decideSplit decides the cut and the number of endpoints on each side. It reports whether either has
+// decideSplit decides the cut and the number of endpoints on each side. It reports whether that number has
 // changed.
 func (s *Service) decideSplit(now time.Time, fleet *Fleet) bool {
 	loads := s.loads(now, fleet)
--- a/internal/front/engine/traffic.go
+++ b/internal/front/engine/traffic.go
@@ -36,20 +36,26 @@
 	d.Open += other.Open
 }
 
-func (d *Demand) times(factor float64) Demand {
-	return Demand{Requests: d.Requests * factor, Prompt: d.Prompt * factor, Unread: d.Unread * factor, Open: d.Open * factor}
+// recent returns the demand with what came lately multiplied; what is open stays.
+func (d *Demand) recent(factor float64) Demand {
+	return Demand{Requests: d.Requests * factor, Prompt: d.Prompt * factor, Unread: d.Unread * factor, Open: d.Open}
+}
+
+// times returns the demand of so many hosts that have this one each.
+func (d *Demand) times(hosts float64) Demand {
+	all := d.recent(hosts)
+	all.Open *= hosts
+	return all
 }
 
 // Traffic is the demand of each class.
 type Traffic map[keys.Class]Demand
 
-// add adds what another host sent.
-func (t Traffic) add(other Traffic) {
-	for class, demand := range other {
-		sum := t[class]
-		sum.add(&demand)
-		t[class] = sum
-	}
+// add adds demand of a class.
+func (t Traffic) add(class keys.Class, demand *Demand) {
+	sum := t[class]
+	sum.add(demand)
+	t[class] = sum
 }
 
 // ownTraffic is what this host sent, as of a time.
@@ -64,9 +70,7 @@
 func (t *ownTraffic) fade(now time.Time) {
 	left := math.Exp(-float64(now.Sub(t.at)) / float64(trafficTime))
 	for class, demand := range t.traffic {
-		faded := demand.times(left)
-		faded.Open = demand.Open
-		t.traffic[class] = faded
+		t.traffic[class] = demand.recent(left)
 	}
 	t.at = now
 }
@@ -83,9 +87,7 @@
 	factor := 1 / (1 - math.Exp(-float64(counted)/float64(trafficTime)))
 	steady := make(Traffic, len(t.traffic))
 	for class, demand := range t.traffic {
-		scaled := demand.times(factor)
-		scaled.Open = demand.Open
-		steady[class] = scaled
+		steady[class] = demand.recent(factor)
 	}
 	return steady
 }
@@ -96,7 +98,7 @@
 		s.sent.since = now
 	}
 	s.sent.fade(now)
-	s.sent.traffic.add(Traffic{a.Class: {Requests: 1, Prompt: float64(a.Prompt), Unread: float64(a.Unread), Open: 1}})
+	s.sent.traffic.add(a.Class, &Demand{Requests: 1, Prompt: float64(a.Prompt), Unread: float64(a.Unread), Open: 1})
 }
 
 // Refused counts a request that this host refused for lack of room: it belongs to what the endpoints are
@@ -108,7 +110,7 @@
 
 // Ended counts the end of a request that this host sent.
 func (s *Service) Ended(class keys.Class) {
-	s.sent.traffic.add(Traffic{class: {Open: -1}})
+	s.sent.traffic.add(class, &Demand{Open: -1})
 }
 
 // allTraffic returns what all hosts sent lately. Peers that report nothing, as in a large fleet, are
@@ -120,7 +122,9 @@
 		all[class] = demand.times(factor)
 	}
 	for _, report := range s.peers {
-		all.add(report.Traffic)
+		for class, demand := range report.Traffic {
+			all.add(class, &demand)
+		}
 	}
 	return all
 }
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -37,11 +37,6 @@
 	Patch      *SettingsPatch
 }
 
-// Observed is what this host's next report carries.
-type Observed struct {
-	Engines []EngineReport
-}
-
 // Host is the host that gossip exchanges messages for. Its methods may be called concurrently
 // and must not block.
 type Host interface {
@@ -52,9 +47,9 @@
 	// Received handles a peer's heartbeat that has no announcement.
 	Received(peer string, heartbeat *Heartbeat)
 	// Observed returns what the next report carries.
-	Observed() Observed
+	Observed() []EngineReport
 	// Reported handles a peer's report.
-	Reported(peer string, observed Observed)
+	Reported(peer string, engines []EngineReport)
 	// Lost is called when a peer left or fell silent.
 	Lost(peer string)
 	// Respond returns what is newer than a peer's revisions.
--- a/internal/front/gossip/gossip_test.go
+++ b/internal/front/gossip/gossip_test.go
@@ -96,12 +96,12 @@
 	c := qt.New(t)
 	a := startNode(c, "a")
 	b := startNode(c, "b", a.gossip.Address())
-	a.look(func() bool { a.observed.Engines = []EngineReport{{Service: 5}}; return true })
+	a.look(func() bool { a.observed = []EngineReport{{Service: 5}}; return true })
 	eventually(c, "b has the report of a", func() bool {
 		a.gossip.Changed()
-		return b.look(func() bool { return len(b.reported["a"].Engines) == 1 })
+		return b.look(func() bool { return len(b.reported["a"]) == 1 })
 	})
-	c.Check(b.look(func() bool { return b.reported["a"].Engines[0].Service == 5 }), qt.IsTrue)
+	c.Check(b.look(func() bool { return b.reported["a"][0].Service == 5 }), qt.IsTrue)
 }
 
 // node is a host that records what it receives.
@@ -113,8 +113,8 @@
 	state    State
 	has      SyncRequest
 	received map[string]*Heartbeat
-	observed Observed
-	reported map[string]Observed
+	observed []EngineReport
+	reported map[string][]EngineReport
 	lost     []string
 	taken    []string
 	// announcements counts what was sent.
@@ -146,13 +146,13 @@
 	n.received[peer] = heartbeat
 }
 
-func (n *node) Observed() Observed {
+func (n *node) Observed() []EngineReport {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.observed
 }
 
-func (n *node) Reported(peer string, observed Observed) {
+func (n *node) Reported(peer string, observed []EngineReport) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.reported[peer] = observed
@@ -196,7 +196,7 @@
 }
 
 func startNode(c *qt.C, name string, first ...string) *node {
-	n := &node{received: make(map[string]*Heartbeat), reported: make(map[string]Observed), done: make(chan struct{})}
+	n := &node{received: make(map[string]*Heartbeat), reported: make(map[string][]EngineReport), done: make(chan struct{})}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n.gossip = New(Parts{
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -25,10 +25,11 @@
 	members := g.addresses()
 	announcement := g.newAnnouncement(true, 0)
 	targets := append(g.members.ToAnnounceTo(g.parts.Clock()), g.memberToAsk()...)
-	report := g.newReport()
+	report := g.nextReport()
 	g.mu.Unlock()
 	g.send(heartbeat, members)
 	if report != nil {
+		report.Engines = g.parts.Host.Observed()
 		g.sendDatagram(counters.PeerHeartbeats, report, members)
 	}
 	g.send(announcement, targets)
@@ -60,16 +61,16 @@
 	return h
 }
 
-// newReport returns the next report, or nil if none is due. The lock is held.
-func (g *Gossip) newReport() *Report {
+// nextReport returns the next report, without what the host observed, or nil if none is due. The lock is
+// held.
+func (g *Gossip) nextReport() *Report {
 	now := g.parts.Clock()
 	if now.Before(g.reportAt) || g.members.Count() >= fullHeartbeats {
 		return nil
 	}
 	g.reportAt = now.Add(reportPace(g.members.Count() + 1))
-	observed := g.parts.Host.Observed()
 	g.reports++
-	return &Report{Incarnation: g.incarnation, Sequence: g.reports, Engines: observed.Engines}
+	return &Report{Incarnation: g.incarnation, Sequence: g.reports}
 }
 
 // newAnnouncement returns a heartbeat that says who this host is, with the addresses of at
@@ -182,7 +183,7 @@
 	member, counts := g.members.Reported(r)
 	g.mu.Unlock()
 	if counts {
-		g.parts.Host.Reported(member, Observed{Engines: r.Engines})
+		g.parts.Host.Reported(member, r.Engines)
 	}
 }
 
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -69,8 +69,8 @@
 	if h.Announcement != nil {
 		isNew = m.announced(now, h)
 	}
-	known, ok := m.live[m.names[h.Incarnation]]
-	if !ok || known.incarnation != h.Incarnation || h.Sequence <= known.sequence {
+	known, ok := m.byIncarnation(h.Incarnation)
+	if !ok || h.Sequence <= known.sequence {
 		return Member{}, false, false
 	}
 	known.sequence, known.lastSeen = h.Sequence, now
@@ -82,6 +82,12 @@
 	return *known, isNew, true
 }
 
+// byIncarnation returns the member whose present incarnation it is.
+func (m *Members) byIncarnation(incarnation uint32) (*Member, bool) {
+	known, ok := m.live[m.names[incarnation]]
+	return known, ok && known.incarnation == incarnation
+}
+
 // announced handles an announcement, and reports whether its host is new.
 func (m *Members) announced(now time.Time, h *Heartbeat) bool {
 	a := h.Announcement
@@ -107,8 +113,8 @@
 
 // Reported handles a report. It returns the member that sent it, and whether it is newer than the last one.
 func (m *Members) Reported(r *Report) (name string, counts bool) {
-	known, ok := m.live[m.names[r.Incarnation]]
-	if !ok || known.incarnation != r.Incarnation || r.Sequence <= known.reports {
+	known, ok := m.byIncarnation(r.Incarnation)
+	if !ok || r.Sequence <= known.reports {
 		return "", false
 	}
 	known.reports = r.Sequence
--- a/internal/front/peersync/engines.go
+++ b/internal/front/peersync/engines.go
@@ -10,19 +10,19 @@
 )
 
 // Observed returns what the next report carries.
-func (s *Sync) Observed() gossip.Observed {
-	var report gossip.Observed
-	for service, engines := range s.parts.Placer.Observed() {
-		report.Engines = append(report.Engines, toEngineReport(service, &engines))
+func (s *Sync) Observed() []gossip.EngineReport {
+	var reports []gossip.EngineReport
+	for service, report := range s.parts.Placer.Observed() {
+		reports = append(reports, toEngineReport(service, &report))
 	}
-	return report
+	return reports
 }
 
 // Reported handles a peer's report.
-func (s *Sync) Reported(peer string, report gossip.Observed) {
-	observed := make(placement.Observed, len(report.Engines))
-	for i := range report.Engines {
-		observed[report.Engines[i].Service] = fromEngineReport(&report.Engines[i])
+func (s *Sync) Reported(peer string, reports []gossip.EngineReport) {
+	observed := make(placement.Observed, len(reports))
+	for i := range reports {
+		observed[reports[i].Service] = fromEngineReport(&reports[i])
 	}
 	s.parts.Placer.SetObserved(peer, observed)
 }
--- a/internal/front/placement/engines.go
+++ b/internal/front/placement/engines.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"time"
-
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -35,21 +33,14 @@
 	}
 }
 
-// targetsOf returns the targets of the classes in a tree.
+// targetsOf returns the targets of the classes that a tree's routes have, without any workspace's own.
 func targetsOf(tree *settings.Tree) map[keys.Class]engine.Targets {
-	targets := make(map[keys.Class]engine.Targets, len(tree.Root.Classes))
-	for name, class := range tree.Root.Classes {
-		targets[keys.OfClass(name)] = engine.Targets{
-			First: valueOf(class.Values.FirstToken), Pause: valueOf(class.Values.MaxPause), Urgency: valueOf(class.Values.Urgency),
+	targets := make(map[keys.Class]engine.Targets, len(tree.Routes))
+	for i := range tree.Routes {
+		class := tree.Routes[i].Class
+		if policy, ok := tree.RoutePolicy("", class); ok {
+			targets[keys.OfClass(class)] = engine.Targets{First: policy.FirstToken, Pause: policy.MaxPause, Urgency: policy.Urgency}
 		}
 	}
 	return targets
 }
-
-// valueOf returns what a field of the settings holds, or the zero value.
-func valueOf[T time.Duration | int](field *T) T {
-	if field == nil {
-		return 0
-	}
-	return *field
-}
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -3,9 +3,9 @@
 // all. Only oxbowslip-front uses it; oxbowslipd asks the queue that all hosts share
 // (package schedule).
 //
-// It owns what this host knows of the endpoints: the loads, ejections, prefixes and late
-// streams of this host, and what its peers report of theirs. It relies on package directory
-// for the endpoints of a service. View and the rules (admit.go, affinity.go, cost.go,
+// It owns what this host knows of the endpoints: the loads, ejections and prefixes of this
+// host, what is learned of engines, and what its peers report of theirs. It relies on package
+// directory for the endpoints of a service, and on package engine for predictions. View and the rules (admit.go, affinity.go, cost.go,
 // ejection.go, partition.go) do no input or output and take the time as a
 // parameter; Placer adds the lock, the clock, the wait for a slot and the log.
 package placement
@@ -67,10 +67,10 @@
 
 // SetSettings takes what placement needs of the settings in force.
 func (p *Placer) SetSettings(tree *settings.Tree) {
+	bounds, targets := PriorityBoundsOf(tree), targetsOf(tree)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.bounds = PriorityBoundsOf(tree)
-	p.targets = targetsOf(tree)
+	p.bounds, p.targets = bounds, targets
 }
 
 // Ask returns a grant as soon as an endpoint of the service admits the request, or a
@@ -84,7 +84,7 @@
 		now := p.clock()
 		if reason == "" {
 			p.changed()
-			return &ticket{placer: p, service: keys.OfService(service), class: keys.OfClass(request.Class), prompt: request.PromptTokens > 0, endpoint: choice.Endpoint, unprocessed: choice.Tokens, behind: choice.Load.Tokens}, p.grant(&request, &choice, now.Sub(asked), now), nil
+			return p.newTicket(service, &request, &choice), p.grant(&request, &choice, now.Sub(asked), now), nil
 		}
 		if reason == admission.ReasonNoEndpoint || !now.Before(until) {
 			p.refused(now, service, &request, reason)
@@ -110,7 +110,9 @@
 	if !p.bounds.isLeast(request) {
 		candidates = p.view.admitting(&p.bounds, request, candidates)
 	}
-	p.decideSplit(now, service, endpoints)
+	if request.PromptTokens > 0 {
+		p.decideSplit(now, service, endpoints)
+	}
 	choice, ok := p.view.Choose(now, service, request, endpoints, candidates, p.directory.Leaving(service))
 	if !ok || !p.bounds.admitsChoice(request, &choice) {
 		return choice, admission.ReasonNoRoom
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -196,6 +196,20 @@
 	c.Check(v.choose(short(), alone).Endpoint, qt.Equals, "e1")
 }
 
+func TestTargetsOf(t *testing.T) {
+	first, pause, urgency := 600*time.Millisecond, 200*time.Millisecond, 1
+	tree := &settings.Tree{
+		Root: settings.Root{Classes: map[string]settings.Class{
+			"hints":    {Values: settings.Values{FirstToken: &first, MaxPause: &pause, Urgency: &urgency}},
+			"unrouted": {Values: settings.Values{MaxPause: &pause}},
+		}},
+		Routes: []settings.HostRoute{{Name: "hints", Class: "hints"}, {Name: "lost", Class: "no such class"}},
+	}
+	qt.Check(t, targetsOf(tree), qt.DeepEquals, map[keys.Class]engine.Targets{
+		keys.OfClass("hints"): {First: first, Pause: pause, Urgency: urgency},
+	})
+}
+
 // TestMoreWorkNeverCostsLess adds work to an endpoint and compares its cost.
 func TestMoreWorkNeverCostsLess(t *testing.T) {
 	c := qt.New(t)
--- a/internal/front/placement/ticket.go
+++ b/internal/front/placement/ticket.go
@@ -22,6 +22,13 @@
 	startedAt   time.Time
 }
 
+func (p *Placer) newTicket(service string, request *admission.Request, choice *Choice) *ticket {
+	return &ticket{
+		placer: p, service: keys.OfService(service), class: keys.OfClass(request.Class), prompt: request.PromptTokens > 0,
+		endpoint: choice.Endpoint, unprocessed: choice.Tokens, behind: choice.Load.Tokens,
+	}
+}
+
 // Preempted returns nil: a placer takes no endpoint back.
 func (t *ticket) Preempted() <-chan struct{} { return nil }
 
