freshness: each host knows when the store last confirmed its settings and endpoints

The store's answers carry its steady clock; package freshness keeps the newest moment as of which a topic is complete, and an estimate of that clock. Shown as age_ms in request: lines, unanswered_ms in store lost, oxbowslip_age_seconds{of}, oxbowslip_decision_age_seconds, oxbowslip_reads_store. A host that does not read the store has no age yet (-1).

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -60,6 +60,8 @@
 	PlatformErrors *metrics.Counter
 	// SettingsRejected counts revisions that this program can't read.
 	SettingsRejected *metrics.Counter
+	// decisionAge is how old the settings were at most that decided about a request, in seconds.
+	decisionAge *metrics.Histogram
 }
 
 // New returns all counters at 0.
@@ -76,6 +78,7 @@
 		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
 		PlatformErrors:   set.NewCounter("oxbowslip_platform_errors_total"),
 		SettingsRejected: set.NewCounter("oxbowslip_settings_rejected_total"),
+		decisionAge:      set.NewHistogram("oxbowslip_decision_age_seconds"),
 	}
 	for _, reason := range request.Reasons {
 		c.refusals[reason] = set.NewCounter(fmt.Sprintf(`oxbowslip_refusals_total{reason=%q}`, reason))
@@ -141,6 +144,14 @@
 	}
 }
 
+// DecidedAt notes how old the settings were at most that decided about a request. An age below 0
+// is not known and is left out.
+func (c *Counters) DecidedAt(age time.Duration) {
+	if age >= 0 {
+		c.decisionAge.Update(age.Seconds())
+	}
+}
+
 // Gauge registers a value that is read when the metrics are.
 func (c *Counters) Gauge(name string, read func() float64) { c.set.GetOrCreateGauge(name, read) }
 
--- a/internal/counters/counters_test.go
+++ b/internal/counters/counters_test.go
@@ -21,6 +21,7 @@
 	c := qt.New(t)
 	counters := New()
 	counters.Answered("class", time.Second, true, 5)
+	counters.DecidedAt(time.Second)
 	var out bytes.Buffer
 	counters.Write(&out)
 	page, err := os.ReadFile("../../docs/metrics.md")
@@ -31,7 +32,7 @@
 	}
 	gauges := []string{
 		"oxbowslip_open_requests", "oxbowslip_settings_revision", "oxbowslip_takeovers",
-		"oxbowslip_hosts", "oxbowslip_endpoints", "oxbowslip_directory_revision", "oxbowslip_upstream_connections_made",
+		"oxbowslip_age_seconds", "oxbowslip_reads_store", "oxbowslip_hosts", "oxbowslip_endpoints", "oxbowslip_directory_revision", "oxbowslip_upstream_connections_made",
 	}
 	known := append(names(out.Bytes()), gauges...)
 	for _, name := range documented {
--- a/internal/counters/golden_test.go
+++ b/internal/counters/golden_test.go
@@ -16,6 +16,7 @@
 	counters := New()
 	counters.Answered("class", time.Second, true, 5)
 	counters.Answered("class", time.Second, false, 5)
+	counters.DecidedAt(time.Second)
 	var out bytes.Buffer
 	counters.Write(&out)
 	value := regexp.MustCompile(` [^ ]*$`)
--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/backoff"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
@@ -30,7 +31,9 @@
 	Revision uint64
 	// Changed is the revision of the newest change in the batch, or 0 if it has none.
 	Changed uint64
-	Items   []T
+	// At is the store's clock when it answered.
+	At    freshness.StoreTime
+	Items []T
 }
 
 // Source reads a table of the store. Its methods block until the store answers or ctx ends.
@@ -92,6 +95,8 @@
 	// Open reports whether this host is to read the table itself. While it is not, peers
 	// bring what is new.
 	Open func() bool
+	// Answered is called when the store has answered and the sink has what it brought.
+	Answered func(freshness.Answer)
 }
 
 // Follower keeps a sink up to date.
@@ -107,6 +112,8 @@
 	// failures counts the calls that failed in a row, lostAt is when the first did.
 	failures int
 	lostAt   time.Time
+	// answeredAt is when the last answer came.
+	answeredAt time.Time
 }
 
 // New returns a follower that has read nothing.
@@ -151,6 +158,7 @@
 	if !f.loaded {
 		return f.load(ctx)
 	}
+	sent := f.parts.Clock()
 	batch, err := f.parts.Source.Wait(ctx, f.revision, heldFor(f.failures))
 	if errors.Is(err, ErrHistoryGone) {
 		f.parts.Log.WithField("revision", f.revision).Warn("history is gone, the table is read again")
@@ -164,6 +172,7 @@
 		f.revision = batch.Revision
 		f.parts.Sink.Apply(batch)
 	}
+	f.answered(sent, batch.At)
 	if len(batch.Items) > 0 {
 		lifetime.Sleep(ctx, spacing)
 	}
@@ -171,22 +180,32 @@
 }
 
 func (f *Follower[T]) load(ctx context.Context) error {
+	sent := f.parts.Clock()
 	batch, err := f.parts.Source.Load(ctx)
 	if err != nil {
 		return err
 	}
 	f.parts.Sink.Replace(batch)
 	f.revision, f.loaded = batch.Revision, true
+	f.answered(sent, batch.At)
 	return nil
 }
 
+// answered reports an answer whose call was sent at a time.
+func (f *Follower[T]) answered(sent time.Time, at freshness.StoreTime) {
+	f.answeredAt = f.parts.Clock()
+	f.parts.Answered(freshness.Answer{At: at, Sent: sent, Received: f.answeredAt})
+}
+
 // note logs the loss and the return of the store, once each.
 func (f *Follower[T]) note(err error) {
 	f.healthy.Store(err == nil)
 	switch {
 	case err != nil && f.failures == 0:
 		f.lostAt = f.parts.Clock()
-		f.parts.Log.WithError(err).WithField("revision", f.revision).Warn("store lost, the last state stays in force")
+		f.parts.Log.WithError(err).WithFields(logrus.Fields{
+			"revision": f.revision, "unanswered_ms": f.unanswered().Milliseconds(),
+		}).Warn("store lost, the last state stays in force")
 	case err == nil && f.failures > 0:
 		f.parts.Log.WithFields(logrus.Fields{
 			"failures": f.failures, "away_ms": f.parts.Clock().Sub(f.lostAt).Milliseconds(), "revision": f.revision,
@@ -199,6 +218,14 @@
 	f.failures = 0
 }
 
+// unanswered returns the time since the last answer, or -1 ms if there was none.
+func (f *Follower[T]) unanswered() time.Duration {
+	if f.answeredAt.IsZero() {
+		return -time.Millisecond
+	}
+	return f.parts.Clock().Sub(f.answeredAt)
+}
+
 // backOff waits before the next try.
 func (f *Follower[T]) backOff(ctx context.Context) {
 	lifetime.Sleep(ctx, backoff.Jitter(storeBackoff.Span(f.failures-1), leastBackoff, f.parts.Random()))
--- a/internal/front/follow/follow_test.go
+++ b/internal/front/follow/follow_test.go
@@ -11,6 +11,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
 // reading is what the next call of a source gives.
@@ -45,7 +47,11 @@
 }
 
 // recorder takes what a follower reads.
-type recorder struct{ taken chan string }
+type recorder struct {
+	taken chan string
+	// answers are those that the follower reported. They may be read once it has ended.
+	answers []freshness.Answer
+}
 
 // newScripted makes a source without readings.
 func newScripted() *scripted {
@@ -61,6 +67,7 @@
 	sink = &recorder{taken: make(chan string, 9)}
 	f = New(Parts[string]{
 		Source: source, Sink: sink, Log: logrus.NewEntry(log), Clock: time.Now, Random: func() float64 { return 0 }, Open: gate,
+		Answered: func(a freshness.Answer) { sink.answers = append(sink.answers, a) },
 	})
 	done, ended := make(chan struct{}), make(chan struct{})
 	go func() {
@@ -189,3 +196,33 @@
 	}
 	stop()
 }
+
+// TestAnswersAreReported checks that only answers count, also those that bring nothing.
+func TestAnswersAreReported(t *testing.T) {
+	c := qt.New(t)
+	source := newScripted()
+	at := func(revision uint64, at freshness.StoreTime, items ...string) reading {
+		r := batch(revision, items...)
+		r.batch.At = at
+		return r
+	}
+	source.loads <- reading{err: errors.New("away")}
+	source.loads <- at(3, 70, "a")
+	source.waits <- at(3, 80)
+	source.waits <- reading{err: errors.New("silent")}
+	source.waits <- at(4, 90, "b")
+	_, sink, stop := start(source, open)
+	c.Check(<-sink.taken, qt.Equals, "whole a")
+	c.Check(<-sink.taken, qt.Equals, "change b")
+	// The next call begins when the answer has been reported.
+	for range 4 {
+		<-source.after
+	}
+	stop()
+	var reported []freshness.StoreTime
+	for _, answer := range sink.answers {
+		reported = append(reported, answer.At)
+		c.Check(answer.Received.Before(answer.Sent), qt.IsFalse)
+	}
+	c.Check(reported, qt.DeepEquals, []freshness.StoreTime{70, 80, 90})
+}
--- a/internal/front/followers.go
+++ b/internal/front/followers.go
@@ -8,6 +8,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/peersync"
 	"oxbowslip.dev/oxbowslip/internal/logging"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -26,21 +27,27 @@
 	Deployment Deployment
 	Settings   *peersync.Settings
 	Endpoints  *peersync.Endpoints
+	Freshness  *freshness.State
 	Log        *logrus.Logger
 	Clock      func() time.Time
 	Random     func() float64
 	Late       *late
 }
 
+// answered returns what notes an answer for a topic.
+func (p *followerParts) answered(topic freshness.Topic) func(freshness.Answer) {
+	return func(answer freshness.Answer) { p.Freshness.Answered(topic, answer) }
+}
+
 func newFollowers(p followerParts) *followers {
 	f := &followers{
 		settings: follow.New(follow.Parts[settings.Raw]{
 			Source: p.Deployment.Settings, Sink: p.Settings, Log: logging.Part(p.Log, "settings"), Clock: p.Clock, Random: p.Random,
-			Open: p.Late.shouldReadStore,
+			Open: p.Late.shouldReadStore, Answered: p.answered(freshness.Settings),
 		}),
 		endpoints: follow.New(follow.Parts[directory.Change]{
 			Source: p.Deployment.Endpoints, Sink: p.Endpoints, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random,
-			Open: p.Late.shouldReadStore,
+			Open: p.Late.shouldReadStore, Answered: p.answered(freshness.Endpoints),
 		}),
 	}
 	p.Late.followers.Store(f)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
@@ -111,6 +113,7 @@
 	Recorded   *record.Ring
 	Settings   *settings.Holder
 	Directory  *directory.Directory
+	Freshness  *freshness.State
 	Placer     *placement.Placer
 	Owner      *owner.Owner
 	Client     *upstream.Client
@@ -144,11 +147,24 @@
 		"oxbowslip_directory_revision":        func() float64 { return float64(h.parts.Directory.Revision()) },
 		"oxbowslip_endpoints":                 func() float64 { return float64(h.parts.Directory.CountServing()) },
 		"oxbowslip_hosts":                     func() float64 { return float64(h.parts.Gossip.Hosts()) },
+		"oxbowslip_reads_store":               func() float64 { return zeroOrOne(h.parts.Followers.healthy()) },
 		"oxbowslip_open_requests":             func() float64 { return float64(h.parts.Owner.Open()) },
 		"oxbowslip_upstream_connections_made": func() float64 { return float64(h.parts.Client.Dials()) },
 	} {
 		h.parts.Counters.Gauge(name, read)
 	}
+	for topic := range freshness.Topics {
+		name := fmt.Sprintf("oxbowslip_age_seconds{of=%q}", topic)
+		h.parts.Counters.Gauge(name, func() float64 { return h.parts.Freshness.Age(topic).Seconds() })
+	}
+}
+
+// zeroOrOne returns 1 for true.
+func zeroOrOne(is bool) float64 {
+	if is {
+		return 1
+	}
+	return 0
 }
 
 func (h *Host) readinessHandler() http.Handler {
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -12,6 +12,7 @@
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
 	"oxbowslip.dev/oxbowslip/internal/front/peersync"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
@@ -38,6 +39,7 @@
 			record.New,
 			settings.NewHolder,
 			directory.New,
+			freshness.New,
 			newClient,
 			newPlacer,
 			newSettingsSink,
@@ -211,6 +213,7 @@
 	Config     hostconfig.Host
 	Deployment Deployment
 	Holder     *settings.Holder
+	Freshness  *freshness.State
 	Owner      *owner.Owner
 	Client     *upstream.Client
 	Placer     *placement.Placer
@@ -222,7 +225,7 @@
 
 func newRelay(p relayParts) *relay.Server {
 	return relay.New(relay.Parts{
-		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Owner: p.Owner, Client: p.Client, Health: p.Placer,
+		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Freshness: p.Freshness, Owner: p.Owner, Client: p.Client, Health: p.Placer,
 		Dialect: p.Deployment.Dialect, Counters: p.Counters, Log: logging.Part(p.Log, "request"), Clock: p.Clock, Random: p.Random,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout},
 	})
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
@@ -19,8 +20,10 @@
 	r       *http.Request
 	arrived time.Time
 
-	call      Call
-	revision  uint64
+	call     Call
+	revision uint64
+	// age is how old the settings were at most when they decided, or freshness.Unknown.
+	age       time.Duration
 	route     settings.HostRoute
 	workspace string
 	policy    settings.Policy
@@ -51,7 +54,8 @@
 		refusal.RetryAfter = notReadyRetry
 		return refusal
 	}
-	x.revision = current.Number
+	x.revision, x.age = current.Number, x.server.parts.Freshness.Age(freshness.Settings)
+	x.server.parts.Counters.DecidedAt(x.age)
 	if refusal := x.classify(current.Tree); refusal != nil {
 		return refusal
 	}
--- a/internal/front/relay/log.go
+++ b/internal/front/relay/log.go
@@ -10,7 +10,7 @@
 // logRefused logs a request that was refused before an endpoint was asked for.
 func (x *exchange) logRefused(refusal *request.Refusal) {
 	x.server.parts.Log.WithFields(logrus.Fields{
-		"id": x.call.ID, "reason": refusal.Reason, "detail": refusal.Detail, "revision": x.revision,
+		"id": x.call.ID, "reason": refusal.Reason, "detail": refusal.Detail, "revision": x.revision, "age_ms": x.age.Milliseconds(),
 		"path": x.r.URL.Path, "workspace": x.workspace,
 	}).Warn("refused before a decision")
 }
@@ -28,7 +28,7 @@
 	fields := logrus.Fields{
 		"id": x.call.ID, "class": x.route.Class, "workspace": x.workspace, "tier": x.policy.Tier, "urgency": x.policy.Urgency,
 		"service": x.service, "endpoint": end.Endpoint, "tries": end.Tries, "sends": end.Sends,
-		"revision": x.revision, "took_ms": x.server.parts.Clock().Sub(x.arrived).Milliseconds(),
+		"revision": x.revision, "age_ms": x.age.Milliseconds(), "took_ms": x.server.parts.Clock().Sub(x.arrived).Milliseconds(),
 		"first_ms": end.FirstToken.Milliseconds(), "events": x.stream.events, "pause_ms": x.stream.longestPause.Milliseconds(),
 		"prompt": x.call.PromptTokens, "prefix": x.sharedPart(), "steps": end.Steps,
 	}
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/logging"
@@ -42,13 +43,15 @@
 	Host     string
 	Zone     string
 	Settings *settings.Holder
-	Owner    *owner.Owner
-	Client   *upstream.Client
-	Health   Health
-	Dialect  Dialect
-	Counters *counters.Counters
-	Log      *logrus.Entry
-	Clock    func() time.Time
+	// Freshness says how old the settings may be.
+	Freshness *freshness.State
+	Owner     *owner.Owner
+	Client    *upstream.Client
+	Health    Health
+	Dialect   Dialect
+	Counters  *counters.Counters
+	Log       *logrus.Entry
+	Clock     func() time.Time
 	// Random returns numbers from 0 up to 1.
 	Random   func() float64
 	Timeouts httprelay.Timeouts
@@ -72,7 +75,7 @@
 
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{server: s, w: w, r: r, arrived: s.parts.Clock()}
+	x := &exchange{server: s, w: w, r: r, arrived: s.parts.Clock(), age: freshness.Unknown}
 	if refusal := x.prepare(); refusal != nil {
 		s.parts.Counters.Refused(refusal.Reason)
 		x.logRefused(refusal)
