operator: a change that can't be decoded is answered in words of our own

The JSON library writes "cannot" or "unable to" by chance, on purpose, so that nobody relies on its text; the answer to an operator passed that text on, with the name of a Go type. Now the field and what is wrong with it.

--- a/internal/operator/changes.go
+++ b/internal/operator/changes.go
@@ -76,7 +76,7 @@
 	var request ChangeRequest
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxChangeBytes))
 	if err == nil {
-		err = json.Unmarshal(data, &request, json.RejectUnknownMembers(true))
+		err = decodeChange(data, &request)
 	}
 	if err == nil && request.ID == "" {
 		err = merry.New("the change needs an ID")
@@ -91,6 +91,20 @@
 	httprelay.WriteJSON(w, status, result)
 }
 
+// decodeChange decodes an operator's change. Its error names what is wrong, and not the library's
+// own words, which differ from one run of the program to the next on purpose.
+func decodeChange(data []byte, request *ChangeRequest) error {
+	err := json.Unmarshal(data, request, json.RejectUnknownMembers(true))
+	var semantic *json.SemanticError
+	if !errors.As(err, &semantic) {
+		return err
+	}
+	if semantic.Err == nil {
+		return merry.Errorf("the change can't be read at %q: a value of the wrong kind", semantic.JSONPointer)
+	}
+	return merry.Errorf("the change can't be read at %q: %w", semantic.JSONPointer, semantic.Err)
+}
+
 // changeAnswer returns the status and body that tell an operator what became of a change.
 func changeAnswer(revision uint64, err error) (int, ChangeAnswer) {
 	if err == nil {
