--- /dev/null
+++ b/internal/front/fakestore_test.go
@@ -0,0 +1,180 @@
+package front
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/follow"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+const (
+	// storeDelay is how long the store takes to answer.
+	storeDelay = 4 * time.Millisecond
+	// storeUptime is what the store's clock shows when a test begins.
+	storeUptime = 70 * time.Second
+	// sourceTimeout bounds a call beyond the time that it is held, as in package platform.
+	sourceTimeout = 1500 * time.Millisecond
+)
+
+// storeFault is what a store does instead of answering a host.
+type storeFault int
+
+const (
+	storeWorks storeFault = iota
+	// storeBusy answers at once that nothing was done.
+	storeBusy
+	// storeSilent never answers, neither new calls nor those that it holds.
+	storeSilent
+	// storeSilentHeld never answers the calls that it holds now, and does new ones.
+	storeSilentHeld
+)
+
+var errBusy = errors.New("the store is busy")
+
+// fakeStore is the store of a test's hosts, in memory. It holds one configuration and the entries
+// of endpoints.
+type fakeStore struct {
+	began time.Time
+
+	mu       sync.Mutex
+	revision uint64
+	// configs and endpoints are all changes, in order.
+	configs   []stored[settings.Raw]
+	endpoints []stored[directory.Change]
+	changed   chan struct{}
+	faults    map[string]storeFault
+	// epoch counts how often calls that were held have been made silent, by host.
+	epoch map[string]int
+	calls int
+}
+
+// stored is a change with its revision.
+type stored[T any] struct {
+	revision uint64
+	item     T
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{
+		began: time.Now(), changed: make(chan struct{}), faults: make(map[string]storeFault), epoch: make(map[string]int),
+	}
+}
+
+// configure stores a configuration with a number.
+func (s *fakeStore) configure(number uint64) {
+	s.change(func() {
+		document := settings.Raw(fmt.Sprintf(`{"Number":%d}`, number))
+		s.configs = append(s.configs, stored[settings.Raw]{s.revision, document})
+	})
+}
+
+// put stores the entry of an endpoint.
+func (s *fakeStore) put(id string, state settings.EndpointState) {
+	s.change(func() {
+		entry := directory.Entry{ID: id, Endpoint: settings.Endpoint{Service: "llm", Address: "10.9.0.1:1", MaxInFlight: 4, State: state}}
+		s.endpoints = append(s.endpoints, stored[directory.Change]{s.revision, directory.Change{Entry: entry}})
+	})
+}
+
+func (s *fakeStore) change(apply func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	apply()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// harm lets the store treat some hosts in a certain way.
+func (s *fakeStore) harm(fault storeFault, hosts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, host := range hosts {
+		s.faults[host] = fault
+		if fault == storeSilentHeld {
+			s.epoch[host]++
+		}
+	}
+}
+
+// view is one host's source of a topic.
+type view[T any] struct {
+	store   *fakeStore
+	host    string
+	history func() []stored[T]
+}
+
+func configsOf(s *fakeStore, host string) view[settings.Raw] {
+	return view[settings.Raw]{s, host, func() []stored[settings.Raw] { return s.configs }}
+}
+
+func endpointsOf(s *fakeStore, host string) view[directory.Change] {
+	return view[directory.Change]{s, host, func() []stored[directory.Change] { return s.endpoints }}
+}
+
+// Load implements follow.Source.
+func (v view[T]) Load(ctx context.Context) (follow.Batch[T], error) { return v.call(ctx, 0, 0) }
+
+// Wait implements follow.Source.
+func (v view[T]) Wait(ctx context.Context, after uint64, held time.Duration) (follow.Batch[T], error) {
+	return v.call(ctx, after, held)
+}
+
+func (v view[T]) call(ctx context.Context, after uint64, held time.Duration) (follow.Batch[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, held+sourceTimeout)
+	defer cancel()
+	_, epoch := v.fault()
+	time.Sleep(storeDelay)
+	until := time.After(held)
+	for {
+		batch, changed := v.read(after)
+		over := held == 0 || len(batch.Items) > 0
+		if !over {
+			select {
+			case <-changed:
+				continue
+			case <-until:
+				batch, _ = v.read(after)
+			case <-ctx.Done():
+				return batch, ctx.Err()
+			}
+		}
+		fault, now := v.fault()
+		switch {
+		case fault == storeBusy:
+			return batch, errBusy
+		case fault == storeSilent, now != epoch:
+			<-ctx.Done()
+			return batch, ctx.Err()
+		}
+		return batch, nil
+	}
+}
+
+// fault returns what the store does with the host's calls, and how often it has silenced those that
+// it held.
+func (v view[T]) fault() (storeFault, int) {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	return v.store.faults[v.host], v.store.epoch[v.host]
+}
+
+// read returns the changes after a revision.
+func (v view[T]) read(after uint64) (follow.Batch[T], chan struct{}) {
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	batch := follow.Batch[T]{Revision: v.store.revision, At: freshness.StoreTime(time.Since(v.store.began) + storeUptime)}
+	for _, change := range v.history() {
+		if change.revision > after {
+			batch.Items = append(batch.Items, change.item)
+			batch.Changed = change.revision
+		}
+	}
+	return batch, v.store.changed
+}
--- /dev/null
+++ b/internal/front/fleet_test.go
@@ -0,0 +1,255 @@
+package front
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	qt "github.com/frankban/quicktest"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/hostconfig"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// fleet is some hosts without callers: those parts of each that learn of changes, joined by a network
+// and a store in memory. It runs in a bubble of testing/synctest, so that its times are exact.
+type fleet struct {
+	store   *fakeStore
+	network *fakeNetwork
+	hosts   []*fleetHost
+	done    chan struct{}
+	running sync.WaitGroup
+	seed    uint64
+}
+
+// fleetHost is one host of a fleet.
+type fleetHost struct {
+	name      string
+	address   string
+	settings  *settings.Holder
+	directory *directory.Directory
+	gossip    *gossip.Gossip
+}
+
+// settleTime is how long a fleet is left to itself before something happens to it.
+const settleTime = 15 * time.Second
+
+// fetchTime is longer than a fetch from a peer takes.
+const fetchTime = 10 * time.Second
+
+// startFleet starts hosts with a configuration and two endpoints, and waits until they have settled.
+func startFleet(c *qt.C, hosts int, seed uint64) *fleet {
+	f := &fleet{store: newFakeStore(), network: newFakeNetwork(), done: make(chan struct{}), seed: seed}
+	f.store.configure(1)
+	f.store.put("e1", settings.StateIn)
+	f.store.put("e2", settings.StateIn)
+	for n := range hosts {
+		f.addHost(c, n)
+	}
+	c.Cleanup(f.stop)
+	time.Sleep(settleTime)
+	for _, h := range f.hosts {
+		c.Assert(h.settings.Number(), qt.Equals, uint64(1), qt.Commentf("%s", h.name))
+		c.Assert(h.directory.Serving("llm"), qt.HasLen, 2, qt.Commentf("%s", h.name))
+		c.Assert(h.gossip.Hosts(), qt.Equals, hosts, qt.Commentf("%s", h.name))
+	}
+	return f
+}
+
+func (f *fleet) stop() {
+	close(f.done)
+	f.running.Wait()
+	for _, h := range f.hosts {
+		h.gossip.Close()
+	}
+	// Fetches that were under way end by themselves.
+	time.Sleep(fetchTime)
+}
+
+func (f *fleet) addHost(c *qt.C, n int) {
+	config := hostconfig.Host{
+		Name: fmt.Sprintf("host-%d", n+1), Zone: "zone-a", Peers: fmt.Sprintf("10.0.%d.%d:7000", n/200, n%200+1),
+		FirstPeers: []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"},
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l, count, holder, endpoints := new(late), counters.New(), settings.NewHolder(), directory.New()
+	random := f.random(uint64(n))
+	placer := newPlacer(endpoints, log, time.Now, random, l)
+	deployment := Deployment{Settings: configsOf(f.store, config.Name), Endpoints: endpointsOf(f.store, config.Name), Decode: decode}
+	settingsSink := newSettingsSink(settingsParts{Deployment: deployment, Holder: holder, Placer: placer, Counters: count, Log: log, Late: l})
+	endpointsSink := newEndpointsSink(endpoints, log, l)
+	g := newGossip(gossipParts{
+		Config: config, Placer: placer, Holder: holder, Directory: endpoints, Settings: settingsSink, Endpoints: endpointsSink,
+		Network: f.network, Counters: count, Log: log, Clock: time.Now, Random: random, Late: l,
+	})
+	followers := newFollowers(followerParts{
+		Deployment: deployment, Settings: settingsSink, Endpoints: endpointsSink, Freshness: freshness.New(time.Now), Log: log,
+		Clock: time.Now, Random: random, Late: l,
+	})
+	c.Assert(g.Start(), qt.IsNil)
+	f.running.Go(func() { g.Run(f.done) })
+	f.running.Go(func() { followers.settings.Run(f.done) })
+	f.running.Go(func() { followers.endpoints.Run(f.done) })
+	f.hosts = append(f.hosts, &fleetHost{name: config.Name, address: config.Peers, settings: holder, directory: endpoints, gossip: g})
+}
+
+// random returns a host's source of random numbers.
+func (f *fleet) random(host uint64) func() float64 {
+	var mu sync.Mutex
+	source := rand.New(rand.NewPCG(f.seed, host))
+	return func() float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		return source.Float64()
+	}
+}
+
+// decode reads a configuration of a fakeStore.
+func decode(document settings.Raw) (*settings.Revision, error) {
+	var config struct{ Number uint64 }
+	if err := json.Unmarshal(document, &config); err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return &settings.Revision{Number: config.Number, Tree: &settings.Tree{}}, nil
+}
+
+// names returns the names of those hosts for which chosen is true.
+func (f *fleet) names(chosen func(n int, h *fleetHost) bool) []string {
+	var names []string
+	for n, h := range f.hosts {
+		if chosen(n, h) {
+			names = append(names, h.name)
+		}
+	}
+	return names
+}
+
+// readers returns the names of the hosts that read the store.
+func (f *fleet) readers() []string {
+	return f.names(func(_ int, h *fleetHost) bool { return h.gossip.ShouldReadStore() })
+}
+
+// propagation is a fleet to which something happens, and a burst of changes some time later.
+type propagation struct {
+	hosts int
+	// bound is the promise: how long after the last change all hosts must have it.
+	bound time.Duration
+	harm  func(f *fleet)
+}
+
+// The bounds on a change: those of the users' deployments.
+const (
+	boundOfSmall = 2 * time.Second
+	boundOfLarge = 3 * time.Second
+)
+
+// run plays the fleet. A first change of settings and endpoints lets the readers' calls begin anew, and the
+// harm comes half a second later. Some time after that the changes come that must be in force in time, 60 ms
+// apart: configurations 3, 4 and 5, and then e1 leaves.
+func (p propagation) run(c *qt.C, after time.Duration, seed uint64) {
+	f := startFleet(c, p.hosts, seed)
+	f.store.configure(2)
+	f.store.put("e2", settings.StateIn)
+	time.Sleep(500 * time.Millisecond)
+	p.harm(f)
+	time.Sleep(after)
+	for number := range uint64(3) {
+		f.store.configure(number + 3)
+		time.Sleep(60 * time.Millisecond)
+	}
+	f.store.put("e1", settings.StateOut)
+	time.Sleep(p.bound)
+	for _, h := range f.hosts {
+		c.Check(h.settings.Number(), qt.Equals, uint64(5), qt.Commentf("settings of %s", h.name))
+		c.Check(h.directory.Serving("llm"), qt.HasLen, 1, qt.Commentf("endpoints of %s", h.name))
+	}
+}
+
+// runAll plays fleets with the changes at different times: a call that the store holds is in a
+// different state each time.
+func runAll(t *testing.T, tests map[string]propagation) {
+	for name, test := range tests {
+		for _, after := range []time.Duration{0, 700 * time.Millisecond, 1600 * time.Millisecond, 2900 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s/%s", name, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { test.run(qt.New(t), after, 28) })
+			})
+		}
+	}
+}
+
+func TestChangesAreInForceInTime(t *testing.T) {
+	runAll(t, map[string]propagation{
+		"nothing happens, 8 hosts":  {8, boundOfSmall, func(*fleet) {}},
+		"nothing happens, 71 hosts": {71, boundOfLarge, func(*fleet) {}},
+		"one reader is answered no more": {9, boundOfSmall, func(f *fleet) {
+			f.store.harm(storeSilent, f.readers()[0])
+		}},
+		"all readers are told that the store is busy": {9, boundOfSmall, func(f *fleet) {
+			f.store.harm(storeBusy, f.readers()...)
+		}},
+		"a third of the datagrams get lost": {9, boundOfSmall, func(f *fleet) {
+			random := f.random(0)
+			f.network.set(func(n *fakeNetwork) { n.loses = func(string, string) bool { return random() < 0.33 } })
+		}},
+	})
+}
+
+// TestSilentStoreConnections is incident 28: calls that the store holds fall silent.
+func TestSilentStoreConnections(t *testing.T) {
+	runAll(t, map[string]propagation{
+		"all readers are answered no more, 9 hosts":  {9, boundOfSmall, silenceReaders},
+		"all readers are answered no more, 71 hosts": {71, boundOfLarge, silenceReaders},
+		"only one host of 40 is still answered": {40, boundOfLarge, func(f *fleet) {
+			f.store.harm(storeSilent, f.names(func(n int, _ *fleetHost) bool { return n != 17 })...)
+		}},
+		"all calls that are held fall silent, new ones work": {9, boundOfSmall, func(f *fleet) {
+			f.store.harm(storeSilentHeld, f.names(func(int, *fleetHost) bool { return true })...)
+		}},
+	})
+}
+
+func silenceReaders(f *fleet) { f.store.harm(storeSilent, f.readers()...) }
+
+// TestSilentPeers is the same cause among hosts: peers that accept a fetch and don't answer it.
+func TestSilentPeers(t *testing.T) {
+	runAll(t, map[string]propagation{
+		"half of the peers don't answer": {20, boundOfLarge, muteHalf},
+		"half of the peers don't answer, and no reader reaches one host": {20, boundOfLarge, func(f *fleet) {
+			muteHalf(f)
+			f.losesFrom(f.readers(), f.hosts[19].address)
+		}},
+	})
+}
+
+// muteHalf lets every second host accept connections and answer nothing on them.
+func muteHalf(f *fleet) {
+	f.network.set(func(n *fakeNetwork) {
+		for i, h := range f.hosts {
+			n.mute[h.address] = i%2 == 0
+		}
+	})
+}
+
+// losesFrom lets the datagrams of some hosts to an address get lost.
+func (f *fleet) losesFrom(hosts []string, address string) {
+	lost := make(map[string]bool)
+	for _, h := range f.hosts {
+		lost[h.address] = slices.Contains(hosts, h.name)
+	}
+	f.network.set(func(n *fakeNetwork) {
+		n.loses = func(from, to string) bool { return to == address && lost[from] }
+	})
+}
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -35,6 +35,7 @@
 			func() func() time.Time { return time.Now },
 			func() func() float64 { return randomNumber },
 			func() *late { return new(late) },
+			func() gossip.Network { return gossip.IP{} },
 			explain.New,
 			record.New,
 			settings.NewHolder,
@@ -157,6 +158,7 @@
 	Directory *directory.Directory
 	Settings  *peersync.Settings
 	Endpoints *peersync.Endpoints
+	Network   gossip.Network
 	Counters  *counters.Counters
 	Log       *logrus.Logger
 	Clock     func() time.Time
@@ -173,7 +175,7 @@
 		Config: gossip.Config{
 			Name: p.Config.Name, Zone: p.Config.Zone, Address: p.Config.Peers, FirstPeers: p.Config.FirstPeers,
 		},
-		Host: sync, Log: logging.Part(p.Log, "peers"), Clock: p.Clock, Random: p.Random, Sent: p.Counters.SentToPeers,
+		Host: sync, Network: p.Network, Log: logging.Part(p.Log, "peers"), Clock: p.Clock, Random: p.Random, Sent: p.Counters.SentToPeers,
 	})
 	p.Late.gossip.Store(g)
 	p.Late.sync.Store(sync)
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -70,10 +70,11 @@
 
 // Parts are what a Gossip works with.
 type Parts struct {
-	Config Config
-	Host   Host
-	Log    *logrus.Entry
-	Clock  func() time.Time
+	Config  Config
+	Host    Host
+	Network Network
+	Log     *logrus.Entry
+	Clock   func() time.Time
 	// Random returns numbers from 0 up to 1.
 	Random func() float64
 	// Sent counts the bytes that go to peers.
@@ -172,12 +173,12 @@
 
 // Start listens for peers.
 func (g *Gossip) Start() error {
-	listener, err := net.Listen("tcp", g.address)
+	listener, err := g.parts.Network.Listen(g.address)
 	if err != nil {
 		return merry.Prependf(err, "listen for peers on %s", g.address)
 	}
 	g.address = listener.Addr().String()
-	packets, err := net.ListenPacket("udp", g.address)
+	packets, err := g.parts.Network.ListenPacket(g.address)
 	if err != nil {
 		listener.Close()
 		return merry.Prependf(err, "listen for heartbeats on %s", g.address)
--- a/internal/front/gossip/gossip_test.go
+++ b/internal/front/gossip/gossip_test.go
@@ -200,7 +200,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	n.gossip = New(Parts{
-		Config: Config{Name: name, Address: "127.0.0.1:0", FirstPeers: first}, Host: n, Log: logrus.NewEntry(log),
+		Config: Config{Name: name, Address: "127.0.0.1:0", FirstPeers: first}, Host: n, Network: IP{}, Log: logrus.NewEntry(log),
 		Clock: time.Now, Random: rand.Float64, Sent: n.count,
 	})
 	c.Assert(n.gossip.Start(), qt.IsNil)
--- a/internal/front/gossip/sync.go
+++ b/internal/front/gossip/sync.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"net"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -80,7 +79,7 @@
 	if !ok || !t.isBehind(own, &member) {
 		return
 	}
-	response, err := Sync(member.Address, t.request(own))
+	response, err := g.fetch(member.Address, t.request(own))
 	if err != nil {
 		g.parts.Log.WithError(err).WithField("peer", peer).Warn("newer revisions can't be fetched from a peer")
 		return
@@ -100,13 +99,12 @@
 	return *member, true
 }
 
-// Sync asks the peer at an address for what is newer than the given revisions. It blocks for
+// fetch asks the peer at an address for what is newer than the given revisions. It blocks for
 // at most syncTimeout.
-func Sync(address string, request SyncRequest) (SyncResponse, error) {
+func (g *Gossip) fetch(address string, request SyncRequest) (SyncResponse, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	raw, err := g.parts.Network.Dial(ctx, address)
 	if err != nil {
 		return SyncResponse{}, merry.Wrap(err)
 	}
