Hosts know up to when their settings and endpoints are confirmed, and ask before that is too old

All that time its host said that it reads the store, and no other one asked. Class: the absence of news was taken for the news that nothing has changed.

Change: answers of the store carry its clock, and each host knows as of which moment what it has is complete (package freshness). Readers pass that on to all (gossip.Confirmation, which older hosts drop). A fetch asks a second peer after 250 ms. Configurations that come in one batch are put in force as one, so that patches fit. Four readers in small fleets too (each read for itself). Isolation is measured by the monotonic clock.

Ruled out: a shorter hold alone, readers' health by heartbeats, ages in messages, TCP options (docs/design/0008-freshness.md).

Safe: changes still come by every way by which they came before; confirmations only cause calls. Wire: one new datagram.

--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -3,9 +3,10 @@
 // store has dropped changes that it lacks. While the store is away it keeps trying, and the
 // last state stays in force.
 //
-// It owns the position in the table's history. The calls to the store are those of a Source;
-// what is read goes to a Sink. oxbowslipd polls a head row instead (package daemon/poller),
-// because its table service has no feed of changes.
+// It owns the calls and how long each may take. Whether a host calls at all is its Duty: a few
+// hosts read for all others, and the rest ask only when nobody else has confirmed what they know.
+// The calls to the store are those of a Source; what is read goes to a Sink. oxbowslipd polls a
+// head row instead (package daemon/poller), because its table service has no feed of changes.
 package follow
 
 import (
@@ -53,35 +54,59 @@
 	Apply(batch Batch[T])
 }
 
-// holdTime is how long the store may hold a call while there are no changes. Not measured: a
-// store that went silent is noticed after this and the timeout of a call.
-const holdTime = 5 * time.Second
+// Duty is what a host is to do about a table now. Without Call, peers bring what is new.
+type Duty struct {
+	// Call is set if the host is to call the store.
+	Call bool
+	// Reads is set if the host reads for others too, call after call.
+	Reads bool
+	// Hold is how long the store may hold the call while there are no changes.
+	Hold time.Duration
+	// Retry is the mean time between calls of a host that does not read for others while they fail.
+	Retry time.Duration
+}
+
+const (
+	// CallTimeout bounds a call that the store does not hold. The store usually answers in
+	// milliseconds; with a longer bound a host would notice a silent store too late (incident
+	// store-silent).
+	CallTimeout = 1500 * time.Millisecond
+	// HeldTimeout bounds a call beyond the time that the store may hold it. A call that is silent for
+	// longer counts as lost, and its host as one that does not read (incident 28). A store that is
+	// sixty times slower than usual answers within 240 ms on the users' platform. Not measured.
+	HeldTimeout = 500 * time.Millisecond
+)
 
-// heldFor returns how long the store may hold the next call. After a failure it may not hold
-// it at all: a silent store would never answer a call that it holds, and its return would go
+// heldFor returns how long the store may hold the next call of a host. After a failure it may not
+// hold it at all: a silent store would never answer a call that it holds, and its return would go
 // unnoticed for so long that a change misses its bound (docs/incidents, store-silent).
-func heldFor(failures int) time.Duration {
+func heldFor(duty Duty, failures int) time.Duration {
 	if failures > 0 {
 		return 0
 	}
-	return holdTime
+	return duty.Hold
 }
 
+// timeoutOf returns how long a call may take that the store may hold for a time.
+func timeoutOf(held time.Duration) time.Duration { return max(held+HeldTimeout, CallTimeout) }
+
+// FirstBackoff is the wait after a first call that failed. Not measured.
+const FirstBackoff = 150 * time.Millisecond
+
 // storeBackoff is the wait between tries while the store is away. At least half of it is
 // waited, so that a store that fails at once is not asked in a loop. Not measured: changes
 // must be in force two seconds after the store's return on the users' platform.
-var storeBackoff = backoff.Doubling{First: 150 * time.Millisecond, Longest: time.Second}
+var storeBackoff = backoff.Doubling{First: FirstBackoff, Longest: time.Second}
 
 const (
-	// leastBackoff is the part of storeBackoff that is always waited. Not measured.
+	// leastBackoff is the part of storeBackoff and of Duty.Retry that is always waited. Not measured.
 	leastBackoff = 0.5
-	// spacing is the least time between a change and the next call: changes that come close
+	// Spacing is the least time between a change and the next call: changes that come close
 	// together are read in one call. Measured with 71 hosts, together with the readers of
 	// package gossip (dff5355): 489 calls on a quiet day instead of 8,085.
-	spacing = 250 * time.Millisecond
-	// closedCheck is the time between two looks whether this host should read again. Not
-	// measured.
-	closedCheck = 100 * time.Millisecond
+	Spacing = 250 * time.Millisecond
+	// DutyCheck is the time between two looks at the duty of a host that has none. Not measured.
+	DutyCheck = 100 * time.Millisecond
 )
 
 // Parts are what a follower works with.
@@ -92,9 +117,11 @@
 	Clock  func() time.Time
 	// Random returns numbers from 0 up to 1.
 	Random func() float64
-	// Open reports whether this host is to read the table itself. While it is not, peers
-	// bring what is new.
-	Open func() bool
+	// Duty returns what this host is to do about the table now. It is asked before each call.
+	Duty func() Duty
+	// Position returns the revision up to which this host knows the table, from the store or
+	// from peers, or 0 if it has to be read whole.
+	Position func() uint64
 	// Answered is called when the store has answered and the sink has what it brought.
 	Answered func(freshness.Answer)
 }
@@ -102,16 +129,23 @@
 // Follower keeps a sink up to date.
 type Follower[T any] struct {
 	parts Parts[T]
-	// healthy is set while the last call brought an answer.
-	healthy atomic.Bool
+	// reading is set while the host reads for others and its last call was answered.
+	reading atomic.Bool
+	// silentAt is when the call under way counts as silent.
+	silentAt atomic.Pointer[time.Time]
 
 	// The rest is used by Run only.
 
-	revision uint64
-	loaded   bool
+	// loaded is set once the table has been read whole: that of a store that is still empty is at
+	// revision 0.
+	loaded bool
+	// gone is set if the store no longer has the changes that this host lacks.
+	gone bool
 	// failures counts the calls that failed in a row, lostAt is when the first did.
 	failures int
 	lostAt   time.Time
+	// retryAt is the earliest time of the next call of a host that does not read for others.
+	retryAt time.Time
 	// answeredAt is when the last answer came.
 	answeredAt time.Time
 }
@@ -119,96 +153,117 @@
 // New returns a follower that has read nothing.
 func New[T any](parts Parts[T]) *Follower[T] { return &Follower[T]{parts: parts} }
 
-// Healthy reports whether the follower reads the table and its last call brought an answer.
-func (f *Follower[T]) Healthy() bool { return f.healthy.Load() }
+// Reads reports whether the host reads the table for others and gets answers: its last call brought one,
+// and the call under way is not silent for too long.
+func (f *Follower[T]) Reads() bool {
+	silentAt := f.silentAt.Load()
+	return f.reading.Load() && silentAt != nil && f.parts.Clock().Before(*silentAt)
+}
 
 // Run follows the table until done is closed.
 func (f *Follower[T]) Run(done <-chan struct{}) {
 	ctx, cancel := lifetime.Context(done)
 	defer cancel()
 	for ctx.Err() == nil {
-		if !f.parts.Open() {
-			f.pauseReading()
-			lifetime.Sleep(ctx, closedCheck)
+		duty := f.parts.Duty()
+		if !f.isDue(duty) {
+			lifetime.Sleep(ctx, DutyCheck)
 			continue
 		}
-		err := f.step(ctx)
+		changed, err := f.step(ctx, duty)
 		if ctx.Err() != nil {
 			return
 		}
-		f.note(err)
-		if err != nil {
-			f.backOff(ctx)
+		f.note(duty, err)
+		switch {
+		case err != nil:
+			f.backOff(ctx, duty)
+		case changed:
+			lifetime.Sleep(ctx, Spacing)
 		}
 	}
 }
 
-// pauseReading forgets the position. The table is read whole when this host is to read again:
-// what came from peers meanwhile is not counted here.
-func (f *Follower[T]) pauseReading() {
-	if f.loaded {
-		f.parts.Log.WithField("revision", f.revision).Info("peers read the store now")
+// isDue reports whether this host is to call the store now.
+func (f *Follower[T]) isDue(duty Duty) bool {
+	if !duty.Reads && f.reading.Swap(false) {
+		f.parts.Log.WithField("revision", f.parts.Position()).Info("peers read the store now")
+	}
+	if duty.Reads {
+		return true
 	}
-	f.loaded, f.failures = false, 0
-	f.healthy.Store(false)
+	return duty.Call && !f.parts.Clock().Before(f.retryAt)
 }
 
-// step reads the table whole or waits for its next changes.
-func (f *Follower[T]) step(ctx context.Context) error {
-	if !f.loaded {
-		return f.load(ctx)
+// step reads the table whole, or waits for its next changes and reports whether there are any.
+func (f *Follower[T]) step(ctx context.Context, duty Duty) (changed bool, err error) {
+	position := f.parts.Position()
+	if f.gone || (position == 0 && !f.loaded) {
+		return false, f.load(ctx)
 	}
-	sent := f.parts.Clock()
-	batch, err := f.parts.Source.Wait(ctx, f.revision, heldFor(f.failures))
+	held := heldFor(duty, f.failures)
+	sent := f.begin(held)
+	batch, err := f.wait(ctx, position, held)
 	if errors.Is(err, ErrHistoryGone) {
-		f.parts.Log.WithField("revision", f.revision).Warn("history is gone, the table is read again")
-		f.loaded = false
-		return nil
+		f.parts.Log.WithField("revision", position).Warn("history is gone, the table is read again")
+		f.gone = true
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
-	if batch.Revision > f.revision {
-		f.revision = batch.Revision
+	if batch.Revision > position {
 		f.parts.Sink.Apply(batch)
 	}
-	f.answered(sent, batch.At)
-	if len(batch.Items) > 0 {
-		lifetime.Sleep(ctx, spacing)
-	}
-	return nil
+	f.answered(sent, batch.Revision, batch.At)
+	return len(batch.Items) > 0, nil
+}
+
+// wait waits for the changes after a position, as long as a call may take that the store may hold for a time.
+func (f *Follower[T]) wait(ctx context.Context, position uint64, held time.Duration) (Batch[T], error) {
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(held))
+	defer cancel()
+	return f.parts.Source.Wait(ctx, position, held)
+}
+
+// begin notes that a call begins that the store may hold, and returns the time.
+func (f *Follower[T]) begin(held time.Duration) time.Time {
+	now := f.parts.Clock()
+	silentAt := now.Add(held + HeldTimeout)
+	f.silentAt.Store(&silentAt)
+	return now
 }
 
 func (f *Follower[T]) load(ctx context.Context) error {
-	sent := f.parts.Clock()
+	sent := f.begin(0)
 	batch, err := f.parts.Source.Load(ctx)
 	if err != nil {
 		return err
 	}
 	f.parts.Sink.Replace(batch)
-	f.revision, f.loaded = batch.Revision, true
-	f.answered(sent, batch.At)
+	f.loaded, f.gone = true, false
+	f.answered(sent, batch.Revision, batch.At)
 	return nil
 }
 
 // answered reports an answer whose call was sent at a time.
-func (f *Follower[T]) answered(sent time.Time, at freshness.StoreTime) {
+func (f *Follower[T]) answered(sent time.Time, revision uint64, at freshness.StoreTime) {
 	f.answeredAt = f.parts.Clock()
-	f.parts.Answered(freshness.Answer{At: at, Sent: sent, Received: f.answeredAt})
+	f.parts.Answered(freshness.Answer{Revision: revision, At: at, Sent: sent, Received: f.answeredAt})
 }
 
 // note logs the loss and the return of the store, once each.
-func (f *Follower[T]) note(err error) {
-	f.healthy.Store(err == nil)
+func (f *Follower[T]) note(duty Duty, err error) {
+	f.reading.Store(duty.Reads && err == nil)
 	switch {
 	case err != nil && f.failures == 0:
 		f.lostAt = f.parts.Clock()
 		f.parts.Log.WithError(err).WithFields(logrus.Fields{
-			"revision": f.revision, "unanswered_ms": f.unanswered().Milliseconds(),
+			"revision": f.parts.Position(), "unanswered_ms": f.unanswered().Milliseconds(),
 		}).Warn("store lost, the last state stays in force")
 	case err == nil && f.failures > 0:
 		f.parts.Log.WithFields(logrus.Fields{
-			"failures": f.failures, "away_ms": f.parts.Clock().Sub(f.lostAt).Milliseconds(), "revision": f.revision,
+			"failures": f.failures, "away_ms": f.parts.Clock().Sub(f.lostAt).Milliseconds(), "revision": f.parts.Position(),
 		}).Info("store regained")
 	}
 	if err != nil {
@@ -226,7 +281,9 @@
 	return f.parts.Clock().Sub(f.answeredAt)
 }
 
-// backOff waits before the next try.
-func (f *Follower[T]) backOff(ctx context.Context) {
+// backOff waits before the next try. A host that does not read for others lets more time pass, but may be
+// made a reader meanwhile.
+func (f *Follower[T]) backOff(ctx context.Context, duty Duty) {
+	f.retryAt = f.parts.Clock().Add(backoff.Jitter(duty.Retry, leastBackoff, f.parts.Random()))
 	lifetime.Sleep(ctx, backoff.Jitter(storeBackoff.Span(f.failures-1), leastBackoff, f.parts.Random()))
 }
--- a/internal/front/freshness/freshness.go
+++ b/internal/front/freshness/freshness.go
@@ -1,11 +1,12 @@
 // Package freshness knows how old what this host believes may be: up to which moment the store has
-// confirmed that the host's settings and its directory of endpoints are complete.
+// confirmed that the host's settings and its directory of endpoints are complete. From that it
+// decides when a host must ask the store itself.
 //
 // It owns the newest confirmation of each topic and an estimate of the store's clock. Moments are
 // readings of that clock, which all hosts share: a confirmation that arrives late, out of order or
 // twice says the same as one that arrives at once, and what waited in a socket while its host was
 // frozen does not look newer than it is. It does no input or output; package follow reports what the
-// store answers.
+// store answers, and package peersync what peers confirm.
 package freshness
 
 import (
@@ -38,9 +39,10 @@
 // StoreTime is a reading of the store's steady clock: the time since a moment of the store's own.
 type StoreTime time.Duration
 
-// Answer is when an answer of the store was made, sent for and received. What the host knows after
-// it is complete as of At.
+// Answer is what an answer of the store to a call of this host confirms: what the host has in force
+// then is complete up to Revision, as of At.
 type Answer struct {
+	Revision uint64
 	// At is the store's clock when it answered.
 	At StoreTime
 	// Sent and Received are this host's monotonic clock around the call.
@@ -48,21 +50,51 @@
 	Received time.Time
 }
 
+// Confirmation says that a host knew a topic completely as of a moment.
+type Confirmation struct {
+	// Newest identifies what the host has in force: the number of its settings, or the newest change of
+	// its directory. Any host that has the same or more is as complete.
+	Newest uint64
+	// Revision is the state of the store up to which that is complete.
+	Revision uint64
+	AsOf     StoreTime
+}
+
+// Parts are what a State works with.
+type Parts struct {
+	Clock func() time.Time
+	// Has returns what this host has of a topic, to compare with Confirmation.Newest: the number of its
+	// settings, or the revision up to which it knows the directory.
+	Has func(Topic) uint64
+	// Newest returns what the host's own confirmations carry as Newest.
+	Newest func(Topic) uint64
+}
+
 // State is how old this host's knowledge may be. It is safe for concurrent use.
 type State struct {
-	clock func() time.Time
-
-	mu    sync.Mutex
-	store storeClock
-	// asOf is the moment up to which each topic is complete.
-	asOf [Topics]StoreTime
-	// confirmed is set once a topic has been confirmed at all.
-	confirmed [Topics]bool
+	parts   Parts
+	started time.Time
+
+	mu     sync.Mutex
+	store  storeClock
+	topics [Topics]topicState
+}
+
+// topicState is up to when a topic is confirmed.
+type topicState struct {
+	// known is set once the topic has been confirmed at all.
+	known bool
+	// revision and asOf are up to where this host's knowledge is complete.
+	revision uint64
+	asOf     StoreTime
+	// ahead is the newest confirmation of a peer that has more than this host.
+	ahead Confirmation
 }
 
 // New returns a state in which nothing is confirmed.
-func New(clock func() time.Time) *State {
-	return &State{clock: clock, store: storeClock{epoch: clock()}}
+func New(parts Parts) *State {
+	now := parts.Clock()
+	return &State{parts: parts, started: now, store: storeClock{epoch: now}}
 }
 
 // Answered notes that the store has answered this host's call for a topic, and that the host has
@@ -71,15 +103,53 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.store.answered(answer)
-	s.confirm(topic, answer.At)
+	s.topics[topic].raise(answer.Revision, answer.At)
+}
+
+// Confirmed notes the confirmation of a peer, which arrived just now. What the host lacks of it is confirmed once
+// the host has it.
+func (s *State) Confirmed(topic Topic, c Confirmation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.sample(c.AsOf, s.parts.Clock())
+	if t := &s.topics[topic]; c.AsOf > t.ahead.AsOf {
+		t.ahead = c
+	}
+	s.settle(topic)
+}
+
+// settle counts a peer's confirmation for this host if the host has what the peer had. The lock is
+// held.
+func (s *State) settle(topic Topic) {
+	t := &s.topics[topic]
+	if t.ahead.AsOf > 0 && s.parts.Has(topic) >= t.ahead.Newest {
+		t.raise(t.ahead.Revision, t.ahead.AsOf)
+		t.ahead = Confirmation{}
+	}
 }
 
-// confirm raises the moment up to which a topic is complete. The lock is held.
-func (s *State) confirm(topic Topic, asOf StoreTime) {
-	if s.confirmed[topic] && asOf <= s.asOf[topic] {
-		return
+// raise notes that this host's knowledge is complete up to a revision, as of a moment.
+func (t *topicState) raise(revision uint64, asOf StoreTime) {
+	t.revision = max(t.revision, revision)
+	if !t.known || asOf > t.asOf {
+		t.asOf, t.known = asOf, true
 	}
-	s.asOf[topic], s.confirmed[topic] = asOf, true
+}
+
+// Own returns what this host can confirm to others of a topic, or false if it knows of no confirmation.
+func (s *State) Own(topic Topic) (Confirmation, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := &s.topics[topic]
+	return Confirmation{Newest: s.parts.Newest(topic), Revision: t.revision, AsOf: t.asOf}, t.known
+}
+
+// Revision returns the state of the store up to which a topic is known to be complete, or 0.
+func (s *State) Revision(topic Topic) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(topic)
+	return s.topics[topic].revision
 }
 
 // Unknown is the age of what the store has not confirmed since the host's start.
@@ -89,8 +159,19 @@
 func (s *State) Age(topic Topic) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.confirmed[topic] {
+	s.settle(topic)
+	t := &s.topics[topic]
+	if !t.known {
 		return Unknown
 	}
-	return max(time.Duration(s.store.now(s.clock())-s.asOf[topic]), 0)
+	return max(time.Duration(s.store.now(s.parts.Clock())-t.asOf), 0)
+}
+
+// unconfirmed returns how long a topic has not been confirmed: since its last confirmation or the
+// host's start.
+func (s *State) unconfirmed(topic Topic) time.Duration {
+	if age := s.Age(topic); age != Unknown {
+		return age
+	}
+	return s.parts.Clock().Sub(s.started)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -96,8 +96,9 @@
 	listeners *listen.Group
 	bound     Addresses
 	leaving   atomic.Bool
-	// lastContact is when the host last received something from the store or a peer, in ns since 1970.
-	lastContact atomic.Int64
+	// lastContact is when the host last read the store or knew a peer. The times are monotonic: the
+	// time of day may jump.
+	lastContact atomic.Pointer[time.Time]
 	done        chan struct{}
 }
 
@@ -127,7 +128,7 @@
 func New(p Parts) *Host {
 	h := &Host{parts: p, log: logging.Part(p.Log, "host"), done: make(chan struct{})}
 	h.listeners = listen.New(h.log)
-	h.lastContact.Store(p.Clock().UnixNano())
+	h.inContact()
 	h.callers = &http.Server{
 		Handler: lifetime.CloseWhen(&h.leaving, p.Relay), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
@@ -147,7 +148,7 @@
 		"oxbowslip_directory_revision":        func() float64 { return float64(h.parts.Directory.Revision()) },
 		"oxbowslip_endpoints":                 func() float64 { return float64(h.parts.Directory.CountServing()) },
 		"oxbowslip_hosts":                     func() float64 { return float64(h.parts.Gossip.Hosts()) },
-		"oxbowslip_reads_store":               func() float64 { return zeroOrOne(h.parts.Followers.healthy()) },
+		"oxbowslip_reads_store":               func() float64 { return zeroOrOne(h.parts.Followers.read()) },
 		"oxbowslip_open_requests":             func() float64 { return float64(h.parts.Owner.Open()) },
 		"oxbowslip_upstream_connections_made": func() float64 { return float64(h.parts.Client.Dials()) },
 	} {
@@ -194,7 +195,7 @@
 		return "no settings yet"
 	case h.parts.Directory.Revision() == 0:
 		return "no endpoints yet"
-	case h.parts.Clock().UnixNano()-h.lastContact.Load() > int64(maxIsolation):
+	case h.parts.Clock().Sub(*h.lastContact.Load()) > maxIsolation:
 		return "cut off from the store and from all peers: the settings may be old"
 	}
 	return ""
@@ -204,11 +205,17 @@
 func (h *Host) expire(context.Context) {
 	h.parts.Client.CloseExpired()
 	h.parts.Placer.Expire()
-	if h.parts.Followers.healthy() || h.parts.Gossip.Hosts() > 1 {
-		h.lastContact.Store(h.parts.Clock().UnixNano())
+	if h.parts.Followers.read() || h.parts.Gossip.Hosts() > 1 {
+		h.inContact()
 	}
 }
 
+// inContact notes that the host is in contact with the store or a peer.
+func (h *Host) inContact() {
+	now := h.parts.Clock()
+	h.lastContact.Store(&now)
+}
+
 // Addresses are where a host listens. One that it does not listen on is empty.
 type Addresses struct {
 	Callers   string
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -40,7 +40,7 @@
 			record.New,
 			settings.NewHolder,
 			directory.New,
-			freshness.New,
+			newFreshness,
 			newClient,
 			newPlacer,
 			newSettingsSink,
@@ -80,6 +80,13 @@
 	}
 }
 
+// confirm lets gossip know that the store has answered.
+func (l *late) confirm() {
+	if g := l.gossip.Load(); g != nil {
+		g.Confirm()
+	}
+}
+
 // loadChanged lets gossip know of loads that differ much from what peers know.
 func (l *late) loadChanged() {
 	g, s := l.gossip.Load(), l.sync.Load()
@@ -88,16 +95,10 @@
 	}
 }
 
-// shouldReadStore reports whether this host is one of those that read the store.
-func (l *late) shouldReadStore() bool {
-	g := l.gossip.Load()
-	return g == nil || g.ShouldReadStore()
-}
-
-// readsStore reports whether this host reads the store and gets answers.
+// readsStore reports whether this host reads the store for others and gets answers.
 func (l *late) readsStore() bool {
 	f := l.followers.Load()
-	return f != nil && f.healthy()
+	return f != nil && f.read()
 }
 
 const (
@@ -118,12 +119,31 @@
 	return placement.New(d, logging.Part(log, "endpoints"), clock, random, l.loadChanged)
 }
 
+func newFreshness(holder *settings.Holder, d *directory.Directory, clock func() time.Time) *freshness.State {
+	return freshness.New(freshness.Parts{
+		Clock: clock,
+		Has: func(topic freshness.Topic) uint64 {
+			if topic == freshness.Settings {
+				return holder.Number()
+			}
+			return d.Revision()
+		},
+		Newest: func(topic freshness.Topic) uint64 {
+			if topic == freshness.Settings {
+				return holder.Number()
+			}
+			return d.Changed()
+		},
+	})
+}
+
 // settingsParts are what the sink of the settings is made of.
 type settingsParts struct {
 	fx.In
 
 	Deployment Deployment
 	Holder     *settings.Holder
+	Freshness  *freshness.State
 	Placer     *placement.Placer
 	Counters   *counters.Counters
 	Log        *logrus.Logger
@@ -135,6 +155,7 @@
 		Decode: p.Deployment.Decode, Holder: p.Holder, Counters: p.Counters, Log: logging.Part(p.Log, "settings"),
 		InForce: p.Placer.SetSettings,
 		Changed: p.Late.revisionChanged, ReadsStore: p.Late.readsStore,
+		Age: func() time.Duration { return p.Freshness.Age(freshness.Settings) },
 	})
 }
 
@@ -158,6 +179,7 @@
 	Directory *directory.Directory
 	Settings  *peersync.Settings
 	Endpoints *peersync.Endpoints
+	Freshness *freshness.State
 	Network   gossip.Network
 	Counters  *counters.Counters
 	Log       *logrus.Logger
@@ -169,7 +191,7 @@
 func newGossip(p gossipParts) *gossip.Gossip {
 	sync := peersync.New(peersync.Parts{
 		Placer: p.Placer, Holder: p.Holder, Directory: p.Directory, Settings: p.Settings, Endpoints: p.Endpoints,
-		ReadsStore: p.Late.readsStore, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock,
+		Freshness: p.Freshness, ReadsStore: p.Late.readsStore, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock,
 	})
 	g := gossip.New(gossip.Parts{
 		Config: gossip.Config{
--- a/internal/front/gossip/capacity_test.go
+++ b/internal/front/gossip/capacity_test.go
@@ -44,6 +44,18 @@
 	c.Check(size(0, 0, manyAddresses) < maxDatagram, qt.IsTrue)
 }
 
+// TestConfirmationBytes measures confirmations, and bounds them: a reader sends one to all hosts every two seconds.
+func TestConfirmationBytes(t *testing.T) {
+	c := qt.New(t)
+	const days = 30 * 24 * 3_600_000
+	data, err := cbor.Marshal(&Confirmation{Incarnation: 4_000_000_000, Topics: []TopicConfirmation{
+		{Newest: 12_000, Revision: 900_000, AsOf: days}, {Newest: 900_000, Revision: 900_000, AsOf: days},
+	}})
+	c.Assert(err, qt.IsNil)
+	t.Logf("%d B", len(data))
+	c.Check(len(data) <= 48, qt.IsTrue)
+}
+
 // TestReportBytes measures reports, and bounds them: they are sent to all hosts some times a second.
 func TestReportBytes(t *testing.T) {
 	c := qt.New(t)
--- /dev/null
+++ b/internal/front/gossip/fetch.go
@@ -0,0 +1,187 @@
+package gossip
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"storj.io/drpc/drpcconn"
+
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+)
+
+// syncWith fetches what a member has newer, unless it comes by itself first.
+func (g *Gossip) syncWith(member Member) {
+	own := g.parts.Host.Revisions()
+	for t := range freshness.Topics {
+		if isBehind(t, own, &member) && g.beginFetch(t) {
+			go g.sync(t, member, own)
+		}
+	}
+}
+
+// sync fetches a topic from a member that reported a newer revision, after a grace for the change to come
+// by itself, or from others that have it. A host that knows nothing at all does not wait.
+func (g *Gossip) sync(t freshness.Topic, first Member, before SyncRequest) {
+	defer g.endFetch(t)
+	if before.Settings > 0 && before.Directory > 0 {
+		time.Sleep(syncGrace)
+	}
+	g.fetch(&fetchRound{
+		topic: t,
+		next: func(asked map[string]bool) (Member, bool) {
+			if len(asked) == 0 {
+				return first, true
+			}
+			return g.pick(func(m *Member) bool { return !asked[m.Name] && g.isBehind(t, m) })
+		},
+		over: func() bool { return !g.isBehind(t, &first) },
+	})
+}
+
+// pollWhenOld polls members for what nobody has confirmed for too long, until done is closed: the store
+// may not answer this host, and the heartbeats of those who know more may be lost.
+func (g *Gossip) pollWhenOld(done <-chan struct{}) {
+	ticker := time.NewTicker(pollCheck)
+	defer ticker.Stop()
+	var polledAt [freshness.Topics]time.Time
+	for {
+		select {
+		case <-ticker.C:
+		case <-done:
+			return
+		}
+		before, _ := g.Rank()
+		now := g.parts.Clock()
+		for t := range freshness.Topics {
+			if now.Sub(polledAt[t]) >= pollInterval && g.parts.Host.MustAsk(t, before) && g.beginFetch(t) {
+				polledAt[t] = now
+				go g.poll(t)
+			}
+		}
+	}
+}
+
+// poll fetches a topic from some members whatever they have reported.
+func (g *Gossip) poll(t freshness.Topic) {
+	defer g.endFetch(t)
+	var answered atomic.Bool
+	g.fetch(&fetchRound{
+		topic: t,
+		next: func(asked map[string]bool) (Member, bool) {
+			return g.pick(func(m *Member) bool { return !asked[m.Name] })
+		},
+		answered: func() { answered.Store(true) },
+		over:     answered.Load,
+		most:     maxPolled,
+	})
+}
+
+// beginFetch reports whether fetches of a topic may begin; only one round runs at a time.
+func (g *Gossip) beginFetch(t freshness.Topic) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fetching[t] {
+		return false
+	}
+	g.fetching[t] = true
+	return true
+}
+
+func (g *Gossip) endFetch(t freshness.Topic) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fetching[t] = false
+}
+
+// isBehind reports whether a member has a newer revision of a topic than this host.
+func (g *Gossip) isBehind(t freshness.Topic, member *Member) bool {
+	return isBehind(t, g.parts.Host.Revisions(), member)
+}
+
+// pick returns a member at random of those that are wanted.
+func (g *Gossip) pick(wanted func(*Member) bool) (Member, bool) {
+	g.mu.Lock()
+	members := g.members.Live()
+	g.mu.Unlock()
+	members = slices.DeleteFunc(members, func(m Member) bool { return !wanted(&m) })
+	if len(members) == 0 {
+		return Member{}, false
+	}
+	return members[int(g.parts.Random()*float64(len(members)))], true
+}
+
+// fetchRound is a topic that is to be fetched, with the rule of whom to ask.
+type fetchRound struct {
+	topic freshness.Topic
+	// next picks the next member to ask, or none for now.
+	next func(asked map[string]bool) (Member, bool)
+	// answered is called when a member has answered. It may be nil.
+	answered func()
+	// over reports whether the host has what it needs.
+	over func() bool
+	// most is how many members are asked, or 0 for maxFetched.
+	most int
+}
+
+// fetch asks members for a topic, one after the other. One that has not answered after fetchHedge is not waited
+// for: the next one is asked beside it, so that no silent member uses up the time.
+func (g *Gossip) fetch(r *fetchRound) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	var fetches sync.WaitGroup
+	defer fetches.Wait()
+	asked := make(map[string]bool)
+	for ctx.Err() == nil && len(asked) < cmp.Or(r.most, maxFetched) && !r.over() {
+		ended := make(chan struct{})
+		if peer, ok := r.next(asked); ok {
+			asked[peer.Name] = true
+			fetches.Go(func() {
+				defer close(ended)
+				if g.fetchFrom(ctx, r.topic, peer) && r.answered != nil {
+					r.answered()
+				}
+				if r.over() {
+					cancel()
+				}
+			})
+		}
+		select {
+		case <-ended:
+		case <-time.After(fetchHedge):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// fetchFrom fetches a topic from a member and puts it in force. It reports whether the member answered.
+func (g *Gossip) fetchFrom(ctx context.Context, t freshness.Topic, peer Member) bool {
+	response, err := g.call(ctx, peer.Address, requestFor(t, g.parts.Host.Revisions()))
+	if err == nil {
+		g.parts.Host.Apply(peer.Name, response)
+		g.Changed()
+		return true
+	}
+	if g.isBehind(t, &peer) {
+		g.parts.Log.WithError(err).WithField("peer", peer.Name).Warn("newer revisions can't be fetched from a peer")
+	}
+	return false
+}
+
+// call asks the peer at an address for what is newer than the given revisions. It blocks until ctx ends
+// at the latest.
+func (g *Gossip) call(ctx context.Context, address string, request SyncRequest) (SyncResponse, error) {
+	raw, err := g.parts.Network.Dial(ctx, address)
+	if err != nil {
+		return SyncResponse{}, merry.Wrap(err)
+	}
+	conn := drpcconn.New(raw)
+	defer conn.Close()
+	var response SyncResponse
+	err = conn.Invoke(ctx, rpcSync, encoding{}, &request, &response)
+	return response, merry.Wrap(err)
+}
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -23,6 +23,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/backoff"
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
 // State is what this host's next heartbeat carries.
@@ -50,6 +51,13 @@
 	Observed() []EngineReport
 	// Reported handles a peer's report.
 	Reported(peer string, engines []EngineReport)
+	// Confirmations returns what this host can confirm to others.
+	Confirmations() []TopicConfirmation
+	// Confirmed handles a peer's confirmations.
+	Confirmed(topics []TopicConfirmation)
+	// MustAsk reports whether a host with a number of hosts before it has to ask others about a topic,
+	// because nobody has confirmed for too long what this host knows.
+	MustAsk(topic freshness.Topic, before int) bool
 	// Lost is called when a peer left or fell silent.
 	Lost(peer string)
 	// Respond returns what is newer than a peer's revisions.
@@ -95,9 +103,10 @@
 
 	packets  net.PacketConn
 	listener net.Listener
-	// changed and urgent wake Run; see Changed and ChangedRevision.
+	// changed, urgent and confirm wake Run; see Changed, ChangedRevision and Confirm.
 	changed chan struct{}
 	urgent  chan struct{}
+	confirm chan struct{}
 	cancel  context.CancelFunc
 
 	mu       sync.Mutex
@@ -111,8 +120,8 @@
 	reportAt time.Time
 	reports  uint64
 	leaving  bool
-	// syncing is which topics are being fetched.
-	syncing [topics]bool
+	// fetching is which topics are being fetched.
+	fetching [freshness.Topics]bool
 }
 
 // New returns a host's part that does not listen yet.
@@ -120,7 +129,8 @@
 	g := &Gossip{
 		parts: parts, address: parts.Config.Address, start: parts.Clock().UnixNano(),
 		incarnation: uint32(parts.Random() * math.MaxUint32),
-		changed:     make(chan struct{}, 1), urgent: make(chan struct{}, 1), members: NewMembers(parts.Config.Name),
+		changed:     make(chan struct{}, 1), urgent: make(chan struct{}, 1), confirm: make(chan struct{}, 1),
+		members: NewMembers(parts.Config.Name),
 	}
 	g.Contact(parts.Config.FirstPeers)
 	return g
@@ -144,11 +154,20 @@
 	return g.members.Count() + 1
 }
 
-// ShouldReadStore reports whether this host is one of those that read the store for all.
-func (g *Gossip) ShouldReadStore() bool {
+// ReaderIndex returns whether this host is one of those that read the store for all, and how many of
+// them come before it.
+func (g *Gossip) ReaderIndex() (index int, reads bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members.ShouldReadStore()
+	return g.members.ReaderIndex()
+}
+
+// Rank returns how many of the live hosts come before this one where not all are to do the same, and how
+// many hosts there are.
+func (g *Gossip) Rank() (before, hosts int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Rank(), g.members.Count() + 1
 }
 
 // Registered reports whether this host's address is in the registry.
@@ -194,8 +213,12 @@
 // Address returns where peers reach this host.
 func (g *Gossip) Address() string { return g.address }
 
-// Run sends heartbeats until done is closed.
+// Run sends heartbeats and confirmations, and polls members where it must, until done is closed.
 func (g *Gossip) Run(done <-chan struct{}) {
+	var others sync.WaitGroup
+	defer others.Wait()
+	others.Go(func() { g.sendConfirmations(done) })
+	others.Go(func() { g.pollWhenOld(done) })
 	for {
 		g.heartbeat()
 		if !g.waitForNext(done) {
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -161,7 +161,7 @@
 	}
 }
 
-// decode handles a datagram: a heartbeat, or a report, which has fewer fields.
+// decode handles a datagram. The messages are told apart by their number of fields.
 func (g *Gossip) decode(data []byte, from string) {
 	var h Heartbeat
 	err := cbor.Unmarshal(data, &h)
@@ -174,7 +174,12 @@
 		g.reported(&r)
 		return
 	}
-	g.parts.Log.WithError(err).WithField("address", from).Debug("a datagram is neither a heartbeat nor a report")
+	var c Confirmation
+	if cbor.Unmarshal(data, &c) == nil {
+		g.confirmed(&c)
+		return
+	}
+	g.parts.Log.WithError(err).WithField("address", from).Debug("a datagram is none of the messages")
 }
 
 // reported handles a report.
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
 // Member is another host that is alive.
@@ -121,6 +123,24 @@
 	return known.Name, true
 }
 
+// Confirmed notes what a confirmation says of its sender. It returns the member that sent it, and whether it
+// is known.
+func (m *Members) Confirmed(c *Confirmation) (member Member, known bool) {
+	sender, ok := m.byIncarnation(c.Incarnation)
+	if !ok {
+		return Member{}, false
+	}
+	for topic, confirmed := range c.Topics {
+		switch freshness.Topic(topic) {
+		case freshness.Settings:
+			sender.Settings = max(sender.Settings, confirmed.Newest)
+		case freshness.Endpoints:
+			sender.Directory = max(sender.Directory, confirmed.Newest)
+		}
+	}
+	return *sender, true
+}
+
 // Knows reports whether an incarnation is that of a member.
 func (m *Members) Knows(incarnation uint32) bool {
 	_, ok := m.names[incarnation]
--- a/internal/front/gossip/messages.go
+++ b/internal/front/gossip/messages.go
@@ -56,6 +56,27 @@
 	Engines     []EngineReport
 }
 
+// Confirmation is a datagram of a host that the store has just answered: up to when it knows
+// everything. The topics have the order of package freshness; a receiver uses those that it knows.
+type Confirmation struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Incarnation identifies the sender as in Heartbeat.
+	Incarnation uint32
+	Topics      []TopicConfirmation
+}
+
+// TopicConfirmation is up to when the sender knows a topic. The fields mean what those of
+// freshness.Confirmation mean.
+type TopicConfirmation struct {
+	_ struct{} `cbor:",toarray"`
+
+	Newest   uint64
+	Revision uint64
+	// AsOf is the store's clock in milliseconds.
+	AsOf uint64
+}
+
 // SettingsPatch turns one configuration into the next. A host that has another one than From
 // can't use it.
 type SettingsPatch struct {
--- a/internal/front/gossip/rules.go
+++ b/internal/front/gossip/rules.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
 // The rules of gossip: how often to send, when a silent member is dropped, who reads the
@@ -100,8 +102,20 @@
 	// syncGrace is how long a newer revision may take to come from the store before a peer is
 	// asked for it: some heartbeats, and the feed's spacing of 250 ms. Not measured.
 	syncGrace = 200 * time.Millisecond
-	// syncTimeout bounds the call to a peer. Not measured.
-	syncTimeout = 3 * time.Second
+	// fetchHedge is how long a peer may take to answer before another one is asked too: some
+	// times what a directory of 3,500 endpoints takes on a link of 10 Mbit/s. Not measured.
+	fetchHedge = 250 * time.Millisecond
+	// maxFetched is how many peers are asked in one go. Not measured.
+	maxFetched = 4
+	// pollCheck is the time between two looks whether peers have to be polled. Not measured.
+	pollCheck = 200 * time.Millisecond
+	// pollInterval is the least time between two polls of peers, maxPolled how many peers one poll
+	// asks. Not measured.
+	pollInterval = 500 * time.Millisecond
+	maxPolled    = 2
+	// fetchTimeout bounds the calls to all of them: directories that hundreds of hosts fetch at
+	// the same time take seconds (sweep at 300 hosts). Not measured.
+	fetchTimeout = 3 * time.Second
 	// maxSnapshots bounds the snapshots of the directory that a host sends at a time. More
 	// would share its link, and none would arrive in time; hosts that are turned away ask
 	// again, and by then others have it too. With 4 and separate fetches of settings and
@@ -114,38 +128,38 @@
 )
 
 const (
-	// storeReaders is how many hosts of a large fleet read the store for all. Measured with
-	// 71 hosts (dff5355): 489 calls on a quiet day instead of 8,085, worth 0.88 instead of
-	// 0.72. Four, so that some are left when one or two fail.
-	storeReaders = 4
 	// maxReaderRank is how many hosts may take over from readers that get no answers. It is
 	// bounded, so that not all hosts ask a store that is down. Not measured.
-	maxReaderRank = 3 * storeReaders
-	// smallFleet is the number of hosts up to which each reads for itself: 7 and 8 hosts on
-	// the users' first sites, where the calls of all cost nothing that was measured.
-	smallFleet = 8
+	maxReaderRank = 3 * freshness.Readers
 )
 
-// ShouldReadStore reports whether this host reads the store. In a small fleet every host
-// does. In a larger one the first hosts in the order of a hash do, and for each of them that
-// gets no answers the next in that order. Hosts whose views differ only read more often than
-// needed.
-func (m *Members) ShouldReadStore() bool {
-	if len(m.live)+1 <= smallFleet {
-		return true
-	}
+// ReaderIndex returns whether this host reads the store, and how many readers come before it. The first
+// hosts in the order of a hash read, and for each of them that gets no answers the next in that order.
+// Hosts whose views differ only read more often than needed.
+func (m *Members) ReaderIndex() (index int, reads bool) {
+	before, reading := m.before()
+	return reading, before < maxReaderRank && reading < freshness.Readers
+}
+
+// Rank returns how many members come before this host in the order of a hash.
+func (m *Members) Rank() int {
+	before, _ := m.before()
+	return before
+}
+
+// before counts the members that come before this host, and those of them that read the store.
+func (m *Members) before() (members, reading int) {
 	own := rankOf(m.self)
-	before, reading := 0, 0
 	for name, member := range m.live {
 		if rankOf(name) >= own {
 			continue
 		}
-		before++
+		members++
 		if member.readsStore {
 			reading++
 		}
 	}
-	return before < maxReaderRank && reading < storeReaders
+	return members, reading
 }
 
 func rankOf(host string) uint64 { return xxhash.Sum64String(host) }
--- /dev/null
+++ b/internal/front/peersync/freshness.go
@@ -0,0 +1,38 @@
+package peersync
+
+import (
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+)
+
+// Confirmations returns what this host can confirm to others, or nothing if that is not all topics.
+func (s *Sync) Confirmations() []gossip.TopicConfirmation {
+	confirmations := make([]gossip.TopicConfirmation, freshness.Topics)
+	for topic := range freshness.Topics {
+		own, ok := s.parts.Freshness.Own(topic)
+		if !ok {
+			return nil
+		}
+		confirmations[topic] = gossip.TopicConfirmation{
+			Newest: own.Newest, Revision: own.Revision, AsOf: uint64(time.Duration(own.AsOf).Milliseconds()),
+		}
+	}
+	return confirmations
+}
+
+// MustAsk reports whether a host with a number of hosts before it has to ask others about a topic.
+func (s *Sync) MustAsk(topic freshness.Topic, before int) bool {
+	return s.parts.Freshness.MustAsk(topic, before)
+}
+
+// Confirmed handles a peer's confirmations.
+func (s *Sync) Confirmed(topics []gossip.TopicConfirmation) {
+	for topic := range min(len(topics), int(freshness.Topics)) {
+		c := &topics[topic]
+		s.parts.Freshness.Confirmed(freshness.Topic(topic), freshness.Confirmation{
+			Newest: c.Newest, Revision: c.Revision, AsOf: freshness.StoreTime(time.Duration(c.AsOf) * time.Millisecond),
+		})
+	}
+}
--- a/internal/front/peersync/peersync.go
+++ b/internal/front/peersync/peersync.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
@@ -45,6 +46,7 @@
 	Directory *directory.Directory
 	Settings  *Settings
 	Endpoints *Endpoints
+	Freshness *freshness.State
 	// ReadsStore reports whether this host reads the store and gets answers.
 	ReadsStore func() bool
 	Log        *logrus.Entry
--- a/internal/front/peersync/settings.go
+++ b/internal/front/peersync/settings.go
@@ -1,6 +1,9 @@
 package peersync
 
 import (
+	"slices"
+	"time"
+
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
@@ -30,6 +33,8 @@
 	Changed func()
 	// ReadsStore reports whether this host reads the store and gets answers.
 	ReadsStore func() bool
+	// Age returns how long ago the settings were last known to be complete.
+	Age func() time.Duration
 }
 
 // NewSettings returns a sink with no configuration in force.
@@ -38,24 +43,30 @@
 // Replace puts the newest configuration of the whole table in force.
 func (s *Settings) Replace(batch follow.Batch[settings.Raw]) { s.Apply(batch) }
 
-// Apply puts configurations in force that the store brought. One that can't be decoded is
-// left out, and the last one stays.
+// Apply puts the newest configuration in force that the store brought. One that can't be decoded is
+// left out, and the one before it counts. Those in between never come into force: a change that is sent
+// to peers leads from what they have to the newest, also when several came at once.
 func (s *Settings) Apply(batch follow.Batch[settings.Raw]) {
-	for _, document := range batch.Items {
-		s.offer(document, fromStore)
+	for _, document := range slices.Backward(batch.Items) {
+		if s.offer(document, fromStore) {
+			return
+		}
 	}
 }
 
-func (s *Settings) offer(document settings.Raw, from string) {
+// offer puts a configuration in force if it is newer than the one that is. It reports whether it could be
+// decoded.
+func (s *Settings) offer(document settings.Raw, from string) bool {
 	p := &s.parts
 	revision, err := p.Decode(document)
 	if err != nil {
 		p.Counters.SettingsRejected.Inc()
 		p.Log.WithError(err).WithField("from", from).Warn("a configuration can't be decoded, the last one stays in force")
-		return
+		return false
 	}
+	age := p.Age()
 	if !p.Holder.Offer(revision) {
-		return
+		return true
 	}
 	p.InForce(revision.Tree)
 	s.documents.keep(document, revision.Number)
@@ -64,8 +75,9 @@
 	}
 	p.Log.WithFields(logrus.Fields{
 		"revision": revision.Number, "from": from, "routes": len(revision.Tree.Routes), "workspaces": len(revision.Tree.Workspaces),
-		"bytes": len(document),
+		"bytes": len(document), "waited_ms": age.Milliseconds(),
 	}).Info("settings in force")
+	return true
 }
 
 // forwards reports whether this host sends a change on at once. What the store brought it
