status, doctor and metrics show how old a host's knowledge is and who calls the store

oxbowslip status and doctor name a host whose settings or endpoints nobody has confirmed for 2 s, and a fleet in which no host reads the store. oxbowslip_store_calls_total{reason} counts why hosts call it: read, ask, load. The doctor has a file of its own. The status gained a field, metrics three series; golden files grew by lines only.

--- /dev/null
+++ b/cmd/oxbowslip/doctor.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/operator"
+)
+
+// doctor asks hosts for their state and reports what is wrong. It fails if anything is.
+func (t *tool) doctor(ctx context.Context, addresses []string) error {
+	var reports []hostReport
+	for _, address := range addresses {
+		status, err := operator.NewClient(address, t.key).Status(ctx)
+		reports = append(reports, hostReport{Address: address, Status: status, err: err})
+	}
+	findings := examine(reports)
+	for _, finding := range findings {
+		fmt.Println(finding)
+	}
+	if len(findings) > 0 {
+		return fmt.Errorf("%d findings at %d hosts", len(findings), len(addresses))
+	}
+	fmt.Printf("%d hosts, nothing found\n", len(addresses))
+	return nil
+}
+
+// hostReport is what one host answered.
+type hostReport struct {
+	Address string
+	Status  operator.Status
+	err     error
+}
+
+// oldAge is how long what a host knows may go unconfirmed before that is a finding: the strictest bound on a
+// change of the users' deployments.
+const oldAge = 2 * time.Second
+
+// examine compares the states of hosts.
+func examine(reports []hostReport) []string {
+	var findings []string
+	newest, most, readers, fronts := uint64(0), 0, 0, 0
+	for i := range reports {
+		newest = max(newest, reports[i].Status.Revision)
+		most = max(most, reports[i].Status.Endpoints)
+		if f := reports[i].Status.Freshness; f != nil {
+			fronts++
+			if f.ReadsStore {
+				readers++
+			}
+		}
+	}
+	if fronts > 0 && readers == 0 {
+		findings = append(findings, fmt.Sprintf("none of %d hosts that answered reads the store; is it down, or are others readers?", fronts))
+	}
+	for i := range reports {
+		r := &reports[i]
+		add := func(format string, args ...any) {
+			findings = append(findings, r.Address+": "+fmt.Sprintf(format, args...))
+		}
+		if r.err != nil {
+			add("no answer: %v; is the host up, and is the key an operator's?", r.err)
+			continue
+		}
+		s := &r.Status
+		if !s.Ready {
+			add("not ready: %s", s.Problem)
+		}
+		if s.Revision < newest {
+			add("settings revision %d, another host has %d; see its log for 'store lost'", s.Revision, newest)
+		}
+		if s.Freshness != nil {
+			unconfirmed(add, "settings", s.Freshness.Settings)
+			unconfirmed(add, "endpoints", s.Freshness.Endpoints)
+		}
+		if s.Endpoints < most {
+			add("knows %d endpoints, another host %d", s.Endpoints, most)
+		}
+		if s.Hosts > 0 && s.Hosts < len(reports) {
+			add("hears %d hosts of %d; are heartbeats (UDP, the peers' address) let through?", s.Hosts, len(reports))
+		}
+		for _, endpoint := range s.Ejected {
+			add("sends nothing new to %s, which failed; see its log for 'endpoint ejected'", endpoint)
+		}
+	}
+	return findings
+}
+
+// unconfirmed adds a finding if what a host knows is too old or was never confirmed.
+func unconfirmed(add func(format string, args ...any), what string, age time.Duration) {
+	const cause = "it gets no answer from the store ('store lost' in its log) and no datagram from hosts that do"
+	switch {
+	case age < 0:
+		add("its %s were never confirmed since its start: %s", what, cause)
+	case age > oldAge:
+		add("its %s were last confirmed %s ago: %s", what, age.Round(time.Millisecond), cause)
+	}
+}
--- a/cmd/oxbowslip/logs.go
+++ b/cmd/oxbowslip/logs.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"os"
@@ -9,7 +8,6 @@
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/logread"
-	"oxbowslip.dev/oxbowslip/internal/operator"
 )
 
 // logs prints what the logs of many hosts say about a request. Without files, they are
@@ -76,65 +74,3 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", l.Time.Format(logTime), l.Source, l.Text, l.Endpoint, l.Error)
 	}
 }
-
-// doctor asks hosts for their state and reports what is wrong. It fails if anything is.
-func (t *tool) doctor(ctx context.Context, addresses []string) error {
-	var reports []hostReport
-	for _, address := range addresses {
-		status, err := operator.NewClient(address, t.key).Status(ctx)
-		reports = append(reports, hostReport{Address: address, Status: status, err: err})
-	}
-	findings := examine(reports)
-	for _, finding := range findings {
-		fmt.Println(finding)
-	}
-	if len(findings) > 0 {
-		return fmt.Errorf("%d findings at %d hosts", len(findings), len(addresses))
-	}
-	fmt.Printf("%d hosts, nothing found\n", len(addresses))
-	return nil
-}
-
-// hostReport is what one host answered.
-type hostReport struct {
-	Address string
-	Status  operator.Status
-	err     error
-}
-
-// examine compares the states of hosts.
-func examine(reports []hostReport) []string {
-	var findings []string
-	newest, most := uint64(0), 0
-	for i := range reports {
-		newest = max(newest, reports[i].Status.Revision)
-		most = max(most, reports[i].Status.Endpoints)
-	}
-	for i := range reports {
-		r := &reports[i]
-		add := func(format string, args ...any) {
-			findings = append(findings, r.Address+": "+fmt.Sprintf(format, args...))
-		}
-		if r.err != nil {
-			add("no answer: %v; is the host up, and is the key an operator's?", r.err)
-			continue
-		}
-		s := &r.Status
-		if !s.Ready {
-			add("not ready: %s", s.Problem)
-		}
-		if s.Revision < newest {
-			add("settings revision %d, another host has %d; see its log for 'store lost'", s.Revision, newest)
-		}
-		if s.Endpoints < most {
-			add("knows %d endpoints, another host %d", s.Endpoints, most)
-		}
-		if s.Hosts > 0 && s.Hosts < len(reports) {
-			add("hears %d hosts of %d; are heartbeats (UDP, the peers' address) let through?", s.Hosts, len(reports))
-		}
-		for _, endpoint := range s.Ejected {
-			add("sends nothing new to %s, which failed; see its log for 'endpoint ejected'", endpoint)
-		}
-	}
-	return findings
-}
--- a/cmd/oxbowslip/tool.go
+++ b/cmd/oxbowslip/tool.go
@@ -61,6 +61,10 @@
 			fmt.Fprintf(w, "hears %d hosts; %d endpoints take work (directory revision %d), ejected: %s\n\n",
 				s.Hosts, s.Endpoints, s.Directory, strings.Join(s.Ejected, ", "))
 		}
+		if f := s.Freshness; f != nil {
+			fmt.Fprintf(w, "confirmed by the store: settings %s, endpoints %s; reads the store for others: %t\n\n",
+				ago(f.Settings), ago(f.Endpoints), f.ReadsStore)
+		}
 		fmt.Fprintln(w, "shard\tscheduler\twaiting\trunning\tejected")
 		for _, shard := range s.Shards {
 			scheduler, ok := s.Schedulers[shard.Name]
@@ -80,6 +84,14 @@
 	})
 }
 
+// ago returns how long ago something was confirmed, in words.
+func ago(age time.Duration) string {
+	if age < 0 {
+		return "never"
+	}
+	return age.Round(time.Millisecond).String() + " ago"
+}
+
 func ejected(shard *operator.ShardStatus) string {
 	var list []string
 	for _, e := range shard.Endpoints {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -42,6 +42,21 @@
 // PeerTraffics lists every kind.
 var PeerTraffics = []PeerTraffic{PeerHeartbeats, PeerAnnouncements, PeerSyncs}
 
+// StoreCall is why a host calls the deployment's store.
+type StoreCall string
+
+// The reasons.
+const (
+	// StoreLoads reads a table whole, StoreReads waits for its changes for all hosts, StoreAsks asks for
+	// them because nobody has confirmed for too long what the host knows.
+	StoreLoads StoreCall = "load"
+	StoreReads StoreCall = "read"
+	StoreAsks  StoreCall = "ask"
+)
+
+// StoreCalls lists all reasons.
+var StoreCalls = []StoreCall{StoreLoads, StoreReads, StoreAsks}
+
 // Counters are the metrics of one daemon.
 type Counters struct {
 	set      *metrics.Set
@@ -49,6 +64,7 @@
 	retries  map[request.RetryReason]*metrics.Counter
 	wasted   map[Waste]*metrics.Counter
 	peers    map[PeerTraffic]*metrics.Counter
+	store    map[StoreCall]*metrics.Counter
 	// Goodput counts tokens of answers that met their class's targets.
 	Goodput *metrics.Counter
 	// Tokens counts all tokens relayed.
@@ -73,6 +89,7 @@
 		retries:          make(map[request.RetryReason]*metrics.Counter),
 		wasted:           make(map[Waste]*metrics.Counter),
 		peers:            make(map[PeerTraffic]*metrics.Counter),
+		store:            make(map[StoreCall]*metrics.Counter),
 		Goodput:          set.NewCounter("oxbowslip_goodput_tokens_total"),
 		Tokens:           set.NewCounter("oxbowslip_tokens_total"),
 		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
@@ -92,9 +109,15 @@
 	for _, kind := range PeerTraffics {
 		c.peers[kind] = set.NewCounter(fmt.Sprintf(`oxbowslip_peer_sent_bytes_total{kind=%q}`, kind))
 	}
+	for _, reason := range StoreCalls {
+		c.store[reason] = set.NewCounter(fmt.Sprintf(`oxbowslip_store_calls_total{reason=%q}`, reason))
+	}
 	return c
 }
 
+// CalledStore counts a call to the deployment's store.
+func (c *Counters) CalledStore(reason StoreCall) { c.store[reason].Inc() }
+
 // SentToPeers counts bytes that were sent to peers, without what lies below UDP or TCP.
 func (c *Counters) SentToPeers(kind PeerTraffic, bytes int) { c.peers[kind].Add(bytes) }
 
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -98,7 +98,7 @@
 		Freshness: state, Network: f.network, Counters: count, Log: log, Clock: time.Now, Random: random, Late: l,
 	})
 	followers := newFollowers(followerParts{
-		Deployment: deployment, Settings: settingsSink, Endpoints: endpointsSink, Directory: endpoints, Freshness: state, Log: log,
+		Deployment: deployment, Settings: settingsSink, Endpoints: endpointsSink, Directory: endpoints, Freshness: state, Counters: count, Log: log,
 		Clock: time.Now, Random: random, Late: l,
 	})
 	c.Assert(g.Start(), qt.IsNil)
--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/backoff"
+	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
@@ -87,6 +88,14 @@
 	return duty.Hold
 }
 
+// reasonOf returns why a host waits for changes.
+func reasonOf(duty Duty) counters.StoreCall {
+	if duty.Reads {
+		return counters.StoreReads
+	}
+	return counters.StoreAsks
+}
+
 // timeoutOf returns how long a call may take that the store may hold for a time.
 func timeoutOf(held time.Duration) time.Duration { return max(held+HeldTimeout, CallTimeout) }
 
@@ -122,6 +131,8 @@
 	// Position returns the revision up to which this host knows the table, from the store or
 	// from peers, or 0 if it has to be read whole.
 	Position func() uint64
+	// Called counts a call and why it is made.
+	Called func(counters.StoreCall)
 	// Answered is called when the store has answered and the sink has what it brought.
 	Answered func(freshness.Answer)
 }
@@ -201,6 +212,7 @@
 	if f.gone || (position == 0 && !f.loaded) {
 		return false, f.load(ctx)
 	}
+	f.parts.Called(reasonOf(duty))
 	held := heldFor(duty, f.failures)
 	sent := f.begin(held)
 	batch, err := f.wait(ctx, position, held)
@@ -235,6 +247,7 @@
 }
 
 func (f *Follower[T]) load(ctx context.Context) error {
+	f.parts.Called(counters.StoreLoads)
 	sent := f.begin(0)
 	batch, err := f.parts.Source.Load(ctx)
 	if err != nil {
--- a/internal/front/followers.go
+++ b/internal/front/followers.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
@@ -30,6 +31,7 @@
 	Endpoints  *peersync.Endpoints
 	Directory  *directory.Directory
 	Freshness  *freshness.State
+	Counters   *counters.Counters
 	Log        *logrus.Logger
 	Clock      func() time.Time
 	Random     func() float64
@@ -64,11 +66,12 @@
 		settings: follow.New(follow.Parts[settings.Raw]{
 			Source: p.Deployment.Settings, Sink: p.Settings, Log: logging.Part(p.Log, "settings"), Clock: p.Clock, Random: p.Random,
 			Duty: p.duty(freshness.Settings), Answered: p.answered(freshness.Settings),
-			Position: func() uint64 { return p.Freshness.Revision(freshness.Settings) },
+			Position: func() uint64 { return p.Freshness.Revision(freshness.Settings) }, Called: p.Counters.CalledStore,
 		}),
 		endpoints: follow.New(follow.Parts[directory.Change]{
 			Source: p.Deployment.Endpoints, Sink: p.Endpoints, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random,
 			Duty: p.duty(freshness.Endpoints), Answered: p.answered(freshness.Endpoints),
+			Called: p.Counters.CalledStore,
 			// A change that came from a peer may be ahead of what is confirmed.
 			Position: func() uint64 { return max(p.Freshness.Revision(freshness.Endpoints), p.Directory.Revision()) },
 		}),
--- a/internal/operator/golden_test.go
+++ b/internal/operator/golden_test.go
@@ -98,6 +98,12 @@
 	servers := map[string]*Server{
 		"ready":     goldenServer(true, holder, SettingsAnswer{Revision: 4, Tree: []byte(`{"root":{}}`)}),
 		"not ready": goldenServer(false, settings.NewHolder(), SettingsAnswer{}),
+		"front": New(Parts{
+			Keys: []hostconfig.OperatorKey{{Name: "reader", SHA256: settings.HashKey("read"), Role: hostconfig.RoleRead}},
+			Status: func() Status {
+				return Status{Host: "front", Now: goldenTime, Freshness: &Freshness{Settings: time.Second, Endpoints: -time.Millisecond, ReadsStore: true}}
+			},
+		}),
 	}
 	type call struct{ server, method, path, key, body string }
 	calls := []call{
@@ -126,6 +132,7 @@
 	for _, id := range []string{"conflict", "faults", "patch", "unknown", "away"} {
 		calls = append(calls, call{"ready", "POST", "/v1/settings/changes", "change", `{"id":"` + id + `","base":1,"patch":{}}`})
 	}
+	calls = append(calls, call{"front", "GET", "/v1/status", "read", ""})
 	var text strings.Builder
 	for _, call := range calls {
 		r := httptest.NewRequest(call.method, call.path, strings.NewReader(call.body))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -65,6 +65,18 @@
 	Endpoints int       `json:"endpoints,omitzero"`
 	Ejected   []string  `json:"paused,omitzero"`
 	Now       time.Time `json:"now"`
+	// Freshness is nil for hosts that poll the platform themselves.
+	Freshness *Freshness `json:"freshness,omitzero"`
+}
+
+// Freshness is how old what a host knows from the deployment's store may be.
+type Freshness struct {
+	// Settings and Endpoints are the times since the store last confirmed, to this host or to a
+	// peer, that the host knows all of them; below 0 if that has not happened since its start.
+	Settings  time.Duration `json:"settings"`
+	Endpoints time.Duration `json:"endpoints"`
+	// ReadsStore is set if the host reads the store for all others and gets answers.
+	ReadsStore bool `json:"reads_store,omitzero"`
 }
 
 // Problem is an error answer.
