Mutants of the new promises; a fetch asks up to six peers, a poll too

Mutants: a silent call that counts as held for 30 s, one peer asked for 30 s, patches dropped, a reader that never gives up, an age that does not grow, nobody asks but the readers, older settings in force.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -272,6 +272,12 @@
 			muteHalf(f)
 			f.losesFrom(f.readers(), f.hosts[19].address)
 		}},
+		"the store answers readers only, half of the peers don't answer, and no reader reaches one host": {20, boundOfLarge, func(f *fleet) {
+			muteHalf(f)
+			readers := f.readers()
+			f.losesFrom(readers, f.hosts[19].address)
+			f.store.harm(storeSilent, f.names(func(_ int, h *fleetHost) bool { return !slices.Contains(readers, h.name) })...)
+		}},
 	})
 }
 
--- a/internal/front/gossip/fetch.go
+++ b/internal/front/gossip/fetch.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -77,7 +76,6 @@
 		},
 		answered: func() { answered.Store(true) },
 		over:     answered.Load,
-		most:     maxPolled,
 	})
 }
 
@@ -124,8 +122,6 @@
 	answered func()
 	// over reports whether the host has what it needs.
 	over func() bool
-	// most is how many members are asked, or 0 for maxFetched.
-	most int
 }
 
 // fetch asks members for a topic, one after the other. One that has not answered after fetchHedge is not waited
@@ -136,7 +132,7 @@
 	var fetches sync.WaitGroup
 	defer fetches.Wait()
 	asked := make(map[string]bool)
-	for ctx.Err() == nil && len(asked) < cmp.Or(r.most, maxFetched) && !r.over() {
+	for ctx.Err() == nil && len(asked) < maxFetched && !r.over() {
 		ended := make(chan struct{})
 		if peer, ok := r.next(asked); ok {
 			asked[peer.Name] = true
