freshness: fewer readers confirm as often as four

A reader's turn came every 2 s however many readers there were. Now the turns are those of the readers that there are; calls stay at four a second. TestOneReaderConfirmsAsOftenAsFour; TestConfirmationsWhileNothingHappens now demands the same ages of fleets of one and three hosts.

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -142,8 +142,7 @@
 // readers returns the names of the hosts that read the store.
 func (f *fleet) readers() []string {
 	return f.names(func(_ int, h *fleetHost) bool {
-		_, reads := h.gossip.ReaderIndex()
-		return reads
+		return h.gossip.Order().Reads()
 	})
 }
 
@@ -224,17 +223,25 @@
 				before := f.store.count()
 				const span = 20 * time.Second
 				oldest := f.oldest(span)
-				c.Check(f.store.count()-before <= 2*readers*int(span/period), qt.IsTrue, qt.Commentf("%d calls", f.store.count()-before))
-				// Fewer than four hosts leave phases out.
-				gap := time.Duration(freshness.Readers-readers+1) * freshness.Phase
-				c.Check(oldest < gap+50*time.Millisecond, qt.IsTrue, qt.Commentf("%s", oldest))
+				c.Check(f.store.count()-before <= 2*int(span/freshness.Phase), qt.IsTrue, qt.Commentf("%d calls", f.store.count()-before))
+				c.Check(oldest < freshness.Phase+50*time.Millisecond, qt.IsTrue, qt.Commentf("%s", oldest))
 			})
 		})
 	}
 }
 
-// period is the time between two calls of a reader.
-const period = freshness.Readers * freshness.Phase
+// TestOneReaderConfirmsAsOftenAsFour is a store that answers a single host: the others must not be left to ask it in
+// vain while that one reads.
+func TestOneReaderConfirmsAsOftenAsFour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := startFleet(c, 10, 28)
+		f.store.harm(storeSilent, f.names(func(n int, _ *fleetHost) bool { return n != 4 })...)
+		time.Sleep(10 * time.Second)
+		oldest := f.oldest(10 * time.Second)
+		c.Check(oldest < freshness.AskAfter, qt.IsTrue, qt.Commentf("%s", oldest))
+	})
+}
 
 // oldest returns the greatest age of what any host knows in a span of time.
 func (f *fleet) oldest(span time.Duration) time.Duration {
--- a/internal/front/followers.go
+++ b/internal/front/followers.go
@@ -54,11 +54,11 @@
 // dutyOf returns what a host is to do about a topic now. One that reads for all calls the store over and
 // over; any other one calls it when nobody has confirmed for too long what it knows.
 func dutyOf(topic freshness.Topic, g *gossip.Gossip, state *freshness.State) follow.Duty {
-	if index, reads := g.ReaderIndex(); reads {
-		return follow.Duty{Call: true, Reads: true, Hold: state.Hold(index)}
+	order := g.Order()
+	if order.Reads() {
+		return follow.Duty{Call: true, Reads: true, Hold: state.Hold(order.ReadersBefore, order.Readers)}
 	}
-	before, hosts := g.Rank()
-	return follow.Duty{Call: state.MustAsk(topic, before), Retry: freshness.AskRetry(hosts)}
+	return follow.Duty{Call: state.MustAsk(topic, order.Before), Retry: freshness.AskRetry(order.Hosts)}
 }
 
 func newFollowers(p followerParts) *followers {
--- a/internal/front/freshness/freshness_test.go
+++ b/internal/front/freshness/freshness_test.go
@@ -181,18 +181,20 @@
 	qt.Check(t, AskDelay(379) < time.Second, qt.IsTrue, qt.Commentf("all hosts of a fleet of 380 have asked within a second"))
 }
 
-// TestHold checks that the calls of a reader end at its phase of the store's clock, and that the phases of the
-// readers are spread.
+// TestHold checks that the calls of readers end in turn by the store's clock.
 func TestHold(t *testing.T) {
-	for index := range 2 * Readers {
-		for begins := range 40 {
-			h := newHost(5)
-			h.at(time.Duration(begins) * 50 * ms)
-			h.Answered(Settings, answer(70*time.Second+time.Duration(begins)*50*ms, time.Duration(begins)*50*ms, time.Duration(begins)*50*ms))
-			hold := h.Hold(index)
-			qt.Check(t, hold >= leastHold && hold < period+leastHold, qt.IsTrue, qt.Commentf("%s", hold))
-			ends := (70*time.Second + time.Duration(begins)*50*ms + hold) % period
-			qt.Check(t, ends, qt.Equals, time.Duration(index%Readers)*Phase)
+	for readers := 1; readers <= Readers+2; readers++ {
+		period := time.Duration(min(readers, Readers)) * Phase
+		for before := range readers {
+			for begins := range 40 {
+				h := newHost(5)
+				since := time.Duration(begins) * 50 * ms
+				h.at(since)
+				h.Answered(Settings, answer(70*time.Second+since, since, since))
+				hold := h.Hold(before, readers)
+				qt.Check(t, hold >= leastHold && hold < period+leastHold, qt.IsTrue, qt.Commentf("%s", hold))
+				qt.Check(t, (70*time.Second+since+hold)%period, qt.Equals, time.Duration(before%Readers)*Phase%period)
+			}
 		}
 	}
 }
--- a/internal/front/freshness/rules.go
+++ b/internal/front/freshness/rules.go
@@ -7,8 +7,8 @@
 
 // The rules of who calls the store and when. A few hosts read for all: the store holds their calls until
 // there is a change. Each call that ends confirms what its host knows, and the host passes that on. The
-// ends are spread over time, so that some confirmation comes every phase while all readers are
-// answered, and every two phases if one is not. When none comes, other hosts ask, one after the other. The
+// ends take turns, so that some confirmation comes every phase while all readers are answered, and after two
+// phases if one has just fallen silent. When none comes, other hosts ask, one after the other. The
 // sums that bound the age of what hosts believe are held by TestWorstAges.
 
 const (
@@ -20,20 +20,20 @@
 	// shorter one costs calls to the store, each of which is priced, a longer one delays what hosts do when
 	// the readers fall silent.
 	Phase = 500 * time.Millisecond
-	// period is the time between the ends of the calls of one reader.
-	period = Readers * Phase
 	// leastHold is the shortest time for which the store is asked to hold a call; a call that would
-	// end sooner ends a period later. Not measured.
+	// end sooner ends a turn later. Not measured.
 	leastHold = 200 * time.Millisecond
 )
 
-// Hold returns how long the store may hold the next call of the reader with an index, so that the call ends
-// at the reader's phase of the store's clock.
-func (s *State) Hold(index int) time.Duration {
+// Hold returns how long the store may hold the next call of a reader that has a number of readers before it,
+// of so many in all, so that the readers' calls end in turn by the store's clock.
+func (s *State) Hold(before, readers int) time.Duration {
 	s.mu.Lock()
 	now := time.Duration(s.store.now(s.parts.Clock()))
 	s.mu.Unlock()
-	hold := (time.Duration(index%Readers)*Phase - now%period + period) % period
+	readers = min(readers, Readers)
+	period := time.Duration(readers) * Phase
+	hold := (time.Duration(before%readers)*Phase - now%period + period) % period
 	if hold < leastHold {
 		hold += period
 	}
--- a/internal/front/gossip/fetch.go
+++ b/internal/front/gossip/fetch.go
@@ -54,7 +54,7 @@
 		case <-done:
 			return
 		}
-		before, _ := g.Rank()
+		before := g.Order().Before
 		now := g.parts.Clock()
 		for t := range freshness.Topics {
 			if now.Sub(polledAt[t]) >= pollInterval && g.parts.Host.MustAsk(t, before) && g.beginFetch(t) {
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -154,20 +154,11 @@
 	return g.members.Count() + 1
 }
 
-// ReaderIndex returns whether this host is one of those that read the store for all, and how many of
-// them come before it.
-func (g *Gossip) ReaderIndex() (index int, reads bool) {
+// Order returns this host's place where not all hosts are to do the same.
+func (g *Gossip) Order() Order {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.members.ReaderIndex()
-}
-
-// Rank returns how many of the live hosts come before this one where not all are to do the same, and how
-// many hosts there are.
-func (g *Gossip) Rank() (before, hosts int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.members.Rank(), g.members.Count() + 1
+	return g.members.Order()
 }
 
 // Registered reports whether this host's address is in the registry.
--- a/internal/front/gossip/gossip_test.go
+++ b/internal/front/gossip/gossip_test.go
@@ -318,10 +318,12 @@
 						m.Received(start, &Heartbeat{Incarnation: uint32(j + 1), Sequence: 1, Announcement: announcement(other, 1), ReadsStore: reading[other]})
 					}
 				}
-				index, reads := m.ReaderIndex()
-				c.Check(m.Rank(), qt.Equals, i)
-				if reads {
-					c.Check(index, qt.Equals, answered)
+				order := m.Order()
+				c.Check(order.Before, qt.Equals, i)
+				c.Check(order.Hosts, qt.Equals, test.hosts)
+				c.Check(order.ReadersBefore, qt.Equals, answered)
+				c.Check(order.Readers, qt.Equals, answered+1)
+				if order.Reads() {
 					should++
 					reading[self] = i >= test.failing
 				}
--- a/internal/front/gossip/registry.go
+++ b/internal/front/gossip/registry.go
@@ -38,7 +38,7 @@
 // register does one round of KeepRegistered. After an error the next round tries again.
 func (g *Gossip) register(ctx context.Context, registry Registry) {
 	alone := g.Hosts() == 1
-	if _, reads := g.ReaderIndex(); !alone && (g.registered.Load() || !reads) {
+	if !alone && (g.registered.Load() || !g.Order().Reads()) {
 		return
 	}
 	if !g.registered.Load() {
--- a/internal/front/gossip/rules.go
+++ b/internal/front/gossip/rules.go
@@ -132,33 +132,36 @@
 	maxReaderRank = 3 * freshness.Readers
 )
 
-// ReaderIndex returns whether this host reads the store, and how many readers come before it. The first
-// hosts in the order of a hash read, and for each of them that gets no answers the next in that order.
-// Hosts whose views differ only read more often than needed.
-func (m *Members) ReaderIndex() (index int, reads bool) {
-	before, reading := m.before()
-	return reading, before < maxReaderRank && reading < freshness.Readers
+// Order is a host's place in the order of a hash, which all hosts share where not all are to do the same.
+type Order struct {
+	// Before is how many live hosts come before this one, Hosts how many there are.
+	Before, Hosts int
+	// ReadersBefore is how many of those before it read the store, Readers how many hosts do, this one
+	// counted.
+	ReadersBefore, Readers int
 }
 
-// Rank returns how many members come before this host in the order of a hash.
-func (m *Members) Rank() int {
-	before, _ := m.before()
-	return before
-}
+// Reads reports whether this host is to read the store: the first hosts in the order do, and for each of them
+// that gets no answers the next one. Hosts whose views differ only read more often than needed.
+func (o Order) Reads() bool { return o.Before < maxReaderRank && o.ReadersBefore < freshness.Readers }
 
-// before counts the members that come before this host, and those of them that read the store.
-func (m *Members) before() (members, reading int) {
+// Order returns this host's place in the order.
+func (m *Members) Order() Order {
 	own := rankOf(m.self)
+	o := Order{Hosts: len(m.live) + 1, Readers: 1}
 	for name, member := range m.live {
-		if rankOf(name) >= own {
-			continue
+		isBefore := rankOf(name) < own
+		if isBefore {
+			o.Before++
 		}
-		members++
 		if member.readsStore {
-			reading++
+			o.Readers++
+		}
+		if isBefore && member.readsStore {
+			o.ReadersBefore++
 		}
 	}
-	return members, reading
+	return o
 }
 
 func rankOf(host string) uint64 { return xxhash.Sum64String(host) }
