OPERATIONS: a change that isn't in force; polls bring no directory that has no news

Tried with ten daemons on loopback whose store answers none, then one of them. There the log showed 'endpoints read' at hosts that polled a peer whose directory was at a newer revision without a newer change: the whole directory was sent for nothing. Peers now get it only if they lack a change (TestWhichPeersGetTheDirectory).

--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -188,6 +188,7 @@
 	for name, test := range tests {
 		for _, after := range []time.Duration{0, 700 * time.Millisecond, 2900 * time.Millisecond} {
 			t.Run(fmt.Sprintf("%s/%s", name, after), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { test.run(qt.New(t), after, 28) })
 			})
 		}
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -128,6 +128,15 @@
 	}
 }
 
+// has reports whether the directory has a change that a host lacks which knows all up to a revision. A host that
+// polls its peers would otherwise get the whole directory from each that the store has answered since.
+func (s *Endpoints) has(revision uint64) bool {
+	if revision == 0 {
+		return s.parts.Directory.Revision() > 0
+	}
+	return s.parts.Directory.Changed() > revision
+}
+
 // snapshot returns the whole directory for a peer. Compressing it is expensive, so that the
 // result is kept until the next change.
 func (s *Endpoints) snapshot() (*gossip.DirectorySnapshot, error) {
--- a/internal/front/peersync/peersync.go
+++ b/internal/front/peersync/peersync.go
@@ -126,7 +126,7 @@
 	if err != nil {
 		s.parts.Log.WithError(err).Error("the settings can't be compressed for a peer")
 	}
-	if s.parts.Directory.Revision() > request.Directory {
+	if s.parts.Endpoints.has(request.Directory) {
 		if response.Snapshot, err = s.parts.Endpoints.snapshot(); err != nil {
 			s.parts.Log.WithError(err).Error("the endpoints can't be compressed for a peer")
 		}
--- a/internal/front/peersync/peersync_test.go
+++ b/internal/front/peersync/peersync_test.go
@@ -186,6 +186,33 @@
 	c.Check(host.parts.Directory.Revision(), qt.Equals, uint64(8))
 }
 
+func TestWhichPeersGetTheDirectory(t *testing.T) {
+	in := directory.Change{Entry: directory.Entry{ID: "e1", Endpoint: settings.Endpoint{Service: "llm", State: settings.StateIn}}}
+	tests := map[string]struct {
+		changed uint64
+		knows   uint64
+		want    bool
+	}{
+		"one that lacks the newest change":            {5, 4, true},
+		"one that has it":                             {5, 5, false},
+		"one that knows more":                         {5, 9, false},
+		"one that knows nothing":                      {5, 0, true},
+		"one that knows nothing, of an empty table":   {0, 0, true},
+		"one that knows something, of an empty table": {0, 3, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			peer, _ := newSync(true)
+			if test.changed > 0 {
+				peer.parts.Endpoints.Apply(follow.Batch[directory.Change]{Revision: test.changed, Items: []directory.Change{in}})
+			}
+			peer.parts.Endpoints.Apply(follow.Batch[directory.Change]{Revision: 7})
+			response := peer.Respond(gossip.SyncRequest{Settings: 9, Directory: test.knows})
+			qt.Check(t, response.Snapshot != nil, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestWhatDoesNotComeBackIsDropped is a lapse in which one of two endpoints has ended.
 func TestWhatDoesNotComeBackIsDropped(t *testing.T) {
 	c := qt.New(t)
