--- a/internal/front/upstream/upstream_test.go
+++ b/internal/front/upstream/upstream_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
@@ -251,3 +252,28 @@
 	c.Check(errors.Is(err, request.ErrBroken), qt.IsTrue)
 	<-closed
 }
+
+// TestTheKernelNoticesASilentPeer checks what finds out that an open connection has fallen silent, which loopback can't
+// show: unacknowledged bytes while something is sent, and probes while nothing is, be it in the pool, before
+// the answer or within a stream.
+func TestTheKernelNoticesASilentPeer(t *testing.T) {
+	c := qt.New(t)
+	p := startPeer(c, func(_ int, _ net.Conn, reader *bufio.Reader) {
+		// It ends when the client closes the connection.
+		_, _ = reader.ReadByte()
+	})
+	conn, err := newClient(time.Now).dial(context.Background(), p.call("1", ""))
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	c.Assert(err, qt.IsNil)
+	option := func(name int) (value int) {
+		c.Assert(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }), qt.IsNil)
+		c.Assert(err, qt.IsNil)
+		return value
+	}
+	c.Check(option(unix.TCP_USER_TIMEOUT), qt.Equals, 1000)
+	silent := time.Duration(option(unix.TCP_KEEPIDLE)+option(unix.TCP_KEEPINTVL)*option(unix.TCP_KEEPCNT)) * time.Second
+	c.Check(silent, qt.Equals, keepAlivePeriod*(1+keepAliveProbes))
+	c.Check(silent <= 3*time.Second, qt.IsTrue)
+}
