--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -177,6 +177,9 @@
 	defer cancel()
 	for ctx.Err() == nil {
 		duty := f.parts.Duty()
+		if !duty.Reads {
+			f.stopReading()
+		}
 		if !f.isDue(duty) {
 			lifetime.Sleep(ctx, DutyCheck)
 			continue
@@ -195,15 +198,16 @@
 	}
 }
 
-// isDue reports whether this host is to call the store now.
-func (f *Follower[T]) isDue(duty Duty) bool {
-	if !duty.Reads && f.reading.Swap(false) {
+// stopReading notes that the host does not read for others, or no longer.
+func (f *Follower[T]) stopReading() {
+	if f.reading.Swap(false) {
 		f.parts.Log.WithField("revision", f.parts.Position()).Info("peers read the store now")
 	}
-	if duty.Reads {
-		return true
-	}
-	return duty.Call && !f.parts.Clock().Before(f.retryAt)
+}
+
+// isDue reports whether this host is to call the store now.
+func (f *Follower[T]) isDue(duty Duty) bool {
+	return duty.Reads || (duty.Call && !f.parts.Clock().Before(f.retryAt))
 }
 
 // step reads the table whole, or waits for its next changes and reports whether there are any.
--- a/internal/front/freshness/freshness.go
+++ b/internal/front/freshness/freshness.go
@@ -112,14 +112,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.store.sample(c.AsOf, s.parts.Clock())
-	if t := &s.topics[topic]; c.AsOf > t.ahead.AsOf {
+	t := &s.topics[topic]
+	switch {
+	case s.parts.Has(topic) >= c.Newest:
+		t.raise(c.Revision, c.AsOf)
+	case c.AsOf > t.ahead.AsOf:
 		t.ahead = c
 	}
-	s.settle(topic)
 }
 
-// settle counts a peer's confirmation for this host if the host has what the peer had. The lock is
-// held.
+// settle counts the confirmation of a peer that had more than this host, if the host has got it since. The lock
+// is held.
 func (s *State) settle(topic Topic) {
 	t := &s.topics[topic]
 	if t.ahead.AsOf > 0 && s.parts.Has(topic) >= t.ahead.Newest {
--- a/internal/front/gossip/fetch.go
+++ b/internal/front/gossip/fetch.go
@@ -32,13 +32,13 @@
 	}
 	g.fetch(&fetchRound{
 		topic: t,
-		next: func(asked map[string]bool) (Member, bool) {
+		next: func(asked names) (Member, bool) {
 			if len(asked) == 0 {
 				return first, true
 			}
 			return g.pick(func(m *Member) bool { return !asked[m.Name] && g.isBehind(t, m) })
 		},
-		over: func() bool { return !g.isBehind(t, &first) },
+		enough: func(bool) bool { return !g.isBehind(t, &first) },
 	})
 }
 
@@ -68,14 +68,10 @@
 // poll fetches a topic from some members whatever they have reported.
 func (g *Gossip) poll(t freshness.Topic) {
 	defer g.endFetch(t)
-	var answered atomic.Bool
 	g.fetch(&fetchRound{
-		topic: t,
-		next: func(asked map[string]bool) (Member, bool) {
-			return g.pick(func(m *Member) bool { return !asked[m.Name] })
-		},
-		answered: func() { answered.Store(true) },
-		over:     answered.Load,
+		topic:  t,
+		next:   func(asked names) (Member, bool) { return g.pick(func(m *Member) bool { return !asked[m.Name] }) },
+		enough: func(answered bool) bool { return answered },
 	})
 }
 
@@ -113,15 +109,16 @@
 	return members[int(g.parts.Random()*float64(len(members)))], true
 }
 
+// names are the names of some members.
+type names map[string]bool
+
 // fetchRound is a topic that is to be fetched, with the rule of whom to ask.
 type fetchRound struct {
 	topic freshness.Topic
 	// next picks the next member to ask, or none for now.
-	next func(asked map[string]bool) (Member, bool)
-	// answered is called when a member has answered. It may be nil.
-	answered func()
-	// over reports whether the host has what it needs.
-	over func() bool
+	next func(asked names) (Member, bool)
+	// enough reports whether no more members need to be asked, once one has answered or none has yet.
+	enough func(answered bool) bool
 }
 
 // fetch asks members for a topic, one after the other. One that has not answered after fetchHedge is not waited
@@ -131,17 +128,18 @@
 	defer cancel()
 	var fetches sync.WaitGroup
 	defer fetches.Wait()
-	asked := make(map[string]bool)
-	for ctx.Err() == nil && len(asked) < maxFetched && !r.over() {
+	var answered atomic.Bool
+	asked := make(names)
+	for ctx.Err() == nil && len(asked) < maxFetched && !r.enough(answered.Load()) {
 		ended := make(chan struct{})
 		if peer, ok := r.next(asked); ok {
 			asked[peer.Name] = true
 			fetches.Go(func() {
 				defer close(ended)
-				if g.fetchFrom(ctx, r.topic, peer) && r.answered != nil {
-					r.answered()
+				if g.fetchFrom(ctx, r.topic, peer) {
+					answered.Store(true)
 				}
-				if r.over() {
+				if r.enough(answered.Load()) {
 					cancel()
 				}
 			})
