--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -231,6 +231,21 @@
 	}
 }
 
+// TestAFleetThatStartsTogether is the first start of a fleet, or one after all its hosts were killed: each reads the
+// store once, and then a few read for all.
+func TestAFleetThatStartsTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const hosts = 40
+		f := startFleet(c, hosts, 28)
+		const afterThat = 2 * int(settleTime/freshness.Phase)
+		calls := f.store.count() - afterThat
+		// Each host reads both tables, and those that may be readers begin to, until they know of each other.
+		const mayRead = 12
+		c.Check(calls <= 2*hosts+5*mayRead, qt.IsTrue, qt.Commentf("%d calls of %d hosts at their start", calls, hosts))
+	})
+}
+
 // TestOneReaderConfirmsAsOftenAsFour is a store that answers a single host: the others must not be left to ask it in
 // vain while that one reads.
 func TestOneReaderConfirmsAsOftenAsFour(t *testing.T) {
--- a/internal/front/followers.go
+++ b/internal/front/followers.go
@@ -51,9 +51,13 @@
 	return func() follow.Duty { return dutyOf(topic, p.Late.gossip.Load(), p.Freshness) }
 }
 
-// dutyOf returns what a host is to do about a topic now. One that reads for all calls the store over and
+// dutyOf returns what a host is to do about a topic now. One that has just started reads once, and then learns
+// of its peers first: all hosts of a fleet may have started together. One that reads for all calls the store over and
 // over; any other one calls it when nobody has confirmed for too long what it knows.
 func dutyOf(topic freshness.Topic, g *gossip.Gossip, state *freshness.State) follow.Duty {
+	if !g.Settled() {
+		return follow.Duty{Call: state.Age(topic) == freshness.Unknown}
+	}
 	order := g.Order()
 	if order.Reads() {
 		return follow.Duty{Call: true, Reads: true, Hold: state.Hold(order.ReadersBefore, order.Readers)}
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -94,7 +94,9 @@
 	parts Parts
 	// address is where peers reach this host: that of the configuration, with the port that was
 	// picked.
-	address     string
+	address string
+	// started is when this host started, start the same in ns since 1970, which peers are told.
+	started     time.Time
 	start       int64
 	incarnation uint32
 
@@ -126,8 +128,9 @@
 
 // New returns a host's part that does not listen yet.
 func New(parts Parts) *Gossip {
+	now := parts.Clock()
 	g := &Gossip{
-		parts: parts, address: parts.Config.Address, start: parts.Clock().UnixNano(),
+		parts: parts, address: parts.Config.Address, started: now, start: now.UnixNano(),
 		incarnation: uint32(parts.Random() * math.MaxUint32),
 		changed:     make(chan struct{}, 1), urgent: make(chan struct{}, 1), confirm: make(chan struct{}, 1),
 		members: NewMembers(parts.Config.Name),
@@ -154,6 +157,9 @@
 	return g.members.Count() + 1
 }
 
+// Settled reports whether this host has run for long enough to know whether it is alone.
+func (g *Gossip) Settled() bool { return g.parts.Clock().Sub(g.started) >= settleTime }
+
 // Order returns this host's place where not all hosts are to do the same.
 func (g *Gossip) Order() Order {
 	g.mu.Lock()
