--- a/internal/front/engine/predict.go
+++ b/internal/front/engine/predict.go
@@ -82,9 +82,9 @@
 const mostBusy = 0.95
 
 // choices is how many endpoints each request is taken to be the better of: those whose queues are compared
-// differ in more than their queues, so that two are a cautious figure. Measured on pwhc-shared-large, where
-// endpoints read 73 % of the time: 2 % of the longest requests were late, this predicts 2 %; queues that are
-// filled blindly would make 49 % late.
+// differ in more than their queues, so that two are a cautious figure. On a site of 320 engines that read
+// some 73 % of the time (estimated from the tokens), 2 % of the longest requests were late (64 of 3,503, one run); this predicts 2 %, and
+// a formula for queues that are filled blindly 49 %.
 const choices = 2
 
 // lateFirst returns the chance that the first event of a class's request comes late. Where each request goes to
--- a/internal/front/gossip/messages.go
+++ b/internal/front/gossip/messages.go
@@ -77,8 +77,8 @@
 	AsOf uint64
 }
 
-// Work is the work of one host or of several together (package aggregate). The loads are in columns, since
-// three lists of numbers take two thirds of the bytes of a list of EndpointLoad.
+// Work is the work of one host or of several together (package aggregate). The loads are in columns, which
+// take 8 B an endpoint (TestShareBytes).
 type Work struct {
 	_ struct{} `cbor:",toarray"`
 
--- a/internal/front/gossip/registry.go
+++ b/internal/front/gossip/registry.go
@@ -21,7 +21,9 @@
 	settleTime = 400 * time.Millisecond
 	// joinTime is how long no more peers have joined when a host takes its place in their order: it learns of
 	// some with each heartbeat. A host that knows few peers takes itself for one of the first; when 295 hosts
-	// started together, that cost 1,200 calls to the store and 600 to the registry.
+	// started together, that cost 1,200 calls to the store and 600 to the registry. With 1.5 s there were 1,249
+	// calls in all instead of 2,380. 0.7 s is not measured there; a fleet of 40 calls least with it
+	// (TestAFleetThatStartsTogether).
 	joinTime = 700 * time.Millisecond
 	// maxSettleTime is how long a host waits at most for that, where peers join all the time. Not
 	// measured.
