engine: one sum of rates, one bound of a figure; reports add up in place

The rate of some classes was added up in five places, three of them older; the bound of a figure stood three times. An aggregator copied a service's whole traffic for each host that it added. Behaviour is the same.

--- a/internal/front/aggregate/aggregate.go
+++ b/internal/front/aggregate/aggregate.go
@@ -13,7 +13,6 @@
 import (
 	"time"
 
-	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 )
@@ -49,7 +48,9 @@
 		w.Loads[endpoint] = placement.Load{Requests: sum.Requests + load.Requests, Tokens: sum.Tokens + load.Tokens}
 	}
 	for service, report := range other.Engines {
-		w.Engines[service] = engine.Merge(w.Engines[service], report)
+		sum := w.Engines[service]
+		sum.Add(&report)
+		w.Engines[service] = sum
 	}
 }
 
--- a/internal/front/engine/figure.go
+++ b/internal/front/engine/figure.go
@@ -43,10 +43,13 @@
 	} else {
 		f.Value *= math.Exp(-2 * step * (1 - quantile))
 	}
-	f.Value = min(max(f.Value, first/mostFactor), first*mostFactor)
+	f.Value = bounded(f.Value, first)
 	f.Samples = min(f.Samples+1, maxSamples)
 }
 
+// bounded keeps a value within mostFactor of the first one.
+func bounded(value, first float64) float64 { return min(max(value, first/mostFactor), first*mostFactor) }
+
 // mean is a weighted mean of figures in the logarithm.
 type mean struct{ sum, weight float64 }
 
--- a/internal/front/engine/predict.go
+++ b/internal/front/engine/predict.go
@@ -48,6 +48,15 @@
 	return loads
 }
 
+// rateOf returns the rate of all of some classes, in requests a ms.
+func rateOf(loads []classLoad) float64 {
+	rate := 0.0
+	for _, l := range loads {
+		rate += l.rate
+	}
+	return rate
+}
+
 // late predicts the requests a ms that are late if classes share a number of endpoints.
 func (s *Service) late(loads []classLoad, endpoints float64) float64 {
 	late := 0.0
@@ -83,8 +92,8 @@
 
 // choices is how many endpoints each request is taken to be the better of: those whose queues are compared
 // differ in more than their queues, so that two are a cautious figure. On a site of 320 engines that read
-// some 73 % of the time (estimated from the tokens), 2 % of the longest requests were late (64 of 3,503, one run); this predicts 2 %, and
-// a formula for queues that are filled blindly 49 %.
+// some 73 % of the time (estimated from the tokens), 2 % of the longest requests were late (64 of 3,503, one
+// run); this predicts 2 %, and a formula for queues that are filled blindly 49 %.
 const choices = 2
 
 // lateFirst returns the chance that the first event of a class's request comes late. Where each request goes to
@@ -128,17 +137,17 @@
 // chanceMet returns the chance that a stream of the short classes misses its target if it runs at one of
 // the endpoints for long ones.
 func (s *Service) chanceMet(long, short []classLoad, endpoints float64) float64 {
-	var harmful, rate, open float64
+	rate := rateOf(short)
+	if rate == 0 {
+		return 0
+	}
+	var harmful, open float64
 	for _, l := range long {
 		harmful += l.rate * s.merged.meanHarm(l.unread, 1, s.tightest)
 	}
 	for _, l := range short {
-		rate += l.rate
 		open += l.open
 	}
-	if rate == 0 {
-		return 0
-	}
 	return 1 - math.Exp(-harmful*open/rate/max(endpoints, 1))
 }
 
@@ -147,10 +156,9 @@
 	if fleet.Slots == 0 {
 		return 0
 	}
-	var open, rate float64
+	open := 0.0
 	for _, l := range loads {
 		open += l.open
-		rate += l.rate
 	}
-	return rate * max(1-endpoints*float64(fleet.Slots)*usableSlots/max(open, 1), 0)
+	return rateOf(loads) * max(1-endpoints*float64(fleet.Slots)*usableSlots/max(open, 1), 0)
 }
--- a/internal/front/engine/service.go
+++ b/internal/front/engine/service.go
@@ -31,8 +31,8 @@
 	// endpoints that are kept for the others.
 	long  map[keys.Class]bool
 	short int
-	// arrivals are the requests in a ms of all others and of the long classes, at all hosts.
-	arrivals [2]float64
+	// arrivals are the requests in a ms at all hosts, of the long classes (true) and of the others.
+	arrivals map[bool]float64
 	// cutUntil is until when the long classes stay as they are.
 	cutUntil time.Time
 	// adoptedUntil is until when a split that another host decided is in force here.
@@ -121,23 +121,17 @@
 	delete(s.peers, peer)
 }
 
-// Merge returns what two reports say together.
-func Merge(a, b Report) Report {
-	merged := Report{
-		Figures: Figures{
-			ReadRate:  a.Figures.ReadRate.merge(b.Figures.ReadRate),
-			EventTime: a.Figures.EventTime.merge(b.Figures.EventTime),
-			EventRead: a.Figures.EventRead.merge(b.Figures.EventRead),
-		},
-		Traffic: make(Traffic, len(a.Traffic)),
+// Add adds what another report says.
+func (r *Report) Add(other *Report) {
+	r.Figures.ReadRate = r.Figures.ReadRate.merge(other.Figures.ReadRate)
+	r.Figures.EventTime = r.Figures.EventTime.merge(other.Figures.EventTime)
+	r.Figures.EventRead = r.Figures.EventRead.merge(other.Figures.EventRead)
+	if r.Traffic == nil {
+		r.Traffic = make(Traffic, len(other.Traffic))
 	}
-	for class, demand := range a.Traffic {
-		merged.Traffic.add(class, &demand)
+	for class, demand := range other.Traffic {
+		r.Traffic.add(class, &demand)
 	}
-	for class, demand := range b.Traffic {
-		merged.Traffic.add(class, &demand)
-	}
-	return merged
 }
 
 // SumTimeout is how long a sum or a split of other hosts counts: some of the intervals in which they come, so
@@ -168,26 +162,27 @@
 		return false
 	}
 	s.refreshAt = now.Add(refreshInterval)
+	known := &s.own
+	if s.hasSum(now) {
+		known = &s.sum.Figures
+	}
 	s.merged = Figures{
-		ReadRate:  s.mergeOne(now, firstReadRate, func(f *Figures) *Figure { return &f.ReadRate }),
-		EventTime: s.mergeOne(now, firstEventTime, func(f *Figures) *Figure { return &f.EventTime }),
-		EventRead: s.mergeOne(now, firstEventRead, func(f *Figures) *Figure { return &f.EventRead }),
+		ReadRate:  s.mergeOne(firstReadRate, known, func(f *Figures) *Figure { return &f.ReadRate }),
+		EventTime: s.mergeOne(firstEventTime, known, func(f *Figures) *Figure { return &f.EventTime }),
+		EventRead: s.mergeOne(firstEventRead, known, func(f *Figures) *Figure { return &f.EventRead }),
 	}
 	return s.decideSplit(now, fleet)
 }
 
-// mergeOne returns the mean of one figure over all hosts, each by its samples, and the first value.
-func (s *Service) mergeOne(now time.Time, first float64, of func(*Figures) *Figure) Figure {
+// mergeOne returns the mean of one figure over all hosts, each by its samples, and the first value. Known are the
+// figures of this host, or of all hosts of a large fleet.
+func (s *Service) mergeOne(first float64, known *Figures, of func(*Figures) *Figure) Figure {
 	var m mean
 	m.add(first, priorSamples)
-	own := of(&s.own)
-	if s.hasSum(now) {
-		own = of(&s.sum.Figures)
-	}
-	m.add(min(max(own.Value, first/mostFactor), first*mostFactor), own.Samples)
+	m.add(bounded(of(known).Value, first), of(known).Samples)
 	for _, report := range s.peers {
 		theirs := of(&report.Figures)
-		m.add(min(max(theirs.Value, first/mostFactor), first*mostFactor), min(theirs.Samples, maxSamples))
+		m.add(bounded(theirs.Value, first), min(theirs.Samples, maxSamples))
 	}
 	return Figure{Value: m.value(), Samples: m.weight}
 }
--- a/internal/front/engine/split.go
+++ b/internal/front/engine/split.go
@@ -93,22 +93,14 @@
 
 // countArrivals adds up the rates of the long classes, and of all others.
 func (s *Service) countArrivals(loads []classLoad) {
-	s.arrivals = [2]float64{}
+	s.arrivals = make(map[bool]float64)
 	for _, l := range loads {
-		s.arrivals[side(s.long[l.class])] += l.rate
+		s.arrivals[s.long[l.class]] += l.rate
 	}
 }
 
-// side returns the place of the long classes, or of the others, in Service.arrivals.
-func side(long bool) int {
-	if long {
-		return 1
-	}
-	return 0
-}
-
 // Arrivals returns how many requests of the long classes, or of all others, come to all hosts in a ms.
-func (s *Service) Arrivals(long bool) float64 { return s.arrivals[side(long)] }
+func (s *Service) Arrivals(long bool) float64 { return s.arrivals[long] }
 
 // judge predicts what a split means for the short classes.
 func (s *Service) judge(loads []classLoad, cut int, size float64, fleet *Fleet) {
@@ -174,12 +166,8 @@
 
 // bestCut returns how many of the classes should be long.
 func (s *Service) bestCut(loads []classLoad, fleet *Fleet) int {
-	requests := 0.0
-	for _, l := range loads {
-		requests += l.rate
-	}
 	mixed := s.late(loads, float64(fleet.Endpoints)) + overflow(loads, float64(fleet.Endpoints), fleet)
-	best, gain := 0, leastGain*requests
+	best, gain := 0, leastGain*rateOf(loads)
 	for cut := 1; cut < len(loads) && fleet.Endpoints >= 2; cut++ {
 		_, late := s.bestSize(loads[:cut], loads[cut:], fleet)
 		saved := mixed - late
@@ -210,14 +198,11 @@
 		sizes = append(sizes, s.lateBySize(long, short, fleet, around)...)
 		best = slices.MinFunc(sizes, func(a, b sizeLate) int { return cmp.Compare(a.late, b.late) })
 	}
-	rate := 0.0
-	for _, l := range slices.Concat(long, short) {
-		rate += l.rate
-	}
+	asGood := best.late + flatPart*(rateOf(long)+rateOf(short))
 	first, last := best.size, best.size
-	for _, s := range sizes {
-		if s.late <= best.late+flatPart*rate {
-			first, last = min(first, s.size), max(last, s.size)
+	for _, other := range sizes {
+		if other.late <= asGood {
+			first, last = min(first, other.size), max(last, other.size)
 		}
 	}
 	return (first + last) / 2, best.late
