--- a/internal/front/engine/figure.go
+++ b/internal/front/engine/figure.go
@@ -48,7 +48,9 @@
 }
 
 // bounded keeps a value within mostFactor of the first one.
-func bounded(value, first float64) float64 { return min(max(value, first/mostFactor), first*mostFactor) }
+func bounded(value, first float64) float64 {
+	return min(max(value, first/mostFactor), first*mostFactor)
+}
 
 // mean is a weighted mean of figures in the logarithm.
 type mean struct{ sum, weight float64 }
