gossip: what a member sends through aggregators stands with the member; one way to decode a message

Maps beside the members held until when each uses or sends sums and its last number, and never forgot an incarnation; all zones were sorted for a host that needs its own; the chain of decoders stood twice. Behaviour is the same.

--- a/internal/front/aggregate/choice.go
+++ b/internal/front/aggregate/choice.go
@@ -21,6 +21,9 @@
 	avoided map[string]time.Time
 }
 
+// Primary returns the aggregator whose sums this host uses, or nothing if none was chosen.
+func (c *Choice) Primary() string { return c.primary }
+
 // Received notes a sum that an aggregator sent.
 func (c *Choice) Received(now time.Time, aggregator string) {
 	if aggregator == c.primary {
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -151,7 +151,7 @@
 		parts: parts, address: parts.Config.Address, started: now, joinedAt: now, start: now.UnixNano(),
 		incarnation: uint32(parts.Random() * math.MaxUint32),
 		changed:     make(chan struct{}, 1), urgent: make(chan struct{}, 1), confirm: make(chan struct{}, 1),
-		members: NewMembers(parts.Config.Name), shares: newShares(),
+		members: NewMembers(parts.Config.Name, parts.Config.Zone),
 	}
 	g.Contact(parts.Config.FirstPeers)
 	return g
--- a/internal/front/gossip/gossip_test.go
+++ b/internal/front/gossip/gossip_test.go
@@ -55,7 +55,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			m := NewMembers("self")
+			m := NewMembers("self", "")
 			for _, h := range test.heartbeats {
 				_, isNew, ok := m.Received(start, &h.heartbeat)
 				c.Check([]bool{isNew, ok}, qt.DeepEquals, []bool{h.isNew, h.ok})
@@ -67,7 +67,7 @@
 
 func TestSilentMembersExpire(t *testing.T) {
 	c := qt.New(t)
-	m := NewMembers("self")
+	m := NewMembers("self", "")
 	m.Received(start, &Heartbeat{Incarnation: 1, Sequence: 1, Announcement: announcement("a", 1, "c:1")})
 	m.Received(start.Add(900*time.Millisecond), &Heartbeat{Incarnation: 2, Sequence: 1, Announcement: announcement("b", 1)})
 	c.Check(m.ToAnnounceTo(start.Add(time.Second)), qt.DeepEquals, []string{"c:1"})
@@ -82,7 +82,7 @@
 
 func TestReportsOfMembersCount(t *testing.T) {
 	c := qt.New(t)
-	m := NewMembers("self")
+	m := NewMembers("self", "")
 	m.Received(start, &Heartbeat{Incarnation: 1, Sequence: 1, Announcement: announcement("a", 1)})
 	name, counts := m.Reported(&Report{Incarnation: 1, Sequence: 2})
 	c.Check(name, qt.Equals, "a")
@@ -361,7 +361,7 @@
 			reading := make(map[string]bool)
 			should, answered := 0, 0
 			for i, self := range names {
-				m := NewMembers(self)
+				m := NewMembers(self, "")
 				for j, other := range names {
 					if other != self {
 						m.Received(start, &Heartbeat{Incarnation: uint32(j + 1), Sequence: 1, Announcement: announcement(other, 1), ReadsStore: reading[other]})
@@ -426,7 +426,7 @@
 
 func TestConfirmationsOfUnknownHostsAreLeftOut(t *testing.T) {
 	c := qt.New(t)
-	m := NewMembers("self")
+	m := NewMembers("self", "")
 	_, known := m.Confirmed(&Confirmation{Incarnation: 1})
 	c.Check(known, qt.IsFalse)
 	m.Received(start, &Heartbeat{Incarnation: 1, Sequence: 1, Settings: 3, Directory: 4, Announcement: announcement("a", 1)})
@@ -554,7 +554,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			m := NewMembers("self")
+			m := NewMembers("self", "")
 			test.prepare(m)
 			qt.Check(t, m.ToAnnounceTo(start.Add(time.Second)), qt.DeepEquals, test.want)
 		})
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -165,22 +165,23 @@
 		g.received(&h, from)
 		return
 	}
-	var r Report
-	if cbor.Unmarshal(data, &r) == nil {
-		g.reported(&r)
-		return
-	}
-	var c Confirmation
-	if cbor.Unmarshal(data, &c) == nil {
-		g.confirmed(&c)
-		return
-	}
-	if g.decodeShare(data) {
+	if decodeAs(data, g.reported) || decodeAs(data, g.confirmed) ||
+		decodeAs(data, g.contributed) || decodeAs(data, g.fleetSummed) || decodeAs(data, g.zoneSummed) {
 		return
 	}
 	g.parts.Log.WithError(err).WithField("address", from).Debug("a datagram is none of the messages")
 }
 
+// decodeAs handles a datagram if it is a certain message, and reports whether it is.
+func decodeAs[T any](data []byte, handle func(*T)) bool {
+	message := new(T)
+	if cbor.Unmarshal(data, message) != nil {
+		return false
+	}
+	handle(message)
+	return true
+}
+
 // reported handles a report.
 func (g *Gossip) reported(r *Report) {
 	g.mu.Lock()
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/front/aggregate"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
@@ -22,13 +24,20 @@
 	start       int64
 	sequence    uint64
 	reports     uint64
-	lastSeen    time.Time
+	// sums is the newest sum over all hosts that the member has sent.
+	sums     uint64
+	lastSeen time.Time
+	// wantsSums is until when the member uses this host's sums, sendsZones until when it counts as one that
+	// sends those of its zone.
+	wantsSums  time.Time
+	sendsZones time.Time
 }
 
 // Members is what one host knows of the others. It does no input or output and takes the
 // time as a parameter; it is not safe for concurrent use.
 type Members struct {
 	self string
+	zone string
 	live map[string]*Member
 	// names maps incarnations to members.
 	names map[uint32]string
@@ -36,10 +45,10 @@
 	contacts map[string]*contact
 }
 
-// NewMembers returns the view of a host that knows no other.
-func NewMembers(self string) *Members {
+// NewMembers returns the view of a host of a zone that knows no other.
+func NewMembers(self, zone string) *Members {
 	return &Members{
-		self: self, live: make(map[string]*Member), names: make(map[uint32]string), contacts: make(map[string]*contact),
+		self: self, zone: zone, live: make(map[string]*Member), names: make(map[uint32]string), contacts: make(map[string]*contact),
 	}
 }
 
@@ -123,25 +132,62 @@
 	return known.Name, true
 }
 
-// ByIncarnation returns the member whose present incarnation it is.
-func (m *Members) ByIncarnation(incarnation uint32) (Member, bool) {
-	known, ok := m.byIncarnation(incarnation)
+// Contributed handles the work of a host. It returns the member that sent it, and whether that is of this
+// host's zone.
+func (m *Members) Contributed(now time.Time, c *Contribution) (name string, counts bool) {
+	known, ok := m.byIncarnation(c.Incarnation)
+	if !ok || known.Zone != m.zone {
+		return "", false
+	}
+	if c.WantsSums {
+		known.wantsSums = now.Add(aggregate.WorkTimeout)
+	}
+	return known.Name, true
+}
+
+// ZoneSummed handles the sum of a zone. It returns the member that sent it, and whether it is known.
+func (m *Members) ZoneSummed(now time.Time, s *ZoneSum) (member Member, known bool) {
+	sender, ok := m.byIncarnation(s.Incarnation)
 	if !ok {
 		return Member{}, false
 	}
-	return *known, true
+	sender.sendsZones = now.Add(aggregate.WorkTimeout)
+	return *sender, true
 }
 
-// Ranked returns the names of the live hosts of each zone by rank, this host and its zone included.
-func (m *Members) Ranked(ownZone string) map[string][]string {
-	zones := map[string][]string{ownZone: {m.self}}
-	for name, member := range m.live {
-		zones[member.Zone] = append(zones[member.Zone], name)
+// FleetSummed handles a sum over all hosts. It returns the member that sent it, and whether it is not older than the
+// last one; the parts of one sum have the same number.
+func (m *Members) FleetSummed(s *FleetSum) (name string, counts bool) {
+	known, ok := m.byIncarnation(s.Incarnation)
+	if !ok || s.Sequence < known.sums {
+		return "", false
 	}
-	for _, names := range zones {
-		slices.SortFunc(names, func(a, b string) int { return cmp.Compare(Rank(a), Rank(b)) })
+	known.sums = s.Sequence
+	return known.Name, true
+}
+
+// Zones returns the zones of the members, in no order.
+func (m *Members) Zones() []string {
+	zones := make(map[string]bool)
+	for _, member := range m.live {
+		zones[member.Zone] = true
+	}
+	return slices.Collect(maps.Keys(zones))
+}
+
+// Ranked returns the names of the live hosts of a zone by rank, this host among them if it is in that zone.
+func (m *Members) Ranked(zone string) []string {
+	var names []string
+	if zone == m.zone {
+		names = append(names, m.self)
+	}
+	for name, member := range m.live {
+		if member.Zone == zone {
+			names = append(names, name)
+		}
 	}
-	return zones
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(Rank(a), Rank(b)) })
+	return names
 }
 
 // Address returns the address of a member, or nothing if it is not live.
--- a/internal/front/gossip/share.go
+++ b/internal/front/gossip/share.go
@@ -1,10 +1,10 @@
 package gossip
 
 import (
+	"context"
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/backoff"
@@ -35,18 +35,11 @@
 // shares is the state of this host's part in sharing work.
 type shares struct {
 	choice aggregate.Choice
-	// primary is the aggregator whose sums this host uses.
-	primary  string
+	// sequence counts the contributions, sums the rounds of sums.
 	sequence uint64
+	sums     uint64
 	// sent are the last contributions, by their sequence modulo their number.
 	sent [sentWork]sentContribution
-	// wanting are the hosts that use this host's sums, with the end of that; zoneSenders the peers that lately
-	// sent it the sum of a zone.
-	wanting     map[string]time.Time
-	zoneSenders map[string]time.Time
-	sums        uint64
-	// received is the last sum that was received from each aggregator.
-	received map[uint32]uint64
 }
 
 // sentContribution is a contribution that was sent.
@@ -55,10 +48,6 @@
 	work     Work
 }
 
-func newShares() shares {
-	return shares{wanting: make(map[string]time.Time), zoneSenders: make(map[string]time.Time), received: make(map[uint32]uint64)}
-}
-
 // Aggregates reports whether the fleet is so large that hosts share their work through aggregators.
 func (g *Gossip) Aggregates() bool {
 	g.mu.Lock()
@@ -76,25 +65,18 @@
 	defer cancel()
 	next := g.parts.Clock()
 	for {
+		next = next.Add(backoff.Spread(aggregate.Interval, shareSpread, g.parts.Random()))
 		// A host that was frozen or is slow goes on from now: what it missed is of no use.
-		next = later(next.Add(backoff.Spread(aggregate.Interval, shareSpread, g.parts.Random())), g.parts.Clock())
+		if now := g.parts.Clock(); next.Before(now) {
+			next = now
+		}
 		if !lifetime.Sleep(ctx, next.Sub(g.parts.Clock())) {
 			return
 		}
-		if !g.Aggregates() {
-			continue
+		if g.Aggregates() {
+			g.sendSums(ctx, g.contribute())
 		}
-		isPrimary := g.contribute()
-		g.sendSums(isPrimary, func(span time.Duration) bool { return lifetime.Sleep(ctx, span) })
-	}
-}
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
 	}
-	return b
 }
 
 // contribute sends this host's work to its aggregators. It reports whether this host is its own.
@@ -107,12 +89,11 @@
 		return false
 	}
 	s := &g.shares
-	before := s.primary
-	primary, backup := s.choice.Pick(g.parts.Clock(), self, g.members.Ranked(g.parts.Config.Zone)[g.parts.Config.Zone])
+	before := s.choice.Primary()
+	primary, backup := s.choice.Pick(g.parts.Clock(), self, g.members.Ranked(g.parts.Config.Zone))
 	s.sequence++
 	s.sent[s.sequence%sentWork] = sentContribution{sequence: s.sequence, work: work}
 	contribution := Contribution{Incarnation: g.incarnation, Sequence: s.sequence, Work: work}
-	s.primary = primary
 	primaryAddress, backupAddress := g.members.Address(primary), g.members.Address(backup)
 	g.mu.Unlock()
 	if primary != before {
@@ -131,9 +112,8 @@
 	return primary == self
 }
 
-// sendSums sends the sums of an aggregator. Pause waits between two batches, and reports false if it was
-// cut short.
-func (g *Gossip) sendSums(isPrimary bool, pause func(time.Duration) bool) {
+// sendSums sends the sums of an aggregator, until ctx ends.
+func (g *Gossip) sendSums(ctx context.Context, isPrimary bool) {
 	wanting, aggregators := g.sumTargets()
 	if len(wanting) == 0 && !isPrimary {
 		return
@@ -155,7 +135,7 @@
 		}
 		for batch := range slices.Chunk(wanting, sumBatch) {
 			g.sendDatagram(counters.PeerHeartbeats, &fleet[i], batch)
-			if !pause(time.Duration(sumPause * float64(aggregate.Interval) / float64(batches*len(fleet)))) {
+			if !lifetime.Sleep(ctx, time.Duration(sumPause*float64(aggregate.Interval)/float64(batches*len(fleet)))) {
 				return
 			}
 		}
@@ -168,97 +148,50 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.parts.Clock()
-	wanting = g.live(now, g.shares.wanting)
-	names := make(map[string]bool)
-	for _, ranked := range g.members.Ranked(g.parts.Config.Zone) {
+	taken := make(map[string]bool)
+	for _, zone := range g.members.Zones() {
+		ranked := g.members.Ranked(zone)
 		for _, name := range ranked[:min(zoneAggregators, len(ranked))] {
-			names[name] = true
+			taken[name] = true
 		}
 	}
-	for name, until := range g.shares.zoneSenders {
-		if now.Before(until) {
-			names[name] = true
+	for _, member := range g.members.Live() {
+		if now.Before(member.wantsSums) {
+			wanting = append(wanting, member.Address)
 		}
-	}
-	for name := range names {
-		if address := g.members.Address(name); address != "" {
-			aggregators = append(aggregators, address)
+		if taken[member.Name] || now.Before(member.sendsZones) {
+			aggregators = append(aggregators, member.Address)
 		}
 	}
 	return wanting, aggregators
 }
 
-// live returns the addresses of the members whose time has not passed, and forgets the others. The lock is
-// held.
-func (g *Gossip) live(now time.Time, until map[string]time.Time) []string {
-	var addresses []string
-	for name, end := range until {
-		address := g.members.Address(name)
-		if address == "" || !now.Before(end) {
-			delete(until, name)
-			continue
-		}
-		addresses = append(addresses, address)
-	}
-	return addresses
-}
-
-// decodeShare handles a datagram that is one of the messages of this file, and reports whether it was.
-func (g *Gossip) decodeShare(data []byte) bool {
-	var c Contribution
-	if cbor.Unmarshal(data, &c) == nil {
-		g.contributed(&c)
-		return true
-	}
-	var fleet FleetSum
-	if cbor.Unmarshal(data, &fleet) == nil {
-		g.fleetSummed(&fleet)
-		return true
-	}
-	var zone ZoneSum
-	if cbor.Unmarshal(data, &zone) == nil {
-		g.zoneSummed(&zone)
-		return true
-	}
-	return false
-}
-
 // contributed handles the work of a host of this zone.
 func (g *Gossip) contributed(c *Contribution) {
 	g.mu.Lock()
-	member, known := g.members.ByIncarnation(c.Incarnation)
-	counts := known && member.Zone == g.parts.Config.Zone
-	if counts && c.WantsSums {
-		g.shares.wanting[member.Name] = g.parts.Clock().Add(aggregate.WorkTimeout)
-	}
+	host, counts := g.members.Contributed(g.parts.Clock(), c)
 	g.mu.Unlock()
 	if counts {
-		g.parts.Host.Contributed(member.Name, c)
+		g.parts.Host.Contributed(host, c)
 	}
 }
 
 // zoneSummed handles the sum of a zone.
 func (g *Gossip) zoneSummed(s *ZoneSum) {
 	g.mu.Lock()
-	member, known := g.members.ByIncarnation(s.Incarnation)
-	if known {
-		g.shares.zoneSenders[member.Name] = g.parts.Clock().Add(aggregate.WorkTimeout)
-	}
+	member, known := g.members.ZoneSummed(g.parts.Clock(), s)
 	g.mu.Unlock()
 	if known {
 		g.parts.Host.ZoneSummed(member.Name, member.Zone, s)
 	}
 }
 
-// fleetSummed handles the sum over all hosts from an aggregator. One that was overtaken by a later one is left
-// out.
+// fleetSummed handles the sum over all hosts from an aggregator.
 func (g *Gossip) fleetSummed(s *FleetSum) {
 	g.mu.Lock()
-	member, known := g.members.ByIncarnation(s.Incarnation)
-	counts := known && s.Sequence >= g.shares.received[s.Incarnation]
+	aggregator, counts := g.members.FleetSummed(s)
 	if counts {
-		g.shares.received[s.Incarnation] = s.Sequence
-		g.shares.choice.Received(g.parts.Clock(), member.Name)
+		g.shares.choice.Received(g.parts.Clock(), aggregator)
 	}
 	g.mu.Unlock()
 	if counts {
--- a/internal/front/gossip/share_test.go
+++ b/internal/front/gossip/share_test.go
@@ -54,7 +54,7 @@
 	primary := func(n *node) string {
 		n.gossip.mu.Lock()
 		defer n.gossip.mu.Unlock()
-		return n.gossip.shares.primary
+		return n.gossip.shares.choice.Primary()
 	}
 	first := primary(hosts["a"])
 	hosts[first].stop()
