A leader by lease, and usage reported once for each window

Messages of other packages go in an Envelope, which older hosts drop.

Hosts without a provider do nothing new.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -37,10 +37,11 @@
 	PeerHeartbeats    PeerTraffic = "beats"
 	PeerAnnouncements PeerTraffic = "introductions"
 	PeerSyncs         PeerTraffic = "news"
+	PeerMessages      PeerTraffic = "messages"
 )
 
 // PeerTraffics lists every kind.
-var PeerTraffics = []PeerTraffic{PeerHeartbeats, PeerAnnouncements, PeerSyncs}
+var PeerTraffics = []PeerTraffic{PeerHeartbeats, PeerAnnouncements, PeerSyncs, PeerMessages}
 
 // StoreCall is why a host calls the deployment's store.
 type StoreCall string
--- a/internal/front/freshness/freshness.go
+++ b/internal/front/freshness/freshness.go
@@ -170,6 +170,14 @@
 	return max(time.Duration(s.store.now(s.parts.Clock())-t.asOf), 0)
 }
 
+// StoreTime returns the least that the store's clock shows at a time of this host, or false if nothing has said so
+// lately.
+func (s *State) StoreTime(at time.Time) (StoreTime, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.now(at), s.store.best().known
+}
+
 // unconfirmed returns how long a topic has not been confirmed: since its last confirmation or the
 // host's start.
 func (s *State) unconfirmed(topic Topic) time.Duration {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -27,8 +27,10 @@
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/front/leader"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
+	"oxbowslip.dev/oxbowslip/internal/front/reporter"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
@@ -48,6 +50,10 @@
 	Endpoints follow.Source[directory.Change]
 	// Registry is where hosts find each other's addresses.
 	Registry gossip.Registry
+	// Lease is where the lease of the leader is kept, Provider whom it reports to. They are not used where the
+	// host's file has no provider.
+	Lease    leader.Store
+	Provider reporter.Provider
 	// Decode turns a configuration into a revision of the settings.
 	Decode func(settings.Raw) (*settings.Revision, error)
 	// ReadyPath is where the balancer asks whether the host takes requests.
@@ -121,6 +127,7 @@
 	Gossip     *gossip.Gossip
 	Relay      *relay.Server
 	Followers  *followers
+	Leading    *leading
 	Clock      func() time.Time
 }
 
@@ -248,6 +255,7 @@
 	go h.parts.Gossip.Run(h.done)
 	go h.parts.Gossip.KeepRegistered(h.done, h.parts.Deployment.Registry)
 	h.parts.Followers.run(h.done)
+	h.parts.Leading.run(h.done)
 	go lifetime.Every(h.done, expireInterval, randomNumber, h.expire)
 	h.log.WithFields(logrus.Fields{
 		"host": h.parts.Config.Name, "zone": h.parts.Config.Zone, "callers": h.bound.Callers, "readiness": h.bound.Readiness,
@@ -294,6 +302,7 @@
 	h.leaving.Store(true)
 	h.log.WithField("open", h.parts.Owner.Open()).Info("leaving")
 	go h.unregister()
+	h.parts.Leading.resign()
 	// When ctx ends first, Finish cuts the rest at once.
 	lifetime.Sleep(ctx, h.parts.Config.Drain.Notice)
 	cut := lifetime.Finish(ctx, h.callers, h.parts.Owner.Drain, stopMargin)
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -18,6 +19,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
+	"oxbowslip.dev/oxbowslip/internal/front/usage"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/logging"
@@ -50,6 +52,9 @@
 			newOwner,
 			newRelay,
 			newFollowers,
+			newUsageClock,
+			newMeter,
+			newLeading,
 			New,
 		),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -197,6 +202,7 @@
 	g := gossip.New(gossip.Parts{
 		Config: gossip.Config{
 			Name: p.Config.Name, Zone: p.Config.Zone, Address: p.Config.Peers, FirstPeers: p.Config.FirstPeers,
+			Fleet: fleetOf(p.Config),
 		},
 		Host: sync, Network: p.Network, Log: logging.Part(p.Log, "peers"), Clock: p.Clock, Random: p.Random, Sent: p.Counters.SentToPeers,
 	})
@@ -205,6 +211,9 @@
 	return g
 }
 
+// fleetOf returns what distinguishes a fleet from others: where its settings come from.
+func fleetOf(config hostconfig.Host) uint64 { return xxhash.Sum64String(config.Platform.Address) }
+
 func newBudget(config hostconfig.Host, g *gossip.Gossip, clock func() time.Time) *retrybudget.Fleet {
 	limits := retrybudget.Limits{Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window}
 	return retrybudget.NewFleet(limits, g.Hosts, clock)
@@ -242,6 +251,7 @@
 	Owner      *owner.Owner
 	Client     *upstream.Client
 	Placer     *placement.Placer
+	Meter      *usage.Meter
 	Counters   *counters.Counters
 	Log        *logrus.Logger
 	Clock      func() time.Time
@@ -250,7 +260,7 @@
 
 func newRelay(p relayParts) *relay.Server {
 	return relay.New(relay.Parts{
-		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Freshness: p.Freshness, Owner: p.Owner, Client: p.Client, Health: p.Placer,
+		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Freshness: p.Freshness, Owner: p.Owner, Client: p.Client, Health: p.Placer, Meter: p.Meter,
 		Dialect: p.Deployment.Dialect, Counters: p.Counters, Log: logging.Part(p.Log, "request"), Clock: p.Clock, Random: p.Random,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout},
 	})
--- /dev/null
+++ b/internal/front/gossip/envelope.go
@@ -0,0 +1,105 @@
+package gossip
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
+)
+
+// Kind is what an Envelope carries. The numbers stay as they were first given.
+type Kind uint8
+
+// The kinds.
+const (
+	KindLeader Kind = 1
+	KindUsage  Kind = 2
+)
+
+// Envelope is a datagram with a message of another package. A host drops kinds that it does not know, so that
+// new ones can be added without harm to older hosts.
+type Envelope struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Incarnation identifies the sender as in Heartbeat, Sequence counts its envelopes.
+	Incarnation uint32
+	Sequence    uint64
+	// Fleet is the sender's fleet. Two that reach each other must not mix what they count.
+	Fleet uint64
+	Kind  Kind
+	Body  cbor.RawMessage
+}
+
+// Sender is the host that an envelope came from.
+type Sender struct {
+	Host        string
+	Incarnation uint32
+}
+
+// Handler handles the body of an envelope, in CBOR.
+type Handler func(from Sender, body []byte)
+
+// Handle sets what handles envelopes of a kind. It must be called before Start.
+func (g *Gossip) Handle(kind Kind, handler Handler) { g.handlers[kind] = handler }
+
+// Self returns this host as the sender of its envelopes.
+func (g *Gossip) Self() Sender { return Sender{Host: g.parts.Config.Name, Incarnation: g.incarnation} }
+
+// Senders returns the live hosts, this one first.
+func (g *Gossip) Senders() []Sender {
+	senders := []Sender{g.Self()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, member := range g.members.Live() {
+		senders = append(senders, Sender{Host: member.Name, Incarnation: member.incarnation})
+	}
+	return senders
+}
+
+// Broadcast sends a message to all members. A datagram may be lost; whoever sends makes up for that.
+func (g *Gossip) Broadcast(kind Kind, message any) {
+	g.mu.Lock()
+	addresses := g.addresses()
+	g.mu.Unlock()
+	g.sendEnvelope(kind, message, addresses)
+}
+
+// SendTo sends a message to a member. Nothing is sent if it is not known.
+func (g *Gossip) SendTo(host string, kind Kind, message any) {
+	g.mu.Lock()
+	address := g.members.Address(host)
+	g.mu.Unlock()
+	if address != "" {
+		g.sendEnvelope(kind, message, []string{address})
+	}
+}
+
+func (g *Gossip) sendEnvelope(kind Kind, message any, targets []string) {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		g.parts.Log.WithError(err).WithField("kind", kind).Error("a message can't be encoded")
+		return
+	}
+	g.mu.Lock()
+	g.envelopes++
+	envelope := Envelope{Incarnation: g.incarnation, Sequence: g.envelopes, Fleet: g.parts.Config.Fleet, Kind: kind, Body: body}
+	g.mu.Unlock()
+	g.sendDatagram(counters.PeerMessages, &envelope, targets)
+}
+
+// opened handles an envelope. One of an unknown sender is left out: its next counts, once it has announced itself.
+func (g *Gossip) opened(e *Envelope) {
+	handler, known := g.handlers[e.Kind]
+	if !known || e.Fleet != g.parts.Config.Fleet {
+		return
+	}
+	g.mu.Lock()
+	member, ok := g.members.byIncarnation(e.Incarnation)
+	var from Sender
+	if ok {
+		from = Sender{Host: member.Name, Incarnation: e.Incarnation}
+	}
+	g.mu.Unlock()
+	if ok {
+		handler(from, e.Body)
+	}
+}
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -86,6 +86,8 @@
 	Address string
 	// FirstPeers are addresses of hosts to contact first; they may be stale.
 	FirstPeers []string
+	// Fleet is the same at all hosts of a fleet, and another one at those of other fleets.
+	Fleet uint64
 }
 
 // Parts are what a Gossip works with.
@@ -118,6 +120,8 @@
 	// registered is set once this host's address is in the registry.
 	registered atomic.Bool
 
+	// handlers are not changed once this host listens.
+	handlers map[Kind]Handler
 	packets  net.PacketConn
 	listener net.Listener
 	// changed, urgent and confirm wake Run; see Changed, ChangedRevision and Confirm.
@@ -129,6 +133,8 @@
 	mu       sync.Mutex
 	members  *Members
 	sequence uint64
+	// envelopes counts those that were sent.
+	envelopes uint64
 	// last is what the last heartbeat carried, without its lists.
 	last State
 	// askAt is when some member is asked next for hosts that this one does not know.
@@ -149,7 +155,7 @@
 		parts: parts, address: parts.Config.Address, started: now, joinedAt: now, start: now.UnixNano(),
 		incarnation: uint32(parts.Random() * math.MaxUint32),
 		changed:     make(chan struct{}, 1), urgent: make(chan struct{}, 1), confirm: make(chan struct{}, 1),
-		members: NewMembers(parts.Config.Name, parts.Config.Zone),
+		members: NewMembers(parts.Config.Name, parts.Config.Zone), handlers: make(map[Kind]Handler),
 	}
 	g.members.address = g.address
 	g.Contact(parts.Config.FirstPeers)
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -166,7 +166,7 @@
 		return
 	}
 	if decodeAs(data, g.reported) || decodeAs(data, g.confirmed) ||
-		decodeAs(data, g.contributed) || decodeAs(data, g.fleetSummed) || decodeAs(data, g.zoneSummed) {
+		decodeAs(data, g.contributed) || decodeAs(data, g.fleetSummed) || decodeAs(data, g.zoneSummed) || decodeAs(data, g.opened) {
 		return
 	}
 	g.parts.Log.WithError(err).WithField("address", from).Debug("a datagram is none of the messages")
--- /dev/null
+++ b/internal/front/leading.go
@@ -0,0 +1,118 @@
+package front
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/front/leader"
+	"oxbowslip.dev/oxbowslip/internal/front/reporter"
+	"oxbowslip.dev/oxbowslip/internal/front/usage"
+	"oxbowslip.dev/oxbowslip/internal/hostconfig"
+	"oxbowslip.dev/oxbowslip/internal/logging"
+)
+
+// leading is what one host at a time does for all, and this host's part in it. It is nil where there is no
+// provider.
+type leading struct {
+	leader   *leader.Leader
+	reporter *reporter.Reporter
+}
+
+// leadingParts are what it is made of.
+type leadingParts struct {
+	fx.In
+
+	Config     hostconfig.Host
+	Deployment Deployment
+	Gossip     *gossip.Gossip
+	Freshness  *freshness.State
+	Usage      *usage.Clock
+	Meter      *usage.Meter
+	Log        *logrus.Logger
+	Clock      func() time.Time
+	Random     func() float64
+}
+
+func newUsageClock(config hostconfig.Host, state *freshness.State) *usage.Clock {
+	return usage.NewClock(config.Provider.UsageWindow, state.StoreTime)
+}
+
+// newMeter returns what counts the requests of this host: nothing where nobody asks for it.
+func newMeter(config hostconfig.Host, clock *usage.Clock) *usage.Meter {
+	if !config.Provider.Has(hostconfig.TaskUsage) {
+		return nil
+	}
+	return usage.NewMeter(clock)
+}
+
+func newLeading(p leadingParts) *leading {
+	provider := &p.Config.Provider
+	if provider.Address == "" {
+		return nil
+	}
+	l := new(leading)
+	parts := leader.Parts{
+		Host: p.Config.Name, Start: p.Clock().UnixNano(), Duration: provider.Lease, Store: p.Deployment.Lease, Peers: leaderPeers{p.Gossip},
+		Log: logging.Part(p.Log, "leader"), Clock: p.Clock, Random: p.Random, StoreTime: p.Freshness.StoreTime,
+		Announced: func(leader.Announcement) {},
+	}
+	if provider.Has(hostconfig.TaskUsage) {
+		l.reporter = reporter.New(reporter.Parts{
+			Meter: p.Meter, Usage: p.Usage, Due: provider.UsageDue, Provider: p.Deployment.Provider, Peers: p.Gossip,
+			Leader: func() string { return l.leader.Holder() }, Log: logging.Part(p.Log, "usage"), Clock: p.Clock, Random: p.Random,
+		})
+		parts.Tasks = append(parts.Tasks, l.reporter)
+		parts.Announced = l.reporter.Announced
+		p.Gossip.Handle(gossip.KindUsage, l.reporter.Received)
+	}
+	l.leader = leader.New(parts)
+	p.Gossip.Handle(gossip.KindLeader, l.announced(logging.Part(p.Log, "leader")))
+	return l
+}
+
+// announced handles a peer's announcement.
+func (l *leading) announced(log *logrus.Entry) gossip.Handler {
+	return func(from gossip.Sender, body []byte) {
+		var a leader.Announcement
+		if err := cbor.Unmarshal(body, &a); err != nil {
+			log.WithError(err).WithField("peer", from.Host).Warn("an announcement can't be read")
+			return
+		}
+		l.leader.Received(from.Host, a)
+	}
+}
+
+// run starts this host's part, which ends when done is closed.
+func (l *leading) run(done <-chan struct{}) {
+	if l == nil {
+		return
+	}
+	go l.leader.Run(done)
+	if l.reporter != nil {
+		go l.reporter.Run(done)
+	}
+}
+
+// resign lets another host lead.
+func (l *leading) resign() {
+	if l != nil {
+		l.leader.Resign()
+	}
+}
+
+// leaderPeers are the other hosts for package leader.
+type leaderPeers struct{ gossip *gossip.Gossip }
+
+// Announce sends an announcement to all hosts.
+func (p leaderPeers) Announce(a leader.Announcement) { p.gossip.Broadcast(gossip.KindLeader, a) }
+
+// Settled reports whether this host knows its peers.
+func (p leaderPeers) Settled() bool { return p.gossip.Settled() }
+
+// Before returns how many live hosts come before this one.
+func (p leaderPeers) Before() int { return p.gossip.Order().Before }
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -122,6 +122,7 @@
 // holdPlain reads a plain answer whole before any of it is passed on, so that a broken one can
 // be told from a whole one.
 func (x *exchange) holdPlain(ctx context.Context, a *owner.Attempt, answer *upstream.Answer) owner.Result {
+	x.began()
 	body, err := io.ReadAll(io.LimitReader(answer, maxPlainBytes+1))
 	if err == nil && len(body) > maxPlainBytes {
 		err = errors.New("answer too large")
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -34,6 +34,8 @@
 	limit time.Time
 
 	stream streamState
+	// counted is set once the meter has counted the request.
+	counted bool
 	// answer is the whole answer for the caller, failure an endpoint's own failure that is
 	// passed on if nothing better comes.
 	answer  *httprelay.HeldAnswer
@@ -127,6 +129,14 @@
 	}
 }
 
+// began has the meter count the request, once.
+func (x *exchange) began() {
+	if !x.counted {
+		x.counted = true
+		x.server.parts.Meter.Began(x.workspace, x.server.parts.Clock())
+	}
+}
+
 // attained reports whether an answer met the targets of its class.
 func (x *exchange) attained(end *owner.End, whole time.Duration) bool {
 	if !x.policy.Stream {
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -37,6 +37,12 @@
 	Unread(endpoint string) int
 }
 
+// Meter counts the requests that endpoints began to run.
+type Meter interface {
+	// Began is called once for each request, when its first event or its answer has come.
+	Began(workspace string, at time.Time)
+}
+
 // Parts are what a server works with.
 type Parts struct {
 	// Host and Zone are this host's name and availability zone.
@@ -48,6 +54,7 @@
 	Owner     *owner.Owner
 	Client    *upstream.Client
 	Health    Health
+	Meter     Meter
 	Dialect   Dialect
 	Counters  *counters.Counters
 	Log       *logrus.Entry
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -54,6 +54,7 @@
 	scanner.Split(splitEvents)
 	for scanner.Scan() {
 		watch.Reset()
+		x.began()
 		event := scanner.Bytes()
 		if !x.stream.isNext(eventID(event)) {
 			continue
--- /dev/null
+++ b/internal/front/reporter/reporter_test.go
@@ -0,0 +1,429 @@
+package reporter
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/front/leader"
+	"oxbowslip.dev/oxbowslip/internal/front/lease"
+	"oxbowslip.dev/oxbowslip/internal/front/usage"
+)
+
+const (
+	window = 5 * time.Second
+	due    = 10 * time.Second
+)
+
+// network is some hosts, the records that leaders keep, and a provider.
+type network struct {
+	mu      sync.Mutex
+	started time.Time
+	hosts   map[string]*host
+	records map[string][]byte
+	memo    lease.Memo
+	leading string
+	// received are the reports that reached the provider, in order.
+	received []report
+	// fails is how the provider ends the next calls.
+	fails []error
+	// lost are the answers of the provider that are lost.
+	lost int
+	log  *logrus.Entry
+}
+
+// report is one that the provider received.
+type report struct {
+	window usage.Window
+	counts usage.Counts
+}
+
+// host is one host.
+type host struct {
+	*Reporter
+	network *network
+	name    string
+	meter   *usage.Meter
+	clock   *usage.Clock
+	// ahead is how wrong its time of day is.
+	ahead time.Duration
+	done  chan struct{}
+	// silent hosts are known to the others but send nothing.
+	silent bool
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+func newNetwork(names ...string) *network {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	n := &network{started: time.Now(), hosts: make(map[string]*host), records: make(map[string][]byte), log: logrus.NewEntry(log)}
+	for _, name := range names {
+		n.add(name)
+	}
+	return n
+}
+
+// add starts a host.
+func (n *network) add(name string) *host {
+	h := &host{network: n, name: name, done: make(chan struct{})}
+	// The monotonic clock is not wrong.
+	store := func(now time.Time) (freshness.StoreTime, bool) {
+		return freshness.StoreTime(now.Sub(n.started) - h.ahead + time.Minute), true
+	}
+	h.clock = usage.NewClock(window, store)
+	h.meter = usage.NewMeter(h.clock)
+	h.Reporter = New(Parts{
+		Meter: h.meter, Usage: h.clock, Due: due, Provider: n, Peers: h, Leader: func() string { return n.leader() },
+		Log: n.log, Clock: func() time.Time { return time.Now().Add(h.ahead) }, Random: func() float64 { return 0.5 },
+	})
+	n.mu.Lock()
+	n.hosts[name] = h
+	n.mu.Unlock()
+	go h.Run(h.done)
+	return h
+}
+
+func (n *network) leader() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leading
+}
+
+// kill ends a host without a word; the others know at once.
+func (n *network) kill(name string) {
+	n.mu.Lock()
+	h := n.hosts[name]
+	delete(n.hosts, name)
+	n.mu.Unlock()
+	close(h.done)
+	if h.cancel != nil {
+		n.depose(h)
+	}
+}
+
+// lead makes a host the leader until depose.
+func (n *network) lead(name string) *host {
+	h := n.hosts[name]
+	n.mu.Lock()
+	n.leading = name
+	n.mu.Unlock()
+	var ctx context.Context
+	ctx, h.cancel = context.WithCancel(context.Background())
+	h.ended = make(chan struct{})
+	go func() {
+		defer close(h.ended)
+		h.lead(ctx, h)
+	}()
+	return h
+}
+
+func (n *network) depose(h *host) {
+	h.cancel()
+	<-h.ended
+	h.cancel = nil
+	n.mu.Lock()
+	n.leading = ""
+	n.mu.Unlock()
+}
+
+func (n *network) stop() {
+	for _, name := range slices.Sorted(maps.Keys(n.hosts)) {
+		n.kill(name)
+	}
+}
+
+// The peers of a host.
+
+func (h *host) Senders() []gossip.Sender {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	senders := []gossip.Sender{{Host: h.name, Incarnation: 1}}
+	for _, name := range slices.Sorted(maps.Keys(h.network.hosts)) {
+		if name != h.name {
+			senders = append(senders, gossip.Sender{Host: name, Incarnation: 1})
+		}
+	}
+	return senders
+}
+
+func (h *host) SendTo(to string, _ gossip.Kind, message any) {
+	h.network.mu.Lock()
+	receiver := h.network.hosts[to]
+	h.network.mu.Unlock()
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	if receiver != nil && !h.silent {
+		receiver.Received(gossip.Sender{Host: h.name, Incarnation: 1}, body)
+	}
+}
+
+// The mandate of a host that leads.
+
+func (h *host) Fence() (uint64, time.Time, bool) { return 1, time.Now().Add(time.Second), true }
+
+func (h *host) Keep(_ context.Context, records ...leader.Record) error {
+	time.Sleep(5 * time.Millisecond)
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	for _, r := range records {
+		if r.Delete {
+			delete(h.network.records, r.Key)
+			continue
+		}
+		h.network.records[r.Key] = r.Value
+	}
+	return nil
+}
+
+func (h *host) Records(context.Context) ([]leader.Record, error) {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	var records []leader.Record
+	for key, value := range h.network.records {
+		records = append(records, leader.Record{Key: key, Value: value})
+	}
+	return records, nil
+}
+
+func (h *host) Memo() lease.Memo {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	return h.network.memo
+}
+
+func (h *host) Remember(change func(*lease.Memo)) {
+	h.network.mu.Lock()
+	change(&h.network.memo)
+	a := leader.Announcement{TrueTime: h.network.memo.TrueTime, Reported: h.network.memo.Reported}
+	hosts := slices.Collect(maps.Values(h.network.hosts))
+	h.network.mu.Unlock()
+	for _, other := range hosts {
+		other.Announced(a)
+	}
+}
+
+func (h *host) Answered()   {}
+func (h *host) Unanswered() {}
+
+// renew stores the checkpoint of the leader.
+func (h *host) renew() {
+	for _, r := range h.Checkpoint() {
+		h.network.mu.Lock()
+		h.network.records[r.Key] = r.Value
+		h.network.mu.Unlock()
+	}
+}
+
+// ReportUsage is the provider.
+func (n *network) ReportUsage(_ context.Context, _ leader.Fence, w usage.Window, counts usage.Counts) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.fails) > 0 {
+		err := n.fails[0]
+		n.fails = n.fails[1:]
+		return err
+	}
+	n.received = append(n.received, report{w, maps.Clone(counts)})
+	if n.lost > 0 {
+		n.lost--
+		return merry.New("no answer")
+	}
+	return nil
+}
+
+// counts returns the counts of all windows together, and checks that no window was reported differently.
+func (n *network) counts(c *qt.C) usage.Counts {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	windows := make(map[usage.Window]usage.Counts)
+	sum := make(usage.Counts)
+	for _, r := range n.received {
+		if before, ok := windows[r.window]; ok {
+			c.Check(r.counts, qt.DeepEquals, before, qt.Commentf("window %d was reported differently", r.window))
+			continue
+		}
+		windows[r.window] = r.counts
+		for workspace, count := range r.counts {
+			sum[workspace] += count
+		}
+	}
+	return sum
+}
+
+// reports returns how many reports the provider has received.
+func (n *network) reports() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.received)
+}
+
+// count counts a number of requests at a host.
+func (h *host) count(workspace string, number int) {
+	for range number {
+		h.meter.Began(workspace, time.Now().Add(h.ahead))
+	}
+}
+
+func TestReports(t *testing.T) {
+	tests := map[string]struct {
+		play func(n *network)
+		want usage.Counts
+	}{
+		"all hosts": {func(n *network) {
+			n.lead("a")
+			n.hosts["a"].count("x", 2)
+			n.hosts["b"].count("x", 3)
+			n.hosts["c"].count("y", 4)
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 5, "y": 4}},
+		"a host that was killed after it sent": {func(n *network) {
+			n.lead("a")
+			n.hosts["b"].count("x", 3)
+			time.Sleep(time.Second)
+			n.kill("b")
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 3}},
+		"another leader": {func(n *network) {
+			n.lead("a")
+			n.hosts["b"].count("x", 3)
+			n.hosts["a"].count("x", 1)
+			time.Sleep(time.Second)
+			n.depose(n.hosts["a"])
+			n.lead("b")
+			n.hosts["c"].count("x", 1)
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 5}},
+		"the leader is killed, its counts are in the store": {func(n *network) {
+			h := n.lead("a")
+			n.hosts["a"].count("x", 2)
+			time.Sleep(time.Second)
+			h.renew()
+			n.kill("a")
+			n.lead("b")
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 2}},
+		"all hosts are killed, and others come": {func(n *network) {
+			h := n.lead("a")
+			n.hosts["a"].count("x", 2)
+			n.hosts["b"].count("y", 3)
+			time.Sleep(time.Second)
+			h.renew()
+			n.kill("a")
+			n.kill("b")
+			n.kill("c")
+			n.add("d").clock.Agree(usage.Zero(n.memo.TrueTime))
+			n.lead("d")
+			n.hosts["d"].count("x", 1)
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 3, "y": 3}},
+		"an answer is lost": {func(n *network) {
+			n.lead("a")
+			n.lost = 2
+			n.hosts["b"].count("x", 3)
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 3}},
+		"an answer is lost, and the next leader knows less": {func(n *network) {
+			n.lead("a")
+			n.hosts["a"].count("x", 3)
+			n.lost = 1
+			for n.reports() == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			n.kill("a")
+			n.lead("b")
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 3}},
+		"the provider refuses for a while": {func(n *network) {
+			n.lead("a")
+			n.fails = []error{merry.Wrap(ErrRefused), merry.Wrap(ErrRefused), merry.New("no answer")}
+			n.hosts["b"].count("x", 3)
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 3}},
+		"a host whose time of day is wrong": {func(n *network) {
+			n.hosts["c"].ahead = 20 * time.Second
+			n.lead("a")
+			time.Sleep(time.Second)
+			n.hosts["c"].count("x", 3)
+			time.Sleep(4 * window)
+		}, usage.Counts{"x": 3}},
+		"a host that sends nothing is not waited for too long": {func(n *network) {
+			n.hosts["c"].silent = true
+			n.lead("a")
+			n.hosts["b"].count("x", 3)
+			time.Sleep(window + 8*time.Second)
+		}, usage.Counts{"x": 3}},
+		"nothing was counted twice over many windows": {func(n *network) {
+			n.lead("a")
+			for range 40 {
+				n.hosts["b"].count("x", 3)
+				time.Sleep(time.Second)
+			}
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 120}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				n := newNetwork("a", "b", "c")
+				test.play(n)
+				n.stop()
+				c.Check(n.counts(c), qt.DeepEquals, test.want)
+			})
+		})
+	}
+}
+
+// TestOldReportsAreRemoved checks that the store does not fill up.
+func TestOldReportsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newNetwork("a", "b")
+		n.lead("a")
+		time.Sleep(40 * window)
+		n.stop()
+		c.Check(len(n.records) <= keptReports+3, qt.IsTrue, qt.Commentf("%d records", len(n.records)))
+	})
+}
+
+// TestUnreadableRecords has records that no leader wrote: they are left out, the others count.
+func TestUnreadableRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := newNetwork("a")
+		now := n.hosts["a"].clock.Window(time.Now())
+		n.memo.Reported = uint64(now) - 2
+		n.records["usage/x"] = []byte("{}")
+		n.records[fmt.Sprintf("usage/%d", now)] = []byte("not JSON")
+		n.records[fmt.Sprintf("usage/%d", now-1)] = []byte(`{"x":7}`)
+		n.records[keyCheckpoint] = []byte("\xff\xff")
+		n.records["another"] = nil
+		n.lead("a")
+		time.Sleep(2 * window)
+		n.stop()
+		c.Check(n.counts(c), qt.DeepEquals, usage.Counts{"x": 7})
+	})
+}
+
+func TestShareInterval(t *testing.T) {
+	c := qt.New(t)
+	c.Check(shareInterval(8), qt.Equals, leastShareInterval)
+	c.Check(shareInterval(380), qt.Equals, 1900*time.Millisecond)
+	c.Check(time.Duration(latePart*float64(due)) > window, qt.IsTrue, qt.Commentf("hosts that freeze for some seconds are waited for"))
+}
--- /dev/null
+++ b/internal/front/usage/usage_test.go
@@ -0,0 +1,130 @@
+package usage
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+)
+
+var start = time.Unix(1_000_000_003, 0)
+
+// TestWindows checks which window a time belongs to, by the time of day or by what was agreed on.
+func TestWindows(t *testing.T) {
+	zeroAt := time.Unix(1_000_000_000, 0)
+	tests := map[string]struct {
+		storeKnown bool
+		agreed     Zero
+		want       Window
+	}{
+		"nothing is agreed on":                {true, 0, 200_000_000},
+		"as the time of day":                  {true, Zero(zeroAt.UnixNano()), 200_000_000},
+		"the time of day is 3 s late":         {true, Zero(zeroAt.UnixNano()) + Zero(3*time.Second), 200_000_001},
+		"the time of day is 7 s early":        {true, Zero(zeroAt.UnixNano()) - Zero(7*time.Second), 199_999_999},
+		"the store's clock is not known":      {false, Zero(zeroAt.UnixNano()) + Zero(3*time.Second), 200_000_000},
+		"an hour of difference is an hour":    {true, Zero(zeroAt.UnixNano()) + Zero(time.Hour), 200_000_720},
+		"agreed on before the store is known": {false, 0, 200_000_000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			clock := NewClock(5*time.Second, func(now time.Time) (freshness.StoreTime, bool) {
+				return freshness.StoreTime(now.Sub(zeroAt)), test.storeKnown
+			})
+			if test.agreed != 0 {
+				clock.Agree(test.agreed)
+			}
+			c.Check(clock.Window(start), qt.Equals, test.want)
+			c.Check(clock.SinceEnd(test.want, start) < 0, qt.IsTrue)
+			c.Check(clock.SinceEnd(test.want-1, start) >= 0, qt.IsTrue)
+		})
+	}
+}
+
+func TestMedian(t *testing.T) {
+	tests := map[string]struct {
+		offers []Zero
+		want   Zero
+		ok     bool
+	}{
+		"none":                  {nil, 0, false},
+		"one":                   {[]Zero{5}, 5, true},
+		"one of three is wrong": {[]Zero{5, 2_000, 6}, 6, true},
+		"two of five are wrong": {[]Zero{5, -9_000, 2_000, 6, 7}, 6, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			got, ok := Median(test.offers)
+			qt.Check(t, got, qt.Equals, test.want)
+			qt.Check(t, ok, qt.Equals, test.ok)
+		})
+	}
+}
+
+// TestMergingTwiceChangesNothing merges what hosts send again, late and out of order.
+func TestMergingTwiceChangesNothing(t *testing.T) {
+	a, b := Source{"a", 1}, Source{"b", 1}
+	share := func(asOf time.Duration, x uint64) Share {
+		return Share{AsOf: asOf, Windows: Windows{7: Counts{"x": x}}}
+	}
+	tests := map[string]struct {
+		merge func(l *Ledger)
+		want  uint64
+	}{
+		"two hosts": {func(l *Ledger) {
+			l.Merge(a, share(1, 2))
+			l.Merge(b, share(1, 3))
+		}, 5},
+		"twice": {func(l *Ledger) {
+			l.Merge(a, share(1, 2))
+			l.Merge(a, share(1, 2))
+		}, 2},
+		"an older one after a newer one": {func(l *Ledger) {
+			l.Merge(a, share(2, 4))
+			l.Merge(a, share(1, 2))
+		}, 4},
+		"a host that started again": {func(l *Ledger) {
+			l.Merge(a, share(2, 4))
+			l.Merge(Source{"a", 2}, share(3, 1))
+		}, 5},
+		"dropped, and merged again": {func(l *Ledger) {
+			l.Merge(a, share(2, 4))
+			l.Drop(7, func(Source) bool { return true })
+			l.Merge(b, share(2, 1))
+		}, 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := NewLedger()
+			test.merge(l)
+			qt.Check(t, l.Sum(7)["x"], qt.Equals, test.want)
+		})
+	}
+}
+
+func TestMeter(t *testing.T) {
+	c := qt.New(t)
+	now := start
+	clock := NewClock(5*time.Second, func(time.Time) (freshness.StoreTime, bool) { return 0, false })
+	m := NewMeter(clock)
+	for range 3 {
+		m.Began("x", now)
+	}
+	m.Began("", now)
+	first := clock.Window(now)
+	c.Check(m.Windows(), qt.DeepEquals, Windows{first: {"x": 3}})
+	copied := m.Windows()
+	copied[first]["x"] = 9
+	c.Check(m.Windows()[first]["x"], qt.Equals, uint64(3))
+	for range 2 * keptWindows {
+		now = now.Add(5 * time.Second)
+		m.Began("y", now)
+	}
+	c.Check(len(m.Windows()) <= keptWindows+1, qt.IsTrue, qt.Commentf("nobody reports: old windows are forgotten"))
+	m.Drop(clock.Window(now))
+	c.Check(m.Windows(), qt.HasLen, 0)
+	var none *Meter
+	none.Began("x", now)
+}
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -6,6 +6,7 @@
 import (
 	_ "embed"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -47,8 +48,35 @@
 	MemoryMB int `json:"memory_mb,omitzero"`
 	// Retries bounds the retries of all hosts together.
 	Retries Retries `json:"retries,omitzero"`
+	// Provider is who runs the endpoints. Without an address, there is no leader.
+	Provider Provider `json:"provider,omitzero"`
 }
 
+// Task is what the leader of the hosts does with the provider.
+type Task string
+
+// The tasks.
+const (
+	// TaskUsage reports what the workspaces used, TaskAutoscale orders endpoints.
+	TaskUsage     Task = "usage"
+	TaskAutoscale Task = "autoscale"
+)
+
+// Provider is who runs the endpoints, and what one host at a time, the leader, does with it.
+type Provider struct {
+	Address string `json:"address"`
+	// Tasks are what the leader does. One that this program does not know is left out.
+	Tasks []Task `json:"tasks,omitzero"`
+	// Lease is how long a host may lead without renewing its lease.
+	Lease time.Duration `json:"lease,omitzero"`
+	// UsageWindow is the length of a window of usage, UsageDue how long after its end the report is due.
+	UsageWindow time.Duration `json:"usage_window,omitzero"`
+	UsageDue    time.Duration `json:"usage_due,omitzero"`
+}
+
+// Has reports whether the leader does a task.
+func (p *Provider) Has(task Task) bool { return p.Address != "" && slices.Contains(p.Tasks, task) }
+
 // Retries bounds the retries of all hosts together at one service: in each window,
 // Ratio times the first tries and Slack more.
 type Retries struct {
@@ -117,6 +145,9 @@
 	defaultRetryRatio   = 0.1
 	defaultRetrySlack   = 10
 	defaultRetryWindow  = 10 * time.Second
+	defaultLease        = 3 * time.Second
+	defaultUsageWindow  = 5 * time.Second
+	defaultUsageDue     = 10 * time.Second
 )
 
 // Load reads and checks a host's file.
@@ -152,6 +183,11 @@
 	setDefault(&h.Retries.Ratio, defaultRetryRatio)
 	setDefault(&h.Retries.Slack, defaultRetrySlack)
 	setDefault(&h.Retries.Window, defaultRetryWindow)
+	if h.Provider.Address != "" {
+		setDefault(&h.Provider.Lease, defaultLease)
+		setDefault(&h.Provider.UsageWindow, defaultUsageWindow)
+		setDefault(&h.Provider.UsageDue, defaultUsageDue)
+	}
 	setDefault(&h.Log.Level, "info")
 	setDefault(&h.Log.Format, "text")
 	return h
