gossip: a fetch asks twice as many peers each time that none has answered

A round asked one peer after the other every 250 ms, six at the most; a poll that began just before the change with mute peers lasted up to 1.5 s, kept others from beginning, and the next one again.

Change: one, then two, then four are asked. Ruled out: a shorter hedge (a directory of 3,500 endpoints takes that long on a link of 10 Mbit/s).

--- a/internal/front/gossip/fetch.go
+++ b/internal/front/gossip/fetch.go
@@ -121,8 +121,9 @@
 	enough func(answered bool) bool
 }
 
-// fetch asks members for a topic, one after the other. One that has not answered after fetchHedge is not waited
-// for: the next one is asked beside it, so that no silent member uses up the time.
+// fetch asks members for a topic. If none has answered after fetchHedge, twice as many are asked beside those, so
+// that silent members do not use up the time: with half of them silent, an answer takes more than two hedges once in
+// eight times, and more than three once in 128.
 func (g *Gossip) fetch(r *fetchRound) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
@@ -130,18 +131,22 @@
 	defer fetches.Wait()
 	var answered atomic.Bool
 	asked := make(names)
-	for ctx.Err() == nil && len(asked) < maxFetched && !r.enough(answered.Load()) {
-		ended := make(chan struct{})
-		if peer, ok := r.next(asked); ok {
+	for width := 1; ctx.Err() == nil && len(asked) < maxFetched && !r.enough(answered.Load()); width *= 2 {
+		ended := make(chan struct{}, width)
+		for range width {
+			peer, ok := r.next(asked)
+			if !ok {
+				break
+			}
 			asked[peer.Name] = true
 			fetches.Go(func() {
-				defer close(ended)
 				if g.fetchFrom(ctx, r.topic, peer) {
 					answered.Store(true)
 				}
 				if r.enough(answered.Load()) {
 					cancel()
 				}
+				ended <- struct{}{}
 			})
 		}
 		select {
--- a/internal/front/gossip/rules.go
+++ b/internal/front/gossip/rules.go
@@ -105,9 +105,9 @@
 	// fetchHedge is how long a peer may take to answer before another one is asked too: some
 	// times what a directory of 3,500 endpoints takes on a link of 10 Mbit/s. Not measured.
 	fetchHedge = 250 * time.Millisecond
-	// maxFetched is how many peers are asked in one go: with half of them silent, one go in 64 fails.
-	// More would share the links of a large fleet that fetches at the same time. Not measured.
-	maxFetched = 6
+	// maxFetched is how many peers are asked in one go: one, two more, and four more. With half of them silent, one
+	// go in 128 fails. More would share the links of a large fleet that fetches at the same time. Not measured.
+	maxFetched = 7
 	// pollCheck is the time between two looks whether peers have to be polled. Not measured.
 	pollCheck = 200 * time.Millisecond
 	// pollInterval is the least time between two polls of peers. Not measured.
