The leader orders endpoints: spot in all zones, so many that those of one may go

Change: package capacity (how many are needed, where, of which kind, when to order; no input or output), scaler (the leader's task), the inventory of endpoints that only a leader follows, scaling in the settings, first_part in the host's file.

Ruled out: as many as stand when the first leader begins, since entries come over 5 s; regular ones kept beside spot until those serve (30 of 60 places in each zone taken); need by the number of requests.

Safe: Plan, Size and Scaler are played against a provider that boots, takes zones away, has none to give, loses orders.

--- /dev/null
+++ b/internal/front/capacity/inventory.go
@@ -0,0 +1,94 @@
+package capacity
+
+import (
+	"sync"
+
+	"oxbowslip.dev/oxbowslip/internal/front/follow"
+)
+
+// Endpoint is what the store has of an endpoint, for those who order them.
+type Endpoint struct {
+	ID      string
+	Service string
+	Zone    string
+	Spot    bool
+	Leaving bool
+}
+
+// Change sets the entry of an endpoint, or removes it.
+type Change struct {
+	Endpoint Endpoint
+	Gone     bool
+}
+
+// Inventory is all endpoints in the store. Only a leader follows it. It implements follow.Sink and is safe for
+// concurrent use.
+type Inventory struct {
+	mu        sync.Mutex
+	revision  uint64
+	endpoints map[string]Endpoint
+}
+
+// NewInventory returns an inventory that knows nothing.
+func NewInventory() *Inventory { return &Inventory{endpoints: make(map[string]Endpoint)} }
+
+// Revision returns the state of the store up to which the inventory is complete, or 0.
+func (i *Inventory) Revision() uint64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.revision
+}
+
+// Forget makes the inventory unknown: it is read whole before it is used again.
+func (i *Inventory) Forget() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.revision = 0
+	clear(i.endpoints)
+}
+
+// Replace replaces all endpoints.
+func (i *Inventory) Replace(batch follow.Batch[Change]) {
+	i.mu.Lock()
+	clear(i.endpoints)
+	i.mu.Unlock()
+	i.Apply(batch)
+}
+
+// Apply applies changes.
+func (i *Inventory) Apply(batch follow.Batch[Change]) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.revision = max(i.revision, batch.Revision)
+	for _, change := range batch.Items {
+		if change.Gone {
+			delete(i.endpoints, change.Endpoint.ID)
+			continue
+		}
+		i.endpoints[change.Endpoint.ID] = change.Endpoint
+	}
+}
+
+// Fleet returns what is there of a service.
+func (i *Inventory) Fleet(service string) Fleet {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	fleet := make(Fleet)
+	for _, e := range i.endpoints {
+		if e.Service != service {
+			continue
+		}
+		place := Place{Zone: e.Zone, Kind: Regular}
+		if e.Spot {
+			place.Kind = Spot
+		}
+		count := fleet[place]
+		if e.Leaving {
+			count.Leaving++
+		} else {
+			count.Ready++
+		}
+		fleet[place] = count
+	}
+	return fleet
+}
--- a/internal/front/engine/service.go
+++ b/internal/front/engine/service.go
@@ -151,6 +151,26 @@
 	return Report{Figures: s.own, Traffic: s.sent.steady(now)}
 }
 
+// Load is the work of a service at all hosts.
+type Load struct {
+	// Requests are those that come in a second, Reading is how many engines would read all the time.
+	Requests float64
+	Reading  float64
+	// Open is the number of open requests.
+	Open float64
+}
+
+// Load returns the work of all hosts lately.
+func (s *Service) Load(now time.Time, hosts int) Load {
+	var load Load
+	for _, d := range s.allTraffic(now, hosts) {
+		load.Requests += d.Requests / trafficTime.Seconds()
+		load.Reading += d.Unread / milliseconds(trafficTime) / s.merged.ReadRate.Value
+		load.Open += d.Open
+	}
+	return load
+}
+
 // refreshInterval is how often the figures of all hosts are put together and the split is decided anew:
 // some heartbeats. Not measured.
 const refreshInterval = 100 * time.Millisecond
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -23,6 +23,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/front/capacity"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
@@ -31,6 +32,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
 	"oxbowslip.dev/oxbowslip/internal/front/reporter"
+	"oxbowslip.dev/oxbowslip/internal/front/scaler"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
@@ -42,6 +44,12 @@
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
+// Provider takes what the leader reports and orders.
+type Provider interface {
+	reporter.Provider
+	scaler.Provider
+}
+
 // Deployment is what a host needs to know of where it runs.
 type Deployment struct {
 	Dialect relay.Dialect
@@ -50,10 +58,11 @@
 	Endpoints follow.Source[directory.Change]
 	// Registry is where hosts find each other's addresses.
 	Registry gossip.Registry
-	// Lease is where the lease of the leader is kept, Provider whom it reports to. They are not used where the
-	// host's file has no provider.
-	Lease    leader.Store
-	Provider reporter.Provider
+	// Lease is where the lease of the leader is kept, Inventory what it follows to order endpoints, and Provider
+	// whom it calls. They are not used where the host's file has no provider.
+	Lease     leader.Store
+	Inventory follow.Source[capacity.Change]
+	Provider  Provider
 	// Decode turns a configuration into a revision of the settings.
 	Decode func(settings.Raw) (*settings.Revision, error)
 	// ReadyPath is where the balancer asks whether the host takes requests.
--- a/internal/front/leader/leader.go
+++ b/internal/front/leader/leader.go
@@ -138,7 +138,7 @@
 	defer cancel()
 	defer l.end("the host stops")
 	for ctx.Err() == nil {
-		if l.isLeading() {
+		if l.Leads() {
 			l.lead(ctx)
 		} else {
 			l.stand(ctx)
@@ -166,8 +166,8 @@
 	}
 }
 
-// isLeading reports whether this host's tasks run.
-func (l *Leader) isLeading() bool {
+// Leads reports whether this host's tasks run.
+func (l *Leader) Leads() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.mandate != nil
--- a/internal/front/leading.go
+++ b/internal/front/leading.go
@@ -7,13 +7,19 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/capacity"
+	"oxbowslip.dev/oxbowslip/internal/front/follow"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
 	"oxbowslip.dev/oxbowslip/internal/front/leader"
+	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/reporter"
+	"oxbowslip.dev/oxbowslip/internal/front/scaler"
 	"oxbowslip.dev/oxbowslip/internal/front/usage"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/logging"
+	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
 // leading is what one host at a time does for all, and this host's part in it. It is nil where there is no
@@ -21,6 +27,8 @@
 type leading struct {
 	leader   *leader.Leader
 	reporter *reporter.Reporter
+	// inventory keeps that of the scaler up to date while this host leads.
+	inventory *follow.Follower[capacity.Change]
 }
 
 // leadingParts are what it is made of.
@@ -30,6 +38,9 @@
 	Config     hostconfig.Host
 	Deployment Deployment
 	Gossip     *gossip.Gossip
+	Settings   *settings.Holder
+	Placer     *placement.Placer
+	Counters   *counters.Counters
 	Freshness  *freshness.State
 	Usage      *usage.Clock
 	Meter      *usage.Meter
@@ -70,11 +81,34 @@
 		parts.Announced = l.reporter.Announced
 		p.Gossip.Handle(gossip.KindUsage, l.reporter.Received)
 	}
+	if provider.Has(hostconfig.TaskAutoscale) {
+		inventory := capacity.NewInventory()
+		l.inventory = p.follow(inventory, l)
+		parts.Tasks = append(parts.Tasks, scaler.New(scaler.Parts{
+			Inventory: inventory, Settings: p.Settings, Provider: p.Deployment.Provider, Load: p.Placer.Load,
+			FirstPart: provider.FirstPart, Log: logging.Part(p.Log, "capacity"), Clock: p.Clock,
+		}))
+	}
 	l.leader = leader.New(parts)
 	p.Gossip.Handle(gossip.KindLeader, l.announced(logging.Part(p.Log, "leader")))
 	return l
 }
 
+// inventoryHold is how long the store may hold a call for changes of the inventory. Not measured.
+const inventoryHold = 2 * time.Second
+
+// follow returns what keeps an inventory up to date with the store while this host leads.
+func (p *leadingParts) follow(inventory *capacity.Inventory, l *leading) *follow.Follower[capacity.Change] {
+	return follow.New(follow.Parts[capacity.Change]{
+		Source: p.Deployment.Inventory, Sink: inventory, Log: logging.Part(p.Log, "capacity"), Clock: p.Clock, Random: p.Random,
+		Duty: func() follow.Duty {
+			leads := l.leader.Leads()
+			return follow.Duty{Call: leads, Reads: leads, Hold: inventoryHold}
+		},
+		Position: inventory.Revision, Called: p.Counters.CalledStore, Answered: func(freshness.Answer) {},
+	})
+}
+
 // announced handles a peer's announcement.
 func (l *leading) announced(log *logrus.Entry) gossip.Handler {
 	return func(from gossip.Sender, body []byte) {
@@ -96,6 +130,9 @@
 	if l.reporter != nil {
 		go l.reporter.Run(done)
 	}
+	if l.inventory != nil {
+		go l.inventory.Run(done)
+	}
 }
 
 // resign lets another host lead.
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -316,6 +316,13 @@
 	return splits
 }
 
+// Load returns the work of a service at all hosts lately.
+func (p *Placer) Load(service string) engine.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.engines.get(keys.OfService(service)).Load(p.clock(), p.view.Hosts())
+}
+
 // DropPeer forgets the report of a peer that left.
 func (p *Placer) DropPeer(peer string) {
 	p.mu.Lock()
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -72,6 +72,9 @@
 	// UsageWindow is the length of a window of usage, UsageDue how long after its end the report is due.
 	UsageWindow time.Duration `json:"usage_window,omitzero"`
 	UsageDue    time.Duration `json:"usage_due,omitzero"`
+	// FirstPart is the part of the most spot endpoints of a service that the leader orders before it knows anything
+	// of the traffic.
+	FirstPart float64 `json:"first_part,omitzero"`
 }
 
 // Has reports whether the leader does a task.
@@ -148,6 +151,7 @@
 	defaultLease        = 3 * time.Second
 	defaultUsageWindow  = 5 * time.Second
 	defaultUsageDue     = 10 * time.Second
+	defaultFirstPart    = 0.75
 )
 
 // Load reads and checks a host's file.
@@ -187,6 +191,7 @@
 		setDefault(&h.Provider.Lease, defaultLease)
 		setDefault(&h.Provider.UsageWindow, defaultUsageWindow)
 		setDefault(&h.Provider.UsageDue, defaultUsageDue)
+		setDefault(&h.Provider.FirstPart, defaultFirstPart)
 	}
 	setDefault(&h.Log.Level, "info")
 	setDefault(&h.Log.Format, "text")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -76,6 +76,21 @@
 	MaxConnections int `json:"max_connections,omitzero"`
 	// Engine is set if the service's endpoints are engines.
 	Engine *EngineShape `json:"engine,omitzero"`
+	// Scaling is set if the hosts order the service's endpoints.
+	Scaling *Scaling `json:"scaling,omitzero"`
+}
+
+// Scaling is which endpoints of a service may be ordered, and what they cost.
+type Scaling struct {
+	// Min and Max bound the endpoints in each zone, both kinds together.
+	Min int `json:"min,omitzero"`
+	Max int `json:"max,omitzero"`
+	// Boot is how long after an order an endpoint serves.
+	Boot time.Duration `json:"boot,omitzero"`
+	// SpotPrice is what an endpoint that may be taken away costs, as a part of what a regular one does; 0 means
+	// that there are none. ZonePrices are what one costs in each zone, in the same unit.
+	SpotPrice  float64            `json:"spot_price,omitzero"`
+	ZonePrices map[string]float64 `json:"zone_prices,omitzero"`
 }
 
 // EngineShape is what all engines of a service have in common.
