Sight: what answers say of their endpoints is counted and in the lines of requests

Change: the dialect reads both from the head of an answer; a counter for each, fields endpoint_leaving and endpoint_rest_ms in request lines. Nothing is decided by them. Safe: no byte sent or received changes.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -58,6 +58,19 @@
 // StoreCalls lists all reasons.
 var StoreCalls = []StoreCall{StoreLoads, StoreReads, StoreAsks}
 
+// Signal is what an answer says of its endpoint. The set is closed.
+type Signal string
+
+// The signals.
+const (
+	SignalLeaving  Signal = "leaving"
+	SignalRejected Signal = "rejected"
+	SignalRest     Signal = "rest"
+)
+
+// Signals lists all signals.
+var Signals = []Signal{SignalLeaving, SignalRejected, SignalRest}
+
 // Counters are the metrics of one daemon.
 type Counters struct {
 	set      *metrics.Set
@@ -66,6 +79,7 @@
 	wasted   map[Waste]*metrics.Counter
 	peers    map[PeerTraffic]*metrics.Counter
 	store    map[StoreCall]*metrics.Counter
+	signals  map[Signal]*metrics.Counter
 	// Goodput counts tokens of answers that met their class's targets.
 	Goodput *metrics.Counter
 	// Tokens counts all tokens relayed.
@@ -91,6 +105,7 @@
 		wasted:           make(map[Waste]*metrics.Counter),
 		peers:            make(map[PeerTraffic]*metrics.Counter),
 		store:            make(map[StoreCall]*metrics.Counter),
+		signals:          make(map[Signal]*metrics.Counter),
 		Goodput:          set.NewCounter("oxbowslip_goodput_tokens_total"),
 		Tokens:           set.NewCounter("oxbowslip_tokens_total"),
 		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
@@ -113,9 +128,19 @@
 	for _, reason := range StoreCalls {
 		c.store[reason] = set.NewCounter(fmt.Sprintf(`oxbowslip_store_calls_total{reason=%q}`, reason))
 	}
+	for _, signal := range Signals {
+		c.signals[signal] = set.NewCounter(fmt.Sprintf(`oxbowslip_endpoint_signals_total{signal=%q}`, signal))
+	}
 	return c
 }
 
+// Signalled counts what an answer says of its endpoint.
+func (c *Counters) Signalled(signals ...Signal) {
+	for _, signal := range signals {
+		c.signals[signal].Inc()
+	}
+}
+
 // CalledStore counts a call to the deployment's store.
 func (c *Counters) CalledStore(reason StoreCall) { c.store[reason].Inc() }
 
--- /dev/null
+++ b/internal/front/pushback/pushback.go
@@ -0,0 +1,51 @@
+// Package pushback holds what endpoints of oxbowslip-front say of themselves in their answers: that they leave, that they
+// want no requests for a while, that they have rejected one.
+package pushback
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
+)
+
+// mostRest bounds the rest that one answer asks for, so that a faulty one shuts its endpoint out for no longer. Not
+// measured; endpoints of the users ask for 3 s.
+const mostRest = time.Minute
+
+// Signal is what the head of an answer says of its endpoint.
+type Signal struct {
+	// Leaving is set if the endpoint leaves.
+	Leaving bool
+	// Rejected is set if the endpoint turned the request away for its load.
+	Rejected bool
+	// Rest is for how long the endpoint wants no request from this host; 0 if it does not say.
+	Rest time.Duration
+}
+
+// Kinds returns what is counted of the signal.
+func (s Signal) Kinds() []counters.Signal {
+	var kinds []counters.Signal
+	if s.Leaving {
+		kinds = append(kinds, counters.SignalLeaving)
+	}
+	if s.Rejected {
+		kinds = append(kinds, counters.SignalRejected)
+	}
+	if s.Rest > 0 {
+		kinds = append(kinds, counters.SignalRest)
+	}
+	return kinds
+}
+
+// ParseRest returns the rest that a text in seconds asks for, fractions included, mostRest at the most. It is 0 for a text
+// that is no time: empty, a date, negative, not a finite number.
+func ParseRest(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, mostRest.Seconds()) * float64(time.Second))
+}
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -80,6 +80,7 @@
 		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	defer answer.Close()
+	x.noteSignal(answer)
 	if x.server.parts.Dialect.NotStarted(answer.Status, answer.Header) {
 		return x.notStarted(a, answer)
 	}
@@ -90,6 +91,16 @@
 	return x.holdPlain(ctx, a, answer)
 }
 
+// noteSignal notes what the head of an answer says of its endpoint. One of another endpoint at its address says nothing of
+// this one.
+func (x *exchange) noteSignal(answer *upstream.Answer) {
+	if x.server.parts.Dialect.OtherEndpoint(answer.Status) {
+		return
+	}
+	x.signal = x.server.parts.Dialect.Signal(answer.Status, answer.Header)
+	x.server.parts.Counters.Signalled(x.signal.Kinds()...)
+}
+
 // failed reports an endpoint's failure, unless the request itself was ended. Silence is a
 // failure too.
 func (x *exchange) failed(ctx context.Context, a *owner.Attempt, cause error) {
--- a/internal/front/relay/dialect.go
+++ b/internal/front/relay/dialect.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 )
 
 // Part is one part of a prompt. Equal parts of different prompts have equal IDs.
@@ -53,6 +55,8 @@
 	AnswerID(header http.Header) string
 	// NotStarted reports whether an endpoint says that it did not start a call.
 	NotStarted(status int, header http.Header) bool
+	// Signal returns what the head of an answer says of the endpoint that gave it.
+	Signal(status int, header http.Header) pushback.Signal
 	// OtherEndpoint reports whether the answer says that another endpoint has the address now.
 	OtherEndpoint(status int) bool
 }
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -7,6 +7,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
@@ -38,6 +39,8 @@
 	stream streamState
 	// counted is set once the meter has counted the request.
 	counted bool
+	// signal is what the last answer said of its endpoint.
+	signal pushback.Signal
 	// answer is the whole answer for the caller, failure an endpoint's own failure that is
 	// passed on if nothing better comes.
 	answer  *httprelay.HeldAnswer
--- a/internal/front/relay/log.go
+++ b/internal/front/relay/log.go
@@ -32,6 +32,12 @@
 		"first_ms": end.FirstToken.Milliseconds(), "events": x.stream.events, "pause_ms": x.stream.longestPause.Milliseconds(),
 		"prompt": x.call.PromptTokens, "prefix": x.sharedPart(), "steps": end.Steps,
 	}
+	if x.signal.Leaving {
+		fields["endpoint_leaving"] = true
+	}
+	if x.signal.Rest > 0 {
+		fields["endpoint_rest_ms"] = x.signal.Rest.Milliseconds()
+	}
 	if leftOut > 0 {
 		fields["lines_left_out"] = leftOut
 	}
