An endpoint that says itself that it leaves gets nothing more, from any host

Cause: that an endpoint leaves was known from its entry in the store alone; the head of an answer was read for the request only. Class: a fact with several sources, of which one was wired. Whether an endpoint takes new work is asked once more when the connection is there (OnSend, EventWithheld): connecting may last a second. Why it holds: all that chooses, admits, counts or sends asks the directory; an older entry can't take the word back (the version is part of it); nothing is kept for ever (4,096 endpoints). Ruled out: an entry of our own in the store (away just then; servers' rows can't be written); marking the entry itself (peers fetch entries as the store has them). Older hosts drop the message.

--- a/internal/front/directory/directory.go
+++ b/internal/front/directory/directory.go
@@ -2,8 +2,8 @@
 // store: which service each serves, where, and whether it takes new work. oxbowslip-front uses
 // it; oxbowslipd has its endpoints in the settings tree.
 //
-// It owns this host's newest knowledge of them, which never goes back to an older revision,
-// and the rule for entries that lapse (lapse.go). It does no input or output; package
+// It owns this host's newest knowledge of them, which never goes back to an older revision, the rule for entries that lapse
+// (lapse.go), and what endpoints say themselves of their leaving (leaving.go). It does no input or output; package
 // peersync feeds it from the store and from peers.
 package directory
 
@@ -52,6 +52,8 @@
 	// lapsed are the entries that are kept although they were removed, with the revision at
 	// which that was: see lapse.go.
 	lapsed map[string]uint64
+	// announced are those that have said themselves that they leave: see leaving.go.
+	announced announced
 	// again are the endpoints that have started again under their IDs in the change at hand, onRestart is called with
 	// each once the lock is free.
 	again     []string
@@ -179,8 +181,13 @@
 
 // Endpoint returns an endpoint, and whether it is known and takes new work.
 func (d *Directory) Endpoint(id string) (settings.Endpoint, bool) {
-	endpoint, ok := d.Lookup(id)
-	return endpoint, ok && endpoint.State != settings.StateOut
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	entry, ok := d.entries[id]
+	if !ok {
+		return settings.Endpoint{}, false
+	}
+	return entry.Endpoint, !d.isLeaving(entry)
 }
 
 // Lookup returns an endpoint, and whether it is known. It may take no new work.
@@ -243,7 +250,7 @@
 	d.leaving = make(map[string][]*Entry)
 	for _, entry := range d.entries {
 		lists := d.serving
-		if entry.isLeaving() {
+		if d.isLeaving(entry) {
 			lists = d.leaving
 		}
 		service := entry.Endpoint.Service
@@ -256,7 +263,4 @@
 	}
 }
 
-// isLeaving reports whether the endpoint takes no new work any more.
-func (e *Entry) isLeaving() bool { return e.Endpoint.State == settings.StateOut }
-
 func byID(a, b *Entry) int { return cmp.Compare(a.ID, b.ID) }
--- a/internal/front/directory/lapse.go
+++ b/internal/front/directory/lapse.go
@@ -37,7 +37,7 @@
 func (d *Directory) remove(ids []string) {
 	removed := make(map[string]int)
 	for _, id := range ids {
-		if entry, ok := d.entries[id]; ok && !entry.isLeaving() {
+		if entry, ok := d.entries[id]; ok && !d.isLeaving(entry) {
 			removed[entry.Endpoint.Service]++
 		}
 	}
@@ -47,7 +47,7 @@
 			continue
 		}
 		service := entry.Endpoint.Service
-		if !entry.isLeaving() && isLapse(removed[service], len(d.serving[service])) {
+		if !d.isLeaving(entry) && isLapse(removed[service], len(d.serving[service])) {
 			d.lapsed[id] = d.revision
 			continue
 		}
--- /dev/null
+++ b/internal/front/directory/leaving.go
@@ -0,0 +1,67 @@
+package directory
+
+import "oxbowslip.dev/oxbowslip/internal/settings"
+
+// An endpoint says that it leaves in its entry, and itself in its answers. Its own word comes sooner, and also while the
+// store is away. It holds for that start of the endpoint, so that neither an older entry nor one that is read again takes it
+// back; an endpoint that has started again under its ID has another version and takes new work.
+
+// maxAnnounced bounds the endpoints whose own word is kept; the oldest goes first. Some 100 B each. Not measured: more than
+// all endpoints of the largest fleet, each once.
+const maxAnnounced = 4096
+
+// announced are the endpoints that have said themselves that they leave.
+type announced struct {
+	// versions are those of the starts that said so, by ID.
+	versions map[string]string
+	// order holds the IDs, the oldest first.
+	order []string
+}
+
+// add notes an endpoint, and reports whether it is new.
+func (a *announced) add(id, version string) bool {
+	known, again := a.versions[id]
+	if again && known == version {
+		return false
+	}
+	if a.versions == nil {
+		a.versions = make(map[string]string)
+	}
+	a.versions[id] = version
+	if again {
+		return true
+	}
+	a.order = append(a.order, id)
+	if len(a.order) > maxAnnounced {
+		delete(a.versions, a.order[0])
+		a.order = a.order[1:]
+	}
+	return true
+}
+
+// has reports whether a start of an endpoint has said so.
+func (a *announced) has(id, version string) bool {
+	known, ok := a.versions[id]
+	return ok && known == version
+}
+
+// SetLeaving notes that an endpoint has said itself that it leaves, and reports whether that was not known. The version is
+// that of its entry then.
+func (d *Directory) SetLeaving(id, version string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	entry, known := d.entries[id]
+	before := known && d.isLeaving(entry)
+	if !d.announced.add(id, version) {
+		return false
+	}
+	if known {
+		d.index()
+	}
+	return !before
+}
+
+// isLeaving reports whether an endpoint takes no new work any more, by its entry or its own word. The lock is held.
+func (d *Directory) isLeaving(e *Entry) bool {
+	return e.Endpoint.State == settings.StateOut || d.announced.has(e.ID, e.Endpoint.Version)
+}
--- /dev/null
+++ b/internal/front/directory/leaving_test.go
@@ -0,0 +1,74 @@
+package directory
+
+import (
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// TestItsOwnWord has an endpoint say itself that it leaves, before or after what the store brings.
+func TestItsOwnWord(t *testing.T) {
+	at := func(version string, state settings.EndpointState) Change {
+		return Change{Entry: Entry{ID: "a", Endpoint: settings.Endpoint{Service: "llm", Version: version, State: state}}}
+	}
+	ready := at("v1", settings.StateIn)
+	gone := Change{Entry: Entry{ID: "a"}, Gone: true}
+	tests := map[string]struct {
+		after []Change
+		// takes is whether it takes new work, isKnown whether it is known.
+		takes, isKnown bool
+	}{
+		"nothing comes":                       {nil, false, true},
+		"its entry is read again":             {[]Change{ready}, false, true},
+		"its entry says so as well":           {[]Change{at("v1", settings.StateOut)}, false, true},
+		"its entry goes":                      {[]Change{gone}, false, false},
+		"its entry goes and comes back":       {[]Change{gone, ready}, false, true},
+		"it starts again under its ID":        {[]Change{at("v1 of 2", settings.StateIn)}, true, true},
+		"it starts again, and the older says": {[]Change{at("v1 of 2", settings.StateIn), ready}, false, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := New()
+			c.Assert(d.Apply(1, []Change{ready}), qt.IsTrue)
+			c.Check(d.SetLeaving("a", "v1"), qt.IsTrue)
+			c.Check(d.SetLeaving("a", "v1"), qt.IsFalse)
+			for i, change := range test.after {
+				c.Assert(d.Apply(uint64(2+i), []Change{change}), qt.IsTrue)
+			}
+			_, takes := d.Endpoint("a")
+			c.Check(takes, qt.Equals, test.takes)
+			c.Check(d.CountServing() == 1, qt.Equals, test.takes)
+			_, known := d.Lookup("a")
+			c.Check(known, qt.Equals, test.isKnown)
+			c.Check(len(d.Leaving("llm")) == 1, qt.Equals, test.isKnown && !test.takes)
+		})
+	}
+}
+
+// TestItsOwnWordBeforeItsEntry has a peer bring the word of an endpoint whose entry is not known yet.
+func TestItsOwnWordBeforeItsEntry(t *testing.T) {
+	c := qt.New(t)
+	d := New()
+	c.Check(d.SetLeaving("a", "v1"), qt.IsTrue)
+	c.Assert(d.Replace(Snapshot{Revision: 1, Entries: []Entry{{ID: "a", Endpoint: settings.Endpoint{Service: "llm", Version: "v1", State: settings.StateIn}}}}), qt.IsTrue)
+	c.Check(d.CountServing(), qt.Equals, 0)
+	// What peers are sent is what the store has said.
+	c.Check(d.Snapshot().Entries[0].Endpoint.State, qt.Equals, settings.StateIn)
+}
+
+func TestOwnWordsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var a announced
+	for n := range 2 * maxAnnounced {
+		a.add(strconv.Itoa(n), "v1")
+		a.add(strconv.Itoa(n), "v2")
+	}
+	c.Check(a.versions, qt.HasLen, maxAnnounced)
+	c.Check(a.order, qt.HasLen, maxAnnounced)
+	c.Check(a.has(strconv.Itoa(2*maxAnnounced-1), "v2"), qt.IsTrue)
+	c.Check(a.has("0", "v2"), qt.IsFalse)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -31,6 +31,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/leader"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
 	"oxbowslip.dev/oxbowslip/internal/front/reporter"
 	"oxbowslip.dev/oxbowslip/internal/front/scaler"
@@ -140,6 +141,7 @@
 	Relay      *relay.Server
 	Followers  *followers
 	Poison     *poison.Detector
+	Signals    *pushback.Tracker
 	Leading    *leading
 	Clock      func() time.Time
 	Steady     *clock.Clock
@@ -245,6 +247,7 @@
 	go h.parts.Gossip.KeepRegistered(h.done, h.parts.Deployment.Registry)
 	h.parts.Followers.run(h.done)
 	go h.parts.Poison.Run(h.done)
+	go h.parts.Signals.Run(h.done)
 	h.parts.Leading.run(h.done)
 	go lifetime.Every(h.done, expireInterval, randomNumber, h.expire)
 	h.log.WithFields(logrus.Fields{
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -19,6 +19,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/peersync"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/front/usage"
@@ -53,6 +54,7 @@
 			newBudget,
 			newOwner,
 			newPoison,
+			newPushback,
 			newRelay,
 			newFollowers,
 			newUsageClock,
@@ -273,6 +275,12 @@
 	return detector
 }
 
+func newPushback(d *directory.Directory, g *gossip.Gossip, log *logrus.Logger, random func() float64) *pushback.Tracker {
+	tracker := pushback.New(pushback.Parts{Directory: d, Peers: g, Log: logging.Part(log, "endpoints"), Random: random})
+	g.Handle(gossip.KindLeaving, tracker.ReceivedFromPeer)
+	return tracker
+}
+
 // relayParts are what the callers' server is made of.
 type relayParts struct {
 	fx.In
@@ -286,6 +294,7 @@
 	Placer     *placement.Placer
 	Meter      *usage.Meter
 	Poison     *poison.Detector
+	Signals    *pushback.Tracker
 	Counters   *counters.Counters
 	Log        *logrus.Logger
 	Steady     *clock.Clock
@@ -294,7 +303,7 @@
 
 func newRelay(p relayParts) *relay.Server {
 	return relay.New(relay.Parts{
-		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Freshness: p.Freshness, Owner: p.Owner, Client: p.Client, Health: p.Placer, Meter: p.Meter, Poison: p.Poison,
+		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Freshness: p.Freshness, Owner: p.Owner, Client: p.Client, Health: p.Placer, Meter: p.Meter, Poison: p.Poison, Signals: p.Signals,
 		Dialect: p.Deployment.Dialect, Counters: p.Counters, Log: logging.Part(p.Log, "request"), Clock: p.Steady, Random: p.Random,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout},
 	})
--- a/internal/front/gossip/envelope.go
+++ b/internal/front/gossip/envelope.go
@@ -14,6 +14,8 @@
 	KindLeader Kind = 1
 	KindUsage  Kind = 2
 	KindPoison Kind = 3
+	// KindLeaving is the endpoints that say that they leave.
+	KindLeaving Kind = 4
 )
 
 // Envelope is a datagram with a message of another package. A host drops kinds that it does not know, so that
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -11,6 +11,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/owner"
@@ -71,6 +72,9 @@
 	ctx, watch := httprelay.WatchSilence(ctx, beforeAnswer(&x.policy, a), owner.ErrStalled)
 	defer watch.Stop()
 	answer, err := x.server.parts.Client.Do(ctx, x.upstreamCall(a))
+	if errors.Is(err, upstream.ErrWithheld) {
+		return owner.Result{Event: request.EventWithheld, Err: err}
+	}
 	if err != nil {
 		x.failed(ctx, a, err)
 		if errors.Is(err, request.ErrNotSent) {
@@ -80,7 +84,7 @@
 		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	defer answer.Close()
-	x.noteSignal(answer)
+	x.noteSignal(a, answer)
 	if x.server.parts.Dialect.NotStarted(answer.Status, answer.Header) {
 		return x.notStarted(a, answer)
 	}
@@ -91,14 +95,16 @@
 	return x.holdPlain(ctx, a, answer)
 }
 
-// noteSignal notes what the head of an answer says of its endpoint. One of another endpoint at its address says nothing of
-// this one.
-func (x *exchange) noteSignal(answer *upstream.Answer) {
+// noteSignal notes what the head of an answer says of its endpoint, as soon as it has come: the store may be away when an
+// endpoint begins to leave, and the rest of an answer may never come. An answer of another endpoint at its address says
+// nothing of this one.
+func (x *exchange) noteSignal(a *owner.Attempt, answer *upstream.Answer) {
 	if x.server.parts.Dialect.OtherEndpoint(answer.Status) {
 		return
 	}
 	x.signal = x.server.parts.Dialect.Signal(answer.Status, answer.Header)
 	x.server.parts.Counters.Signalled(x.signal.Kinds()...)
+	x.server.parts.Signals.Received(pushback.Instance{ID: a.EndpointID, Version: a.Endpoint.Version}, x.signal)
 }
 
 // failed reports an endpoint's failure, unless the request itself was ended. Silence is a
@@ -143,7 +149,19 @@
 	}
 	return &upstream.Call{
 		Address: a.Endpoint.Address, ID: x.call.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
-		Header: header, Body: x.body, ConnectTimeout: connectTimeout(&x.policy), OnSend: a.Sent,
+		Header: header, Body: x.body, ConnectTimeout: connectTimeout(&x.policy), OnSend: onSend(a),
+	}
+}
+
+// onSend returns what decides, once a connection is there, whether an attempt is sent.
+func onSend(a *owner.Attempt) func() bool {
+	return func() bool {
+		// Connecting may take a second, in which the endpoint may have said that it leaves.
+		if !a.MaySend() {
+			return false
+		}
+		a.Sent()
+		return true
 	}
 }
 
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -22,6 +22,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/logging"
@@ -59,6 +60,12 @@
 	Answered(request keys.Request)
 }
 
+// Signals takes what endpoints say of themselves. Its methods must not block.
+type Signals interface {
+	// Received is called with what the head of an answer says.
+	Received(endpoint pushback.Instance, signal pushback.Signal)
+}
+
 // Clock is the host's clock.
 type Clock interface {
 	Now() time.Time
@@ -79,6 +86,7 @@
 	Health    Health
 	Meter     Meter
 	Poison    Poison
+	Signals   Signals
 	Dialect   Dialect
 	Counters  *counters.Counters
 	Log       *logrus.Entry
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -58,11 +58,18 @@
 	case err != nil:
 		return false, merry.Wrap(err)
 	}
-	conn.expires = c.clock().Add(c.config.KeepIdle)
-	c.keep(address, conn)
+	c.keepUnused(address, conn)
 	return false, nil
 }
 
+// keepUnused keeps a connection on which nothing was sent for a later call.
+func (c *Client) keepUnused(address string, conn *connection) {
+	if conn.expires.IsZero() {
+		conn.expires = c.clock().Add(c.config.KeepIdle)
+	}
+	c.keep(address, conn)
+}
+
 func (c *Client) take(address string) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -56,8 +56,9 @@
 	Body   []byte
 	// ConnectTimeout bounds the making of a connection; 0 means a second.
 	ConnectTimeout time.Duration
-	// OnSend is called once a connection is there, before the first byte is written.
-	OnSend func()
+	// OnSend is called once a connection is there, before the first byte is written. If it returns false, nothing is
+	// sent.
+	OnSend func() bool
 }
 
 // Answer is an endpoint's answer whose head has arrived. Close must be called.
@@ -120,8 +121,11 @@
 	return c.dials
 }
 
+// ErrWithheld is the error of a call that OnSend has withheld.
+var ErrWithheld = merry.Sentinel("withheld: not to be sent any more")
+
 // Do sends a call once and waits for the head of its answer. The error is request.ErrNotSent
-// or request.ErrBroken with its cause. When ctx ends, the connection is closed.
+// or request.ErrBroken with its cause, or ErrWithheld. When ctx ends, the connection is closed.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
 	wire, err := encode(call)
 	if err != nil {
@@ -131,8 +135,9 @@
 	if err != nil {
 		return nil, merry.Wrap(request.ErrNotSent, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
-	if call.OnSend != nil {
-		call.OnSend()
+	if call.OnSend != nil && !call.OnSend() {
+		c.keepUnused(call.Address, conn)
+		return nil, merry.Wrap(ErrWithheld)
 	}
 	x := &exchange{client: c, conn: conn, address: call.Address, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { conn.Close() })
--- a/internal/front/upstream/upstream_test.go
+++ b/internal/front/upstream/upstream_test.go
@@ -182,7 +182,7 @@
 			p := startPeer(c, answers(test.text))
 			sent := false
 			call := p.call("1", "hello")
-			call.OnSend = func() { sent = true }
+			call.OnSend = func() bool { sent = true; return true }
 			_, err := p.do(client, call)
 			c.Check(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
 			c.Check(sent, qt.IsTrue)
@@ -191,6 +191,22 @@
 	}
 }
 
+// TestACallThatIsWithheld sends nothing, and keeps the connection for the next call.
+func TestACallThatIsWithheld(t *testing.T) {
+	c := qt.New(t)
+	client := newClient(time.Now)
+	p := startPeer(c, answers("HTTP/1.1 200 OK\r\nX-Call: 2\r\nContent-Length: 1\r\n\r\nb"))
+	call := p.call("1", "hello")
+	call.OnSend = func() bool { return false }
+	_, err := p.do(client, call)
+	c.Check(errors.Is(err, ErrWithheld), qt.IsTrue, qt.Commentf("%v", err))
+	// The peer answers the first call that it reads.
+	got, err := p.do(client, p.call("2", "hello"))
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.Equals, "b")
+	c.Check(p.connections(), qt.Equals, 1)
+}
+
 func TestNobodyListens(t *testing.T) {
 	c := qt.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// MaySend reports whether the endpoint still takes new work. It is asked once a connection is there, which may take a
+// while, before Sent.
+func (a *Attempt) MaySend() bool {
+	_, ok := a.run.owner.parts.Endpoints(a.EndpointID)
+	return ok
+}
+
 // Sent is called once a connection is there: from now on bytes may reach the endpoint.
 func (a *Attempt) Sent() {
 	a.run.lifecycle.Apply(request.EventSent, request.Facts{})
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -225,6 +225,7 @@
 var eventNames = map[request.Event]string{
 	request.EventDialFailed:  "dial failed",
 	request.EventNotStarted:  "not started",
+	request.EventWithheld:    "withheld",
 	request.EventBroken:      "broken",
 	request.EventWrongAnswer: "wrong answer",
 	request.EventWhole:       "answered",
--- a/internal/request/lifecycle.go
+++ b/internal/request/lifecycle.go
@@ -10,6 +10,8 @@
 	// EventGrantVoid: the grant was not used in time, or the endpoint is known to be leaving.
 	// Nothing was sent.
 	EventGrantVoid
+	// EventWithheld: the endpoint was reached, and is known by then to take no new work. Nothing was sent.
+	EventWithheld
 	// EventDialFailed: the endpoint could not be reached. Nothing was sent.
 	EventDialFailed
 	// EventSent: a connection is there, so bytes may be written from now on.
@@ -127,6 +129,9 @@
 		return l.granted()
 	case EventGrantVoid:
 		return l.again(RetryGrantVoid, ReasonNoEndpoint, facts)
+	case EventWithheld:
+		l.tries--
+		return l.again(RetryGrantVoid, ReasonNoEndpoint, facts)
 	case EventDialFailed:
 		l.forgiveDial()
 		return l.again(RetryDialFailed, ReasonEndpointFailed, facts)
--- a/internal/request/lifecycle_test.go
+++ b/internal/request/lifecycle_test.go
@@ -44,6 +44,18 @@
 			reason:  ReasonEndpointFailed,
 			ran:     RanNo,
 		},
+		"one that is withheld at the last moment was not tried": {
+			rules: Rules{MaxTries: 1},
+			steps: []step{
+				{EventGranted, canRetry, ActSend},
+				{EventWithheld, Facts{}, ActAsk},
+				{EventGranted, canRetry, ActSend},
+				{EventWithheld, Facts{Expired: true}, ActFinish},
+			},
+			outcome: OutcomeRefused,
+			reason:  ReasonNoEndpoint,
+			ran:     RanNo,
+		},
 		"not repeatable: a broken answer is not tried again": {
 			rules: Rules{MaxTries: 3},
 			steps: []step{
@@ -239,7 +251,7 @@
 	case action == ActAsk:
 		return []Event{EventCallerGone, EventGranted, EventGranted, EventGranted}
 	case action == ActSend && !w.sent:
-		return []Event{EventGrantVoid, EventDialFailed, EventSent, EventSent, EventCallerGone}
+		return []Event{EventGrantVoid, EventWithheld, EventDialFailed, EventSent, EventSent, EventCallerGone}
 	default:
 		return []Event{
 			EventNotStarted, EventDelivered, EventDelivered, EventBroken, EventBroken,
