An endpoint that wants rest gets it: no request from this host until it is over

What callers saw: requests were sent to endpoints that had just turned others away and asked for 3 s of rest (9 in 3 s from one host), came back refused after two tries (59 in 6 s) while other endpoints had room, and the endpoints had no rest. Cause: the time in a rejection was read nowhere, and a rejected request taught placement nothing. Class: as with endpoints that leave, what an answer says beside its status was not read. Where all rest, callers are refused at once (endpoints_resting) with the time at which the first has rested, or wait if that is within what they wait for a slot. Ruled out: ejecting such an endpoint (others would be kept away as well, and ejections yield where nothing else is left). Metrics and refusals have one reason more.

--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -50,6 +50,8 @@
 	ReasonMaxWait Reason = "max_wait"
 	// ReasonNoEndpoint: no endpoint takes new work.
 	ReasonNoEndpoint Reason = "no_endpoint"
+	// ReasonResting: all endpoints that take new work have asked this host to send none for a while.
+	ReasonResting Reason = "endpoints_resting"
 )
 
 // ReasonHigherTier is the reason for a preemption: a request of a higher tier needs the
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -142,6 +142,7 @@
 	Followers  *followers
 	Poison     *poison.Detector
 	Signals    *pushback.Tracker
+	Rests      *pushback.Rests
 	Leading    *leading
 	Clock      func() time.Time
 	Steady     *clock.Clock
@@ -203,6 +204,7 @@
 	h.parts.Steady.Look()
 	h.parts.Client.CloseExpired()
 	h.parts.Placer.Expire()
+	h.parts.Rests.Expire()
 	if h.parts.Followers.read() || h.parts.Gossip.Hosts() > 1 {
 		h.inContact()
 	}
--- a/internal/front/fuzz_test.go
+++ b/internal/front/fuzz_test.go
@@ -16,6 +16,7 @@
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
@@ -26,7 +27,7 @@
 	log.SetOutput(io.Discard)
 	random := func() float64 { return 0.5 }
 	l, count, holder, endpoints := new(late), counters.New(), settings.NewHolder(), directory.New()
-	placer := newPlacer(endpoints, log, time.Now, random, l)
+	placer := newPlacer(endpoints, pushback.NewRests(time.Now, random), log, time.Now, random, l)
 	state := newFreshness(holder, endpoints, time.Now)
 	sink := newSettingsSink(settingsParts{Deployment: Deployment{Decode: decode}, Holder: holder, Freshness: state, Placer: placer, Counters: count, Log: log, Late: l})
 	g := newGossip(gossipParts{
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -55,6 +55,7 @@
 			newOwner,
 			newPoison,
 			newPushback,
+			pushback.NewRests,
 			newRelay,
 			newFollowers,
 			newUsageClock,
@@ -125,8 +126,8 @@
 	return upstream.New(upstream.Config{AnswerID: deployment.Dialect.AnswerID, KeepIdle: keepIdle, DeadPeer: deadPeer}, clock)
 }
 
-func newPlacer(d *directory.Directory, log *logrus.Logger, clock func() time.Time, random func() float64, l *late) *placement.Placer {
-	placer := placement.New(d, logging.Part(log, "endpoints"), clock, random, l.loadChanged)
+func newPlacer(d *directory.Directory, rests *pushback.Rests, log *logrus.Logger, clock func() time.Time, random func() float64, l *late) *placement.Placer {
+	placer := placement.New(d, rests, logging.Part(log, "endpoints"), clock, random, l.loadChanged)
 	d.OnRestart(placer.Restarted)
 	return placer
 }
@@ -233,6 +234,7 @@
 	Config    hostconfig.Host
 	Placer    *placement.Placer
 	Directory *directory.Directory
+	Rests     *pushback.Rests
 	Budget    *retrybudget.Fleet
 	Counters  *counters.Counters
 	Explained *explain.Ring
@@ -241,8 +243,13 @@
 }
 
 func newOwner(p ownerParts) *owner.Owner {
+	// An endpoint that leaves or rests must not be sent what was granted before it said so.
+	takesWork := func(id string) (settings.Endpoint, bool) {
+		endpoint, ok := p.Directory.Endpoint(id)
+		return endpoint, ok && !p.Rests.IsResting(pushback.Instance{ID: id, Version: endpoint.Version})
+	}
 	return owner.New(owner.Parts{
-		Host: p.Config.Name, Admitter: p.Placer, Endpoints: p.Directory.Endpoint, Budget: p.Budget, Counters: p.Counters,
+		Host: p.Config.Name, Admitter: p.Placer, Endpoints: takesWork, Budget: p.Budget, Counters: p.Counters,
 		Explained: p.Explained, Clock: p.Clock, Random: p.Random,
 	})
 }
@@ -275,8 +282,8 @@
 	return detector
 }
 
-func newPushback(d *directory.Directory, g *gossip.Gossip, log *logrus.Logger, random func() float64) *pushback.Tracker {
-	tracker := pushback.New(pushback.Parts{Directory: d, Peers: g, Log: logging.Part(log, "endpoints"), Random: random})
+func newPushback(d *directory.Directory, rests *pushback.Rests, g *gossip.Gossip, log *logrus.Logger, random func() float64) *pushback.Tracker {
+	tracker := pushback.New(pushback.Parts{Directory: d, Rests: rests, Peers: g, Log: logging.Part(log, "endpoints"), Random: random})
 	g.Handle(gossip.KindLeaving, tracker.ReceivedFromPeer)
 	return tracker
 }
--- a/internal/front/placement/admit.go
+++ b/internal/front/placement/admit.go
@@ -126,9 +126,13 @@
 )
 
 // retryAfter returns when to come back after a refusal: when what waits at the endpoint that was chosen
-// will be read, and at once where there is none. Random is from 0 up to 1.
-func retryAfter(reason admission.Reason, choice *Choice, random float64) time.Duration {
-	if reason != admission.ReasonNoRoom {
+// will be read, when the first endpoint has rested, and at once where there is none. Random is from 0 up to 1.
+func retryAfter(now time.Time, reason admission.Reason, choice *Choice, random float64) time.Duration {
+	switch reason {
+	case admission.ReasonNoRoom:
+	case admission.ReasonResting:
+		return choice.Rested.Sub(now)
+	default:
 		return noEndpointRetry
 	}
 	after := min(max(choice.First, leastRoomRetry), mostRoomRetry)
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -39,6 +39,10 @@
 // Choice is an endpoint with the figures that it was chosen by.
 type Choice struct {
 	Endpoint string
+	// Version is that of the endpoint's entry.
+	Version string
+	// Rested is when the first endpoint may be granted, if all rest.
+	Rested time.Time
 	// Slots is how many requests the endpoint runs at once; 0 means unknown.
 	Slots int
 	// Load is the work there before this request.
@@ -189,7 +193,7 @@
 
 // weigh returns the cost of sending a request to an endpoint, with its figures.
 func (v *View) weigh(q *query, e *directory.Entry) Choice {
-	choice := Choice{Endpoint: e.ID, Slots: e.Endpoint.MaxInFlight, Load: v.loads.Total(e.ID)}
+	choice := Choice{Endpoint: e.ID, Version: e.Endpoint.Version, Slots: e.Endpoint.MaxInFlight, Load: v.loads.Total(e.ID)}
 	cost, cached := q.prefixCost(e)
 	choice.Cached = cached
 	choice.Tokens = q.request.PromptTokens - cached
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -35,10 +35,19 @@
 // 64,000 goes unreported.
 const holderReports = 3
 
+// Rests knows the endpoints that want no requests from this host for a while. It must not block.
+type Rests interface {
+	// Usable returns those of the endpoints that may be granted now, and when the first may be if none may.
+	Usable(endpoints []*directory.Entry) (usable []*directory.Entry, next time.Time)
+	// Granted notes that a request was granted an endpoint.
+	Granted(id, version string)
+}
+
 // Placer grants endpoints to the requests of this host. It implements owner.Admitter and is
 // safe for concurrent use.
 type Placer struct {
 	directory *directory.Directory
+	rests     Rests
 	log       *logrus.Entry
 	clock     func() time.Time
 	// random returns numbers from 0 up to 1.
@@ -61,10 +70,10 @@
 
 // New returns a placer that has sent nothing. Changed is called, outside of any lock, when
 // this host's loads or ejections have changed; it must not block.
-func New(d *directory.Directory, log *logrus.Entry, clock func() time.Time, random func() float64, changed func()) *Placer {
+func New(d *directory.Directory, rests Rests, log *logrus.Entry, clock func() time.Time, random func() float64, changed func()) *Placer {
 	view := NewView()
 	view.random = random
-	return &Placer{directory: d, log: log, clock: clock, random: random, changed: changed, view: view}
+	return &Placer{directory: d, rests: rests, log: log, clock: clock, random: random, changed: changed, view: view}
 }
 
 // SetSettings takes what placement needs of the settings in force.
@@ -88,7 +97,7 @@
 			p.changed()
 			return p.newTicket(service, &request, &choice), p.grant(&request, &choice, now.Sub(asked), now), nil
 		}
-		if reason == admission.ReasonNoEndpoint || !now.Before(until) {
+		if reason == admission.ReasonNoEndpoint || !now.Before(until) || choice.Rested.After(until) {
 			p.refused(now, service, &request, reason)
 			return nil, p.refusal(&request, reason, &choice, now.Sub(asked)), nil
 		}
@@ -108,7 +117,12 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates := p.view.candidates(now, request, endpoints)
+	// An endpoint that wants no requests gets none, also where no other is left: it would only reject them.
+	usable, next := p.rests.Usable(endpoints)
+	if len(usable) == 0 {
+		return Choice{Rested: next}, admission.ReasonResting
+	}
+	candidates := p.view.candidates(now, request, usable)
 	if !p.bounds.isLeast(request) {
 		candidates = p.view.admitting(&p.bounds, request, candidates)
 	}
@@ -119,6 +133,7 @@
 	if !ok || !p.bounds.admitsChoice(request, &choice) {
 		return choice, admission.ReasonNoRoom
 	}
+	p.rests.Granted(choice.Endpoint, choice.Version)
 	p.view.loads.Begin(choice.Endpoint, choice.Tokens)
 	if request.PromptTokens > 0 {
 		p.view.engines.get(keys.OfService(service)).Arrived(now, engine.Arrival{
@@ -177,15 +192,15 @@
 
 func (p *Placer) refusal(request *admission.Request, reason admission.Reason, choice *Choice, waited time.Duration) admission.Decision {
 	return admission.Decision{
-		Kind: admission.Refuse, ID: request.ID, Reason: reason, RetryAfter: retryAfter(reason, choice, p.random()), Figures: admission.Figures{
+		Kind: admission.Refuse, ID: request.ID, Reason: reason, RetryAfter: retryAfter(p.clock(), reason, choice, p.random()), Figures: admission.Figures{
 			Waited: waited, InFlight: choice.Load.Requests, Ahead: choice.Load.Tokens, PredictedFirstToken: choice.First,
 		},
 	}
 }
 
-// refused counts a request that found no room.
+// refused counts a request that found no room, or endpoints that rest.
 func (p *Placer) refused(now time.Time, service string, request *admission.Request, reason admission.Reason) {
-	if reason != admission.ReasonNoRoom {
+	if reason == admission.ReasonNoEndpoint {
 		return
 	}
 	p.mu.Lock()
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -347,14 +347,31 @@
 		"not at once":              {admission.ReasonNoRoom, 0, 0, leastRoomRetry},
 		"not after a minute":       {admission.ReasonNoRoom, time.Minute, 0, mostRoomRetry},
 		"when an endpoint is back": {admission.ReasonNoEndpoint, time.Minute, 1, noEndpointRetry},
+		"when one has rested":      {admission.ReasonResting, 0, 1, 7 * time.Second},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			qt.Check(t, retryAfter(test.reason, &Choice{First: test.first}, test.random), qt.Equals, test.want)
+			qt.Check(t, retryAfter(start, test.reason, &Choice{First: test.first, Rested: start.Add(7 * time.Second)}, test.random), qt.Equals, test.want)
 		})
 	}
 }
 
+// rests are the ends of the rests of endpoints.
+type rests map[string]time.Time
+
+func (r rests) Usable(endpoints []*directory.Entry) (usable []*directory.Entry, next time.Time) {
+	for _, e := range endpoints {
+		if until := r[e.ID]; until.IsZero() {
+			usable = append(usable, e)
+		} else if next.IsZero() || until.Before(next) {
+			next = until
+		}
+	}
+	return usable, next
+}
+
+func (r rests) Granted(string, string) {}
+
 func newPlacer(clock func() time.Time) *Placer {
 	d := directory.New()
 	changes := []directory.Change{}
@@ -364,7 +381,7 @@
 	d.Apply(1, changes)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := New(d, logrus.NewEntry(log), clock, func() float64 { return 0 }, func() {})
+	s := New(d, rests{}, logrus.NewEntry(log), clock, func() float64 { return 0 }, func() {})
 	least := 2
 	s.SetSettings(&settings.Tree{Root: settings.Root{Classes: map[string]settings.Class{"c": {Values: settings.Values{Urgency: &least}}}}})
 	return s
@@ -399,6 +416,48 @@
 	}
 }
 
+// TestWhereAllEndpointsRest refuses at once with the true time, or waits if the rest of one ends in time.
+func TestWhereAllEndpointsRest(t *testing.T) {
+	tests := map[string]struct {
+		rests rests
+		want  admission.Decision
+	}{
+		"one does not":         {rests{"e1": start.Add(time.Hour)}, admission.Decision{Kind: admission.Grant, Endpoint: "e2"}},
+		"one ends in time":     {rests{"e1": start.Add(time.Hour), "e2": start.Add(time.Millisecond)}, admission.Decision{Kind: admission.Grant, Endpoint: "e2"}},
+		"the first ends later": {rests{"e1": start.Add(3 * time.Second), "e2": start.Add(2 * time.Second)}, admission.Decision{Kind: admission.Refuse, Reason: admission.ReasonResting, RetryAfter: 2 * time.Second}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newPlacer(func() time.Time { return start })
+			s.rests = endingRests{test.rests, new(int)}
+			request := short()
+			request.FirstToken = time.Second
+			_, got, err := s.Ask(context.Background(), "llm", *request)
+			c.Assert(err, qt.IsNil)
+			c.Check(got.Kind, qt.Equals, test.want.Kind)
+			c.Check(got.Endpoint, qt.Equals, test.want.Endpoint)
+			c.Check(got.RetryAfter, qt.Equals, test.want.RetryAfter)
+			if test.want.Reason != "" {
+				c.Check(got.Reason, qt.Equals, test.want.Reason)
+			}
+		})
+	}
+}
+
+// endingRests are rests of which those of a millisecond have ended by the second look.
+type endingRests struct {
+	rests
+	looks *int
+}
+
+func (r endingRests) Usable(endpoints []*directory.Entry) (usable []*directory.Entry, next time.Time) {
+	if *r.looks++; *r.looks > 1 {
+		maps.DeleteFunc(r.rests, func(_ string, until time.Time) bool { return !until.After(start.Add(time.Millisecond)) })
+	}
+	return r.rests.Usable(endpoints)
+}
+
 func TestNoEndpointIsRefusedAtOnce(t *testing.T) {
 	c := qt.New(t)
 	s := newPlacer(func() time.Time { return start })
@@ -631,7 +690,7 @@
 	d := directory.New()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	p := New(d, logrus.NewEntry(log), func() time.Time { return start }, func() float64 { return 0 }, func() {})
+	p := New(d, rests{}, logrus.NewEntry(log), func() time.Time { return start }, func() float64 { return 0 }, func() {})
 	key := keys.OfEndpoint("e1")
 	p.SetPeer("peer", PeerReport{Holders: []Holder{{Prefix: 7, Endpoint: key}}, Ejected: map[keys.Endpoint]time.Time{key: start.Add(time.Minute)}})
 	p.Failed("e1", false, errors.New("refused"))
--- a/internal/front/pushback/pushback.go
+++ b/internal/front/pushback/pushback.go
@@ -1,7 +1,7 @@
 // Package pushback takes in what endpoints of oxbowslip-front say of themselves in their answers: that they leave, that they
 // want no requests for a while, that they have rejected one.
 //
-// It owns what has to be passed on to peers. It relies on package relay for the answers, on package directory to keep
+// It owns the rests that endpoints have asked this host for, and what has to be passed on to peers. It relies on package relay for the answers, on package directory to keep
 // endpoints that leave from new work, and on package gossip to reach peers.
 package pushback
 
--- a/internal/front/pushback/tracker.go
+++ b/internal/front/pushback/tracker.go
@@ -52,6 +52,7 @@
 // Parts are what a tracker works with.
 type Parts struct {
 	Directory Directory
+	Rests     *Rests
 	Peers     Peers
 	Log       *logrus.Entry
 	// Random returns numbers from 0 up to 1.
@@ -85,6 +86,15 @@
 	if signal.Leaving && t.setLeaving(endpoint, "the endpoint") {
 		t.announce(endpoint)
 	}
+	switch {
+	case signal.Rest > 0:
+		// The endpoint asks this host alone: others have their own answers.
+		if t.parts.Rests.Begin(endpoint, signal.Rest) {
+			t.parts.Log.WithFields(logrus.Fields{"endpoint": endpoint.ID, "rest_ms": signal.Rest.Milliseconds()}).Info("endpoint wants rest")
+		}
+	case !signal.Rejected:
+		t.parts.Rests.Answered(endpoint)
+	}
 }
 
 // ReceivedFromPeer handles a peer's message.
--- a/internal/front/pushback/tracker_test.go
+++ b/internal/front/pushback/tracker_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
@@ -35,7 +36,7 @@
 		}}})
 	}
 	c.Assert(d.Apply(1, changes), qt.IsTrue)
-	return New(Parts{Directory: d, Peers: p, Log: log.WithFields(nil), Random: func() float64 { return 0 }}), d
+	return New(Parts{Directory: d, Rests: NewRests(time.Now, func() float64 { return 0 }), Peers: p, Log: log.WithFields(nil), Random: func() float64 { return 0 }}), d
 }
 
 // TestPeersLearnThatAnEndpointLeaves has two hosts: the one that an endpoint answers lets the other know, often enough for
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -26,6 +26,7 @@
 	ReasonHeadTooLarge   Reason = "head_too_large"
 	ReasonUnknownRoute   Reason = "unknown_route"
 	ReasonNoEndpoint     Reason = "no_endpoint"
+	ReasonResting        Reason = "endpoints_resting"
 	ReasonCallerGone     Reason = "caller_gone"
 	ReasonNotStarted     Reason = "endpoint_not_started"
 	ReasonEndpointFailed Reason = "endpoint_failed"
@@ -47,6 +48,7 @@
 	ReasonNoEndpoint, ReasonCallerGone, ReasonNotStarted,
 	ReasonEndpointFailed, ReasonAnswerBroken, ReasonWrongAnswer,
 	ReasonRetryBudget, ReasonStopped, ReasonInternal, ReasonTimeLimit, ReasonHeadTooLarge, ReasonUnknownRoute, ReasonPoison,
+	ReasonResting,
 }
 
 // RetryReason is why a request was sent again, resumed or asked for another endpoint. The set
