--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -283,8 +283,11 @@
 }
 
 func newPushback(d *directory.Directory, rests *pushback.Rests, g *gossip.Gossip, log *logrus.Logger, random func() float64) *pushback.Tracker {
-	tracker := pushback.New(pushback.Parts{Directory: d, Rests: rests, Peers: g, Log: logging.Part(log, "endpoints"), Random: random})
-	g.Handle(gossip.KindLeaving, tracker.ReceivedFromPeer)
+	tracker := pushback.New(pushback.Parts{
+		Directory: d, Rests: rests, Broadcast: func(message any) { g.Broadcast(gossip.KindLeaving, message) },
+		Log: logging.Part(log, "endpoints"), Random: random,
+	})
+	g.Handle(gossip.KindLeaving, func(from gossip.Sender, body []byte) { tracker.ReceivedFromPeer(from.Host, body) })
 	return tracker
 }
 
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -21,6 +21,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -35,19 +36,11 @@
 // 64,000 goes unreported.
 const holderReports = 3
 
-// Rests knows the endpoints that want no requests from this host for a while. It must not block.
-type Rests interface {
-	// Usable returns those of the endpoints that may be granted now, and when the first may be if none may.
-	Usable(endpoints []*directory.Entry) (usable []*directory.Entry, next time.Time)
-	// Granted notes that a request was granted an endpoint.
-	Granted(id, version string)
-}
-
 // Placer grants endpoints to the requests of this host. It implements owner.Admitter and is
 // safe for concurrent use.
 type Placer struct {
 	directory *directory.Directory
-	rests     Rests
+	rests     *pushback.Rests
 	log       *logrus.Entry
 	clock     func() time.Time
 	// random returns numbers from 0 up to 1.
@@ -70,7 +63,7 @@
 
 // New returns a placer that has sent nothing. Changed is called, outside of any lock, when
 // this host's loads or ejections have changed; it must not block.
-func New(d *directory.Directory, rests Rests, log *logrus.Entry, clock func() time.Time, random func() float64, changed func()) *Placer {
+func New(d *directory.Directory, rests *pushback.Rests, log *logrus.Entry, clock func() time.Time, random func() float64, changed func()) *Placer {
 	view := NewView()
 	view.random = random
 	return &Placer{directory: d, rests: rests, log: log, clock: clock, random: random, changed: changed, view: view}
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -19,6 +19,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
@@ -356,22 +357,6 @@
 	}
 }
 
-// rests are the ends of the rests of endpoints.
-type rests map[string]time.Time
-
-func (r rests) Usable(endpoints []*directory.Entry) (usable []*directory.Entry, next time.Time) {
-	for _, e := range endpoints {
-		if until := r[e.ID]; until.IsZero() {
-			usable = append(usable, e)
-		} else if next.IsZero() || until.Before(next) {
-			next = until
-		}
-	}
-	return usable, next
-}
-
-func (r rests) Granted(string, string) {}
-
 func newPlacer(clock func() time.Time) *Placer {
 	d := directory.New()
 	changes := []directory.Change{}
@@ -381,7 +366,7 @@
 	d.Apply(1, changes)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := New(d, rests{}, logrus.NewEntry(log), clock, func() float64 { return 0 }, func() {})
+	s := New(d, pushback.NewRests(clock, func() float64 { return 0 }), logrus.NewEntry(log), clock, func() float64 { return 0 }, func() {})
 	least := 2
 	s.SetSettings(&settings.Tree{Root: settings.Root{Classes: map[string]settings.Class{"c": {Values: settings.Values{Urgency: &least}}}}})
 	return s
@@ -419,18 +404,29 @@
 // TestWhereAllEndpointsRest refuses at once with the true time, or waits if the rest of one ends in time.
 func TestWhereAllEndpointsRest(t *testing.T) {
 	tests := map[string]struct {
-		rests rests
+		rests map[string]time.Duration
 		want  admission.Decision
 	}{
-		"one does not":         {rests{"e1": start.Add(time.Hour)}, admission.Decision{Kind: admission.Grant, Endpoint: "e2"}},
-		"one ends in time":     {rests{"e1": start.Add(time.Hour), "e2": start.Add(time.Millisecond)}, admission.Decision{Kind: admission.Grant, Endpoint: "e2"}},
-		"the first ends later": {rests{"e1": start.Add(3 * time.Second), "e2": start.Add(2 * time.Second)}, admission.Decision{Kind: admission.Refuse, Reason: admission.ReasonResting, RetryAfter: 2 * time.Second}},
+		"one does not":         {map[string]time.Duration{"e1": time.Hour}, admission.Decision{Kind: admission.Grant, Endpoint: "e2"}},
+		"one ends in time":     {map[string]time.Duration{"e1": time.Hour, "e2": 100 * time.Millisecond}, admission.Decision{Kind: admission.Grant, Endpoint: "e2"}},
+		"the first ends later": {map[string]time.Duration{"e1": 3 * time.Second, "e2": 2 * time.Second}, admission.Decision{Kind: admission.Refuse, Reason: admission.ReasonResting, RetryAfter: 2 * time.Second}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			s := newPlacer(func() time.Time { return start })
-			s.rests = endingRests{test.rests, new(int)}
+			// Time goes on while the placer waits.
+			now := start
+			looks := 0
+			s := newPlacer(func() time.Time {
+				if looks++; looks%10 == 0 {
+					now = now.Add(20 * time.Millisecond)
+				}
+				return now
+			})
+			for id, span := range test.rests {
+				s.rests.Begin(pushback.Instance{ID: id}, span)
+			}
+			looks, now = 0, start
 			request := short()
 			request.FirstToken = time.Second
 			_, got, err := s.Ask(context.Background(), "llm", *request)
@@ -445,19 +441,6 @@
 	}
 }
 
-// endingRests are rests of which those of a millisecond have ended by the second look.
-type endingRests struct {
-	rests
-	looks *int
-}
-
-func (r endingRests) Usable(endpoints []*directory.Entry) (usable []*directory.Entry, next time.Time) {
-	if *r.looks++; *r.looks > 1 {
-		maps.DeleteFunc(r.rests, func(_ string, until time.Time) bool { return !until.After(start.Add(time.Millisecond)) })
-	}
-	return r.rests.Usable(endpoints)
-}
-
 func TestNoEndpointIsRefusedAtOnce(t *testing.T) {
 	c := qt.New(t)
 	s := newPlacer(func() time.Time { return start })
@@ -690,7 +673,7 @@
 	d := directory.New()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	p := New(d, rests{}, logrus.NewEntry(log), func() time.Time { return start }, func() float64 { return 0 }, func() {})
+	p := New(d, nil, logrus.NewEntry(log), func() time.Time { return start }, func() float64 { return 0 }, func() {})
 	key := keys.OfEndpoint("e1")
 	p.SetPeer("peer", PeerReport{Holders: []Holder{{Prefix: 7, Endpoint: key}}, Ejected: map[keys.Endpoint]time.Time{key: start.Add(time.Minute)}})
 	p.Failed("e1", false, errors.New("refused"))
--- a/internal/front/pushback/pushback.go
+++ b/internal/front/pushback/pushback.go
@@ -2,7 +2,7 @@
 // want no requests for a while, that they have rejected one.
 //
 // It owns the rests that endpoints have asked this host for, and what has to be passed on to peers. It relies on package relay for the answers, on package directory to keep
-// endpoints that leave from new work, and on package gossip to reach peers.
+// endpoints that leave from new work, and on its owner to reach peers.
 package pushback
 
 import (
--- a/internal/front/pushback/tracker.go
+++ b/internal/front/pushback/tracker.go
@@ -9,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/backoff"
-	"oxbowslip.dev/oxbowslip/internal/front/gossip"
 )
 
 const (
@@ -44,16 +43,12 @@
 	SetLeaving(id, version string) bool
 }
 
-// Peers are the other hosts.
-type Peers interface {
-	Broadcast(kind gossip.Kind, message any)
-}
-
 // Parts are what a tracker works with.
 type Parts struct {
 	Directory Directory
 	Rests     *Rests
-	Peers     Peers
+	// Broadcast sends a message to all peers. A datagram may be lost.
+	Broadcast func(message any)
 	Log       *logrus.Entry
 	// Random returns numbers from 0 up to 1.
 	Random func() float64
@@ -97,15 +92,15 @@
 	}
 }
 
-// ReceivedFromPeer handles a peer's message.
-func (t *Tracker) ReceivedFromPeer(from gossip.Sender, body []byte) {
+// ReceivedFromPeer handles a peer's message, in CBOR.
+func (t *Tracker) ReceivedFromPeer(peer string, body []byte) {
 	var message Leaving
 	if err := cbor.Unmarshal(body, &message); err != nil {
-		t.parts.Log.WithError(err).WithField("from", from.Host).Warn("a peer's message can't be decoded")
+		t.parts.Log.WithError(err).WithField("from", peer).Warn("a peer's message can't be decoded")
 		return
 	}
 	for _, endpoint := range message.Endpoints {
-		t.setLeaving(endpoint, from.Host)
+		t.setLeaving(endpoint, peer)
 	}
 }
 
@@ -174,7 +169,7 @@
 	waiting := len(left) > 0
 	t.mu.Unlock()
 	for batch := range slices.Chunk(endpoints, mostLeaving) {
-		t.parts.Peers.Broadcast(gossip.KindLeaving, &Leaving{Endpoints: batch})
+		t.parts.Broadcast(&Leaving{Endpoints: batch})
 	}
 	return waiting
 }
--- a/internal/front/pushback/tracker_test.go
+++ b/internal/front/pushback/tracker_test.go
@@ -12,20 +12,12 @@
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
-	"oxbowslip.dev/oxbowslip/internal/front/gossip"
 	"oxbowslip.dev/oxbowslip/internal/proof/golden"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
-// peers keep what is broadcast, and let a test wait for it.
-type peers struct {
-	sent chan *Leaving
-}
-
-func (p *peers) Broadcast(_ gossip.Kind, message any) { p.sent <- message.(*Leaving) }
-
 // newTracker returns a tracker over a directory with two endpoints.
-func newTracker(c *qt.C, p Peers) (*Tracker, *directory.Directory) {
+func newTracker(c *qt.C, broadcast func(message any)) (*Tracker, *directory.Directory) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d := directory.New()
@@ -36,27 +28,27 @@
 		}}})
 	}
 	c.Assert(d.Apply(1, changes), qt.IsTrue)
-	return New(Parts{Directory: d, Rests: NewRests(time.Now, func() float64 { return 0 }), Peers: p, Log: log.WithFields(nil), Random: func() float64 { return 0 }}), d
+	return New(Parts{Directory: d, Rests: NewRests(time.Now, func() float64 { return 0 }), Broadcast: broadcast, Log: log.WithFields(nil), Random: func() float64 { return 0 }}), d
 }
 
 // TestPeersLearnThatAnEndpointLeaves has two hosts: the one that an endpoint answers lets the other know, often enough for
 // a datagram to be lost, and that one passes nothing on.
 func TestPeersLearnThatAnEndpointLeaves(t *testing.T) {
 	c := qt.New(t)
-	p := &peers{sent: make(chan *Leaving)}
-	first, known := newTracker(c, p)
-	second, knownToo := newTracker(c, &peers{})
+	sent := make(chan *Leaving)
+	first, known := newTracker(c, func(message any) { sent <- message.(*Leaving) })
+	second, knownToo := newTracker(c, func(any) { c.Error("it passes on what another host has sent") })
 	done := make(chan struct{})
 	var running sync.WaitGroup
 	running.Go(func() { first.Run(done) })
 	first.Received(Instance{ID: "a", Version: "v1"}, Signal{Leaving: true})
 	c.Check(known.Serving("llm"), qt.HasLen, 1)
 	for range 1 + announceRepeats {
-		message := <-p.sent
+		message := <-sent
 		c.Check(message.Endpoints, qt.DeepEquals, []Instance{{ID: "a", Version: "v1"}})
 		body, err := cbor.Marshal(message)
 		c.Assert(err, qt.IsNil)
-		second.ReceivedFromPeer(gossip.Sender{Host: "first"}, body)
+		second.ReceivedFromPeer("first", body)
 	}
 	first.Received(Instance{ID: "a", Version: "v1"}, Signal{Leaving: true})
 	c.Check(knownToo.Leaving("llm"), qt.HasLen, 1)
@@ -64,7 +56,7 @@
 	close(done)
 	running.Wait()
 	c.Check(first.waiting, qt.HasLen, 0)
-	second.ReceivedFromPeer(gossip.Sender{Host: "first"}, []byte("no message"))
+	second.ReceivedFromPeer("first", []byte("no message"))
 	c.Check(knownToo.Serving("llm"), qt.HasLen, 1)
 }
 
