A request that is given up while its connection is made is not sent

Change: MaySend asks for the verdict too. TestWhatChangesWhileConnecting fails in the case with a verdict alone without it. What callers saw: nothing was seen; one endpoint more might have ended.

--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -55,11 +55,11 @@
 	}
 }
 
-// MaySend reports whether the endpoint still takes new work. It is asked once a connection is there, which may take a
-// while, before Sent.
+// MaySend reports whether the request may still be sent, and its endpoint still takes new work. It is asked once a
+// connection is there, which may take a while, before Sent.
 func (a *Attempt) MaySend() bool {
-	_, ok := a.run.owner.parts.Endpoints(a.EndpointID)
-	return ok
+	_, takesWork := a.run.owner.parts.Endpoints(a.EndpointID)
+	return takesWork && !a.run.job.isPoison()
 }
 
 // Sent is called once a connection is there: from now on bytes may reach the endpoint.
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -32,6 +32,8 @@
 	Resume func(ctx context.Context, a *Attempt) Result
 }
 
+func (j *Job) isPoison() bool { return j.IsPoison != nil && j.IsPoison() }
+
 func (j *Job) budgetGroup() string {
 	if j.BudgetGroup != "" {
 		return j.BudgetGroup
--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,93 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/admission"
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// first grants the first endpoint that a request does not avoid.
+type first []string
+
+func (f first) Ask(_ context.Context, _ string, r admission.Request) (Ticket, admission.Decision, error) {
+	for _, id := range f {
+		avoided := false
+		for _, a := range r.Avoid {
+			avoided = avoided || a == id
+		}
+		if !avoided {
+			return ticket{}, admission.Decision{Kind: admission.Grant, Endpoint: id, Until: time.Now().Add(time.Hour)}, nil
+		}
+	}
+	return nil, admission.Decision{Kind: admission.Refuse, Reason: admission.ReasonNoEndpoint}, nil
+}
+
+type ticket struct{}
+
+func (ticket) Preempted() <-chan struct{}     { return nil }
+func (ticket) Started()                       {}
+func (ticket) FirstToken()                    {}
+func (ticket) Progress(int)                   {}
+func (ticket) Finished(admission.Result, int) {}
+
+type unlimited struct{}
+
+func (unlimited) FirstTry(string, float64) {}
+func (unlimited) Has(string) bool          { return true }
+func (unlimited) Spend(string)             {}
+
+// TestWhatChangesWhileConnecting has something change after the grant, while a connection to the first endpoint is made.
+func TestWhatChangesWhileConnecting(t *testing.T) {
+	tests := map[string]struct {
+		leaves, isPoison bool
+		sent             []string
+		outcome          request.Outcome
+		reason           request.Reason
+	}{
+		"nothing":                            {sent: []string{"e1"}, outcome: request.OutcomeAnswered},
+		"the endpoint leaves":                {leaves: true, sent: []string{"e2"}, outcome: request.OutcomeAnswered},
+		"endpoints end under the request":    {isPoison: true, outcome: request.OutcomeRefused, reason: request.ReasonPoison},
+		"both, and it is sent nowhere again": {leaves: true, isPoison: true, outcome: request.OutcomeRefused, reason: request.ReasonPoison},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			connecting := false
+			o := New(Parts{
+				Admitter: first{"e1", "e2"}, Budget: unlimited{}, Counters: counters.New(), Explained: explain.New(),
+				Clock: time.Now, Random: func() float64 { return 0 },
+				Endpoints: func(id string) (settings.Endpoint, bool) {
+					return settings.Endpoint{}, id != "e1" || !connecting || !test.leaves
+				},
+			})
+			var sent []string
+			end := o.Run(context.Background(), &Job{
+				Rules:    request.Rules{MaxTries: 1},
+				IsPoison: func() bool { return connecting && test.isPoison },
+				Attempt: func(_ context.Context, a *Attempt) Result {
+					connecting = true
+					if !a.MaySend() {
+						return Result{Event: request.EventWithheld}
+					}
+					a.Sent()
+					sent = append(sent, a.EndpointID)
+					return Result{Event: request.EventWhole}
+				},
+			})
+			c.Check(sent, qt.DeepEquals, test.sent)
+			c.Check(end.Outcome, qt.Equals, test.outcome)
+			if test.reason != "" {
+				c.Check(end.Refusal.Reason, qt.Equals, test.reason)
+				c.Check(end.Refusal.Ran, qt.Equals, request.RanNo)
+			}
+		})
+	}
+}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -103,7 +103,7 @@
 
 // isPoison reports whether the request must not be sent any more, and refuses it then.
 func (r *run) isPoison() bool {
-	if r.job.IsPoison == nil || !r.job.IsPoison() {
+	if !r.job.isPoison() {
 		return false
 	}
 	r.detail = "endpoints end when they run this request"
