A host that stops removes its address although the store's answer was lost or the store was away

What was seen: the row of a stopped host stays in the registry, and each host that starts sends to it for ten minutes. Cause: whether there is a row was known from the answer to the registration alone; a registration under way could be done after the removal, and one that came later made the row again while the host was draining; the removal was tried once. Change: a registration counts from before it is sent; the calls that change the row go one after the other; after the first try to remove it none is made; the removal is tried again with a back-off until the drain has ended. Why it holds: the store does what it is asked in the order in which it answers; left is a registration whose answer was lost and that is done seconds after its removal: the row stays as before.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"oxbowslip.dev/oxbowslip/internal/backoff"
 	"oxbowslip.dev/oxbowslip/internal/clock"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/explain"
@@ -97,12 +98,17 @@
 	// stopMargin is the time after the drain's limit for honest answers to what was cut. Not
 	// measured.
 	stopMargin = 300 * time.Millisecond
+	// unregisterTimeout bounds one try to remove the host's address. Not measured.
+	unregisterTimeout = time.Second
 	// maxIsolation is how long a host that reaches neither the store nor a peer trusts its
 	// settings. Not measured; a cut host gets no callers anyway, and one that only lost the
 	// store goes on with what peers send.
 	maxIsolation = 30 * time.Second
 )
 
+// unregisterBackoff is the time between two tries to remove the host's address. Not measured.
+var unregisterBackoff = backoff.Doubling{First: 100 * time.Millisecond, Longest: time.Second}
+
 // Host is one running host.
 type Host struct {
 	parts Parts
@@ -298,27 +304,44 @@
 	defer cancel()
 	h.leaving.Store(true)
 	h.log.WithField("open", h.parts.Owner.Open()).Info("leaving")
-	go h.unregister()
+	unregistered := make(chan struct{})
+	go func() {
+		defer close(unregistered)
+		h.unregister(ctx)
+	}()
 	h.parts.Leading.resign()
 	// When ctx ends first, Finish cuts the rest at once.
 	lifetime.Sleep(ctx, h.parts.Config.Drain.Notice)
 	cut := lifetime.Finish(ctx, h.callers, h.parts.Owner.Drain, stopMargin)
 	h.parts.Gossip.Leave()
+	select {
+	case <-unregistered:
+	case <-time.After(stopMargin):
+	}
 	h.close()
 	h.log.WithField("cut", cut).Info("stopped")
 	return nil
 }
 
-// unregister removes this host's address from the registry.
-func (h *Host) unregister() {
-	if !h.parts.Gossip.Registered() {
-		return
+// unregister removes this host's address from the registry, and tries again until ctx ends: the store may be away for a
+// while, and a row that stays has every host that starts send to it for ten minutes.
+func (h *Host) unregister(ctx context.Context) {
+	for tries := 0; ; tries++ {
+		err := h.unregisterOnce(ctx)
+		if err == nil {
+			return
+		}
+		if !lifetime.Sleep(ctx, backoff.Jitter(unregisterBackoff.Span(tries), 0.5, randomNumber())) {
+			h.log.WithError(err).Warn("the host's address may stay registered")
+			return
+		}
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopMargin)
+}
+
+func (h *Host) unregisterOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, unregisterTimeout)
 	defer cancel()
-	if err := h.parts.Deployment.Registry.Unregister(ctx, h.parts.Config.Name); err != nil {
-		h.log.WithError(err).Warn("the host's address stays registered")
-	}
+	return h.parts.Gossip.Unregister(ctx, h.parts.Deployment.Registry)
 }
 
 func (h *Host) close() {
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -14,7 +14,6 @@
 	"math"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -117,8 +116,7 @@
 	// joinedAt is when the last peer joined, or this host started.
 	joinedAt time.Time
 
-	// registered is set once this host's address is in the registry.
-	registered atomic.Bool
+	registration registration
 
 	// handlers are not changed once this host listens.
 	handlers map[Kind]Handler
@@ -205,9 +203,6 @@
 	return g.members.Order()
 }
 
-// Registered reports whether this host's address is in the registry.
-func (g *Gossip) Registered() bool { return g.registered.Load() }
-
 // Changed asks for a heartbeat as soon as the pace allows. It does not block.
 func (g *Gossip) Changed() {
 	select {
--- a/internal/front/gossip/registry.go
+++ b/internal/front/gossip/registry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
@@ -46,17 +48,53 @@
 	lifetime.Every(done, registerInterval, g.parts.Random, func(context.Context) { g.register(ctx, registry) })
 }
 
+// registration is this host's row in the registry.
+type registration struct {
+	// calling is held during calls that change the row, so that they reach the registry in their order.
+	calling sync.Mutex
+	// isSent is set before the first call that makes the row: its answer may be lost. ended is set once the row must not
+	// be made any more. Both belong to calling.
+	isSent, ended bool
+	// isThere is set once the registry has answered.
+	isThere atomic.Bool
+}
+
+// make makes the row, unless it is there or must not be.
+func (r *registration) make(ctx context.Context, registry Registry, name, address string) error {
+	r.calling.Lock()
+	defer r.calling.Unlock()
+	if r.isThere.Load() || r.ended {
+		return nil
+	}
+	r.isSent = true
+	if err := registry.Register(ctx, name, address); err != nil {
+		return err
+	}
+	r.isThere.Store(true)
+	return nil
+}
+
+// Unregister removes this host's address from the registry, and keeps it from being registered again. A registration that
+// is under way is waited for. After an error the address may be there; it can be called again.
+func (g *Gossip) Unregister(ctx context.Context, registry Registry) error {
+	r := &g.registration
+	r.calling.Lock()
+	defer r.calling.Unlock()
+	r.ended = true
+	if !r.isSent {
+		return nil
+	}
+	return registry.Unregister(ctx, g.parts.Config.Name)
+}
+
 // register does one round of KeepRegistered. After an error the next round tries again.
 func (g *Gossip) register(ctx context.Context, registry Registry) {
 	alone := g.Hosts() == 1
-	if !alone && (g.registered.Load() || !g.ReadsStore()) {
+	if !alone && (g.registration.isThere.Load() || !g.ReadsStore()) {
 		return
 	}
-	if !g.registered.Load() {
-		if err := registry.Register(ctx, g.parts.Config.Name, g.address); err != nil {
-			return
-		}
-		g.registered.Store(true)
+	if err := g.registration.make(ctx, registry, g.parts.Config.Name, g.address); err != nil {
+		return
 	}
 	g.Contact(g.parts.Config.FirstPeers)
 	addresses, err := registry.List(ctx)
