--- a/internal/front/capacity/inventory.go
+++ b/internal/front/capacity/inventory.go
@@ -24,13 +24,19 @@
 // Inventory is all endpoints in the store. Only a leader follows it. It implements follow.Sink and is safe for
 // concurrent use.
 type Inventory struct {
+	// isLeaving reports whether an endpoint is known to leave otherwise.
+	isLeaving func(id string) bool
+
 	mu        sync.Mutex
 	revision  uint64
 	endpoints map[string]Endpoint
 }
 
-// NewInventory returns an inventory that knows nothing.
-func NewInventory() *Inventory { return &Inventory{endpoints: make(map[string]Endpoint)} }
+// NewInventory returns an inventory that knows nothing. IsLeaving reports whether an endpoint is known to leave, which its
+// entry may not say yet: the sooner another is ordered for it, the less is missing.
+func NewInventory(isLeaving func(id string) bool) *Inventory {
+	return &Inventory{isLeaving: isLeaving, endpoints: make(map[string]Endpoint)}
+}
 
 // Revision returns the state of the store up to which the inventory is complete, or 0.
 func (i *Inventory) Revision() uint64 {
@@ -83,7 +89,7 @@
 			place.Kind = Spot
 		}
 		count := fleet[place]
-		if e.Leaving {
+		if e.Leaving || i.isLeaving(e.ID) {
 			count.Leaving++
 		} else {
 			count.Ready++
--- a/internal/front/directory/leaving.go
+++ b/internal/front/directory/leaving.go
@@ -61,6 +61,14 @@
 	return !before
 }
 
+// IsLeaving reports whether an endpoint is known to take no new work any more.
+func (d *Directory) IsLeaving(id string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	entry, known := d.entries[id]
+	return known && d.isLeaving(entry)
+}
+
 // isLeaving reports whether an endpoint takes no new work any more, by its entry or its own word. The lock is held.
 func (d *Directory) isLeaving(e *Entry) bool {
 	return e.Endpoint.State == settings.StateOut || d.announced.has(e.ID, e.Endpoint.Version)
--- a/internal/front/leading.go
+++ b/internal/front/leading.go
@@ -10,6 +10,7 @@
 	"oxbowslip.dev/oxbowslip/internal/clock"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/capacity"
+	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
@@ -42,6 +43,7 @@
 	Gossip     *gossip.Gossip
 	Settings   *settings.Holder
 	Placer     *placement.Placer
+	Directory  *directory.Directory
 	Counters   *counters.Counters
 	Freshness  *freshness.State
 	Usage      *usage.Clock
@@ -84,7 +86,7 @@
 		p.Gossip.Handle(gossip.KindUsage, l.reporter.Received)
 	}
 	if provider.Has(hostconfig.TaskAutoscale) {
-		inventory := capacity.NewInventory()
+		inventory := capacity.NewInventory(p.Directory.IsLeaving)
 		l.inventory = p.follow(inventory, l)
 		parts.Tasks = append(parts.Tasks, scaler.New(scaler.Parts{
 			Inventory: inventory, Settings: p.Settings, Provider: p.Deployment.Provider, Load: p.Placer.Load,
--- a/internal/front/scaler/scaler_test.go
+++ b/internal/front/scaler/scaler_test.go
@@ -61,7 +61,7 @@
 		"llm": {Scaling: &settings.Scaling{Max: 60, SpotPrice: 0.2, ZonePrices: map[string]float64{"a": 1, "b": 1, "c": 1}}},
 		"app": {},
 	}}})
-	inventory := capacity.NewInventory()
+	inventory := capacity.NewInventory(func(string) bool { return false })
 	inventory.Replace(follow.Batch[capacity.Change]{Revision: 3})
 	s := New(Parts{
 		Inventory: inventory, Settings: holder, Provider: f, Load: func(string) engine.Load { return engine.Load{Reading: reading} },
