--- a/cmd/oxbowslip/doctor.go
+++ b/cmd/oxbowslip/doctor.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/operator"
@@ -55,6 +57,7 @@
 		findings = append(findings, fmt.Sprintf("none of %d hosts that answered reads the store; is it down, or are others readers?", fronts))
 	}
 	findings = append(findings, examineLeaders(reports)...)
+	findings = append(findings, examinePushback(reports)...)
 	for i := range reports {
 		r := &reports[i]
 		add := func(format string, args ...any) {
@@ -114,6 +117,28 @@
 	return []string{fmt.Sprintf("%d hosts take themselves for the leader: %v; ask again, one may just have taken over", len(leaders), leaders)}
 }
 
+// manyRejected is the share of rejected requests from which an endpoint is a finding.
+const manyRejected = 0.25
+
+// examinePushback finds the endpoints that rest or reject much, each once for all hosts.
+func examinePushback(reports []hostReport) []string {
+	hosts, rejects := make(map[string]int), make(map[string]float64)
+	for i := range reports {
+		for _, p := range reports[i].Status.Pushback {
+			if p.Rest > 0 || p.Rejects >= manyRejected {
+				hosts[p.Endpoint]++
+				rejects[p.Endpoint] = max(rejects[p.Endpoint], p.Rejects)
+			}
+		}
+	}
+	var findings []string
+	for _, endpoint := range slices.Sorted(maps.Keys(hosts)) {
+		findings = append(findings, fmt.Sprintf("endpoint %s rejects %.0f %% or rests, as %d of %d hosts say; is it overloaded? see OPERATIONS, \"An endpoint rejects, rests or leaves\"",
+			endpoint, 100*rejects[endpoint], hosts[endpoint], len(reports)))
+	}
+	return findings
+}
+
 // unconfirmed adds a finding if what a host knows is too old or was never confirmed.
 func unconfirmed(add func(format string, args ...any), what string, age time.Duration) {
 	const cause = "it gets no answer from the store ('store lost' in its log) and no datagram from hosts that do"
--- a/cmd/oxbowslip/doctor_test.go
+++ b/cmd/oxbowslip/doctor_test.go
@@ -26,6 +26,9 @@
 	ejected.Ejected = []string{"e1"}
 	poison := well
 	poison.Poison = []operator.PoisonRequest{{Key: "0f", Endpoints: []string{"a", "b", "c"}}}
+	rejected, leaving := well, well
+	rejected.Pushback = []operator.EndpointPushback{{Endpoint: "a", Rejects: 0.9}, {Endpoint: "b", Rest: time.Second}, {Endpoint: "c", Rejects: 0.1}}
+	leaving.Pushback = []operator.EndpointPushback{{Endpoint: "a", Leaving: true}}
 	led := well
 	led.Leader = &operator.Leader{Host: "b", Leads: true}
 	notLed := well
@@ -45,6 +48,8 @@
 		"one leads":                        {led, nil, 0},
 		"nobody leads":                     {notLed, nil, 1},
 		"a poison request":                 {poison, nil, 1},
+		"endpoints reject and rest":        {rejected, nil, 2},
+		"an endpoint leaves":               {leaving, nil, 0},
 		"no answer":                        {operator.Status{}, errors.New("refused"), 1},
 		"not ready at all":                 {operator.Status{Problem: "no settings yet", Hosts: 2}, nil, 3},
 	}
--- a/cmd/oxbowslip/tool.go
+++ b/cmd/oxbowslip/tool.go
@@ -72,6 +72,9 @@
 		for _, p := range s.Poison {
 			fmt.Fprintf(w, "does not send the request %s for %s: %d endpoints ended under it\n\n", p.Key, p.Left.Round(time.Second), len(p.Endpoints))
 		}
+		for _, p := range s.Pushback {
+			fmt.Fprintf(w, "endpoint %s %s\n\n", p.Endpoint, pushbackText(&p))
+		}
 		fmt.Fprintln(w, "shard\tscheduler\twaiting\trunning\tejected")
 		for _, shard := range s.Shards {
 			scheduler, ok := s.Schedulers[shard.Name]
@@ -91,6 +94,21 @@
 	})
 }
 
+// pushbackText says what an endpoint does instead of taking requests.
+func pushbackText(p *operator.EndpointPushback) string {
+	var texts []string
+	if p.Leaving {
+		texts = append(texts, "leaves")
+	}
+	if p.Rest > 0 {
+		texts = append(texts, "wants no requests from this host for "+p.Rest.Round(time.Millisecond).String())
+	}
+	if p.Rejects > 0 {
+		texts = append(texts, fmt.Sprintf("rejects %.0f %%", 100*p.Rejects))
+	}
+	return strings.Join(texts, ", ")
+}
+
 // ago returns how long ago something was confirmed, in words.
 func ago(age time.Duration) string {
 	if age < 0 {
--- a/internal/front/directory/directory.go
+++ b/internal/front/directory/directory.go
@@ -209,6 +209,13 @@
 	return d.serving[service]
 }
 
+// IDs returns the IDs of all endpoints, sorted.
+func (d *Directory) IDs() []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.Sorted(maps.Keys(d.entries))
+}
+
 // Services returns the services that have endpoints that take new work, in no order.
 func (d *Directory) Services() []string {
 	d.mu.RLock()
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -16,6 +16,8 @@
 		"oxbowslip_open_requests":             func() float64 { return float64(h.parts.Owner.Open()) },
 		"oxbowslip_leads":                     func() float64 { return zeroOrOne(h.parts.Leading.leads()) },
 		"oxbowslip_poison_requests":           func() float64 { return float64(len(h.parts.Poison.Verdicts())) },
+		"oxbowslip_endpoints_resting":         func() float64 { return float64(len(h.parts.Rests.Resting())) },
+		"oxbowslip_endpoints_rejecting":       func() float64 { return float64(len(h.parts.Rejections.Shares())) },
 		"oxbowslip_upstream_connections_made": func() float64 { return float64(h.parts.Client.Dials()) },
 	} {
 		h.parts.Counters.Gauge(name, read)
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"strconv"
 	"time"
 
@@ -62,6 +63,7 @@
 		status.Ejected = append(status.Ejected, endpoint)
 	}
 	status.Poison = h.poison()
+	status.Pushback = h.pushback()
 	status.Leader = h.parts.Leading.state()
 	return status
 }
@@ -80,6 +82,29 @@
 	return requests
 }
 
+// leastShown is the share of rejected requests from which operators are shown an endpoint.
+const leastShown = 0.05
+
+// pushback returns the endpoints that do not take all requests.
+func (h *Host) pushback() []operator.EndpointPushback {
+	resting, rejecting := h.parts.Rests.Resting(), h.parts.Rejections.Shares()
+	now := h.parts.Clock()
+	var list []operator.EndpointPushback
+	for _, id := range h.parts.Directory.IDs() {
+		p := operator.EndpointPushback{Endpoint: id, Leaving: h.parts.Directory.IsLeaving(id)}
+		if until, rests := resting[id]; rests {
+			p.Rest = until.Sub(now)
+		}
+		if share := rejecting[keys.OfEndpoint(id)]; share >= leastShown {
+			p.Rejects = math.Round(100*share) / 100
+		}
+		if p.Leaving || p.Rest > 0 || p.Rejects > 0 {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
 // lift has a poison request sent again.
 func (h *Host) lift(key string) bool {
 	number, err := strconv.ParseUint(key, 16, 64)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -71,6 +71,19 @@
 	Leader *Leader `json:"leader,omitzero"`
 	// Poison are the requests that this host does not send, because endpoints end when they run them.
 	Poison []PoisonRequest `json:"poison,omitzero"`
+	// Pushback are the endpoints that leave, want rest or reject requests, by ID.
+	Pushback []EndpointPushback `json:"pushback,omitzero"`
+}
+
+// EndpointPushback is what a host knows of an endpoint that does not take all requests.
+type EndpointPushback struct {
+	Endpoint string `json:"endpoint"`
+	// Leaving is set if it takes no new work any more.
+	Leaving bool `json:"leaving,omitzero"`
+	// Rest is for how long it wants no request from the host; 0 if it does not rest.
+	Rest time.Duration `json:"rest,omitzero"`
+	// Rejects is the share of requests that it is expected to reject, from 0 to 1.
+	Rejects float64 `json:"rejects,omitzero"`
 }
 
 // Leader is what a host knows of the leader.
