--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -66,13 +66,13 @@
 func (c *Clock) Now() time.Time {
 	now, ahead := c.source.Now()
 	if moved := ahead - time.Duration(c.dayAhead.Load()); moved > tolerance || moved < -tolerance {
-		c.look(ahead)
+		c.look(now, ahead)
 	}
 	return now.Add(time.Duration(c.slept.Load()))
 }
 
-// look finds out whether the machine was suspended.
-func (c *Clock) look(ahead time.Duration) {
+// look finds out whether the machine was suspended, at a steady time.
+func (c *Clock) look(steady time.Time, ahead time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.dayAhead.Store(int64(ahead))
@@ -89,14 +89,13 @@
 	if more := slept - time.Duration(c.slept.Load()); more >= leastSleep {
 		c.slept.Store(int64(slept))
 		c.log.WithField("slept_ms", more.Milliseconds()).Warn("the machine was suspended")
-		c.wake()
+		c.wake(steady.Add(slept))
 	}
 }
 
 // Look finds out whether the machine was suspended while its time of day was set back by as much.
 func (c *Clock) Look() {
-	_, ahead := c.source.Now()
-	c.look(ahead)
+	c.look(c.source.Now())
 }
 
 // TimeOfDay returns the time of day at a time of this clock.
--- a/internal/clock/deadline.go
+++ b/internal/clock/deadline.go
@@ -33,10 +33,8 @@
 	}
 }
 
-// wake sets the timers of all deadlines anew. The lock is held.
-func (c *Clock) wake() {
-	steady, _ := c.source.Now()
-	now := steady.Add(time.Duration(c.slept.Load()))
+// wake sets the timers of all deadlines anew, at a time of this clock. The lock is held.
+func (c *Clock) wake(now time.Time) {
 	for d := range c.deadlines {
 		d.timer.Reset(d.at.Sub(now))
 	}
--- a/internal/daemon/claims/claims.go
+++ b/internal/daemon/claims/claims.go
@@ -124,10 +124,7 @@
 // its caller can come back with the same key.
 func (t *Table) Release(workspace, key, attempt string) {
 	t.keep(name(workspace, key), orphan{attempt: attempt})
-	select {
-	case t.released <- struct{}{}:
-	default:
-	}
+	lifetime.Wake(t.released)
 }
 
 // Run commits claims until done is closed.
--- a/internal/front/directory/lapse.go
+++ b/internal/front/directory/lapse.go
@@ -11,7 +11,7 @@
 // which said that it leaves, are kept for a while. A call to an endpoint that is really gone
 // fails as it would have before.
 //
-// Measured with the store away for 5 s twice (d45d8de, own day lapse): requests without an
+// Measured with the store away for 5 s twice: requests without an
 // endpoint 11 -> 0 on pwhc-shared and 3 -> 0 on mfs-kochi; all entries were back after 1.15 s.
 const (
 	// minLapsed is how many entries of a service must be removed at once. Not measured: one
--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -112,7 +112,7 @@
 	leastBackoff = 0.5
 	// Spacing is the least time between a change and the next call: changes that come close
 	// together are read in one call. Measured with 71 hosts, together with the readers of
-	// package gossip (dff5355): 489 calls on a quiet day instead of 8,085.
+	// package gossip: 489 calls on a quiet day instead of 8,085.
 	Spacing = 250 * time.Millisecond
 	// DutyCheck is the time between two looks at the duty of a host that has none. Not measured.
 	DutyCheck = 100 * time.Millisecond
--- a/internal/front/freshness/rules.go
+++ b/internal/front/freshness/rules.go
@@ -12,7 +12,7 @@
 // sums that bound the age of what hosts believe are held by TestWorstAges.
 
 const (
-	// Readers is how many hosts of a fleet read the store for all. Measured with 71 hosts (dff5355): 489
+	// Readers is how many hosts of a fleet read the store for all. Measured with 71 hosts: 489
 	// calls on a quiet day instead of 8,085, worth 0.88 instead of 0.72. Four, so that some are left when
 	// one or two fail.
 	Readers = 4
--- a/internal/front/gossip/confirm.go
+++ b/internal/front/gossip/confirm.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
 // confirmDelay is how long a confirmation waits for another: the calls of a reader for settings
@@ -13,10 +14,7 @@
 // Confirm asks for a confirmation to all members: the store has just answered this host. It does not
 // block.
 func (g *Gossip) Confirm() {
-	select {
-	case g.confirm <- struct{}{}:
-	default:
-	}
+	lifetime.Wake(g.confirm)
 }
 
 // sendConfirmations sends the confirmations that Confirm asks for until done is closed.
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -23,6 +23,7 @@
 	"oxbowslip.dev/oxbowslip/internal/backoff"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
 // State is what this host's next heartbeat carries.
@@ -205,19 +206,13 @@
 
 // Changed asks for a heartbeat as soon as the pace allows. It does not block.
 func (g *Gossip) Changed() {
-	select {
-	case g.changed <- struct{}{}:
-	default:
-	}
+	lifetime.Wake(g.changed)
 }
 
 // ChangedRevision asks for a heartbeat at once: this host has read a newer revision from the
 // store. It does not block.
 func (g *Gossip) ChangedRevision() {
-	select {
-	case g.urgent <- struct{}{}:
-	default:
-	}
+	lifetime.Wake(g.urgent)
 }
 
 // Start listens for peers.
--- a/internal/front/gossip/rules.go
+++ b/internal/front/gossip/rules.go
@@ -47,8 +47,7 @@
 	// intervals and some delay. Not measured.
 	silenceLimit = 3500 * time.Millisecond
 	// silencePerMember raises the limit in a fleet so large that its hosts send rarely.
-	// Needed at 300 hosts, where 3.5 s was less than two paces and members were dropped
-	// (bcfd0e8).
+	// Needed at 300 hosts, where 3.5 s was less than two paces and members were dropped.
 	silencePerMember = 30 * time.Millisecond
 )
 
@@ -61,7 +60,7 @@
 // fullHeartbeats is the number of members up to which heartbeats carry loads, holders and
 // streams. In a larger fleet they cost more than they are worth: each host has little of an
 // endpoint's load, and all hosts find the preferred endpoint of a prefix by its hash. At 300
-// hosts they were most of the bytes between zones, at a price of 0.64 of a day (bcfd0e8).
+// hosts they were most of the bytes between zones, at a price of 0.64 of a day.
 const fullHeartbeats = 120
 
 // How many addresses of other hosts an announcement carries. Not measured on their own;
--- a/internal/front/leader/leader.go
+++ b/internal/front/leader/leader.go
@@ -148,10 +148,7 @@
 
 // wakeUp makes Run look at once.
 func (l *Leader) wakeUp() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
+	lifetime.Wake(l.wake)
 }
 
 // Leads reports whether this host's tasks run.
--- a/internal/front/placement/admit.go
+++ b/internal/front/placement/admit.go
@@ -18,7 +18,7 @@
 	// leastUrgentSlots is the part of an engine's slots up to which the least urgent requests of the
 	// lowest tier are admitted. More urgent ones are admitted up to a part between it and all. It lies
 	// above one half because the users price a refusal while half of the slots are free. Measured with
-	// five times the usual traffic (b054636, 6ab330c, worth): pwhc-shared 0.69 without it, 0.80 with it;
+	// five times the usual traffic (worth): pwhc-shared 0.69 without it, 0.80 with it;
 	// mfs-kochi 0.43 and 0.67; standard days unchanged.
 	leastUrgentSlots = 0.56
 	// hopelessTargets is how many targets the first event may be predicted to take. Callers on the users'
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -22,15 +22,15 @@
 	requestCost = 300
 	// uncachedWeight is the weight of each prefix token that the endpoint lacks. Above 1
 	// because copying or processing the prefix also holds up the streams there. Measured on
-	// the two sites (ef882da, sum of worth of six days): 0.3 gave 4.29 and 4.56; 1: 4.78 and
+	// the two sites (sum of worth of six days): 0.3 gave 4.29 and 4.56; 1: 4.78 and
 	// 4.95; 2: 4.93 and 5.04; 3: 4.94 and 4.99; 5: 4.92 and 5.02.
 	uncachedWeight = 3.0
 	// unheldWeight is the same where no candidate holds the prefix and the endpoint is not where it belongs:
 	// another host that asks for it next may read it there once more. Measured on pwhc-shared, mfs-kochi and
 	// omed-mty (mean worth of six days, one score each): 1 gave .831, .846, .750, 3 gave .830, .842, .747.
 	unheldWeight = 1.0
-	// zoneCost is the cost of another zone, for the price of bytes between zones. Measured
-	// (f86bd10): 150 gave 5.07 and 5.05; 400: 5.10 and 5.06; 800: 5.09 and 5.06.
+	// zoneCost is the cost of another zone, for the price of bytes between zones. Measured:
+	// 150 gave 5.07 and 5.05; 400: 5.10 and 5.06; 800: 5.09 and 5.06.
 	zoneCost = 400
 	// missCost is the cost of one stream that misses its target, or of one request that is rejected. Where half of the
 	// engines rejected nine in ten, 50,000, 100,000 and 150,000 for a rejection gave .870, .869 and .865 (mean worth of 16
--- a/internal/front/placement/ejection.go
+++ b/internal/front/placement/ejection.go
@@ -13,13 +13,13 @@
 
 // ejectionBackoff is how long an endpoint is ejected; each ejection without a success in
 // between lasts twice as long as the one before. Not measured: the first is about the time
-// in which a server that crashed restarts on the users' bench, the longest bounds how late
+// in which a server that crashed restarts on the users' sites, the longest bounds how late
 // a server that came back gets work.
 var ejectionBackoff = backoff.Doubling{First: time.Second, Longest: 8 * time.Second}
 
 // failureWindow is how close together two broken calls must be for an ejection. A single
 // one is ignored because healthy endpoints lose a call now and then, and moving their
-// prefixes costs more than one retry. Measured on pwhc-shared and mfs-kochi (3648a13, sum
+// prefixes costs more than one retry. Measured on pwhc-shared and mfs-kochi (sum
 // of worth of six days): 5.05 to 5.07 and 5.07 without it, 5.09 to 5.10 and 5.07 with it.
 const failureWindow = 2 * time.Second
 
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -109,8 +109,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.answered(request) {
-		d.outbox.answered(request)
-		d.changed()
+		d.reportAnswered(request)
 	}
 }
 
@@ -149,7 +148,7 @@
 	verdict, proved := d.table.Ended(call.Request, end)
 	d.outbox.ended(call.Request, end)
 	d.sawEnd = true
-	signal(d.lookUp)
+	lifetime.Wake(d.lookUp)
 	if proved {
 		d.parts.Log.WithFields(logrus.Fields{
 			"request_key": call.Request.String(), "endpoint": call.Endpoint, "endpoint_keys": verdict.Endpoints, "until": time.Duration(verdict.Until).String(),
@@ -227,15 +226,7 @@
 // changed counts, and has Run report. The lock is held.
 func (d *Detector) changed() {
 	d.count()
-	signal(d.wake)
-}
-
-// signal wakes whoever waits, or will wait next. It does not block.
-func signal(wake chan struct{}) {
-	select {
-	case wake <- struct{}{}:
-	default:
-	}
+	lifetime.Wake(d.wake)
 }
 
 // count updates known. The lock is held.
@@ -249,9 +240,14 @@
 		return false
 	}
 	d.answered(request)
+	d.reportAnswered(request)
+	return true
+}
+
+// reportAnswered has peers drop what they know of a request. The lock is held.
+func (d *Detector) reportAnswered(request keys.Request) {
 	d.outbox.answered(request)
 	d.changed()
-	return true
 }
 
 // Verdicts returns the requests that are poison.
--- a/internal/front/pushback/outbox.go
+++ b/internal/front/pushback/outbox.go
@@ -80,14 +80,6 @@
 	return counts
 }
 
-// wake wakes who waits on a channel with a buffer of one, now or when it looks again.
-func wake(waiter chan struct{}) {
-	select {
-	case waiter <- struct{}{}:
-	default:
-	}
-}
-
 // Run sends what peers have to know until done is closed: endpoints that leave at once, and again after a while; counts
 // at once, but for a pause after the last.
 func (t *Tracker) Run(done <-chan struct{}) {
--- a/internal/front/pushback/tracker.go
+++ b/internal/front/pushback/tracker.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
 // Directory is where the endpoints are known.
@@ -59,7 +60,7 @@
 		t.mu.Lock()
 		t.outbox.leave(endpoint)
 		t.mu.Unlock()
-		wake(t.leaving)
+		lifetime.Wake(t.leaving)
 	}
 	t.count(endpoint, signal.Rejected)
 	switch {
@@ -86,7 +87,7 @@
 	t.mu.Lock()
 	t.outbox.count(key, c)
 	t.mu.Unlock()
-	wake(t.rejected)
+	lifetime.Wake(t.rejected)
 }
 
 // ReceivedLeaving handles a peer's Leaving, in CBOR.
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -97,8 +97,7 @@
 }
 
 // answeredLines bounds the log lines a second for requests that were answered at the first
-// try; all others have a line each. Logs took 5.5 % of the hosts' processor time on the users'
-// bench with it (b99746b).
+// try; all others have a line each. Logs took 5.5 % of the hosts' processor time on a quiet day with it.
 const answeredLines = 50
 
 // Server answers the callers of routes. It is an http.Handler.
--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -12,14 +12,14 @@
 // missed anyway, and an answer from elsewhere is worth more than none.
 const (
 	// plainTargets is how many latency targets a plain call may stay unanswered. Measured on
-	// pwhc-shared and mfs-kochi with five times the traffic (da8d0ac, worth, with
+	// pwhc-shared and mfs-kochi with five times the traffic (worth, with
 	// silentPauses): 0.80 -> 0.82 and 0.67 -> 0.68; standard days within noise.
 	plainTargets = 2
 	// silentPauses is how many targets for pauses a stream may stay silent between events.
 	// Measured with plainTargets (see there).
 	silentPauses = 4
 	// streamTargets is how many targets for the first event a stream may take to begin, beside
-	// the time to process the prompts before it. Measured (c22b4af, sum of worth of six days):
+	// the time to process the prompts before it. Measured (sum of worth of six days):
 	// one gave 5.07 to 5.12 and 5.04 to 5.07, two gave 5.09 to 5.11 and 5.07 to 5.09.
 	streamTargets = 2
 	// leastPromptRate is the number of prompt tokens a ms that an engine processes at the
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -1,4 +1,4 @@
-// Package lifetime ties contexts and periodic work to the done channel of a part, and lets a server
+// Package lifetime ties contexts and periodic work to the done channel of a part, wakes parts that wait, and lets a server
 // that leaves finish what is in flight. Both programs use it.
 package lifetime
 
@@ -35,6 +35,14 @@
 	}
 }
 
+// Wake wakes whoever waits on a channel with a buffer of one, or will wait next. It does not block.
+func Wake(waiter chan<- struct{}) {
+	select {
+	case waiter <- struct{}{}:
+	default:
+	}
+}
+
 // repeatSpread is the part of the mean time between two calls of Every over which they are
 // spread. Not measured.
 const repeatSpread = 1
--- a/internal/owner/drain.go
+++ b/internal/owner/drain.go
@@ -1,6 +1,10 @@
 package owner
 
-import "context"
+import (
+	"context"
+
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
+)
 
 // Open returns the number of jobs that run.
 func (o *Owner) Open() int {
@@ -50,8 +54,5 @@
 	if o.open > 0 {
 		return
 	}
-	select {
-	case o.idle <- struct{}{}:
-	default:
-	}
+	lifetime.Wake(o.idle)
 }
--- a/internal/proof/standin/engine.go
+++ b/internal/proof/standin/engine.go
@@ -10,6 +10,7 @@
 
 	"github.com/gorilla/mux"
 
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/proof/emulator"
 )
 
@@ -171,10 +172,7 @@
 }
 
 func (e *Engine) nudge() {
-	select {
-	case e.wake <- struct{}{}:
-	default:
-	}
+	lifetime.Wake(e.wake)
 }
 
 // run drives the model in real time.
