--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -198,7 +198,7 @@
 // weigh returns the cost of sending a request to an endpoint, with its figures.
 func (v *View) weigh(q *query, e *directory.Entry) Choice {
 	choice := Choice{Endpoint: e.ID, Version: e.Endpoint.Version, Slots: e.Endpoint.MaxInFlight, Load: v.loads.Total(e.ID)}
-	choice.Rejected = v.rejected[keys.OfEndpoint(e.ID)]
+	choice.Rejected = v.rejections.Share(keys.OfEndpoint(e.ID))
 	cost, cached := q.prefixCost(e)
 	choice.Cached = cached
 	choice.Tokens = q.request.PromptTokens - cached
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -39,11 +39,10 @@
 // Placer grants endpoints to the requests of this host. It implements owner.Admitter and is
 // safe for concurrent use.
 type Placer struct {
-	directory  *directory.Directory
-	rests      *pushback.Rests
-	rejections *pushback.Rejections
-	log        *logrus.Entry
-	clock      func() time.Time
+	directory *directory.Directory
+	rests     *pushback.Rests
+	log       *logrus.Entry
+	clock     func() time.Time
 	// random returns numbers from 0 up to 1.
 	random func() float64
 	// changed is called when this host's loads or ejections have changed.
@@ -66,8 +65,8 @@
 // this host's loads or ejections have changed; it must not block.
 func New(d *directory.Directory, rests *pushback.Rests, rejections *pushback.Rejections, log *logrus.Entry, clock func() time.Time, random func() float64, changed func()) *Placer {
 	view := NewView()
-	view.random = random
-	return &Placer{directory: d, rests: rests, rejections: rejections, log: log, clock: clock, random: random, changed: changed, view: view}
+	view.random, view.rejections = random, rejections
+	return &Placer{directory: d, rests: rests, log: log, clock: clock, random: random, changed: changed, view: view}
 }
 
 // SetSettings takes what placement needs of the settings in force.
@@ -116,7 +115,6 @@
 	if len(usable) == 0 {
 		return Choice{Rested: next}, admission.ReasonResting
 	}
-	p.view.rejected = p.rejections.Shares()
 	candidates := p.view.candidates(now, request, usable)
 	if !p.bounds.isLeast(request) {
 		candidates = p.view.admitting(&p.bounds, request, candidates)
@@ -318,7 +316,7 @@
 	defer p.mu.Unlock()
 	p.view.holders.drop(keys.OfEndpoint(endpoint))
 	p.view.ejections.drop(endpoint)
-	p.rejections.Forget(keys.OfEndpoint(endpoint))
+	p.view.rejections.Forget(keys.OfEndpoint(endpoint))
 }
 
 // Streamed observes a whole stream.
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -460,7 +460,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			s := newPlacer(func() time.Time { return start })
-			s.rejections.Count(keys.OfEndpoint("e1"), test.rejected, test.taken)
+			s.view.rejections.Count(keys.OfEndpoint("e1"), test.rejected, test.taken)
 			s.view.loads.Begin("e2", test.ahead)
 			_, got, err := s.Ask(context.Background(), "llm", *short())
 			c.Assert(err, qt.IsNil)
@@ -485,7 +485,7 @@
 			c := qt.New(t)
 			s := newPlacer(func() time.Time { return start })
 			for _, id := range []string{"e1", "e2"} {
-				s.rejections.Count(keys.OfEndpoint(id), test.rejected, test.taken)
+				s.view.rejections.Count(keys.OfEndpoint(id), test.rejected, test.taken)
 			}
 			_, got, err := s.Ask(context.Background(), "llm", *short())
 			c.Assert(err, qt.IsNil)
--- a/internal/front/placement/view.go
+++ b/internal/front/placement/view.go
@@ -5,6 +5,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 )
 
 // View is what one host knows of the work and the state of all endpoints. It is not safe for
@@ -15,8 +16,8 @@
 	holders    holderTable
 	engines    engineTable
 	partitions partitionCache
-	// rejected is the share of requests that endpoints are expected to reject; those that reject none are missing.
-	rejected map[keys.Endpoint]float64
+	// rejections knows which share of the requests each endpoint rejects.
+	rejections *pushback.Rejections
 	// random picks the endpoints that are compared, with numbers from 0 up to 1. If it is nil, all are.
 	random func() float64
 }
@@ -25,7 +26,7 @@
 func NewView() *View {
 	return &View{
 		loads: newLoadTable(), ejections: newEjectionTable(), holders: make(holderTable), engines: make(engineTable),
-		partitions: make(partitionCache),
+		partitions: make(partitionCache), rejections: pushback.NewRejections(time.Now),
 	}
 }
 
--- a/internal/front/pushback/rejections.go
+++ b/internal/front/pushback/rejections.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
@@ -49,6 +50,8 @@
 
 	mu      sync.Mutex
 	tallies map[keys.Endpoint]*tally
+	// known is their number, so that a question costs nothing while no endpoint rejects requests.
+	known atomic.Int64
 }
 
 // NewRejections returns a table in which no endpoint has rejected a request.
@@ -68,6 +71,7 @@
 		}
 		t = &tally{at: r.clock()}
 		r.tallies[endpoint] = t
+		r.known.Add(1)
 	}
 	t.decay(r.clock())
 	t.rejected += float64(rejected)
@@ -75,13 +79,25 @@
 	return true
 }
 
-// Shares returns the share of requests that each endpoint is expected to reject. It is nil while none rejects any.
-func (r *Rejections) Shares() map[keys.Endpoint]float64 {
+// Share returns the share of requests that an endpoint is expected to reject.
+func (r *Rejections) Share(endpoint keys.Endpoint) float64 {
+	if r.known.Load() == 0 {
+		return 0
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.tallies) == 0 {
-		return nil
+	t, ok := r.tallies[endpoint]
+	if !ok {
+		return 0
 	}
+	t.decay(r.clock())
+	return t.share()
+}
+
+// Shares returns the share of requests that each endpoint is expected to reject which has rejected one lately.
+func (r *Rejections) Shares() map[keys.Endpoint]float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	now := r.clock()
 	shares := make(map[keys.Endpoint]float64, len(r.tallies))
 	for endpoint, t := range r.tallies {
@@ -95,7 +111,15 @@
 func (r *Rejections) Forget(endpoint keys.Endpoint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.tallies, endpoint)
+	r.drop(endpoint)
+}
+
+// drop forgets an endpoint, if it is known. The lock is held.
+func (r *Rejections) drop(endpoint keys.Endpoint) {
+	if _, ok := r.tallies[endpoint]; ok {
+		delete(r.tallies, endpoint)
+		r.known.Add(-1)
+	}
 }
 
 // Expire forgets what has lost its weight. It is called about once a second.
@@ -105,7 +129,7 @@
 	now := r.clock()
 	for endpoint, t := range r.tallies {
 		if t.decay(now); t.rejected < leastRejected {
-			delete(r.tallies, endpoint)
+			r.drop(endpoint)
 		}
 	}
 }
--- a/internal/front/pushback/rejections_test.go
+++ b/internal/front/pushback/rejections_test.go
@@ -31,15 +31,17 @@
 			now := time.Unix(1000, 0)
 			r := NewRejections(func() time.Time { return now })
 			c.Check(r.Count(1, 0, 5), qt.IsFalse, qt.Commentf("nothing was rejected"))
-			c.Check(r.Shares(), qt.IsNil)
+			c.Check(r.Shares(), qt.HasLen, 0)
 			c.Check(r.Count(1, test.rejected, test.taken), qt.IsTrue)
 			now = now.Add(test.after)
-			share := r.Shares()[1]
+			share := r.Share(1)
 			c.Check(share >= test.least && share <= test.most, qt.IsTrue, qt.Commentf("%v", share))
+			c.Check(r.Shares()[1], qt.Equals, share)
+			c.Check(r.Share(2), qt.Equals, 0.0)
 			r.Expire()
 			c.Check(len(r.Shares()) == 0, qt.Equals, test.after == time.Minute)
 			r.Forget(1)
-			c.Check(r.Shares(), qt.IsNil)
+			c.Check(r.Shares(), qt.HasLen, 0)
 		})
 	}
 }
@@ -50,12 +52,12 @@
 	now := time.Unix(1000, 0)
 	r := NewRejections(func() time.Time { return now })
 	r.Count(1, 20, 0)
-	c.Check(r.Shares()[1] > 0.9, qt.IsTrue)
+	c.Check(r.Share(1) > 0.9, qt.IsTrue)
 	for range 40 {
 		now = now.Add(100 * time.Millisecond)
 		r.Count(1, 0, 1)
 	}
-	c.Check(r.Shares()[1] < 0.3, qt.IsTrue, qt.Commentf("%v", r.Shares()[1]))
+	c.Check(r.Share(1) < 0.3, qt.IsTrue, qt.Commentf("%v", r.Share(1)))
 }
 
 func TestRejectionsAreBounded(t *testing.T) {
