--- a/internal/front/pushback/pushback.go
+++ b/internal/front/pushback/pushback.go
@@ -1,8 +1,9 @@
 // Package pushback takes in what endpoints of oxbowslip-front say of themselves in their answers: that they leave, that they
 // want no requests for a while, that they have rejected one.
 //
-// It owns the rests that endpoints have asked this host for, and what has to be passed on to peers. It relies on package relay for the answers, on package directory to keep
-// endpoints that leave from new work, and on its owner to reach peers.
+// It owns the rests that endpoints have asked this host for, the shares of requests that they reject at all hosts, and what
+// has to be passed on to peers. It relies on package relay for the answers, on package directory to keep endpoints that leave
+// from new work, and on its owner to reach peers. Package placement asks it before a grant, package owner before a send.
 package pushback
 
 import (
