--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -31,6 +31,8 @@
 type Batch[T any] struct {
 	// Revision is the state of the store that the batch leads to.
 	Revision uint64
+	// Era counts how often the store has come back from an older copy.
+	Era uint64
 	// Changed is the revision of the newest change in the batch, or 0 if it has none.
 	Changed uint64
 	// At is the store's clock when it answered.
@@ -256,6 +258,11 @@
 	if err != nil {
 		return err
 	}
+	if position := f.parts.Position(); batch.Revision < position {
+		f.parts.Log.WithFields(logrus.Fields{
+			"revision": position, "store_revision": batch.Revision, "store_era": batch.Era,
+		}).Warn("the store is behind what is known")
+	}
 	f.parts.Sink.Replace(batch)
 	f.loaded, f.gone = true, false
 	f.answered(sent, batch.Revision, batch.At)
