A revision is the era of the store and its number, so that a restored store is not taken for an older one

What callers saw: requests reached an endpoint 2028 and 2350 ms after the store had acknowledged that it leaves, until its entry went.

Cause: a drill brings the store back from a copy, its versions go back and are given out again. Hosts compared versions of before and after: a table read whole counted as older and was dropped, the read after their version got 410 again (3,800 calls in 3.4 s), and once the store had passed it the feed skipped what lay between, the drain among it.

Change: package era joins both in one integer, so that what is kept, compared and sent stays as it was on the wire. An answer of a new era has the table read again; one of an earlier era or of before what is known counts as a failure. A restored directory keeps who leaves, and treats missing entries as lapsed for 1.5 s. What differs goes to peers as changes; a gap in the log says for whom those are not enough. Ages in an era begin with its own confirmations, whose message hosts that know no eras don't send.

Ruled out: that the drain came late for the calls (they had ended 2.4 s before). Safe: era 0 is the plain number, as before; golden messages are unchanged.

--- a/internal/front/directory/changes.go
+++ b/internal/front/directory/changes.go
@@ -16,11 +16,22 @@
 
 // changeLog holds the newest changes, the oldest first.
 type changeLog struct {
-	// from is the revision after which all changes are here.
+	// from is the revision after which all changes are here, but for those within the gap.
 	from    uint64
+	gap     gap
 	changes []logged
 }
 
+// gap is a span of revisions, after one and before another, between which the store was restored. What differs from before it
+// is logged at its end. A peer within it may have seen changes that were lost, and that the log does not have.
+type gap struct{ after, before uint64 }
+
+// has reports whether a revision is within the gap.
+func (g *gap) has(revision uint64) bool { return revision > g.after && revision < g.before }
+
+// reaches reports whether all changes after a revision are here.
+func (l *changeLog) reaches(revision uint64) bool { return revision >= l.from && !l.gap.has(revision) }
+
 // add adds a change.
 func (l *changeLog) add(c logged) {
 	l.changes = append(l.changes, c)
@@ -28,7 +39,21 @@
 		return
 	}
 	// The changes of one revision go together.
-	l.from = l.changes[0].revision
+	l.forget(l.changes[0].revision)
+}
+
+// restart forgets all changes up to a revision.
+func (l *changeLog) restart(revision uint64) { l.from, l.changes = revision, nil }
+
+// skip notes that the store was restored between two revisions. What is before an earlier gap is forgotten.
+func (l *changeLog) skip(after, to uint64) {
+	l.forget(l.gap.before)
+	l.gap = gap{after: after, before: to}
+}
+
+// forget forgets the changes up to a revision.
+func (l *changeLog) forget(revision uint64) {
+	l.from = max(l.from, revision)
 	first := 0
 	for first < len(l.changes) && l.changes[first].revision <= l.from {
 		first++
@@ -36,9 +61,6 @@
 	l.changes = l.changes[first:]
 }
 
-// restart forgets all changes up to a revision.
-func (l *changeLog) restart(revision uint64) { l.from, l.changes = revision, nil }
-
 // Update is the newest change of an entry.
 type Update struct {
 	Change
@@ -51,7 +73,7 @@
 func (d *Directory) Since(revision uint64) (updates []Update, to uint64, ok bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	if revision < d.log.from {
+	if !d.log.reaches(revision) {
 		return nil, 0, false
 	}
 	newest := make(map[string]int)
--- a/internal/front/directory/directory.go
+++ b/internal/front/directory/directory.go
@@ -14,6 +14,7 @@
 	"slices"
 	"sync"
 
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
@@ -109,6 +110,10 @@
 	if revision <= d.revision {
 		return false
 	}
+	restored := d.isRestore(revision)
+	if restored {
+		d.log.skip(d.revision, revision)
+	}
 	d.revision = revision
 	if len(changes) == 0 {
 		return true
@@ -126,18 +131,23 @@
 			gone = append(gone, id)
 		}
 	}
-	d.remove(gone)
+	d.remove(gone, restored)
 	for _, change := range last {
 		if !change.Gone {
-			d.set(change.Entry)
+			d.set(change.Entry, restored)
 		}
 	}
 	d.index()
 	return true
 }
 
+// isRestore reports whether the store has come back from an older copy between what is known and a revision. The lock is held.
+func (d *Directory) isRestore(revision uint64) bool {
+	return d.revision > 0 && era.Of(revision) > era.Of(d.revision)
+}
+
 // Replace replaces the whole directory. It reports false, and changes nothing, if the snapshot
-// is not newer.
+// is not newer. After a restore of the store, the changes that lead from what was known are kept for peers, too.
 func (d *Directory) Replace(snapshot Snapshot) bool {
 	return d.change(func() bool { return d.replace(snapshot) })
 }
@@ -147,27 +157,53 @@
 	if snapshot.Revision <= d.revision {
 		return false
 	}
+	restored := d.isRestore(snapshot.Revision)
+	set, gone := d.difference(snapshot.Entries)
+	if restored {
+		d.log.skip(d.revision, snapshot.Revision)
+	}
 	d.revision = snapshot.Revision
 	d.changed = max(d.changed, snapshot.Changed)
-	d.log.restart(snapshot.Revision)
-	listed := make(map[string]bool, len(snapshot.Entries))
-	for i := range snapshot.Entries {
-		listed[snapshot.Entries[i].ID] = true
+	switch {
+	case restored:
+		// All hosts that read the table take the same, so that none of their peers fetches it from each.
+		d.changed = max(d.changed, era.First(snapshot.Revision))
+	case len(gone) > 0:
+		// The removal is a change that no entry of the snapshot shows.
+		d.changed = snapshot.Revision
+	}
+	for _, id := range gone {
+		d.logChange(&Change{Entry: Entry{ID: id}, Gone: true})
+	}
+	d.remove(gone, restored)
+	for _, entry := range set {
+		d.logChange(&Change{Entry: entry})
+		d.set(entry, restored)
+	}
+	if !restored {
+		d.log.restart(snapshot.Revision)
+	}
+	d.index()
+	return true
+}
+
+// difference returns the entries of a list that are not known as they are there, and the IDs of those that are known and not
+// listed. Entries that have lapsed count as not known. The lock is held.
+func (d *Directory) difference(entries []Entry) (set []Entry, gone []string) {
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.ID] = true
+		_, lapsed := d.lapsed[entry.ID]
+		if known, ok := d.entries[entry.ID]; !ok || lapsed || known.Endpoint != entry.Endpoint {
+			set = append(set, entry)
+		}
 	}
-	var gone []string
 	for id := range d.entries {
 		if _, lapsed := d.lapsed[id]; !lapsed && !listed[id] {
 			gone = append(gone, id)
-			// The removal is a change that no entry of the snapshot shows.
-			d.changed = snapshot.Revision
 		}
 	}
-	d.remove(gone)
-	for _, entry := range snapshot.Entries {
-		d.set(entry)
-	}
-	d.index()
-	return true
+	return set, gone
 }
 
 // Snapshot returns a copy of the whole directory, without lapsed entries, sorted by ID.
@@ -247,12 +283,16 @@
 	return d.leaving[service]
 }
 
-// set adds or replaces an entry. The lock is held.
-func (d *Directory) set(entry Entry) {
+// set adds or replaces an entry. Restored is set if it may be one of an older copy of the store. The lock is held.
+func (d *Directory) set(entry Entry, restored bool) {
 	delete(d.lapsed, entry.ID)
-	if before, known := d.entries[entry.ID]; known && before.Endpoint.Version != entry.Endpoint.Version {
+	before, known := d.entries[entry.ID]
+	if known && before.Endpoint.Version != entry.Endpoint.Version {
 		d.again = append(d.again, entry.ID)
 	}
+	if restored && known {
+		d.keepLeaving(before, entry.Endpoint.Version)
+	}
 	d.entries[entry.ID] = &entry
 }
 
--- a/internal/front/directory/lapse.go
+++ b/internal/front/directory/lapse.go
@@ -27,9 +27,10 @@
 	return removed >= minLapsed && float64(removed) >= lapsedShare*float64(serving)
 }
 
-// remove removes entries, or keeps them for a while if they have lapsed. The lock is held;
-// the directory's revision is the one at which they went.
-func (d *Directory) remove(ids []string) {
+// remove removes entries, or keeps them for a while if they have lapsed. After a restore of the store all count as lapsed: an
+// older copy lacks entries that will be written again. The lock is held; the directory's revision is the one at which they
+// went.
+func (d *Directory) remove(ids []string, restored bool) {
 	removed := make(map[string]int)
 	for _, id := range ids {
 		if entry, ok := d.entries[id]; ok && !d.isLeaving(entry) {
@@ -42,7 +43,7 @@
 			continue
 		}
 		service := entry.Endpoint.Service
-		if !d.isLeaving(entry) && isLapse(removed[service], len(d.serving[service])) {
+		if !d.isLeaving(entry) && (restored || isLapse(removed[service], len(d.serving[service]))) {
 			d.lapsed[id] = d.revision
 			continue
 		}
--- a/internal/front/directory/leaving.go
+++ b/internal/front/directory/leaving.go
@@ -45,6 +45,14 @@
 	return ok && known == version
 }
 
+// keepLeaving has an endpoint that leaves by its entry go on doing so whatever an older copy of the entry says, until it
+// starts again with another version. The lock is held.
+func (d *Directory) keepLeaving(e *Entry, version string) {
+	if e.Endpoint.State == settings.StateOut && e.Endpoint.Version == version {
+		d.announced.add(e.ID, version)
+	}
+}
+
 // SetLeaving notes that an endpoint has said itself that it leaves, and reports whether that was not known. The version is
 // that of its entry then.
 func (d *Directory) SetLeaving(id, version string) bool {
--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -25,6 +25,8 @@
 	KindPermitReply Kind = 8
 	// KindFailures is what endpoints fail.
 	KindFailures Kind = 9
+	// KindConfirmation is up to when the sender knows everything, in an era of the store after the first.
+	KindConfirmation Kind = 10
 )
 
 // Sender is the host that a message came from.
--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -20,6 +20,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/backoff"
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
@@ -27,12 +28,13 @@
 // ErrHistoryGone is returned by a Source that no longer has the changes since a revision.
 var ErrHistoryGone = merry.Sentinel("the store has dropped these changes")
 
+// errBehind: the store answered as of before what it has answered already, such as a copy that was left behind.
+var errBehind = merry.Sentinel("the store is behind what is known")
+
 // Batch is a part of a table's history, or the whole table.
 type Batch[T any] struct {
 	// Revision is the state of the store that the batch leads to.
 	Revision uint64
-	// Era counts how often the store has come back from an older copy.
-	Era uint64
 	// Changed is the revision of the newest change in the batch, or 0 if it has none.
 	Changed uint64
 	// At is the store's clock when it answered.
@@ -215,7 +217,7 @@
 func (f *Follower[T]) step(ctx context.Context, duty Duty) (changed bool, err error) {
 	position := f.parts.Position()
 	if f.gone || (position == 0 && !f.loaded) {
-		return false, f.load(ctx)
+		return false, f.load(ctx, position)
 	}
 	f.parts.Called(reasonOf(duty))
 	held := heldFor(duty, f.failures)
@@ -226,9 +228,17 @@
 		f.gone = true
 		return false, nil
 	}
+	if err == nil {
+		err = checkAge(position, batch.Revision)
+	}
 	if err != nil {
 		return false, err
 	}
+	if era.Of(batch.Revision) > era.Of(position) {
+		f.parts.Log.WithFields(logrus.Fields{"revision": position, "store_revision": batch.Revision}).Warn("the store came back from an older copy, the table is read again")
+		f.gone = true
+		return false, nil
+	}
 	if batch.Revision > position {
 		f.parts.Sink.Apply(batch)
 	}
@@ -236,6 +246,14 @@
 	return len(batch.Items) > 0, nil
 }
 
+// checkAge returns an error if an answer is of before what was known when its call was sent: what it says of now is not true.
+func checkAge(position, revision uint64) error {
+	if revision >= position {
+		return nil
+	}
+	return merry.Prependf(errBehind, "revision %d in era %d, known is %d in era %d", era.Number(revision), era.Of(revision), era.Number(position), era.Of(position))
+}
+
 // wait waits for the changes after a position, as long as a call may take that the store may hold for a time.
 func (f *Follower[T]) wait(ctx context.Context, position uint64, held time.Duration) (Batch[T], error) {
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(held))
@@ -251,18 +269,17 @@
 	return now
 }
 
-func (f *Follower[T]) load(ctx context.Context) error {
+// load reads the table whole. The position is what is known before.
+func (f *Follower[T]) load(ctx context.Context, position uint64) error {
 	f.parts.Called(counters.StoreLoads)
 	sent := f.begin(0)
 	batch, err := f.parts.Source.Load(ctx)
+	if err == nil {
+		err = checkAge(position, batch.Revision)
+	}
 	if err != nil {
 		return err
 	}
-	if position := f.parts.Position(); batch.Revision < position {
-		f.parts.Log.WithFields(logrus.Fields{
-			"revision": position, "store_revision": batch.Revision, "store_era": batch.Era,
-		}).Warn("the store is behind what is known")
-	}
 	f.parts.Sink.Replace(batch)
 	f.loaded, f.gone = true, false
 	f.answered(sent, batch.Revision, batch.At)
--- a/internal/front/follow/follow_test.go
+++ b/internal/front/follow/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
@@ -99,6 +100,15 @@
 	}
 }
 
+// inEra returns a revision of an era.
+func inEra(number, ver uint64) uint64 {
+	revision, err := era.Revision(number, ver)
+	if err != nil {
+		panic(err) // The tests' numbers are small.
+	}
+	return revision
+}
+
 func batch(revision uint64, items ...string) reading {
 	return reading{batch: Batch[string]{Revision: revision, Items: items}}
 }
@@ -124,6 +134,24 @@
 		"an old answer is left out": {
 			[]reading{batch(3, "a")}, []reading{batch(2, "old"), batch(4, "b")}, []string{"whole a", "change b"},
 		},
+		"an old table is left out": {
+			[]reading{batch(3, "a"), batch(2, "old"), batch(9, "z")}, []reading{{err: ErrHistoryGone}}, []string{"whole a", "whole z"},
+		},
+		"an answer of a new era": {
+			[]reading{batch(9, "a"), batch(inEra(1, 4), "z")},
+			[]reading{batch(inEra(1, 12), "part"), batch(inEra(1, 5), "b")},
+			[]string{"whole a", "whole z", "change b"},
+		},
+		"history is gone in a new era": {
+			[]reading{batch(9, "a"), batch(inEra(1, 4), "z")},
+			[]reading{{err: ErrHistoryGone}, batch(inEra(1, 5), "b")},
+			[]string{"whole a", "whole z", "change b"},
+		},
+		"a copy that was left in an earlier era": {
+			[]reading{batch(inEra(2, 4), "a")},
+			[]reading{batch(inEra(1, 70), "old"), batch(inEra(2, 5), "b")},
+			[]string{"whole a", "change b"},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/front/freshness/freshness.go
+++ b/internal/front/freshness/freshness.go
@@ -13,6 +13,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 )
 
 // Topic is one of the things that a host knows from the store.
@@ -36,7 +38,8 @@
 	return fmt.Sprintf("topic %d", int(t))
 }
 
-// StoreTime is a reading of the store's steady clock: the time since a moment of the store's own.
+// StoreTime is a reading of the store's steady clock: the time since a moment of the store's own. Those of different eras of
+// the store are not compared: another machine may be the store then.
 type StoreTime time.Duration
 
 // Answer is what an answer of the store to a call of this host confirms: what the host has in force
@@ -75,7 +78,9 @@
 	parts   Parts
 	started time.Time
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// era is the newest era of the store that is known, store its clock.
+	era    uint64
 	store  storeClock
 	topics [Topics]topicState
 }
@@ -89,6 +94,9 @@
 	asOf     StoreTime
 	// ahead is the newest confirmation of a peer that has more than this host.
 	ahead Confirmation
+	// staleAge is how old the topic was at staleAt, when a newer era than that of its revision became known.
+	staleAge time.Duration
+	staleAt  time.Time
 }
 
 // New returns a state in which nothing is confirmed.
@@ -102,21 +110,40 @@
 func (s *State) Answered(topic Topic, answer Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.enter(era.Of(answer.Revision))
 	s.store.answered(answer)
 	s.topics[topic].raise(answer.Revision, answer.At)
 }
 
+// enter notes an era of the store. In a newer one than is known, readings of its clock begin anew, and what is known of the
+// topics is of before. The lock is held.
+func (s *State) enter(newest uint64) {
+	if newest <= s.era {
+		return
+	}
+	now := s.parts.Clock()
+	for topic := range Topics {
+		t := &s.topics[topic]
+		t.staleAge, t.staleAt = s.ageOf(t, now), now
+	}
+	s.era, s.store = newest, storeClock{epoch: s.store.epoch}
+}
+
 // Confirmed notes the confirmation of a peer, which arrived just now. What the host lacks of it is confirmed once
 // the host has it.
 func (s *State) Confirmed(topic Topic, c Confirmation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.enter(era.Of(c.Revision))
+	if era.Of(c.Revision) < s.era {
+		return
+	}
 	s.store.sample(c.AsOf, s.parts.Clock())
 	t := &s.topics[topic]
 	switch {
 	case s.parts.Has(topic) >= c.Newest:
 		t.raise(c.Revision, c.AsOf)
-	case c.AsOf > t.ahead.AsOf:
+	case era.Of(c.Revision) > era.Of(t.ahead.Revision) || c.AsOf > t.ahead.AsOf:
 		t.ahead = c
 	}
 }
@@ -133,10 +160,13 @@
 
 // raise notes that this host's knowledge is complete up to a revision, as of a moment.
 func (t *topicState) raise(revision uint64, asOf StoreTime) {
-	t.revision = max(t.revision, revision)
-	if !t.known || asOf > t.asOf {
+	if era.Of(revision) < era.Of(t.revision) {
+		return
+	}
+	if !t.known || era.Of(revision) > era.Of(t.revision) || asOf > t.asOf {
 		t.asOf, t.known = asOf, true
 	}
+	t.revision = max(t.revision, revision)
 }
 
 // Own returns what this host can confirm to others of a topic, or false if it knows of no confirmation.
@@ -163,11 +193,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.settle(topic)
-	t := &s.topics[topic]
-	if !t.known {
+	return s.ageOf(&s.topics[topic], s.parts.Clock())
+}
+
+// ageOf returns the age of a topic at a time. The lock is held.
+func (s *State) ageOf(t *topicState, now time.Time) time.Duration {
+	switch {
+	case !t.known:
 		return Unknown
+	case era.Of(t.revision) < s.era:
+		return t.staleAge + now.Sub(t.staleAt)
 	}
-	return max(time.Duration(s.store.now(s.parts.Clock())-t.asOf), 0)
+	return max(time.Duration(s.store.now(now)-t.asOf), 0)
+}
+
+// Era returns the newest era of the store that is known.
+func (s *State) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 // StoreTime returns the least that the store's clock shows at a time of this host, or false if nothing has said so
--- a/internal/front/freshness/freshness_test.go
+++ b/internal/front/freshness/freshness_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 )
 
 // began is when the tests' hosts start.
@@ -100,6 +102,28 @@
 	h.Confirmed(Settings, Confirmation{Newest: newest, Revision: newest * 10, AsOf: StoreTime(asOf)})
 }
 
+// TestAgesAcrossARestoreOfTheStore has the store come back with a clock of its own, which says less than before.
+func TestAgesAcrossARestoreOfTheStore(t *testing.T) {
+	c := qt.New(t)
+	restored, err := era.Revision(1, 4)
+	c.Assert(err, qt.IsNil)
+	h := newHost(50)
+	for topic := range Topics {
+		h.Answered(topic, Answer{Revision: 50, At: StoreTime(70 * time.Second), Sent: began, Received: began})
+	}
+	h.at(2 * time.Second)
+	h.Answered(Settings, Answer{Revision: restored, At: StoreTime(time.Second), Sent: *h.now, Received: *h.now})
+	h.at(3 * time.Second)
+	c.Check(h.Age(Settings), qt.Equals, time.Second)
+	c.Check(h.Age(Endpoints), qt.Equals, 3*time.Second, qt.Commentf("nothing is confirmed in the new era"))
+	h.Confirmed(Endpoints, Confirmation{Newest: 50, Revision: 60, AsOf: StoreTime(73 * time.Second)})
+	c.Check(h.Age(Endpoints), qt.Equals, 3*time.Second, qt.Commentf("a confirmation of before does not count"))
+	c.Check(h.MustAsk(Endpoints, 0), qt.IsTrue)
+	h.Confirmed(Endpoints, Confirmation{Newest: 50, Revision: restored, AsOf: StoreTime(2 * time.Second)})
+	c.Check(h.Age(Endpoints), qt.Equals, time.Duration(0))
+	c.Check(h.Revision(Endpoints), qt.Equals, restored)
+}
+
 func TestConfirmationsOfPeers(t *testing.T) {
 	tests := map[string]struct {
 		play     func(h *host)
--- a/internal/front/gossip/confirm.go
+++ b/internal/front/gossip/confirm.go
@@ -1,9 +1,14 @@
 package gossip
 
 import (
+	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/envelope"
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
@@ -43,14 +48,41 @@
 	members := g.addresses()
 	leaving := g.leaving
 	g.mu.Unlock()
-	if !leaving && len(topics) > 0 {
+	switch {
+	case leaving || len(topics) == 0:
+	case isRestored(topics):
+		g.sendEnvelope(envelope.KindConfirmation, topics, members)
+	default:
 		g.sendDatagram(counters.PeerHeartbeats, &Confirmation{Incarnation: g.incarnation, Topics: topics}, members)
 	}
 }
 
-// confirmed handles a confirmation. One of an unknown sender is left out: its next counts, once it has
-// announced itself.
+// isRestored reports whether a confirmation is of an era of the store after the first. Hosts that know no eras take revisions of
+// one from their peers, and then confirm what they have not read: theirs are told apart by the kind of message.
+func isRestored(topics []TopicConfirmation) bool {
+	return slices.ContainsFunc(topics, func(t TopicConfirmation) bool { return era.Of(t.Revision) > 0 })
+}
+
+// confirmed handles a confirmation of the first era.
 func (g *Gossip) confirmed(c *Confirmation) {
+	if !isRestored(c.Topics) {
+		g.useConfirmation(c)
+	}
+}
+
+// confirmedInEra handles a confirmation of a later era.
+func (g *Gossip) confirmedInEra(from envelope.Sender, body []byte) {
+	c := Confirmation{Incarnation: from.Incarnation}
+	if err := cbor.Unmarshal(body, &c.Topics); err != nil {
+		g.parts.Log.WithError(err).WithField("peer", from.Host).Warn("a confirmation can't be read")
+		return
+	}
+	g.useConfirmation(&c)
+}
+
+// useConfirmation hands a confirmation to the host. One of an unknown sender is left out: its next counts, once it has
+// announced itself.
+func (g *Gossip) useConfirmation(c *Confirmation) {
 	g.mu.Lock()
 	member, known := g.members.Confirmed(c)
 	g.mu.Unlock()
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -163,6 +163,7 @@
 		members: NewMembers(parts.Config.Name, parts.Config.Zone), handlers: make(map[envelope.Kind]envelope.Handler), joined: func(envelope.Sender) {},
 	}
 	g.members.address = g.address
+	g.Handle(envelope.KindConfirmation, g.confirmedInEra)
 	g.Contact(parts.Config.FirstPeers)
 	return g
 }
--- a/internal/front/gossip/gossip_test.go
+++ b/internal/front/gossip/gossip_test.go
@@ -12,9 +12,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/envelope"
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
@@ -446,6 +449,23 @@
 	c.Check(member.Directory, qt.Equals, uint64(4), qt.Commentf("a late one takes nothing back"))
 }
 
+// TestConfirmationsOfHostsThatKnowNoEras: such a host takes a revision of a later era from a peer and confirms what it has not read.
+func TestConfirmationsOfHostsThatKnowNoEras(t *testing.T) {
+	c := qt.New(t)
+	restored, err := era.Revision(1, 4)
+	c.Assert(err, qt.IsNil)
+	host := &node{has: SyncRequest{Settings: 3, Directory: 3}}
+	g := New(Parts{Config: Config{Name: "a"}, Host: host, Clock: time.Now, Random: func() float64 { return 0.5 }})
+	g.members.Received(time.Now(), &Heartbeat{Incarnation: 1, Sequence: 1, Announcement: announcement("b", 1)})
+	topics := []TopicConfirmation{{Newest: 3, Revision: restored}, {Newest: 3, Revision: 5}}
+	g.confirmed(&Confirmation{Incarnation: 1, Topics: topics})
+	c.Check(host.confirmed, qt.HasLen, 0)
+	body, err := cbor.Marshal(topics)
+	c.Assert(err, qt.IsNil)
+	g.opened(&Envelope{Incarnation: 1, Kind: envelope.KindConfirmation, Body: body})
+	c.Check(host.confirmed, qt.DeepEquals, topics)
+}
+
 // TestARevisionDoesNotWaitForItsTurn is the sweep at 300 hosts: heartbeats came 2.4 s apart,
 // and a change of the configuration was in force after 5 s (CONFIG, DENIED).
 func TestARevisionDoesNotWaitForItsTurn(t *testing.T) {
