A lease of an earlier era of the store holds off takers for its whole time, and tokens rise across eras

What the provider saw: a fencing token of 6 after one of 406, and two hosts acting in turns, once the store had come back without the lease's row or with an older one.

A host took a row that is not there for a lease that nobody holds, an older row for the newest, and made the token from the store's number.

Change: a record says in which era it was written; one of an earlier era says nothing, and neither does a missing row after a restore: nobody takes the lease until Duration and Margin after it was first seen. Tokens are made from revisions, of which the era is the upper part. A write with a version of an earlier era that is done by accident gives no lease.

Evidence: TestModel now has a store that comes back from older copies with a clock that says less, and late writes that are answered. Four new mutants are found: versions compared without eras, a row of an earlier era believed, a lost row not waited for, tokens without the era.

Safe: stored records gain a field that older hosts ignore; without eras nothing changes. Price: after a restore nobody leads for 3.1 s (lease of 3 s).

--- a/internal/front/lease/lease.go
+++ b/internal/front/lease/lease.go
@@ -15,12 +15,17 @@
 //   - Tokens rise from holder to holder, and no two holders have the same.
 //   - A host that held the lease takes it from another one only once Duration has passed since its own end,
 //     so that no two hosts act in turns within that time.
+//
+// The store may come back from an older copy, in a new era (package era). It may have lost the row then, or have an older one,
+// and its clock may be another. So what a row of an earlier era says does not count, and nobody takes the lease until a lease
+// that was given in that era has ended.
 package lease
 
 import (
 	"slices"
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
@@ -40,7 +45,7 @@
 
 // Row is the row of the lease in the store.
 type Row struct {
-	// Version is the store's revision at which the row was written; 0 means that there is none.
+	// Version is the store's revision (package era) at which the row was written; 0 means that there is none.
 	Version uint64
 	// Record is nil if the row can't be read: it was not written by a host.
 	Record *Record
@@ -55,6 +60,8 @@
 	Sequence uint64 `json:"sequence"`
 	// Token is the fencing token of the holder.
 	Token uint64 `json:"token"`
+	// Era is the era of the store in which the record was written.
+	Era uint64 `json:"era,omitzero"`
 	// Until is when the lease ends, by the store's clock in ns, or ended if it was given up. Duration is how
 	// long it lasts by the holder's settings, which may differ from this host's.
 	Until    freshness.StoreTime `json:"until"`
@@ -134,14 +141,24 @@
 	if a.Revision < l.last.Revision {
 		return
 	}
-	l.last = a
-	if a.Row.Version != l.row.Version {
+	if a.Row.Version != l.row.Version || era.Of(a.Revision) != era.Of(l.last.Revision) {
 		l.seenAt = a.Received
 	}
-	l.row = a.Row
-	l.grant = l.grantOf(a.Row.Record)
+	l.last, l.row = a, a.Row
+	l.grant = l.grantOf(l.record())
+}
+
+// record returns what the row says, or nil if it can't be read or was written in an earlier era.
+func (l *Lease) record() *Record {
+	if r := l.row.Record; r != nil && r.Era == era.Of(l.last.Revision) {
+		return r
+	}
+	return nil
 }
 
+// isFree reports whether nobody has ever held the lease: there is no row, and the store can't have lost it.
+func (l *Lease) isFree() bool { return l.row.Version == 0 && era.Of(l.last.Revision) == 0 }
+
 // grantOf returns what this host holds by a record, or nil.
 func (l *Lease) grantOf(r *Record) *grant {
 	if r == nil || r.Holder != l.host || r.Start != l.start {
@@ -188,13 +205,13 @@
 // Wait returns how long this host has to wait before it may take the lease, judged by the row as it was last
 // seen; 0 means that it may now.
 func (l *Lease) Wait(now time.Time) time.Duration {
-	if l.row.Version == 0 {
+	if l.isFree() {
 		return 0
 	}
 	// Whatever the row says, the lease of a holder that has not renewed it ends by then.
 	longest := l.seenAt.Add(l.longestDuration() + Margin).Sub(now)
 	wait := longest
-	if r := l.row.Record; r != nil {
+	if r := l.record(); r != nil {
 		wait = l.leftUntil(r.Until, now) + Margin
 		for _, former := range r.Former {
 			if former.Host == l.host || former.Host == "" {
@@ -228,16 +245,16 @@
 // Take returns the write that takes the lease. The row must have been seen, and Wait must be over.
 func (l *Lease) Take(now time.Time) Write {
 	record := Record{Token: l.last.Revision + 1}
-	before := l.row.Record
+	record.Memo = l.Memo()
+	before := l.record()
 	switch {
 	case before != nil:
 		record.Token = max(record.Token, before.Token+1)
-		record.Memo = before.Memo
 		record.Former = l.formerHosts(now)
 		if before.Holder != "" && before.Holder != l.host {
 			record.Former = append(record.Former, Former{Host: before.Holder, Until: before.Until})
 		}
-	case l.row.Version != 0:
+	case !l.isFree():
 		record.Former = []Former{{Until: l.latest(now)}}
 	}
 	return l.write(now, record)
@@ -271,7 +288,7 @@
 // numbered returns a write with the next number.
 func (l *Lease) numbered(record Record) Write {
 	l.sequence++
-	record.Start, record.Sequence = l.start, l.sequence
+	record.Start, record.Sequence, record.Era = l.start, l.sequence, era.Of(l.last.Revision)
 	return Write{Expected: l.row.Version, Record: record}
 }
 
--- a/internal/front/lease/model_test.go
+++ b/internal/front/lease/model_test.go
@@ -11,11 +11,12 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
-// The model: some hosts, each with a clock of its own speed, a store whose answers are late or lost and whose
-// writes are lost or done late, another writer that spoils the row, and calls of the holders that arrive at the
+// The model: some hosts, each with a clock of its own speed, a store whose answers are late or lost, whose
+// writes are lost or done late, and which comes back from older copies with another clock, another writer that spoils the row, and calls of the holders that arrive at the
 // provider. Hosts freeze by not being chosen while time passes. All orders of events are played to a depth, and
 // random ones far deeper. What must hold is checked from what the provider receives.
 
@@ -45,6 +46,10 @@
 	forgetsFormer     mutant = "former holders are not remembered"
 	believesOldWrites mutant = "a host that gave the lease up counts its earlier writes"
 	standsStill       mutant = "the clock of a host stands still while it is suspended"
+	knowsNoEras       mutant = "versions of different eras are compared"
+	believesOldRows   mutant = "a row of an earlier era counts"
+	takesLostRows     mutant = "nobody waits for a lease whose row was lost"
+	tokensGoBack      mutant = "tokens are numbers without the era"
 )
 
 // arrival is a call that reaches the provider.
@@ -54,12 +59,23 @@
 	token uint64
 }
 
-// writing is a write that the store may still do.
+// writing is a write that the store may still do, of a start of a host.
 type writing struct {
 	host  int
+	start int64
+	sent  time.Time
 	write Write
 }
 
+// table is what the store has. The version of its row is a number in the era.
+type table struct {
+	revision uint64
+	row      Row
+}
+
+// keptCopies is how many states of the store it may come back from.
+const keptCopies = 3
+
 // modelHost is one host.
 type modelHost struct {
 	lease *Lease
@@ -76,18 +92,21 @@
 
 // model is the state of everything.
 type model struct {
-	mutant   mutant
-	now      time.Duration
-	revision uint64
-	row      Row
-	hosts    []*modelHost
+	mutant mutant
+	now    time.Duration
+	table
+	// copies are the states before, the newest last. The store's clock says shift more than the time.
+	copies []table
+	era    uint64
+	shift  time.Duration
+	hosts  []*modelHost
 	late     []writing
 	arrivals []arrival
 	trace    []string
 }
 
 func newModel(m mutant, hosts int) *model {
-	all := &model{mutant: m, revision: 7}
+	all := &model{mutant: m, table: table{revision: 7}}
 	rates := []float64{1, 1.0005, 0.9995}
 	for i := range hosts {
 		h := &modelHost{name: string(rune('A' + i)), rate: rates[i]}
@@ -109,18 +128,52 @@
 }
 
 // answer returns the store's answer to a call that was sent at a time and arrives now.
-func (w *model) answer(h *modelHost, sent time.Time, at time.Duration, row Row, revision uint64) Answer {
-	return Answer{Sent: sent, Received: w.local(h), At: freshness.StoreTime(at) + 1e9, Revision: revision, Row: row}
+func (w *model) answer(h *modelHost, sent time.Time, at time.Duration, t table) Answer {
+	answer := Answer{Sent: sent, Received: w.local(h), At: freshness.StoreTime(at+w.shift) + 1e9, Revision: w.inEra(t.revision), Row: t.row}
+	if t.row.Version > 0 {
+		answer.Row.Version = w.inEra(t.row.Version)
+	}
+	if w.mutant == believesOldRows && t.row.Record != nil {
+		record := *t.row.Record
+		record.Era = w.era
+		answer.Row.Record = &record
+	}
+	return answer
+}
+
+// inEra returns the revision of a number now.
+func (w *model) inEra(number uint64) uint64 {
+	if w.mutant == knowsNoEras {
+		return number
+	}
+	revision, err := era.Revision(w.era, number)
+	if err != nil {
+		panic(err) // The model's numbers are small.
+	}
+	return revision
+}
+
+// change has the store write the row.
+func (w *model) change(record *Record) {
+	w.copies = append(slices.Clone(w.copies[max(len(w.copies)-keptCopies+1, 0):]), w.table)
+	w.revision++
+	w.row = Row{Version: w.revision, Record: record}
+}
+
+// restore has the store come back from a copy, with a clock that says less.
+func (w *model) restore(i int) {
+	w.table, w.copies = w.copies[i], slices.Clone(w.copies[:i])
+	w.era++
+	w.shift -= 2 * leaseTime
 }
 
 // do has the store do a write, and reports whether its condition held.
 func (w *model) do(write *Write) bool {
-	if w.row.Version != write.Expected {
+	if w.row.Version != era.Number(write.Expected) {
 		return false
 	}
 	record := write.Record
-	w.revision++
-	w.row = Row{Version: w.revision, Record: &record}
+	w.change(&record)
 	return true
 }
 
@@ -155,17 +208,14 @@
 	events := []event{
 		{"time: a third of a lease", 6, func() { w.now += leaseTime / 3 }},
 		{"time: a lease", 1, func() { w.now += leaseTime + 2*Margin }},
-		{"another writer spoils the row", 1, func() {
-			w.revision++
-			w.row = Row{Version: w.revision}
-		}},
+		{"another writer spoils the row", 1, func() { w.change(nil) }},
+	}
+	for i := range w.copies {
+		events = append(events, event{fmt.Sprintf("the store comes back from copy %d", i), 1, func() { w.restore(i) }})
 	}
 	for i := range w.late {
-		events = append(events, event{"a late write of " + w.hosts[w.late[i].host].name, 4, func() {
-			late := w.late[i]
-			w.late = slices.Delete(slices.Clone(w.late), i, i+1)
-			w.do(&late.write)
-		}})
+		name := "a late write of " + w.hosts[w.late[i].host].name
+		events = append(events, event{name, 3, func() { w.doLate(i) }}, event{name + ", answered", 2, func() { w.answerLate(i) }})
 	}
 	for i := range w.hosts {
 		events = append(events, w.eventsOf(i)...)
@@ -173,6 +223,21 @@
 	return events
 }
 
+// doLate does a late write, and reports whether its condition held.
+func (w *model) doLate(i int) (late writing, done bool) {
+	late = w.late[i]
+	w.late = slices.Delete(slices.Clone(w.late), i, i+1)
+	return late, w.do(&late.write)
+}
+
+// answerLate does a late write and answers it, if its host has not started again.
+func (w *model) answerLate(i int) {
+	late, done := w.doLate(i)
+	if h := w.hosts[late.host]; h.start == late.start {
+		w.answered(h, &late.write, done, w.answer(h, late.sent, w.now, w.table))
+	}
+}
+
 // eventsOf returns what a host may do now.
 func (w *model) eventsOf(i int) []event {
 	h := w.hosts[i]
@@ -184,7 +249,8 @@
 		{h.name + " starts again", 1, func() { w.restart(h) }},
 		{h.name + " is suspended", 2, func() { w.suspend(h) }},
 	}
-	if !holds && h.seen && (h.lease.Wait(now) == 0 || w.mutant == doesNotWait) {
+	mayTake := h.lease.Wait(now) == 0 || w.mutant == doesNotWait || (w.mutant == takesLostRows && h.lease.row.Version == 0)
+	if !holds && h.seen && mayTake {
 		for f := range fates {
 			events = append(events, event{fmt.Sprintf("%s takes the lease (%d)", h.name, f), weights[f], func() { w.write(i, w.take(h), f) }})
 		}
@@ -210,11 +276,11 @@
 }
 
 func (w *model) read(h *modelHost, f fate) {
-	sent, at, row, revision := w.local(h), w.now, w.row, w.revision
+	sent, at := w.local(h), w.now
 	if f == slow {
 		w.now += leaseTime / 3
 	}
-	h.lease.Saw(w.answer(h, sent, at, row, revision))
+	h.lease.Saw(w.answer(h, sent, at, w.table))
 	h.seen = true
 }
 
@@ -224,6 +290,9 @@
 		h.memory++
 		write.Record.Token = h.memory
 	}
+	if w.mutant == tokensGoBack {
+		write.Record.Token = era.Number(write.Record.Token)
+	}
 	if w.mutant == forgetsFormer {
 		write.Record.Former = nil
 	}
@@ -260,20 +329,23 @@
 	case lost:
 		return
 	case doneLate:
-		w.late = append(slices.Clone(w.late), writing{host: i, write: write})
+		w.late = append(slices.Clone(w.late), writing{host: i, start: h.start, sent: sent, write: write})
 		return
 	}
 	done := w.do(&write)
-	row, revision := w.row, w.revision
 	if f == unanswered {
 		return
 	}
 	if f == slow {
 		w.now += leaseTime / 3
 	}
-	answer := w.answer(h, sent, at, row, revision)
+	w.answered(h, &write, done, w.answer(h, sent, at, w.table))
+}
+
+// answered hands the answer to a write to its host.
+func (w *model) answered(h *modelHost, write *Write, done bool, answer Answer) {
 	if done {
-		h.lease.Written(&write, answer)
+		h.lease.Written(write, answer)
 	} else {
 		h.lease.Saw(answer)
 	}
@@ -338,7 +410,10 @@
 
 // signature returns the same text for states from which the same can follow.
 func (w *model) signature() string {
-	text := fmt.Sprint(w.row.Version, w.revision, recordText(w.row.Record), w.now)
+	text := fmt.Sprint(w.row.Version, w.revision, recordText(w.row.Record), w.now, w.era, w.shift)
+	for _, c := range w.copies {
+		text += fmt.Sprint("|copy", c.row.Version, c.revision, recordText(c.row.Record))
+	}
 	for _, h := range w.hosts {
 		l := h.lease
 		text += fmt.Sprint("|", h.start, h.seen, l.sequence, l.sentAt, l.row.Version, recordText(l.row.Record), l.seenAt.UnixNano(), l.last.At, l.last.Revision)
@@ -347,7 +422,7 @@
 		}
 	}
 	for _, late := range w.late {
-		text += fmt.Sprint("|late", late.host, late.write.Expected, recordText(&late.write.Record))
+		text += fmt.Sprint("|late", late.host, late.start, late.sent.UnixNano(), late.write.Expected, recordText(&late.write.Record))
 	}
 	return text + fmt.Sprint(w.arrivals)
 }
@@ -439,7 +514,7 @@
 
 // TestModelFindsMutants shows that the model finds each fault that the rules are there for.
 func TestModelFindsMutants(t *testing.T) {
-	for _, m := range []mutant{countsFromAnswer, doesNotWait, tokenFromMemory, doesNotLook, forgetsFormer, believesOldWrites, standsStill} {
+	for _, m := range []mutant{countsFromAnswer, doesNotWait, tokenFromMemory, doesNotLook, forgetsFormer, believesOldWrites, standsStill, knowsNoEras, believesOldRows, takesLostRows, tokensGoBack} {
 		t.Run(string(m), func(t *testing.T) {
 			found := walks(m, mutantWalks)
 			qt.Check(t, found, qt.Not(qt.Equals), "")
