A window that was reported is not reported with other counts though the store has lost its record

Cause: what leaders had reported stood in the store alone. The record of a window, and how far all was reported, went back with the copy.

The first leader of an era asks all hosts, sends just those reports for their windows, and leaves out windows that ended before any host that answers was there. The memo says in which era that was done.

Evidence: three cases of TestReports fail without it (lost report without an answer, a new leader that has just started, all hosts killed).

Safe: two new kinds of messages, which older hosts drop; stored data gains one field. Not safe: all hosts that had a report are gone but one that was cut off from its leader (open).

--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -27,6 +27,9 @@
 	KindFailures Kind = 9
 	// KindConfirmation is up to when the sender knows everything, in an era of the store after the first.
 	KindConfirmation Kind = 10
+	// KindFixedReports is reports of usage that must not change, KindAskFixed asks a host for those that it knows.
+	KindFixedReports Kind = 11
+	KindAskFixed     Kind = 12
 )
 
 // Sender is the host that a message came from.
--- a/internal/front/leading.go
+++ b/internal/front/leading.go
@@ -85,6 +85,8 @@
 		parts.Tasks = append(parts.Tasks, l.reporter)
 		parts.Announced = l.reporter.Announced
 		p.Gossip.Handle(envelope.KindUsage, l.reporter.Received)
+		p.Gossip.Handle(envelope.KindFixedReports, l.reporter.ReceivedFixed)
+		p.Gossip.Handle(envelope.KindAskFixed, l.reporter.ReceivedAsk)
 	}
 	if provider.Has(hostconfig.TaskAutoscale) {
 		inventory := capacity.NewInventory(p.Directory.IsLeaving)
--- a/internal/front/lease/lease.go
+++ b/internal/front/lease/lease.go
@@ -85,6 +85,8 @@
 	Reported uint64 `json:"reported,omitzero"`
 	// TrueTime is the true time at the zero of the store's clock, in ns since 1970.
 	TrueTime int64 `json:"true_time,omitzero"`
+	// Era is the era of the store in which a holder last made sure of what was reported.
+	Era uint64 `json:"era,omitzero"`
 	// Failing counts the holders in a row that got no answer from the provider.
 	Failing int `json:"failing,omitzero"`
 }
--- a/internal/front/lease/model_test.go
+++ b/internal/front/lease/model_test.go
@@ -96,10 +96,10 @@
 	now    time.Duration
 	table
 	// copies are the states before, the newest last. The store's clock says shift more than the time.
-	copies []table
-	era    uint64
-	shift  time.Duration
-	hosts  []*modelHost
+	copies   []table
+	era      uint64
+	shift    time.Duration
+	hosts    []*modelHost
 	late     []writing
 	arrivals []arrival
 	trace    []string
--- a/internal/front/reporter/lead.go
+++ b/internal/front/reporter/lead.go
@@ -13,6 +13,7 @@
 	"github.com/go-json-experiment/json"
 	"github.com/sirupsen/logrus"
 
+	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/leader"
 	"oxbowslip.dev/oxbowslip/internal/front/lease"
 	"oxbowslip.dev/oxbowslip/internal/front/usage"
@@ -58,6 +59,9 @@
 			return
 		}
 	}
+	if !r.recover(ctx, m) {
+		return
+	}
 	since := r.parts.Clock()
 	for lifetime.Sleep(ctx, reportInterval) {
 		r.collect(m, since)
@@ -85,8 +89,9 @@
 	clear(r.inStore)
 	r.stored = nil
 	oldest := r.parts.Usage.Window(now) - keptReports
-	r.reported = max(usage.Window(m.Memo().Reported), oldest)
-	if m.Memo().Reported == 0 {
+	reported := max(usage.Window(m.Memo().Reported), r.known.reported)
+	r.reported = max(reported, oldest)
+	if reported == 0 {
 		// A fleet that has just started reports the window in which it did.
 		r.reported = r.parts.Usage.Window(now) - 1
 	}
@@ -107,6 +112,7 @@
 			return merry.Wrap(err)
 		}
 		r.fixed[window], r.inStore[window] = counts, true
+		r.known.add(window, counts)
 		return nil
 	}
 	if record.Key != keyCheckpoint {
@@ -223,8 +229,9 @@
 	if !fixed {
 		counts = r.ledger.Sum(w)
 	}
+	inStore := r.inStore[w]
 	r.mu.Unlock()
-	if !fixed {
+	if !inStore {
 		if err := r.fix(ctx, m, w, counts); err != nil {
 			return err
 		}
@@ -237,7 +244,7 @@
 	return nil
 }
 
-// fix stores the report of a window before it is sent for the first time.
+// fix stores the report of a window before it is sent for the first time, and lets all hosts know it.
 func (r *Reporter) fix(ctx context.Context, m mandate, w usage.Window, counts usage.Counts) error {
 	value, err := json.Marshal(counts, json.Deterministic(true))
 	if err != nil {
@@ -255,11 +262,13 @@
 		return err
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.fixed[w], r.inStore[w] = counts, true
 	for _, removed := range records[1:] {
 		delete(r.inStore, windowOf(removed.Key))
 	}
+	r.known.add(w, counts)
+	r.mu.Unlock()
+	r.parts.Peers.Broadcast(envelope.KindFixedReports, fixedReports{Windows: usage.Windows{w: counts}})
 	return nil
 }
 
@@ -268,11 +277,7 @@
 	now := r.parts.Clock()
 	r.mu.Lock()
 	r.settled[w] = true
-	for r.settled[r.reported+1] {
-		r.reported++
-		delete(r.settled, r.reported)
-		delete(r.fixed, r.reported)
-	}
+	r.raiseReported()
 	reported, hosts := r.reported, len(r.ledger.Shares())
 	r.mu.Unlock()
 	r.parts.Meter.Drop(reported)
--- a/internal/front/reporter/reporter.go
+++ b/internal/front/reporter/reporter.go
@@ -42,6 +42,8 @@
 	// Senders returns the live hosts, this one first.
 	Senders() []envelope.Sender
 	SendTo(host string, kind envelope.Kind, message any)
+	// Broadcast sends a message to all other hosts. It may be lost.
+	Broadcast(kind envelope.Kind, message any)
 }
 
 // Parts are what a Reporter works with.
@@ -62,7 +64,8 @@
 
 // Reporter is a host's part in the reports. It is safe for concurrent use.
 type Reporter struct {
-	parts Parts
+	parts   Parts
+	started time.Time
 
 	mu     sync.Mutex
 	ledger *usage.Ledger
@@ -76,12 +79,14 @@
 	inStore map[usage.Window]bool
 	// stored is the checkpoint that was written last.
 	stored []byte
+	// known is what this host knows of reports, also while it does not lead.
+	known known
 }
 
 // New returns a reporter that knows no counts.
 func New(parts Parts) *Reporter {
 	return &Reporter{
-		parts: parts, ledger: usage.NewLedger(), zeros: make(map[usage.Source]usage.Zero),
+		parts: parts, started: parts.Clock(), known: known{windows: make(usage.Windows)}, ledger: usage.NewLedger(), zeros: make(map[usage.Source]usage.Zero),
 		settled: make(map[usage.Window]bool), fixed: make(map[usage.Window]usage.Counts), inStore: make(map[usage.Window]bool),
 	}
 }
@@ -148,5 +153,8 @@
 	}
 	if a.Reported != 0 {
 		r.parts.Meter.Drop(usage.Window(a.Reported))
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.known.reported = max(r.known.reported, usage.Window(a.Reported))
 	}
 }
--- a/internal/front/reporter/reporter_test.go
+++ b/internal/front/reporter/reporter_test.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/leader"
 	"oxbowslip.dev/oxbowslip/internal/front/lease"
@@ -42,7 +43,9 @@
 	fails []error
 	// lost are the answers of the provider that are lost.
 	lost int
-	log  *logrus.Entry
+	// era is that of the store.
+	era uint64
+	log *logrus.Entry
 }
 
 // report is one that the provider received.
@@ -160,7 +163,7 @@
 	return senders
 }
 
-func (h *host) SendTo(to string, _ envelope.Kind, message any) {
+func (h *host) SendTo(to string, kind envelope.Kind, message any) {
 	h.network.mu.Lock()
 	receiver := h.network.hosts[to]
 	h.network.mu.Unlock()
@@ -168,14 +171,47 @@
 	if err != nil {
 		panic(err)
 	}
-	if receiver != nil && !h.silent {
-		receiver.Received(envelope.Sender{Host: h.name, Incarnation: 1}, body)
+	if receiver == nil || h.silent {
+		return
 	}
+	handle := map[envelope.Kind]envelope.Handler{
+		envelope.KindUsage: receiver.Received, envelope.KindFixedReports: receiver.ReceivedFixed, envelope.KindAskFixed: receiver.ReceivedAsk,
+	}[kind]
+	handle(envelope.Sender{Host: h.name, Incarnation: 1}, body)
 }
 
 // The mandate of a host that leads.
 
-func (h *host) Fence() (uint64, time.Duration, bool) { return 1, time.Second, true }
+// Broadcast reaches all hosts, whose handlers run at once.
+func (h *host) Broadcast(kind envelope.Kind, message any) {
+	for _, to := range h.Senders()[1:] {
+		h.SendTo(to.Host, kind, message)
+	}
+}
+
+func (h *host) Fence() (uint64, time.Duration, bool) {
+	token, err := era.Revision(h.network.era, 1)
+	return token, time.Second, err == nil
+}
+
+// lostWindows is how many windows the store loses when it is restored.
+const lostWindows = 3
+
+// restore has the store lose the records, and come back with an older memo.
+func (n *network) restore() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.records)
+	n.memo.Reported = uint64(n.hosts[slices.Min(slices.Collect(maps.Keys(n.hosts)))].clock.Window(time.Now())) - lostWindows
+	n.era++
+}
+
+// awaitReports waits until the provider has received a number of reports.
+func (n *network) awaitReports(number int) {
+	for n.reports() < number {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
 
 func (h *host) Keep(_ context.Context, records ...leader.Record) error {
 	time.Sleep(5 * time.Millisecond)
@@ -342,13 +378,52 @@
 			n.lead("a")
 			n.hosts["a"].count("x", 3)
 			n.lost = 1
-			for n.reports() == 0 {
-				time.Sleep(100 * time.Millisecond)
-			}
+			n.awaitReports(1)
+			n.kill("a")
+			n.lead("b")
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 3}},
+		"the store loses a report of which no answer came, another leads": {func(n *network) {
+			n.lead("a")
+			n.hosts["a"].count("x", 3)
+			n.lost = 1
+			n.awaitReports(1)
 			n.kill("a")
+			n.restore()
 			n.lead("b")
 			time.Sleep(3 * window)
 		}, usage.Counts{"x": 3}},
+		"the store loses reports, and who leads next has just started": {func(n *network) {
+			n.lead("a")
+			n.hosts["a"].count("x", 3)
+			n.awaitReports(2)
+			n.kill("a")
+			n.restore()
+			zero := usage.Zero(n.memo.TrueTime)
+			n.add("d").clock.Agree(zero)
+			n.lead("d")
+			n.hosts["b"].count("x", 2)
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 5}},
+		"the store loses reports, and all hosts were killed": {func(n *network) {
+			h := n.lead("a")
+			n.hosts["a"].count("x", 2)
+			h.renew()
+			counts := n.records[keyCheckpoint]
+			n.hosts["a"].count("x", 1)
+			n.awaitReports(1)
+			n.add("d").clock.Agree(usage.Zero(n.memo.TrueTime))
+			for _, name := range []string{"a", "b", "c"} {
+				n.kill(name)
+			}
+			n.restore()
+			n.records[keyCheckpoint] = counts
+			time.Sleep(joinTime)
+			n.lead("d")
+			time.Sleep(window)
+			n.hosts["d"].count("y", 1)
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 3, "y": 1}},
 		"the provider refuses for a while": {func(n *network) {
 			n.lead("a")
 			n.fails = []error{merry.Wrap(ErrRefused), merry.Wrap(ErrRefused), merry.New("no answer")}
--- a/internal/front/reporter/rules.go
+++ b/internal/front/reporter/rules.go
@@ -13,6 +13,10 @@
 	// offerTime is how long a leader waits for the offers of all hosts before it agrees on the true time without the
 	// rest: three messages of a host.
 	offerTime = 1500 * time.Millisecond
+	// askTime is how long the first leader of an era waits for the reports that hosts know.
+	askTime = 500 * time.Millisecond
+	// joinTime is how long after its start a host may not get all that leaders send: they do not know it yet.
+	joinTime = time.Second
 	// reportInterval is the time between two looks for windows to report.
 	reportInterval = 100 * time.Millisecond
 	// retryInterval is the wait after a call that failed.
--- a/internal/front/usage/usage.go
+++ b/internal/front/usage/usage.go
@@ -25,6 +25,13 @@
 // Windows are counts by window.
 type Windows map[Window]Counts
 
+// Clone returns a copy.
+func (w Windows) Clone() Windows {
+	windows := make(Windows, len(w))
+	windows.raise(w)
+	return windows
+}
+
 // raise merges counts of the same host.
 func (w Windows) raise(other Windows) {
 	for window, counts := range other {
@@ -86,9 +93,7 @@
 func (m *Meter) Windows() Windows {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	windows := make(Windows, len(m.windows))
-	windows.raise(m.windows)
-	return windows
+	return m.windows.Clone()
 }
 
 // Source is one start of a host.
