A leader shares a report before each send, also one that a former leader has fixed

Suspected cause: a leader stored a report and ended before it shared it, or its answer was lost; the next one found it in the store, sent it and shared nothing; the store lost it.

Evidence: the case of TestReports fails where reports are shared only when they are stored.

--- a/internal/front/reporter/lead.go
+++ b/internal/front/reporter/lead.go
@@ -236,6 +236,7 @@
 			return err
 		}
 	}
+	r.shareFixed(w, counts)
 	if err := r.parts.Provider.ReportUsage(ctx, m.Fence, w, counts); err != nil {
 		return err
 	}
@@ -244,7 +245,16 @@
 	return nil
 }
 
-// fix stores the report of a window before it is sent for the first time, and lets all hosts know it.
+// shareFixed lets all hosts know a report that is about to be sent, also one that a former leader has fixed: that one may have
+// ended before it could.
+func (r *Reporter) shareFixed(w usage.Window, counts usage.Counts) {
+	r.mu.Lock()
+	r.known.add(w, counts)
+	r.mu.Unlock()
+	r.parts.Peers.Broadcast(envelope.KindFixedReports, fixedReports{Windows: usage.Windows{w: counts}})
+}
+
+// fix stores the report of a window before it is sent for the first time.
 func (r *Reporter) fix(ctx context.Context, m mandate, w usage.Window, counts usage.Counts) error {
 	value, err := json.Marshal(counts, json.Deterministic(true))
 	if err != nil {
@@ -266,9 +276,7 @@
 	for _, removed := range records[1:] {
 		delete(r.inStore, windowOf(removed.Key))
 	}
-	r.known.add(w, counts)
 	r.mu.Unlock()
-	r.parts.Peers.Broadcast(envelope.KindFixedReports, fixedReports{Windows: usage.Windows{w: counts}})
 	return nil
 }
 
--- a/internal/front/reporter/reporter_test.go
+++ b/internal/front/reporter/reporter_test.go
@@ -206,6 +206,26 @@
 	n.era++
 }
 
+// fail has the next calls of the provider end with errors, failures returns how many are left of them.
+func (n *network) fail(errs ...error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fails = errs
+}
+
+func (n *network) failures() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.fails)
+}
+
+// forget has a host have missed all that leaders sent.
+func (h *host) forget() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	clear(h.known.windows)
+}
+
 // awaitReports waits until the provider has received a number of reports.
 func (n *network) awaitReports(number int) {
 	for n.reports() < number {
@@ -393,6 +413,26 @@
 			n.lead("b")
 			time.Sleep(3 * window)
 		}, usage.Counts{"x": 3}},
+		"a leader ends once it has fixed a report, the next one sends it and the store loses it": {func(n *network) {
+			n.lead("a")
+			n.awaitReports(1)
+			n.hosts["a"].count("x", 3)
+			n.fail(merry.New("no answer"), merry.New("no answer"))
+			for n.failures() == 2 {
+				time.Sleep(100 * time.Millisecond)
+			}
+			n.kill("a")
+			n.hosts["b"].forget()
+			n.hosts["c"].forget()
+			n.fail()
+			n.lost = 1
+			n.lead("b")
+			n.awaitReports(2)
+			n.kill("b")
+			n.restore()
+			n.lead("c")
+			time.Sleep(3 * window)
+		}, usage.Counts{"x": 3}},
 		"the store loses reports, and who leads next has just started": {func(n *network) {
 			n.lead("a")
 			n.hosts["a"].count("x", 3)
