A store that never has the history is not asked without a pause

Cause: a 410 leads to the whole table and that counts as success, after which the next call is made at once.

Change: the second 410 in a row, and each after it, is followed by the pause of a store that is away.

--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -153,8 +153,10 @@
 	// loaded is set once the table has been read whole: that of a store that is still empty is at
 	// revision 0.
 	loaded bool
-	// gone is set if the store no longer has the changes that this host lacks.
-	gone bool
+	// gone is set if the store no longer has the changes that this host lacks, goneInRow counts how often it said so while the
+	// table did not help.
+	gone      bool
+	goneInRow int
 	// failures counts the calls that failed in a row, lostAt is when the first did.
 	failures int
 	lostAt   time.Time
@@ -226,6 +228,10 @@
 	if errors.Is(err, ErrHistoryGone) {
 		f.parts.Log.WithField("revision", position).Warn("history is gone, the table is read again")
 		f.gone = true
+		f.goneInRow++
+		if f.goneInRow > 1 {
+			lifetime.Sleep(ctx, backoff.Jitter(storeBackoff.Span(f.goneInRow-2), leastBackoff, f.parts.Random()))
+		}
 		return false, nil
 	}
 	if err == nil {
@@ -242,6 +248,7 @@
 	if batch.Revision > position {
 		f.parts.Sink.Apply(batch)
 	}
+	f.goneInRow = 0
 	f.answered(sent, batch.Revision, batch.At)
 	return len(batch.Items) > 0, nil
 }
--- a/internal/front/follow/follow_test.go
+++ b/internal/front/follow/follow_test.go
@@ -230,6 +230,22 @@
 	})
 }
 
+// TestAStoreThatNeverHasTheHistoryIsAskedInALoop guards against calls without a pause: 410, the whole table, 410 again.
+func TestAStoreThatNeverHasTheHistoryIsAskedInALoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		source := newScripted()
+		for range cap(source.loads) {
+			source.loads <- batch(3)
+			source.waits <- reading{err: ErrHistoryGone}
+		}
+		_, _, stop := start(source, read)
+		time.Sleep(storeBackoff.Longest)
+		c.Check(len(source.loads) >= cap(source.loads)-5, qt.IsTrue, qt.Commentf("%d tables read", cap(source.loads)-len(source.loads)))
+		stop()
+	})
+}
+
 // TestAnEmptyStoreIsReadOnce is the first start of a deployment, before the operator has written anything: the
 // table was read again and again, without a pause (first trial of the mend of incident 28).
 func TestAnEmptyStoreIsReadOnce(t *testing.T) {
