Hosts write their rows again in a new era of the store

What went wrong: addresses of hosts and verdicts on poison requests are written once; a store that came back from an older copy lacks the newest. A host that starts later finds nobody, and a fleet that is killed as a whole forgets verdicts.

Change: a host that has registered does so again in a new era; those that announce verdicts write all of them again. An older configuration from the store is logged, the one in force stays as before.

--- a/internal/front/gossip/registry.go
+++ b/internal/front/gossip/registry.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
@@ -52,10 +53,22 @@
 	// isSent is set before the first call that makes the row: its answer may be lost. ended is set once the row must not
 	// be made any more. Both belong to calling.
 	isSent, ended bool
+	// era is the newest era of the store that this host has registered in, or was to.
+	era uint64
 	// isThere is set once the registry has answered.
 	isThere atomic.Bool
 }
 
+// enter notes the era of the store. One that was restored may have lost the row.
+func (r *registration) enter(newest uint64) {
+	r.calling.Lock()
+	defer r.calling.Unlock()
+	if newest > r.era {
+		r.era = newest
+		r.isThere.Store(false)
+	}
+}
+
 // make makes the row, unless it is there or must not be.
 func (r *registration) make(ctx context.Context, registry Registry, name, address string) error {
 	r.calling.Lock()
@@ -86,6 +99,7 @@
 
 // register does one round of KeepRegistered. After an error the next round tries again.
 func (g *Gossip) register(ctx context.Context, registry Registry) {
+	g.registration.enter(era.Of(g.parts.Host.Revisions().Directory))
 	alone := g.Hosts() == 1
 	if !alone && (g.registration.isThere.Load() || !g.ReadsStore()) {
 		return
--- a/internal/front/peersync/documents.go
+++ b/internal/front/peersync/documents.go
@@ -1,6 +1,7 @@
 package peersync
 
 import (
+	"bytes"
 	"sync"
 
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
@@ -42,6 +43,13 @@
 	d.whole, d.patch, d.heartbeats = nil, nil, 0
 }
 
+// isNewest reports whether a configuration is the one that came into force last.
+func (d *documents) isNewest(document settings.Raw) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return bytes.Equal(document, d.newest)
+}
+
 // sendPatch lets the next heartbeats carry the newest change, if it is small enough.
 func (d *documents) sendPatch() error {
 	d.mu.Lock()
--- a/internal/front/peersync/settings.go
+++ b/internal/front/peersync/settings.go
@@ -66,6 +66,9 @@
 	}
 	age := p.Age()
 	if !p.Holder.Offer(revision) {
+		if from == fromStore && !s.documents.isNewest(document) {
+			p.Log.WithFields(logrus.Fields{"revision": p.Holder.Number(), "store_revision": revision.Number}).Warn("the store has an older configuration, the one in force stays")
+		}
 		return true
 	}
 	p.InForce(revision.Tree)
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -50,8 +50,10 @@
 	Store  Store
 	// StoreTime returns the store's clock, or 0 while this host doesn't know it.
 	StoreTime func() freshness.StoreTime
-	Log       *logrus.Entry
-	Clock     func() time.Time
+	// Era returns the newest era of the store that is known.
+	Era   func() uint64
+	Log   *logrus.Entry
+	Clock func() time.Time
 	// Random returns numbers from 0 up to 1.
 	Random func() float64
 }
--- a/internal/front/poison/detector_test.go
+++ b/internal/front/poison/detector_test.go
@@ -74,7 +74,7 @@
 	log.SetOutput(io.Discard)
 	h := &host{fleet: f, done: make(chan struct{})}
 	h.Detector = New(Parts{
-		Peers: h, Prober: f, Store: f, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) },
+		Peers: h, Prober: f, Store: f, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) }, Era: func() uint64 { return 0 },
 		Log: logrus.NewEntry(log), Clock: time.Now, Random: f.number,
 	})
 	f.mu.Lock()
@@ -482,7 +482,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return New(Parts{
-		Peers: &host{fleet: &fleet{c: qt.New(t)}}, StoreTime: func() freshness.StoreTime { return 0 }, Log: logrus.NewEntry(log), Clock: time.Now,
+		Peers: &host{fleet: &fleet{c: qt.New(t)}}, StoreTime: func() freshness.StoreTime { return 0 }, Era: func() uint64 { return 0 }, Log: logrus.NewEntry(log), Clock: time.Now,
 		Random: func() float64 { return 0 },
 	})
 }
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -110,6 +110,7 @@
 // place would otherwise prove a verdict once more.
 func (d *Detector) keep(ctx context.Context) {
 	loaded := false
+	savedIn := d.parts.Era()
 	look := time.NewTicker(keepInterval)
 	defer look.Stop()
 	for {
@@ -122,6 +123,10 @@
 		if !loaded && (d.hasSeenEnd() || d.announces()) {
 			loaded = d.load(ctx)
 		}
+		if newest := d.parts.Era(); newest > savedIn {
+			savedIn = newest
+			d.saveAgain()
+		}
 		d.save(ctx)
 	}
 }
@@ -155,6 +160,16 @@
 	return true
 }
 
+// saveAgain has all verdicts written once more, since a restored store may have lost them, if this host is one that announces.
+func (d *Detector) saveAgain() {
+	if !d.announces() {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unsaved = d.table.Verdicts()
+}
+
 // save writes the verdicts that this host has found to the store, and removes those that are over.
 func (d *Detector) save(ctx context.Context) {
 	d.mu.Lock()
