An endpoint that has gone takes no new work because an older copy of the store has its entry

What went wrong: a host that had learned that an entry went took it for serving again once the store came back with it. Its endpoint may serve on for some seconds, so that requests would reach it long after it was known to leave.

Change: the last 4,096 starts of endpoints whose entries went are remembered; one that an older copy brings back counts as leaving until its entry changes, goes, or has lasted for 5 s, which is longer than the store keeps what nobody renews.

--- a/internal/front/directory/directory.go
+++ b/internal/front/directory/directory.go
@@ -55,7 +55,11 @@
 	// which that was: see lapse.go.
 	lapsed map[string]uint64
 	// announced are those that have said themselves that they leave: see leaving.go.
-	announced announced
+	announced starts
+	// removed are those whose entries went, doubted those of them that an older copy of the store has brought back, with the
+	// revision at which that was: see returned.go.
+	removed starts
+	doubted map[string]uint64
 	// log holds the newest changes, for peers: see changes.go.
 	log changeLog
 	// again are the endpoints that have started again under their IDs in the change at hand, onRestart is called with
@@ -66,7 +70,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{onRestart: func(string) {}, entries: make(map[string]*Entry), serving: make(map[string][]*Entry), leaving: make(map[string][]*Entry), lapsed: make(map[string]uint64)}
+	return &Directory{onRestart: func(string) {}, entries: make(map[string]*Entry), serving: make(map[string][]*Entry), leaving: make(map[string][]*Entry), lapsed: make(map[string]uint64), doubted: make(map[string]uint64)}
 }
 
 // OnRestart sets what is called with the ID of an endpoint that has started again under it: its entry has another
@@ -293,6 +297,7 @@
 	if restored && known {
 		d.keepLeaving(before, entry.Endpoint.Version)
 	}
+	d.doubt(&entry, known, restored)
 	d.entries[entry.ID] = &entry
 }
 
--- a/internal/front/directory/lapse.go
+++ b/internal/front/directory/lapse.go
@@ -48,7 +48,9 @@
 			continue
 		}
 		delete(d.lapsed, id)
+		delete(d.doubted, id)
 		delete(d.entries, id)
+		d.removed.add(id, entry.Endpoint.Version)
 	}
 }
 
--- a/internal/front/directory/leaving.go
+++ b/internal/front/directory/leaving.go
@@ -6,42 +6,42 @@
 // store is away. It holds for that start of the endpoint, so that neither an older entry nor one that is read again takes it
 // back; an endpoint that has started again under its ID has another version and takes new work.
 
-// maxAnnounced bounds the endpoints whose own word is kept; the oldest goes first. Some 100 B each. More than all
+// maxStarts bounds the starts of endpoints that are kept; the oldest goes first. Some 100 B each. More than all
 // endpoints of the largest fleet, each once.
-const maxAnnounced = 4096
+const maxStarts = 4096
 
-// announced are the endpoints that have said themselves that they leave.
-type announced struct {
-	// versions are those of the starts that said so, by ID.
+// starts is a set of starts of endpoints, the last of each endpoint.
+type starts struct {
+	// versions are those of the starts, by ID.
 	versions map[string]string
 	// order holds the IDs, the oldest first.
 	order []string
 }
 
-// add notes an endpoint, and reports whether it is new.
-func (a *announced) add(id, version string) bool {
-	known, again := a.versions[id]
+// add adds a start, and reports whether it is new.
+func (s *starts) add(id, version string) bool {
+	known, again := s.versions[id]
 	if again && known == version {
 		return false
 	}
-	if a.versions == nil {
-		a.versions = make(map[string]string)
+	if s.versions == nil {
+		s.versions = make(map[string]string)
 	}
-	a.versions[id] = version
+	s.versions[id] = version
 	if again {
 		return true
 	}
-	a.order = append(a.order, id)
-	if len(a.order) > maxAnnounced {
-		delete(a.versions, a.order[0])
-		a.order = a.order[1:]
+	s.order = append(s.order, id)
+	if len(s.order) > maxStarts {
+		delete(s.versions, s.order[0])
+		s.order = s.order[1:]
 	}
 	return true
 }
 
-// has reports whether a start of an endpoint has said so.
-func (a *announced) has(id, version string) bool {
-	known, ok := a.versions[id]
+// has reports whether a start is in the set.
+func (s *starts) has(id, version string) bool {
+	known, ok := s.versions[id]
 	return ok && known == version
 }
 
@@ -77,9 +77,11 @@
 	return known && d.isLeaving(entry)
 }
 
-// isLeaving reports whether an endpoint takes no new work any more, by its entry or its own word. The lock is held.
+// isLeaving reports whether an endpoint takes no new work any more, by its entry, its own word, or since the entry is doubted.
+// The lock is held.
 func (d *Directory) isLeaving(e *Entry) bool {
-	return e.Endpoint.State == settings.StateOut || d.announced.has(e.ID, e.Endpoint.Version)
+	_, doubted := d.doubted[e.ID]
+	return doubted || e.Endpoint.State == settings.StateOut || d.announced.has(e.ID, e.Endpoint.Version)
 }
 
 // SaidLeaving returns the starts of endpoints that have said themselves that they leave, the version by ID.
--- a/internal/front/directory/leaving_test.go
+++ b/internal/front/directory/leaving_test.go
@@ -62,13 +62,13 @@
 
 func TestOwnWordsAreBounded(t *testing.T) {
 	c := qt.New(t)
-	var a announced
-	for n := range 2 * maxAnnounced {
+	var a starts
+	for n := range 2 * maxStarts {
 		a.add(strconv.Itoa(n), "v1")
 		a.add(strconv.Itoa(n), "v2")
 	}
-	c.Check(a.versions, qt.HasLen, maxAnnounced)
-	c.Check(a.order, qt.HasLen, maxAnnounced)
-	c.Check(a.has(strconv.Itoa(2*maxAnnounced-1), "v2"), qt.IsTrue)
+	c.Check(a.versions, qt.HasLen, maxStarts)
+	c.Check(a.order, qt.HasLen, maxStarts)
+	c.Check(a.has(strconv.Itoa(2*maxStarts-1), "v2"), qt.IsTrue)
 	c.Check(a.has("0", "v2"), qt.IsFalse)
 }
--- a/internal/front/directory/restore_test.go
+++ b/internal/front/directory/restore_test.go
@@ -69,6 +69,42 @@
 	}
 }
 
+// TestAnOlderCopyBringsAnEndpointBack has an entry go that an older copy still has: its endpoint gets nothing until the entry has
+// changed or lasted.
+func TestAnOlderCopyBringsAnEndpointBack(t *testing.T) {
+	in, other := entry("a", "s", settings.StateIn), entry("b", "s", settings.StateIn)
+	again := in
+	again.Endpoint.Version = "v1 of 2"
+	gone := []Change{{Entry: Entry{ID: "a"}, Gone: true}}
+	tests := map[string]struct {
+		after []Change
+		// now and later are what serves then and once the entries that have lasted are trusted.
+		now, later []string
+	}{
+		"the entry lasts":            {nil, []string{"b"}, []string{"a", "b"}},
+		"it goes":                    {gone, []string{"b"}, []string{"b"}},
+		"it is written again":        {[]Change{{Entry: in}}, []string{"a", "b"}, []string{"a", "b"}},
+		"it is of another start":     {[]Change{{Entry: again}}, []string{"a", "b"}, []string{"a", "b"}},
+		"it goes, and is back again": {append(gone, Change{Entry: in}), []string{"a", "b"}, []string{"a", "b"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := New()
+			d.Apply(8, []Change{{Entry: in}, {Entry: other}, {Entry: entry("c", "s", settings.StateIn)}})
+			d.Apply(9, gone)
+			d.Replace(Snapshot{Revision: inEra(1, 4), Entries: []Entry{in, other}})
+			d.DropLapsed(inEra(1, 4))
+			c.Check(ids(d.Serving("s")), qt.DeepEquals, []string{"b"})
+			c.Check(d.Doubted(inEra(1, 4)), qt.Equals, 1)
+			d.Apply(inEra(1, 5), test.after)
+			c.Check(ids(d.Serving("s")), qt.DeepEquals, test.now)
+			d.Trust(inEra(1, 4))
+			c.Check(ids(d.Serving("s")), qt.DeepEquals, test.later)
+		})
+	}
+}
+
 // TestPeersFollowIntoAnEra has a store lose its newest changes again and again. Hosts read it or follow each other by changes
 // where those are known: all end with what the store has.
 func TestPeersFollowIntoAnEra(t *testing.T) {
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -75,7 +75,7 @@
 	if from == fromStore && known > 0 && era.Of(snapshot.Revision) > era.Of(known) {
 		s.sendRestored(known, changed)
 	}
-	s.watchLapse(snapshot.Revision)
+	s.watch(snapshot.Revision)
 }
 
 // sendRestored lets peers follow into a new era of the store: what differs from what was known goes to them as changes, so
@@ -114,7 +114,7 @@
 			"service": change.Entry.Endpoint.Service, "address": change.Entry.Endpoint.Address,
 		}).Info("endpoint changed")
 	}
-	s.watchLapse(revision)
+	s.watch(revision)
 }
 
 // sendDelta lets the next heartbeats carry changes, if they are few enough.
@@ -248,7 +248,7 @@
 		return s.parts.Directory.Revision() >= response.To
 	}
 	s.parts.Log.WithFields(logrus.Fields{"revision": response.To, "from": peer, "entries": len(entries), "states": len(states)}).Info("changes of endpoints read")
-	s.watchLapse(response.To)
+	s.watch(response.To)
 	return true
 }
 
@@ -278,6 +278,26 @@
 	s.replace(directory.Snapshot{Revision: snapshot.Revision, Changed: snapshot.Changed, Entries: entries}, peer)
 }
 
+// watch ends what the directory does for a while only with entries that it got at a revision.
+func (s *Endpoints) watch(revision uint64) {
+	s.watchLapse(revision)
+	s.watchReturned(revision)
+}
+
+// watchReturned has endpoints take new work whose entries an older copy of the store has brought back, if those last.
+func (s *Endpoints) watchReturned(revision uint64) {
+	doubted := s.parts.Directory.Doubted(revision)
+	if doubted == 0 {
+		return
+	}
+	s.parts.Log.WithFields(logrus.Fields{"doubted": doubted, "revision": revision}).Warn("entries that had gone are back, they are not used for a while")
+	s.parts.After(directory.ReturnGrace, func() {
+		if trusted := s.parts.Directory.Trust(revision); len(trusted) > 0 {
+			s.parts.Log.WithFields(logrus.Fields{"endpoints": trusted, "revision": revision}).Info("entries that had gone have lasted")
+		}
+	})
+}
+
 // watchLapse removes the entries that lapsed at a revision if they have not come back after a
 // while. The directory may have moved on since.
 func (s *Endpoints) watchLapse(revision uint64) {
