--- a/cmd/oxbowslip/doctor.go
+++ b/cmd/oxbowslip/doctor.go
@@ -42,10 +42,11 @@
 // examine compares the states of hosts.
 func examine(reports []hostReport) []string {
 	var findings []string
-	newest, most, readers, fronts := uint64(0), 0, 0, 0
+	newest, newestEra, most, readers, fronts := uint64(0), uint64(0), 0, 0, 0
 	for i := range reports {
 		newest = max(newest, reports[i].Status.Revision)
 		most = max(most, reports[i].Status.Endpoints)
+		newestEra = max(newestEra, reports[i].Status.Era)
 		if f := reports[i].Status.Freshness; f != nil {
 			fronts++
 			if f.ReadsStore {
@@ -79,6 +80,9 @@
 			unconfirmed(add, "settings", s.Freshness.Settings)
 			unconfirmed(add, "endpoints", s.Freshness.Endpoints)
 		}
+		if s.Era < newestEra {
+			add("knows era %d of the store, another host %d; see OPERATIONS, \"The store came back from a copy\"", s.Era, newestEra)
+		}
 		if s.Endpoints < most {
 			add("knows %d endpoints, another host %d", s.Endpoints, most)
 		}
--- a/cmd/oxbowslip/doctor_test.go
+++ b/cmd/oxbowslip/doctor_test.go
@@ -18,6 +18,8 @@
 	lonely.Hosts = 1
 	fresh := well
 	fresh.Freshness = &operator.Freshness{Settings: time.Second, Endpoints: 0, ReadsStore: true}
+	restored := fresh
+	restored.Era = 1
 	old := well
 	old.Freshness = &operator.Freshness{Settings: oldAge + 1, Endpoints: oldAge}
 	unknown := well
@@ -42,6 +44,7 @@
 		"behind":                           {behind, nil, 1},
 		"confirmed":                        {fresh, nil, 0},
 		"old, and no host reads the store": {old, nil, 2},
+		"the other is in an earlier era":   {restored, nil, 1},
 		"never confirmed":                  {unknown, nil, 2},
 		"hears nobody":                     {lonely, nil, 1},
 		"an ejected one":                   {ejected, nil, 1},
--- a/cmd/oxbowslip/tool.go
+++ b/cmd/oxbowslip/tool.go
@@ -61,6 +61,9 @@
 		if s.Hosts > 0 {
 			fmt.Fprintf(w, "hears %d hosts; %d endpoints take work (directory revision %d), ejected: %s\n\n",
 				s.Hosts, s.Endpoints, s.Directory, strings.Join(s.Ejected, ", "))
+			if s.Era > 0 {
+				fmt.Fprintf(w, "the store is in era %d: it has come back from an older copy\n\n", s.Era)
+			}
 		}
 		if f := s.Freshness; f != nil {
 			fmt.Fprintf(w, "confirmed by the store: settings %s, endpoints %s; reads the store for others: %t\n\n",
--- a/internal/front/era/era.go
+++ b/internal/front/era/era.go
@@ -6,7 +6,10 @@
 // send of the store's numbers are revisions; only package platform takes them apart, for calls to the store.
 package era
 
-import "github.com/ansel1/merry/v2"
+import (
+	"github.com/ansel1/merry/v2"
+	"github.com/sirupsen/logrus"
+)
 
 const (
 	// numberBits are enough for a thousand writes a second for thirty years.
@@ -34,3 +37,8 @@
 
 // First returns the least revision of the era that a revision is of.
 func First(revision uint64) uint64 { return revision &^ maxNumber }
+
+// Log returns a log whose lines name a revision, as "revision", the number, and "era".
+func Log(log *logrus.Entry, revision uint64) *logrus.Entry {
+	return log.WithFields(logrus.Fields{"revision": Number(revision), "era": Of(revision)})
+}
--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -206,7 +206,7 @@
 // stopReading notes that the host does not read for others, or no longer.
 func (f *Follower[T]) stopReading() {
 	if f.reading.Swap(false) {
-		f.parts.Log.WithField("revision", f.parts.Position()).Info("peers read the store now")
+		era.Log(f.parts.Log, f.parts.Position()).Info("peers read the store now")
 	}
 }
 
@@ -226,7 +226,7 @@
 	sent := f.begin(held)
 	batch, err := f.wait(ctx, position, held)
 	if errors.Is(err, ErrHistoryGone) {
-		f.parts.Log.WithField("revision", position).Warn("history is gone, the table is read again")
+		era.Log(f.parts.Log, position).Warn("history is gone, the table is read again")
 		f.gone = true
 		f.goneInRow++
 		if f.goneInRow > 1 {
@@ -241,7 +241,9 @@
 		return false, err
 	}
 	if era.Of(batch.Revision) > era.Of(position) {
-		f.parts.Log.WithFields(logrus.Fields{"revision": position, "store_revision": batch.Revision}).Warn("the store came back from an older copy, the table is read again")
+		era.Log(f.parts.Log, position).WithFields(logrus.Fields{
+			"store_revision": era.Number(batch.Revision), "store_era": era.Of(batch.Revision),
+		}).Warn("the store came back from an older copy, the table is read again")
 		f.gone = true
 		return false, nil
 	}
@@ -305,12 +307,10 @@
 	switch {
 	case err != nil && f.failures == 0:
 		f.lostAt = f.parts.Clock()
-		f.parts.Log.WithError(err).WithFields(logrus.Fields{
-			"revision": f.parts.Position(), "unanswered_ms": f.unanswered().Milliseconds(),
-		}).Warn("store lost, the last state stays in force")
+		era.Log(f.parts.Log, f.parts.Position()).WithError(err).WithField("unanswered_ms", f.unanswered().Milliseconds()).Warn("store lost, the last state stays in force")
 	case err == nil && f.failures > 0:
-		f.parts.Log.WithFields(logrus.Fields{
-			"failures": f.failures, "away_ms": f.parts.Clock().Sub(f.lostAt).Milliseconds(), "revision": f.parts.Position(),
+		era.Log(f.parts.Log, f.parts.Position()).WithFields(logrus.Fields{
+			"failures": f.failures, "away_ms": f.parts.Clock().Sub(f.lostAt).Milliseconds(),
 		}).Info("store regained")
 	}
 	if err != nil {
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -3,13 +3,15 @@
 import (
 	"fmt"
 
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
 func (h *Host) registerGauges() {
 	for name, read := range map[string]func() float64{
 		"oxbowslip_settings_revision":         func() float64 { return float64(h.parts.Settings.Number()) },
-		"oxbowslip_directory_revision":        func() float64 { return float64(h.parts.Directory.Revision()) },
+		"oxbowslip_directory_revision":        func() float64 { return float64(era.Number(h.parts.Directory.Revision())) },
+		"oxbowslip_store_era":                 func() float64 { return float64(h.parts.Freshness.Era()) },
 		"oxbowslip_endpoints":                 func() float64 { return float64(h.parts.Directory.CountServing()) },
 		"oxbowslip_hosts":                     func() float64 { return float64(h.parts.Gossip.Hosts()) },
 		"oxbowslip_reads_store":               func() float64 { return zeroOrOne(h.parts.Followers.read()) },
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -71,7 +71,7 @@
 	if !s.parts.Directory.Replace(snapshot) {
 		return
 	}
-	s.parts.Log.WithFields(logrus.Fields{"revision": snapshot.Revision, "from": from, "endpoints": len(snapshot.Entries)}).Info("endpoints read")
+	era.Log(s.parts.Log, snapshot.Revision).WithFields(logrus.Fields{"from": from, "endpoints": len(snapshot.Entries)}).Info("endpoints read")
 	if from == fromStore && known > 0 && era.Of(snapshot.Revision) > era.Of(known) {
 		s.sendRestored(known, changed)
 	}
@@ -109,8 +109,8 @@
 // applied logs changes that were applied, and watches what lapsed with them.
 func (s *Endpoints) applied(revision uint64, from string, changes []directory.Change) {
 	for _, change := range changes {
-		s.parts.Log.WithFields(logrus.Fields{
-			"revision": revision, "from": from, "endpoint": change.Entry.ID, "gone": change.Gone, "state": change.Entry.Endpoint.State,
+		era.Log(s.parts.Log, revision).WithFields(logrus.Fields{
+			"from": from, "endpoint": change.Entry.ID, "gone": change.Gone, "state": change.Entry.Endpoint.State,
 			"service": change.Entry.Endpoint.Service, "address": change.Entry.Endpoint.Address,
 		}).Info("endpoint changed")
 	}
@@ -247,7 +247,7 @@
 	if !s.parts.Directory.Update(response.To, updates) {
 		return s.parts.Directory.Revision() >= response.To
 	}
-	s.parts.Log.WithFields(logrus.Fields{"revision": response.To, "from": peer, "entries": len(entries), "states": len(states)}).Info("changes of endpoints read")
+	era.Log(s.parts.Log, response.To).WithFields(logrus.Fields{"from": peer, "entries": len(entries), "states": len(states)}).Info("changes of endpoints read")
 	s.watch(response.To)
 	return true
 }
@@ -290,10 +290,10 @@
 	if doubted == 0 {
 		return
 	}
-	s.parts.Log.WithFields(logrus.Fields{"doubted": doubted, "revision": revision}).Warn("entries that had gone are back, they are not used for a while")
+	era.Log(s.parts.Log, revision).WithField("doubted", doubted).Warn("entries that had gone are back, they are not used for a while")
 	s.parts.After(directory.ReturnGrace, func() {
 		if trusted := s.parts.Directory.Trust(revision); len(trusted) > 0 {
-			s.parts.Log.WithFields(logrus.Fields{"endpoints": trusted, "revision": revision}).Info("entries that had gone have lasted")
+			era.Log(s.parts.Log, revision).WithField("endpoints", trusted).Info("entries that had gone have lasted")
 		}
 	})
 }
@@ -305,10 +305,10 @@
 	if lapsed == 0 {
 		return
 	}
-	s.parts.Log.WithFields(logrus.Fields{"lapsed": lapsed, "revision": revision}).Warn("entries lapsed together, they are kept for a while")
+	era.Log(s.parts.Log, revision).WithField("lapsed", lapsed).Warn("entries lapsed together, they are kept for a while")
 	s.parts.After(directory.LapseGrace, func() {
 		if dropped := s.parts.Directory.DropLapsed(revision); len(dropped) > 0 {
-			s.parts.Log.WithFields(logrus.Fields{"endpoints": dropped, "revision": revision}).Warn("lapsed entries have not come back")
+			era.Log(s.parts.Log, revision).WithField("endpoints", dropped).Warn("lapsed entries have not come back")
 		}
 	})
 }
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -9,6 +9,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/operator"
@@ -52,7 +53,7 @@
 	status := operator.Status{
 		Host: h.parts.Config.Name, Zone: h.parts.Config.Zone, Revision: h.parts.Settings.Number(), Ready: problem == "", Problem: problem,
 		Open: h.parts.Owner.Open(), Now: time.Now(), Refusals: h.parts.Counters.RefusalsByReason(),
-		Hosts: h.parts.Gossip.Hosts(), Directory: h.parts.Directory.Revision(), Endpoints: h.parts.Directory.CountServing(),
+		Hosts: h.parts.Gossip.Hosts(), Directory: era.Number(h.parts.Directory.Revision()), Era: h.parts.Freshness.Era(), Endpoints: h.parts.Directory.CountServing(),
 		Freshness: &operator.Freshness{
 			Settings: h.parts.Freshness.Age(freshness.Settings), Endpoints: h.parts.Freshness.Age(freshness.Endpoints),
 			ReadsStore: h.parts.Followers.read(),
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -60,8 +60,10 @@
 	// Hosts is the number of hosts that this one knows, itself included. Directory is the
 	// revision up to which it knows the endpoints, Endpoints the number of those that take new
 	// work, Ejected the IDs of those that get none from this host because they failed.
-	Hosts     int       `json:"hosts,omitzero"`
-	Directory uint64    `json:"directory,omitzero"`
+	Hosts     int    `json:"hosts,omitzero"`
+	Directory uint64 `json:"directory,omitzero"`
+	// Era counts how often the store has come back from an older copy, as far as the host knows.
+	Era       uint64    `json:"era,omitzero"`
 	Endpoints int       `json:"endpoints,omitzero"`
 	Ejected   []string  `json:"paused,omitzero"`
 	Now       time.Time `json:"now"`
