--- a/internal/front/fakestore_test.go
+++ b/internal/front/fakestore_test.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -40,7 +42,9 @@
 type fakeStore struct {
 	began time.Time
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era counts the restores, revision is the number of the newest change in it.
+	era      uint64
 	revision uint64
 	// configs and endpoints are all changes, in order.
 	configs   []stored[settings.Raw]
@@ -103,6 +107,27 @@
 	s.changed = make(chan struct{})
 }
 
+// restore has the store come back without its newest changes.
+func (s *fakeStore) restore(lost uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision -= lost
+	s.configs = slices.DeleteFunc(s.configs, func(c stored[settings.Raw]) bool { return c.revision > s.revision })
+	s.endpoints = slices.DeleteFunc(s.endpoints, func(c stored[directory.Change]) bool { return c.revision > s.revision })
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// inEra returns the revision of a number now. The lock is held.
+func (s *fakeStore) inEra(number uint64) uint64 {
+	revision, err := era.Revision(s.era, number)
+	if err != nil {
+		panic(err) // The tests' numbers are small.
+	}
+	return revision
+}
+
 // harm lets the store treat some hosts in a certain way.
 func (s *fakeStore) harm(fault storeFault, hosts ...string) {
 	s.mu.Lock()
@@ -161,14 +186,17 @@
 	time.Sleep(storeDelay)
 	until := time.After(held)
 	for {
-		batch, changed := v.read(after)
+		batch, changed, gone := v.read(era.Number(after))
+		if gone {
+			return batch, follow.ErrHistoryGone
+		}
 		over := held == 0 || len(batch.Items) > 0
 		if !over {
 			select {
 			case <-changed:
 				continue
 			case <-until:
-				batch, _ = v.read(after)
+				batch, _, _ = v.read(era.Number(after))
 			case <-ctx.Done():
 				return batch, ctx.Err()
 			}
@@ -193,16 +221,16 @@
 	return v.store.faults[v.host], v.store.epoch[v.host]
 }
 
-// read returns the changes after a revision.
-func (v view[T]) read(after uint64) (follow.Batch[T], chan struct{}) {
+// read returns the changes after a number, or reports that the store does not have it.
+func (v view[T]) read(after uint64) (batch follow.Batch[T], changed chan struct{}, gone bool) {
 	v.store.mu.Lock()
 	defer v.store.mu.Unlock()
-	batch := follow.Batch[T]{Revision: v.store.revision, At: freshness.StoreTime(time.Since(v.store.began) + storeUptime)}
+	batch = follow.Batch[T]{Revision: v.store.inEra(v.store.revision), At: freshness.StoreTime(time.Since(v.store.began) + storeUptime)}
 	for _, change := range v.history() {
 		if change.revision > after {
 			batch.Items = append(batch.Items, change.item)
-			batch.Changed = change.revision
+			batch.Changed = v.store.inEra(change.revision)
 		}
 	}
-	return batch, v.store.changed
+	return batch, v.store.changed, after > v.store.revision
 }
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,6 +20,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
+	"oxbowslip.dev/oxbowslip/internal/front/era"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
@@ -48,6 +50,8 @@
 	counters  *counters.Counters
 }
 
+var manyHosts = flag.Int("front.hosts", 40, "how many hosts a large fleet has")
+
 // settleTime is how long a fleet is left to itself before something happens to it.
 const settleTime = 6 * time.Second
 
@@ -218,6 +222,69 @@
 	})
 }
 
+// restoreStore has the store lose versions that all hosts know.
+func restoreStore(f *fleet) {
+	const lost = 100
+	for range lost {
+		f.store.change(func() {})
+	}
+	f.store.put("e2", settings.StateIn)
+	time.Sleep(500 * time.Millisecond)
+	f.store.restore(lost)
+}
+
+// TestChangesAfterARestoreOfTheStore has changes come in a new era, at every size.
+func TestChangesAfterARestoreOfTheStore(t *testing.T) {
+	runAll(t, map[string]propagation{
+		"one host":   {1, boundOfSmall, restoreStore},
+		"8 hosts":    {8, boundOfSmall, restoreStore},
+		"many hosts": {*manyHosts, boundOfLarge, restoreStore},
+		"restored again and again": {8, boundOfSmall, func(f *fleet) {
+			for range 3 {
+				restoreStore(f)
+				time.Sleep(700 * time.Millisecond)
+			}
+		}},
+		"all readers are silent": {9, boundOfSmall, func(f *fleet) {
+			restoreStore(f)
+			silenceReaders(f)
+		}},
+		"nobody hears half of the hosts for a while": {9, boundOfSmall, func(f *fleet) {
+			muteHalf(f)
+			restoreStore(f)
+			time.Sleep(2 * time.Second)
+			f.network.set(func(n *fakeNetwork) { clear(n.mute) })
+		}},
+	})
+}
+
+// TestARestoreOfTheStoreCostsLittle has thousands of endpoints be the same in a new era: readers read them, and no peer fetches
+// them.
+func TestARestoreOfTheStoreCostsLittle(t *testing.T) {
+	const (
+		hosts     = 30
+		endpoints = 3000
+		// mostBytes is what the fleet may cost, mostCalls how often the store may be called in the time.
+		mostBytes = 1000
+		span      = 3 * time.Second
+		mostCalls = 60
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := startFleet(c, hosts, 28)
+		f.store.putAll(endpoints, settings.StateIn)
+		time.Sleep(2 * fetchTime)
+		restoreStore(f)
+		bytes, calls := f.syncBytes(), f.store.count()
+		time.Sleep(span)
+		for _, h := range f.hosts {
+			c.Check(era.Of(h.directory.Revision()), qt.Equals, uint64(1), qt.Commentf("%s", h.name))
+		}
+		c.Check(f.syncBytes()-bytes <= mostBytes, qt.IsTrue, qt.Commentf("%d B", f.syncBytes()-bytes))
+		c.Check(f.store.count()-calls <= mostCalls, qt.IsTrue, qt.Commentf("%d calls", f.store.count()-calls))
+	})
+}
+
 // TestManyEndpointsLeaveAtOnce has some hundred of many endpoints leave together. A change that is too large to go with a
 // heartbeat had every host fetch the whole directory, from few that had it: with 300 hosts and 3,000 endpoints the busiest
 // sent and got 2.6 MB a second, most of a day's worth went for bytes between zones, hosts learned of endpoints that leave up to
