--- a/internal/front/directory/directory.go
+++ b/internal/front/directory/directory.go
@@ -53,13 +53,13 @@
 	leaving map[string][]*Entry
 	// lapsed are the entries that are kept although they were removed, with the revision at
 	// which that was: see lapse.go.
-	lapsed map[string]uint64
+	lapsed marks
 	// announced are those that have said themselves that they leave: see leaving.go.
 	announced starts
 	// removed are those whose entries went, doubted those of them that an older copy of the store has brought back, with the
 	// revision at which that was: see returned.go.
 	removed starts
-	doubted map[string]uint64
+	doubted marks
 	// log holds the newest changes, for peers: see changes.go.
 	log changeLog
 	// again are the endpoints that have started again under their IDs in the change at hand, onRestart is called with
@@ -70,7 +70,10 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{onRestart: func(string) {}, entries: make(map[string]*Entry), serving: make(map[string][]*Entry), leaving: make(map[string][]*Entry), lapsed: make(map[string]uint64), doubted: make(map[string]uint64)}
+	return &Directory{
+		onRestart: func(string) {}, entries: make(map[string]*Entry), serving: make(map[string][]*Entry), leaving: make(map[string][]*Entry),
+		lapsed: make(marks), doubted: make(marks),
+	}
 }
 
 // OnRestart sets what is called with the ID of an endpoint that has started again under it: its entry has another
--- a/internal/front/directory/lapse.go
+++ b/internal/front/directory/lapse.go
@@ -58,13 +58,7 @@
 func (d *Directory) Lapsed(revision uint64) int {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	count := 0
-	for _, at := range d.lapsed {
-		if at == revision {
-			count++
-		}
-	}
-	return count
+	return d.lapsed.count(revision)
 }
 
 // DropLapsed removes the entries that lapsed at a revision or before and have not come back,
@@ -72,17 +66,39 @@
 func (d *Directory) DropLapsed(revision uint64) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var dropped []string
-	for id, at := range d.lapsed {
-		if at <= revision {
-			delete(d.lapsed, id)
-			delete(d.entries, id)
-			dropped = append(dropped, id)
-		}
+	dropped := d.lapsed.take(revision)
+	for _, id := range dropped {
+		delete(d.entries, id)
 	}
 	if len(dropped) > 0 {
 		d.index()
 	}
-	slices.Sort(dropped)
 	return dropped
 }
+
+// marks are entries that are treated in a certain way for a while, with the revision at which that began.
+type marks map[string]uint64
+
+// count returns the number of entries that were marked at a revision.
+func (m marks) count(revision uint64) int {
+	count := 0
+	for _, at := range m {
+		if at == revision {
+			count++
+		}
+	}
+	return count
+}
+
+// take removes the marks of a revision or before, and returns the entries' IDs, sorted.
+func (m marks) take(revision uint64) []string {
+	var taken []string
+	for id, at := range m {
+		if at <= revision {
+			delete(m, id)
+			taken = append(taken, id)
+		}
+	}
+	slices.Sort(taken)
+	return taken
+}
--- a/internal/front/directory/returned.go
+++ b/internal/front/directory/returned.go
@@ -1,9 +1,6 @@
 package directory
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // An older copy of the store may bring back the entry of an endpoint that has gone. The endpoint takes no new work until its
 // entry changes again, or has lasted for longer than the store keeps entries that nobody renews.
@@ -24,13 +21,7 @@
 func (d *Directory) Doubted(revision uint64) int {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	count := 0
-	for _, at := range d.doubted {
-		if at == revision {
-			count++
-		}
-	}
-	return count
+	return d.doubted.count(revision)
 }
 
 // Trust has the endpoints take new work whose entries were brought back at a revision or before and are still there. It returns
@@ -38,16 +29,9 @@
 func (d *Directory) Trust(revision uint64) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var trusted []string
-	for id, at := range d.doubted {
-		if at <= revision {
-			delete(d.doubted, id)
-			trusted = append(trusted, id)
-		}
-	}
+	trusted := d.doubted.take(revision)
 	if len(trusted) > 0 {
 		d.index()
 	}
-	slices.Sort(trusted)
 	return trusted
 }
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -290,10 +290,11 @@
 	if doubted == 0 {
 		return
 	}
-	era.Log(s.parts.Log, revision).WithField("doubted", doubted).Warn("entries that had gone are back, they are not used for a while")
+	log := era.Log(s.parts.Log, revision)
+	log.WithField("doubted", doubted).Warn("entries that had gone are back, they are not used for a while")
 	s.parts.After(directory.ReturnGrace, func() {
 		if trusted := s.parts.Directory.Trust(revision); len(trusted) > 0 {
-			era.Log(s.parts.Log, revision).WithField("endpoints", trusted).Info("entries that had gone have lasted")
+			log.WithField("endpoints", trusted).Info("entries that had gone have lasted")
 		}
 	})
 }
@@ -305,10 +306,11 @@
 	if lapsed == 0 {
 		return
 	}
-	era.Log(s.parts.Log, revision).WithField("lapsed", lapsed).Warn("entries lapsed together, they are kept for a while")
+	log := era.Log(s.parts.Log, revision)
+	log.WithField("lapsed", lapsed).Warn("entries lapsed together, they are kept for a while")
 	s.parts.After(directory.LapseGrace, func() {
 		if dropped := s.parts.Directory.DropLapsed(revision); len(dropped) > 0 {
-			era.Log(s.parts.Log, revision).WithField("endpoints", dropped).Warn("lapsed entries have not come back")
+			log.WithField("endpoints", dropped).Warn("lapsed entries have not come back")
 		}
 	})
 }
