--- a/internal/front/gossip/golden_test.go
+++ b/internal/front/gossip/golden_test.go
@@ -58,8 +58,9 @@
 		"introduction": &Heartbeat{Incarnation: 1, Sequence: 2, Announcement: &Announcement{
 			Host: "h", Address: "10.0.0.2:2", Zone: "b", Start: 3, KnownAddresses: []string{"10.0.0.3:3"}, WantReply: true, Hosts: 4,
 		}},
-		"want": &SyncRequest{Settings: 1, Directory: 2},
-		"news": &SyncResponse{Settings: []byte("settings"), Base: 1, Snapshot: &DirectorySnapshot{Revision: 2, Changed: 3, Entries: []byte("entries")}},
+		"confirmation-in-era": &[]TopicConfirmation{{Newest: 1, Revision: 2<<40 | 3, AsOf: 4}},
+		"want":                &SyncRequest{Settings: 1, Directory: 2},
+		"news":                &SyncResponse{Settings: []byte("settings"), Base: 1, Snapshot: &DirectorySnapshot{Revision: 2, Changed: 3, Entries: []byte("entries")}},
 		"entries": &[]EndpointChange{
 			{ID: "e1", Service: "llm", Address: "10.0.0.1:1", Zone: "a", Version: "v2", Slots: 14},
 		},
--- a/internal/front/reporter/reporter_test.go
+++ b/internal/front/reporter/reporter_test.go
@@ -22,6 +22,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/leader"
 	"oxbowslip.dev/oxbowslip/internal/front/lease"
 	"oxbowslip.dev/oxbowslip/internal/front/usage"
+	"oxbowslip.dev/oxbowslip/internal/proof/golden"
 )
 
 const (
@@ -336,6 +337,11 @@
 	}
 }
 
+// TestGoldenFixedReports holds the encoded form of the message: hosts of other versions read it.
+func TestGoldenFixedReports(t *testing.T) {
+	golden.Message(t, "fixed-reports", &fixedReports{Since: 1, Reported: 2, Windows: usage.Windows{3: usage.Counts{"x": 4}}})
+}
+
 func TestReports(t *testing.T) {
 	tests := map[string]struct {
 		play func(n *network)
