--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -244,8 +245,10 @@
 	return g
 }
 
-// fleetOf returns what distinguishes a fleet from others: where its settings come from.
-func fleetOf(config hostconfig.Host) uint64 { return xxhash.Sum64String(config.Platform.Address) }
+// fleetOf returns what distinguishes a fleet from others: its name, or where its settings come from.
+func fleetOf(config hostconfig.Host) uint64 {
+	return xxhash.Sum64String(cmp.Or(config.Fleet, config.Platform.Address))
+}
 
 func newBudget(config hostconfig.Host, g *gossip.Gossip, clock func() time.Time) *retrybudget.Fleet {
 	limits := retrybudget.Limits{Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window}
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -27,11 +27,13 @@
 	Zone   string `json:"zone"`
 	// Callers, Operators and Peers are addresses to listen on. Port 0 picks a
 	// free port.
-	Callers      string        `json:"callers"`
-	Operators    string        `json:"operators"`
-	Peers        string        `json:"peers,omitzero"`
-	FirstPeers   []string      `json:"first_peers,omitzero"`
-	PeerKey      string        `json:"peer_key,omitzero"`
+	Callers    string   `json:"callers"`
+	Operators  string   `json:"operators"`
+	Peers      string   `json:"peers,omitzero"`
+	FirstPeers []string `json:"first_peers,omitzero"`
+	PeerKey    string   `json:"peer_key,omitzero"`
+	// Fleet is the same at all hosts of a fleet. It need only be set where they reach the store at different addresses.
+	Fleet        string        `json:"fleet,omitzero"`
 	Platform     Platform      `json:"platform"`
 	OperatorKeys []OperatorKey `json:"operator_keys,omitzero"`
 	Log          Log           `json:"log,omitzero"`
