--- a/internal/front/directory/restore_test.go
+++ b/internal/front/directory/restore_test.go
@@ -22,7 +22,7 @@
 	return revision
 }
 
-// TestAnOlderCopyTakesNoLeavingBack has the store come back with entries of before endpoints left.
+// TestAnOlderCopyTakesNoLeavingBack guards against new work for an endpoint that leaves and is ready in an older copy.
 func TestAnOlderCopyTakesNoLeavingBack(t *testing.T) {
 	in := entry("a", "s", settings.StateIn)
 	other := entry("b", "s", settings.StateIn)
@@ -69,8 +69,7 @@
 	}
 }
 
-// TestAnOlderCopyBringsAnEndpointBack has an entry go that an older copy still has: its endpoint gets nothing until the entry has
-// changed or lasted.
+// TestAnOlderCopyBringsAnEndpointBack guards against new work for an endpoint whose entry had gone and is in an older copy.
 func TestAnOlderCopyBringsAnEndpointBack(t *testing.T) {
 	in, other := entry("a", "s", settings.StateIn), entry("b", "s", settings.StateIn)
 	again := in
@@ -105,8 +104,7 @@
 	}
 }
 
-// TestPeersFollowIntoAnEra has a store lose its newest changes again and again. Hosts read it or follow each other by changes
-// where those are known: all end with what the store has.
+// TestPeersFollowIntoAnEra has hosts read a store that is restored again and again, or follow each other by changes.
 func TestPeersFollowIntoAnEra(t *testing.T) {
 	c := qt.New(t)
 	random := rand.New(rand.NewPCG(3, 4))
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -258,8 +258,7 @@
 	})
 }
 
-// TestARestoreOfTheStoreCostsLittle has thousands of endpoints be the same in a new era: readers read them, and no peer fetches
-// them.
+// TestARestoreOfTheStoreCostsLittle guards against peers that fetch thousands of endpoints which are the same in a new era.
 func TestARestoreOfTheStoreCostsLittle(t *testing.T) {
 	const (
 		hosts     = 30
--- a/internal/front/gossip/gossip_test.go
+++ b/internal/front/gossip/gossip_test.go
@@ -449,7 +449,7 @@
 	c.Check(member.Directory, qt.Equals, uint64(4), qt.Commentf("a late one takes nothing back"))
 }
 
-// TestConfirmationsOfHostsThatKnowNoEras: such a host takes a revision of a later era from a peer and confirms what it has not read.
+// TestConfirmationsOfHostsThatKnowNoEras guards against trust in a host that confirms an era which it has not read.
 func TestConfirmationsOfHostsThatKnowNoEras(t *testing.T) {
 	c := qt.New(t)
 	restored, err := era.Revision(1, 4)
