--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -1,6 +1,6 @@
 // Package follow keeps a host of oxbowslip-front up to date with a table of the deployment's
 // store: it reads the table whole, then waits for changes, and reads it whole again when the
-// store has dropped changes that it lacks. While the store is away it keeps trying, and the
+// store has dropped changes that it lacks, or has come back from an older copy. While the store is away it keeps trying, and the
 // last state stays in force.
 //
 // It owns the calls and how long each may take. Whether a host calls at all is its Duty: a few
@@ -226,12 +226,7 @@
 	sent := f.begin(held)
 	batch, err := f.wait(ctx, position, held)
 	if errors.Is(err, ErrHistoryGone) {
-		era.Log(f.parts.Log, position).Warn("history is gone, the table is read again")
-		f.gone = true
-		f.goneInRow++
-		if f.goneInRow > 1 {
-			lifetime.Sleep(ctx, backoff.Jitter(storeBackoff.Span(f.goneInRow-2), leastBackoff, f.parts.Random()))
-		}
+		f.lostHistory(ctx, position)
 		return false, nil
 	}
 	if err == nil {
@@ -255,6 +250,16 @@
 	return len(batch.Items) > 0, nil
 }
 
+// lostHistory has the table read again. If that has not helped before, it waits first, as for a store that is away.
+func (f *Follower[T]) lostHistory(ctx context.Context, position uint64) {
+	era.Log(f.parts.Log, position).Warn("history is gone, the table is read again")
+	f.gone = true
+	f.goneInRow++
+	if f.goneInRow > 1 {
+		lifetime.Sleep(ctx, backoff.Jitter(storeBackoff.Span(f.goneInRow-2), leastBackoff, f.parts.Random()))
+	}
+}
+
 // checkAge returns an error if an answer is of before what was known when its call was sent: what it says of now is not true.
 func checkAge(position, revision uint64) error {
 	if revision >= position {
