--- a/internal/front/reporter/lead.go
+++ b/internal/front/reporter/lead.go
@@ -59,7 +59,7 @@
 			return
 		}
 	}
-	if !r.recover(ctx, m) {
+	if !r.recoverReports(ctx, m) {
 		return
 	}
 	since := r.parts.Clock()
--- a/internal/front/reporter/recovery.go
+++ b/internal/front/reporter/recovery.go
@@ -94,9 +94,9 @@
 	return r.parts.Usage.True(now) - now.Sub(r.started) + joinTime
 }
 
-// recover makes up for what the store has lost, if this is the first leader of an era that gets so far. It reports false if
+// recoverReports makes up for what the store has lost, if this is the first leader of an era that gets so far. It reports false if
 // ctx has ended.
-func (r *Reporter) recover(ctx context.Context, m mandate) bool {
+func (r *Reporter) recoverReports(ctx context.Context, m mandate) bool {
 	token, _, ok := m.Fence()
 	for ; !ok; token, _, ok = m.Fence() {
 		if !lifetime.Sleep(ctx, retryInterval) {
