peersync: no delta of its own for a restored store

Cause: a reader that took the table of a new era sent what differed with its heartbeats (sendRestored), and applyDelta had a rule for changes that lead from one era into the next. No test showed what they are worth: peers fetch the few changes as they do any.

Change: both are gone. All who read the table have the same newest change, the first of the era, so that a delta begins in the era in which it ends.

--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -67,32 +67,13 @@
 }
 
 func (s *Endpoints) replace(snapshot directory.Snapshot, from string) {
-	known, changed := s.parts.Directory.Revision(), s.parts.Directory.Changed()
 	if !s.parts.Directory.Replace(snapshot) {
 		return
 	}
 	era.Log(s.parts.Log, snapshot.Revision).WithFields(logrus.Fields{"from": from, "endpoints": len(snapshot.Entries)}).Info("endpoints read")
-	if from == fromStore && known > 0 && era.Of(snapshot.Revision) > era.Of(known) {
-		s.sendRestored(known, changed)
-	}
 	s.watch(snapshot.Revision)
 }
 
-// sendRestored lets peers follow into a new era of the store: what differs from what was known goes to them as changes, so
-// that not each of them fetches the whole.
-func (s *Endpoints) sendRestored(known, changed uint64) {
-	updates, to, ok := s.parts.Directory.Since(known)
-	if !ok {
-		return
-	}
-	changes := make([]directory.Change, 0, len(updates))
-	for i := range updates {
-		changes = append(changes, updates[i].Change)
-	}
-	s.sendDelta(changed, to, changes)
-	s.parts.Changed()
-}
-
 // Apply applies changes that the store brought.
 func (s *Endpoints) Apply(batch follow.Batch[directory.Change]) {
 	from := s.parts.Directory.Changed()
@@ -147,10 +128,6 @@
 	if s.parts.Directory.Revision() < delta.From {
 		return
 	}
-	if era.Of(delta.To) > era.Of(delta.From) && s.parts.Directory.Changed() > delta.From {
-		// The peer has not seen all that this host has of the earlier era.
-		return
-	}
 	changes := make([]directory.Change, 0, len(delta.Changes))
 	for i := range delta.Changes {
 		changes = append(changes, fromMessage(&delta.Changes[i]))
