follow: a page of changes does not hold up the next

Cause: the store answers 500 changes at a time. After each answer with changes a reader waits for 250 ms, so that changes which come close together are read in one call. What thousands of endpoints write when they start and leave took some 2.5 s to read.

Change: an answer with 100 changes or more is followed by the next call at once.

Ruled out: fetches between hosts (they add 1.4 s at the most, .7 s in the middle), links, processor time.

Why it is safe: a change that comes alone is followed by the wait as before, so that the store gets no more calls for it; a page of a hundred is worth its call.

Failing first: TestAPageOfChangesHoldsUpTheNext (1 s for five pages).

--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -117,6 +117,9 @@
 	// Spacing is the least time between a change and the next call: changes that come close together are read in one
 	// call.
 	Spacing = 250 * time.Millisecond
+	// pageChanges is from how many changes in one answer on the next call is made at once: a store that answers some hundred
+	// at a time has more.
+	pageChanges = 100
 	// DutyCheck is the time between two looks at the duty of a host that has none.
 	DutyCheck = 100 * time.Millisecond
 )
@@ -189,7 +192,7 @@
 			lifetime.Sleep(ctx, DutyCheck)
 			continue
 		}
-		changed, err := f.step(ctx, duty)
+		isFew, err := f.step(ctx, duty)
 		if ctx.Err() != nil {
 			return
 		}
@@ -197,7 +200,7 @@
 		switch {
 		case err != nil:
 			f.backOff(ctx, duty)
-		case changed:
+		case isFew:
 			lifetime.Sleep(ctx, Spacing)
 		}
 	}
@@ -215,8 +218,8 @@
 	return duty.Reads || (duty.Call && !f.parts.Clock().Before(f.retryAt))
 }
 
-// step reads the table whole, or waits for its next changes and reports whether there are any.
-func (f *Follower[T]) step(ctx context.Context, duty Duty) (changed bool, err error) {
+// step reads the table whole, or waits for its next changes and reports whether there are a few.
+func (f *Follower[T]) step(ctx context.Context, duty Duty) (isFew bool, err error) {
 	position := f.parts.Position()
 	if f.gone || (position == 0 && !f.loaded) {
 		return false, f.load(ctx, position)
@@ -247,7 +250,7 @@
 	}
 	f.goneInRow = 0
 	f.answered(sent, batch.Revision, batch.At)
-	return len(batch.Items) > 0, nil
+	return len(batch.Items) > 0 && len(batch.Items) < pageChanges, nil
 }
 
 // lostHistory has the table read again. If that has not helped before, it waits first, as for a store that is away.
--- a/internal/front/follow/follow_test.go
+++ b/internal/front/follow/follow_test.go
@@ -263,6 +263,39 @@
 	})
 }
 
+// TestAPageOfChangesHoldsUpTheNext has the store bring many changes in pages. Only a change that comes alone waits for others.
+func TestAPageOfChangesHoldsUpTheNext(t *testing.T) {
+	const pages = 5
+	tests := map[string]struct {
+		changes int
+		within  time.Duration
+	}{
+		"full pages":  {500, Spacing / 2},
+		"few changes": {3, pages * Spacing},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				source := newScripted()
+				source.loads <- reading{batch: Batch[string]{Revision: 1}}
+				for page := range uint64(pages) {
+					source.waits <- reading{batch: Batch[string]{Revision: page + 2, Items: make([]string, test.changes)}}
+				}
+				began := time.Now()
+				_, sink, stop := start(source, read)
+				defer stop()
+				for range pages * test.changes {
+					<-sink.taken
+				}
+				took := time.Since(began)
+				c.Check(took <= test.within, qt.IsTrue, qt.Commentf("%s", took))
+				c.Check(took >= test.within-Spacing, qt.IsTrue, qt.Commentf("%s", took))
+			})
+		})
+	}
+}
+
 // TestHostsThatOnlyAsk checks how often hosts call that do not read for others while the store is silent.
 func TestHostsThatOnlyAsk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
