--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -40,6 +40,8 @@
 	// At is the store's clock when it answered.
 	At    freshness.StoreTime
 	Items []T
+	// IsPage is set if the store answers no more changes at a time and may have more.
+	IsPage bool
 }
 
 // Source reads a table of the store. Its methods block until the store answers or ctx ends.
@@ -117,9 +119,6 @@
 	// Spacing is the least time between a change and the next call: changes that come close together are read in one
 	// call.
 	Spacing = 250 * time.Millisecond
-	// pageChanges is from how many changes in one answer on the next call is made at once: a store that answers some hundred
-	// at a time has more.
-	pageChanges = 100
 	// DutyCheck is the time between two looks at the duty of a host that has none.
 	DutyCheck = 100 * time.Millisecond
 )
@@ -192,7 +191,7 @@
 			lifetime.Sleep(ctx, DutyCheck)
 			continue
 		}
-		isFew, err := f.step(ctx, duty)
+		isLast, err := f.step(ctx, duty)
 		if ctx.Err() != nil {
 			return
 		}
@@ -200,7 +199,7 @@
 		switch {
 		case err != nil:
 			f.backOff(ctx, duty)
-		case isFew:
+		case isLast:
 			lifetime.Sleep(ctx, Spacing)
 		}
 	}
@@ -218,8 +217,8 @@
 	return duty.Reads || (duty.Call && !f.parts.Clock().Before(f.retryAt))
 }
 
-// step reads the table whole, or waits for its next changes and reports whether there are a few.
-func (f *Follower[T]) step(ctx context.Context, duty Duty) (isFew bool, err error) {
+// step reads the table whole, or waits for its next changes and reports whether the last of them have come.
+func (f *Follower[T]) step(ctx context.Context, duty Duty) (isLast bool, err error) {
 	position := f.parts.Position()
 	if f.gone || (position == 0 && !f.loaded) {
 		return false, f.load(ctx, position)
@@ -250,7 +249,7 @@
 	}
 	f.goneInRow = 0
 	f.answered(sent, batch.Revision, batch.At)
-	return len(batch.Items) > 0 && len(batch.Items) < pageChanges, nil
+	return len(batch.Items) > 0 && !batch.IsPage, nil
 }
 
 // lostHistory has the table read again. If that has not helped before, it waits first, as for a store that is away.
--- a/internal/front/follow/follow_test.go
+++ b/internal/front/follow/follow_test.go
@@ -263,15 +263,15 @@
 	})
 }
 
-// TestAPageOfChangesHoldsUpTheNext has the store bring many changes in pages. Only a change that comes alone waits for others.
+// TestAPageOfChangesHoldsUpTheNext has the store bring many changes in pages. Only after the last ones a follower waits for others.
 func TestAPageOfChangesHoldsUpTheNext(t *testing.T) {
 	const pages = 5
 	tests := map[string]struct {
-		changes int
-		within  time.Duration
+		isPage bool
+		within time.Duration
 	}{
-		"full pages":  {500, Spacing / 2},
-		"few changes": {3, pages * Spacing},
+		"pages":       {true, Spacing / 2},
+		"all changes": {false, pages * Spacing},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -280,12 +280,12 @@
 				source := newScripted()
 				source.loads <- reading{batch: Batch[string]{Revision: 1}}
 				for page := range uint64(pages) {
-					source.waits <- reading{batch: Batch[string]{Revision: page + 2, Items: make([]string, test.changes)}}
+					source.waits <- reading{batch: Batch[string]{Revision: page + 2, Items: []string{""}, IsPage: test.isPage}}
 				}
 				began := time.Now()
 				_, sink, stop := start(source, read)
 				defer stop()
-				for range pages * test.changes {
+				for range pages {
 					<-sink.taken
 				}
 				took := time.Since(began)
