--- a/internal/front/gossip/fetch.go
+++ b/internal/front/gossip/fetch.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// sync fetches a topic from a member that reported a newer revision, or from others that have one, until no member is known
-// to: what is heard of meanwhile would else wait for the next heartbeat. It ends as well once that brings nothing new.
+// sync fetches a topic from a member that reported a newer revision, or from others that have one, until no member is known to
+// be ahead: what members report meanwhile starts no fetch. It ends as well once a round brings nothing new.
 func (g *Gossip) sync(t freshness.Topic, first Member, before SyncRequest) {
 	defer g.endFetch(t)
 	for {
