freshness: an answer that waited while its host was suspended is as old as it is

Callers could have been answered by settings and endpoints of an hour ago, without the host asking anybody first.

Cause: the store's clock is estimated from the samples of a minute and the one before. An answer that was held across the suspension is the first sample for more than two minutes, the older ones were dropped before it was taken, and so it was taken for one that had been on its way for no time: at most as old as the store's clock in it, which is that of an hour ago.

Change: the last samples before a time without any count until newer ones have come for a minute. An estimate that is too high by drift (some 36 ms after an hour) is corrected by the first call sent afterwards, whose time is an upper bound, as before. Ruled out: that load makes it: the host has to have calls held by the store when it is suspended, which it had only if the request took its first 400 ms.

--- a/internal/front/freshness/freshness_test.go
+++ b/internal/front/freshness/freshness_test.go
@@ -49,6 +49,9 @@
 		"a call that the store held": {
 			[]Answer{answer(70*time.Second, 0, 0), answer(72*time.Second, 10*ms, 2*time.Second)}, 3 * time.Second, time.Second,
 		},
+		"an answer that arrives once its host was suspended": {
+			[]Answer{answer(70*time.Second, 0, 0), answer(71*time.Second, time.Second, time.Hour)}, time.Hour, time.Hour - time.Second,
+		},
 		"the store's clock begins anew": {
 			[]Answer{answer(70*time.Second, 0, 0), answer(time.Second, 4*time.Second, 4*time.Second), answer(2*time.Second, 5*time.Second, 5*time.Second)},
 			5 * time.Second, 0,
--- a/internal/front/freshness/storeclock.go
+++ b/internal/front/freshness/storeclock.go
@@ -3,8 +3,9 @@
 import "time"
 
 // clockWindow is how long a sample of the store's clock counts at least: the estimate is the best of the samples of
-// this window and the one before. Clocks drift apart by some 0.01 ms a second, so that the estimate is wrong by 1.2 ms
-// at most for that reason.
+// this window and of the last one before that had any. Clocks drift apart by some 0.01 ms a second, so that the
+// estimate is wrong by 1.2 ms at most for that reason while samples come. After a time without any, the old ones
+// still count: they tell how old an answer is that waited while this host was suspended.
 const clockWindow = time.Minute
 
 // storeClock estimates the store's steady clock by this host's monotonic one. Each sample is a
@@ -12,7 +13,7 @@
 // message that was the shortest on its way, is the estimate.
 type storeClock struct {
 	epoch time.Time
-	// current and previous are the best samples of this window and the one before.
+	// current and previous are the best samples of this window and of the last one before that had any.
 	current  lead
 	previous lead
 	// since is when this window began.
@@ -38,11 +39,8 @@
 
 // sample takes a reading that arrived at a time.
 func (c *storeClock) sample(reading StoreTime, arrived time.Time) {
-	if elapsed := arrived.Sub(c.since); elapsed > clockWindow {
+	if arrived.Sub(c.since) > clockWindow {
 		c.previous, c.current, c.since = c.current, lead{}, arrived
-		if elapsed > 2*clockWindow {
-			c.previous = lead{}
-		}
 	}
 	c.current = later(c.current, lead{reading - c.sinceEpoch(arrived), true})
 }
