freshness: an answer of before a restore says nothing of the clock after it

What callers could have seen: hosts that ask the store in a row, and usage windows, verdicts and ages by a clock that is ahead by what the clocks of the two stores differ.

Cause: an answer of an earlier era, such as that of a call that was held or waited while the host was suspended, raised no revision any more, but its reading of the clock was taken into the estimate of the newer era's clock, whose highest sample counts. Confirmations of peers are left out in that case already.

Evidence: TestAnAnswerOfBeforeARestoreComesAfterIt fails before (age 1h0m0s for 1s), found by reading. Why it is safe: what such an answer confirms is of a past that the new era has replaced; the next call is answered in the new era and has the table read again. Measured: tests of freshness, follow and of restores in virtual time (front, 1 to 300 hosts) pass.

--- a/internal/front/freshness/freshness.go
+++ b/internal/front/freshness/freshness.go
@@ -106,11 +106,14 @@
 }
 
 // Answered notes that the store has answered this host's call for a topic, and that the host has
-// put in force what the answer brought.
+// put in force what the answer brought. An answer of an earlier era than is known counts for nothing.
 func (s *State) Answered(topic Topic, answer Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.enter(era.Of(answer.Revision))
+	if era.Of(answer.Revision) < s.era {
+		return
+	}
 	s.store.answered(answer)
 	s.topics[topic].raise(answer.Revision, answer.At)
 }
--- a/internal/front/freshness/freshness_test.go
+++ b/internal/front/freshness/freshness_test.go
@@ -127,6 +127,20 @@
 	c.Check(h.Revision(Endpoints), qt.Equals, restored)
 }
 
+// TestAnAnswerOfBeforeARestoreComesAfterIt guards against readings of the clocks of two stores that are compared.
+func TestAnAnswerOfBeforeARestoreComesAfterIt(t *testing.T) {
+	c := qt.New(t)
+	restored, err := era.Revision(1, 4)
+	c.Assert(err, qt.IsNil)
+	h := newHost(50)
+	h.at(2 * time.Second)
+	h.Confirmed(Settings, Confirmation{Newest: 50, Revision: restored, AsOf: StoreTime(time.Second)})
+	h.Answered(Settings, Answer{Revision: 50, At: StoreTime(time.Hour), Sent: began, Received: *h.now})
+	h.at(3 * time.Second)
+	c.Check(h.Age(Settings), qt.Equals, time.Second)
+	c.Check(h.Age(Endpoints), qt.Equals, Unknown)
+}
+
 func TestConfirmationsOfPeers(t *testing.T) {
 	tests := map[string]struct {
 		play     func(h *host)
