directory: lapsed endpoints that have not come back count as gone after a restore too

What callers could have seen: requests to endpoints that had left together, after a restore of the store whose copy still has their entries (DRAIN, and refusals by whoever has the address now).

Cause: entries that go with most of their service are kept for 1.5 s, and what had not come back by then was dropped without being remembered among those that had gone. One entry alone was remembered.

Evidence: TestAnOlderCopyBringsLapsedEndpointsBack fails before ([a b c] serve for [c]); found by reading. Why it is safe: doubted entries serve again once they are written again, or have lasted for 5 s. Entries that are there when the store comes back, also lapsed ones, are treated as before; those that endpoints write again as usual are not doubted. Measured: tests of all packages of front pass (front, directory, peersync, gossip).

--- a/internal/front/directory/lapse.go
+++ b/internal/front/directory/lapse.go
@@ -48,12 +48,17 @@
 			continue
 		}
 		delete(d.lapsed, id)
-		delete(d.doubted, id)
-		delete(d.entries, id)
-		d.removed.add(id, entry.Endpoint.Version)
+		d.drop(entry)
 	}
 }
 
+// drop removes an entry that has gone. The lock is held.
+func (d *Directory) drop(entry *Entry) {
+	delete(d.doubted, entry.ID)
+	delete(d.entries, entry.ID)
+	d.removed.add(entry.ID, entry.Endpoint.Version)
+}
+
 // Lapsed returns the number of entries that are kept although they went at a revision.
 func (d *Directory) Lapsed(revision uint64) int {
 	d.mu.RLock()
@@ -68,7 +73,7 @@
 	defer d.mu.Unlock()
 	dropped := d.lapsed.take(revision)
 	for _, id := range dropped {
-		delete(d.entries, id)
+		d.drop(d.entries[id])
 	}
 	if len(dropped) > 0 {
 		d.index()
--- a/internal/front/directory/restore_test.go
+++ b/internal/front/directory/restore_test.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// TestAnOlderCopyBringsLapsedEndpointsBack guards against new work for endpoints that went with most of their service, did not
+// come back in time, and are in an older copy.
+func TestAnOlderCopyBringsLapsedEndpointsBack(t *testing.T) {
+	c := qt.New(t)
+	d := New()
+	all := []Entry{entry("a", "s", settings.StateIn), entry("b", "s", settings.StateIn), entry("c", "s", settings.StateIn)}
+	d.Replace(Snapshot{Revision: 8, Entries: all})
+	d.Apply(9, []Change{{Entry: Entry{ID: "a"}, Gone: true}, {Entry: Entry{ID: "b"}, Gone: true}})
+	c.Check(d.DropLapsed(9), qt.DeepEquals, []string{"a", "b"})
+	d.Replace(Snapshot{Revision: inEra(1, 4), Entries: all})
+	c.Check(ids(d.Serving("s")), qt.DeepEquals, []string{"c"})
+	d.Trust(inEra(1, 4))
+	c.Check(ids(d.Serving("s")), qt.DeepEquals, []string{"a", "b", "c"})
+}
+
 // TestPeersFollowIntoAnEra has hosts read a store that is restored again and again, or follow each other by changes.
 func TestPeersFollowIntoAnEra(t *testing.T) {
 	c := qt.New(t)
