poison: whoever announces verdicts later writes them again after a restore

What callers could have seen: a request that ends engines, sent to three more of them, once all hosts were killed after a restore of the store.

Cause: each host noted the new era of the store as soon as it knew of it and wrote the verdicts only if it was one of the two that announce. If those ended before they could write, their successors took it for done. Evidence: TestVerdictsAreLostWithTheHostsThatAnnounce fails before (no row; found by reading). Measured: tests of the package pass under -race.

--- a/internal/front/poison/detector_test.go
+++ b/internal/front/poison/detector_test.go
@@ -39,6 +39,8 @@
 	// down is set while the store does not answer.
 	down   bool
 	writes int
+	// era is that of the store.
+	era uint64
 }
 
 // host is one detector. It implements Peers.
@@ -74,7 +76,7 @@
 	log.SetOutput(io.Discard)
 	h := &host{fleet: f, done: make(chan struct{})}
 	h.Detector = New(Parts{
-		Peers: h, Prober: f, Store: f, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) }, Era: func() uint64 { return 0 },
+		Peers: h, Prober: f, Store: f, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) }, Era: f.newestEra,
 		Log: logrus.NewEntry(log), Clock: time.Now, Random: f.number,
 	})
 	f.mu.Lock()
@@ -85,6 +87,12 @@
 	return h
 }
 
+func (f *fleet) newestEra() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // number returns a random number.
 func (f *fleet) number() float64 {
 	f.mu.Lock()
@@ -270,6 +278,33 @@
 	})
 }
 
+// TestVerdictsAreLostWithTheHostsThatAnnounce guards against verdicts that a restored store has lost and nobody writes again,
+// since the hosts that were to end before they could.
+func TestVerdictsAreLostWithTheHostsThatAnnounce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(qt.New(t), 5)
+		for n := range 3 {
+			f.ends(f.hosts[4], poisonous, fmt.Sprint("e", n))
+		}
+		time.Sleep(contact)
+		f.c.Assert(f.rows, qt.HasLen, 1)
+		f.mu.Lock()
+		f.down = true
+		f.era++
+		clear(f.rows)
+		f.mu.Unlock()
+		time.Sleep(contact)
+		for _, h := range f.hosts[:announcers] {
+			h.stop()
+		}
+		f.mu.Lock()
+		f.down = false
+		f.mu.Unlock()
+		time.Sleep(contact)
+		f.c.Check(f.rows, qt.HasLen, 1)
+	})
+}
+
 // TestABrokenCallAloneProvesNothing has endpoints break calls and go on.
 func TestABrokenCallAloneProvesNothing(t *testing.T) {
 	tests := map[string]func(f *fleet, endpoint string){
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -123,7 +123,7 @@
 		if !loaded && (d.hasSeenEnd() || d.announces()) {
 			loaded = d.load(ctx)
 		}
-		if newest := d.parts.Era(); newest > savedIn {
+		if newest := d.parts.Era(); newest > savedIn && d.announces() {
 			savedIn = newest
 			d.saveAgain()
 		}
@@ -160,11 +160,8 @@
 	return true
 }
 
-// saveAgain has all verdicts written once more, since a restored store may have lost them, if this host is one that announces.
+// saveAgain has all verdicts written once more, since a restored store may have lost them.
 func (d *Detector) saveAgain() {
-	if !d.announces() {
-		return
-	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.unsaved = d.table.Verdicts()
