--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -150,7 +150,10 @@
 }
 
 func newPlacer(p placerParts) *placement.Placer {
-	placer := placement.New(p.Directory, p.Rests, p.Rejections, p.Failures, p.Limiter, logging.Part(p.Log, "endpoints"), p.Clock, p.Random, p.Late.onLoadChange)
+	placer := placement.New(placement.Parts{
+		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter,
+		Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
+	})
 	p.Directory.OnRestart(placer.ResetEndpoint)
 	return placer
 }
--- a/internal/front/peersync/peersync_test.go
+++ b/internal/front/peersync/peersync_test.go
@@ -58,7 +58,10 @@
 		return d.Revision()
 	}
 	return New(Parts{
-		Placer: placement.New(d, pushback.NewRests(time.Now, func() float64 { return 0 }), pushback.NewRejections(time.Now), pushback.NewFailures(time.Now), nil, entry, time.Now, func() float64 { return 0 }, func() {}), Holder: holder, Directory: d, ReadsStore: reads,
+		Placer: placement.New(placement.Parts{
+			Directory: d, Rests: pushback.NewRests(time.Now, func() float64 { return 0 }), Rejections: pushback.NewRejections(time.Now),
+			Failures: pushback.NewFailures(time.Now), Log: entry, Clock: time.Now, Random: func() float64 { return 0 }, Changed: func() {},
+		}), Holder: holder, Directory: d, ReadsStore: reads,
 		Freshness: freshness.New(freshness.Parts{Clock: time.Now, KnownRevision: has, Newest: has}), Log: entry, Clock: time.Now,
 		Endpoints: NewEndpoints(EndpointsParts{Directory: d, Log: entry, NotifyPeers: changed, After: func(time.Duration, func()) {}}),
 		Settings: NewSettings(SettingsParts{
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -35,17 +35,24 @@
 // 1 datagram in 40, one holder in 64,000 goes unreported.
 const reportsPerHolder = 3
 
+// Parts are the dependencies of a Placer.
+type Parts struct {
+	Directory  *directory.Directory
+	Rests      *pushback.Rests
+	Rejections *pushback.Rejections
+	Failures   *pushback.Failures
+	Limiter    *ratelimit.Limiter
+	Log        *logrus.Entry
+	Clock      func() time.Time
+	// Random returns numbers in [0, 1).
+	Random func() float64
+	// Changed is called without any lock held after a change of this host's loads or ejections; it must not block.
+	Changed func()
+}
+
 // Placer grants endpoints to the requests of this host. It implements owner.Admitter and is safe for concurrent use.
 type Placer struct {
-	directory *directory.Directory
-	rests     *pushback.Rests
-	limiter   *ratelimit.Limiter
-	log       *logrus.Entry
-	clock     func() time.Time
-	// random returns numbers in [0, 1).
-	random func() float64
-	// changed is called after a change of this host's loads or ejections.
-	changed func()
+	parts Parts
 
 	mu         sync.Mutex
 	view       *View
@@ -60,12 +67,11 @@
 	reportsLeft int
 }
 
-// New returns a placer with no requests in flight. Changed is called without any lock held after a change of this
-// host's loads or ejections; it must not block.
-func New(d *directory.Directory, rests *pushback.Rests, rejections *pushback.Rejections, failures *pushback.Failures, limiter *ratelimit.Limiter, log *logrus.Entry, clock func() time.Time, random func() float64, changed func()) *Placer {
+// New returns a placer with no requests in flight.
+func New(parts Parts) *Placer {
 	view := NewView()
-	view.random, view.rejections, view.failures = random, rejections, failures
-	return &Placer{directory: d, rests: rests, limiter: limiter, log: log, clock: clock, random: random, changed: changed, view: view}
+	view.random, view.rejections, view.failures = parts.Random, parts.Rejections, parts.Failures
+	return &Placer{parts: parts, view: view}
 }
 
 // SetSettings applies the parts of the settings that placement uses.
@@ -80,10 +86,10 @@
 // has no endpoint, and after a short wait if no endpoint admits the request. It blocks for little longer than slotWait.
 // The error is that of ctx.
 func (p *Placer) Ask(ctx context.Context, service string, request admission.Request) (owner.Ticket, admission.Decision, error) {
-	asked := p.clock()
+	asked := p.parts.Clock()
 	until := asked.Add(slotWait(&request))
 	for {
-		choice, reason := p.choose(service, &request, p.clock().Before(until))
+		choice, reason := p.choose(service, &request, p.parts.Clock().Before(until))
 		if reason == "" && choice.IsLimited && !p.acquirePermit(ctx, service, &request, &choice, until) {
 			if ctx.Err() != nil {
 				return nil, admission.Decision{}, ctx.Err()
@@ -91,9 +97,9 @@
 			// The endpoint has no permit left; another endpoint may have one.
 			continue
 		}
-		now := p.clock()
+		now := p.parts.Clock()
 		if reason == "" {
-			p.changed()
+			p.parts.Changed()
 			return p.newTicket(service, &request, &choice), p.grant(&request, &choice, now.Sub(asked), now), nil
 		}
 		if reason == admission.ReasonNoEndpoint || !now.Before(until) || choice.AvailableAt.After(until) {
@@ -111,16 +117,16 @@
 func (p *Placer) acquirePermit(ctx context.Context, service string, request *admission.Request, choice *Choice, until time.Time) bool {
 	wait := time.Duration(0)
 	if !choice.AvailableAt.IsZero() {
-		wait = until.Sub(p.clock())
+		wait = until.Sub(p.parts.Clock())
 	}
-	permit, ok := p.limiter.Acquire(ctx, choice.instance(), p.rank(request), wait)
+	permit, ok := p.parts.Limiter.Acquire(ctx, choice.instance(), p.rank(request), wait)
 	if !ok {
 		return false
 	}
 	choice.permit = permit
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.recordGrant(p.clock(), service, request, choice)
+	p.recordGrant(p.parts.Clock(), service, request, choice)
 	return true
 }
 
@@ -134,8 +140,8 @@
 // choose picks an endpoint, or returns the reason for a refusal. It counts the request at the endpoint, unless the
 // request needs a permit first. MayAsk is set if there is time left to ask for a permit.
 func (p *Placer) choose(service string, request *admission.Request, mayAsk bool) (Choice, admission.Reason) {
-	now := p.clock()
-	endpoints := p.directory.Serving(service)
+	now := p.parts.Clock()
+	endpoints := p.parts.Directory.Serving(service)
 	if len(endpoints) == 0 {
 		return Choice{}, admission.ReasonNoEndpoint
 	}
@@ -148,13 +154,13 @@
 	if request.PromptTokens > 0 {
 		p.decideSplit(now, service, endpoints)
 	}
-	choice, ok := p.view.Choose(now, service, request, endpoints, candidates, p.directory.Leaving(service))
+	choice, ok := p.view.Choose(now, service, request, endpoints, candidates, p.parts.Directory.Leaving(service))
 	if !ok || !p.bounds.admitsChoice(request, &choice) {
 		return choice, admission.ReasonNoRoom
 	}
 	choice.AvailableAt = free
 	// A limit applies to the whole fleet: if each host enforced it alone, n hosts would send n times as much.
-	if choice.IsLimited = p.limiter.IsLimited(choice.instance()); !choice.IsLimited {
+	if choice.IsLimited = p.parts.Limiter.IsLimited(choice.instance()); !choice.IsLimited {
 		p.recordGrant(now, service, request, &choice)
 	}
 	return choice, ""
@@ -165,11 +171,11 @@
 // lock is held.
 func (p *Placer) candidates(now time.Time, request *admission.Request, endpoints []*directory.Entry, mayAsk bool) (candidates []*directory.Entry, free time.Time, reason admission.Reason) {
 	// A resting endpoint gets no requests even if no other is left: it would reject them.
-	usable, rested := p.rests.Usable(endpoints)
+	usable, rested := p.parts.Rests.Usable(endpoints)
 	if len(usable) == 0 {
 		return nil, rested, admission.ReasonResting
 	}
-	open, denied := p.limiter.Usable(usable, mayAsk)
+	open, denied := p.parts.Limiter.Usable(usable, mayAsk)
 	// An ejected endpoint is tried before a request is refused: it may have been ejected for a brief slowdown.
 	if len(open) == 0 {
 		if !mayAsk || denied.Next.Sub(now) > slotWait(request) {
@@ -186,7 +192,7 @@
 
 // recordGrant counts a request at the endpoint chosen for it. The lock is held.
 func (p *Placer) recordGrant(now time.Time, service string, request *admission.Request, choice *Choice) {
-	p.rests.RecordGrant(choice.Endpoint, choice.Version)
+	p.parts.Rests.RecordGrant(choice.Endpoint, choice.Version)
 	p.view.loads.Begin(choice.Endpoint, choice.Tokens)
 	if request.PromptTokens > 0 {
 		p.view.engines.get(keys.OfService(service)).RecordArrival(now, engine.Arrival{
@@ -212,8 +218,8 @@
 // logSplit logs a changed split.
 func (p *Placer) logSplit(service string, engines *engine.Service) {
 	f := engines.Figures()
-	p.log.WithFields(logrus.Fields{
-		"service": service, "short": engines.ShortEndpoints(), "long_classes": engines.LongClasses(), "endpoints": len(p.directory.Serving(service)),
+	p.parts.Log.WithFields(logrus.Fields{
+		"service": service, "short": engines.ShortEndpoints(), "long_classes": engines.LongClasses(), "endpoints": len(p.parts.Directory.Serving(service)),
 		"read_rate": f.ReadRate.Value, "event_ms": f.EventTime.Value, "event_read": f.EventRead.Value,
 		"samples": f.ReadRate.Samples,
 	}).Info("endpoints kept for short prompts")
@@ -229,7 +235,7 @@
 
 func (p *Placer) grant(request *admission.Request, choice *Choice, waited time.Duration, now time.Time) admission.Decision {
 	var fetchFrom string
-	if source, known := p.directory.Lookup(choice.FetchFrom); known {
+	if source, known := p.parts.Directory.Lookup(choice.FetchFrom); known {
 		fetchFrom = source.Address
 	}
 	return admission.Decision{
@@ -243,7 +249,7 @@
 
 func (p *Placer) refusal(request *admission.Request, reason admission.Reason, choice *Choice, waited time.Duration) admission.Decision {
 	return admission.Decision{
-		Kind: admission.Refuse, ID: request.ID, Reason: reason, RetryAfter: retryAfter(p.clock(), reason, choice, p.random()), Figures: admission.Figures{
+		Kind: admission.Refuse, ID: request.ID, Reason: reason, RetryAfter: retryAfter(p.parts.Clock(), reason, choice, p.parts.Random()), Figures: admission.Figures{
 			Waited: waited, InFlight: choice.Load.Requests, Ahead: choice.Load.Tokens, PredictedFirstToken: choice.PredictedFirstEvent,
 		},
 	}
@@ -282,14 +288,14 @@
 func (p *Placer) Snapshot() (loads map[string]Load, ejected map[string]time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.view.loads.Own(), p.view.ejections.Ejected(p.clock())
+	return p.view.loads.Own(), p.view.ejections.Ejected(p.parts.Clock())
 }
 
 // EngineReports returns this host's observations of engines, for peers.
 func (p *Placer) EngineReports() EngineReports {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock()
+	now := p.parts.Clock()
 	observed := make(EngineReports, len(p.view.engines))
 	for service, s := range p.view.engines {
 		observed[service] = s.Report(now)
@@ -308,14 +314,14 @@
 func (p *Placer) SetPeer(peer string, report PeerReport) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock()
+	now := p.parts.Clock()
 	p.view.loads.SetPeer(now, peer, report.Loads)
 	for _, h := range report.Holders {
 		p.view.holders.Record(now, h)
 	}
 	for endpoint, until := range report.Ejected {
 		if p.view.ejections.RecordPeerEjection(endpoint, until) {
-			p.log.WithFields(logrus.Fields{"endpoint_key": endpoint, "from": peer, "until": until}).Info("endpoint ejected by a peer")
+			p.parts.Log.WithFields(logrus.Fields{"endpoint_key": endpoint, "from": peer, "until": until}).Info("endpoint ejected by a peer")
 		}
 	}
 }
@@ -324,7 +330,7 @@
 func (p *Placer) Load(service string) engine.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.view.engines.get(keys.OfService(service)).Load(p.clock(), p.view.Hosts())
+	return p.view.engines.get(keys.OfService(service)).Load(p.parts.Clock(), p.view.Hosts())
 }
 
 // DropPeer removes the reports of a peer that left.
@@ -339,20 +345,20 @@
 func (p *Placer) Expire() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.view.Expire(p.clock())
+	p.view.Expire(p.parts.Clock())
 }
 
 // RecordFailure counts a call that failed or got no response, which may eject the endpoint. Reached is set if the
 // endpoint was reached before the call broke.
 func (p *Placer) RecordFailure(endpoint string, reached bool, cause error) {
 	p.mu.Lock()
-	ejection := p.view.ejections.Failed(p.clock(), endpoint, reached)
+	ejection := p.view.ejections.Failed(p.parts.Clock(), endpoint, reached)
 	p.mu.Unlock()
 	if !ejection.IsNew {
 		return
 	}
-	p.changed()
-	p.log.WithError(cause).WithFields(logrus.Fields{
+	p.parts.Changed()
+	p.parts.Log.WithError(cause).WithFields(logrus.Fields{
 		"endpoint": endpoint, "until": ejection.Until, "reached": reached, "in_row": ejection.Consecutive,
 	}).Warn("endpoint ejected")
 }
@@ -363,7 +369,7 @@
 	failed := p.view.ejections.Answered(endpoint)
 	p.mu.Unlock()
 	if failed {
-		p.log.WithField("endpoint", endpoint).Info("endpoint answers again, its failures and its ejection by this host are cleared")
+		p.parts.Log.WithField("endpoint", endpoint).Info("endpoint answers again, its failures and its ejection by this host are cleared")
 	}
 }
 
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -390,7 +390,11 @@
 	d.Apply(1, changes)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := New(d, pushback.NewRests(clock, func() float64 { return 0 }), pushback.NewRejections(clock), pushback.NewFailures(clock), unlimitedLimiter(clock), logrus.NewEntry(log), clock, func() float64 { return 0 }, func() {})
+	s := New(Parts{
+		Directory: d, Rests: pushback.NewRests(clock, func() float64 { return 0 }), Rejections: pushback.NewRejections(clock),
+		Failures: pushback.NewFailures(clock), Limiter: unlimitedLimiter(clock), Log: logrus.NewEntry(log), Clock: clock,
+		Random: func() float64 { return 0 }, Changed: func() {},
+	})
 	least := 2
 	s.SetSettings(&settings.Tree{Root: settings.Root{Classes: map[string]settings.Class{"c": {Values: settings.Values{Urgency: &least}}}}})
 	return s
@@ -448,7 +452,7 @@
 				return now
 			})
 			for id, span := range test.rests {
-				s.rests.Begin(pushback.Instance{ID: id}, span)
+				s.parts.Rests.Begin(pushback.Instance{ID: id}, span)
 			}
 			looks, now = 0, start
 			request := short()
@@ -486,10 +490,10 @@
 			c := qt.New(t)
 			limits := pushback.NewLimits(time.Now)
 			s := newPlacer(time.Now)
-			s.limiter = limiterFor(limits, time.Now)
+			s.parts.Limiter = limiterFor(limits, time.Now)
 			done := make(chan struct{})
 			defer close(done)
-			go s.limiter.Run(done)
+			go s.parts.Limiter.Run(done)
 			for id, perSecond := range test.limits {
 				limits.Record(pushback.Instance{ID: id}, pushback.Limit{IsSet: true, PerSecond: perSecond}, time.Now())
 			}
@@ -519,7 +523,7 @@
 	c := qt.New(t)
 	limits := pushback.NewLimits(time.Now)
 	s := newPlacer(time.Now)
-	s.limiter = limiterFor(limits, time.Now)
+	s.parts.Limiter = limiterFor(limits, time.Now)
 	ticket, got, err := s.Ask(context.Background(), "llm", *short())
 	c.Assert(err, qt.IsNil)
 	c.Check(ticket.MaySend(), qt.IsTrue)
@@ -867,7 +871,10 @@
 	d := directory.New()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	p := New(d, nil, pushback.NewRejections(time.Now), pushback.NewFailures(time.Now), nil, logrus.NewEntry(log), func() time.Time { return start }, func() float64 { return 0 }, func() {})
+	p := New(Parts{
+		Directory: d, Rejections: pushback.NewRejections(time.Now), Failures: pushback.NewFailures(time.Now), Log: logrus.NewEntry(log),
+		Clock: func() time.Time { return start }, Random: func() float64 { return 0 }, Changed: func() {},
+	})
 	key := keys.OfEndpoint("e1")
 	p.SetPeer("peer", PeerReport{Holders: []Holder{{Prefix: 7, Endpoint: key}}, Ejected: map[keys.Endpoint]time.Time{key: start.Add(time.Minute)}})
 	p.RecordFailure("e1", false, errors.New("refused"))
--- a/internal/front/placement/sum.go
+++ b/internal/front/placement/sum.go
@@ -24,7 +24,7 @@
 func (p *Placer) SetSum(sum *Sum) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock()
+	now := p.parts.Clock()
 	p.view.loads.SetSum(now, sum.Part, sum.Others)
 	for _, h := range sum.Holders {
 		p.view.holders.Record(now, h)
@@ -42,7 +42,7 @@
 
 // serviceName returns the name of a service, or an empty string if it has no endpoint.
 func (p *Placer) serviceName(key keys.Service) string {
-	for _, service := range p.directory.Services() {
+	for _, service := range p.parts.Directory.Services() {
 		if keys.OfService(service) == key {
 			return service
 		}
@@ -54,12 +54,12 @@
 func (p *Placer) Splits() Splits {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.clock()
+	now := p.parts.Clock()
 	splits := make(Splits)
-	for _, service := range p.directory.Services() {
+	for _, service := range p.parts.Directory.Services() {
 		key := keys.OfService(service)
 		s, known := p.view.engines[key]
-		if endpoints := p.directory.Serving(service); known && len(endpoints) > 0 {
+		if endpoints := p.parts.Directory.Serving(service); known && len(endpoints) > 0 {
 			p.decideSplit(now, service, endpoints)
 			splits[key] = s.Split()
 		}
--- a/internal/front/placement/ticket.go
+++ b/internal/front/placement/ticket.go
@@ -40,23 +40,23 @@
 // MaySend reports whether the endpoint's limit, if there is one, still allows the request: the endpoint may have
 // announced a limit since the grant, or the permit may have expired while the connection was made.
 func (t *ticket) MaySend() bool {
-	return t.placer.limiter.MaySend(pushback.Instance{ID: t.endpoint, Version: t.version}, t.permit)
+	return t.placer.parts.Limiter.MaySend(pushback.Instance{ID: t.endpoint, Version: t.version}, t.permit)
 }
 
 // Started records the time at which the request is sent. The request was counted at the grant.
-func (t *ticket) Started() { t.startedAt = t.placer.clock() }
+func (t *ticket) Started() { t.startedAt = t.placer.parts.Clock() }
 
 // FirstToken records that the whole prompt was processed.
 func (t *ticket) FirstToken() {
 	p := t.placer
 	p.mu.Lock()
 	if t.tokensAhead == 0 {
-		p.view.engines.get(t.service).RecordFirstEvent(t.unprocessedTokens, p.clock().Sub(t.startedAt))
+		p.view.engines.get(t.service).RecordFirstEvent(t.unprocessedTokens, p.parts.Clock().Sub(t.startedAt))
 	}
 	p.view.loads.Processed(t.endpoint, t.unprocessedTokens)
 	t.unprocessedTokens = 0
 	p.mu.Unlock()
-	p.changed()
+	p.parts.Changed()
 }
 
 // Progress does nothing: the load consists of prompts and open requests only.
@@ -72,5 +72,5 @@
 	}
 	t.unprocessedTokens = 0
 	p.mu.Unlock()
-	p.changed()
+	p.parts.Changed()
 }
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -54,6 +54,21 @@
 	Retries Retries `json:"retries,omitzero"`
 	// Provider is the provider of the endpoints. Without its address, the hosts elect no leader.
 	Provider Provider `json:"provider,omitzero"`
+	// Overload selects the mechanisms for services that are short of room. Only oxbowslip-front uses it.
+	Overload Overload `json:"overload,omitzero"`
+}
+
+// Overload selects the mechanisms for services that are short of room. Each one is off unless it is set, and all hosts
+// of a fleet should select the same ones.
+type Overload struct {
+	// Slots queues the calls of a busy plain service in one order for all hosts.
+	Slots bool `json:"slots,omitzero"`
+	// Pace learns the relative speed of each endpoint.
+	Pace bool `json:"pace,omitzero"`
+	// Finish refuses streams that can't end within their time limit.
+	Finish bool `json:"finish,omitzero"`
+	// Shares limits workspaces to their fair share of a service with engines.
+	Shares bool `json:"shares,omitzero"`
 }
 
 // Task is a task that the leader of the hosts performs with the provider.
