Answer before the body, then read the rest within bounds

Cause: net/http does not read the body of a refused request if the caller asked to close the connection, and closes while the caller still writes. The caller's write meets a reset and it may never read the answer (TestInvalidRequestsAreNotSent, 'body too large', about one run in a hundred). With keep-alive it reads up to 256 KB before it answers, so a refusal by the head alone waits for the body. Change: refusals before a decision are answered at once in full duplex, then up to 256 KB of the body are read within 2 s. Ruled out: reading first and answering afterwards, which holds up the answer. Safe: nothing was sent to an endpoint; a body beyond the bound closes the connection as before.

--- a/internal/daemon/api/api.go
+++ b/internal/daemon/api/api.go
@@ -135,7 +135,7 @@
 			return
 		}
 		s.parts.Counters.CountRefusal(f.reason)
-		writeRefusal(w, c.id, request.Refuse(f.reason, f.detail), f.known)
+		httprelay.AnswerBeforeBody(w, r, func() { writeRefusal(w, c.id, request.Refuse(f.reason, f.detail), f.known) })
 	}
 }
 
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -132,7 +132,7 @@
 	if refusal := x.prepare(); refusal != nil {
 		s.parts.Counters.CountRefusal(refusal.Reason)
 		x.logRefused(refusal)
-		writeRefusal(w, x.call.ID, refusal)
+		httprelay.AnswerBeforeBody(w, r, func() { writeRefusal(w, x.call.ID, refusal) })
 		return
 	}
 	x.run()
--- a/internal/httprelay/body.go
+++ b/internal/httprelay/body.go
@@ -40,6 +40,35 @@
 	return head, complete, nil
 }
 
+const (
+	// maxDrainBytes bounds the part of an unread body that is read after the answer: reading more costs more than a
+	// connection. drainTimeout bounds the time for it.
+	maxDrainBytes = 256 << 10
+	drainTimeout  = 2 * time.Second
+)
+
+// AnswerBeforeBody calls answer to answer a request whose body may not have been read, and then reads the rest of the
+// body within bounds. net/http closes a connection that the caller asked to close without reading the rest; a caller
+// that is still sending its body would then meet a reset and might never read the answer.
+func AnswerBeforeBody(w http.ResponseWriter, r *http.Request, answer func()) {
+	if r.ContentLength == 0 {
+		answer()
+		return
+	}
+	control := http.NewResponseController(w)
+	// In full duplex, net/http sends the answer before the body has been read. Writers of tests support neither this
+	// nor deadlines.
+	_ = control.EnableFullDuplex()
+	if r.ContentLength < 0 || r.ContentLength > maxDrainBytes {
+		w.Header().Set("Connection", "close")
+	}
+	answer()
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(drainTimeout))
+	// An error means that the caller has left or does not send the rest; the connection is closed in both cases.
+	_, _ = io.CopyN(io.Discard, r.Body, maxDrainBytes)
+}
+
 func bodyRefusal(err error) *request.Refusal {
 	var tooLarge *http.MaxBytesError
 	switch {
