--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -31,6 +31,8 @@
 	// that it has.
 	KindFixedReports        Kind = 11
 	KindFixedReportsRequest Kind = 12
+	// KindShares reports the work that workspaces ask for at services with engines, and their use of their limits.
+	KindShares Kind = 17
 )
 
 // Sender identifies the host that sent a message.
--- a/internal/front/keys/keys.go
+++ b/internal/front/keys/keys.go
@@ -1,5 +1,5 @@
-// Package keys defines the short identifiers for endpoints, services, request classes and prompt prefixes in the
-// messages between hosts of oxbowslip-front. All hosts derive them from the names in the same way, so hosts need not
+// Package keys defines the short identifiers for endpoints, services, request classes, workspaces and prompt prefixes in
+// the messages between hosts of oxbowslip-front. All hosts derive them from the names in the same way, so hosts need not
 // agree on them.
 //
 // A key is a part of a hash. Two names with the same key share the state that is kept under it, which can only lead to
@@ -31,6 +31,12 @@
 // OfClass returns the key of a request class.
 func OfClass(name string) Class { return Class(xxhash.Sum64String(name)) }
 
+// Workspace is the key of a workspace's name. Public calls belong to the workspace with the empty name.
+type Workspace uint32
+
+// OfWorkspace returns the key of a workspace.
+func OfWorkspace(name string) Workspace { return Workspace(xxhash.Sum64String(name)) }
+
 // Prefix is the key of a prefix shared by prompts: the low bits of its hash.
 type Prefix uint32
 
