--- a/internal/front/shares/service.go
+++ b/internal/front/shares/service.go
@@ -14,7 +14,7 @@
 	shortShare = 0.05
 	// overShareFactor is the work asked for, relative to its fair share, above which a workspace is over its share.
 	overShareFactor = 1.25
-	// maxReduction bounds the part of the work granted that is taken off the estimated capacity because queues have filled.
+	// maxReduction bounds the part of the work granted by which the estimated capacity is below it.
 	maxReduction = 0.1
 	// refreshInterval is how often the shortage and the levels of a service are computed.
 	refreshInterval = 100 * time.Millisecond
@@ -64,12 +64,13 @@
 // isShort reports whether too much of the work was refused, whatever refused it.
 func (t *totals) isShort() bool { return t.asked-t.granted > shortShare*t.asked }
 
-// capacity estimates the work that the service can take now. If more than shortShare of what passed this rule was
-// refused, more was granted within the window than the service takes now: its queues have filled since.
+// capacity estimates the work that the service can take. It is above the work granted while less than shortShare of what
+// passes this rule is refused, since no more can be granted than passes and lost capacity would never be found again. It
+// is below while more is refused: queues have filled within the window, so more was granted than the service takes now.
 func (t *totals) capacity() float64 {
 	passed := max(t.asked-t.withheld, minWork)
 	refused := (passed - t.granted) / passed
-	return t.granted * (1 - min(max(refused-shortShare, 0), maxReduction))
+	return t.granted * (1 + max(shortShare-refused, -maxReduction))
 }
 
 // workspace is the work of one workspace at a service.
