oxbowslip-front keeps workspaces within their shares (overload.shares)

Cause: package shares was not used, and the relay left the weight and the limits of a request for an endpoint empty.

Change: placement.Placer.Ask asks shares before it chooses an endpoint for a request with a prompt, and reports its grant, refusal and end. A workspace over its share still gets what has room in time. The relay fills Weight, MaxInFlight, MaxWaiting and TokensPerMinute from the policy.

--- a/cmd/oxbowslip/logs.go
+++ b/cmd/oxbowslip/logs.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"os"
 	"text/tabwriter"
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/logread"
 )
 
@@ -50,6 +52,14 @@
 
 const logTimeFormat = "15:04:05.000"
 
+// shareText describes the share of a workspace that is over it, and is empty for others.
+func shareText(f *admission.Figures) string {
+	if f.WorkAsked == 0 {
+		return ""
+	}
+	return fmt.Sprintf("; the workspace asks for %.0f prompt tokens a second, its share is %.0f", f.WorkAsked, f.WorkShare)
+}
+
 func printRequestHistory(w *tabwriter.Writer, history *logread.RequestHistory) {
 	for i := range history.Request {
 		r := &history.Request[i]
@@ -61,16 +71,16 @@
 			figures := ""
 			if f := step.Figures; f != nil {
 				figures = fmt.Sprintf("waited %s; %d open and %d tokens unread there, %d tokens cached, first event expected after %s",
-					f.Waited.Round(time.Millisecond), f.InFlight, f.Ahead, f.CachedTokens, f.PredictedFirstToken.Round(time.Millisecond))
+					f.Waited.Round(time.Millisecond), f.InFlight, f.Ahead, f.CachedTokens, f.PredictedFirstToken.Round(time.Millisecond)) + shareText(f)
 			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", step.At.Format(logTimeFormat), step.What, step.Endpoint, step.Reason, figures)
 		}
 		fmt.Fprintln(w)
 	}
-	fmt.Fprintln(w, "log lines on its endpoints, the store and the settings")
-	fmt.Fprintln(w, "time\thost\tline\tendpoint\tcause")
+	fmt.Fprintln(w, "log lines on its endpoints, workspaces over their share of its service, the store and the settings")
+	fmt.Fprintln(w, "time\thost\tline\tendpoint or workspace\tcause")
 	for i := range history.Around {
 		l := &history.Around[i]
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", l.Time.Format(logTimeFormat), l.Source, l.Text, l.Endpoint, l.Error)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", l.Time.Format(logTimeFormat), l.Source, l.Text, cmp.Or(l.Endpoint, l.Workspace), l.Error)
 	}
 }
--- a/cmd/oxbowslip/tool.go
+++ b/cmd/oxbowslip/tool.go
@@ -78,6 +78,9 @@
 		for _, p := range s.Pushback {
 			fmt.Fprintf(w, "endpoint %s %s\n\n", p.Endpoint, pushbackText(&p))
 		}
+		for _, o := range s.OverShare {
+			fmt.Fprintf(w, "workspace %s is over its share of service %s: it asks for %.0f prompt tokens a second, its share is %.0f\n\n", cmp.Or(o.Workspace, "(public calls)"), o.Service, o.Asked, o.Share)
+		}
 		fmt.Fprintln(w, "shard\tscheduler\twaiting\trunning\tejected")
 		for _, shard := range s.Shards {
 			scheduler, ok := s.Schedulers[shard.Name]
@@ -149,7 +152,7 @@
 			if f := step.Figures; f != nil {
 				figures = fmt.Sprintf("waited %s, %d ahead, %d below; endpoint %d of %.1f, first token expected in %s, %d prompt tokens cached, %d answer tokens expected",
 					f.Waited.Round(time.Millisecond), f.Ahead, f.WaitingBelow, f.InFlight, f.Limit,
-					f.PredictedFirstToken.Round(time.Millisecond), f.CachedTokens, f.AnswerTokens)
+					f.PredictedFirstToken.Round(time.Millisecond), f.CachedTokens, f.AnswerTokens) + shareText(f)
 			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", step.At.Format("15:04:05.000"), step.What, step.Endpoint, step.Reason, figures)
 		}
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -75,6 +75,10 @@
 	CachedTokens int `json:",omitzero"`
 	// AnswerTokens is the expected length of the answer.
 	AnswerTokens int `json:",omitzero"`
+	// WorkAsked is the work a second that the workspace asks for at the service, and WorkShare its fair share, in prompt
+	// tokens. They are set if the workspace is over its share, and not sent between hosts.
+	WorkAsked float64 `json:",omitzero" cbor:"-"`
+	WorkShare float64 `json:",omitzero" cbor:"-"`
 }
 
 // Decision is the response to a request for an endpoint.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -35,6 +35,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
 	"oxbowslip.dev/oxbowslip/internal/front/reporter"
 	"oxbowslip.dev/oxbowslip/internal/front/scaler"
+	"oxbowslip.dev/oxbowslip/internal/front/shares"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
@@ -148,6 +149,7 @@
 	Failures   *pushback.Failures
 	Limits     *pushback.Limits
 	Limiter    *ratelimit.Limiter
+	Shares     *shares.Exchange
 	Leadership *leadership
 	Clock      func() time.Time
 	Steady     *clock.Clock
@@ -214,6 +216,9 @@
 	h.parts.Failures.Expire()
 	h.parts.Limits.Expire()
 	h.parts.Limiter.Expire()
+	if h.parts.Shares != nil {
+		h.parts.Shares.Expire()
+	}
 	if h.parts.Followers.isReading() || h.parts.Gossip.Hosts() > 1 {
 		h.recordContact()
 	}
@@ -260,6 +265,9 @@
 	go h.parts.Poison.Run(h.done)
 	go h.parts.Signals.Run(h.done)
 	go h.parts.Limiter.Run(h.done)
+	if h.parts.Shares != nil {
+		go h.parts.Shares.Run(h.done)
+	}
 	h.parts.Leadership.start(h.done)
 	go lifetime.Every(h.done, expireInterval, randomNumber, h.expire)
 	h.log.WithFields(logrus.Fields{
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -24,6 +24,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
+	"oxbowslip.dev/oxbowslip/internal/front/shares"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/front/usage"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
@@ -64,6 +65,7 @@
 			pushback.NewLimits,
 			ratelimit.NewLender,
 			newLimiter,
+			newShares,
 			newRelay,
 			newFollowers,
 			newUsageClock,
@@ -143,6 +145,7 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
+	Shares     *shares.Exchange
 	Log        *logrus.Logger
 	Clock      func() time.Time
 	Random     func() float64
@@ -151,7 +154,7 @@
 
 func newPlacer(p placerParts) *placement.Placer {
 	placer := placement.New(placement.Parts{
-		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter,
+		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter, Shares: p.Shares,
 		Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
 	})
 	p.Directory.OnRestart(placer.ResetEndpoint)
@@ -214,6 +217,7 @@
 	Config    hostconfig.Host
 	Placer    *placement.Placer
 	Limiter   *ratelimit.Limiter
+	Shares    *shares.Exchange
 	Holder    *settings.Holder
 	Directory *directory.Directory
 	Settings  *peersync.Settings
@@ -242,6 +246,9 @@
 	})
 	g.Handle(envelope.KindPermitRequest, p.Limiter.HandleAsk)
 	g.Handle(envelope.KindPermitReply, p.Limiter.HandleReply)
+	if p.Shares != nil {
+		g.Handle(envelope.KindShares, func(from envelope.Sender, body []byte) { p.Shares.HandleCounts(from.Host, body) })
+	}
 	p.Late.gossip.Store(g)
 	p.Late.sync.Store(sync)
 	return g
@@ -374,6 +381,37 @@
 	})
 }
 
+// sharePeers are the hosts that exchange counts of work. It implements shares.Peers, and is usable once the host is
+// wired.
+type sharePeers struct{ *lateParts }
+
+// Broadcast sends a message to all peers.
+func (l sharePeers) Broadcast(kind envelope.Kind, message any) {
+	l.gossip.Load().Broadcast(kind, message)
+}
+
+// Hosts returns the number of live hosts, this one included.
+func (l sharePeers) Hosts() int { return l.gossip.Load().Hosts() }
+
+// sharesParts are the dependencies of the exchange that keeps workspaces within their shares.
+type sharesParts struct {
+	fx.In
+
+	Config hostconfig.Host
+	Late   *lateParts
+	Log    *logrus.Logger
+	Clock  func() time.Time
+	Random func() float64
+}
+
+// newShares returns nil unless the host's file selects shares.
+func newShares(p sharesParts) *shares.Exchange {
+	if !p.Config.Overload.Shares {
+		return nil
+	}
+	return shares.New(shares.Parts{Peers: sharePeers{p.Late}, Log: logging.Part(p.Log, "shares"), Clock: p.Clock, Random: p.Random})
+}
+
 // relayParts are the dependencies of the relay, which serves callers.
 type relayParts struct {
 	fx.In
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -22,6 +22,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
+	"oxbowslip.dev/oxbowslip/internal/front/shares"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -42,8 +43,11 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
-	Log        *logrus.Entry
-	Clock      func() time.Time
+	// Shares keeps workspaces within their shares and limits; nil if that is off. It calls the placer with its lock held,
+	// so it must not be called with that of the placer held.
+	Shares *shares.Exchange
+	Log    *logrus.Entry
+	Clock  func() time.Time
 	// Random returns numbers in [0, 1).
 	Random func() float64
 	// Changed is called without any lock held after a change of this host's loads or ejections; it must not block.
@@ -76,6 +80,9 @@
 
 // SetSettings applies the parts of the settings that placement uses.
 func (p *Placer) SetSettings(tree *settings.Tree) {
+	if p.parts.Shares != nil {
+		p.parts.Shares.SetSettings(tree)
+	}
 	bounds, targets := PriorityBoundsOf(tree), targetsOf(tree)
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,9 +90,17 @@
 }
 
 // Ask returns a grant as soon as an endpoint of the service admits the request. It refuses immediately if the service
-// has no endpoint, and after a short wait if no endpoint admits the request. It blocks for little longer than slotWait.
-// The error is that of ctx.
+// has no endpoint or the workspace is over its share, and after a short wait if no endpoint admits the request. It
+// blocks for little longer than slotWait. The error is that of ctx.
 func (p *Placer) Ask(ctx context.Context, service string, request admission.Request) (owner.Ticket, admission.Decision, error) {
+	if p.parts.Shares != nil && request.PromptTokens > 0 {
+		return p.askWithinShare(ctx, service, request)
+	}
+	return p.ask(ctx, service, request)
+}
+
+// ask is Ask without regard to shares.
+func (p *Placer) ask(ctx context.Context, service string, request admission.Request) (owner.Ticket, admission.Decision, error) {
 	asked := p.parts.Clock()
 	until := asked.Add(slotWait(&request))
 	for {
@@ -335,6 +350,9 @@
 
 // DropPeer removes the reports of a peer that left.
 func (p *Placer) DropPeer(peer string) {
+	if p.parts.Shares != nil {
+		p.parts.Shares.DropPeer(peer)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.view.loads.DropPeer(peer)
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -52,6 +52,7 @@
 	r := admission.Request{
 		ID: x.call.ID, Owner: p.Host, Workspace: x.workspace, Class: x.route.Class, Tier: x.policy.Tier, Urgency: x.policy.Urgency,
 		Arrived: x.arrived, FirstToken: x.policy.FirstToken, WholeAnswer: x.policy.WholeAnswer, MaxPause: x.policy.MaxPause,
+		Weight: x.policy.Weight, MaxInFlight: x.policy.MaxInFlight, MaxWaiting: x.policy.MaxWaiting, TokensPerMinute: x.policy.TokensPerMinute,
 		Repeatable: x.policy.Repeatable, PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Zone: p.Zone,
 	}
 	hash := xxhash.New()
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -65,6 +65,7 @@
 	}
 	status.Poison = h.poison()
 	status.Pushback = h.pushback()
+	status.OverShare = h.overShare()
 	status.Leader = h.parts.Leadership.state()
 	return status
 }
@@ -108,6 +109,18 @@
 	return list
 }
 
+// overShare returns the workspaces that ask for more than their share of a service that is short of capacity.
+func (h *Host) overShare() []operator.WorkspaceShare {
+	if h.parts.Shares == nil {
+		return nil
+	}
+	var list []operator.WorkspaceShare
+	for _, o := range h.parts.Shares.Over() {
+		list = append(list, operator.WorkspaceShare{Service: o.Service, Workspace: o.Workspace, Asked: math.Round(o.Asked), Share: math.Round(o.Share)})
+	}
+	return list
+}
+
 // shownShare rounds a share to percent for operators. It returns 0 below minShownShare.
 func shownShare(share float64) float64 {
 	if share < minShownShare {
--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -59,14 +59,17 @@
 	// Request are the lines of the request itself. There are several if the caller
 	// sent further requests with the same ID.
 	Request []Line
-	// Around are the lines on its endpoints, the store and the settings, from
-	// contextBefore before the request to its end.
+	// Around are the lines on its endpoints, the workspaces over their share of its
+	// service, the store and the settings, from contextBefore before the request to its end.
 	Around []Line
 }
 
 // contextBefore is the time before a request from which context lines are selected. An ejection lasts up to 8 s.
 const contextBefore = 10 * time.Second
 
+// shareContextBefore is the same time for lines on shares: workspaces may be over their share for longer.
+const shareContextBefore = time.Minute
+
 // maxLineBytes limits the length of a log line. Reading fails at a longer line.
 const maxLineBytes = 1 << 20
 
@@ -117,7 +120,13 @@
 	return byFields || strings.Contains(l.Text, "store") || strings.Contains(l.Text, "in force")
 }
 
-// selectContext returns the lines on the endpoints, the store and the settings around the time of the requests.
+// isAboutShares reports whether a line says that a workspace is over its share of the service of a request, or is back.
+func (l *Line) isAboutShares(request *Line) bool {
+	return l.Service == request.Service && strings.Contains(l.Text, "its share")
+}
+
+// selectContext returns the lines on the endpoints, the shares, the store and the settings around the time of the
+// requests.
 func selectContext(lines, requests []Line) []Line {
 	endpoints := make(map[string]bool)
 	for _, r := range requests {
@@ -131,10 +140,14 @@
 	var selected []Line
 	for i := range lines {
 		line := &lines[i]
-		if line.ID != "" || line.Time.Before(start.Add(-contextBefore)) || line.Time.After(end.Add(time.Second)) {
+		before := contextBefore
+		if line.isAboutShares(&requests[0]) {
+			before = shareContextBefore
+		}
+		if line.ID != "" || line.Time.Before(start.Add(-before)) || line.Time.After(end.Add(time.Second)) {
 			continue
 		}
-		if endpoints[line.Endpoint] || line.isAboutSettings() {
+		if endpoints[line.Endpoint] || line.isAboutSettings() || line.isAboutShares(&requests[0]) {
 			selected = append(selected, *line)
 		}
 	}
--- a/internal/logread/logread_test.go
+++ b/internal/logread/logread_test.go
@@ -38,3 +38,18 @@
 	_, err := FindRequest(strings.NewReader(logs), "nobody")
 	qt.Check(t, errors.Is(err, ErrNotFound), qt.IsTrue)
 }
+
+// TestFindRequestShowsWorkspacesOverTheirShare checks that the lines on shares of the request's service are shown, also
+// from some time before.
+func TestFindRequestShowsWorkspacesOverTheirShare(t *testing.T) {
+	c := qt.New(t)
+	const lines = `
+ a {"time":"2026-06-17T05:23:30Z","msg":"shares: workspace is over its share of a service that is short of capacity; ...","service":"llm","workspace":"big"}
+ a {"time":"2026-06-17T05:23:31Z","msg":"shares: workspace is over its share of a service that is short of capacity; ...","service":"other","workspace":"small"}
+ a {"time":"2026-06-17T05:24:14Z","msg":"request: given up","id":"r1","service":"llm","reason":"no_room","took_ms":20}
+`
+	history, err := FindRequest(strings.NewReader(lines), "r1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(history.Around, qt.HasLen, 1)
+	c.Check(history.Around[0].Workspace, qt.Equals, "big")
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -76,6 +76,18 @@
 	Poison []PoisonRequest `json:"poison,omitzero"`
 	// Pushback are the endpoints, by ID, that are leaving, resting or rejecting requests.
 	Pushback []EndpointPushback `json:"pushback,omitzero"`
+	// OverShare are the workspaces that are over their share of a service that is short of capacity.
+	OverShare []WorkspaceShare `json:"over_share,omitzero"`
+}
+
+// WorkspaceShare describes a workspace that is over its share of a service.
+type WorkspaceShare struct {
+	Service string `json:"service"`
+	// Workspace is empty for public calls.
+	Workspace string `json:"workspace"`
+	// Asked is the work a second that the workspace asks for from all hosts, and Share its fair share, in prompt tokens.
+	Asked float64 `json:"asked"`
+	Share float64 `json:"share"`
 }
 
 // EndpointPushback describes an endpoint that does not accept all requests.
