shares: names of the field

A workspace that sends many times its load bursts; what is refused because a workspace is over its share is overShare, since "withheld" is the step of a request whose grant was not sent. No behaviour changes.

--- a/internal/front/shares/exchange_test.go
+++ b/internal/front/shares/exchange_test.go
@@ -69,7 +69,7 @@
 }
 
 // ask has a host handle a request of 1,000 tokens, and reports whether it was refused for its workspace's share.
-func (f *fleet) ask(host int, workspace string, hasRoom bool) (isWithheld bool) {
+func (f *fleet) ask(host int, workspace string, hasRoom bool) (isOverShare bool) {
 	e, ask := f.hosts[host], newAsk(workspace, 1000)
 	ask.HasRoom = func() bool { return hasRoom }
 	if e.Admit(ask).IsRefused {
@@ -84,22 +84,22 @@
 	return false
 }
 
-// TestHostsExchangeCounts checks that hosts send nothing while a service refuses nothing, that all learn of a workspace
-// that crowds at one of them with its second message, and that the log names it while it does.
+// TestHostsExchangeCounts checks that hosts send nothing while a service refuses nothing, that all learn of a
+// bursting workspace at one of them with its second message, and that the log names it while it does.
 func TestHostsExchangeCounts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		done := make(chan struct{})
 		defer close(done)
 		f := startFleet(c, 3, done)
-		load := func(seconds int, crowd bool) {
+		load := func(seconds int, burst bool) {
 			for range 10 * seconds {
 				for host := range f.hosts {
 					f.ask(host, "a", true)
 					f.ask(host, "b", true)
 				}
 				for n := range 20 {
-					f.ask(0, "big", !crowd || n%2 == 0)
+					f.ask(0, "big", !burst || n%2 == 0)
 				}
 				time.Sleep(100 * time.Millisecond)
 			}
--- a/internal/front/shares/messages.go
+++ b/internal/front/shares/messages.go
@@ -17,11 +17,11 @@
 	_ struct{} `cbor:",toarray"`
 
 	Service keys.Service
-	// Asked is the work of all requests, Granted that of those that got an endpoint, and Withheld that of those that were
+	// Asked is the work of all requests, Granted that of those that got an endpoint, and OverShare that of those that were
 	// refused because their workspace was over its share.
-	Asked    uint64
-	Granted  uint64
-	Withheld uint64
+	Asked     uint64
+	Granted   uint64
+	OverShare uint64
 	// Work is the work asked for by the workspace at the same index of Workspaces. Weights are in hundredths, and empty
 	// if all are 1; Tiers are empty if all are 0.
 	Workspaces []keys.Workspace
--- a/internal/front/shares/replay_test.go
+++ b/internal/front/shares/replay_test.go
@@ -20,13 +20,13 @@
 	// usualRate is the number of requests a second of one workspace in calm times, meanWork their mean work.
 	usualRate = 290. / numWorkspaces
 	meanWork  = 9200
-	// Some workspaces send crowdFactor times their usual load from crowdFrom to crowdUntil. The results are those from
+	// Some workspaces send burstFactor times their usual load from burstFrom to burstUntil. The results are those from
 	// measureFrom on.
-	crowdFactor = 7.5
+	burstFactor = 7.5
 	// shortDemand is the demand at a service that is short by a third of its capacity.
 	shortDemand = 4. / 3
-	crowdFrom   = 3 * time.Second
-	crowdUntil  = 24 * time.Second
+	burstFrom   = 3 * time.Second
+	burstUntil  = 24 * time.Second
 	measureFrom = 14 * time.Second
 	step        = 10 * time.Millisecond
 	// callerPatience is how long callers wait for an answer; they follow a Retry-After up to a third of it, once.
@@ -61,10 +61,10 @@
 // seconds, and has room for them in time while it is under half a second as of the last loads that hosts have received.
 type replay struct {
 	hosts int
-	// demand is the work asked for while some workspaces crowd, relative to the capacity.
+	// demand is the work asked for while some workspaces burst, relative to the capacity.
 	demand float64
-	// crowding is the number of workspaces that crowd, idle the number of those that send nothing.
-	crowding, idle int
+	// bursting is the number of bursting workspaces, idle the number of those that send nothing.
+	bursting, idle int
 	// weights are the weights of the workspaces that have one.
 	weights map[int]float64
 	// outage is a time in which the service has half of its capacity.
@@ -82,14 +82,15 @@
 	inbox   []delivery
 	returns []caller
 
-	// asked and granted are the work of each workspace. Excess is what those that crowd got beyond their shares since
+	// asked and granted are the work of each workspace. Excess is what the bursting ones got beyond their shares since
 	// the first refusal, in seconds of what they ask for, and peakExcess its maximum within five seconds.
 	asked, granted     [numWorkspaces]float64
 	excess, peakExcess float64
 	firstRefusal       time.Duration
 	// idleTime is the time in which the service had nothing to do.
 	idleTime time.Duration
-	withheld int
+	// overShare is the number of requests refused for shares.
+	overShare int
 	// followed is the number of callers that followed a Retry-After, served those of them that got an endpoint.
 	followed, served int
 }
@@ -111,17 +112,17 @@
 	switch {
 	case workspace >= numWorkspaces-r.idle:
 		return 0
-	case workspace < r.crowding && at >= crowdFrom && at < crowdUntil:
-		return crowdFactor * usualRate
+	case workspace < r.bursting && at >= burstFrom && at < burstUntil:
+		return burstFactor * usualRate
 	}
 	return usualRate
 }
 
-// share returns the fair share of a workspace of weight 1 that crowds, in work a second.
+// share returns the fair share of a bursting workspace of weight 1, in work a second.
 func (r *replay) share() float64 {
 	var demands []demand
 	for w := range numWorkspaces {
-		demands = append(demands, demand{asked: r.rate(w, crowdFrom) * meanWork, weight: max(r.weights[w], 1)})
+		demands = append(demands, demand{asked: r.rate(w, burstFrom) * meanWork, weight: max(r.weights[w], 1)})
 	}
 	return fairLevel(r.capacity, demands)
 }
@@ -133,10 +134,10 @@
 	}
 	r.sendAt = make([]time.Duration, r.hosts)
 	for w := range numWorkspaces {
-		r.capacity += r.rate(w, crowdFrom) * meanWork / r.demand
+		r.capacity += r.rate(w, burstFrom) * meanWork / r.demand
 	}
-	share := r.share() * float64(r.crowding)
-	for at := time.Duration(0); at < crowdUntil; at += step {
+	share := r.share() * float64(r.bursting)
+	for at := time.Duration(0); at < burstUntil; at += step {
 		for _, d := range r.inbox {
 			r.ledgers[d.to].Add(start.Add(at), fmt.Sprint(d.from), d.message)
 		}
@@ -156,7 +157,7 @@
 		if r.firstRefusal > 0 {
 			r.excess -= share * step.Seconds()
 			if at < r.firstRefusal+5*time.Second {
-				r.peakExcess = max(r.peakExcess, r.excess/(crowdFactor*usualRate*meanWork*float64(r.crowding)))
+				r.peakExcess = max(r.peakExcess, r.excess/(burstFactor*usualRate*meanWork*float64(r.bursting)))
 			}
 		}
 		for h := range r.ledgers {
@@ -203,7 +204,7 @@
 	}
 	if !r.off {
 		if v := l.Decide(now, r.hosts, ask, r.random.Float64()); v.IsRefused {
-			r.withheld++
+			r.overShare++
 			if mayReturn && v.RetryAfter <= callerPatience/3 {
 				r.returns = append(r.returns, caller{at + v.RetryAfter, workspace})
 			}
@@ -222,7 +223,7 @@
 	if at >= measureFrom {
 		r.granted[workspace] += ask.work()
 	}
-	if workspace < r.crowding && r.firstRefusal > 0 {
+	if workspace < r.bursting && r.firstRefusal > 0 {
 		r.excess += ask.work()
 	}
 	return true
@@ -252,7 +253,7 @@
 
 // idleShare returns the part of the time in which the service had nothing to do.
 func (r *replay) idleShare() float64 {
-	return r.idleTime.Seconds() / (crowdUntil - measureFrom).Seconds()
+	return r.idleTime.Seconds() / (burstUntil - measureFrom).Seconds()
 }
 
 // kept returns the part of the work asked for that workspaces got.
@@ -265,25 +266,25 @@
 	return granted / asked
 }
 
-// TestCrowdingWorkspaces guards against workspaces that cost the others their service: without the part, the others keep
-// three quarters of what they ask for. With it they keep nine tenths, the service stays busy, and those that crowd have
+// TestBurstingWorkspaces guards against workspaces that cost the others their service: without the part, the others keep
+// three quarters of what they ask for. With it they keep nine tenths, the service stays busy, and the bursting ones have
 // what is left to them. What they get beyond it until their shares apply is bounded by one exchange of counts.
-func TestCrowdingWorkspaces(t *testing.T) {
+func TestBurstingWorkspaces(t *testing.T) {
 	var followed, served atomic.Int64
 	t.Run("fleets", func(t *testing.T) {
 		for _, hosts := range []int{8, 78, 300} {
-			for _, crowding := range []int{1, 2} {
-				t.Run(fmt.Sprintf("%d hosts, %d crowding", hosts, crowding), func(t *testing.T) {
+			for _, bursting := range []int{1, 2} {
+				t.Run(fmt.Sprintf("%d hosts, %d bursting", hosts, bursting), func(t *testing.T) {
 					t.Parallel()
 					c := qt.New(t)
-					r := (&replay{hosts: hosts, crowding: crowding, demand: shortDemand}).run()
-					off := (&replay{hosts: hosts, crowding: crowding, demand: shortDemand, off: true}).run()
-					others, offOthers := r.kept(crowding, numWorkspaces), off.kept(crowding, numWorkspaces)
-					crowded, fair := r.kept(0, crowding), r.share()/(crowdFactor*usualRate*meanWork)
-					t.Logf("others keep %.3f (off %.3f), those that crowd %.3f of %.3f; %.2f s beyond the share, idle %.3f", others, offOthers, crowded, fair, r.peakExcess, r.idleShare())
+					r := (&replay{hosts: hosts, bursting: bursting, demand: shortDemand}).run()
+					off := (&replay{hosts: hosts, bursting: bursting, demand: shortDemand, off: true}).run()
+					others, offOthers := r.kept(bursting, numWorkspaces), off.kept(bursting, numWorkspaces)
+					burst, fair := r.kept(0, bursting), r.share()/(burstFactor*usualRate*meanWork)
+					t.Logf("others keep %.3f (off %.3f), the bursting ones %.3f of %.3f; %.2f s beyond the share, idle %.3f", others, offOthers, burst, fair, r.peakExcess, r.idleShare())
 					c.Check(offOthers < 0.8, qt.IsTrue)
 					c.Check(others >= 0.9, qt.IsTrue)
-					c.Check(crowded >= 0.8*fair && crowded <= 1.25*fair, qt.IsTrue)
+					c.Check(burst >= 0.8*fair && burst <= 1.25*fair, qt.IsTrue)
 					c.Check(r.idleShare() <= 0.01, qt.IsTrue)
 					// A service refuses too much some tenths of a second before its hosts notice it.
 					c.Check(r.peakExcess <= interval(hosts).Seconds()+0.5, qt.IsTrue)
@@ -293,7 +294,7 @@
 			}
 		}
 	})
-	// Callers that follow a Retry-After get more than a workspace that crowds gets at its first try.
+	// Callers that follow a Retry-After get more than a bursting workspace gets at its first try.
 	qt.Check(t, 2*served.Load() >= followed.Load() && followed.Load() > 100, qt.IsTrue, qt.Commentf("%d of %d", served.Load(), followed.Load()))
 }
 
@@ -303,27 +304,27 @@
 		replay replay
 		check  func(c *qt.C, r *replay)
 	}{
-		"nobody is withheld while there is room": {
-			replay{crowding: 1, demand: 0.9}, func(c *qt.C, r *replay) { c.Check(r.withheld, qt.Equals, 0) },
+		"nobody is refused for shares while there is room": {
+			replay{bursting: 1, demand: 0.9}, func(c *qt.C, r *replay) { c.Check(r.overShare, qt.Equals, 0) },
 		},
-		"nobody is withheld while a twentieth is refused": {
-			replay{crowding: 1, demand: 1.02}, func(c *qt.C, r *replay) { c.Check(r.withheld, qt.Equals, 0) },
+		"nobody is refused for shares while a fiftieth is refused": {
+			replay{bursting: 1, demand: 1.02}, func(c *qt.C, r *replay) { c.Check(r.overShare, qt.Equals, 0) },
 		},
-		"workspaces that crowd get what idle ones leave": {
-			replay{crowding: 1, demand: shortDemand, idle: numWorkspaces / 2}, func(c *qt.C, r *replay) {
-				fair := r.share() / (crowdFactor * usualRate * meanWork)
+		"bursting workspaces get what idle ones leave": {
+			replay{bursting: 1, demand: shortDemand, idle: numWorkspaces / 2}, func(c *qt.C, r *replay) {
+				fair := r.share() / (burstFactor * usualRate * meanWork)
 				c.Check(fair > 0.35 && r.kept(0, 1) >= 0.8*fair, qt.IsTrue, qt.Commentf("%v of %v", r.kept(0, 1), fair))
 				c.Check(r.kept(1, numWorkspaces/2) > 0.9, qt.IsTrue, qt.Commentf("%v", r.kept(1, numWorkspaces/2)))
 			},
 		},
 		"a workspace of three times the weight gets three times as much": {
-			replay{crowding: 2, demand: shortDemand, weights: map[int]float64{0: 3}}, func(c *qt.C, r *replay) {
+			replay{bursting: 2, demand: shortDemand, weights: map[int]float64{0: 3}}, func(c *qt.C, r *replay) {
 				ratio := r.granted[0] / r.granted[1]
 				c.Check(ratio > 2.4 && ratio < 3.6, qt.IsTrue, qt.Commentf("%v", ratio))
 			},
 		},
 		"capacity that was away is used again": {
-			replay{crowding: 2, demand: shortDemand, outage: func(at time.Duration) bool {
+			replay{bursting: 2, demand: shortDemand, outage: func(at time.Duration) bool {
 				return at >= measureFrom && at < measureFrom+3*time.Second
 			}}, func(c *qt.C, r *replay) { c.Check(r.idleShare() <= 0.01, qt.IsTrue, qt.Commentf("%v", r.idleShare())) },
 		},
--- a/internal/front/shares/report.go
+++ b/internal/front/shares/report.go
@@ -80,7 +80,7 @@
 // report returns the counts for a message, and marks them as sent. Workspaces with less unsent work than least are left
 // for a later message.
 func (s *service) report(key keys.Service, least float64) ServiceCounts {
-	c := ServiceCounts{Service: key, Asked: takeUnits(&s.unsent.asked), Granted: takeUnits(&s.unsent.granted), Withheld: takeUnits(&s.unsent.withheld)}
+	c := ServiceCounts{Service: key, Asked: takeUnits(&s.unsent.asked), Granted: takeUnits(&s.unsent.granted), OverShare: takeUnits(&s.unsent.overShare)}
 	isWeighted, isTiered := false, false
 	for key, w := range s.workspaces {
 		if w.unsent < least || len(c.Workspaces) == maxPerMessage {
@@ -123,7 +123,7 @@
 func (s *service) add(now time.Time, peer string, c *ServiceCounts) {
 	s.decay(now)
 	asked := reportedWork(c.Asked)
-	work := totals{asked: asked, granted: min(reportedWork(c.Granted), asked), withheld: reportedWork(c.Withheld)}
+	work := totals{asked: asked, granted: min(reportedWork(c.Granted), asked), overShare: reportedWork(c.OverShare)}
 	s.all.add(work)
 	for i, key := range c.Workspaces[:min(len(c.Workspaces), len(c.Work), maxPerMessage)] {
 		w := s.workspace(key)
--- a/internal/front/shares/service.go
+++ b/internal/front/shares/service.go
@@ -44,21 +44,21 @@
 
 // totals is work at a service, in prompt tokens.
 type totals struct {
-	// asked is the work of all requests, granted that of those that got an endpoint, and withheld that of those that were
+	// asked is the work of all requests, granted that of those that got an endpoint, and overShare that of those that were
 	// refused because their workspace was over its share.
-	asked, granted, withheld float64
+	asked, granted, overShare float64
 }
 
 func (t *totals) add(other totals) {
 	t.asked += other.asked
 	t.granted = max(t.granted+other.granted, 0)
-	t.withheld += other.withheld
+	t.overShare += other.overShare
 }
 
 func (t *totals) scale(factor float64) {
 	t.asked *= factor
 	t.granted *= factor
-	t.withheld *= factor
+	t.overShare *= factor
 }
 
 // isShort reports whether too much of the work was refused, whatever refused it.
@@ -68,7 +68,7 @@
 // passes this rule is refused, since no more can be granted than passes and lost capacity would never be found again. It
 // is below while more is refused: queues have filled within the window, so more was granted than the service takes now.
 func (t *totals) capacity() float64 {
-	passed := max(t.asked-t.withheld, minWork)
+	passed := max(t.asked-t.overShare, minWork)
 	refused := (passed - t.granted) / passed
 	return t.granted * (1 + max(shortShare-refused, -maxReduction))
 }
--- a/internal/front/shares/shares.go
+++ b/internal/front/shares/shares.go
@@ -146,7 +146,7 @@
 	}
 	verdict := s.decide(now, hosts, ask, random)
 	if verdict.IsRefused {
-		s.record(now, ask, totals{asked: ask.work(), withheld: ask.work()})
+		s.record(now, ask, totals{asked: ask.work(), overShare: ask.work()})
 	}
 	return verdict
 }
--- a/internal/front/shares/shares_test.go
+++ b/internal/front/shares/shares_test.go
@@ -1,6 +1,7 @@
 package shares
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"testing"
@@ -13,16 +14,16 @@
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
-// crowdedCounts is the report of one of two hosts at which "big" asks for eight times as much as "a" and "b". Half of all
-// work is granted, and a twentieth of what is not withheld is refused.
-func crowdedCounts() ServiceCounts {
+// burstCounts is the report of one of two hosts at which "big" asks for eight times as much as "a" and "b". Half of all
+// work is granted, and a twentieth of what is not refused for shares is refused.
+func burstCounts() ServiceCounts {
 	return ServiceCounts{
-		Service: keys.OfService("llm"), Asked: 10_000, Granted: 5000, Withheld: 4737,
+		Service: keys.OfService("llm"), Asked: 10_000, Granted: 5000, OverShare: 4737,
 		Workspaces: []keys.Workspace{keys.OfWorkspace("big"), keys.OfWorkspace("a"), keys.OfWorkspace("b")}, Work: []uint64{8000, 1000, 1000},
 	}
 }
 
-// TestDecide decides on requests at a host that two of its peers have sent crowdedCounts a second ago: the fair share of
+// TestDecide decides on requests at a host that two of its peers have sent burstCounts a second ago: the fair share of
 // "big" is 6/16 of what it asks for.
 func TestDecide(t *testing.T) {
 	tests := map[string]struct {
@@ -57,7 +58,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			l, counts := newLedger(), crowdedCounts()
+			l, counts := newLedger(), burstCounts()
 			counts.Tiers = test.tiers
 			for _, peer := range []string{"p", "q"} {
 				l.Add(start, peer, &Counts{Services: []ServiceCounts{counts}})
@@ -67,11 +68,7 @@
 			if test.adjust != nil {
 				test.adjust(ask)
 			}
-			now := start.Add(max(test.after, time.Second))
-			if test.after > 0 {
-				now = start.Add(test.after)
-			}
-			verdict := l.Decide(now, max(test.hosts, 3), ask, test.random)
+			verdict := l.Decide(start.Add(cmp.Or(test.after, time.Second)), cmp.Or(test.hosts, 3), ask, test.random)
 			c.Check(verdict.IsRefused, qt.Equals, test.isRefused)
 			if test.isRefused {
 				c.Check(verdict.RetryAfter >= minRetry && verdict.RetryAfter <= maxRetry*3/2, qt.IsTrue, qt.Commentf("%v", verdict.RetryAfter))
@@ -197,7 +194,7 @@
 func TestFaultyCountsAreBounded(t *testing.T) {
 	c := qt.New(t)
 	l := newLedger()
-	faulty := ServiceCounts{Service: keys.OfService("llm"), Asked: math.MaxUint64, Granted: math.MaxUint64, Withheld: math.MaxUint64}
+	faulty := ServiceCounts{Service: keys.OfService("llm"), Asked: math.MaxUint64, Granted: math.MaxUint64, OverShare: math.MaxUint64}
 	for n := range 4 * maxWorkspaces {
 		faulty.Workspaces = append(faulty.Workspaces, keys.Workspace(n))
 		faulty.Work, faulty.Weights, faulty.Tiers = append(faulty.Work, math.MaxUint64), append(faulty.Weights, math.MaxUint64), append(faulty.Tiers, math.MaxUint64)
@@ -249,7 +246,7 @@
 		})
 	}
 	c := qt.New(t)
-	full := &Counts{Services: []ServiceCounts{{Service: math.MaxUint32, Asked: maxReportedWork, Granted: maxReportedWork, Withheld: maxReportedWork}}}
+	full := &Counts{Services: []ServiceCounts{{Service: math.MaxUint32, Asked: maxReportedWork, Granted: maxReportedWork, OverShare: maxReportedWork}}}
 	for range maxPerMessage {
 		s := &full.Services[0]
 		s.Workspaces, s.Work = append(s.Workspaces, math.MaxUint32), append(s.Work, maxReportedWork)
