--- a/internal/front/shares/shares_test.go
+++ b/internal/front/shares/shares_test.go
@@ -12,6 +12,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/proof/golden"
 )
 
 // burstCounts is the report of one of two hosts at which "big" asks for eight times as much as "a" and "b". Half of all
@@ -256,3 +257,11 @@
 	t.Logf("a full message: %d B", size(c, full))
 	c.Check(size(c, full) < 9000, qt.IsTrue)
 }
+
+// TestGoldenMessages pins the encoded form, which hosts of other versions read.
+func TestGoldenMessages(t *testing.T) {
+	golden.Message(t, "counts", &Counts{
+		Services: []ServiceCounts{{Service: 1, Asked: 2, Granted: 3, OverShare: 4, Workspaces: []keys.Workspace{5}, Work: []uint64{6}, Weights: []uint64{7}, Tiers: []uint64{8}}},
+		Limits:   []LimitUse{{Workspace: 9, Class: 10, Open: 11, Waiting: 12, Tokens: 13}},
+	})
+}
