--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -31,6 +31,8 @@
 	// that it has.
 	KindFixedReports        Kind = 11
 	KindFixedReportsRequest Kind = 12
+	// KindPace carries samples of the speed of endpoints.
+	KindPace Kind = 16
 )
 
 // Sender identifies the host that sent a message.
