placement: work counts by the time that it takes at the endpoint

Cause: unread tokens and open requests were compared as if all engines were equally fast.

Change: with Parts.Pace, tickets record the time to the first event and the gaps of open streams, and unread tokens, open requests, the predicted first event and pauses count in proportion to the slowness of the endpoint.

Safe: without Parts.Pace the slowness is 1, which leaves every cost and prediction as it was.

--- a/internal/front/engine/split.go
+++ b/internal/front/engine/split.go
@@ -264,9 +264,14 @@
 }
 
 // ShortMissProb returns the probability that the short class with the lowest pause target misses it while a number of
-// prompt tokens is processed beside its streams.
-func (s *Service) ShortMissProb(unread int) float64 { return s.merged.MissProb(unread, s.minPause) }
+// prompt tokens is processed beside its streams. Slowness is the factor by which the endpoint's pauses are longer than
+// at the mean endpoint.
+func (s *Service) ShortMissProb(unread int, slowness float64) float64 {
+	return s.merged.MissProb(unread, time.Duration(float64(s.minPause)/slowness))
+}
 
 // MixedMissProb returns the probability that a short stream misses its target at an endpoint for long prompts with a
-// number of unprocessed prompt tokens.
-func (s *Service) MixedMissProb(unread int) float64 { return max(s.mixedMiss, s.ShortMissProb(unread)) }
+// number of unprocessed prompt tokens, and a slowness as in ShortMissProb.
+func (s *Service) MixedMissProb(unread int, slowness float64) float64 {
+	return max(s.mixedMiss, s.ShortMissProb(unread, slowness))
+}
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -60,8 +60,11 @@
 	RejectionShare float64
 	// ExcessFailures is the share of requests that the endpoint is expected to fail beyond the share of its peers.
 	ExcessFailures float64
-	// PredictedFirstEvent is the predicted time to the first event.
+	// Slowness is the factor by which operations take longer at the endpoint than at the mean of its service.
+	Slowness float64
+	// PredictedFirstEvent is the predicted time to the first event, predictedRead that at an endpoint of slowness 1.
 	PredictedFirstEvent time.Duration
+	predictedRead       time.Duration
 	// Cost is the cost of the choice in prompt tokens.
 	Cost int
 }
@@ -128,7 +131,7 @@
 func (v *View) newQuery(now time.Time, service string, request *admission.Request, endpoints, candidates []*directory.Entry) *query {
 	engines := v.engines.get(keys.OfService(service))
 	q := &query{request: request, engines: engines, endpoints: len(endpoints), isLong: engines.IsLong(keys.OfClass(request.Class))}
-	q.shortSet = v.partitions.get(service, endpoints, min(engines.ShortEndpoints(), len(endpoints)-1))
+	q.shortSet = v.partitions.get(service, endpoints, min(engines.ShortEndpoints(), len(endpoints)-1), v.pace)
 	q.prefix, q.sharedTokens = sharedPrefix(request)
 	if q.sharedTokens >= minSharedPrefix {
 		q.preferred = rendezvous(q.prefix, inPartition(!q.isLong, q.shortSet, candidates))
@@ -155,11 +158,11 @@
 		return late
 	case q.isLong:
 		// Each stream there pauses while this prompt and the waiting ones are processed.
-		return late + q.engines.ShortMissProb(choice.Load.Tokens+choice.Tokens)*float64(choice.Load.Requests)
+		return late + q.engines.ShortMissProb(choice.Load.Tokens+choice.Tokens, choice.Slowness)*float64(choice.Load.Requests)
 	case q.isInOwnPartition(e):
-		return max(late, q.engines.ShortMissProb(choice.Load.Tokens))
+		return max(late, q.engines.ShortMissProb(choice.Load.Tokens, choice.Slowness))
 	}
-	return max(late, q.engines.MixedMissProb(choice.Load.Tokens))
+	return max(late, q.engines.MixedMissProb(choice.Load.Tokens, choice.Slowness))
 }
 
 // firstEventSpread is the scale of a logistic distribution of the time to the first event, relative to the predicted
@@ -216,13 +219,18 @@
 // evaluate returns the cost of sending a request to an endpoint, with the figures behind it.
 func (v *View) evaluate(q *query, e *directory.Entry) Choice {
 	choice := Choice{Endpoint: e.ID, Version: e.Endpoint.Version, Slots: e.Endpoint.MaxInFlight, Load: v.loads.Total(e.ID)}
-	choice.RejectionShare = v.rejections.Share(keys.OfEndpoint(e.ID))
-	choice.ExcessFailures = v.failures.Excess(pushback.EndpointClass{Endpoint: keys.OfEndpoint(e.ID), Class: keys.OfClass(q.request.Class)}, q.endpoints)
+	key := keys.OfEndpoint(e.ID)
+	choice.RejectionShare = v.rejections.Share(key)
+	choice.ExcessFailures = v.failures.Excess(pushback.EndpointClass{Endpoint: key, Class: keys.OfClass(q.request.Class)}, q.endpoints)
+	choice.Slowness = v.pace.Slowness(key)
 	cost, cached := q.prefixCost(e)
 	choice.Cached = cached
 	choice.Tokens = q.request.PromptTokens - cached
-	choice.PredictedFirstEvent = q.engines.Figures().ReadTime(choice.Load.Tokens + choice.Tokens)
-	choice.Cost = cost + choice.Load.Requests*requestCost + choice.Load.Tokens + choice.Tokens +
+	choice.predictedRead = q.engines.Figures().ReadTime(choice.Load.Tokens + choice.Tokens)
+	choice.PredictedFirstEvent = time.Duration(choice.Slowness * float64(choice.predictedRead))
+	// Work counts by the time that it takes at the endpoint.
+	work := float64(choice.Load.Requests*requestCost + choice.Load.Tokens + choice.Tokens)
+	choice.Cost = cost + int(choice.Slowness*work) +
 		int(missCost*(q.expectedMisses(e, &choice)+choice.RejectionShare)+failureCost*choice.ExcessFailures)
 	if e.Endpoint.Zone != q.request.Zone {
 		choice.Cost += zoneCost
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -42,8 +42,10 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
-	Log        *logrus.Entry
-	Clock      func() time.Time
+	// Pace learns the speed of endpoints. If it is nil, all count as equally fast.
+	Pace  Pace
+	Log   *logrus.Entry
+	Clock func() time.Time
 	// Random returns numbers in [0, 1).
 	Random func() float64
 	// Changed is called without any lock held after a change of this host's loads or ejections; it must not block.
@@ -71,6 +73,9 @@
 func New(parts Parts) *Placer {
 	view := NewView()
 	view.random, view.rejections, view.failures = parts.Random, parts.Rejections, parts.Failures
+	if parts.Pace != nil {
+		view.pace = parts.Pace
+	}
 	return &Placer{parts: parts, view: view}
 }
 
@@ -373,8 +378,8 @@
 	}
 }
 
-// ResetEndpoint discards the prefixes, ejections, rejections and failures recorded for an endpoint that has restarted
-// under the same ID. Calls in flight to the previous instance fail by themselves.
+// ResetEndpoint discards the prefixes, ejections, rejections, failures and observations of speed recorded for an endpoint
+// that has restarted under the same ID. Calls in flight to the previous instance fail by themselves.
 func (p *Placer) ResetEndpoint(endpoint string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -382,6 +387,7 @@
 	p.view.ejections.reset(endpoint)
 	p.view.rejections.Forget(keys.OfEndpoint(endpoint))
 	p.view.failures.Forget(keys.OfEndpoint(endpoint))
+	p.view.pace.Forget(keys.OfEndpoint(endpoint))
 }
 
 // RecordStream records the observations of a complete stream.
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -196,7 +196,7 @@
 	all := entries("e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9")
 	v, number := splitView(c, all)
 	c.Assert(number > 0 && number < len(all), qt.IsTrue)
-	kept := shortSetOf(all, number)
+	kept := shortSetOf(all, number, nil)
 	for prefix := range uint64(50) {
 		c.Check(kept[v.chooseCandidate(long(prefix*977), all).Endpoint], qt.IsFalse)
 	}
@@ -848,7 +848,7 @@
 	c := qt.New(t)
 	all := entries("e1", "e2", "e3", "e4")
 	v, number := splitView(c, all)
-	set := shortSetOf(all, number)
+	set := shortSetOf(all, number, nil)
 	for _, e := range all {
 		if set[e.ID] {
 			for range 16 {
--- a/internal/front/placement/ticket.go
+++ b/internal/front/placement/ticket.go
@@ -25,12 +25,22 @@
 	unprocessedTokens int
 	tokensAhead       int
 	startedAt         time.Time
+	// learnsPace is set if the request yields observations of the endpoint's speed. predictedRead is the time to the
+	// first event that was predicted at the grant for an endpoint of slowness 1.
+	learnsPace    bool
+	predictedRead time.Duration
+	// events is the number of events up to the last observation, eventAt its time, and eventLoad the load of the endpoint
+	// then. eventAt is zero before the first event.
+	events    int
+	eventAt   time.Time
+	eventLoad Load
 }
 
 func (p *Placer) newTicket(service string, request *admission.Request, choice *Choice) *ticket {
 	return &ticket{
 		placer: p, service: keys.OfService(service), class: keys.OfClass(request.Class), hasPrompt: request.PromptTokens > 0,
 		endpoint: choice.Endpoint, version: choice.Version, permit: choice.permit, unprocessedTokens: choice.Tokens, tokensAhead: choice.Load.Tokens,
+		learnsPace: p.parts.Pace != nil && request.PromptTokens > 0, predictedRead: choice.predictedRead,
 	}
 }
 
@@ -55,15 +65,19 @@
 	}
 	p.view.loads.Processed(t.endpoint, t.unprocessedTokens)
 	t.unprocessedTokens = 0
+	t.recordFirstEvent()
 	p.mu.Unlock()
 	p.parts.Changed()
 }
 
-// Progress does nothing: the load consists of prompts and open requests only.
-func (t *ticket) Progress(int) {}
+// Progress changes no load, which consists of prompts and open requests only. Events is the number of events so far.
+func (t *ticket) Progress(events int) { t.recordEvents(events) }
 
-// Finished releases the slot.
-func (t *ticket) Finished(admission.Result, int) {
+// Finished releases the slot. The end of a complete stream comes with its last event.
+func (t *ticket) Finished(result admission.Result, events int) {
+	if result == admission.Answered {
+		t.recordEvents(events)
+	}
 	p := t.placer
 	p.mu.Lock()
 	p.view.loads.End(t.endpoint, t.unprocessedTokens)
--- a/internal/front/placement/view.go
+++ b/internal/front/placement/view.go
@@ -19,6 +19,8 @@
 	rejections *pushback.Rejections
 	// failures holds the endpoints that fail more requests than their peers.
 	failures *pushback.Failures
+	// pace holds the speed of each endpoint.
+	pace Pace
 	// random returns numbers in [0, 1) and selects the endpoints to compare. If it is nil, all are compared.
 	random func() float64
 }
@@ -28,6 +30,7 @@
 	return &View{
 		loads: newLoadTable(), ejections: newEjectionTable(), holders: make(holderTable), engines: make(engineTable),
 		partitions: make(partitionCache), rejections: pushback.NewRejections(time.Now), failures: pushback.NewFailures(time.Now),
+		pace: equalPace{},
 	}
 }
 
