front: overload.pace switches the learned speed of endpoints on

Safe: without the setting the exchanger is nil, no message is sent or handled, and the status is as before.

--- a/cmd/oxbowslip/tool.go
+++ b/cmd/oxbowslip/tool.go
@@ -115,6 +115,9 @@
 	if p.Limit != nil {
 		texts = append(texts, fmt.Sprintf("takes %g requests a second from all hosts", *p.Limit))
 	}
+	if p.Slowness > 0 {
+		texts = append(texts, fmt.Sprintf("takes %.1f times as long as its peers", p.Slowness))
+	}
 	return strings.Join(texts, ", ")
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
 	"oxbowslip.dev/oxbowslip/internal/front/leader"
+	"oxbowslip.dev/oxbowslip/internal/front/pace"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
@@ -148,6 +149,8 @@
 	Failures   *pushback.Failures
 	Limits     *pushback.Limits
 	Limiter    *ratelimit.Limiter
+	// Pace is nil unless the host's file selects it.
+	Pace       *pace.Exchanger
 	Leadership *leadership
 	Clock      func() time.Time
 	Steady     *clock.Clock
@@ -260,6 +263,9 @@
 	go h.parts.Poison.Run(h.done)
 	go h.parts.Signals.Run(h.done)
 	go h.parts.Limiter.Run(h.done)
+	if h.parts.Pace != nil {
+		go h.parts.Pace.Run(h.done)
+	}
 	h.parts.Leadership.start(h.done)
 	go lifetime.Every(h.done, expireInterval, randomNumber, h.expire)
 	h.log.WithFields(logrus.Fields{
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -18,6 +18,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/front/pace"
 	"oxbowslip.dev/oxbowslip/internal/front/peersync"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
@@ -64,6 +65,7 @@
 			pushback.NewLimits,
 			ratelimit.NewLender,
 			newLimiter,
+			newPace,
 			newRelay,
 			newFollowers,
 			newUsageClock,
@@ -143,17 +145,23 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
-	Log        *logrus.Logger
-	Clock      func() time.Time
-	Random     func() float64
-	Late       *lateParts
+	// Pace is nil unless the host's file selects it.
+	Pace   *pace.Exchanger
+	Log    *logrus.Logger
+	Clock  func() time.Time
+	Random func() float64
+	Late   *lateParts
 }
 
 func newPlacer(p placerParts) *placement.Placer {
-	placer := placement.New(placement.Parts{
+	parts := placement.Parts{
 		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter,
 		Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
-	})
+	}
+	if p.Pace != nil {
+		parts.Pace = p.Pace
+	}
+	placer := placement.New(parts)
 	p.Directory.OnRestart(placer.ResetEndpoint)
 	return placer
 }
@@ -214,6 +222,7 @@
 	Config    hostconfig.Host
 	Placer    *placement.Placer
 	Limiter   *ratelimit.Limiter
+	Pace      *pace.Exchanger
 	Holder    *settings.Holder
 	Directory *directory.Directory
 	Settings  *peersync.Settings
@@ -242,6 +251,9 @@
 	})
 	g.Handle(envelope.KindPermitRequest, p.Limiter.HandleAsk)
 	g.Handle(envelope.KindPermitReply, p.Limiter.HandleReply)
+	if p.Pace != nil {
+		g.Handle(envelope.KindPace, p.Pace.HandleMessage)
+	}
 	p.Late.gossip.Store(g)
 	p.Late.sync.Store(sync)
 	return g
@@ -340,17 +352,17 @@
 	return tracker
 }
 
-// permitPeers are the hosts that lend permits. It implements ratelimit.Peers, and is usable once the host is wired.
-type permitPeers struct{ *lateParts }
+// latePeers are the other hosts. It implements ratelimit.Peers and pace.Peers, and is usable once the host is wired.
+type latePeers struct{ *lateParts }
 
 // Senders returns the live hosts, this host first.
-func (l permitPeers) Senders() []envelope.Sender { return l.gossip.Load().Senders() }
+func (l latePeers) Senders() []envelope.Sender { return l.gossip.Load().Senders() }
 
 // IsSettled reports whether this host knows its peers.
-func (l permitPeers) IsSettled() bool { return l.gossip.Load().IsSettled() }
+func (l latePeers) IsSettled() bool { return l.gossip.Load().IsSettled() }
 
 // SendTo sends a message to a host.
-func (l permitPeers) SendTo(host string, kind envelope.Kind, message any) {
+func (l latePeers) SendTo(host string, kind envelope.Kind, message any) {
 	l.gossip.Load().SendTo(host, kind, message)
 }
 
@@ -369,11 +381,33 @@
 
 func newLimiter(p limiterParts) *ratelimit.Limiter {
 	return ratelimit.New(ratelimit.Parts{
-		Limits: p.Limits, Lender: p.Lender, Peers: permitPeers{p.Late}, CountPermit: p.Counters.CountPermit,
+		Limits: p.Limits, Lender: p.Lender, Peers: latePeers{p.Late}, CountPermit: p.Counters.CountPermit,
 		Log: logging.Part(p.Log, "limits"), Clock: p.Clock, Random: p.Random,
 	})
 }
 
+// paceParts are the dependencies of the exchanger of the endpoints' speed.
+type paceParts struct {
+	fx.In
+
+	Config    hostconfig.Host
+	Directory *directory.Directory
+	Late      *lateParts
+	Log       *logrus.Logger
+	Clock     func() time.Time
+	Random    func() float64
+}
+
+// newPace returns nil unless the host's file selects it.
+func newPace(p paceParts) *pace.Exchanger {
+	if !p.Config.Overload.Pace {
+		return nil
+	}
+	return pace.New(pace.Parts{
+		Peers: latePeers{p.Late}, Directory: p.Directory, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random,
+	})
+}
+
 // relayParts are the dependencies of the relay, which serves callers.
 type relayParts struct {
 	fx.In
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -22,6 +22,7 @@
 		"oxbowslip_endpoints_rejecting":       func() float64 { return float64(len(h.parts.Rejections.Shares())) },
 		"oxbowslip_endpoints_failing":         h.countFailingEndpoints,
 		"oxbowslip_endpoints_limited":         func() float64 { return float64(len(h.parts.Limits.All())) },
+		"oxbowslip_endpoints_slow":            func() float64 { return float64(len(h.slowEndpoints())) },
 		"oxbowslip_upstream_connections_made": func() float64 { return float64(h.parts.Client.Dials()) },
 	} {
 		h.parts.Counters.Gauge(name, read)
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -86,14 +86,24 @@
 // minShownShare is the smallest share of rejected or failed requests that is shown to operators.
 const minShownShare = 0.05
 
-// pushback returns the endpoints that leave, rest, have a limit, or reject or fail requests.
+// slowEndpoints returns the slowness of the endpoints that are slow. It is nil if the host does not learn it.
+func (h *Host) slowEndpoints() map[keys.Endpoint]float64 {
+	if h.parts.Pace == nil {
+		return nil
+	}
+	return h.parts.Pace.Slow()
+}
+
+// pushback returns the endpoints that leave, rest, have a limit, reject or fail requests, or are slow.
 func (h *Host) pushback() []operator.EndpointPushback {
 	resting, rejecting, failing, limits := h.parts.Rests.Resting(), h.parts.Rejections.Shares(), h.excessFailures(), h.endpointLimits()
+	slow := h.slowEndpoints()
 	now := h.parts.Clock()
 	var list []operator.EndpointPushback
 	for _, id := range h.parts.Directory.IDs() {
 		p := operator.EndpointPushback{
 			Endpoint: id, Leaving: h.parts.Directory.IsLeaving(id), Rejects: shownShare(rejecting[keys.OfEndpoint(id)]), Fails: shownShare(failing[id]),
+			Slowness: math.Round(100*slow[keys.OfEndpoint(id)]) / 100,
 		}
 		if until, rests := resting[id]; rests {
 			p.Rest = until.Sub(now)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -74,11 +74,11 @@
 	Leader *Leader `json:"leader,omitzero"`
 	// Poison are the requests that this host does not send because they crash the endpoints that run them.
 	Poison []PoisonRequest `json:"poison,omitzero"`
-	// Pushback are the endpoints, by ID, that are leaving, resting or rejecting requests.
+	// Pushback are the endpoints, by ID, that are leaving, resting, rejecting requests or slow.
 	Pushback []EndpointPushback `json:"pushback,omitzero"`
 }
 
-// EndpointPushback describes an endpoint that does not accept all requests.
+// EndpointPushback describes an endpoint that does not accept all requests, or is slow.
 type EndpointPushback struct {
 	Endpoint string `json:"endpoint"`
 	// Leaving is set if the endpoint accepts no new requests because it is stopping.
@@ -92,6 +92,8 @@
 	// Limit is the number of requests a second that the endpoint accepts from all hosts together, or nil if it names no
 	// limit.
 	Limit *float64 `json:"limit,omitzero"`
+	// Slowness is the factor by which operations take longer at the endpoint than at its peers, or 0 if it is not slow.
+	Slowness float64 `json:"slowness,omitzero"`
 }
 
 // Leader describes the leader as far as a host has the information.
