--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -23,6 +23,7 @@
 		"oxbowslip_endpoints_failing":         h.countFailingEndpoints,
 		"oxbowslip_endpoints_limited":         func() float64 { return float64(len(h.parts.Limits.All())) },
 		"oxbowslip_workspaces_over_share":     func() float64 { return float64(len(h.overShare())) },
+		"oxbowslip_endpoints_slow":            func() float64 { return float64(len(h.slowEndpoints())) },
 		"oxbowslip_upstream_connections_made": func() float64 { return float64(h.parts.Client.Dials()) },
 	} {
 		h.parts.Counters.Gauge(name, read)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -74,7 +74,7 @@
 	Leader *Leader `json:"leader,omitzero"`
 	// Poison are the requests that this host does not send because they crash the endpoints that run them.
 	Poison []PoisonRequest `json:"poison,omitzero"`
-	// Pushback are the endpoints, by ID, that are leaving, resting or rejecting requests.
+	// Pushback are the endpoints, by ID, that are leaving, resting, rejecting requests or slow.
 	Pushback []EndpointPushback `json:"pushback,omitzero"`
 	// OverShare are the workspaces that are over their share of a service that is short of capacity.
 	OverShare []WorkspaceShare `json:"over_share,omitzero"`
@@ -90,7 +90,7 @@
 	Share float64 `json:"share"`
 }
 
-// EndpointPushback describes an endpoint that does not accept all requests.
+// EndpointPushback describes an endpoint that does not accept all requests, or is slow.
 type EndpointPushback struct {
 	Endpoint string `json:"endpoint"`
 	// Leaving is set if the endpoint accepts no new requests because it is stopping.
@@ -104,6 +104,8 @@
 	// Limit is the number of requests a second that the endpoint accepts from all hosts together, or nil if it names no
 	// limit.
 	Limit *float64 `json:"limit,omitzero"`
+	// Slowness is the factor by which operations take longer at the endpoint than at its peers, or 0 if it is not slow.
+	Slowness float64 `json:"slowness,omitzero"`
 }
 
 // Leader describes the leader as far as a host has the information.
