Reserve fast endpoints for short prompts first

Cause: on the measured load a quarter of the engines is twice as fast as the others, not slow, so no endpoint ever counted as slow and the short set was chosen without regard to speed. Streams pause for less time at a fast engine. Change: endpoints have a class of speed (fast, usual, slow) with hysteresis; the short set takes them in that order.

--- a/internal/front/pace/exchanger.go
+++ b/internal/front/pace/exchanger.go
@@ -76,8 +76,8 @@
 	table *Table
 	// unsent holds the samples of this host that were not sent yet.
 	unsent map[keys.Service]map[keys.Endpoint]samples
-	// slowRevision counts the changes of the endpoints that are slow.
-	slowRevision uint64
+	// speedRevision counts the changes of the endpoints' classes of speed.
+	speedRevision uint64
 
 	// allowance is the number of bytes that may be sent, as of sentAt. Only Run uses them.
 	allowance float64
@@ -116,7 +116,7 @@
 	for _, endpoints := range x.unsent {
 		delete(endpoints, endpoint)
 	}
-	x.slowRevision++
+	x.speedRevision++
 }
 
 // Slowness returns the factor by which the operations of an endpoint take longer than at the mean of its service.
@@ -133,11 +133,18 @@
 	return x.table.Slow()
 }
 
-// SlowRevision returns a number that changes whenever the endpoints that are slow change.
-func (x *Exchanger) SlowRevision() uint64 {
+// Speeds returns the endpoints that are fast or slow over the long term.
+func (x *Exchanger) Speeds() map[keys.Endpoint]Speed {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.slowRevision
+	return x.table.Speeds()
+}
+
+// SpeedRevision returns a number that changes whenever Speeds does.
+func (x *Exchanger) SpeedRevision() uint64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.speedRevision
 }
 
 // HandleMessage handles a peer's Samples, encoded as CBOR.
@@ -184,8 +191,7 @@
 	return time.After(backoff.Spread(mean, 1, x.parts.Random()))
 }
 
-// refresh computes the slowness of the endpoints, and logs which have become slow or no longer are. It returns the number
-// of endpoints.
+// refresh computes the slowness of the endpoints, and logs changes of their classes. It returns the number of endpoints.
 func (x *Exchanger) refresh() int {
 	total, numbers := 0, make(map[keys.Service]int)
 	for _, service := range x.parts.Directory.Services() {
@@ -195,7 +201,7 @@
 	}
 	x.mu.Lock()
 	changes := x.table.Refresh(x.parts.Clock(), numbers)
-	x.slowRevision += uint64(len(changes))
+	x.speedRevision += uint64(len(changes))
 	x.mu.Unlock()
 	if len(changes) > 0 {
 		x.logChanges(changes)
@@ -203,7 +209,7 @@
 	return total
 }
 
-// logChanges logs the endpoints that have become slow or no longer are.
+// logChanges logs the endpoints whose class of speed has changed.
 func (x *Exchanger) logChanges(changes []Change) {
 	ids := make(map[keys.Endpoint]string)
 	for _, service := range x.parts.Directory.Services() {
@@ -212,9 +218,12 @@
 		}
 	}
 	for _, change := range changes {
-		text := "endpoint is no longer slow; it gets work as the others"
-		if change.IsSlow {
+		text := "endpoint is neither fast nor slow; it gets work as the others"
+		switch change.Speed {
+		case Slow:
 			text = "endpoint is slow; it gets work in proportion to its speed, and short prompts last"
+		case Fast:
+			text = "endpoint is fast; it gets work in proportion to its speed, and short prompts first"
 		}
 		x.parts.Log.WithFields(logrus.Fields{
 			"endpoint": ids[change.Endpoint], "slowness": math.Round(100*change.Slowness) / 100, "samples": math.Round(change.Samples),
--- a/internal/front/pace/exchanger_test.go
+++ b/internal/front/pace/exchanger_test.go
@@ -112,7 +112,7 @@
 			c.Check(receiver.Slowness(endpoint) > 1.7, qt.Equals, endpoint < 3, qt.Commentf("%.2f", receiver.Slowness(endpoint)))
 		}
 		c.Check(receiver.Slow(), qt.HasLen, 3)
-		revision := receiver.SlowRevision()
+		revision := receiver.SpeedRevision()
 		// Own samples are not shared by the receiver, which reaches no peer, and outweigh those received before.
 		run(receiver, 15*time.Second, func() {
 			for endpoint := range 12 {
@@ -122,7 +122,7 @@
 		for endpoint := range keys.Endpoint(12) {
 			c.Check(receiver.Slowness(endpoint), qt.Equals, 1.0)
 		}
-		c.Check(receiver.SlowRevision() > revision, qt.IsTrue)
+		c.Check(receiver.SpeedRevision() > revision, qt.IsTrue)
 	})
 }
 
@@ -146,12 +146,12 @@
 		x := newExchanger(&fakePeers{hosts: 1}, 12)
 		run(x, 5*time.Second, func() { recordSlow(x, 8) })
 		c.Check(x.Slow(), qt.HasLen, 2)
-		revision := x.SlowRevision()
+		revision := x.SpeedRevision()
 		recordSlow(x, 8)
 		x.Forget(0)
 		c.Check(x.Slowness(0), qt.Equals, 1.0)
 		c.Check(x.Slow(), qt.HasLen, 1)
-		c.Check(x.SlowRevision() > revision, qt.IsTrue)
+		c.Check(x.SpeedRevision() > revision, qt.IsTrue)
 		c.Check(x.unsent[testService], qt.HasLen, 7)
 	})
 }
--- a/internal/front/pace/table.go
+++ b/internal/front/pace/table.go
@@ -42,7 +42,8 @@
 	maxFaster = 0.8
 	minSlower = 1.25
 	// slowAbove is the slowness over the long term from which an endpoint is slow, slowBelow the one below which it no
-	// longer is. They differ so that an endpoint near the limit does not change sides with each sample.
+	// longer is. They differ so that an endpoint near the limit does not change sides with each sample. An endpoint is
+	// fast from the inverse of slowAbove down, and no longer above that of slowBelow.
 	slowAbove = 1.5
 	slowBelow = 1.35
 	// unusualLog is the logarithm of the slowness, in either direction, from which peers are sent the samples of an
@@ -80,6 +81,27 @@
 	Expected float64
 }
 
+// Speed is the class of an endpoint's speed over the long term. A larger value is slower.
+type Speed int8
+
+// The classes of speed.
+const (
+	Fast  Speed = -1
+	Usual Speed = 0
+	Slow  Speed = 1
+)
+
+// speedOf returns the class of a slowness over the long term, given the class so far.
+func speedOf(slowness float64, before Speed) Speed {
+	switch {
+	case slowness >= slowAbove, before == Slow && slowness >= slowBelow:
+		return Slow
+	case slowness <= 1/slowAbove, before == Fast && slowness <= 1/slowBelow:
+		return Fast
+	}
+	return Usual
+}
+
 // average is the mean of samples weighted by their age.
 type average struct {
 	sum, weight float64
@@ -116,7 +138,7 @@
 	// shortDeviation and longDeviation are the logarithms of the slowness over the short and the long term.
 	shortDeviation, longDeviation float64
 	slowness                      float64
-	isSlow                        bool
+	speed                         Speed
 }
 
 // baseline is the mean and the variance of the samples under a condition.
@@ -204,18 +226,18 @@
 // Forget removes the samples of an endpoint, which has restarted.
 func (t *Table) Forget(key keys.Endpoint) { delete(t.endpoints, key) }
 
-// Change is an endpoint that has become slow, or no longer is.
+// Change is an endpoint whose class of speed has changed.
 type Change struct {
 	Endpoint keys.Endpoint
-	IsSlow   bool
+	Speed    Speed
 	// Slowness is the slowness over the long term, Samples the weight of the samples behind it.
 	Slowness float64
 	Samples  float64
 }
 
 // Refresh computes the slowness of all endpoints, given the number of endpoints of each service: the larger one of the two terms, so that an endpoint gets less work as
-// soon as it slows down, and more only once it has been faster for a while. It returns the endpoints that have become
-// slow or no longer are.
+// soon as it slows down, and more only once it has been faster for a while. It returns the endpoints whose
+// class of speed has changed.
 func (t *Table) Refresh(now time.Time, numbers map[keys.Service]int) []Change {
 	services := make(map[keys.Service][]*endpoint)
 	for _, e := range t.endpoints {
@@ -237,14 +259,14 @@
 	return t.changes(now)
 }
 
-// changes updates which endpoints are slow and returns those that have changed. It removes what has decayed.
+// changes updates the classes of speed and returns the endpoints that have changed. It removes what has decayed.
 func (t *Table) changes(now time.Time) []Change {
 	var changes []Change
 	for key, e := range t.endpoints {
 		slowness := math.Exp(e.longDeviation)
-		if isSlow := slowness >= slowAbove || (e.isSlow && slowness >= slowBelow); isSlow != e.isSlow {
-			e.isSlow = isSlow
-			changes = append(changes, Change{Endpoint: key, IsSlow: isSlow, Slowness: slowness, Samples: e.long.weight})
+		if speed := speedOf(slowness, e.speed); speed != e.speed {
+			e.speed = speed
+			changes = append(changes, Change{Endpoint: key, Speed: speed, Slowness: slowness, Samples: e.long.weight})
 		}
 		if e.long.weight < minKeptSamples {
 			delete(t.endpoints, key)
@@ -304,9 +326,20 @@
 func (t *Table) Slow() map[keys.Endpoint]float64 {
 	slow := make(map[keys.Endpoint]float64)
 	for key, e := range t.endpoints {
-		if e.isSlow {
+		if e.speed == Slow {
 			slow[key] = math.Exp(e.longDeviation)
 		}
 	}
 	return slow
 }
+
+// Speeds returns the endpoints that are fast or slow.
+func (t *Table) Speeds() map[keys.Endpoint]Speed {
+	speeds := make(map[keys.Endpoint]Speed)
+	for key, e := range t.endpoints {
+		if e.speed != Usual {
+			speeds[key] = e.speed
+		}
+	}
+	return speeds
+}
--- a/internal/front/pace/table_test.go
+++ b/internal/front/pace/table_test.go
@@ -137,7 +137,7 @@
 func TestSlowEndpointsAreReported(t *testing.T) {
 	c := qt.New(t)
 	table := NewTable()
-	var reported []bool
+	var reported []Speed
 	for i := range 1200 {
 		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
 		ms := 100.0
@@ -153,13 +153,13 @@
 		}
 		for _, change := range table.Refresh(at, nil) {
 			c.Check(change.Endpoint, qt.Equals, keys.Endpoint(0))
-			reported = append(reported, change.IsSlow)
+			reported = append(reported, change.Speed)
 		}
 		if i == 599 {
 			c.Check(table.Slow(), qt.HasLen, 1)
 		}
 	}
-	c.Check(reported, qt.DeepEquals, []bool{true, false})
+	c.Check(reported, qt.DeepEquals, []Speed{Slow, Usual})
 	c.Check(table.Slow(), qt.HasLen, 0)
 }
 
--- a/internal/front/placement/pace.go
+++ b/internal/front/placement/pace.go
@@ -15,10 +15,10 @@
 	// Slowness returns the factor by which operations take longer at an endpoint than at the mean of its service. It is 1
 	// without observations.
 	Slowness(endpoint keys.Endpoint) float64
-	// Slow returns the slowness over the long term of the endpoints that are slow, and SlowRevision a number that changes
-	// whenever these endpoints change.
-	Slow() map[keys.Endpoint]float64
-	SlowRevision() uint64
+	// Speeds returns the endpoints that are fast or slow over the long term, and SpeedRevision a number that changes
+	// whenever these change.
+	Speeds() map[keys.Endpoint]pace.Speed
+	SpeedRevision() uint64
 	// Record is called with each observation.
 	Record(sample pace.Sample)
 	// Forget is called when an endpoint has restarted.
@@ -28,11 +28,11 @@
 // equalPace is the Pace of hosts that don't learn the speed of endpoints: all are equally fast.
 type equalPace struct{}
 
-func (equalPace) Slowness(keys.Endpoint) float64  { return 1 }
-func (equalPace) Slow() map[keys.Endpoint]float64 { return nil }
-func (equalPace) SlowRevision() uint64            { return 0 }
-func (equalPace) Record(pace.Sample)              {}
-func (equalPace) Forget(keys.Endpoint)            {}
+func (equalPace) Slowness(keys.Endpoint) float64       { return 1 }
+func (equalPace) Speeds() map[keys.Endpoint]pace.Speed { return nil }
+func (equalPace) SpeedRevision() uint64                { return 0 }
+func (equalPace) Record(pace.Sample)                   {}
+func (equalPace) Forget(keys.Endpoint)                 {}
 
 const (
 	// minPredictedRead is the minimum predicted time to the first event for which the actual time is an observation;
--- a/internal/front/placement/pace_test.go
+++ b/internal/front/placement/pace_test.go
@@ -92,13 +92,29 @@
 	samples  []pace.Sample
 }
 
-func (p *fakePace) Slowness(endpoint keys.Endpoint) float64 { return max(p.slowness[endpoint], 1) }
-func (p *fakePace) Slow() map[keys.Endpoint]float64         { return p.slowness }
-func (p *fakePace) SlowRevision() uint64                    { return p.revision }
-func (p *fakePace) Record(sample pace.Sample)               { p.samples = append(p.samples, sample) }
-func (p *fakePace) Forget(endpoint keys.Endpoint)           { delete(p.slowness, endpoint) }
+func (p *fakePace) Slowness(endpoint keys.Endpoint) float64 {
+	if slowness, ok := p.slowness[endpoint]; ok {
+		return slowness
+	}
+	return 1
+}
+
+func (p *fakePace) SpeedRevision() uint64         { return p.revision }
+func (p *fakePace) Record(sample pace.Sample)     { p.samples = append(p.samples, sample) }
+func (p *fakePace) Forget(endpoint keys.Endpoint) { delete(p.slowness, endpoint) }
+
+func (p *fakePace) Speeds() map[keys.Endpoint]pace.Speed {
+	speeds := make(map[keys.Endpoint]pace.Speed)
+	for endpoint, slowness := range p.slowness {
+		speeds[endpoint] = pace.Slow
+		if slowness < 1 {
+			speeds[endpoint] = pace.Fast
+		}
+	}
+	return speeds
+}
 
-// setSlowness makes an endpoint slow.
+// setSlowness makes an endpoint slow, or fast.
 func (p *fakePace) setSlowness(id string, slowness float64) {
 	p.slowness = map[keys.Endpoint]float64{keys.OfEndpoint(id): slowness}
 	p.revision++
@@ -152,6 +168,22 @@
 	c.Check(cache.get("llm", all, 1, p)[slow], qt.IsTrue)
 }
 
+// TestFastEndpointsAreReservedFirst checks that the short set prefers a fast endpoint as soon as it is known to be fast:
+// streams pause there for the shortest time.
+func TestFastEndpointsAreReservedFirst(t *testing.T) {
+	c := qt.New(t)
+	all := entries("e1", "e2", "e3", "e4")
+	cache, p := make(partitionCache), new(fakePace)
+	var last string
+	for _, e := range all {
+		if !cache.get("llm", all, 3, p)[e.ID] {
+			last = e.ID
+		}
+	}
+	p.setSlowness(last, 0.5)
+	c.Check(cache.get("llm", all, 1, p)[last], qt.IsTrue)
+}
+
 // TestStreamYieldsSamples checks which samples a stream gives: its first event also with other prompts ahead, and the
 // mean gap since the last report whenever progress is reported, while the stream is open.
 func TestStreamYieldsSamples(t *testing.T) {
--- a/internal/front/placement/partition.go
+++ b/internal/front/placement/partition.go
@@ -8,27 +8,23 @@
 
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/pace"
 )
 
 // Partitions separate prompts that harm each other: some endpoints of a service are reserved for short prompts, the
 // others take all. Package engine decides the number of reserved endpoints. A hash of the endpoints' IDs selects them,
-// so that all hosts reserve the same ones, and hosts that differ in the number differ in few endpoints. Slow endpoints
-// are reserved last: streams pause there for longer.
+// so that all hosts reserve the same ones, and hosts that differ in the number differ in few endpoints. Fast endpoints
+// are reserved first and slow ones last: the slower an endpoint, the longer streams pause there.
 
 // shortSet holds the IDs of the endpoints of a service that are reserved for short prompts.
 type shortSet map[string]bool
 
-// shortSetOf selects a number of endpoints by the hash of their IDs, the slow ones last.
-func shortSetOf(endpoints []*directory.Entry, number int, slow map[keys.Endpoint]float64) shortSet {
-	isSlow := func(e *directory.Entry) int {
-		if _, ok := slow[keys.OfEndpoint(e.ID)]; ok {
-			return 1
-		}
-		return 0
-	}
+// shortSetOf selects a number of endpoints by the hash of their IDs, the fastest first.
+func shortSetOf(endpoints []*directory.Entry, number int, speeds map[keys.Endpoint]pace.Speed) shortSet {
+	speed := func(e *directory.Entry) pace.Speed { return speeds[keys.OfEndpoint(e.ID)] }
 	ordered := slices.Clone(endpoints)
 	slices.SortFunc(ordered, func(a, b *directory.Entry) int {
-		return cmp.Or(cmp.Compare(isSlow(a), isSlow(b)), cmp.Compare(mixBits(xxhash.Sum64String(a.ID)), mixBits(xxhash.Sum64String(b.ID))))
+		return cmp.Or(cmp.Compare(speed(a), speed(b)), cmp.Compare(mixBits(xxhash.Sum64String(a.ID)), mixBits(xxhash.Sum64String(b.ID))))
 	})
 	set := make(shortSet, number)
 	for _, e := range ordered[:min(number, len(ordered))] {
@@ -43,19 +39,19 @@
 	// revisions.
 	endpoints []*directory.Entry
 	number    int
-	// slowRevision is the revision of the slow endpoints by which the set was selected.
-	slowRevision uint64
-	set          shortSet
+	// speedRevision is the revision of the speeds by which the set was selected.
+	speedRevision uint64
+	set           shortSet
 }
 
-// partitionCache holds the short set of each service until its endpoints, their number or the slow endpoints change.
+// partitionCache holds the short set of each service until its endpoints, their number or their speeds change.
 type partitionCache map[string]cachedSet
 
-func (c partitionCache) get(service string, endpoints []*directory.Entry, number int, pace Pace) shortSet {
-	cached, slowRevision := c[service], pace.SlowRevision()
+func (c partitionCache) get(service string, endpoints []*directory.Entry, number int, p Pace) shortSet {
+	cached, speedRevision := c[service], p.SpeedRevision()
 	same := len(cached.endpoints) == len(endpoints) && len(endpoints) > 0 && &cached.endpoints[0] == &endpoints[0]
-	if !same || cached.number != number || cached.slowRevision != slowRevision {
-		cached = cachedSet{endpoints: endpoints, number: number, slowRevision: slowRevision, set: shortSetOf(endpoints, number, pace.Slow())}
+	if !same || cached.number != number || cached.speedRevision != speedRevision {
+		cached = cachedSet{endpoints: endpoints, number: number, speedRevision: speedRevision, set: shortSetOf(endpoints, number, p.Speeds())}
 		c[service] = cached
 	}
 	return cached.set
