Package coordinator: which host decides, moved out of ratelimit

The queue of a busy plain service needs what the limiter has: the first host by hash, numbered questions, the wait for a reply, and hosts that are passed over while they do not reply. Both users keep their own timeouts and messages.

ratelimit behaves as before. One assertion moves: that a cancelled wait leaves no open question is checked in the new package, which holds these now.

--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -340,17 +340,17 @@
 	return tracker
 }
 
-// permitPeers are the hosts that lend permits. It implements ratelimit.Peers, and is usable once the host is wired.
-type permitPeers struct{ *lateParts }
+// latePeers are the live hosts. It implements coordinator.Peers, and is usable once the host is wired.
+type latePeers struct{ *lateParts }
 
 // Senders returns the live hosts, this host first.
-func (l permitPeers) Senders() []envelope.Sender { return l.gossip.Load().Senders() }
+func (l latePeers) Senders() []envelope.Sender { return l.gossip.Load().Senders() }
 
 // IsSettled reports whether this host knows its peers.
-func (l permitPeers) IsSettled() bool { return l.gossip.Load().IsSettled() }
+func (l latePeers) IsSettled() bool { return l.gossip.Load().IsSettled() }
 
 // SendTo sends a message to a host.
-func (l permitPeers) SendTo(host string, kind envelope.Kind, message any) {
+func (l latePeers) SendTo(host string, kind envelope.Kind, message any) {
 	l.gossip.Load().SendTo(host, kind, message)
 }
 
@@ -369,7 +369,7 @@
 
 func newLimiter(p limiterParts) *ratelimit.Limiter {
 	return ratelimit.New(ratelimit.Parts{
-		Limits: p.Limits, Lender: p.Lender, Peers: permitPeers{p.Late}, CountPermit: p.Counters.CountPermit,
+		Limits: p.Limits, Lender: p.Lender, Peers: latePeers{p.Late}, CountPermit: p.Counters.CountPermit,
 		Log: logging.Part(p.Log, "limits"), Clock: p.Clock, Random: p.Random,
 	})
 }
--- a/internal/front/ratelimit/limiter.go
+++ b/internal/front/ratelimit/limiter.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/coordinator"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
@@ -35,21 +34,11 @@
 	unsettledPause = 200 * time.Millisecond
 )
 
-// Peers reaches the other hosts. Messages may be lost.
-type Peers interface {
-	// Senders returns the live hosts, this one first.
-	Senders() []envelope.Sender
-	// IsSettled reports whether this host knows its peers.
-	IsSettled() bool
-	// SendTo sends a message to a host.
-	SendTo(host string, kind envelope.Kind, message any)
-}
-
 // Parts are the dependencies of a Limiter.
 type Parts struct {
 	Limits *pushback.Limits
 	Lender *Lender
-	Peers  Peers
+	Peers  coordinator.Peers
 	// CountPermit is called with the outcome of each Ask.
 	CountPermit func(counters.PermitResult)
 	Log         *logrus.Entry
@@ -61,14 +50,10 @@
 // Limiter acquires the permits for the requests of this host. It is safe for concurrent use.
 type Limiter struct {
 	parts Parts
+	asker *coordinator.Asker[Reply]
 
-	mu         sync.Mutex
-	lastNumber uint64
-	// replies holds the channel of each Ask that awaits its reply, by the number of the Ask.
-	replies map[uint64]chan Reply
+	mu      sync.Mutex
 	denials map[pushback.Instance]denial
-	// unresponsive holds the lenders that did not reply to the last Ask.
-	unresponsive map[envelope.Sender]unansweredAsks
 	// queued wakes Run after a request was queued at the lender of this host.
 	queued chan struct{}
 }
@@ -80,20 +65,14 @@
 	nextPermitAt, askAgainAt time.Time
 }
 
-// unansweredAsks are the successive Asks that a lender has left unanswered.
-type unansweredAsks struct {
-	firstAt time.Time
-	count   int
-	// avoidUntil is when the lender may be asked again.
-	avoidUntil time.Time
-}
-
-// New returns a limiter. It numbers its Asks from a random number on, so that a late reply to an earlier start of
-// this host is not matched to an Ask of this one.
+// New returns a limiter without denials.
 func New(parts Parts) *Limiter {
 	return &Limiter{
-		parts: parts, lastNumber: uint64(parts.Random() * math.MaxUint32), replies: make(map[uint64]chan Reply), denials: make(map[pushback.Instance]denial),
-		unresponsive: make(map[envelope.Sender]unansweredAsks), queued: make(chan struct{}, 1),
+		parts: parts, denials: make(map[pushback.Instance]denial), queued: make(chan struct{}, 1),
+		asker: coordinator.New[Reply](coordinator.Parts{
+			Peers: parts.Peers, Log: parts.Log, Clock: parts.Clock, Random: parts.Random, NoReplyTimeout: noReplyTimeout, AvoidTime: avoidTime,
+			NoReplyLine: "no reply from the peer that lends permits; the next host in order is asked",
+		}),
 	}
 }
 
@@ -155,20 +134,16 @@
 	}
 	asked := l.parts.Clock()
 	number, replies := l.register()
-	defer l.unregister(number)
+	defer l.asker.Unregister(number)
 	ask := &Ask{Number: number, Limit: l.parts.Limits.Notice(endpoint), Rank: rank, Wait: wait, IsSuccessor: isSuccessor}
 	l.sendAsk(lender, ask)
-	timeout := time.NewTimer(wait + replyTimeout)
-	defer timeout.Stop()
-	select {
-	case reply := <-replies:
-		l.recordReply(lender)
+	reply, ok := l.asker.Await(ctx, lender, replies, wait+replyTimeout)
+	switch {
+	case ok:
 		return l.permitFrom(endpoint, asked, &reply)
-	case <-timeout.C:
-		l.recordNoReply(lender)
+	case ctx.Err() == nil:
 		l.parts.CountPermit(counters.PermitUnanswered)
 		l.recordDenial(endpoint, noReplyPause, noReplyPause)
-	case <-ctx.Done():
 	}
 	return Permit{}, false
 }
@@ -203,22 +178,7 @@
 // pickLender returns the host that lends the permits of an endpoint, and whether it replaces an unresponsive one. OK
 // is false if that is this host and it does not know its peers yet.
 func (l *Limiter) pickLender(endpoint string) (lender envelope.Sender, isSuccessor, ok bool) {
-	hosts := l.parts.Peers.Senders()
-	now := l.parts.Clock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var highest, highestUnresponsive uint64
-	for _, host := range hosts {
-		w := weight(host, endpoint)
-		if now.Before(l.unresponsive[host].avoidUntil) {
-			highestUnresponsive = max(highestUnresponsive, w)
-			continue
-		}
-		if lender.Host == "" || w > highest {
-			lender, highest = host, w
-		}
-	}
-	return lender, highestUnresponsive > highest, lender != hosts[0] || l.parts.Peers.IsSettled()
+	return l.asker.Pick(endpoint)
 }
 
 // isLender reports whether this host lends the permits of an endpoint.
@@ -230,13 +190,7 @@
 // passedOver returns the number of hosts that precede this one in the order of lenders. It does not depend on which
 // of them the asking host has passed over, so two hosts that lend at the same time get different numbers.
 func (l *Limiter) passedOver(ask *Ask) int {
-	senders := l.parts.Peers.Senders()
-	own, before := weight(senders[0], ask.Limit.Endpoint.ID), 0
-	for _, host := range senders[1:] {
-		if weight(host, ask.Limit.Endpoint.ID) > own {
-			before++
-		}
-	}
+	before := l.asker.Preceding(ask.Limit.Endpoint.ID)
 	if ask.IsSuccessor {
 		// The asking host sees a preceding host that this one does not.
 		return max(before, 1)
@@ -244,26 +198,8 @@
 	return before
 }
 
-// weight orders the hosts that may lend the permits of an endpoint: the host with the highest weight lends.
-func weight(host envelope.Sender, endpoint string) uint64 {
-	return xxhash.Sum64String(host.Host + "\x00" + endpoint)
-}
-
 // register returns the number for a new Ask, and the channel that receives its reply.
-func (l *Limiter) register() (uint64, <-chan Reply) {
-	replies := make(chan Reply, 1)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.lastNumber++
-	l.replies[l.lastNumber] = replies
-	return l.lastNumber, replies
-}
-
-func (l *Limiter) unregister(number uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.replies, number)
-}
+func (l *Limiter) register() (uint64, <-chan Reply) { return l.asker.Register() }
 
 // recordDenial records that this host got no permit for an endpoint.
 func (l *Limiter) recordDenial(endpoint pushback.Instance, next, until time.Duration) {
@@ -274,30 +210,6 @@
 	l.denials[endpoint] = denial{limit: limit, nextPermitAt: now.Add(next), askAgainAt: now.Add(until)}
 }
 
-// recordReply records that a lender replied.
-func (l *Limiter) recordReply(lender envelope.Sender) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.unresponsive, lender)
-}
-
-// recordNoReply records that a lender did not reply.
-func (l *Limiter) recordNoReply(lender envelope.Sender) {
-	now := l.parts.Clock()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s := l.unresponsive[lender]
-	if s.count == 0 {
-		s.firstAt = now
-	}
-	s.count++
-	if s.count > 1 && now.Sub(s.firstAt) >= noReplyTimeout {
-		l.parts.Log.WithFields(logrus.Fields{"peer": lender.Host, "asks": s.count}).Warn("no reply from the peer that lends permits; the next host in order is asked")
-		s = unansweredAsks{avoidUntil: now.Add(avoidTime)}
-	}
-	l.unresponsive[lender] = s
-}
-
 // HandleAsk handles a peer's Ask, encoded as CBOR.
 func (l *Limiter) HandleAsk(from envelope.Sender, body []byte) {
 	var ask Ask
@@ -329,14 +241,7 @@
 }
 
 // deliverReply passes a reply to the Acquire call that awaits it. A late reply is dropped and its permit is lost.
-func (l *Limiter) deliverReply(reply *Reply) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if replies, ok := l.replies[reply.Number]; ok {
-		replies <- *reply
-		delete(l.replies, reply.Number)
-	}
-}
+func (l *Limiter) deliverReply(reply *Reply) { l.asker.Deliver(reply.Number, *reply) }
 
 // decode decodes a peer's message, and returns false if it can't.
 func (l *Limiter) decode(from envelope.Sender, body []byte, message any) bool {
@@ -379,10 +284,10 @@
 	return time.After(max(next.Sub(l.parts.Clock()), time.Millisecond))
 }
 
-// Expire removes expired denials, and unanswered Asks older than avoidTime of peers that are not avoided. It also
-// calls Expire of the Lender. It is called about once a second.
+// Expire removes expired denials. It also calls Expire of the Lender and of the Asker. It is called about once a second.
 func (l *Limiter) Expire() {
 	l.parts.Lender.Expire()
+	l.asker.Expire()
 	now := l.parts.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -391,9 +296,4 @@
 			delete(l.denials, endpoint)
 		}
 	}
-	for host, s := range l.unresponsive {
-		if now.Sub(s.firstAt) > avoidTime && !now.Before(s.avoidUntil) {
-			delete(l.unresponsive, host)
-		}
-	}
 }
--- a/internal/front/ratelimit/limiter_test.go
+++ b/internal/front/ratelimit/limiter_test.go
@@ -281,7 +281,6 @@
 	cancel()
 	_, ok := n.hosts[0].limiter.Acquire(ctx, limited, 0, time.Minute)
 	c.Check(ok, qt.IsFalse)
-	c.Check(n.hosts[0].limiter.replies, qt.HasLen, 0)
 }
 
 // TestAskNumbersDifferBetweenStarts guards against a reply to an earlier start of a host being matched to an Ask of
