Slots: one queue of all hosts for a busy plain service

A host that receives one call a second can't keep 70 hosts within the 18 slots of a service: endpoints reject calls while others have room, and all workspaces pay for two that send six times as much. While a service is busy, hosts now ask its coordinator, which grants leases, orders the calls that wait, and refuses at once what can't end within its time limit.

Off unless the host's file sets overload.slots: no messages, and placement decides as before. The hook checks the granted endpoint again, and a ticket releases its lease at its end.

In placement's tests the constant slots becomes endpointSlots, since the package of that name is imported now.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -58,4 +58,11 @@
 	Avoid []string
 	// Retry is set once the request has been granted an endpoint.
 	Retry bool
+
+	// Deadline is when the request's time limit expires, by the owner's clock; zero means unknown. Only the owner's host
+	// uses it.
+	Deadline time.Time `cbor:"-"`
+	// ContentKey identifies the content of the request, by which a caller is recognized that returns; 0 means unknown.
+	// Only the owner's host uses it.
+	ContentKey uint64 `cbor:"-"`
 }
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -88,6 +88,24 @@
 // PermitResults lists all results.
 var PermitResults = []PermitResult{PermitGranted, PermitDenied, PermitUnanswered}
 
+// SlotResult is the result of asking for a slot of a busy plain service. The set is closed.
+type SlotResult string
+
+// The results of asking for a slot.
+const (
+	SlotGranted SlotResult = "granted"
+	// SlotQueued means that the slot was granted after a wait.
+	SlotQueued  SlotResult = "queued"
+	SlotRefused SlotResult = "refused"
+	// SlotUnanswered means that the host that queues the calls did not reply.
+	SlotUnanswered SlotResult = "unanswered"
+	// SlotAlone means that no host queues calls at present.
+	SlotAlone SlotResult = "alone"
+)
+
+// SlotResults lists all results.
+var SlotResults = []SlotResult{SlotGranted, SlotQueued, SlotRefused, SlotUnanswered, SlotAlone}
+
 // Counters are the metrics of one daemon.
 type Counters struct {
 	set      *metrics.Set
@@ -98,6 +116,7 @@
 	store    map[StoreCallReason]*metrics.Counter
 	signals  map[Signal]*metrics.Counter
 	permits  map[PermitResult]*metrics.Counter
+	slots    map[SlotResult]*metrics.Counter
 	// Goodput counts the tokens of answers that met the targets of their class.
 	Goodput *metrics.Counter
 	// Tokens counts all relayed tokens.
@@ -125,6 +144,7 @@
 		store:            make(map[StoreCallReason]*metrics.Counter),
 		signals:          make(map[Signal]*metrics.Counter),
 		permits:          make(map[PermitResult]*metrics.Counter),
+		slots:            make(map[SlotResult]*metrics.Counter),
 		Goodput:          set.NewCounter("oxbowslip_goodput_tokens_total"),
 		Tokens:           set.NewCounter("oxbowslip_tokens_total"),
 		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
@@ -153,9 +173,15 @@
 	for _, permit := range PermitResults {
 		c.permits[permit] = set.NewCounter(fmt.Sprintf(`oxbowslip_permits_total{result=%q}`, permit))
 	}
+	for _, result := range SlotResults {
+		c.slots[result] = set.NewCounter(fmt.Sprintf(`oxbowslip_slot_requests_total{result=%q}`, result))
+	}
 	return c
 }
 
+// CountSlot counts the result of asking for a slot.
+func (c *Counters) CountSlot(result SlotResult) { c.slots[result].Inc() }
+
 // CountPermit counts the result of asking for a permit.
 func (c *Counters) CountPermit(result PermitResult) { c.permits[result].Inc() }
 
--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -31,6 +31,11 @@
 	// that it has.
 	KindFixedReports        Kind = 11
 	KindFixedReportsRequest Kind = 12
+	// KindSlotRequest asks for a slot of a busy plain service, KindSlotReply answers, and KindSlotRelease ends the lease
+	// of the slot.
+	KindSlotRequest Kind = 13
+	KindSlotReply   Kind = 14
+	KindSlotRelease Kind = 15
 )
 
 // Sender identifies the host that sent a message.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -35,6 +35,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
 	"oxbowslip.dev/oxbowslip/internal/front/reporter"
 	"oxbowslip.dev/oxbowslip/internal/front/scaler"
+	"oxbowslip.dev/oxbowslip/internal/front/slots"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
@@ -148,6 +149,8 @@
 	Failures   *pushback.Failures
 	Limits     *pushback.Limits
 	Limiter    *ratelimit.Limiter
+	// Slots is nil if the host's file does not select the queue for slots.
+	Slots      *slots.Client
 	Leadership *leadership
 	Clock      func() time.Time
 	Steady     *clock.Clock
@@ -214,6 +217,9 @@
 	h.parts.Failures.Expire()
 	h.parts.Limits.Expire()
 	h.parts.Limiter.Expire()
+	if h.parts.Slots != nil {
+		h.parts.Slots.Expire()
+	}
 	if h.parts.Followers.isReading() || h.parts.Gossip.Hosts() > 1 {
 		h.recordContact()
 	}
@@ -260,6 +266,9 @@
 	go h.parts.Poison.Run(h.done)
 	go h.parts.Signals.Run(h.done)
 	go h.parts.Limiter.Run(h.done)
+	if h.parts.Slots != nil {
+		go h.parts.Slots.Run(h.done)
+	}
 	h.parts.Leadership.start(h.done)
 	go lifetime.Every(h.done, expireInterval, randomNumber, h.expire)
 	h.log.WithFields(logrus.Fields{
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -24,6 +24,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
+	"oxbowslip.dev/oxbowslip/internal/front/slots"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/front/usage"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
@@ -64,6 +65,7 @@
 			pushback.NewLimits,
 			ratelimit.NewLender,
 			newLimiter,
+			newSlots,
 			newRelay,
 			newFollowers,
 			newUsageClock,
@@ -82,11 +84,12 @@
 // randomNumber returns a random number in [0, 1).
 func randomNumber() float64 { return rand.Float64() }
 
-// lateParts holds components that others refer to before they are constructed, which breaks two cycles: gossip reports
-// the state of placement, settings and endpoints, which notify gossip of changes; and gossip determines whether this
-// host reads the store, and reports to peers whether it does. The fields are set while the host is wired, before any
-// component runs.
+// lateParts holds components that others refer to before they are constructed, which breaks three cycles: gossip
+// reports the state of placement, settings and endpoints, which notify gossip of changes; gossip determines whether this
+// host reads the store, and reports to peers whether it does; and placement asks for slots, which are granted by the
+// loads that placement knows. The fields are set while the host is wired, before any component runs.
 type lateParts struct {
+	placer    atomic.Pointer[placement.Placer]
 	gossip    atomic.Pointer[gossip.Gossip]
 	sync      atomic.Pointer[peersync.Sync]
 	followers atomic.Pointer[followers]
@@ -143,6 +146,7 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
+	Slots      *slots.Client
 	Log        *logrus.Logger
 	Clock      func() time.Time
 	Random     func() float64
@@ -151,9 +155,10 @@
 
 func newPlacer(p placerParts) *placement.Placer {
 	placer := placement.New(placement.Parts{
-		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter,
+		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter, Slots: p.Slots,
 		Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
 	})
+	p.Late.placer.Store(placer)
 	p.Directory.OnRestart(placer.ResetEndpoint)
 	return placer
 }
@@ -214,6 +219,7 @@
 	Config    hostconfig.Host
 	Placer    *placement.Placer
 	Limiter   *ratelimit.Limiter
+	Slots     *slots.Client
 	Holder    *settings.Holder
 	Directory *directory.Directory
 	Settings  *peersync.Settings
@@ -242,6 +248,11 @@
 	})
 	g.Handle(envelope.KindPermitRequest, p.Limiter.HandleAsk)
 	g.Handle(envelope.KindPermitReply, p.Limiter.HandleReply)
+	if p.Slots != nil {
+		g.Handle(envelope.KindSlotRequest, p.Slots.HandleRequest)
+		g.Handle(envelope.KindSlotReply, p.Slots.HandleReply)
+		g.Handle(envelope.KindSlotRelease, p.Slots.HandleRelease)
+	}
 	p.Late.gossip.Store(g)
 	p.Late.sync.Store(sync)
 	return g
@@ -374,6 +385,30 @@
 	})
 }
 
+// slotsParts are the dependencies of the client for slots of busy plain services.
+type slotsParts struct {
+	fx.In
+
+	Config   hostconfig.Host
+	Late     *lateParts
+	Counters *counters.Counters
+	Log      *logrus.Logger
+	Clock    func() time.Time
+	Random   func() float64
+}
+
+// newSlots returns nil unless the host's file selects the queue for slots.
+func newSlots(p slotsParts) *slots.Client {
+	if !p.Config.Overload.Slots {
+		return nil
+	}
+	endpoints := func(service string) []slots.Endpoint { return p.Late.placer.Load().SlotEndpoints(service) }
+	return slots.New(slots.Parts{
+		Coordinator: slots.NewCoordinator(endpoints), Peers: latePeers{p.Late}, Count: p.Counters.CountSlot,
+		Log: logging.Part(p.Log, "slots"), Clock: p.Clock, Random: p.Random,
+	})
+}
+
 // relayParts are the dependencies of the relay, which serves callers.
 type relayParts struct {
 	fx.In
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -23,6 +23,7 @@
 		"oxbowslip_endpoints_failing":         h.countFailingEndpoints,
 		"oxbowslip_endpoints_limited":         func() float64 { return float64(len(h.parts.Limits.All())) },
 		"oxbowslip_upstream_connections_made": func() float64 { return float64(h.parts.Client.Dials()) },
+		"oxbowslip_slots_waiting":             h.countWaitingForSlots,
 	} {
 		h.parts.Counters.Gauge(name, read)
 	}
@@ -43,6 +44,14 @@
 	return float64(count)
 }
 
+// countWaitingForSlots counts the requests that wait in the queues that this host coordinates.
+func (h *Host) countWaitingForSlots() float64 {
+	if h.parts.Slots == nil {
+		return 0
+	}
+	return float64(h.parts.Slots.Waiting())
+}
+
 // zeroOrOne returns 1 for true and 0 for false.
 func zeroOrOne(is bool) float64 {
 	if is {
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -22,6 +22,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
+	"oxbowslip.dev/oxbowslip/internal/front/slots"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -42,8 +43,10 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
-	Log        *logrus.Entry
-	Clock      func() time.Time
+	// Slots asks for the slots of busy plain services. If it is nil, this host decides alone.
+	Slots *slots.Client
+	Log   *logrus.Entry
+	Clock func() time.Time
 	// Random returns numbers in [0, 1).
 	Random func() float64
 	// Changed is called without any lock held after a change of this host's loads or ejections; it must not block.
@@ -59,6 +62,9 @@
 	bounds     PriorityBounds
 	targets    map[keys.Class]engine.Targets
 	newHolders []newHolder
+	// busy holds the services for whose slots this host asks, hasEngine the services with engines.
+	busy      slots.Busy
+	hasEngine map[string]bool
 }
 
 // newHolder is a holder that has yet to be listed in reportsLeft reports to peers.
@@ -71,15 +77,18 @@
 func New(parts Parts) *Placer {
 	view := NewView()
 	view.random, view.rejections, view.failures = parts.Random, parts.Rejections, parts.Failures
-	return &Placer{parts: parts, view: view}
+	return &Placer{parts: parts, view: view, busy: slots.NewBusy()}
 }
 
 // SetSettings applies the parts of the settings that placement uses.
 func (p *Placer) SetSettings(tree *settings.Tree) {
-	bounds, targets := PriorityBoundsOf(tree), targetsOf(tree)
+	bounds, targets, hasEngine := PriorityBoundsOf(tree), targetsOf(tree), make(map[string]bool)
+	for name, service := range tree.Services {
+		hasEngine[name] = service.Engine != nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.bounds, p.targets = bounds, targets
+	p.bounds, p.targets, p.hasEngine = bounds, targets, hasEngine
 }
 
 // Ask returns a grant as soon as an endpoint of the service admits the request. It refuses immediately if the service
@@ -87,6 +96,9 @@
 // The error is that of ctx.
 func (p *Placer) Ask(ctx context.Context, service string, request admission.Request) (owner.Ticket, admission.Decision, error) {
 	asked := p.parts.Clock()
+	if ticket, decision, err := p.askQueue(ctx, service, &request, asked); ticket != nil || decision.Kind == admission.Refuse || err != nil {
+		return ticket, decision, err
+	}
 	until := asked.Add(slotWait(&request))
 	for {
 		choice, reason := p.choose(service, &request, p.parts.Clock().Before(until))
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -28,12 +28,12 @@
 
 var start = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
 
-const slots = 64
+const endpointSlots = 64
 
 func entries(ids ...string) []*directory.Entry {
 	list := make([]*directory.Entry, 0, len(ids))
 	for _, id := range ids {
-		list = append(list, &directory.Entry{ID: id, Endpoint: settings.Endpoint{Zone: "a", Service: "llm", MaxInFlight: slots, State: settings.StateIn}})
+		list = append(list, &directory.Entry{ID: id, Endpoint: settings.Endpoint{Zone: "a", Service: "llm", MaxInFlight: endpointSlots, State: settings.StateIn}})
 	}
 	return list
 }
@@ -183,7 +183,7 @@
 	}
 	target := engine.Targets{First: time.Second, Pause: 150 * time.Millisecond}
 	engines.Refresh(start, &engine.Fleet{
-		Endpoints: len(endpoints), Slots: slots, Hosts: 1,
+		Endpoints: len(endpoints), Slots: endpointSlots, Hosts: 1,
 		Targets: map[keys.Class]engine.Targets{keys.OfClass("long"): {First: time.Second, Pause: time.Second}, keys.OfClass("short"): target},
 	})
 	c.Assert(engines.IsLong(keys.OfClass("long")), qt.IsTrue)
@@ -203,7 +203,7 @@
 	c.Check(kept[v.chooseCandidate(short(), all).Endpoint], qt.IsTrue)
 	// A short prompt leaves its partition only if the partition has no free slots.
 	for id := range kept {
-		for range slots {
+		for range endpointSlots {
 			v.loads.Begin(id, 0)
 		}
 	}
@@ -311,7 +311,7 @@
 		t.Run(name, func(t *testing.T) {
 			request := short()
 			request.Tier, request.Urgency = test.tier, test.urgency
-			qt.Check(t, bounds.admits(request, slots, test.open), qt.Equals, test.want)
+			qt.Check(t, bounds.admits(request, endpointSlots, test.open), qt.Equals, test.want)
 		})
 	}
 }
@@ -333,7 +333,7 @@
 		t.Run(name, func(t *testing.T) {
 			request := short()
 			request.Urgency, request.FirstToken = test.urgency, time.Second
-			qt.Check(t, bounds.admitsChoice(request, &Choice{Slots: slots, PredictedFirstEvent: test.first}), qt.Equals, test.want)
+			qt.Check(t, bounds.admitsChoice(request, &Choice{Slots: endpointSlots, PredictedFirstEvent: test.first}), qt.Equals, test.want)
 		})
 	}
 }
--- a/internal/front/placement/ticket.go
+++ b/internal/front/placement/ticket.go
@@ -7,6 +7,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
+	"oxbowslip.dev/oxbowslip/internal/front/slots"
 )
 
 // ticket is a granted request. It implements owner.Ticket.
@@ -20,6 +21,8 @@
 	version   string
 	// permit is needed if the endpoint has a limit.
 	permit ratelimit.Permit
+	// lease is the slot that the coordinator of a busy plain service has granted, or nil.
+	lease *slots.Lease
 	// unprocessedTokens is the number of the request's prompt tokens that the endpoint has not processed, and
 	// tokensAhead the number of tokens of other prompts that it had to process first when the request was granted.
 	unprocessedTokens int
@@ -63,8 +66,11 @@
 func (t *ticket) Progress(int) {}
 
 // Finished releases the slot.
-func (t *ticket) Finished(admission.Result, int) {
+func (t *ticket) Finished(result admission.Result, _ int) {
 	p := t.placer
+	if t.lease != nil {
+		t.lease.Release(t.outcome(result))
+	}
 	p.mu.Lock()
 	p.view.loads.End(t.endpoint, t.unprocessedTokens)
 	if t.hasPrompt {
@@ -74,3 +80,17 @@
 	p.mu.Unlock()
 	p.parts.Changed()
 }
+
+// outcome returns what became of the ticket's lease.
+func (t *ticket) outcome(result admission.Result) slots.Outcome {
+	switch {
+	case result == admission.Answered:
+		return slots.Answered
+	case t.startedAt.IsZero():
+		return slots.Unused
+	case !t.placer.view.rejections.LastAt(keys.OfEndpoint(t.endpoint)).Before(t.startedAt):
+		// The result does not state why the request has failed, but the endpoint's answer was counted before.
+		return slots.Rejected
+	}
+	return slots.Failed
+}
--- a/internal/front/pushback/rejections.go
+++ b/internal/front/pushback/rejections.go
@@ -39,6 +39,12 @@
 	return rejectedShare(t)
 }
 
+// LastAt returns when this host learned of the last recent rejection by an endpoint, or the zero time.
+func (r *Rejections) LastAt(endpoint keys.Endpoint) time.Time {
+	t, _ := r.tallies.get(endpoint)
+	return t.badAt
+}
+
 // rejectedShare returns the share of requests that an endpoint with a tally is expected to reject.
 func rejectedShare(t tally) float64 { return t.bad / (t.bad + t.good + priorRequests) }
 
--- a/internal/front/pushback/tally.go
+++ b/internal/front/pushback/tally.go
@@ -19,6 +19,8 @@
 type tally struct {
 	bad, good float64
 	decayedAt time.Time
+	// badAt is when the last bad request was counted.
+	badAt time.Time
 }
 
 // decay reduces the weights to their values at now. HalfLife is the time in which they halve.
@@ -60,6 +62,9 @@
 		t.size.Add(1)
 	}
 	counted.decay(t.clock(), t.halfLife)
+	if bad > 0 {
+		counted.badAt = counted.decayedAt
+	}
 	counted.bad += float64(bad)
 	counted.good += float64(good)
 	return true
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -52,7 +52,8 @@
 	r := admission.Request{
 		ID: x.call.ID, Owner: p.Host, Workspace: x.workspace, Class: x.route.Class, Tier: x.policy.Tier, Urgency: x.policy.Urgency,
 		Arrived: x.arrived, FirstToken: x.policy.FirstToken, WholeAnswer: x.policy.WholeAnswer, MaxPause: x.policy.MaxPause,
-		Repeatable: x.policy.Repeatable, PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Zone: p.Zone,
+		Repeatable: x.policy.Repeatable, Weight: x.policy.Weight, PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Zone: p.Zone,
+		Deadline: x.deadline, ContentKey: uint64(x.key),
 	}
 	hash := xxhash.New()
 	// Writing to a hash never fails.
