--- a/internal/front/slots/service.go
+++ b/internal/front/slots/service.go
@@ -296,7 +296,8 @@
 // hasEnded reports whether a lease has ended although no release has arrived.
 func (s *service) hasEnded(now time.Time, r *request) bool {
 	longest := max(time.Duration(maxLeaseCalls*s.callTime.value()), minLeaseTime)
-	return r.isLeased && (!now.Before(r.limit) || now.Sub(r.grantedAt) > longest)
+	isTooLong := s.callTime.count > 0 && now.Sub(r.grantedAt) > longest
+	return r.isLeased && (isTooLong || !now.Before(r.limit))
 }
 
 // recordShortage records that requests wait, and reports whether a shortage begins.
