--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -37,6 +37,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/reporter"
 	"oxbowslip.dev/oxbowslip/internal/front/scaler"
 	"oxbowslip.dev/oxbowslip/internal/front/shares"
+	"oxbowslip.dev/oxbowslip/internal/front/slots"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
@@ -152,7 +153,9 @@
 	Limiter    *ratelimit.Limiter
 	Shares     *shares.Exchange
 	// Pace is nil unless the host's file selects it.
-	Pace       *pace.Exchanger
+	Pace *pace.Exchanger
+	// Slots is nil if the host's file does not select the queue for slots.
+	Slots      *slots.Client
 	Leadership *leadership
 	Clock      func() time.Time
 	Steady     *clock.Clock
@@ -222,6 +225,9 @@
 	if h.parts.Shares != nil {
 		h.parts.Shares.Expire()
 	}
+	if h.parts.Slots != nil {
+		h.parts.Slots.Expire()
+	}
 	if h.parts.Followers.isReading() || h.parts.Gossip.Hosts() > 1 {
 		h.recordContact()
 	}
@@ -274,6 +280,9 @@
 	if h.parts.Pace != nil {
 		go h.parts.Pace.Run(h.done)
 	}
+	if h.parts.Slots != nil {
+		go h.parts.Slots.Run(h.done)
+	}
 	h.parts.Leadership.start(h.done)
 	go lifetime.Every(h.done, expireInterval, randomNumber, h.expire)
 	h.log.WithFields(logrus.Fields{
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -26,6 +26,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
 	"oxbowslip.dev/oxbowslip/internal/front/shares"
+	"oxbowslip.dev/oxbowslip/internal/front/slots"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/front/usage"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
@@ -68,6 +69,7 @@
 			newLimiter,
 			newShares,
 			newPace,
+			newSlots,
 			newRelay,
 			newFollowers,
 			newUsageClock,
@@ -86,11 +88,12 @@
 // randomNumber returns a random number in [0, 1).
 func randomNumber() float64 { return rand.Float64() }
 
-// lateParts holds components that others refer to before they are constructed, which breaks two cycles: gossip reports
-// the state of placement, settings and endpoints, which notify gossip of changes; and gossip determines whether this
-// host reads the store, and reports to peers whether it does. The fields are set while the host is wired, before any
-// component runs.
+// lateParts holds components that others refer to before they are constructed, which breaks three cycles: gossip
+// reports the state of placement, settings and endpoints, which notify gossip of changes; gossip determines whether this
+// host reads the store, and reports to peers whether it does; and placement asks for slots, which are granted by the
+// loads that placement knows. The fields are set while the host is wired, before any component runs.
 type lateParts struct {
+	placer    atomic.Pointer[placement.Placer]
 	gossip    atomic.Pointer[gossip.Gossip]
 	sync      atomic.Pointer[peersync.Sync]
 	followers atomic.Pointer[followers]
@@ -150,6 +153,7 @@
 	Shares     *shares.Exchange
 	// Pace is nil unless the host's file selects it.
 	Pace   *pace.Exchanger
+	Slots  *slots.Client
 	Log    *logrus.Logger
 	Clock  func() time.Time
 	Random func() float64
@@ -158,13 +162,14 @@
 
 func newPlacer(p placerParts) *placement.Placer {
 	parts := placement.Parts{
-		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter, Shares: p.Shares,
+		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter, Shares: p.Shares, Slots: p.Slots,
 		Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
 	}
 	if p.Pace != nil {
 		parts.Pace = p.Pace
 	}
 	placer := placement.New(parts)
+	p.Late.placer.Store(placer)
 	p.Directory.OnRestart(placer.ResetEndpoint)
 	return placer
 }
@@ -227,6 +232,7 @@
 	Limiter   *ratelimit.Limiter
 	Shares    *shares.Exchange
 	Pace      *pace.Exchanger
+	Slots     *slots.Client
 	Holder    *settings.Holder
 	Directory *directory.Directory
 	Settings  *peersync.Settings
@@ -261,6 +267,11 @@
 	if p.Pace != nil {
 		g.Handle(envelope.KindPace, p.Pace.HandleMessage)
 	}
+	if p.Slots != nil {
+		g.Handle(envelope.KindSlotRequest, p.Slots.HandleRequest)
+		g.Handle(envelope.KindSlotReply, p.Slots.HandleReply)
+		g.Handle(envelope.KindSlotRelease, p.Slots.HandleRelease)
+	}
 	p.Late.gossip.Store(g)
 	p.Late.sync.Store(sync)
 	return g
@@ -359,8 +370,8 @@
 	return tracker
 }
 
-// latePeers are the other hosts. It implements the interfaces Peers of packages ratelimit, pace and shares, and is usable
-// once the host is wired.
+// latePeers are the other hosts. It implements coordinator.Peers and the interfaces Peers of packages pace and shares, and
+// is usable once the host is wired.
 type latePeers struct{ *lateParts }
 
 // Senders returns the live hosts, this host first.
@@ -443,6 +454,30 @@
 	})
 }
 
+// slotsParts are the dependencies of the client for slots of busy plain services.
+type slotsParts struct {
+	fx.In
+
+	Config   hostconfig.Host
+	Late     *lateParts
+	Counters *counters.Counters
+	Log      *logrus.Logger
+	Clock    func() time.Time
+	Random   func() float64
+}
+
+// newSlots returns nil unless the host's file selects the queue for slots.
+func newSlots(p slotsParts) *slots.Client {
+	if !p.Config.Overload.Slots {
+		return nil
+	}
+	endpoints := func(service string) []slots.Endpoint { return p.Late.placer.Load().SlotEndpoints(service) }
+	return slots.New(slots.Parts{
+		Coordinator: slots.NewCoordinator(endpoints), Peers: latePeers{p.Late}, Count: p.Counters.CountSlot,
+		Log: logging.Part(p.Log, "slots"), Clock: p.Clock, Random: p.Random,
+	})
+}
+
 // relayParts are the dependencies of the relay, which serves callers.
 type relayParts struct {
 	fx.In
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -25,6 +25,7 @@
 		"oxbowslip_workspaces_over_share":     func() float64 { return float64(len(h.overShare())) },
 		"oxbowslip_endpoints_slow":            func() float64 { return float64(len(h.slowEndpoints())) },
 		"oxbowslip_upstream_connections_made": func() float64 { return float64(h.parts.Client.Dials()) },
+		"oxbowslip_slots_waiting":             h.countWaitingForSlots,
 	} {
 		h.parts.Counters.Gauge(name, read)
 	}
@@ -45,6 +46,14 @@
 	return float64(count)
 }
 
+// countWaitingForSlots counts the requests that wait in the queues that this host coordinates.
+func (h *Host) countWaitingForSlots() float64 {
+	if h.parts.Slots == nil {
+		return 0
+	}
+	return float64(h.parts.Slots.Waiting())
+}
+
 // zeroOrOne returns 1 for true and 0 for false.
 func zeroOrOne(is bool) float64 {
 	if is {
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -23,6 +23,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
 	"oxbowslip.dev/oxbowslip/internal/front/shares"
+	"oxbowslip.dev/oxbowslip/internal/front/slots"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -47,7 +48,9 @@
 	// so it must not be called with that of the placer held.
 	Shares *shares.Exchange
 	// Pace learns the speed of endpoints. If it is nil, all count as equally fast.
-	Pace  Pace
+	Pace Pace
+	// Slots asks for the slots of busy plain services. If it is nil, this host decides alone.
+	Slots *slots.Client
 	Log   *logrus.Entry
 	Clock func() time.Time
 	// Random returns numbers in [0, 1).
@@ -65,6 +68,9 @@
 	bounds     PriorityBounds
 	targets    map[keys.Class]engine.Targets
 	newHolders []newHolder
+	// busy holds the services for whose slots this host asks, hasEngine the services with engines.
+	busy      slots.Busy
+	hasEngine map[string]bool
 }
 
 // newHolder is a holder that has yet to be listed in reportsLeft reports to peers.
@@ -80,7 +86,7 @@
 	if parts.Pace != nil {
 		view.pace = parts.Pace
 	}
-	return &Placer{parts: parts, view: view}
+	return &Placer{parts: parts, view: view, busy: slots.NewBusy()}
 }
 
 // SetSettings applies the parts of the settings that placement uses.
@@ -88,10 +94,13 @@
 	if p.parts.Shares != nil {
 		p.parts.Shares.SetSettings(tree)
 	}
-	bounds, targets := PriorityBoundsOf(tree), targetsOf(tree)
+	bounds, targets, hasEngine := PriorityBoundsOf(tree), targetsOf(tree), make(map[string]bool)
+	for name, service := range tree.Services {
+		hasEngine[name] = service.Engine != nil
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.bounds, p.targets = bounds, targets
+	p.bounds, p.targets, p.hasEngine = bounds, targets, hasEngine
 }
 
 // Ask returns a grant as soon as an endpoint of the service admits the request. It refuses immediately if the service
@@ -107,6 +116,9 @@
 // ask is Ask without regard to shares.
 func (p *Placer) ask(ctx context.Context, service string, request admission.Request) (owner.Ticket, admission.Decision, error) {
 	asked := p.parts.Clock()
+	if ticket, decision, err := p.askQueue(ctx, service, &request, asked); ticket != nil || decision.Kind == admission.Refuse || err != nil {
+		return ticket, decision, err
+	}
 	until := asked.Add(slotWait(&request))
 	for {
 		choice, reason := p.choose(service, &request, p.parts.Clock().Before(until))
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -54,6 +54,7 @@
 		Arrived: x.arrived, FirstToken: x.policy.FirstToken, WholeAnswer: x.policy.WholeAnswer, MaxPause: x.policy.MaxPause,
 		Weight: x.policy.Weight, MaxInFlight: x.policy.MaxInFlight, MaxWaiting: x.policy.MaxWaiting, TokensPerMinute: x.policy.TokensPerMinute,
 		Repeatable: x.policy.Repeatable, PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Zone: p.Zone,
+		Deadline: x.deadline, ContentKey: uint64(x.key),
 	}
 	hash := xxhash.New()
 	// Writing to a hash never fails.
