Placement receives the time limit and the expected length of a request

A rule that refuses streams which can't end in time needs both, and what is left of them when a stream is resumed. The relay passes the end of the time limit, the caller's deadline, and the caller's estimate of the answer (X-Length-Hint), else half of the maximum tokens; the owner passes what earlier attempts received. The configuration may name the tokens of an event (Stride).

Safe: nothing uses the fields yet. They are not part of messages between hosts (cbor:"-"; the golden frames are unchanged) nor of the settings' file format.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -30,6 +30,10 @@
 	WholeAnswer   time.Duration
 	// MaxPause is the target for the time between two events of a stream; 0 means none. Only the owner's host uses it.
 	MaxPause time.Duration `cbor:"-"`
+	// Deadline is when the request's time limit expires, and CallerDeadline when its caller stops waiting; zero means
+	// unknown. Only the owner's host uses them.
+	Deadline       time.Time `cbor:"-"`
+	CallerDeadline time.Time `cbor:"-"`
 	// RefuseLate is set if an answer that misses its target is of no use to the caller.
 	RefuseLate bool
 	// MaxWait bounds the time until a grant; 0 means no bound.
@@ -47,6 +51,11 @@
 	// PromptTokens is an estimate. MaxTokens bounds the answer; 0 means unknown.
 	PromptTokens int
 	MaxTokens    int
+	// AnswerTokens is the expected length of the answer; 0 means unknown. Received is the part of the answer that earlier
+	// attempts have received and the next one continues, in the unit of owner.Attempt.RecordTokens. Only the owner's host
+	// uses them.
+	AnswerTokens int `cbor:"-"`
+	Received     int `cbor:"-"`
 	// Prefix holds the hash of each leading part of the prompt, the shortest first. Each hash includes the workspace or
 	// the model.
 	Prefix []uint64
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -53,6 +53,10 @@
 		ID: x.call.ID, Owner: p.Host, Workspace: x.workspace, Class: x.route.Class, Tier: x.policy.Tier, Urgency: x.policy.Urgency,
 		Arrived: x.arrived, FirstToken: x.policy.FirstToken, WholeAnswer: x.policy.WholeAnswer, MaxPause: x.policy.MaxPause,
 		Repeatable: x.policy.Repeatable, PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Zone: p.Zone,
+		Deadline: x.deadline, AnswerTokens: x.call.expectedTokens(),
+	}
+	if x.call.MaxWait > 0 {
+		r.CallerDeadline = x.arrived.Add(x.call.MaxWait)
 	}
 	hash := xxhash.New()
 	// Writing to a hash never fails.
--- a/internal/front/relay/dialect.go
+++ b/internal/front/relay/dialect.go
@@ -24,10 +24,24 @@
 	// PromptTokens and MaxTokens are 0 if the caller does not state them.
 	PromptTokens int
 	MaxTokens    int
+	// LengthHint is the caller's estimate of the length of the answer in tokens; 0 means none.
+	LengthHint int
 	// Parts are the parts of the prompt, in order.
 	Parts []Part
 }
 
+// expectedTokens returns the expected length of the answer in tokens, or 0 if nothing is known about it: the caller's
+// estimate, or half of the maximum.
+func (c *Call) expectedTokens() int {
+	switch {
+	case c.LengthHint > 0 && c.MaxTokens > 0:
+		return min(c.LengthHint, c.MaxTokens)
+	case c.LengthHint > 0:
+		return c.LengthHint
+	}
+	return max(c.MaxTokens, 0) / 2
+}
+
 // Send is the data that this host adds to a call for an endpoint.
 type Send struct {
 	EndpointID string
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -116,3 +116,43 @@
 		})
 	}
 }
+
+// recordingAdmitter records the part of the answer that each request for an endpoint reports as received.
+type recordingAdmitter struct {
+	firstAvailable
+	received []int
+}
+
+func (a *recordingAdmitter) Ask(ctx context.Context, shard string, r admission.Request) (Ticket, admission.Decision, error) {
+	a.received = append(a.received, r.Received)
+	return a.firstAvailable.Ask(ctx, shard, r)
+}
+
+// TestContinuedRequestReportsReceivedPart has a stream break before and after it begins. The next endpoint has to send
+// the whole answer in the first case, and only the rest in the second.
+func TestContinuedRequestReportsReceivedPart(t *testing.T) {
+	c := qt.New(t)
+	admitter := &recordingAdmitter{firstAvailable: firstAvailable{"e1", "e2", "e3"}}
+	o := New(Parts{
+		Admitter: admitter, Budget: unlimitedBudget{}, Counters: counters.New(), Explained: explain.New(),
+		Clock: time.Now, Random: func() float64 { return 0 },
+		Endpoints: func(string) (settings.Endpoint, bool) { return settings.Endpoint{}, true },
+	})
+	end := o.Run(context.Background(), &Job{
+		Rules: request.Rules{MaxTries: 3, Repeatable: true}, CanContinue: true,
+		Attempt: func(_ context.Context, a *Attempt) Result {
+			a.RecordSend()
+			if a.EndpointID == "e1" {
+				return Result{Event: request.EventBroken}
+			}
+			a.StartDelivery()
+			a.RecordTokens(5)
+			if a.EndpointID == "e2" {
+				return Result{Event: request.EventBroken}
+			}
+			return Result{Event: request.EventWhole}
+		},
+	})
+	c.Check(end.Outcome, qt.Equals, request.OutcomeAnswered)
+	c.Check(admitter.received, qt.DeepEquals, []int{0, 0, 5})
+}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -81,6 +81,7 @@
 			return r.endCancelled(ctx)
 		}
 	}
+	r.job.Request.Received = r.tokens
 	ticket, decision, err := r.owner.parts.Admitter.Ask(ctx, r.job.Shard, r.job.Request)
 	if err != nil {
 		return r.endCancelled(ctx)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,6 +101,9 @@
 	// size of one cached token.
 	CacheTokens     int `json:"cache_tokens,omitzero"`
 	CacheTokenBytes int `json:"cache_token_bytes,omitzero"`
+	// EventTokens is the number of tokens in an event of a stream; 0 means unknown. It is not part of the file format:
+	// only oxbowslip-front uses it, and its settings come from the deployment's own format.
+	EventTokens int `json:"-"`
 }
 
 // HostRoute routes the calls with a host name and path prefix to services. The
