Streams that can't end within their time limit are not started

Cause: in a burst of long prompts engines were filled with streams that ran into their time limits; their work was lost and slowed all others.

Change: with overload.finish in the host's file, placement predicts when a stream ends at each endpoint, prefers those at which it ends in time, and refuses it with too_late if there is none; the most urgent class is never refused. Retry-After is the first time at which the request could end if nothing else arrives.

Safe: without the switch no prediction is made, all endpoints count as equal in it, and the same random numbers are drawn, so every choice is as before. The grants and refusals of the rule use the existing reasons and statuses; there are no new messages.

--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -42,7 +42,7 @@
 	ReasonNoRoom Reason = "no_room"
 	// ReasonWorkspaceRoom: the workspace has reached its limit for the class.
 	ReasonWorkspaceRoom Reason = "workspace_room"
-	// ReasonTooLate: the target can't be met, and a late answer is of no use.
+	// ReasonTooLate: the target or the time limit can't be met, and a late answer is of no use.
 	ReasonTooLate Reason = "too_late"
 	// ReasonMaxWait: the request has waited for as long as its class allows.
 	ReasonMaxWait Reason = "max_wait"
@@ -68,6 +68,8 @@
 	WaitingBelow int `json:",omitzero"`
 	// PredictedFirstToken is the expected time from the decision to the first token.
 	PredictedFirstToken time.Duration `json:",omitzero"`
+	// PredictedEnd is the expected time from the decision to the end of the answer. It is not sent between hosts.
+	PredictedEnd time.Duration `cbor:"-" json:",omitzero"`
 	// InFlight is the number of open requests of the endpoint, and Limit its bound.
 	InFlight int     `json:",omitzero"`
 	Limit    float64 `json:",omitzero"`
--- a/internal/front/engine/engine_test.go
+++ b/internal/front/engine/engine_test.go
@@ -340,3 +340,43 @@
 		}
 	})
 }
+
+// TestEvents covers the expected events of an answer from the settings, from streams, and before any are known.
+func TestEvents(t *testing.T) {
+	class := keys.OfClass("c")
+	tests := map[string]struct {
+		// streams are the estimated tokens of whole streams of 10 events, and expected those of earlier requests.
+		streams, expected []int
+		tokens, named     int
+		want              float64
+	}{
+		"named by the settings":           {nil, nil, 119, 7, 17},
+		"named although streams differ":   {[]int{20, 20, 20, 20}, nil, 119, 7, 17},
+		"learned":                         {[]int{70, 70, 70, 70}, nil, 119, 0, 17},
+		"learned in spite of errors":      {[]int{7, 700, 70, 70}, nil, 119, 0, 17},
+		"too few streams":                 {[]int{70, 70, 70}, nil, 160, 0, 10},
+		"streams without an estimate":     {[]int{0, 0, 0, 0}, nil, 160, 0, 10},
+		"far above the median of a class": {nil, []int{70, 70, 70, 70}, 6300, 7, 95},
+		"far below the median of a class": {nil, []int{70, 70, 70, 70}, 7, 7, 3},
+		"no expectation":                  {nil, []int{70, 70, 70, 70}, 0, 7, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := NewService()
+			for _, hint := range test.streams {
+				s.RecordStream(Stream{Events: 10, LengthHint: hint})
+			}
+			for _, tokens := range test.expected {
+				s.RecordArrival(start, Arrival{Class: class, Answer: tokens})
+			}
+			qt.Check(t, math.Round(s.Events(class, test.tokens, test.named)), qt.Equals, test.want)
+		})
+	}
+}
+
+func TestGap(t *testing.T) {
+	f := Figures{ReadRate: Figure{Value: 40}, EventTime: Figure{Value: 30}, EventRead: Figure{Value: 9600}}
+	for reading, want := range map[float64]time.Duration{0: ms(30), 0.5: ms(90), 1: ms(270)} {
+		qt.Check(t, f.Gap(reading).Round(time.Millisecond), qt.Equals, want)
+	}
+}
--- a/internal/front/engine/service.go
+++ b/internal/front/engine/service.go
@@ -15,6 +15,8 @@
 	// the endpoint when that pause ended, as far as this host could tell.
 	LongestPause time.Duration
 	UnreadBeside int
+	// LengthHint is the caller's estimate of the length of the answer in tokens; 0 means none, or a stream that was cut.
+	LengthHint int
 }
 
 // Service holds a host's data on the engines and the traffic of one service.
@@ -44,6 +46,7 @@
 	// minPause the lowest target for pauses of the short classes.
 	mixedMiss float64
 	minPause  time.Duration
+	answers   answers
 }
 
 // Report is a host's report on a service to its peers.
@@ -54,7 +57,7 @@
 
 // NewService returns a service without observations.
 func NewService() *Service {
-	return &Service{own: initialFigures(), merged: initialFigures(), peers: make(map[string]Report), sent: ownTraffic{traffic: make(Traffic)}}
+	return &Service{own: initialFigures(), merged: initialFigures(), peers: make(map[string]Report), sent: ownTraffic{traffic: make(Traffic)}, answers: answers{expected: make(map[keys.Class]Figure)}}
 }
 
 // Figures returns the combined figures of this host and its peers.
@@ -87,6 +90,7 @@
 		s.own.EventTime.observe(milliseconds(stream.Duration-stream.LongestPause)/float64(rest), eventTimeQuantile, initialEventTime)
 	}
 	s.observeEventRead(float64(stream.UnreadBeside), milliseconds(stream.LongestPause))
+	s.recordAnswer(stream)
 }
 
 const (
--- a/internal/front/engine/traffic.go
+++ b/internal/front/engine/traffic.go
@@ -18,6 +18,8 @@
 	// Prompt is the length of the prompt in tokens, Unread the number of tokens that the endpoint has to process.
 	Prompt int
 	Unread int
+	// Answer is the expected length of the answer in tokens; 0 means unknown.
+	Answer int
 }
 
 // Demand is the recent traffic of a request class, with exponentially decaying counts, and its open requests.
@@ -99,6 +101,7 @@
 	}
 	s.sent.decayTo(now)
 	s.sent.traffic.add(a.Class, &Demand{Requests: 1, Prompt: float64(a.Prompt), Unread: float64(a.Unread), Open: 1})
+	s.recordExpected(a.Class, a.Answer)
 }
 
 // RecordRefusal counts a request that this host refused for lack of room: refused requests are part of the demand that
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -138,6 +138,7 @@
 type placerParts struct {
 	fx.In
 
+	Config     hostconfig.Host
 	Directory  *directory.Directory
 	Rests      *pushback.Rests
 	Rejections *pushback.Rejections
@@ -152,7 +153,7 @@
 func newPlacer(p placerParts) *placement.Placer {
 	placer := placement.New(placement.Parts{
 		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter,
-		Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
+		Finish: p.Config.Overload.Finish, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
 	})
 	p.Directory.OnRestart(placer.ResetEndpoint)
 	return placer
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -39,7 +39,8 @@
 	Endpoint string
 	// Version is the version of the endpoint's entry in the directory.
 	Version string
-	// AvailableAt is when the first endpoint becomes available, if all rest or have a limit and no permit left.
+	// AvailableAt is when the first endpoint becomes available, if all rest or have a limit and no permit left, or if a more
+	// urgent class was refused.
 	AvailableAt time.Time
 	// IsLimited is set if the endpoint has a limit, so that the request needs a permit; permit is the permit acquired.
 	IsLimited bool
@@ -62,6 +63,10 @@
 	ExcessFailures float64
 	// PredictedFirstEvent is the predicted time to the first event.
 	PredictedFirstEvent time.Duration
+	// PredictedEnd is the predicted time to the end of the answer; 0 if it is not predicted.
+	PredictedEnd time.Duration
+	// CanEnd is set if the request is predicted to end within its time limit, or if that is not predicted.
+	CanEnd bool
 	// Cost is the cost of the choice in prompt tokens.
 	Cost int
 }
@@ -71,6 +76,14 @@
 	return pushback.Instance{ID: c.Endpoint, Version: c.Version}
 }
 
+// isBetter reports whether a choice is preferred to another: one at which the request can end in time, then the cheaper.
+func (c *Choice) isBetter(other *Choice) bool {
+	if c.CanEnd != other.CanEnd {
+		return c.CanEnd
+	}
+	return c.Cost < other.Cost
+}
+
 // query is a request together with the values that the costs of all endpoints depend on.
 type query struct {
 	request *admission.Request
@@ -88,11 +101,13 @@
 	// shortSet holds the endpoints reserved for short prompts; isLong is set if the request should run outside of them.
 	shortSet shortSet
 	isLong   bool
+	// ending predicts the end of the request; nil if it is not predicted.
+	ending *ending
 }
 
-// Choose picks the candidate with the lowest cost for a request. Endpoints holds all endpoints of the service that take
-// new work, candidates the ones that may be chosen, and leaving the ones that take no new work but can still be copied
-// from. It reports false if there is no candidate.
+// Choose picks the candidate with the lowest cost for a request, of those at which it can end in time if there are any.
+// Endpoints holds all endpoints of the service that take new work, candidates the ones that may be chosen, and leaving the
+// ones that take no new work but can still be copied from. It reports false if there is no candidate.
 func (v *View) Choose(now time.Time, service string, request *admission.Request, endpoints, candidates, leaving []*directory.Entry) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
@@ -103,9 +118,9 @@
 	for _, e := range v.sample(q, candidates) {
 		choice := v.evaluate(q, e)
 		switch {
-		case best.Endpoint == "" || choice.Cost < best.Cost:
+		case best.Endpoint == "" || choice.isBetter(&best):
 			best, equal = choice, 1
-		case choice.Cost == best.Cost:
+		case !best.isBetter(&choice):
 			// Equal endpoints are equally likely to be chosen: otherwise the first would get all requests at low load.
 			equal++
 			if v.replacesEqual(equal) {
@@ -135,6 +150,7 @@
 		q.holders = v.holders[keys.Prefix(q.prefix)]
 		q.heldByCandidate = slices.ContainsFunc(candidates, q.isHolder)
 	}
+	q.ending = v.newEnding(now, service, request, endpoints, engines)
 	return q
 }
 
@@ -227,6 +243,11 @@
 	if e.Endpoint.Zone != q.request.Zone {
 		choice.Cost += zoneCost
 	}
+	choice.CanEnd = true
+	if q.ending != nil {
+		choice.PredictedEnd = q.ending.end(choice.Load.Tokens+choice.Tokens, v.slowness(e.ID))
+		choice.CanEnd = choice.PredictedEnd <= q.ending.timeLeft
+	}
 	return choice
 }
 
--- /dev/null
+++ b/internal/front/placement/finish_test.go
@@ -0,0 +1,454 @@
+package placement
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"oxbowslip.dev/oxbowslip/internal/admission"
+	"oxbowslip.dev/oxbowslip/internal/front/engine"
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/owner"
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// The replayed load: all hosts start, and for some seconds more long prompts arrive than the engines can read. Without
+// the rule about one stream in eight runs until its time limit, as many as at the customer whose load this is.
+const (
+	replayHosts   = 70
+	replayEngines = 90
+	replayTime    = 16 * time.Second
+	burstTime     = 9 * time.Second
+	// reportInterval is how often a host reports its loads to the others.
+	reportInterval = 560 * time.Millisecond
+	replayStride   = 7
+)
+
+// replayClass is a request class of the replay with the results of its requests.
+type replayClass struct {
+	// perSecond is the rate of the requests, burst its factor during the burst; prompt and events are medians.
+	perSecond, burst, prompt, events float64
+	limit, first, pause              time.Duration
+	arrived, served, cut             int
+}
+
+// replay runs the hosts' placers against engines in virtual time.
+type replay struct {
+	hosts   []*Placer
+	classes []*replayClass
+	mu      sync.Mutex
+	random  *rand.Rand
+	// readUntil holds the time at which each engine has read the prompts sent to it.
+	readUntil map[string]time.Time
+}
+
+func (r *replay) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// send queues a prompt at an engine, which reads 48 tokens a ms in order of arrival, and returns how long that takes.
+func (r *replay) send(engine string, tokens int) (wait time.Duration) {
+	r.locked(func() {
+		wait = max(time.Until(r.readUntil[engine]), 0) + time.Duration(tokens)*time.Millisecond/48
+		r.readUntil[engine] = time.Now().Add(wait)
+	})
+	return wait
+}
+
+// gap returns how long the next event takes: 30 ms, and what is read in its steps.
+func (r *replay) gap(engine string) (gap time.Duration) {
+	r.locked(func() { gap = 30*time.Millisecond + min(max(time.Until(r.readUntil[engine]), 0), 300*time.Millisecond) })
+	return gap
+}
+
+// call sends a request, and again if it is refused and its caller has the time.
+func (r *replay) call(host *Placer, class *replayClass, request admission.Request, events int) {
+	for attempt := range 2 {
+		request.Arrived = time.Now()
+		ticket, d, _ := host.Ask(context.Background(), "llm", request)
+		if d.Kind == admission.Grant {
+			r.stream(host, class, &request, ticket, d.Endpoint, events)
+			return
+		}
+		if attempt > 0 || d.RetryAfter > time.Until(request.Deadline)/3 {
+			return
+		}
+		time.Sleep(d.RetryAfter)
+	}
+}
+
+// stream runs a request at an engine until its end or its time limit.
+func (r *replay) stream(host *Placer, class *replayClass, request *admission.Request, ticket owner.Ticket, engineID string, events int) {
+	ticket.Started()
+	time.Sleep(r.send(engineID, request.PromptTokens))
+	ticket.FirstToken()
+	seen := engine.Stream{Events: events, LengthHint: request.AnswerTokens}
+	for range events {
+		gap := r.gap(engineID)
+		time.Sleep(gap)
+		seen.Duration += gap
+		if gap > seen.LongestPause {
+			seen.LongestPause, seen.UnreadBeside = gap, host.UnprocessedTokens(engineID)
+		}
+		if time.Now().After(request.Deadline) {
+			ticket.Finished(admission.Cancelled, 0)
+			r.locked(func() { class.cut++ })
+			return
+		}
+	}
+	ticket.Finished(admission.Answered, 0)
+	host.RecordStream("llm", seen)
+	r.locked(func() { class.served++ })
+}
+
+// report sends a host's loads and figures to the others until the replay ends.
+func (r *replay) report(self int) {
+	for end := time.Now().Add(replayTime); time.Now().Before(end); time.Sleep(reportInterval) {
+		loads, _ := r.hosts[self].Snapshot()
+		report := PeerReport{Loads: make(map[keys.Endpoint]Load)}
+		for id, load := range loads {
+			report.Loads[keys.OfEndpoint(id)] = load
+		}
+		engines := r.hosts[self].EngineReports()
+		for i, peer := range r.hosts {
+			if i != self {
+				peer.SetPeer(fmt.Sprint(self), report)
+				peer.SetPeerEngineReports(fmt.Sprint(self), engines)
+			}
+		}
+	}
+}
+
+// arrive starts the requests of a class.
+func (r *replay) arrive(urgency int, class *replayClass, calls *sync.WaitGroup) {
+	random := rand.New(rand.NewPCG(1, uint64(urgency)))
+	for begin := time.Now(); time.Since(begin) < replayTime; class.arrived++ {
+		rate := class.perSecond
+		if time.Since(begin) < burstTime {
+			rate *= class.burst
+		}
+		time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		events := max(int(class.events*math.Exp(0.4*random.NormFloat64())), 1)
+		deadline := time.Now().Add(class.limit)
+		request := admission.Request{
+			Class: fmt.Sprint(urgency), Urgency: urgency, Zone: "a", FirstToken: class.first, Deadline: deadline, CallerDeadline: deadline,
+			PromptTokens: int(class.prompt * math.Exp(0.4*random.NormFloat64())),
+			// Callers' estimates are right at the median and often far off.
+			AnswerTokens: int(float64(events*replayStride) * math.Exp(0.7*random.NormFloat64())),
+		}
+		host := r.hosts[random.IntN(len(r.hosts))]
+		calls.Go(func() { r.call(host, class, request, events) })
+	}
+}
+
+// runReplay replays the load in virtual time and returns the results by urgency.
+func runReplay(finish bool, eventTokens int) []*replayClass {
+	r := &replay{random: rand.New(rand.NewPCG(1, 1)), readUntil: make(map[string]time.Time), classes: []*replayClass{
+		{perSecond: 100, burst: 1, prompt: 1460, events: 25, limit: 8 * time.Second, first: 500 * time.Millisecond, pause: 400 * time.Millisecond},
+		{perSecond: 110, burst: 1, prompt: 9200, events: 7, limit: 5 * time.Second, first: 800 * time.Millisecond, pause: 600 * time.Millisecond},
+		{perSecond: 84, burst: 2.43, prompt: 17_000, events: 17, limit: 8 * time.Second, first: 2 * time.Second, pause: 1500 * time.Millisecond},
+	}}
+	tree := &settings.Tree{
+		Services: map[string]settings.Service{"llm": {Engine: &settings.EngineShape{EventTokens: eventTokens}}},
+		Root:     settings.Root{Classes: make(map[string]settings.Class)},
+	}
+	for urgency, class := range r.classes {
+		name := fmt.Sprint(urgency)
+		tree.Root.Classes[name] = settings.Class{Values: settings.Values{Urgency: &urgency, FirstToken: &class.first, MaxPause: &class.pause}}
+		tree.Routes = append(tree.Routes, settings.HostRoute{Name: name, Class: name})
+	}
+	var ids []string
+	for n := range replayEngines {
+		ids = append(ids, fmt.Sprint("e", n))
+	}
+	var calls sync.WaitGroup
+	for range replayHosts {
+		host := newPlacerOf(time.Now, finish, ids...)
+		host.parts.Random = func() (f float64) { r.locked(func() { f = r.random.Float64() }); return f }
+		host.view.random = host.parts.Random
+		host.SetSettings(tree)
+		r.hosts = append(r.hosts, host)
+	}
+	for n := range r.hosts {
+		calls.Go(func() {
+			time.Sleep(reportInterval * time.Duration(n) / replayHosts)
+			r.report(n)
+		})
+	}
+	for urgency, class := range r.classes {
+		calls.Go(func() { r.arrive(urgency, class, &calls) })
+	}
+	calls.Wait()
+	return r.classes
+}
+
+// TestBurstOfLongPrompts guards against engines that are filled with streams which run into their time limits, and
+// against refusals that cost more answers than they save or favour a less urgent class.
+func TestBurstOfLongPrompts(t *testing.T) {
+	tests := map[string]struct {
+		finish      bool
+		eventTokens int
+		// fewer is the least factor by which fewer streams are cut than without the rule. Some seconds pass until the
+		// tokens of an event are learned.
+		fewer       int
+		classes     []*replayClass
+		cut, served int
+	}{
+		"without the rule":           {},
+		"tokens of an event named":   {finish: true, eventTokens: replayStride, fewer: 5},
+		"tokens of an event learned": {finish: true, fewer: 4},
+	}
+	var mu sync.Mutex
+	t.Run("replays", func(t *testing.T) {
+		for name, test := range tests {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) { test.classes = runReplay(test.finish, test.eventTokens) })
+				for urgency, class := range test.classes {
+					t.Logf("urgency %d: %d requests, %d served, %d cut", urgency, class.arrived, class.served, class.cut)
+					test.cut, test.served = test.cut+class.cut, test.served+class.served
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				tests[name] = test
+			})
+		}
+	})
+	c, before := qt.New(t), tests["without the rule"]
+	for name, test := range tests {
+		c.Check(test.fewer*test.cut <= before.cut, qt.IsTrue, qt.Commentf("%s: %d of %d", name, test.cut, before.cut))
+		c.Check(test.served >= before.served, qt.IsTrue, qt.Commentf("%s: %d of %d", name, test.served, before.served))
+		for urgency := range test.classes[1:] {
+			more, less := test.classes[urgency], test.classes[urgency+1]
+			// The most urgent class is never refused, so that some of its longest answers are cut.
+			favoured := float64(less.served)/float64(less.arrived) - float64(more.served)/float64(more.arrived)
+			c.Check(favoured <= 0.02, qt.IsTrue, qt.Commentf("%s: urgency %d, %f", name, urgency, favoured))
+		}
+	}
+}
+
+// finishView returns a view with the rule, for classes of urgency 0 to 2 and events of 7 tokens. An endpoint reads 32
+// tokens a ms, and an event takes 45 ms while no endpoint reads and 420 ms while all do.
+func finishView() *View {
+	v := NewView()
+	v.finish = newFinishRule()
+	v.finish.setSettings(PriorityBounds{LeastUrgent: 2}, &settings.Tree{Services: map[string]settings.Service{"llm": {Engine: &settings.EngineShape{EventTokens: 7}}}})
+	return v
+}
+
+// finishRequest returns a request with 8 s left whose prompt takes 100 ms to read.
+func finishRequest(urgency, events int) *admission.Request {
+	return &admission.Request{
+		Class: fmt.Sprint(urgency), Urgency: urgency, Zone: "a", PromptTokens: 3200, AnswerTokens: 7 * events, FirstToken: 2 * time.Second,
+		Arrived: start, Deadline: start.Add(8 * time.Second),
+	}
+}
+
+type slowEndpoint struct{ endpoint keys.Endpoint }
+
+func (s slowEndpoint) Slowness(endpoint keys.Endpoint) float64 {
+	if endpoint == s.endpoint {
+		return 2
+	}
+	return 1
+}
+
+func TestPredictedEnd(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(v *View, r *admission.Request)
+		want    time.Duration
+	}{
+		"an idle endpoint":                             {func(*View, *admission.Request) {}, 550 * time.Millisecond},
+		"prompts ahead at one of two":                  {func(v *View, _ *admission.Request) { v.loads.Begin("e1", 32_000) }, 2475 * time.Millisecond},
+		"prompts at both":                              {func(v *View, _ *admission.Request) { v.loads.Begin("e1", 3200); v.loads.Begin("e2", 1) }, 4400 * time.Millisecond},
+		"an endpoint at half the speed":                {func(v *View, _ *admission.Request) { v.pace = slowEndpoint{keys.OfEndpoint("e1")} }, 1100 * time.Millisecond},
+		"another endpoint at half the speed":           {func(v *View, _ *admission.Request) { v.pace = slowEndpoint{keys.OfEndpoint("e2")} }, 550 * time.Millisecond},
+		"four events received by an earlier attempt":   {func(_ *View, r *admission.Request) { r.Received = 4 }, 370 * time.Millisecond},
+		"more events received than expected":           {func(_ *View, r *admission.Request) { r.Received = 40 }, 100 * time.Millisecond},
+		"no expected length":                           {func(_ *View, r *admission.Request) { r.AnswerTokens = 0 }, 100 * time.Millisecond},
+		"a length that no endpoint could end in time":  {func(_ *View, r *admission.Request) { r.AnswerTokens = 1 << 30 }, 100 * time.Millisecond},
+		"the same, little time left":                   {func(_ *View, r *admission.Request) { r.Arrived = start.Add(-7 * time.Second) }, 550 * time.Millisecond},
+		"a prompt that no endpoint could read in time": {func(_ *View, r *admission.Request) { r.PromptTokens = 1 << 20 }, 0},
+		"no time limit":                                {func(_ *View, r *admission.Request) { r.Deadline = time.Time{} }, 0},
+		"no prompt":                                    {func(_ *View, r *admission.Request) { r.PromptTokens = 0 }, 0},
+		"the rule is off":                              {func(v *View, _ *admission.Request) { v.finish = nil }, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v, request, endpoints := finishView(), finishRequest(2, 10), entries("e1", "e2")
+			test.prepare(v, request)
+			got := v.evaluate(v.newQuery(start, "llm", request, endpoints, endpoints), endpoints[0])
+			qt.Check(t, got.PredictedEnd.Round(5*time.Millisecond), qt.Equals, test.want)
+			qt.Check(t, got.CanEnd, qt.IsTrue)
+		})
+	}
+}
+
+// TestRequestIsSentWhereItCanEnd has a cheaper endpoint at which the request can't end.
+func TestRequestIsSentWhereItCanEnd(t *testing.T) {
+	v, request, endpoints := finishView(), finishRequest(1, 10), entries("e1", "e2")
+	endpoints[1].Endpoint.Zone = "b"
+	v.pace = slowEndpoint{keys.OfEndpoint("e1")}
+	request.Deadline = start.Add(time.Second)
+	qt.Check(t, v.chooseCandidate(request, endpoints).Endpoint, qt.Equals, "e2")
+	request.Deadline = start.Add(2 * time.Second)
+	qt.Check(t, v.chooseCandidate(request, endpoints).Endpoint, qt.Equals, "e1")
+}
+
+// TestLateRequestIsRefusedByClass predicts the end of a request after 1.1 s and varies its time left and class.
+func TestLateRequestIsRefusedByClass(t *testing.T) {
+	tests := map[string]struct {
+		urgency int
+		left    time.Duration
+		// refused is the urgency of a class that this host refused some time ago, -1 for none.
+		refused int
+		ago     time.Duration
+		want    admission.Reason
+	}{
+		"most urgent, too late":                   {0, time.Second, -1, 0, ""},
+		"urgent, in time":                         {1, 1200 * time.Millisecond, -1, 0, ""},
+		"urgent, too late":                        {1, time.Second, -1, 0, admission.ReasonTooLate},
+		"least urgent, in 0.8 of its time":        {2, 1400 * time.Millisecond, -1, 0, ""},
+		"least urgent, not in 0.8 of its time":    {2, 1200 * time.Millisecond, -1, 0, admission.ReasonTooLate},
+		"a more urgent class was refused":         {2, 8 * time.Second, 1, 800 * time.Millisecond, admission.ReasonTooLate},
+		"a more urgent class was refused earlier": {2, 8 * time.Second, 1, time.Second, ""},
+		"a less urgent class was refused":         {1, 8 * time.Second, 2, 0, ""},
+		"the most urgent class is never held up":  {0, 8 * time.Second, 0, 0, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				p := newPlacerOf(time.Now, true, "e1")
+				p.view.finish = finishView().finish
+				p.view.pace = slowEndpoint{keys.OfEndpoint("e1")}
+				if test.refused >= 0 {
+					p.recordRefusal(time.Now().Add(-test.ago), "llm", finishRequest(test.refused, 10), admission.ReasonTooLate)
+				}
+				request := finishRequest(test.urgency, 10)
+				request.Arrived, request.Deadline, request.FirstToken = time.Now(), time.Now().Add(test.left), 500*time.Millisecond
+				_, d, err := p.Ask(context.Background(), "llm", *request)
+				c.Assert(err, qt.IsNil)
+				c.Check(d.Figures.PredictedEnd.Round(5*time.Millisecond), qt.Equals, 1100*time.Millisecond)
+				if test.want == "" {
+					c.Check(d.Kind, qt.Equals, admission.Grant)
+					return
+				}
+				c.Check(d.Reason, qt.Equals, test.want)
+				// A request that is held up for longer than it may wait is refused at once.
+				c.Check(d.Figures.Waited == 0, qt.Equals, test.refused >= 0, qt.Commentf("%s", d.Figures.Waited))
+				c.Check(d.RetryAfter >= minLateRetry && d.RetryAfter <= maxLateRetry, qt.IsTrue, qt.Commentf("%s", d.RetryAfter))
+			})
+		})
+	}
+}
+
+// TestRetryAfterLateRefusal guards against callers that are told to return at a time at which their request still can't
+// end in time although nothing else has arrived.
+func TestRetryAfterLateRefusal(t *testing.T) {
+	ids := []string{"e1", "e2", "e3"}
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		p := newPlacerOf(func() time.Time { return now }, true, ids...)
+		p.view.finish = finishView().finish
+		for _, id := range ids {
+			p.view.loads.Begin(id, rapid.IntRange(0, 300_000).Draw(t, id))
+		}
+		request := finishRequest(rapid.IntRange(1, 2).Draw(t, "urgency"), rapid.IntRange(0, 60).Draw(t, "events"))
+		limit := time.Duration(rapid.IntRange(1, 10).Draw(t, "limit s")) * time.Second
+		wait := time.Duration(rapid.IntRange(1, 20).Draw(t, "caller's wait s")) * time.Second
+		request.Deadline, request.CallerDeadline = start.Add(min(limit, wait)), start.Add(wait)
+		if _, reason := p.choose("llm", request, false); reason != admission.ReasonTooLate {
+			return
+		}
+		after := p.lateRetryAfter(now, "llm", request, rapid.Float64Range(0, 0.99).Draw(t, "random"))
+		if after < minLateRetry || after > maxLateRetry {
+			t.Fatalf("told to return after %s", after)
+		}
+		if after == maxLateRetry {
+			return // No time within the bounds may be enough.
+		}
+		now = start.Add(after)
+		for _, id := range ids {
+			p.view.loads.Processed(id, min(int(after.Seconds()*1000*initialReadRate), p.view.loads.Own()[id].Tokens))
+		}
+		request.Arrived, request.Deadline = now, now.Add(min(limit, request.CallerDeadline.Sub(now)))
+		if _, reason := p.choose("llm", request, false); reason != "" {
+			t.Fatalf("refused again after %s: %s", after, reason)
+		}
+	})
+}
+
+// initialReadRate is the rate of engines before any observation, in tokens a ms.
+const initialReadRate = 32
+
+func TestRetryAfterLateRefusalIsSoonest(t *testing.T) {
+	tests := map[string]struct {
+		// ahead is the time that the endpoint needs for the prompts ahead, and blocked the time since a more urgent refusal.
+		ahead, blocked time.Duration
+		events         int
+		callerLeft     time.Duration
+		random         float64
+		want           time.Duration
+	}{
+		"soon":                            {6800 * time.Millisecond, time.Second, 0, 0, 0, 500 * time.Millisecond},
+		"spread":                          {6800 * time.Millisecond, time.Second, 0, 0, 1, 750 * time.Millisecond},
+		"once no endpoint reads prompts":  {3 * time.Second, time.Second, 40, 0, 0, 3 * time.Second},
+		"no earlier than the minimum":     {0, time.Second, 0, 0, 0, minLateRetry},
+		"no later than the maximum":       {time.Minute, time.Second, 0, 0, 1, maxLateRetry},
+		"once less urgent classes may":    {0, 400 * time.Millisecond, 0, 0, 0, 600 * time.Millisecond},
+		"the spread ends with the caller": {0, 0, 0, 1300 * time.Millisecond, 0.99, time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v, request, endpoints := finishView(), finishRequest(2, test.events), entries("e1")
+			v.loads.Begin("e1", int(test.ahead.Milliseconds()*initialReadRate))
+			v.finish.recordRefusal(start.Add(-test.blocked), "llm", finishRequest(1, 0), admission.ReasonTooLate)
+			if test.callerLeft > 0 {
+				request.CallerDeadline = start.Add(test.callerLeft)
+			}
+			qt.Check(t, v.lateRetryAfter(start, "llm", request, endpoints, endpoints, test.random), qt.Equals, test.want)
+		})
+	}
+}
+
+// TestOldOrMissingLoadsRefuseNobody guards against refusals by what a host no longer knows or does not know yet.
+func TestOldOrMissingLoadsRefuseNobody(t *testing.T) {
+	full := map[keys.Endpoint]Load{keys.OfEndpoint("e1"): {Requests: 1, Tokens: 200_000}, keys.OfEndpoint("e2"): {Requests: 1, Tokens: 200_000}}
+	tests := map[string]struct {
+		prepare func(p *Placer)
+		want    admission.Reason
+	}{
+		"peers' loads":                    {func(p *Placer) { p.view.loads.SetPeer(start.Add(-time.Second), "p", full) }, admission.ReasonTooLate},
+		"peers' loads, 3 s old":           {func(p *Placer) { p.view.loads.SetPeer(start.Add(-3001*time.Millisecond), "p", full) }, ""},
+		"loads of a large fleet, 3 s old": {func(p *Placer) { p.view.loads.SetSum(start.Add(-3001*time.Millisecond), Part{Of: 1}, full) }, ""},
+		"a host without peers":            {func(*Placer) {}, ""},
+		"a host without peers, own loads": {func(p *Placer) { p.view.loads.Begin("e1", 200_000); p.view.loads.Begin("e2", 200_000) }, admission.ReasonTooLate},
+		"all hosts start, after one request": {func(p *Placer) {
+			for n := range 70 {
+				p.SetPeer(fmt.Sprint(n), PeerReport{})
+			}
+			_, reason := p.choose("llm", finishRequest(2, 10), false)
+			p.view.finish.reading = make(map[string]readingShare)
+			qt.Check(t, reason, qt.Equals, admission.Reason(""))
+		}, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacerOf(func() time.Time { return start }, true, "e1", "e2")
+			test.prepare(p)
+			_, reason := p.choose("llm", finishRequest(2, 10), false)
+			qt.Check(t, reason, qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -42,8 +42,12 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
-	Log        *logrus.Entry
-	Clock      func() time.Time
+	// Pace returns the relative speed of each endpoint; nil means that all are equally fast.
+	Pace Pace
+	// Finish is set if requests that can't end within their time limit are refused.
+	Finish bool
+	Log    *logrus.Entry
+	Clock  func() time.Time
 	// Random returns numbers in [0, 1).
 	Random func() float64
 	// Changed is called without any lock held after a change of this host's loads or ejections; it must not block.
@@ -70,7 +74,10 @@
 // New returns a placer with no requests in flight.
 func New(parts Parts) *Placer {
 	view := NewView()
-	view.random, view.rejections, view.failures = parts.Random, parts.Rejections, parts.Failures
+	view.random, view.rejections, view.failures, view.pace = parts.Random, parts.Rejections, parts.Failures, parts.Pace
+	if parts.Finish {
+		view.finish = newFinishRule()
+	}
 	return &Placer{parts: parts, view: view}
 }
 
@@ -80,6 +87,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.bounds, p.targets = bounds, targets
+	p.view.finish.setSettings(bounds, tree)
 }
 
 // Ask returns a grant as soon as an endpoint of the service admits the request. It refuses immediately if the service
@@ -104,7 +112,7 @@
 		}
 		if reason == admission.ReasonNoEndpoint || !now.Before(until) || choice.AvailableAt.After(until) {
 			p.recordRefusal(now, service, &request, reason)
-			return nil, p.refusal(&request, reason, &choice, now.Sub(asked)), nil
+			return nil, p.refusal(service, &request, reason, &choice, now.Sub(asked)), nil
 		}
 		if !lifetime.Sleep(ctx, slotPollInterval) {
 			return nil, admission.Decision{}, ctx.Err()
@@ -147,6 +155,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.view.finish != nil {
+		// A load that is no longer valid must not refuse a request.
+		p.view.loads.expire(now)
+	}
 	candidates, free, reason := p.candidates(now, request, endpoints, mayAsk)
 	if reason != "" {
 		return Choice{AvailableAt: free}, reason
@@ -158,6 +170,10 @@
 	if !ok || !p.bounds.admitsChoice(request, &choice) {
 		return choice, admission.ReasonNoRoom
 	}
+	if !p.view.finish.admits(now, service, request, &choice) {
+		choice.AvailableAt = p.view.finish.blockedUntil(service, request.Urgency)
+		return choice, admission.ReasonTooLate
+	}
 	choice.AvailableAt = free
 	// A limit applies to the whole fleet: if each host enforced it alone, n hosts would send n times as much.
 	if choice.IsLimited = p.parts.Limiter.IsLimited(choice.instance()); !choice.IsLimited {
@@ -196,7 +212,7 @@
 	p.view.loads.Begin(choice.Endpoint, choice.Tokens)
 	if request.PromptTokens > 0 {
 		p.view.engines.get(keys.OfService(service)).RecordArrival(now, engine.Arrival{
-			Class: keys.OfClass(request.Class), Prompt: request.PromptTokens, Unread: choice.Tokens,
+			Class: keys.OfClass(request.Class), Prompt: request.PromptTokens, Unread: choice.Tokens, Answer: request.AnswerTokens,
 		})
 	}
 	if choice.Prefix != 0 {
@@ -243,18 +259,35 @@
 		Reason: admission.ReasonPlaced, RetryAfter: rejectionRetryAfter(choice.RejectionShare), Until: now.Add(grantValidity), UnprocessedTokens: choice.Load.Tokens + choice.Tokens,
 		Figures: admission.Figures{
 			Waited: waited, InFlight: choice.Load.Requests, Ahead: choice.Load.Tokens, CachedTokens: choice.Cached, PredictedFirstToken: choice.PredictedFirstEvent,
+			PredictedEnd: choice.PredictedEnd,
 		},
 	}
 }
 
-func (p *Placer) refusal(request *admission.Request, reason admission.Reason, choice *Choice, waited time.Duration) admission.Decision {
+func (p *Placer) refusal(service string, request *admission.Request, reason admission.Reason, choice *Choice, waited time.Duration) admission.Decision {
+	now, random := p.parts.Clock(), p.parts.Random()
+	after := retryAfter(now, reason, choice, random)
+	if reason == admission.ReasonTooLate {
+		after = p.lateRetryAfter(now, service, request, random)
+	}
 	return admission.Decision{
-		Kind: admission.Refuse, ID: request.ID, Reason: reason, RetryAfter: retryAfter(p.parts.Clock(), reason, choice, p.parts.Random()), Figures: admission.Figures{
+		Kind: admission.Refuse, ID: request.ID, Reason: reason, RetryAfter: after, Figures: admission.Figures{
 			Waited: waited, InFlight: choice.Load.Requests, Ahead: choice.Load.Tokens, PredictedFirstToken: choice.PredictedFirstEvent,
+			PredictedEnd: choice.PredictedEnd,
 		},
 	}
 }
 
+// lateRetryAfter returns when to retry after a refusal because no endpoint could end the request in time. Random is in
+// [0, 1).
+func (p *Placer) lateRetryAfter(now time.Time, service string, request *admission.Request, random float64) time.Duration {
+	endpoints := p.parts.Directory.Serving(service)
+	usable, _ := p.parts.Rests.Usable(endpoints)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.lateRetryAfter(now, service, request, endpoints, usable, random)
+}
+
 // recordRefusal counts a request that was refused for lack of room, or because all endpoints rest or are limited.
 func (p *Placer) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason) {
 	if reason == admission.ReasonNoEndpoint {
@@ -262,8 +295,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.view.finish.recordRefusal(now, service, request, reason)
 	p.view.engines.get(keys.OfService(service)).RecordRefusal(now, engine.Arrival{
-		Class: keys.OfClass(request.Class), Prompt: request.PromptTokens, Unread: request.PromptTokens,
+		Class: keys.OfClass(request.Class), Prompt: request.PromptTokens, Unread: request.PromptTokens, Answer: request.AnswerTokens,
 	})
 }
 
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -381,10 +381,13 @@
 	})
 }
 
-func newPlacer(clock func() time.Time) *Placer {
+func newPlacer(clock func() time.Time) *Placer { return newPlacerOf(clock, false, "e1", "e2") }
+
+// newPlacerOf returns a placer for a service with endpoints.
+func newPlacerOf(clock func() time.Time, finish bool, ids ...string) *Placer {
 	d := directory.New()
 	changes := []directory.Change{}
-	for _, e := range entries("e1", "e2") {
+	for _, e := range entries(ids...) {
 		changes = append(changes, directory.Change{Entry: *e})
 	}
 	d.Apply(1, changes)
@@ -392,7 +395,7 @@
 	log.SetOutput(io.Discard)
 	s := New(Parts{
 		Directory: d, Rests: pushback.NewRests(clock, func() float64 { return 0 }), Rejections: pushback.NewRejections(clock),
-		Failures: pushback.NewFailures(clock), Limiter: unlimitedLimiter(clock), Log: logrus.NewEntry(log), Clock: clock,
+		Failures: pushback.NewFailures(clock), Limiter: unlimitedLimiter(clock), Finish: finish, Log: logrus.NewEntry(log), Clock: clock,
 		Random: func() float64 { return 0 }, Changed: func() {},
 	})
 	least := 2
--- a/internal/front/placement/view.go
+++ b/internal/front/placement/view.go
@@ -19,6 +19,10 @@
 	rejections *pushback.Rejections
 	// failures holds the endpoints that fail more requests than their peers.
 	failures *pushback.Failures
+	// finish decides which requests can end in time; nil if the rule is off.
+	finish *finishRule
+	// pace is nil if the speeds of endpoints are unknown.
+	pace Pace
 	// random returns numbers in [0, 1) and selects the endpoints to compare. If it is nil, all are compared.
 	random func() float64
 }
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -116,7 +116,11 @@
 	job := x.newJob()
 	end := p.Owner.Run(ctx, job)
 	if x.stream.events > 1 && end.Sends == 1 {
-		p.Health.RecordStream(x.service, x.stream.summary())
+		summary := x.stream.summary()
+		if end.Outcome == request.OutcomeAnswered {
+			summary.LengthHint = x.call.LengthHint
+		}
+		p.Health.RecordStream(x.service, summary)
 	}
 	x.logResult(&end)
 	switch end.Outcome {
