--- a/cmd/oxbowslip/logs.go
+++ b/cmd/oxbowslip/logs.go
@@ -62,6 +62,9 @@
 			if f := step.Figures; f != nil {
 				figures = fmt.Sprintf("waited %s; %d open and %d tokens unread there, %d tokens cached, first event expected after %s",
 					f.Waited.Round(time.Millisecond), f.InFlight, f.Ahead, f.CachedTokens, f.PredictedFirstToken.Round(time.Millisecond))
+				if f.PredictedEnd > 0 {
+					figures += ", end after " + f.PredictedEnd.Round(time.Millisecond).String()
+				}
 			}
 			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", step.At.Format(logTimeFormat), step.What, step.Endpoint, step.Reason, figures)
 		}
