--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -145,6 +145,7 @@
 type placerParts struct {
 	fx.In
 
+	Config     hostconfig.Host
 	Directory  *directory.Directory
 	Rests      *pushback.Rests
 	Rejections *pushback.Rejections
@@ -163,7 +164,7 @@
 func newPlacer(p placerParts) *placement.Placer {
 	parts := placement.Parts{
 		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter, Shares: p.Shares, Slots: p.Slots,
-		Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
+		Finish: p.Config.Overload.Finish, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
 	}
 	if p.Pace != nil {
 		parts.Pace = p.Pace
--- a/internal/front/shares/shares.go
+++ b/internal/front/shares/shares.go
@@ -57,7 +57,12 @@
 func (a *Ask) work() float64 { return float64(a.Unread) + answerTokenCost*a.answerTokens() }
 
 // answerTokens returns the expected length of the answer.
-func (a *Ask) answerTokens() float64 { return answerShare * float64(a.Request.MaxTokens) }
+func (a *Ask) answerTokens() float64 {
+	if a.Request.AnswerTokens > 0 {
+		return float64(a.Request.AnswerTokens)
+	}
+	return answerShare * float64(a.Request.MaxTokens)
+}
 
 // weight returns the weight of the request's workspace.
 func (a *Ask) weight() float64 {
