finish: the predicted end doesn't draw long prompts into the short set

Cause: an endpoint at which a request can end in time went before any cheaper one, so long prompts went to the endpoints kept for short prompts. Change: the preference holds within the request's partition; outside of it the cost decides, which includes the streams delayed there.

--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -70,6 +70,8 @@
 	PredictedEnd time.Duration
 	// CanEnd is set if the request is predicted to end within its time limit, or if that is not predicted.
 	CanEnd bool
+	// canEndInPartition is CanEnd for an endpoint in the request's partition.
+	canEndInPartition bool
 	// Cost is the cost of the choice in prompt tokens.
 	Cost int
 }
@@ -79,10 +81,12 @@
 	return pushback.Instance{ID: c.Endpoint, Version: c.Version}
 }
 
-// isBetter reports whether a choice is preferred to another: one at which the request can end in time, then the cheaper.
+// isBetter reports whether a choice is preferred to another: one in the request's partition at which the request can end
+// in time, then the cheaper. An endpoint of the other partition is not preferred for the time alone: its cost includes
+// the streams that the request would delay there.
 func (c *Choice) isBetter(other *Choice) bool {
-	if c.CanEnd != other.CanEnd {
-		return c.CanEnd
+	if c.canEndInPartition != other.canEndInPartition {
+		return c.canEndInPartition
 	}
 	return c.Cost < other.Cost
 }
@@ -256,6 +260,7 @@
 		choice.PredictedEnd = q.ending.end(choice.Load.Tokens+choice.Tokens, choice.Slowness)
 		choice.CanEnd = choice.PredictedEnd <= q.ending.timeLeft
 	}
+	choice.canEndInPartition = choice.CanEnd && q.isInOwnPartition(e)
 	return choice
 }
 
