--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -70,8 +70,9 @@
 	PredictedEnd time.Duration
 	// CanEnd is set if the request is predicted to end within its time limit, or if that is not predicted.
 	CanEnd bool
-	// canEndInPartition is CanEnd for an endpoint in the request's partition.
-	canEndInPartition bool
+	// isPreferred is set if the endpoint is in the request's partition, has a free slot, and the request can end there in
+	// time, or if that is not predicted.
+	isPreferred bool
 	// Cost is the cost of the choice in prompt tokens.
 	Cost int
 }
@@ -81,12 +82,15 @@
 	return pushback.Instance{ID: c.Endpoint, Version: c.Version}
 }
 
+// hasFreeSlot reports whether the endpoint runs one more request without queueing it.
+func (c *Choice) hasFreeSlot() bool { return c.Slots == 0 || c.Load.Requests < c.Slots }
+
 // isBetter reports whether a choice is preferred to another: one in the request's partition at which the request can end
 // in time, then the cheaper. An endpoint of the other partition is not preferred for the time alone: its cost includes
 // the streams that the request would delay there.
 func (c *Choice) isBetter(other *Choice) bool {
-	if c.canEndInPartition != other.canEndInPartition {
-		return c.canEndInPartition
+	if c.isPreferred != other.isPreferred {
+		return c.isPreferred
 	}
 	return c.Cost < other.Cost
 }
@@ -255,12 +259,12 @@
 	if e.Endpoint.Zone != q.request.Zone {
 		choice.Cost += zoneCost
 	}
-	choice.CanEnd = true
+	choice.CanEnd, choice.isPreferred = true, true
 	if q.ending != nil {
 		choice.PredictedEnd = q.ending.end(choice.Load.Tokens+choice.Tokens, choice.Slowness)
 		choice.CanEnd = choice.PredictedEnd <= q.ending.timeLeft
+		choice.isPreferred = choice.CanEnd && q.isInOwnPartition(e) && choice.hasFreeSlot()
 	}
-	choice.canEndInPartition = choice.CanEnd && q.isInOwnPartition(e)
 	return choice
 }
 
