--- a/internal/front/placement/admit.go
+++ b/internal/front/placement/admit.go
@@ -15,8 +15,8 @@
 
 const (
 	// leastUrgentShare is the share of an engine's slots up to which the least urgent requests of the lowest tier are
-	// admitted; more urgent requests are admitted up to a share between it and 1. It is above one half because a
-	// refusal while half of the slots are free is penalized.
+	// admitted; more urgent requests are admitted up to a share between it and 1. It is above one half: while half of
+	// the slots are free, a request is served sooner than its caller could return.
 	leastUrgentShare = 0.56
 	// maxFirstEventTargets is the maximum predicted time to the first event, in multiples of its target. Callers
 	// abandon a stream after four.
@@ -95,8 +95,8 @@
 }
 
 const (
-	// slotWaitDivisor divides the latency target to bound the wait for a slot. A refusal only counts as timely within a
-	// quarter of the target, so a sixth leaves time for the response.
+	// slotWaitDivisor divides the latency target to bound the wait for a slot. A caller that is refused after a sixth of
+	// its target has most of it left for a return.
 	slotWaitDivisor = 6
 	// maxSlotWait bounds the wait if the target is long.
 	maxSlotWait = 500 * time.Millisecond
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -24,7 +24,7 @@
 	// unheldWeight is the same weight if no candidate holds the prefix and the endpoint is not its preferred one:
 	// another host with the same prefix may have it processed again at the preferred endpoint.
 	unheldWeight = 1.0
-	// zoneCost is the cost of another zone, which accounts for the price of traffic between zones.
+	// zoneCost is the cost of another zone: its network delay, and the calls that break if the link between the zones does.
 	zoneCost = 400
 	// missCost is the cost of one stream that misses its target, or of one rejected request. For rejections, values of
 	// 50,000, 100,000 and 150,000 give results within 1 % of each other if half of the engines reject nine in ten
