After review: connections of early answers are closed; work from headers is bounded

Causes, found by reading: in full duplex net/http reads the next request from the rest of a body that does not arrive within the bound, so the connection of a request that is answered before its body must be closed; an answer of oxbowslipd without a length ended only after the body was read; numbers in callers' headers could make the work of a workspace negative or hide all others; a panic in an attempt kept its request counted at the endpoint.

--- a/internal/front/placement/shares.go
+++ b/internal/front/placement/shares.go
@@ -60,7 +60,7 @@
 	if tokens < minSharedPrefix || len(v.holders[keys.Prefix(prefix)]) == 0 {
 		return request.PromptTokens
 	}
-	return request.PromptTokens - tokens
+	return max(request.PromptTokens-tokens, 0)
 }
 
 // hasRoom reports whether the endpoint that a request would get now admits it, with the first event within the target.
--- a/internal/front/shares/shares.go
+++ b/internal/front/shares/shares.go
@@ -54,14 +54,17 @@
 }
 
 // work returns the work of the request in prompt tokens.
-func (a *Ask) work() float64 { return float64(a.Unread) + answerTokenCost*a.answerTokens() }
+func (a *Ask) work() float64 {
+	// The numbers come from callers' headers.
+	return min(max(float64(a.Unread)+answerTokenCost*a.answerTokens(), 0), maxReportedWork)
+}
 
 // answerTokens returns the expected length of the answer.
 func (a *Ask) answerTokens() float64 {
 	if a.Request.AnswerTokens > 0 {
 		return float64(a.Request.AnswerTokens)
 	}
-	return answerShare * float64(a.Request.MaxTokens)
+	return answerShare * float64(max(a.Request.MaxTokens, 0))
 }
 
 // weight returns the weight of the request's workspace.
--- a/internal/httprelay/body.go
+++ b/internal/httprelay/body.go
@@ -28,8 +28,7 @@
 	r.Body = http.MaxBytesReader(w, r.Body, limit)
 	head, err := io.ReadAll(io.LimitReader(r.Body, maxHead))
 	if err != nil {
-		// The deadline remains set: net/http reads the rest of a body before it answers, and without a deadline a
-		// caller that has stopped sending would block that.
+		// The deadline remains set, so that a caller that has stopped sending does not block the rest of the handler.
 		return nil, false, bodyRefusal(err)
 	}
 	complete = int64(len(head)) < maxHead
@@ -47,8 +46,8 @@
 	drainTimeout  = 2 * time.Second
 )
 
-// AnswerBeforeBody calls answer to answer a request whose body may not have been read, and then reads the rest of the
-// body within bounds. net/http closes a connection that the caller asked to close without reading the rest; a caller
+// AnswerBeforeBody calls answer to answer a request whose body may not have been read, then reads the rest of the body
+// within bounds, and has the connection closed. net/http closes a connection that the caller asked to close without reading the rest; a caller
 // that is still sending its body would then meet a reset and might never read the answer.
 func AnswerBeforeBody(w http.ResponseWriter, r *http.Request, answer func()) {
 	if r.ContentLength == 0 {
@@ -59,13 +58,12 @@
 	// In full duplex, net/http sends the answer before the body has been read. Writers of tests support neither this
 	// nor deadlines.
 	_ = control.EnableFullDuplex()
-	if r.ContentLength < 0 || r.ContentLength > maxDrainBytes {
-		w.Header().Set("Connection", "close")
-	}
+	// In full duplex, net/http would read the next request from the rest of a body that does not arrive in time.
+	w.Header().Set("Connection", "close")
 	answer()
 	_ = control.Flush()
 	_ = control.SetReadDeadline(time.Now().Add(drainTimeout))
-	// An error means that the caller has left or does not send the rest; the connection is closed in both cases.
+	// An error means that the caller has left or does not send the rest.
 	_, _ = io.CopyN(io.Discard, r.Body, maxDrainBytes)
 }
 
--- a/internal/httprelay/json.go
+++ b/internal/httprelay/json.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/go-json-experiment/json"
 
@@ -17,6 +18,8 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	// The end of the answer must be known before the handler ends, see AnswerBeforeBody.
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)+1))
 	w.WriteHeader(status)
 	// A failed write means that the client has closed the connection.
 	_, _ = w.Write(append(data, '\n'))
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -115,6 +115,8 @@
 		ID: job.Request.ID, Host: o.parts.Host, Workspace: job.Request.Workspace,
 		Class: job.Request.Class, Shard: job.Shard, Tier: job.Request.Tier,
 	})
+	// After a panic in an attempt, the request must not keep counting at its endpoint.
+	defer r.release(admission.Cancelled)
 	r.loop(ctx)
 	return r.end()
 }
