finish: an endpoint that rejects or fails half of its requests is not preferred

Cause: such an endpoint has no prompts ahead, so that a stream is predicted to end there, and the preference did not regard the costs of rejections and failures. In a burst it was the only preferred endpoint and drew the load. Retry-After told callers to return for it.

Change: an endpoint whose expected rejections and failures are half or more is not preferred, and Retry-After counts it only if no others are left.

Safe because it only removes a preference: the choice among endpoints that are not preferred is by cost, as without the rule. Nothing changes where the end is not predicted.

--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -34,6 +34,10 @@
 	failureCost = 3 * missCost
 )
 
+// unreliableShare is the share of rejected and failed requests from which an endpoint is unreliable. Such an endpoint has
+// hardly any backlog, so a request seems to end there in time, but it is more likely than not to get no answer.
+const unreliableShare = 0.5
+
 // Choice is a candidate endpoint with the figures that determine its cost.
 type Choice struct {
 	Endpoint string
@@ -70,8 +74,8 @@
 	PredictedEnd time.Duration
 	// CanEnd is set if the request is predicted to end within its time limit, or if that is not predicted.
 	CanEnd bool
-	// isPreferred is set if the endpoint is in the request's partition, has a free slot, and the request can end there in
-	// time, or if that is not predicted.
+	// isPreferred is set if the endpoint is in the request's partition, has a free slot, is not unreliable, and the request
+	// can end there in time, or if that is not predicted.
 	isPreferred bool
 	// Cost is the cost of the choice in prompt tokens.
 	Cost int
@@ -85,6 +89,9 @@
 // hasFreeSlot reports whether the endpoint runs one more request without queueing it.
 func (c *Choice) hasFreeSlot() bool { return c.Slots == 0 || c.Load.Requests < c.Slots }
 
+// isUnreliable reports whether the endpoint is expected to reject or fail at least unreliableShare of the requests.
+func (c *Choice) isUnreliable() bool { return c.RejectionShare+c.ExcessFailures >= unreliableShare }
+
 // isBetter reports whether a choice is preferred to another: one in the request's partition at which the request can end
 // in time, then the cheaper. An endpoint of the other partition is not preferred for the time alone: its cost includes
 // the streams that the request would delay there.
@@ -263,7 +270,7 @@
 	if q.ending != nil {
 		choice.PredictedEnd = q.ending.end(choice.Load.Tokens+choice.Tokens, choice.Slowness)
 		choice.CanEnd = choice.PredictedEnd <= q.ending.timeLeft
-		choice.isPreferred = choice.CanEnd && q.isInOwnPartition(e) && choice.hasFreeSlot()
+		choice.isPreferred = choice.CanEnd && q.isInOwnPartition(e) && choice.hasFreeSlot() && !choice.isUnreliable()
 	}
 	return choice
 }
--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -156,6 +156,16 @@
 type endpointQueue struct {
 	ahead, own int
 	slowness   float64
+	// suitability is higher if a returning request is more likely to be sent to the endpoint.
+	suitability int
+}
+
+// suitability returns the suitability of an endpoint for a returning request.
+func suitability(choice *Choice) int {
+	if choice.isUnreliable() {
+		return 0
+	}
+	return 1
 }
 
 // unreadAfter returns the number of prompt tokens ahead that are left after a time if nothing else arrives.
@@ -172,7 +182,9 @@
 	queues := make([]endpointQueue, 0, len(candidates))
 	for _, e := range candidates {
 		choice := v.evaluate(q, e)
-		queues = append(queues, endpointQueue{ahead: choice.Load.Tokens, own: choice.Tokens, slowness: v.pace.Slowness(keys.OfEndpoint(e.ID))})
+		queues = append(queues, endpointQueue{
+			ahead: choice.Load.Tokens, own: choice.Tokens, slowness: choice.Slowness, suitability: suitability(&choice),
+		})
 	}
 	canEnd := func(after time.Duration) bool {
 		return q.ending == nil || q.ending.canEndAfter(after, scale(timeLimitAt(request, now.Add(after)), v.finish.timeShare(request)), queues)
@@ -190,18 +202,19 @@
 	return after
 }
 
-// canEndAfter reports whether the request can return after a time and end within a time limit at one of the endpoints, if
-// nothing else arrives.
+// canEndAfter reports whether the request can return after a time and end within a time limit at one of the most suitable
+// endpoints, if nothing else arrives.
 func (e *ending) canEndAfter(after, limit time.Duration, queues []endpointQueue) bool {
-	later, busy := *e, 0
+	later, busy, best := *e, 0, 0
 	for i := range queues {
+		best = max(best, queues[i].suitability)
 		if queues[i].unreadAfter(after, e.figures) > 0 {
 			busy++
 		}
 	}
 	later.reading = float64(busy) / float64(max(len(queues), 1))
 	return slices.ContainsFunc(queues, func(q endpointQueue) bool {
-		return later.end(q.unreadAfter(after, e.figures)+q.own, q.slowness) <= limit
+		return q.suitability == best && later.end(q.unreadAfter(after, e.figures)+q.own, q.slowness) <= limit
 	})
 }
 
--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -16,6 +16,7 @@
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
@@ -308,6 +309,63 @@
 	qt.Check(t, v.chooseCandidate(request, endpoints).Endpoint, qt.Equals, "e1")
 }
 
+// TestUnreliableEndpointIsNotPreferred guards against bursts that are drawn to e1 because it rejects or fails requests at
+// once and so has no prompts ahead. At e2 the request can't end, but the cost of e2 is lower than that of an unreliable e1.
+func TestUnreliableEndpointIsNotPreferred(t *testing.T) {
+	tests := map[string]struct {
+		// rejected and failed are the requests that e1 rejected and failed, out of 10 each.
+		rejected, failed uint
+		want             string
+	}{
+		"reliable":                       {0, 0, "e1"},
+		"rejects nearly half":            {5, 0, "e1"},
+		"rejects most":                   {9, 0, "e2"},
+		"fails most":                     {0, 9, "e2"},
+		"rejects some and fails as many": {4, 4, "e2"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v, request, endpoints := finishView(), finishRequest(1, 0), entries("e1", "e2")
+			request.Deadline = start.Add(time.Second)
+			v.loads.Begin("e2", 30_000)
+			v.setUnreliable("e1", test.rejected, test.failed)
+			got := v.chooseCandidate(request, endpoints)
+			qt.Check(t, got.Endpoint, qt.Equals, test.want, qt.Commentf("rejects %.2f, fails %.2f", got.RejectionShare, got.ExcessFailures))
+		})
+	}
+}
+
+// setUnreliable has an endpoint reject and fail a number out of 10 requests of class 1 each.
+func (v *View) setUnreliable(endpoint string, rejected, failed uint) {
+	key := keys.OfEndpoint(endpoint)
+	v.rejections.Count(key, rejected, 10-rejected)
+	v.failures.Count(pushback.EndpointClass{Endpoint: key, Class: keys.OfClass("1")}, failed, 10-failed)
+}
+
+// TestRetryAfterLeavesOutUnreliableEndpoints guards against callers that are told to return at once for the sake of an
+// endpoint without prompts ahead that would reject or fail them again.
+func TestRetryAfterLeavesOutUnreliableEndpoints(t *testing.T) {
+	tests := map[string]struct {
+		unreliable []string
+		want       time.Duration
+	}{
+		"none": {nil, minLateRetry},
+		"one":  {[]string{"e1"}, 500 * time.Millisecond},
+		"all":  {[]string{"e1", "e2"}, minLateRetry},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			v, request, endpoints := finishView(), finishRequest(1, 0), entries("e1", "e2")
+			// The prompts ahead at e2 have been read down far enough after 400 ms.
+			v.loads.Begin("e2", 8300*initialReadRate)
+			for _, id := range test.unreliable {
+				v.setUnreliable(id, 9, 0)
+			}
+			qt.Check(t, v.lateRetryAfter(start, "llm", request, endpoints, endpoints, 0), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestLongPromptStaysOutOfShortSet has long prompts that can end in time at the endpoints for short prompts only. Sent
 // there for that reason alone, they would make the streams of the most urgent class pause.
 func TestLongPromptStaysOutOfShortSet(t *testing.T) {
