finish: Retry-After counts only endpoints to which the request would be sent

Cause: while a split is in force, the nearly idle endpoints kept for short prompts let every long prompt end at once, and so did full endpoints. Callers were told to return after the minimum and were refused again.

Change: only endpoints of the request's partition with a free slot count, and all if there is none. The share of endpoints that read prompts is still counted over all candidates, as it is at the choice.

Safe because only the Retry-After of a refusal by this rule changes, within the same bounds.

--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -160,12 +160,16 @@
 	suitability int
 }
 
-// suitability returns the suitability of an endpoint for a returning request.
-func suitability(choice *Choice) int {
-	if choice.isUnreliable() {
+// suitability returns the suitability of an endpoint for a returning request. Most suitable are reliable endpoints of its
+// partition with a free slot, since the request is sent there if it can end in time.
+func (q *query) suitability(e *directory.Entry, choice *Choice) int {
+	switch {
+	case choice.isUnreliable():
 		return 0
+	case !q.isInOwnPartition(e) || !choice.hasFreeSlot():
+		return 1
 	}
-	return 1
+	return 2
 }
 
 // unreadAfter returns the number of prompt tokens ahead that are left after a time if nothing else arrives.
@@ -183,7 +187,7 @@
 	for _, e := range candidates {
 		choice := v.evaluate(q, e)
 		queues = append(queues, endpointQueue{
-			ahead: choice.Load.Tokens, own: choice.Tokens, slowness: choice.Slowness, suitability: suitability(&choice),
+			ahead: choice.Load.Tokens, own: choice.Tokens, slowness: choice.Slowness, suitability: q.suitability(e, &choice),
 		})
 	}
 	canEnd := func(after time.Duration) bool {
--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -366,6 +366,45 @@
 	}
 }
 
+// TestRetryAfterCountsOwnPartition guards against callers that are told to return at once for the sake of endpoints without
+// prompts ahead to which a long prompt is not sent: those kept for short prompts, and those without a free slot.
+func TestRetryAfterCountsOwnPartition(t *testing.T) {
+	tests := map[string]struct {
+		// full is the number of endpoints for long prompts that have no free slot, and no prompts ahead.
+		full int
+		want time.Duration
+	}{
+		"all have a free slot": {0, 500 * time.Millisecond},
+		"one has no free slot": {1, 500 * time.Millisecond},
+		"none has a free slot": {9, minLateRetry},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			all := entries("e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9")
+			v, number := splitView(c, all)
+			v.finish = finishView().finish
+			kept, loads, full := shortSetOf(all, number, nil), make(map[keys.Endpoint]Load), 0
+			for _, e := range all {
+				switch {
+				case kept[e.ID]:
+					loads[keys.OfEndpoint(e.ID)] = Load{Requests: 1}
+				case full < test.full:
+					full++
+					loads[keys.OfEndpoint(e.ID)] = Load{Requests: endpointSlots}
+				default:
+					// Read down far enough after 400 ms.
+					loads[keys.OfEndpoint(e.ID)] = Load{Requests: 1, Tokens: 8300 * initialReadRate}
+				}
+			}
+			v.loads.SetPeer(start, "peer", loads)
+			request := finishRequest(1, 0)
+			request.Class = "long"
+			c.Check(v.lateRetryAfter(start, "llm", request, all, all, 0), qt.Equals, test.want)
+		})
+	}
+}
+
 // TestLongPromptStaysOutOfShortSet has long prompts that can end in time at the endpoints for short prompts only. Sent
 // there for that reason alone, they would make the streams of the most urgent class pause.
 func TestLongPromptStaysOutOfShortSet(t *testing.T) {
