finish: refusals that show no lack of capacity hold up no other class

Cause: each refusal held up all less urgent classes for a second. That of a retry, which has little time left, did too, and that of a request which was itself held up, so that one refusal prolonged the hold from class to class.

Change: refusals of retries are not recorded, nor are those of requests that could have ended in time and were only held up. recordRefusal gets the choice; its two callers in existing tests pass an empty one, which stands for a request that can't end in time, as before.

Safe because refusals of new requests for lack of room or time count as before, so no less urgent class overtakes them.

--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -80,9 +80,12 @@
 	return until
 }
 
-// recordRefusal records that a request found no room or could not end in time.
-func (r *finishRule) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason) {
-	if r == nil || (reason != admission.ReasonNoRoom && reason != admission.ReasonTooLate) {
+// recordRefusal records that a request found no room or could not end in time. A request that could end in time was held
+// up for a more urgent class; recorded, such refusals would prolong each other. A retry has little time left and may avoid
+// endpoints, so its refusal says little about the capacity.
+func (r *finishRule) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason, choice *Choice) {
+	lacksTime := reason == admission.ReasonTooLate && !choice.CanEnd
+	if r == nil || request.Retry || (reason != admission.ReasonNoRoom && !lacksTime) {
 		return
 	}
 	if r.refusedAt[service] == nil {
--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -456,7 +456,7 @@
 				p.view.finish = finishView().finish
 				p.view.pace = slowEndpoint{endpoint: keys.OfEndpoint("e1")}
 				if test.refused >= 0 {
-					p.recordRefusal(time.Now().Add(-test.ago), "llm", finishRequest(test.refused, 10), admission.ReasonTooLate)
+					p.recordRefusal(time.Now().Add(-test.ago), "llm", finishRequest(test.refused, 10), admission.ReasonTooLate, &Choice{})
 				}
 				request := finishRequest(test.urgency, 10)
 				request.Arrived, request.Deadline, request.FirstToken = time.Now(), time.Now().Add(test.left), 500*time.Millisecond
@@ -476,6 +476,47 @@
 	}
 }
 
+// TestRefusalHoldsUpLessUrgentClasses guards against less urgent classes that are refused for refusals which show no lack
+// of capacity: of retries, and of requests that were themselves held up for a more urgent class.
+func TestRefusalHoldsUpLessUrgentClasses(t *testing.T) {
+	tests := map[string]struct {
+		retry bool
+		left  time.Duration
+		// earlier is how long ago a request of a still more urgent class was refused.
+		earlier time.Duration
+		want    admission.Kind
+	}{
+		"a request that can't end in time":          {false, time.Second, time.Second, admission.Refuse},
+		"the same, and held up":                     {false, time.Second, 900 * time.Millisecond, admission.Refuse},
+		"a retry that can't end in time":            {true, time.Second, time.Second, admission.Grant},
+		"a request that was only held up by others": {false, 8 * time.Second, 900 * time.Millisecond, admission.Grant},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				p := newPlacerOf(time.Now, true, "e1")
+				p.view.finish = finishView().finish
+				// The end is predicted after 1.1 s.
+				p.view.pace = slowEndpoint{endpoint: keys.OfEndpoint("e1")}
+				p.view.loads.Begin("e1", 0)
+				p.recordRefusal(time.Now().Add(-test.earlier), "llm", finishRequest(1, 10), admission.ReasonTooLate, &Choice{})
+				ask := func(urgency int, left time.Duration, retry bool) admission.Kind {
+					request := finishRequest(urgency, 10)
+					request.Arrived, request.Deadline, request.FirstToken, request.Retry = time.Now(), time.Now().Add(left), 500*time.Millisecond, retry
+					_, d, err := p.Ask(context.Background(), "llm", *request)
+					c.Assert(err, qt.IsNil)
+					return d.Kind
+				}
+				c.Assert(ask(2, test.left, test.retry), qt.Equals, admission.Refuse)
+				// The hold for the still more urgent class is over.
+				time.Sleep(200 * time.Millisecond)
+				c.Check(ask(3, 8*time.Second, false), qt.Equals, test.want)
+			})
+		})
+	}
+}
+
 // TestRetryAfterLateRefusal guards against callers that are told to return at a time at which their request still can't
 // end in time although nothing else has arrived.
 func TestRetryAfterLateRefusal(t *testing.T) {
@@ -536,7 +577,7 @@
 		t.Run(name, func(t *testing.T) {
 			v, request, endpoints := finishView(), finishRequest(2, test.events), entries("e1")
 			v.loads.Begin("e1", int(test.ahead.Milliseconds()*initialReadRate))
-			v.finish.recordRefusal(start.Add(-test.blocked), "llm", finishRequest(1, 0), admission.ReasonTooLate)
+			v.finish.recordRefusal(start.Add(-test.blocked), "llm", finishRequest(1, 0), admission.ReasonTooLate, &Choice{})
 			if test.callerLeft > 0 {
 				request.CallerDeadline = start.Add(test.callerLeft)
 			}
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -141,7 +141,7 @@
 			return p.newTicket(service, &request, &choice), p.grant(&request, &choice, now.Sub(asked), now), nil
 		}
 		if reason == admission.ReasonNoEndpoint || !now.Before(until) || choice.AvailableAt.After(until) {
-			p.recordRefusal(now, service, &request, reason)
+			p.recordRefusal(now, service, &request, reason, &choice)
 			return nil, p.refusal(service, &request, reason, &choice, now.Sub(asked)), nil
 		}
 		if !lifetime.Sleep(ctx, slotPollInterval) {
@@ -319,13 +319,13 @@
 }
 
 // recordRefusal counts a request that was refused for lack of room, or because all endpoints rest or are limited.
-func (p *Placer) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason) {
+func (p *Placer) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason, choice *Choice) {
 	if reason == admission.ReasonNoEndpoint {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.view.finish.recordRefusal(now, service, request, reason)
+	p.view.finish.recordRefusal(now, service, request, reason, choice)
 	p.view.engines.get(keys.OfService(service)).RecordRefusal(now, engine.Arrival{
 		Class: keys.OfClass(request.Class), Prompt: request.PromptTokens, Unread: request.PromptTokens, Answer: request.AnswerTokens,
 	})
