--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -72,15 +72,28 @@
 	predictedRead       time.Duration
 	// PredictedEnd is the predicted time to the end of the answer; 0 if it is not predicted.
 	PredictedEnd time.Duration
-	// CanEnd is set if the request is predicted to end within its time limit, or if that is not predicted.
+	// CanEnd is set if the request is predicted to end within its time limit, if that is not predicted, or if the request is
+	// no retry and the endpoint is idle: the prediction assumes the mean reading share of all endpoints.
 	CanEnd bool
-	// isPreferred is set if the endpoint is in the request's partition, has a free slot, is not unreliable, and the request
-	// can end there in time, or if that is not predicted.
-	isPreferred bool
+	// preference orders the choices before their cost.
+	preference preference
 	// Cost is the cost of the choice in prompt tokens.
 	Cost int
 }
 
+// preference is an order of endpoints, the least preferred first.
+type preference uint8
+
+const (
+	// notPreferred: the endpoint is not in the request's partition, has no free slot or is unreliable, or the request can't
+	// end there in time.
+	notPreferred preference = iota
+	// preferredIdle: the endpoint is idle, but the request is not predicted to end there in time.
+	preferredIdle
+	// preferred: the request is predicted to end there in time, or its end is not predicted.
+	preferred
+)
+
 // instance returns the instance of the chosen endpoint.
 func (c *Choice) instance() pushback.Instance {
 	return pushback.Instance{ID: c.Endpoint, Version: c.Version}
@@ -93,11 +106,11 @@
 func (c *Choice) isUnreliable() bool { return c.RejectionShare+c.ExcessFailures >= unreliableShare }
 
 // isBetter reports whether a choice is preferred to another: one in the request's partition at which the request can end
-// in time, then the cheaper. An endpoint of the other partition is not preferred for the time alone: its cost includes
+// in time, then an idle one there, then the cheaper. An endpoint of the other partition is not preferred for the time alone: its cost includes
 // the streams that the request would delay there.
 func (c *Choice) isBetter(other *Choice) bool {
-	if c.isPreferred != other.isPreferred {
-		return c.isPreferred
+	if c.preference != other.preference {
+		return c.preference > other.preference
 	}
 	return c.Cost < other.Cost
 }
@@ -266,15 +279,26 @@
 	if e.Endpoint.Zone != q.request.Zone {
 		choice.Cost += zoneCost
 	}
-	choice.CanEnd, choice.isPreferred = true, true
+	choice.CanEnd, choice.preference = true, preferred
 	if q.ending != nil {
-		choice.PredictedEnd = q.ending.end(choice.Load.Tokens+choice.Tokens, choice.Slowness)
-		choice.CanEnd = choice.PredictedEnd <= q.ending.timeLeft
-		choice.isPreferred = choice.CanEnd && q.isInOwnPartition(e) && choice.hasFreeSlot() && !choice.isUnreliable()
+		q.predictEnd(e, &choice)
 	}
 	return choice
 }
 
+// predictEnd sets whether the request can end in time at an endpoint, and whether the endpoint is preferred for that.
+func (q *query) predictEnd(e *directory.Entry, choice *Choice) {
+	choice.PredictedEnd = q.ending.end(choice.Load.Tokens+choice.Tokens, choice.Slowness)
+	inTime := choice.PredictedEnd <= q.ending.timeLeft
+	choice.CanEnd = inTime || (choice.Load == Load{} && !q.request.Retry)
+	switch {
+	case !choice.CanEnd || !q.isInOwnPartition(e) || !choice.hasFreeSlot() || choice.isUnreliable():
+		choice.preference = notPreferred
+	case !inTime:
+		choice.preference = preferredIdle
+	}
+}
+
 // fetchFrom returns the ID of the endpoint to which the prefix was sent most recently, as a source for an endpoint that
 // lacks it. It is empty if the endpoint holds the prefix itself, or if no endpoint that is not ejected holds it.
 func (v *View) fetchFrom(now time.Time, q *query, endpoint string, endpoints []*directory.Entry) string {
--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -428,6 +428,40 @@
 	}
 }
 
+// TestIdleEndpointGetsRequest guards against refusals while endpoints are idle: of the endpoints for its prompt, the holder
+// of its prefix has prompts ahead, and the gap of the whole service makes the end too late at the idle one as well.
+func TestIdleEndpointGetsRequest(t *testing.T) {
+	tests := map[string]struct {
+		load  Load
+		retry bool
+		want  admission.Reason
+	}{
+		"idle":              {Load{}, false, ""},
+		"idle, for a retry": {Load{}, true, admission.ReasonTooLate},
+		"an open request":   {Load{Requests: 1}, false, admission.ReasonTooLate},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newPlacerOf(func() time.Time { return start }, true, "e1", "e2")
+			p.view.finish = finishView().finish
+			p.view.loads.SetPeer(start, "peer", map[keys.Endpoint]Load{
+				keys.OfEndpoint("e1"): test.load, keys.OfEndpoint("e2"): {Requests: 1, Tokens: 3200},
+			})
+			request := finishRequest(1, 10)
+			request.Deadline, request.Retry = start.Add(time.Second), test.retry
+			request.Prefix, request.PrefixTokens = []uint64{1, 2}, []int{2500, 3200}
+			p.view.holders.Record(start, Holder{Prefix: 1, Endpoint: keys.OfEndpoint("e2")})
+			choice, reason := p.choose("llm", request, false)
+			c.Check(reason, qt.Equals, test.want)
+			c.Check(choice.PredictedEnd > time.Second, qt.IsTrue)
+			if test.want == "" {
+				c.Check(choice.Endpoint, qt.Equals, "e1")
+			}
+		})
+	}
+}
+
 // TestLateRequestIsRefusedByClass predicts the end of a request after 1.1 s and varies its time left and class.
 func TestLateRequestIsRefusedByClass(t *testing.T) {
 	tests := map[string]struct {
@@ -455,6 +489,8 @@
 				p := newPlacerOf(time.Now, true, "e1")
 				p.view.finish = finishView().finish
 				p.view.pace = slowEndpoint{endpoint: keys.OfEndpoint("e1")}
+				// An idle endpoint is not judged by the prediction.
+				p.view.loads.Begin("e1", 0)
 				if test.refused >= 0 {
 					p.recordRefusal(time.Now().Add(-test.ago), "llm", finishRequest(test.refused, 10), admission.ReasonTooLate, &Choice{})
 				}
