finish: a continued stream is not refused

Cause: a stream that continues at another endpoint after a failure was refused like a new one, and its caller's answer was cut.

--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -512,6 +512,34 @@
 	}
 }
 
+// TestContinuedStreamIsNotRefused guards against answers that are cut because their rest is predicted to end too late, or
+// for a more urgent class.
+func TestContinuedStreamIsNotRefused(t *testing.T) {
+	tests := map[string]struct {
+		tokens, received int
+		refused          bool
+		want             admission.Reason
+	}{
+		"too late":                                 {200_000, 0, false, admission.ReasonTooLate},
+		"continued, too late":                      {200_000, 1, false, ""},
+		"a more urgent class was refused":          {0, 0, true, admission.ReasonTooLate},
+		"continued, more urgent class was refused": {0, 1, true, ""},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPlacerOf(func() time.Time { return start }, true, "e1")
+			p.view.loads.Begin("e1", test.tokens)
+			if test.refused {
+				p.recordRefusal(start, "llm", finishRequest(1, 10), admission.ReasonTooLate, &Choice{})
+			}
+			request := finishRequest(2, 10)
+			request.Received, request.Retry = test.received, test.received > 0
+			_, reason := p.choose("llm", request, false)
+			qt.Check(t, reason, qt.Equals, test.want)
+		})
+	}
+}
+
 // TestRefusalHoldsUpLessUrgentClasses guards against less urgent classes that are refused for refusals which show no lack
 // of capacity: of retries, and of requests that were themselves held up for a more urgent class.
 func TestRefusalHoldsUpLessUrgentClasses(t *testing.T) {
