finish: the spread of Retry-After ends where its caller stops following

Cause: callers follow Retry-After up to a third of the time that they have left. The spread by up to a half went beyond that for callers that would have followed the first possible time, so they did not return.

Change: if the first time is within that third, the spread is within it too. It is scaled, so that callers refused together still return at different times.

Safe because the time only becomes earlier, and never earlier than the first time at which the request can end.

--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -24,10 +24,11 @@
 	// readingInterval is how often the endpoints that read prompts are counted: about as often as loads change.
 	readingInterval = 100 * time.Millisecond
 	// minLateRetry and maxLateRetry bound the Retry-After of a refusal by this rule, and lateRetryStep is its resolution.
-	// Callers follow it up to a third of the time that they have left.
 	minLateRetry  = 250 * time.Millisecond
 	maxLateRetry  = 4 * time.Second
 	lateRetryStep = 250 * time.Millisecond
+	// followedRetryShare is the share of the time that a caller has left up to which it follows a Retry-After.
+	followedRetryShare = 1.0 / 3
 )
 
 // finishRule is the state of the rule for all services. A nil rule admits every request.
@@ -205,7 +206,7 @@
 		first += lateRetryStep
 	}
 	first = min(first, maxLateRetry)
-	after := min(spreadRetry(first, random), maxLateRetry)
+	after := spreadLateRetry(now, request, first, random)
 	// A caller that stops waiting soon may be too late at the end of the spread.
 	for after > first && !canEnd(after) {
 		after = max(after-lateRetryStep, first)
@@ -213,6 +214,17 @@
 	return after
 }
 
+// spreadLateRetry is spreadRetry with two bounds: maxLateRetry, and the time up to which the caller follows Retry-After if
+// it follows first.
+func spreadLateRetry(now time.Time, request *admission.Request, first time.Duration, random float64) time.Duration {
+	after := min(spreadRetry(first, random), maxLateRetry)
+	if followed := scale(request.CallerDeadline.Sub(now), followedRetryShare); !request.CallerDeadline.IsZero() && first <= followed {
+		// The spread is scaled, so that callers with the same time left don't return together at its end.
+		after = min(after, first+scale(followed-first, random))
+	}
+	return after
+}
+
 // canEndAfter reports whether the request can return after a time and end within a time limit at one of the most suitable
 // endpoints, if nothing else arrives.
 func (e *ending) canEndAfter(after, limit time.Duration, queues []endpointQueue) bool {
--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -629,13 +629,16 @@
 		random         float64
 		want           time.Duration
 	}{
-		"soon":                            {6800 * time.Millisecond, time.Second, 0, 0, 0, 500 * time.Millisecond},
-		"spread":                          {6800 * time.Millisecond, time.Second, 0, 0, 1, 750 * time.Millisecond},
-		"once no endpoint reads prompts":  {3 * time.Second, time.Second, 40, 0, 0, 3 * time.Second},
-		"no earlier than the minimum":     {0, time.Second, 0, 0, 0, minLateRetry},
-		"no later than the maximum":       {time.Minute, time.Second, 0, 0, 1, maxLateRetry},
-		"once less urgent classes may":    {0, 400 * time.Millisecond, 0, 0, 0, 600 * time.Millisecond},
-		"the spread ends with the caller": {0, 0, 0, 1300 * time.Millisecond, 0.99, time.Second},
+		"soon":                                         {6800 * time.Millisecond, time.Second, 0, 0, 0, 500 * time.Millisecond},
+		"spread":                                       {6800 * time.Millisecond, time.Second, 0, 0, 1, 750 * time.Millisecond},
+		"once no endpoint reads prompts":               {3 * time.Second, time.Second, 40, 0, 0, 3 * time.Second},
+		"no earlier than the minimum":                  {0, time.Second, 0, 0, 0, minLateRetry},
+		"no later than the maximum":                    {time.Minute, time.Second, 0, 0, 1, maxLateRetry},
+		"once less urgent classes may":                 {0, 400 * time.Millisecond, 0, 0, 0, 600 * time.Millisecond},
+		"the spread ends with the caller":              {0, 0, 0, 1300 * time.Millisecond, 0.99, time.Second},
+		"the spread ends where callers stop following": {0, 400 * time.Millisecond, 0, 2100 * time.Millisecond, 1, 700 * time.Millisecond},
+		"half of that spread":                          {0, 400 * time.Millisecond, 0, 2100 * time.Millisecond, 0.5, 650 * time.Millisecond},
+		"the first time is followed by nobody":         {0, 400 * time.Millisecond, 0, 1500 * time.Millisecond, 1, 900 * time.Millisecond},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
