finish: no panic if the last endpoint leaves before a refusal is answered

Cause: Retry-After is computed from the endpoints at the time of the refusal. If the last one had left since the choice, the size of the short set was -1, and the slice of its endpoints panicked.

Change: without endpoints, Retry-After is its minimum.

Safe because nothing changes while there is an endpoint; a return after the minimum finds the endpoint that comes back, or is refused for lack of one.

--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -187,8 +187,11 @@
 
 // lateRetryAfter returns when a refused request can return and end in time at one of the usable endpoints if nothing
 // else arrives: once the prompts there have been read down far enough. If that takes longer than maxLateRetry, it returns
-// maxLateRetry. Random is in [0, 1).
+// maxLateRetry. If the last endpoint has left since the refusal, it returns minLateRetry. Random is in [0, 1).
 func (v *View) lateRetryAfter(now time.Time, service string, request *admission.Request, endpoints, usable []*directory.Entry, random float64) time.Duration {
+	if len(endpoints) == 0 {
+		return minLateRetry
+	}
 	candidates := v.candidates(now, request, usable)
 	q := v.newQuery(now, service, request, endpoints, candidates)
 	queues := make([]endpointQueue, 0, len(candidates))
--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -620,6 +620,13 @@
 // initialReadRate is the rate of engines before any observation, in tokens a ms.
 const initialReadRate = 32
 
+// TestRetryAfterWithoutEndpoints guards against a panic if the last endpoint leaves between the choice and the refusal.
+func TestRetryAfterWithoutEndpoints(t *testing.T) {
+	p := newPlacerOf(func() time.Time { return start }, true)
+	got := p.refusal("llm", finishRequest(2, 10), admission.ReasonTooLate, &Choice{}, 0)
+	qt.Check(t, got.RetryAfter, qt.Equals, minLateRetry)
+}
+
 func TestRetryAfterLateRefusalIsSoonest(t *testing.T) {
 	tests := map[string]struct {
 		// ahead is the time that the endpoint needs for the prompts ahead, and blocked the time since a more urgent refusal.
