--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -24,10 +24,11 @@
 	// readingInterval is how often the endpoints that read prompts are counted: about as often as loads change.
 	readingInterval = 100 * time.Millisecond
 	// minLateRetry and maxLateRetry bound the Retry-After of a refusal by this rule, and lateRetryStep is its resolution.
-	// Callers follow it up to a third of the time that they have left.
 	minLateRetry  = 250 * time.Millisecond
 	maxLateRetry  = 4 * time.Second
 	lateRetryStep = 250 * time.Millisecond
+	// followedRetryShare is the share of the time that a caller has left up to which it follows a Retry-After.
+	followedRetryShare = 1.0 / 3
 )
 
 // finishRule is the state of the rule for all services. A nil rule admits every request.
@@ -63,9 +64,13 @@
 	}
 }
 
-// admits reports whether a request is admitted to the endpoint chosen for it.
+// admits reports whether a request is admitted to the endpoint chosen for it. A continued stream always is: its caller has
+// a part of the answer, and a refusal would cut it.
 func (r *finishRule) admits(now time.Time, service string, request *admission.Request, choice *Choice) bool {
-	return r == nil || !r.bounds.isSheddable(request) || (choice.CanEnd && !now.Before(r.blockedUntil(service, request.Urgency)))
+	if r == nil || !r.bounds.isSheddable(request) || request.Received > 0 {
+		return true
+	}
+	return choice.CanEnd && !now.Before(r.blockedUntil(service, request.Urgency))
 }
 
 // blockedUntil returns the time until which a class gets nothing because a more urgent one was refused. Otherwise the
@@ -80,9 +85,12 @@
 	return until
 }
 
-// recordRefusal records that a request found no room or could not end in time.
-func (r *finishRule) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason) {
-	if r == nil || (reason != admission.ReasonNoRoom && reason != admission.ReasonTooLate) {
+// recordRefusal records that a request found no room or could not end in time. A request that could end in time was held
+// up for a more urgent class; recorded, such refusals would prolong each other. A retry has little time left and may avoid
+// endpoints, so its refusal says little about the capacity.
+func (r *finishRule) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason, choice *Choice) {
+	lacksTime := reason == admission.ReasonTooLate && !choice.CanEnd
+	if r == nil || request.Retry || (reason != admission.ReasonNoRoom && !lacksTime) {
 		return
 	}
 	if r.refusedAt[service] == nil {
@@ -156,6 +164,20 @@
 type endpointQueue struct {
 	ahead, own int
 	slowness   float64
+	// suitability is higher if a returning request is more likely to be sent to the endpoint.
+	suitability int
+}
+
+// suitability returns the suitability of an endpoint for a returning request. Most suitable are reliable endpoints of its
+// partition with a free slot, since the request is sent there if it can end in time.
+func (q *query) suitability(e *directory.Entry, choice *Choice) int {
+	switch {
+	case choice.isUnreliable():
+		return 0
+	case !q.isInOwnPartition(e) || !choice.hasFreeSlot():
+		return 1
+	}
+	return 2
 }
 
 // unreadAfter returns the number of prompt tokens ahead that are left after a time if nothing else arrives.
@@ -165,14 +187,19 @@
 
 // lateRetryAfter returns when a refused request can return and end in time at one of the usable endpoints if nothing
 // else arrives: once the prompts there have been read down far enough. If that takes longer than maxLateRetry, it returns
-// maxLateRetry. Random is in [0, 1).
+// maxLateRetry. If the last endpoint has left since the refusal, it returns minLateRetry. Random is in [0, 1).
 func (v *View) lateRetryAfter(now time.Time, service string, request *admission.Request, endpoints, usable []*directory.Entry, random float64) time.Duration {
+	if len(endpoints) == 0 {
+		return minLateRetry
+	}
 	candidates := v.candidates(now, request, usable)
 	q := v.newQuery(now, service, request, endpoints, candidates)
 	queues := make([]endpointQueue, 0, len(candidates))
 	for _, e := range candidates {
 		choice := v.evaluate(q, e)
-		queues = append(queues, endpointQueue{ahead: choice.Load.Tokens, own: choice.Tokens, slowness: v.pace.Slowness(keys.OfEndpoint(e.ID))})
+		queues = append(queues, endpointQueue{
+			ahead: choice.Load.Tokens, own: choice.Tokens, slowness: choice.Slowness, suitability: q.suitability(e, &choice),
+		})
 	}
 	canEnd := func(after time.Duration) bool {
 		return q.ending == nil || q.ending.canEndAfter(after, scale(timeLimitAt(request, now.Add(after)), v.finish.timeShare(request)), queues)
@@ -182,7 +209,7 @@
 		first += lateRetryStep
 	}
 	first = min(first, maxLateRetry)
-	after := min(spreadRetry(first, random), maxLateRetry)
+	after := spreadLateRetry(now, request, first, random)
 	// A caller that stops waiting soon may be too late at the end of the spread.
 	for after > first && !canEnd(after) {
 		after = max(after-lateRetryStep, first)
@@ -190,18 +217,30 @@
 	return after
 }
 
-// canEndAfter reports whether the request can return after a time and end within a time limit at one of the endpoints, if
-// nothing else arrives.
+// spreadLateRetry is spreadRetry with two bounds: maxLateRetry, and the time up to which the caller follows Retry-After if
+// it follows first.
+func spreadLateRetry(now time.Time, request *admission.Request, first time.Duration, random float64) time.Duration {
+	after := min(spreadRetry(first, random), maxLateRetry)
+	if followed := scale(request.CallerDeadline.Sub(now), followedRetryShare); !request.CallerDeadline.IsZero() && first <= followed {
+		// The spread is scaled, so that callers with the same time left don't return together at its end.
+		after = min(after, first+scale(followed-first, random))
+	}
+	return after
+}
+
+// canEndAfter reports whether the request can return after a time and end within a time limit at one of the most suitable
+// endpoints, if nothing else arrives.
 func (e *ending) canEndAfter(after, limit time.Duration, queues []endpointQueue) bool {
-	later, busy := *e, 0
+	later, busy, best := *e, 0, 0
 	for i := range queues {
+		best = max(best, queues[i].suitability)
 		if queues[i].unreadAfter(after, e.figures) > 0 {
 			busy++
 		}
 	}
 	later.reading = float64(busy) / float64(max(len(queues), 1))
 	return slices.ContainsFunc(queues, func(q endpointQueue) bool {
-		return later.end(q.unreadAfter(after, e.figures)+q.own, q.slowness) <= limit
+		return q.suitability == best && later.end(q.unreadAfter(after, e.figures)+q.own, q.slowness) <= limit
 	})
 }
 
