coordinator: a reply that is ready at the timeout counts

Cause: when the timer and the reply are both ready, select picks one at random. A grant that had arrived was then given back, and its host counted as one that does not reply. Change: in the timer case, Await polls the replies once. Safe: without a ready reply nothing changes. TestReplyAtTimeoutCounts fails without it.

--- a/internal/front/coordinator/coordinator.go
+++ b/internal/front/coordinator/coordinator.go
@@ -159,6 +159,13 @@
 		a.recordReply(host)
 		return reply, true
 	case <-timer.C:
+		// If a reply is ready as well, select may have chosen either.
+		select {
+		case reply := <-replies:
+			a.recordReply(host)
+			return reply, true
+		default:
+		}
 		a.recordNoReply(host)
 	case <-ctx.Done():
 	}
--- a/internal/front/coordinator/coordinator_test.go
+++ b/internal/front/coordinator/coordinator_test.go
@@ -124,3 +124,21 @@
 		c.Check(a.unresponsive, qt.HasLen, 0, qt.Commentf("a caller that leaves says nothing about the host"))
 	})
 }
+
+// TestReplyAtTimeoutCounts guards against a reply that is lost at random because it is ready at the same time as the
+// timeout: a grant would be given back, and its host counted as unresponsive.
+func TestReplyAtTimeoutCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		a, h := newAsker("a")
+		for range 100 {
+			number, replies := a.Register()
+			c.Assert(a.Deliver(number, 1), qt.IsTrue)
+			reply, ok := a.Await(context.Background(), h.senders[0], replies, 0)
+			a.Unregister(number)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(reply, qt.Equals, 1)
+		}
+		c.Check(a.unresponsive, qt.HasLen, 0)
+	})
+}
