placement: the permit of a granted slot doesn't depend on the order of evaluation

Cause: takeSlot returned the choice beside a call that sets its permit. Go leaves open whether the variable is read before or after that call. Change: the call's result goes into a variable first. Safe: with the present compiler nothing changes, which reads the variable after the call. TestSlotOfLimitedEndpointHasPermit therefore passes with the old line too; it covers the permit of a slot, which no test did.

--- a/internal/front/placement/queue.go
+++ b/internal/front/placement/queue.go
@@ -116,7 +116,9 @@
 		p.recordGrant(now, service, request, &choice)
 	}
 	p.mu.Unlock()
-	return choice, !choice.IsLimited || p.acquirePermit(ctx, service, request, &choice, now)
+	// acquirePermit changes the choice, and Go leaves open whether a variable beside a call is read before or after it.
+	ok := !choice.IsLimited || p.acquirePermit(ctx, service, request, &choice, now)
+	return choice, ok
 }
 
 // queueRefusal is the refusal of a request by the coordinator.
--- a/internal/front/placement/queue_test.go
+++ b/internal/front/placement/queue_test.go
@@ -675,3 +675,28 @@
 		})
 	}
 }
+
+// TestSlotOfLimitedEndpointHasPermit guards against a granted slot whose permit is lost on the way: the request would
+// hold a slot and a permit, and not be sent.
+func TestSlotOfLimitedEndpointHasPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, _, _ := newQueuePlacer(c)
+		limits := pushback.NewLimits(time.Now)
+		p.parts.Limiter = limiterFor(limits, time.Now)
+		done := make(chan struct{})
+		defer close(done)
+		go p.parts.Limiter.Run(done)
+		limits.Record(pushback.Instance{ID: "e1", Version: "1"}, pushback.Limit{IsSet: true, PerSecond: 20}, time.Now())
+		r := plainRequest()
+		take := func() (Choice, bool) {
+			return p.takeSlot(context.Background(), plainService, &r, keys.OfEndpoint("e1"))
+		}
+		_, ok := take()
+		c.Check(ok, qt.IsFalse, qt.Commentf("no permit has accrued"))
+		time.Sleep(time.Second)
+		choice, ok := take()
+		c.Assert(ok, qt.IsTrue)
+		c.Check(p.parts.Limiter.MaySend(choice.instance(), choice.permit), qt.IsTrue)
+	})
+}
