slots: a free slot is granted whatever the mean time of a call

Cause: a request was refused if 1.5 times the mean exceeded its time left, also with all slots free and nobody waiting. Only answered calls lower the mean, so after some slow calls the service stayed shut. Change: if nobody waits and an endpoint has a free slot, the request is granted it without the time test, and before waiting requests are looked through for those that are too late. Safe: the slot would stay empty otherwise, and while the slots are taken the test holds as before. TestFreeSlotIsGrantedAfterSlowCalls fails without it.

--- a/internal/front/slots/coordinator.go
+++ b/internal/front/slots/coordinator.go
@@ -76,11 +76,16 @@
 	s.forgetGrants(now)
 	r.group = groupOf(q.Rank, s.returns.take(now, q.Key), q.IsRepeatable)
 	r.flow = s.flowOf(now, q.Workspace, float64(q.Weight))
-	if result := s.admit(now, r); result != Queued {
+	free := s.freeAtOnce(now, r)
+	if result := s.admit(now, r, free != nil); result != Queued {
 		c.refuse(now, r, result)
 		return c.take()
 	}
 	c.requests[r.id] = r
+	if free != nil {
+		c.grant(now, r, free)
+		return c.take()
+	}
 	c.serve(now, s)
 	return c.take()
 }
@@ -197,11 +202,7 @@
 		c.refuse(now, r, TooLate)
 	}
 	for r, e := s.next(now); r != nil; r, e = s.next(now) {
-		s.leave(now, r, true)
-		s.recordGrant(now, r)
-		s.leased[e.Key]++
-		r.endpoint, r.isLeased, r.grantedAt = e.Key, true, now
-		c.reply(r, Reply{Result: Granted, Endpoint: e.Key, Waited: now.Sub(r.arrivedAt)})
+		c.grant(now, r, e)
 	}
 	if len(s.waiting) > 0 && s.recordShortage(now) {
 		c.outgoing.Shortages = append(c.outgoing.Shortages, Shortage{Service: s.name})
@@ -218,6 +219,15 @@
 	}
 }
 
+// grant grants a waiting request a slot of an endpoint.
+func (c *Coordinator) grant(now time.Time, r *request, e *Endpoint) {
+	r.service.leave(now, r, true)
+	r.service.recordGrant(now, r)
+	r.service.leased[e.Key]++
+	r.endpoint, r.isLeased, r.grantedAt = e.Key, true, now
+	c.reply(r, Reply{Result: Granted, Endpoint: e.Key, Waited: now.Sub(r.arrivedAt)})
+}
+
 // refuse refuses a request that does not wait.
 func (c *Coordinator) refuse(now time.Time, r *request, result Result) {
 	c.reply(r, Reply{Result: result, Waited: now.Sub(r.arrivedAt), After: r.service.bookReturn(now, r)})
--- a/internal/front/slots/coordinator_test.go
+++ b/internal/front/slots/coordinator_test.go
@@ -220,6 +220,26 @@
 	c.Check(q.Waiting(), qt.Equals, 1)
 }
 
+// TestFreeSlotIsGrantedAfterSlowCalls guards against a service that stays shut: after calls as long as the time limit,
+// requests were refused although all slots were free, and no faster call could lower the mean.
+func TestFreeSlotIsGrantedAfterSlowCalls(t *testing.T) {
+	c := qt.New(t)
+	q := newQueue(1)
+	c.Assert(q.ask(1, nil).Result, qt.Equals, Granted)
+	q.record(q.Release(q.now, hostA, &Release{Number: 1, Outcome: Answered, Taken: 750 * time.Millisecond}))
+	for number := range uint64(1 + spareLeases) {
+		c.Assert(q.ask(10+number, nil).Result, qt.Equals, Granted)
+	}
+	c.Check(q.ask(20, nil).Result, qt.Equals, TooLate, qt.Commentf("no slot is free"))
+	q.now = q.now.Add(callTimeHalfLife)
+	for number := range uint64(1 + spareLeases) {
+		q.release(10 + number)
+	}
+	c.Check(q.ask(30, nil).Result, qt.Equals, Granted)
+	c.Check(q.ask(31, nil).Result, qt.Equals, Granted)
+	c.Check(q.ask(32, nil).Result, qt.Equals, Queued, qt.Commentf("the mean has followed the faster calls"))
+}
+
 // TestEndpointOfGrant checks which endpoint a request gets.
 func TestEndpointOfGrant(t *testing.T) {
 	three := []Endpoint{{Key: 1, Zone: "a", Slots: 4}, {Key: 2, Zone: "b", Slots: 4}, {Key: 3, Zone: "a", Slots: 8}}
--- a/internal/front/slots/service.go
+++ b/internal/front/slots/service.go
@@ -195,9 +195,18 @@
 	return at
 }
 
+// freeAtOnce returns the endpoint of a new request that need not wait: no other waits, and a slot is free.
+func (s *service) freeAtOnce(now time.Time, r *request) *Endpoint {
+	if len(s.waiting) > 0 {
+		return nil
+	}
+	return s.pick(now, r)
+}
+
 // admit decides on a new request: it begins to wait, or is refused at once because too many wait or because it would
-// not end within its time limit.
-func (s *service) admit(now time.Time, r *request) Result {
+// not end within its time limit. The limit does not count for one that gets a free slot at once: refused calls yield no
+// times, so a high mean would stay and shut a service that has become faster.
+func (s *service) admit(now time.Time, r *request, isFree bool) Result {
 	f := r.flow
 	if len(s.waiting) >= maxWaiting {
 		return NoRoom
@@ -209,7 +218,7 @@
 		ahead = 0
 	}
 	expected := s.expectedWait(ahead, r.group)
-	if now.Add(expected + s.endTime()).After(r.limit) {
+	if !isFree && now.Add(expected+s.endTime()).After(r.limit) {
 		return TooLate
 	}
 	f.finish[r.group] = r.start + 1/f.weight
