slots: the next reply is announced within a third of the time left

Cause: a queued request's host was told the whole predicted wait, up to its time limit. If the grant was lost or the coordinator had died, the host noticed only then and had no time left to decide alone. Change: the announced time is at most a third of the time left until the limit, plus the margin as before. Safe: the coordinator already sends a further reply before each announced time; it now sends a few more to requests that wait long. A host still decides alone after silence and does not ask again, since a second grant for a number that is no longer open would release the slot that the first one gave. TestSilenceInLongQueue fails without it.

--- a/internal/front/slots/client_test.go
+++ b/internal/front/slots/client_test.go
@@ -194,6 +194,35 @@
 	})
 }
 
+// TestSilenceInLongQueue guards against a request that is held to its time limit: its wait is predicted to be long, and
+// then the replies are lost, as with a coordinator that has died. The host has to decide alone while most of the time is
+// left.
+func TestSilenceInLongQueue(t *testing.T) {
+	run(t, func(c *qt.C, n *network) {
+		leases := n.fill()
+		time.Sleep(400 * time.Millisecond)
+		for _, lease := range leases {
+			lease.Release(Answered)
+		}
+		time.Sleep(2 * oneWay)
+		n.fill()
+		for number := range uint64(4) {
+			body, err := cbor.Marshal(&Request{Number: 1000 + number, Service: "plain", Workspace: "w", UntilLimit: time.Minute})
+			c.Assert(err, qt.IsNil)
+			n.hosts[0].client.HandleRequest(n.hosts[2].sender, body)
+		}
+		time.AfterFunc(10*time.Millisecond, func() {
+			c.Check(n.hosts[0].client.Waiting(), qt.Equals, 5)
+			n.update(func() { n.drops = func(_, _ string, kind envelope.Kind) bool { return kind == envelope.KindSlotReply } })
+		})
+		answer, took, err := n.hosts[1].acquire(context.Background())
+		c.Assert(err, qt.IsNil)
+		c.Check(answer.Result, qt.Equals, Alone)
+		const timeLeft = 2 * time.Second
+		c.Check(took <= timeLeft/3+replyMargin+replyTimeout+2*oneWay, qt.IsTrue, qt.Commentf("%s", took))
+	})
+}
+
 // TestLostMessages loses one message of a kind: a slot must not stay taken, except by a lost lease until its end.
 func TestLostMessages(t *testing.T) {
 	tests := map[string]struct {
--- a/internal/front/slots/coordinator.go
+++ b/internal/front/slots/coordinator.go
@@ -12,6 +12,9 @@
 	// replyMargin is the time by which a reply may follow later than predicted before the next one is due, which only
 	// names a later time.
 	replyMargin = 50 * time.Millisecond
+	// replyDivisor bounds the time until the next reply, as a divisor of the time left until the request's limit. A host
+	// whose grant is lost or whose coordinator has died notices only then, and needs the rest to decide alone.
+	replyDivisor = 3
 	// tickInterval is the time between two calls of Due while requests wait.
 	tickInterval = 10 * time.Millisecond
 	// serviceTimeout is how long a service without requests is kept, longer than any of its promises and means count.
@@ -214,7 +217,7 @@
 		if r.replyBy.IsZero() {
 			s.shortage.Waited++
 		}
-		r.replyBy = now.Add(min(s.expectedWait(i, r.group), r.limit.Sub(now)) + replyMargin)
+		r.replyBy = now.Add(min(s.expectedWait(i, r.group), r.limit.Sub(now)/replyDivisor) + replyMargin)
 		c.reply(r, Reply{Result: Queued, Waited: now.Sub(r.arrivedAt), After: r.replyBy.Sub(now)})
 	}
 }
