slots: workspaces with few grants go first only within their rank

Cause: a request of a workspace that had got less than half of its equal share went before every other, also before more urgent classes and higher tiers. That broke the invariant that no request of a higher tier is shed to make room for a lower one. Change: the pass for such workspaces considers only the first waiting rank. The predicted wait of their requests includes the more urgent ones, on arrival and while they wait, and their grants count before the groups of their rank only. Safe: within a rank the order is as before. Test: TestShortWorkspaceGoesFirst stated the order that is wrong by the invariant. It now checks that the workspace goes first in its rank, up to half of its equal share, before requests that may not be repeated, and that all less urgent requests wait for the urgent ones. It fails without the change, as does the new case of TestRequestsAreRefusedAtOnce.

--- a/internal/front/slots/coordinator_test.go
+++ b/internal/front/slots/coordinator_test.go
@@ -147,27 +147,32 @@
 	}
 }
 
-// TestShortWorkspaceGoesFirst has one workspace take all slots with urgent requests. A less urgent request of another
-// workspace goes first, until that workspace has half of its equal share of the grants; the same request of the first
-// workspace waits.
+// TestShortWorkspaceGoesFirst has one workspace take all slots. Requests of another workspace go before others of their
+// rank, also before those that may not be repeated, until that workspace has half of its equal share of the grants.
+// Less urgent requests wait until no more urgent one does, also those of a workspace without any grant, which goes first
+// among them.
 func TestShortWorkspaceGoesFirst(t *testing.T) {
 	c := qt.New(t)
 	q := newQueue(1)
 	q.fill()
 	for number := range uint64(12) {
-		q.ask(100+number, nil)
+		q.ask(100+number, func(r *Request) { r.UntilLimit = time.Hour })
 	}
-	late := func(workspace string) func(*Request) {
-		return func(r *Request) { r.Workspace, r.Rank, r.UntilLimit = workspace, 5, time.Hour }
+	ask := func(number uint64, workspace string, rank uint8) {
+		reply := q.ask(number, func(r *Request) {
+			r.Workspace, r.Rank, r.IsRepeatable, r.UntilLimit = workspace, rank, true, time.Hour
+		})
+		c.Assert(reply.Result, qt.Equals, Queued)
 	}
-	q.ask(1, late("w"))
-	for number := range uint64(4) {
-		q.ask(10+number, late("other"))
+	ask(1, "w", 5)
+	ask(2, "third", 5)
+	for number := range uint64(6) {
+		ask(10+number, "other", 0)
 	}
-	q.serve(12)
-	// Half of the equal share of two workspaces is a quarter of the grants, the 22 before this load included.
-	c.Check(q.granted[:7], qt.DeepEquals, []uint64{10, 11, 12, 13, 100, 101, 102})
-	c.Check(slices.Contains(q.granted, 1), qt.IsFalse)
+	q.serve(20)
+	// Half of the equal share of three workspaces is a sixth of the grants, the 22 before this load included.
+	c.Check(q.granted[:8], qt.DeepEquals, []uint64{10, 11, 12, 13, 14, 100, 101, 102})
+	c.Check(q.granted[18:], qt.DeepEquals, []uint64{2, 1})
 }
 
 // TestRequestsAreRefusedAtOnce checks that a request is refused on arrival if it could not end within its time limit,
@@ -184,7 +189,11 @@
 		"10 requests ahead of two leases":    {10, limit(400 * time.Millisecond), Queued},
 		"time for fewer requests ahead":      {10, limit(380 * time.Millisecond), TooLate},
 		"the requests ahead are less urgent": {10, func(r *Request) { r.Rank, r.UntilLimit = 0, 100*time.Millisecond }, Queued},
-		"too many wait":                      {maxWaiting, func(r *Request) { r.UntilLimit = time.Hour }, NoRoom},
+		"of a workspace short of grants":     {10, func(r *Request) { r.Workspace, r.UntilLimit = "other", 100*time.Millisecond }, Queued},
+		"of a workspace short of grants, the requests ahead are more urgent": {
+			10, func(r *Request) { r.Workspace, r.Rank, r.UntilLimit = "other", 1, 380*time.Millisecond }, TooLate,
+		},
+		"too many wait": {maxWaiting, func(r *Request) { r.UntilLimit = time.Hour }, NoRoom},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/front/slots/order.go
+++ b/internal/front/slots/order.go
@@ -10,8 +10,8 @@
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
-// The order of the queue, first to last: a workspace that is short of grants (service.isShort), then the rank, returns at
-// the promised time, requests that may not be repeated, the fairness between workspaces (start-time fair queueing by
+// The order of the queue, first to last: the rank, a workspace that is short of grants (service.isShort), returns at the
+// promised time, requests that may not be repeated, the fairness between workspaces (start-time fair queueing by
 // weight), the least time left until the target, and the arrival. Except for workspaces that are short, the order changes
 // only when a request arrives, so the queue is kept sorted.
 
@@ -27,11 +27,12 @@
 // returns and whether they may be repeated. Smaller values are served first.
 type group int
 
-// groupOfShort stands for the requests of workspaces that are short of grants.
-const groupOfShort group = -1
+// groupOfShort stands for the requests of a rank from workspaces that are short of grants, which go before the others of
+// the rank.
+func groupOfShort(rank uint8) group { return 5 * group(rank) }
 
 func groupOf(rank uint8, isReturn, isRepeatable bool) group {
-	g := 4 * group(rank)
+	g := groupOfShort(rank) + 1
 	if !isReturn {
 		g += 2
 	}
@@ -125,7 +126,7 @@
 	s.virtual[r.group] = max(s.virtual[r.group], r.start)
 	g := r.group
 	if s.isShort(r.flow, 0) {
-		g = groupOfShort
+		g = groupOfShort(r.rank)
 	}
 	s.grants = append(s.grants, grant{now, r.flow, g})
 	s.grantsOf[g]++
--- a/internal/front/slots/service.go
+++ b/internal/front/slots/service.go
@@ -157,6 +157,10 @@
 	}
 	for _, shortOnly := range []bool{true, false} {
 		for _, r := range s.waiting {
+			// A workspace that is short goes before others of its rank, never before a more urgent rank.
+			if shortOnly && r.rank > s.waiting[0].rank {
+				break
+			}
 			if shortOnly && !s.isShort(r.flow, 0) {
 				continue
 			}
@@ -203,6 +207,12 @@
 	return s.pick(now, r)
 }
 
+// beforeRank returns the number of waiting requests of more urgent ranks.
+func (s *service) beforeRank(rank uint8) int {
+	number, _ := slices.BinarySearchFunc(s.waiting, rank, func(w *request, rank uint8) int { return cmp.Compare(w.rank, rank) })
+	return number
+}
+
 // admit decides on a new request: it begins to wait, or is refused at once because too many wait or because it would
 // not end within its time limit. The limit does not count for one that gets a free slot at once: refused calls yield no
 // times, so a high mean would stay and shut a service that has become faster.
@@ -213,11 +223,11 @@
 	}
 	r.start = max(s.virtual[r.group], f.finish[r.group])
 	at := s.place(r)
-	ahead := at
+	ahead, g := at, r.group
 	if s.isShort(f, f.waiting) {
-		ahead = 0
+		ahead, g = s.beforeRank(r.rank), groupOfShort(r.rank)
 	}
-	expected := s.expectedWait(ahead, r.group)
+	expected := s.expectedWait(ahead, g)
 	if !isFree && now.Add(expected+s.endTime()).After(r.limit) {
 		return TooLate
 	}
@@ -283,7 +293,7 @@
 		wait := s.wait(i)
 		if s.isShort(r.flow, r.flow.passed) {
 			r.flow.passed++
-			wait = 0
+			wait = s.wait(s.beforeRank(r.rank))
 		}
 		if left := r.limit.Sub(now); left < s.endTime() || left < wait {
 			return r
