slots: calls that may be repeated get a least share of the grants

Cause: in a rank, calls that may not be repeated always go before those that may. At twice the capacity of the former the latter got nothing: refused on arrival, or never reached. Change: while the last group that waits in the first rank has got less than minGroupShare of the recent grants, its first request is served next, after workspaces that are short. The predicted wait on arrival and in the queue counts only the requests ahead in that group then; without that, such calls are refused on arrival and the rule has nobody to serve. Safe: rank goes first as before, and the others of the rank lose at most 5 % of the grants.

--- a/internal/front/slots/order.go
+++ b/internal/front/slots/order.go
@@ -12,8 +12,9 @@
 
 // The order of the queue, first to last: the rank, a workspace that is short of grants (service.isShort), returns at the
 // promised time, requests that may not be repeated, the fairness between workspaces (start-time fair queueing by
-// weight), the least time left until the target, and the arrival. Except for workspaces that are short, the order changes
-// only when a request arrives, so the queue is kept sorted.
+// weight), the least time left until the target, and the arrival. The last group that waits in the first rank goes before
+// the other groups while it is short of grants (service.isGroupShort). Except for workspaces and groups that are short,
+// the order changes only when a request arrives, so the queue is kept sorted.
 
 const (
 	// shortShare is the share of its equal share of the grants below which a workspace goes first.
@@ -121,6 +122,12 @@
 	return float64(f.granted+further) < shortShare*f.weight/s.totalWeight*float64(len(s.grants))
 }
 
+// isGroupShort reports whether a group has got less than minGroupShare of the recent grants, if it gets a number of
+// further ones.
+func (s *service) isGroupShort(g group, further int) bool {
+	return float64(s.grantsOf[g]+further) < minGroupShare*float64(len(s.grants))
+}
+
 // recordGrant adjusts fairness after a grant to a request.
 func (s *service) recordGrant(now time.Time, r *request) {
 	s.virtual[r.group] = max(s.virtual[r.group], r.start)
--- a/internal/front/slots/service.go
+++ b/internal/front/slots/service.go
@@ -15,7 +15,8 @@
 	maxWaiting = 1024
 	// callTimeHalfLife is the half-life of the weight of an observed call.
 	callTimeHalfLife = 2 * time.Second
-	// minGroupShare is the smallest share of the grants that a group is expected to get.
+	// minGroupShare is the smallest share of the grants that a group is expected to get. The last group of the first rank
+	// is served before the others while it has got less: enough calls that may not be repeated would shut it out.
 	minGroupShare = 0.05
 	// loadDeviations is the number of standard deviations by which the loads that hosts report have to exceed the leases
 	// to count. They are up to a second old, several times as long as a call: without leases that end between them,
@@ -155,23 +156,45 @@
 	if !slices.ContainsFunc(s.endpoints, func(e Endpoint) bool { return s.taken(&e) < e.Slots+spareLeases }) {
 		return nil, nil
 	}
-	for _, shortOnly := range []bool{true, false} {
-		for _, r := range s.waiting {
-			// A workspace that is short goes before others of its rank, never before a more urgent rank.
-			if shortOnly && r.rank > s.waiting[0].rank {
-				break
-			}
-			if shortOnly && !s.isShort(r.flow, 0) {
-				continue
-			}
-			if e := s.pick(now, r); e != nil {
-				return r, e
-			}
+	from, to := s.lastGroup()
+	// A workspace that is short goes before others of its rank, never before a more urgent rank.
+	for _, r := range s.waiting[:to] {
+		if !s.isShort(r.flow, 0) {
+			continue
+		}
+		if e := s.pick(now, r); e != nil {
+			return r, e
+		}
+	}
+	if from < to && s.isGroupShort(s.waiting[from].group, 0) {
+		if r, e := s.firstUsable(now, s.waiting[from:to]); r != nil {
+			return r, e
+		}
+	}
+	return s.firstUsable(now, s.waiting)
+}
+
+// firstUsable returns the first of several requests for which an endpoint has a free slot, and that endpoint.
+func (s *service) firstUsable(now time.Time, requests []*request) (*request, *Endpoint) {
+	for _, r := range requests {
+		if e := s.pick(now, r); e != nil {
+			return r, e
 		}
 	}
 	return nil, nil
 }
 
+// lastGroup returns the part of the queue that holds the last group that waits in the first rank; to is the end of that
+// rank.
+func (s *service) lastGroup() (from, to int) {
+	if len(s.waiting) == 0 {
+		return 0, 0
+	}
+	to = s.beforeRank(int(s.waiting[0].rank) + 1)
+	from, _ = slices.BinarySearchFunc(s.waiting, s.waiting[to-1].group, func(w *request, g group) int { return cmp.Compare(w.group, g) })
+	return from, to
+}
+
 // wait returns the time until a number of waiting requests have been granted.
 func (s *service) wait(number int) time.Duration {
 	return time.Duration(float64(number) / float64(max(s.slots, 1)) * s.callTime.value())
@@ -208,8 +231,8 @@
 }
 
 // beforeRank returns the number of waiting requests of more urgent ranks.
-func (s *service) beforeRank(rank uint8) int {
-	number, _ := slices.BinarySearchFunc(s.waiting, rank, func(w *request, rank uint8) int { return cmp.Compare(w.rank, rank) })
+func (s *service) beforeRank(rank int) int {
+	number, _ := slices.BinarySearchFunc(s.waiting, rank, func(w *request, rank int) int { return cmp.Compare(int(w.rank), rank) })
 	return number
 }
 
@@ -223,17 +246,20 @@
 	}
 	r.start = max(s.virtual[r.group], f.finish[r.group])
 	at := s.place(r)
+	s.waiting = slices.Insert(s.waiting, at, r)
 	ahead, g := at, r.group
 	if s.isShort(f, f.waiting) {
-		ahead, g = s.beforeRank(r.rank), groupOfShort(r.rank)
+		ahead, g = s.beforeRank(int(r.rank)), groupOfShort(r.rank)
+	} else if from, to := s.lastGroup(); from <= at && at < to && s.isGroupShort(r.group, to-from-1) {
+		ahead, g = to-from-1, groupOfShort(r.rank)
 	}
 	expected := s.expectedWait(ahead, g)
 	if !isFree && now.Add(expected+s.endTime()).After(r.limit) {
+		s.waiting = slices.Delete(s.waiting, at, at+1)
 		return TooLate
 	}
 	f.finish[r.group] = r.start + 1/f.weight
 	f.waiting++
-	s.waiting = slices.Insert(s.waiting, at, r)
 	s.sortFlow(at)
 	return Queued
 }
@@ -289,11 +315,14 @@
 	for _, f := range s.flows {
 		f.passed = 0
 	}
+	from, to := s.lastGroup()
 	for i, r := range s.waiting {
 		wait := s.wait(i)
 		if s.isShort(r.flow, r.flow.passed) {
 			r.flow.passed++
-			wait = s.wait(s.beforeRank(r.rank))
+			wait = s.wait(s.beforeRank(int(r.rank)))
+		} else if from <= i && i < to && s.isGroupShort(r.group, i-from) {
+			wait = s.wait(i - from)
 		}
 		if left := r.limit.Sub(now); left < s.endTime() || left < wait {
 			return r
