--- a/internal/front/slots/service.go
+++ b/internal/front/slots/service.go
@@ -15,7 +15,8 @@
 	maxWaiting = 1024
 	// callTimeHalfLife is the half-life of the weight of an observed call.
 	callTimeHalfLife = 2 * time.Second
-	// minGroupShare is the smallest share of the grants that a group is expected to get.
+	// minGroupShare is the smallest share of the grants that a group is expected to get. The last group of the first rank
+	// is served before the others while it has got less: enough calls that may not be repeated would shut it out.
 	minGroupShare = 0.05
 	// loadDeviations is the number of standard deviations by which the loads that hosts report have to exceed the leases
 	// to count. They are up to a second old, several times as long as a call: without leases that end between them,
@@ -155,19 +156,45 @@
 	if !slices.ContainsFunc(s.endpoints, func(e Endpoint) bool { return s.taken(&e) < e.Slots+spareLeases }) {
 		return nil, nil
 	}
-	for _, shortOnly := range []bool{true, false} {
-		for _, r := range s.waiting {
-			if shortOnly && !s.isShort(r.flow, 0) {
-				continue
-			}
-			if e := s.pick(now, r); e != nil {
-				return r, e
-			}
+	from, to := s.lastGroup()
+	// A workspace that is short goes before others of its rank, never before a more urgent rank.
+	for _, r := range s.waiting[:to] {
+		if !s.isShort(r.flow, 0) {
+			continue
+		}
+		if e := s.pick(now, r); e != nil {
+			return r, e
+		}
+	}
+	if from < to && s.isGroupShort(s.waiting[from].group, 0) {
+		if r, e := s.firstUsable(now, s.waiting[from:to]); r != nil {
+			return r, e
+		}
+	}
+	return s.firstUsable(now, s.waiting)
+}
+
+// firstUsable returns the first of several requests for which an endpoint has a free slot, and that endpoint.
+func (s *service) firstUsable(now time.Time, requests []*request) (*request, *Endpoint) {
+	for _, r := range requests {
+		if e := s.pick(now, r); e != nil {
+			return r, e
 		}
 	}
 	return nil, nil
 }
 
+// lastGroup returns the part of the queue that holds the last group that waits in the first rank; to is the end of that
+// rank.
+func (s *service) lastGroup() (from, to int) {
+	if len(s.waiting) == 0 {
+		return 0, 0
+	}
+	to = s.beforeRank(int(s.waiting[0].rank) + 1)
+	from, _ = slices.BinarySearchFunc(s.waiting, s.waiting[to-1].group, func(w *request, g group) int { return cmp.Compare(w.group, g) })
+	return from, to
+}
+
 // wait returns the time until a number of waiting requests have been granted.
 func (s *service) wait(number int) time.Duration {
 	return time.Duration(float64(number) / float64(max(s.slots, 1)) * s.callTime.value())
@@ -195,26 +222,44 @@
 	return at
 }
 
+// freeAtOnce returns the endpoint of a new request that need not wait: no other waits, and a slot is free.
+func (s *service) freeAtOnce(now time.Time, r *request) *Endpoint {
+	if len(s.waiting) > 0 {
+		return nil
+	}
+	return s.pick(now, r)
+}
+
+// beforeRank returns the number of waiting requests of more urgent ranks.
+func (s *service) beforeRank(rank int) int {
+	number, _ := slices.BinarySearchFunc(s.waiting, rank, func(w *request, rank int) int { return cmp.Compare(int(w.rank), rank) })
+	return number
+}
+
 // admit decides on a new request: it begins to wait, or is refused at once because too many wait or because it would
-// not end within its time limit.
-func (s *service) admit(now time.Time, r *request) Result {
+// not end within its time limit. The limit does not count for one that gets a free slot at once: refused calls yield no
+// times, so a high mean would stay and shut a service that has become faster.
+func (s *service) admit(now time.Time, r *request, isFree bool) Result {
 	f := r.flow
 	if len(s.waiting) >= maxWaiting {
 		return NoRoom
 	}
 	r.start = max(s.virtual[r.group], f.finish[r.group])
 	at := s.place(r)
-	ahead := at
+	s.waiting = slices.Insert(s.waiting, at, r)
+	ahead, g := at, r.group
 	if s.isShort(f, f.waiting) {
-		ahead = 0
+		ahead, g = s.beforeRank(int(r.rank)), groupOfShort(r.rank)
+	} else if from, to := s.lastGroup(); from <= at && at < to && s.isGroupShort(r.group, to-from-1) {
+		ahead, g = to-from-1, groupOfShort(r.rank)
 	}
-	expected := s.expectedWait(ahead, r.group)
-	if now.Add(expected + s.endTime()).After(r.limit) {
+	expected := s.expectedWait(ahead, g)
+	if !isFree && now.Add(expected+s.endTime()).After(r.limit) {
+		s.waiting = slices.Delete(s.waiting, at, at+1)
 		return TooLate
 	}
 	f.finish[r.group] = r.start + 1/f.weight
 	f.waiting++
-	s.waiting = slices.Insert(s.waiting, at, r)
 	s.sortFlow(at)
 	return Queued
 }
@@ -270,11 +315,14 @@
 	for _, f := range s.flows {
 		f.passed = 0
 	}
+	from, to := s.lastGroup()
 	for i, r := range s.waiting {
 		wait := s.wait(i)
 		if s.isShort(r.flow, r.flow.passed) {
 			r.flow.passed++
-			wait = 0
+			wait = s.wait(s.beforeRank(int(r.rank)))
+		} else if from <= i && i < to && s.isGroupShort(r.group, i-from) {
+			wait = s.wait(i - from)
 		}
 		if left := r.limit.Sub(now); left < s.endTime() || left < wait {
 			return r
