--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -40,7 +40,8 @@
 const (
 	// ReasonNoRoom: no endpoint has a free slot for a request of this urgency.
 	ReasonNoRoom Reason = "no_room"
-	// ReasonWorkspaceRoom: the workspace has reached its limit for the class.
+	// ReasonWorkspaceRoom: the workspace has reached its limit for the class, or is over its share of a service that is
+	// short of capacity.
 	ReasonWorkspaceRoom Reason = "workspace_room"
 	// ReasonTooLate: the target or the time limit can't be met, and a late answer is of no use.
 	ReasonTooLate Reason = "too_late"
--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -13,7 +13,8 @@
 
 // Bursts of long prompts fill engines with streams that run into their time limits: their work is lost, and it slows
 // all others. By the rule in this file a stream is sent to an endpoint at which it is predicted to end in time. If there
-// is none, a stream of the most urgent class is sent to the best endpoint nevertheless, and any other is refused.
+// is none, a stream of the most urgent class is sent to the best endpoint nevertheless, and any other is refused. Requests
+// whose end can't be predicted are not affected.
 
 const (
 	// leastUrgentTimeShare is the share of its time left in which a request of the least urgent class has to end:
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -44,8 +44,8 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
-	// Shares keeps workspaces within their shares and limits; nil if that is off. It calls the placer with its lock held,
-	// so it must not be called with that of the placer held.
+	// Shares keeps workspaces within their shares and limits; nil if that is off. Its Admit calls back into the placer while
+	// it holds its own lock, so the placer must not call it while holding mu.
 	Shares *shares.Exchange
 	// Pace learns the speed of endpoints. If it is nil, all count as equally fast.
 	Pace Pace
--- a/internal/front/placement/ticket.go
+++ b/internal/front/placement/ticket.go
@@ -73,7 +73,8 @@
 	p.parts.Changed()
 }
 
-// Progress changes no load, which consists of prompts and open requests only. Events is the number of events so far.
+// Progress records how fast the endpoint generates the answer. Loads don't change: they consist of prompts and open
+// requests. Events is the number of events so far.
 func (t *ticket) Progress(events int) { t.recordEvents(events) }
 
 // Finished releases the slot. The end of a complete stream comes with its last event.
--- a/internal/front/shares/messages.go
+++ b/internal/front/shares/messages.go
@@ -8,7 +8,7 @@
 	_ struct{} `cbor:",toarray"`
 
 	Services []ServiceCounts
-	// Limits are all of the sender's uses of limits that are not 0; they replace those of the message before.
+	// Limits are the sender's largest uses of limits, maxPerMessage at most; they replace those of its last message.
 	Limits []LimitUse
 }
 
--- a/internal/front/shares/service.go
+++ b/internal/front/shares/service.go
@@ -84,7 +84,8 @@
 
 // service is the work at one service, with exponentially decaying weight.
 type service struct {
-	name        string
+	name string
+	// leastUrgent is the highest urgency number of the service's classes. Only they are refused for shares.
 	leastUrgent int
 
 	// all is the work of all hosts, own that of this host, and unsent the part of own that its peers do not know yet.
