upstream: connections to endpoints are opened by a Dialer

Target, with the endpoint's ID and zone, replaces the address of a call; the request target on the wire is now Call.URI. No logic changes: the socket options and the connect timeout are as before.

--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -52,6 +52,7 @@
 			settings.NewHolder,
 			directory.New,
 			newFreshness,
+			newDialer,
 			newUpstreamClient,
 			newPlacer,
 			newSettingsSink,
@@ -137,8 +138,10 @@
 	deadPeerTimeout = time.Second
 )
 
-func newUpstreamClient(deployment Deployment, clock func() time.Time) *upstream.Client {
-	return upstream.New(upstream.Config{AnswerID: deployment.Dialect.AnswerID, KeepIdle: endpointIdleTimeout, DeadPeer: deadPeerTimeout}, clock)
+func newDialer() upstream.Dialer { return upstream.DirectDialer{DeadPeer: deadPeerTimeout} }
+
+func newUpstreamClient(deployment Deployment, dialer upstream.Dialer, clock func() time.Time) *upstream.Client {
+	return upstream.New(upstream.Config{AnswerID: deployment.Dialect.AnswerID, KeepIdle: endpointIdleTimeout, Dialer: dialer}, clock)
 }
 
 // placerParts are the dependencies of the placer.
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -30,9 +30,9 @@
 
 // Prober finds out whether endpoints are still running.
 type Prober interface {
-	// HasExited reports whether the process at an address has ended, so that nothing listens there. It blocks until ctx
-	// ends at the latest, and returns an error if it can't tell.
-	HasExited(ctx context.Context, address string) (bool, error)
+	// HasExited reports whether the process of the endpoint at an address has ended, so that nothing listens there. It
+	// blocks until ctx ends at the latest, and returns an error if it can't tell.
+	HasExited(ctx context.Context, endpoint, address string) (bool, error)
 }
 
 // Store keeps verdicts.
--- a/internal/front/poison/detector_test.go
+++ b/internal/front/poison/detector_test.go
@@ -158,7 +158,7 @@
 }
 
 // HasExited implements Prober for all hosts.
-func (f *fleet) HasExited(_ context.Context, address string) (bool, error) {
+func (f *fleet) HasExited(_ context.Context, _, address string) (bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.unresponsive[address] {
--- a/internal/front/poison/probe.go
+++ b/internal/front/poison/probe.go
@@ -27,7 +27,7 @@
 func (d *Detector) probe(p *probe, endpoint, address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	exited, err := d.parts.Prober.HasExited(ctx, address)
+	exited, err := d.parts.Prober.HasExited(ctx, endpoint, address)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p.done, p.exited = true, exited
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -155,7 +155,8 @@
 		header.Set(headerLastEventID, x.stream.lastID)
 	}
 	return &upstream.Call{
-		Address: a.Endpoint.Address, ID: x.call.ID, Method: x.r.Method, Target: x.r.RequestURI, Host: x.r.Host,
+		Target: upstream.Target{ID: a.EndpointID, Address: a.Endpoint.Address, Zone: a.Endpoint.Zone},
+		ID:     x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
 		Header: header, Body: x.body, ConnectTimeout: connectTimeout(&x.policy), OnSend: x.onSend(a),
 	}
 }
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -4,18 +4,16 @@
 	"bufio"
 	"context"
 	"errors"
-	"net"
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
 
-	"oxbowslip.dev/oxbowslip/internal/deadpeer"
 )
 
 // connect returns an idle connection that is still usable, or opens one.
 func (c *Client) connect(ctx context.Context, call *Call) (*connection, error) {
 	for {
-		conn := c.takeIdle(call.Address)
+		conn := c.takeIdle(call.Target.Address)
 		if conn == nil {
 			return c.dial(ctx, call)
 		}
@@ -31,14 +29,9 @@
 	if timeout == 0 {
 		timeout = defaultConnectTimeout
 	}
-	dialer := &net.Dialer{
-		Timeout: timeout,
-		Control: deadpeer.Control(c.config.DeadPeer),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
-		},
-	}
-	conn, err := dialer.DialContext(ctx, "tcp", call.Address)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := c.config.Dialer.Dial(ctx, call.Target)
 	if err != nil {
 		return nil, err
 	}
@@ -48,11 +41,11 @@
 	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufBytes)}, nil
 }
 
-// HasExited reports whether the process at an address has exited: the machine refuses connections. If it connects, the
+// HasExited reports whether the process of an endpoint has exited: the machine refuses connections. If it connects, the
 // connection is kept for a later call. It returns when ctx ends at the latest. An error means that the state of the
 // process is unknown.
-func (c *Client) HasExited(ctx context.Context, address string) (bool, error) {
-	conn, err := c.dial(ctx, &Call{Address: address})
+func (c *Client) HasExited(ctx context.Context, endpoint, address string) (bool, error) {
+	conn, err := c.dial(ctx, &Call{Target: Target{ID: endpoint, Address: address}})
 	switch {
 	case errors.Is(err, unix.ECONNREFUSED):
 		return true, nil
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -42,12 +42,12 @@
 
 // Call is an HTTP call to an endpoint.
 type Call struct {
-	Address string
+	Target Target
 	// ID is the ID that the answer must carry.
 	ID     string
 	Method string
-	// Target is the request target on the wire: the escaped path with the query. Host is the value of the Host header.
-	Target string
+	// URI is the request target on the wire: the escaped path with the query. Host is the value of the Host header.
+	URI    string
 	Host   string
 	Header http.Header
 	Body   []byte
@@ -76,8 +76,8 @@
 	AnswerID func(http.Header) string
 	// KeepIdle is how long a connection may stay idle if its endpoint states no keep-alive timeout.
 	KeepIdle time.Duration
-	// DeadPeer is how long sent bytes may stay unacknowledged before the connection breaks.
-	DeadPeer time.Duration
+	// Dialer opens the connections.
+	Dialer Dialer
 }
 
 // Client sends calls to endpoints and owns the connections to them. It is safe for concurrent use.
@@ -131,10 +131,10 @@
 		return nil, merry.Wrap(request.ErrNotSent, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	if call.OnSend != nil && !call.OnSend() {
-		c.putUnused(call.Address, conn)
+		c.putUnused(call.Target.Address, conn)
 		return nil, merry.Wrap(ErrWithheld)
 	}
-	x := &exchange{client: c, conn: conn, address: call.Address, writeResult: make(chan error, 1)}
+	x := &exchange{client: c, conn: conn, address: call.Target.Address, writeResult: make(chan error, 1)}
 	x.stopAbort = context.AfterFunc(ctx, func() { conn.Close() })
 	x.write(wire)
 	answer, err := x.readAnswer(call)
@@ -157,7 +157,7 @@
 	}
 	request := &http.Request{
 		Method: call.Method,
-		URL:    &url.URL{Scheme: "http", Host: call.Address, Opaque: call.Target},
+		URL:    &url.URL{Scheme: "http", Host: call.Target.Address, Opaque: call.URI},
 		Host:   call.Host,
 		Header: header,
 	}
--- a/internal/front/upstream/upstream_test.go
+++ b/internal/front/upstream/upstream_test.go
@@ -21,7 +21,7 @@
 const headerID = "X-Call"
 
 func newClient(clock func() time.Time) *Client {
-	return New(Config{AnswerID: func(h http.Header) string { return h.Get(headerID) }, KeepIdle: 10 * time.Second, DeadPeer: time.Second}, clock)
+	return New(Config{AnswerID: func(h http.Header) string { return h.Get(headerID) }, KeepIdle: 10 * time.Second, Dialer: DirectDialer{DeadPeer: time.Second}}, clock)
 }
 
 // testServer is a TCP server. A handler serves each connection and receives the number of the connection.
@@ -56,7 +56,7 @@
 }
 
 func (p *testServer) call(id, body string) *Call {
-	return &Call{Address: p.listener.Addr().String(), ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Body: []byte(body)}
+	return &Call{Target: Target{Address: p.listener.Addr().String()}, ID: id, Method: http.MethodPost, URI: "/x", Host: "h", Body: []byte(body)}
 }
 
 func (p *testServer) connections() int {
@@ -211,7 +211,7 @@
 	c.Assert(err, qt.IsNil)
 	address := listener.Addr().String()
 	listener.Close()
-	_, err = newClient(time.Now).Do(context.Background(), &Call{Address: address, ID: "1", Method: http.MethodGet, Target: "/", Host: "h"})
+	_, err = newClient(time.Now).Do(context.Background(), &Call{Target: Target{Address: address}, ID: "1", Method: http.MethodGet, URI: "/", Host: "h"})
 	c.Check(errors.Is(err, request.ErrNotSent), qt.IsTrue)
 	c.Check(err, qt.ErrorMatches, "(?s).*refused.*")
 }
