--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -7,7 +7,6 @@
 
 	"github.com/ansel1/merry/v2"
 	"golang.org/x/sys/unix"
-
 )
 
 // connect returns an idle connection that is still usable, or opens one.
