A host that has lost its path to endpoints connects through its peers

Cause: a host used its own path only. Each retry dialed another endpoint behind the same cut. Class of fault: one observer's failure is taken for that of what it observes.

Change: package tunnel. If the own path fails or is slow, a peer is asked to connect, and the connection leads through it. The path counts as lost if the peer connects and this host does not; calls then go through peers until it works again. A call whose connection is silent for 600 ms or breaks has the path checked. Failures over a lost path are neither reported to placement nor to the detector of poison requests.

Why it is safe: the host that accepted a request still owns it, and a tunnel is a connection to it: placement, limits, shares, tier, budget and deadline are as before, and a request counts as perhaps run from its first byte. A tunnel never leads through a third host. An answer without a length ends only with a message of the peer, not with its connection. A peer that stops waits for the tunnels that it carries. Older hosts answer that they don't know the call, and the next one is asked.

--- a/cmd/oxbowslip/doctor.go
+++ b/cmd/oxbowslip/doctor.go
@@ -89,6 +89,9 @@
 		if s.Hosts > 0 && s.Hosts < len(reports) {
 			add("has %d live hosts of %d in its membership; are heartbeats (UDP, the peers' address) blocked?", s.Hosts, len(reports))
 		}
+		if s.LostPaths > 0 {
+			add("reaches %d of %d endpoints only through other hosts; see OPERATIONS, \"A host has lost its path to endpoints\"", s.LostPaths, s.Endpoints)
+		}
 		for _, p := range s.Poison {
 			add("does not send the request %s: %d endpoints crashed while running it; `oxbowslip poison lift` once they are fixed", p.Key, len(p.Endpoints))
 		}
--- a/cmd/oxbowslip/doctor_test.go
+++ b/cmd/oxbowslip/doctor_test.go
@@ -31,6 +31,8 @@
 	rejected, leaving := healthy, healthy
 	rejected.Pushback = []operator.EndpointPushback{{Endpoint: "a", Rejects: 0.9}, {Endpoint: "b", Rest: time.Second}, {Endpoint: "c", Rejects: 0.1}}
 	leaving.Pushback = []operator.EndpointPushback{{Endpoint: "a", Leaving: true}}
+	cutOff, helps := healthy, healthy
+	cutOff.LostPaths, helps.Tunnels = 12, 3
 	leads := healthy
 	leads.Leader = &operator.Leader{Host: "b", Leads: true}
 	hasNoLeader := healthy
@@ -53,6 +55,8 @@
 		"a poison request":                                    {poison, nil, 1},
 		"endpoints reject or rest":                            {rejected, nil, 2},
 		"an endpoint is leaving":                              {leaving, nil, 0},
+		"paths to endpoints are lost":                         {cutOff, nil, 1},
+		"connects other hosts to endpoints":                   {helps, nil, 0},
 		"no answer":                                           {operator.Status{}, errors.New("refused"), 1},
 		"not ready at all":                                    {operator.Status{Problem: "no settings yet", Hosts: 2}, nil, 3},
 	}
--- a/cmd/oxbowslip/tool.go
+++ b/cmd/oxbowslip/tool.go
@@ -78,6 +78,12 @@
 		for _, p := range s.Pushback {
 			fmt.Fprintf(w, "endpoint %s %s\n\n", p.Endpoint, pushbackText(&p))
 		}
+		if s.LostPaths > 0 {
+			fmt.Fprintf(w, "has lost its own path to %d endpoints, their calls go through other hosts\n\n", s.LostPaths)
+		}
+		if s.Tunnels > 0 {
+			fmt.Fprintf(w, "connects other hosts to endpoints: %d connections\n\n", s.Tunnels)
+		}
 		for _, o := range s.OverShare {
 			fmt.Fprintf(w, "workspace %s is over its share of service %s: it asks for %.0f prompt tokens a second, its share is %.0f\n\n", cmp.Or(o.Workspace, "(public calls)"), o.Service, o.Asked, o.Share)
 		}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -37,10 +37,12 @@
 	PeerAnnouncements PeerTraffic = "introductions"
 	PeerSyncs         PeerTraffic = "news"
 	PeerMessages      PeerTraffic = "messages"
+	// PeerTunnels is what endpoints send to peers that connect through this host.
+	PeerTunnels PeerTraffic = "tunnels"
 )
 
 // PeerTrafficKinds lists all kinds.
-var PeerTrafficKinds = []PeerTraffic{PeerHeartbeats, PeerAnnouncements, PeerSyncs, PeerMessages}
+var PeerTrafficKinds = []PeerTraffic{PeerHeartbeats, PeerAnnouncements, PeerSyncs, PeerMessages, PeerTunnels}
 
 // StoreCallReason is the reason of a call to the deployment's store. The set is closed.
 type StoreCallReason string
--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -5,6 +5,11 @@
 // package gossip imports some of the packages that send messages, so these can't import it.
 package envelope
 
+import (
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc"
+)
+
 // Kind is the kind of a message. Numbers must not change. A host drops messages of unknown kinds, so new kinds are
 // compatible with older hosts.
 type Kind uint8
@@ -51,3 +56,14 @@
 
 // Handler handles a message, whose body is encoded as CBOR.
 type Handler func(from Sender, body []byte)
+
+// Encoding encodes the messages of calls between hosts as CBOR.
+type Encoding struct{}
+
+// Marshal encodes a message.
+func (Encoding) Marshal(message drpc.Message) ([]byte, error) { return cbor.Marshal(message) }
+
+// Unmarshal decodes a message.
+func (Encoding) Unmarshal(data []byte, message drpc.Message) error {
+	return cbor.Unmarshal(data, message)
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,6 +38,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/scaler"
 	"oxbowslip.dev/oxbowslip/internal/front/shares"
 	"oxbowslip.dev/oxbowslip/internal/front/slots"
+	"oxbowslip.dev/oxbowslip/internal/front/tunnel"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
@@ -141,6 +142,8 @@
 	Placer     *placement.Placer
 	Owner      *owner.Owner
 	Client     *upstream.Client
+	Paths      *tunnel.Dialer
+	Tunnels    *tunnel.Server
 	Gossip     *gossip.Gossip
 	Relay      *relay.Server
 	Followers  *followers
@@ -216,6 +219,7 @@
 func (h *Host) expire(context.Context) {
 	h.parts.Steady.DetectSuspension()
 	h.parts.Client.CloseExpired()
+	h.parts.Paths.Expire()
 	h.parts.Placer.Expire()
 	h.parts.Rests.Expire()
 	h.parts.Rejections.Expire()
@@ -335,16 +339,18 @@
 		h.unregister(ctx)
 	}()
 	h.parts.Leadership.resign()
+	h.parts.Tunnels.Leave()
 	// If ctx ends during the notice, DrainServer aborts the requests in flight immediately.
 	lifetime.Sleep(ctx, h.parts.Config.Drain.Notice)
 	cut := lifetime.DrainServer(ctx, h.callers, h.parts.Owner.Drain, stopMargin)
+	cutTunnels := h.parts.Tunnels.Drain(ctx)
 	h.parts.Gossip.Leave()
 	select {
 	case <-unregistered:
 	case <-time.After(stopMargin):
 	}
 	h.close()
-	h.log.WithField("cut", cut).Info("the host has stopped")
+	h.log.WithFields(logrus.Fields{"cut": cut, "tunnels_cut": cutTunnels}).Info("the host has stopped")
 	return nil
 }
 
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
+	"storj.io/drpc"
 
 	"oxbowslip.dev/oxbowslip/internal/clock"
 	"oxbowslip.dev/oxbowslip/internal/counters"
@@ -27,6 +29,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
 	"oxbowslip.dev/oxbowslip/internal/front/shares"
 	"oxbowslip.dev/oxbowslip/internal/front/slots"
+	"oxbowslip.dev/oxbowslip/internal/front/tunnel"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/front/usage"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
@@ -52,7 +55,9 @@
 			settings.NewHolder,
 			directory.New,
 			newFreshness,
-			newDialer,
+			newDirectDialer,
+			newTunnelDialer,
+			newTunnelServer,
 			newUpstreamClient,
 			newPlacer,
 			newSettingsSink,
@@ -138,9 +143,36 @@
 	deadPeerTimeout = time.Second
 )
 
-func newDialer() upstream.Dialer { return upstream.DirectDialer{DeadPeer: deadPeerTimeout} }
+func newDirectDialer() upstream.Dialer { return upstream.DirectDialer{DeadPeer: deadPeerTimeout} }
 
-func newUpstreamClient(deployment Deployment, dialer upstream.Dialer, clock func() time.Time) *upstream.Client {
+// tunnelParts are the dependencies of the dialer that connects through peers where this host's own path is lost.
+type tunnelParts struct {
+	fx.In
+
+	Config hostconfig.Host
+	Direct upstream.Dialer
+	Late   *lateParts
+	Log    *logrus.Logger
+	Clock  func() time.Time
+	Random func() float64
+}
+
+func newTunnelDialer(p tunnelParts) *tunnel.Dialer {
+	return tunnel.New(tunnel.Parts{
+		Direct: p.Direct, Peers: latePeers{p.Late}, Zone: p.Config.Zone,
+		PathLost: func(endpoint string) { p.Late.placer.Load().RecordSuccess(endpoint) },
+		Log:      logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random,
+	})
+}
+
+func newTunnelServer(direct upstream.Dialer, dialer *tunnel.Dialer, d *directory.Directory, c *counters.Counters) *tunnel.Server {
+	return tunnel.NewServer(tunnel.ServerParts{
+		Direct: direct, HasLostPath: dialer.HasLostPath, Endpoint: d.Lookup,
+		CountSent: func(bytes int) { c.CountPeerBytes(counters.PeerTunnels, bytes) },
+	})
+}
+
+func newUpstreamClient(deployment Deployment, dialer *tunnel.Dialer, clock func() time.Time) *upstream.Client {
 	return upstream.New(upstream.Config{AnswerID: deployment.Dialect.AnswerID, KeepIdle: endpointIdleTimeout, Dialer: dialer}, clock)
 }
 
@@ -243,6 +275,7 @@
 	Endpoints *peersync.Endpoints
 	Freshness *freshness.State
 	Network   gossip.Network
+	Tunnels   *tunnel.Server
 	Counters  *counters.Counters
 	Log       *logrus.Logger
 	Clock     func() time.Time
@@ -276,6 +309,7 @@
 		g.Handle(envelope.KindSlotReply, p.Slots.HandleReply)
 		g.Handle(envelope.KindSlotRelease, p.Slots.HandleRelease)
 	}
+	g.ServeStream(tunnel.RPC, p.Tunnels.Handle)
 	p.Late.gossip.Store(g)
 	p.Late.sync.Store(sync)
 	return g
@@ -397,6 +431,21 @@
 	l.gossip.Load().SendTo(host, kind, message)
 }
 
+// Peers returns the live hosts without this one, as those that may connect to endpoints for it.
+func (l latePeers) Peers() []tunnel.Peer {
+	members := l.gossip.Load().Live()
+	peers := make([]tunnel.Peer, 0, len(members))
+	for i := range members {
+		peers = append(peers, tunnel.Peer{Name: members[i].Name, Address: members[i].Address, Zone: members[i].Zone})
+	}
+	return peers
+}
+
+// OpenStream begins a call to the host at an address.
+func (l latePeers) OpenStream(ctx context.Context, address, rpc string) (drpc.Stream, func(), error) {
+	return l.gossip.Load().OpenStream(ctx, address, rpc)
+}
+
 // limiterParts are the dependencies of the limiter, which enforces the limits of endpoints.
 type limiterParts struct {
 	fx.In
--- a/internal/front/gossip/fetch.go
+++ b/internal/front/gossip/fetch.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
+	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
@@ -225,5 +226,31 @@
 	}
 	conn := drpcconn.New(raw)
 	defer conn.Close()
-	return merry.Wrap(conn.Invoke(ctx, rpc, encoding{}, request, response))
+	return merry.Wrap(conn.Invoke(ctx, rpc, envelope.Encoding{}, request, response))
+}
+
+// ServeStream sets the handler of a call. It must be called before Start.
+func (g *Gossip) ServeStream(rpc string, handler StreamHandler) { g.streams[rpc] = handler }
+
+// OpenStream begins a call to the host at an address, on a connection of its own. The call ends with ctx. Release closes
+// the connection and must be called.
+func (g *Gossip) OpenStream(ctx context.Context, address, rpc string) (stream drpc.Stream, release func(), err error) {
+	raw, err := g.parts.Network.Dial(ctx, address)
+	if err != nil {
+		return nil, nil, merry.Wrap(err)
+	}
+	conn := drpcconn.New(raw)
+	stream, err = conn.NewStream(ctx, rpc, envelope.Encoding{})
+	if err != nil {
+		conn.Close()
+		return nil, nil, merry.Wrap(err)
+	}
+	return stream, func() { conn.Close() }, nil
+}
+
+// Live returns the members.
+func (g *Gossip) Live() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Live()
 }
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -122,8 +122,9 @@
 
 	registration registration
 
-	// handlers and onJoin do not change after Start.
+	// handlers, streams and onJoin do not change after Start.
 	handlers map[envelope.Kind]envelope.Handler
+	streams  map[string]StreamHandler
 	onJoin   func(envelope.Sender)
 	packets  net.PacketConn
 	listener net.Listener
@@ -158,7 +159,7 @@
 		parts: parts, address: parts.Config.Address, started: now, joinedAt: now, startNanos: now.UnixNano(),
 		incarnation:     uint32(parts.Random() * math.MaxUint32),
 		heartbeatWanted: make(chan struct{}, 1), urgentWanted: make(chan struct{}, 1), confirmationWanted: make(chan struct{}, 1),
-		members: NewMembers(parts.Config.Name, parts.Config.Zone), handlers: make(map[envelope.Kind]envelope.Handler), onJoin: func(envelope.Sender) {},
+		members: NewMembers(parts.Config.Name, parts.Config.Zone), handlers: make(map[envelope.Kind]envelope.Handler), streams: make(map[string]StreamHandler), onJoin: func(envelope.Sender) {},
 	}
 	g.members.address = g.address
 	g.Handle(envelope.KindConfirmation, g.handleRestoredConfirmation)
@@ -236,7 +237,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	g.listener, g.packets, g.cancel = listener, packets, cancel
 	// Serve returns when ctx is cancelled, with no other error than that.
-	go func() { _ = drpcserver.New(newSyncHandler(g.parts.Host, g.parts.CountSent)).Serve(ctx, listener) }()
+	go func() {
+		_ = drpcserver.New(newCallHandler(g.parts.Host, g.streams, g.parts.CountSent)).Serve(ctx, listener)
+	}()
 	go g.receive()
 	return nil
 }
--- a/internal/front/gossip/messages.go
+++ b/internal/front/gossip/messages.go
@@ -3,9 +3,6 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"storj.io/drpc"
-
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
@@ -334,14 +331,3 @@
 
 // rpcSync is the name of the call that takes a SyncRequest. Hosts of older versions use it, so it must not change.
 const rpcSync = "oxbowslip/news"
-
-// encoding encodes the messages of drpc as CBOR.
-type encoding struct{}
-
-// Marshal encodes a message.
-func (encoding) Marshal(message drpc.Message) ([]byte, error) { return cbor.Marshal(message) }
-
-// Unmarshal decodes a message.
-func (encoding) Unmarshal(data []byte, message drpc.Message) error {
-	return cbor.Unmarshal(data, message)
-}
--- a/internal/front/gossip/sync.go
+++ b/internal/front/gossip/sync.go
@@ -7,6 +7,7 @@
 	"storj.io/drpc"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 )
 
@@ -29,36 +30,43 @@
 	return member.Directory > own.Directory
 }
 
-// syncHandler answers the calls of peers that lack a revision.
-type syncHandler struct {
+// StreamHandler serves a call that another package has added. It blocks until the call ends.
+type StreamHandler func(stream drpc.Stream) error
+
+// callHandler answers the calls of peers: those of hosts that lack a revision, and those that other packages have added.
+type callHandler struct {
 	host      Host
+	streams   map[string]StreamHandler
 	countSent func(kind counters.PeerTraffic, bytes int)
 	// snapshotSlots holds a token for each snapshot that is being sent.
 	snapshotSlots chan struct{}
 }
 
-func newSyncHandler(host Host, sent func(kind counters.PeerTraffic, bytes int)) syncHandler {
-	return syncHandler{host: host, countSent: sent, snapshotSlots: make(chan struct{}, maxSnapshots)}
+func newCallHandler(host Host, streams map[string]StreamHandler, sent func(kind counters.PeerTraffic, bytes int)) callHandler {
+	return callHandler{host: host, streams: streams, countSent: sent, snapshotSlots: make(chan struct{}, maxSnapshots)}
 }
 
 // errUnknownCall is the error for a call that this version does not have.
 const errUnknownCall = "unknown call"
 
 // HandleRPC answers one call.
-func (h syncHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+func (h callHandler) HandleRPC(stream drpc.Stream, rpc string) error {
 	switch rpc {
 	case rpcSync:
 		return h.answerSync(stream)
 	case rpcChanges:
 		return h.answerChanges(stream)
 	}
+	if handle, ok := h.streams[rpc]; ok {
+		return handle(stream)
+	}
 	return merry.Errorf("%s %q", errUnknownCall, rpc)
 }
 
 // answerSync answers a SyncRequest.
-func (h syncHandler) answerSync(stream drpc.Stream) error {
+func (h callHandler) answerSync(stream drpc.Stream) error {
 	var request SyncRequest
-	if err := stream.MsgRecv(&request, encoding{}); err != nil {
+	if err := stream.MsgRecv(&request, envelope.Encoding{}); err != nil {
 		return merry.Wrap(err)
 	}
 	response := h.host.Respond(request)
@@ -71,16 +79,16 @@
 		}
 	}
 	h.countSent(counters.PeerSyncs, response.size())
-	return merry.Wrap(stream.MsgSend(&response, encoding{}))
+	return merry.Wrap(stream.MsgSend(&response, envelope.Encoding{}))
 }
 
 // answerChanges answers a ChangesRequest.
-func (h syncHandler) answerChanges(stream drpc.Stream) error {
+func (h callHandler) answerChanges(stream drpc.Stream) error {
 	var request ChangesRequest
-	if err := stream.MsgRecv(&request, encoding{}); err != nil {
+	if err := stream.MsgRecv(&request, envelope.Encoding{}); err != nil {
 		return merry.Wrap(err)
 	}
 	response := h.host.Changes(request)
 	h.countSent(counters.PeerSyncs, len(response.Entries)+len(response.States))
-	return merry.Wrap(stream.MsgSend(&response, encoding{}))
+	return merry.Wrap(stream.MsgSend(&response, envelope.Encoding{}))
 }
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -85,7 +85,7 @@
 		if errors.Is(err, request.ErrNotSent) {
 			return owner.Result{Event: request.EventDialFailed, Err: err}
 		}
-		x.reportBroken(ctx, a, !x.policy.Stream)
+		x.reportBroken(ctx, a, err, !x.policy.Stream)
 		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	defer answer.Close()
@@ -117,16 +117,29 @@
 // reportFailure reports an endpoint's failure, unless the request itself was aborted. A stalled endpoint has failed
 // too.
 func (x *exchange) reportFailure(ctx context.Context, a *owner.Attempt, cause error) {
-	if ctx.Err() == nil || errors.Is(context.Cause(ctx), owner.ErrStalled) {
-		x.server.parts.Health.RecordFailure(a.EndpointID, !errors.Is(cause, request.ErrNotSent), cause)
+	isStalled := errors.Is(context.Cause(ctx), owner.ErrStalled)
+	if (ctx.Err() != nil && !isStalled) || errors.Is(cause, upstream.ErrPathLost) {
+		return
+	}
+	isReached := !errors.Is(cause, request.ErrNotSent)
+	report := func() { x.server.parts.Health.RecordFailure(a.EndpointID, isReached, cause) }
+	if isReached && !x.isTunneled && (isStalled || upstream.MayBePathLoss(cause)) {
+		x.server.parts.Client.ReportUnlessPathLost(x.target(a), report)
+		return
 	}
+	report()
+}
+
+// target returns the endpoint of an attempt.
+func (x *exchange) target(a *owner.Attempt) upstream.Target {
+	return upstream.Target{ID: a.EndpointID, Address: a.Endpoint.Address, Zone: a.Endpoint.Zone, ConnectTimeout: connectTimeout(&x.policy)}
 }
 
 // reportBroken reports a call that was sent and then broken by its endpoint, which may have crashed while running it.
 // Begun is set if the endpoint had begun to answer, and for every plain call, since its endpoint does not show when it
-// begins. A call that this host aborted is not reported.
-func (x *exchange) reportBroken(ctx context.Context, a *owner.Attempt, begun bool) {
-	if ctx.Err() == nil {
+// begins. A call that this host aborted, or whose path it lost, is not reported.
+func (x *exchange) reportBroken(ctx context.Context, a *owner.Attempt, cause error, begun bool) {
+	if ctx.Err() == nil && !errors.Is(cause, upstream.ErrPathLost) {
 		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Request: x.key, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun})
 	}
 }
@@ -155,20 +168,19 @@
 		header.Set(headerLastEventID, x.stream.lastID)
 	}
 	return &upstream.Call{
-		Target: upstream.Target{ID: a.EndpointID, Address: a.Endpoint.Address, Zone: a.Endpoint.Zone},
-		ID:     x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
-		Header: header, Body: x.body, ConnectTimeout: connectTimeout(&x.policy), OnSend: x.onSend(a),
+		Target: x.target(a), ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
+		Header: header, Body: x.body, MayAbandon: mayTryElsewhere(&x.policy, a), OnSend: x.onSend(a),
 	}
 }
 
 // onSend returns the function that decides, once the connection is open, whether an attempt is sent.
-func (x *exchange) onSend(a *owner.Attempt) func() bool {
-	return func() bool {
+func (x *exchange) onSend(a *owner.Attempt) func(isTunneled bool) bool {
+	return func(isTunneled bool) bool {
 		// Connecting may take a second, during which the endpoint may have reported that it is leaving.
 		if !a.MaySend() {
 			return false
 		}
-		x.sentAt = x.server.parts.Clock.Now()
+		x.sentAt, x.isTunneled = x.server.parts.Clock.Now(), isTunneled
 		a.RecordSend()
 		return true
 	}
@@ -183,7 +195,7 @@
 	}
 	if err != nil {
 		x.reportFailure(ctx, a, err)
-		x.reportBroken(ctx, a, true)
+		x.reportBroken(ctx, a, err, true)
 		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	held := &httprelay.HeldAnswer{Status: answer.Status, Header: answer.Header, Body: body}
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -39,8 +39,9 @@
 	stream streamState
 	// isCounted is set once Meter has counted the request.
 	isCounted bool
-	// sentAt is when the last attempt was sent.
-	sentAt time.Time
+	// sentAt is when the last attempt was sent, isTunneled whether it was sent through a peer.
+	sentAt     time.Time
+	isTunneled bool
 	// signal is the state that the endpoint of the last answer reported.
 	signal pushback.Signal
 	// answer is the complete answer for the caller, serverError an endpoint's server error that is forwarded if no
--- a/internal/front/relay/log.go
+++ b/internal/front/relay/log.go
@@ -41,6 +41,9 @@
 	if x.signal.Limit.IsSet {
 		fields["endpoint_limit"] = x.signal.Limit.PerSecond
 	}
+	if x.isTunneled {
+		fields["tunneled"] = true
+	}
 	if leftOut > 0 {
 		fields["lines_left_out"] = leftOut
 	}
--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -24,9 +24,14 @@
 	minPromptTokensPerMS = 9
 )
 
+// mayTryElsewhere reports whether an attempt may be given up, to be made at another endpoint.
+func mayTryElsewhere(policy *settings.Policy, a *owner.Attempt) bool {
+	return policy.Repeatable && a.Number < policy.MaxTries
+}
+
 // answerTimeout returns how long an endpoint may take to begin its answer, or 0 if there is no limit.
 func answerTimeout(policy *settings.Policy, a *owner.Attempt) time.Duration {
-	if !policy.Repeatable || a.Number >= policy.MaxTries {
+	if !mayTryElsewhere(policy, a) {
 		return 0
 	}
 	if policy.Stream {
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -63,7 +63,7 @@
 	}
 	if err := scanner.Err(); err != nil {
 		x.reportFailure(ctx, a, err)
-		x.reportBroken(ctx, a, true)
+		x.reportBroken(ctx, a, err, true)
 		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	x.reportAnswered(a)
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -65,6 +65,7 @@
 	}
 	status.Poison = h.poison()
 	status.Pushback = h.pushback()
+	status.LostPaths, status.Tunnels = h.parts.Paths.Lost(), h.parts.Tunnels.Served()
 	status.OverShare = h.overShare()
 	status.Leader = h.parts.Leadership.state()
 	return status
--- /dev/null
+++ b/internal/front/upstream/check.go
@@ -0,0 +1,178 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// silenceLimit is how long a connection may be silent during a call before the path to its endpoint is checked, and
+	// recheckSilence how often it is checked again. Most endpoints answer or send an event sooner.
+	silenceLimit   = 600 * time.Millisecond
+	recheckSilence = time.Second
+	// checkTimeout bounds connecting over one path in a check. With silenceLimit it is a second, the time that an endpoint
+	// may be silent before a call that may be repeated is sent elsewhere.
+	checkTimeout = 400 * time.Millisecond
+)
+
+// ErrPathLost is the error of a call whose connection this host has lost although its endpoint can be reached, by a peer
+// or through another one. The endpoint has not failed.
+var ErrPathLost = merry.Sentinel("path to the endpoint lost")
+
+// errUnreachable is the error of a call that was given up since nobody reaches its silent endpoint.
+var errUnreachable = merry.Sentinel("the endpoint is silent and can't be reached")
+
+// Reach is how an endpoint can be reached.
+type Reach uint8
+
+// The ways.
+const (
+	// Unreachable: neither this host nor a peer can connect.
+	Unreachable Reach = iota
+	// ReachedDirectly: this host can connect.
+	ReachedDirectly
+	// ReachedByPeer: a peer can connect, and this host can't.
+	ReachedByPeer
+)
+
+// check finds out how an endpoint can be reached. Its other fields are set when done is closed.
+type check struct {
+	done  chan struct{}
+	reach Reach
+	err   error
+}
+
+// startCheck starts a check, or joins the one that is under way. Its connection is kept for a later call.
+func (c *Client) startCheck(target Target) *check {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if running, ok := c.checks[target.Address]; ok {
+		return running
+	}
+	started := &check{done: make(chan struct{})}
+	c.checks[target.Address] = started
+	go c.runCheck(started, target)
+	return started
+}
+
+func (c *Client) runCheck(k *check, target Target) {
+	target.ConnectTimeout = checkTimeout
+	conn, reach, err := c.config.Dialer.Check(context.Background(), target)
+	if err == nil {
+		c.putUnused(target.Address, c.newConnection(conn))
+	}
+	k.reach, k.err = reach, err
+	c.mu.Lock()
+	delete(c.checks, target.Address)
+	c.mu.Unlock()
+	close(k.done)
+}
+
+// HasExited reports whether the process of an endpoint has exited: its machine refuses connections. If it connects, the
+// connection is kept for a later call. It returns when ctx ends at the latest. An error means that the state of the
+// process is unknown.
+func (c *Client) HasExited(ctx context.Context, endpoint, address string) (bool, error) {
+	k := c.startCheck(Target{ID: endpoint, Address: address})
+	select {
+	case <-k.done:
+	case <-ctx.Done():
+		return false, merry.Wrap(ctx.Err())
+	}
+	switch {
+	case errors.Is(k.err, unix.ECONNREFUSED):
+		return true, nil
+	case k.err != nil:
+		return false, merry.Wrap(k.err)
+	}
+	return false, nil
+}
+
+// ReportUnlessPathLost checks the path to an endpoint after a call over this host's own path has failed, and then calls
+// report unless the path is lost. It does not block.
+func (c *Client) ReportUnlessPathLost(target Target, report func()) {
+	k := c.startCheck(target)
+	go func() {
+		<-k.done
+		if k.reach != ReachedByPeer {
+			report()
+		}
+	}()
+}
+
+// MayBePathLoss reports whether the loss of a path may be the cause of an error.
+func MayBePathLoss(err error) bool {
+	var network net.Error
+	return errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, net.ErrClosed) || errors.Is(err, syscall.EPIPE)
+}
+
+// watchSilence checks the path to the endpoint each time that the call's connection is silent for too long.
+func (x *exchange) watchSilence(call *Call) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.silence = time.AfterFunc(silenceLimit, func() { x.handleSilence(call) })
+}
+
+func (x *exchange) handleSilence(call *Call) {
+	if left := silenceLimit - x.conn.silentFor(); left > 0 {
+		x.rearm(left)
+		return
+	}
+	k := x.client.startCheck(call.Target)
+	<-k.done
+	if call.MayAbandon && x.conn.silentFor() >= silenceLimit {
+		switch k.reach {
+		case ReachedByPeer:
+			x.abortWith(ErrPathLost)
+		case Unreachable:
+			x.abortWith(errUnreachable)
+		}
+	}
+	x.rearm(recheckSilence)
+}
+
+func (x *exchange) rearm(after time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.isEnded {
+		x.silence.Reset(after)
+	}
+}
+
+// abortWith closes the connection, upon which the call fails with err.
+func (x *exchange) abortWith(err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.isEnded {
+		return
+	}
+	x.aborted = err
+	x.conn.Close()
+}
+
+// endWatch ends the checks.
+func (x *exchange) endWatch() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.isEnded = true
+	if x.silence != nil {
+		x.silence.Stop()
+	}
+}
+
+// cause returns the error with which the call was aborted, or err.
+func (x *exchange) cause(err error) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.aborted != nil {
+		return merry.Wrap(x.aborted)
+	}
+	return err
+}
--- a/internal/front/upstream/connection.go
+++ b/internal/front/upstream/connection.go
@@ -2,10 +2,11 @@
 
 import (
 	"bufio"
-	"net"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -22,10 +23,22 @@
 // endpoint may close it slightly early, and a call that is sent at the same time fails.
 const idleTimeShare = 0.6
 
+// tunnel is a connection through a peer.
+type tunnel interface {
+	IsTunnel() bool
+	// IsQuiet reports whether the tunnel is open and has no unread bytes.
+	IsQuiet() bool
+}
+
 // connection is a connection to an endpoint with its read buffer.
 type connection struct {
-	net.Conn
+	io.ReadWriteCloser
 	reader *bufio.Reader
+	clock  func() time.Time
+
+	mu sync.Mutex
+	// activeAt is when bytes last arrived, or when the current call was sent.
+	activeAt time.Time
 	// isLast is set if the endpoint closes the connection after its current answer.
 	isLast bool
 	// expires is when an idle connection must no longer be used.
@@ -54,9 +67,46 @@
 	return 0, false
 }
 
+// Read reads bytes and records that they have arrived.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.ReadWriteCloser.Read(p)
+	if n > 0 {
+		c.recordActivity()
+	}
+	return n, err
+}
+
+func (c *connection) recordActivity() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.activeAt = c.clock()
+}
+
+// silentFor returns the time since bytes last arrived or the current call was sent.
+func (c *connection) silentFor() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.clock().Sub(c.activeAt)
+}
+
+// isTunnel reports whether the connection leads through a peer.
+func (c *connection) isTunnel() bool {
+	t, ok := c.ReadWriteCloser.(tunnel)
+	return ok && t.IsTunnel()
+}
+
+// hasEndedTunnel reports whether the connection leads through a peer that no longer keeps it open for calls.
+func (c *connection) hasEndedTunnel() bool {
+	t, ok := c.ReadWriteCloser.(tunnel)
+	return ok && t.IsTunnel() && !t.IsQuiet()
+}
+
 // isQuiet reports whether an idle connection is open and has no unread bytes. Such bytes belong to no call.
 func (c *connection) isQuiet() bool {
-	holder, ok := c.Conn.(syscall.Conn)
+	if c.isTunnel() {
+		return !c.hasEndedTunnel()
+	}
+	holder, ok := c.ReadWriteCloser.(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/front/upstream/dial.go
+++ b/internal/front/upstream/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"time"
 
@@ -15,12 +16,18 @@
 	Address string
 	// Zone is the endpoint's availability zone.
 	Zone string
+	// ConnectTimeout bounds the time to connect over one path.
+	ConnectTimeout time.Duration
 }
 
 // Dialer opens connections to endpoints.
 type Dialer interface {
-	// Dial opens a connection. It returns when ctx ends at the latest.
-	Dial(ctx context.Context, target Target) (net.Conn, error)
+	// Dial opens a connection. It returns soon after ctx ends.
+	Dial(ctx context.Context, target Target) (io.ReadWriteCloser, error)
+	// Check opens a connection to find out how an endpoint can be reached. The connection is nil if it can't.
+	Check(ctx context.Context, target Target) (io.ReadWriteCloser, Reach, error)
+	// MayReuse reports whether a call may be sent on an idle connection to an endpoint.
+	MayReuse(conn io.ReadWriteCloser, target Target) bool
 }
 
 // DirectDialer is the Dialer that connects to endpoints over this host's own network.
@@ -31,12 +38,30 @@
 }
 
 // Dial opens a TCP connection.
-func (d DirectDialer) Dial(ctx context.Context, target Target) (net.Conn, error) {
+func (d DirectDialer) Dial(ctx context.Context, target Target) (io.ReadWriteCloser, error) {
 	dialer := &net.Dialer{
+		Timeout: target.ConnectTimeout,
 		Control: deadpeer.Control(d.DeadPeer),
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
 		},
 	}
-	return dialer.DialContext(ctx, "tcp", target.Address)
+	conn, err := dialer.DialContext(ctx, "tcp", target.Address)
+	if err != nil {
+		// A nil *net.TCPConn in the interface would not be nil.
+		return nil, err
+	}
+	return conn, nil
 }
+
+// Check opens a TCP connection.
+func (d DirectDialer) Check(ctx context.Context, target Target) (io.ReadWriteCloser, Reach, error) {
+	conn, err := d.Dial(ctx, target)
+	if err != nil {
+		return nil, Unreachable, err
+	}
+	return conn, ReachedDirectly, nil
+}
+
+// MayReuse allows all connections.
+func (d DirectDialer) MayReuse(io.ReadWriteCloser, Target) bool { return true }
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -3,10 +3,7 @@
 import (
 	"bufio"
 	"context"
-	"errors"
-
-	"github.com/ansel1/merry/v2"
-	"golang.org/x/sys/unix"
+	"io"
 )
 
 // connect returns an idle connection that is still usable, or opens one.
@@ -16,7 +13,7 @@
 		if conn == nil {
 			return c.dial(ctx, call)
 		}
-		if c.clock().Before(conn.expires) && conn.isQuiet() {
+		if c.clock().Before(conn.expires) && c.config.Dialer.MayReuse(conn.ReadWriteCloser, call.Target) && conn.isQuiet() {
 			return conn, nil
 		}
 		conn.Close()
@@ -24,35 +21,24 @@
 }
 
 func (c *Client) dial(ctx context.Context, call *Call) (*connection, error) {
-	timeout := call.ConnectTimeout
-	if timeout == 0 {
-		timeout = defaultConnectTimeout
+	target := call.Target
+	if target.ConnectTimeout == 0 {
+		target.ConnectTimeout = defaultConnectTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	conn, err := c.config.Dialer.Dial(ctx, call.Target)
+	conn, err := c.config.Dialer.Dial(ctx, target)
 	if err != nil {
 		return nil, err
 	}
+	return c.newConnection(conn), nil
+}
+
+func (c *Client) newConnection(conn io.ReadWriteCloser) *connection {
 	c.mu.Lock()
 	c.dials++
 	c.mu.Unlock()
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufBytes)}, nil
-}
-
-// HasExited reports whether the process of an endpoint has exited: the machine refuses connections. If it connects, the
-// connection is kept for a later call. It returns when ctx ends at the latest. An error means that the state of the
-// process is unknown.
-func (c *Client) HasExited(ctx context.Context, endpoint, address string) (bool, error) {
-	conn, err := c.dial(ctx, &Call{Target: Target{ID: endpoint, Address: address}})
-	switch {
-	case errors.Is(err, unix.ECONNREFUSED):
-		return true, nil
-	case err != nil:
-		return false, merry.Wrap(err)
-	}
-	c.putUnused(address, conn)
-	return false, nil
+	connection := &connection{ReadWriteCloser: conn, clock: c.clock}
+	connection.reader = bufio.NewReaderSize(connection, readBufBytes)
+	return connection
 }
 
 // putUnused keeps a connection on which no call was sent for a later call.
@@ -85,7 +71,7 @@
 	c.idle[address] = append(c.idle[address], conn)
 }
 
-// CloseExpired closes the idle connections that have expired.
+// CloseExpired closes the idle connections that have expired, and the idle tunnels that have ended.
 func (c *Client) CloseExpired() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -93,7 +79,7 @@
 	for address, kept := range c.idle {
 		fresh := kept[:0]
 		for _, conn := range kept {
-			if now.Before(conn.expires) {
+			if now.Before(conn.expires) && !conn.hasEndedTunnel() {
 				fresh = append(fresh, conn)
 				continue
 			}
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -36,7 +36,7 @@
 	// maxIdlePerAddress bounds the idle connections to an endpoint. Endpoints accept 100 to 370 connections from all
 	// hosts together.
 	maxIdlePerAddress = 16
-	// defaultConnectTimeout is the connect timeout of calls that set none.
+	// defaultConnectTimeout is the connect timeout of targets that set none.
 	defaultConnectTimeout = time.Second
 )
 
@@ -51,11 +51,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// ConnectTimeout bounds the time to open a connection; 0 means one second.
-	ConnectTimeout time.Duration
-	// OnSend is called when the connection is open, before the first byte is written. If it returns false, the call is
-	// not sent.
-	OnSend func() bool
+	// MayAbandon is set if the call may be given up, to be sent to another endpoint, when its path is lost.
+	MayAbandon bool
+	// OnSend is called when the connection is open, before the first byte is written. IsTunneled is set if it leads
+	// through a peer. If it returns false, the call is not sent.
+	OnSend func(isTunneled bool) bool
 }
 
 // Answer is an endpoint's answer, of which the head has arrived. Close must be called.
@@ -85,15 +85,17 @@
 	config Config
 	clock  func() time.Time
 
-	mu     sync.Mutex
-	idle   map[string][]*connection
+	mu   sync.Mutex
+	idle map[string][]*connection
+	// checks holds the check that is under way for each address.
+	checks map[string]*check
 	closed bool
 	dials  uint64
 }
 
 // New returns a Client without connections.
 func New(config Config, clock func() time.Time) *Client {
-	return &Client{config: config, clock: clock, idle: make(map[string][]*connection)}
+	return &Client{config: config, clock: clock, idle: make(map[string][]*connection), checks: make(map[string]*check)}
 }
 
 // Close closes the idle connections and keeps no more.
@@ -130,16 +132,21 @@
 	if err != nil {
 		return nil, merry.Wrap(request.ErrNotSent, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
-	if call.OnSend != nil && !call.OnSend() {
+	if call.OnSend != nil && !call.OnSend(conn.isTunnel()) {
 		c.putUnused(call.Target.Address, conn)
 		return nil, merry.Wrap(ErrWithheld)
 	}
 	x := &exchange{client: c, conn: conn, address: call.Target.Address, writeResult: make(chan error, 1)}
 	x.stopAbort = context.AfterFunc(ctx, func() { conn.Close() })
+	conn.recordActivity()
 	x.write(wire)
+	if !conn.isTunnel() {
+		x.watchSilence(call)
+	}
 	answer, err := x.readAnswer(call)
 	if err != nil {
 		x.abandon()
+		err = x.cause(err)
 		return nil, merry.Wrap(request.ErrBroken, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	return answer, nil
@@ -179,6 +186,12 @@
 	address     string
 	stopAbort   func() bool
 	writeResult chan error
+
+	mu sync.Mutex
+	// silence checks the path when the connection is silent. Aborted is the error with which the call was aborted.
+	silence *time.Timer
+	aborted error
+	isEnded bool
 }
 
 // write writes the call, in the background if it is large.
@@ -233,6 +246,7 @@
 
 // abandon closes the connection, upon which the endpoint aborts the call.
 func (x *exchange) abandon() {
+	x.endWatch()
 	x.stopAbort()
 	x.conn.Close()
 }
@@ -242,6 +256,10 @@
 	n, err := a.body.Read(p)
 	if err == io.EOF {
 		a.isComplete = true
+		return n, err
+	}
+	if err != nil {
+		err = a.exchange.cause(err)
 	}
 	return n, err
 }
@@ -249,6 +267,7 @@
 // Close ends the exchange. The connection is kept if the complete answer was read and no further bytes are buffered.
 func (a *Answer) Close() {
 	x := a.exchange
+	x.endWatch()
 	if !x.stopAbort() || !a.isComplete || !a.Framed || x.conn.isLast || x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
--- a/internal/front/upstream/upstream_test.go
+++ b/internal/front/upstream/upstream_test.go
@@ -180,7 +180,7 @@
 			p := startTestServer(c, answers(test.text))
 			sent := false
 			call := p.call("1", "hello")
-			call.OnSend = func() bool { sent = true; return true }
+			call.OnSend = func(bool) bool { sent = true; return true }
 			_, err := p.do(client, call)
 			c.Check(errors.Is(err, test.want), qt.IsTrue, qt.Commentf("%v", err))
 			c.Check(sent, qt.IsTrue)
@@ -195,7 +195,7 @@
 	client := newClient(time.Now)
 	p := startTestServer(c, answers("HTTP/1.1 200 OK\r\nX-Call: 2\r\nContent-Length: 1\r\n\r\nb"))
 	call := p.call("1", "hello")
-	call.OnSend = func() bool { return false }
+	call.OnSend = func(bool) bool { return false }
 	_, err := p.do(client, call)
 	c.Check(errors.Is(err, ErrWithheld), qt.IsTrue, qt.Commentf("%v", err))
 	// The server answers the first call that it reads.
@@ -279,7 +279,7 @@
 	conn, err := newClient(time.Now).dial(context.Background(), p.call("1", ""))
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
-	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.ReadWriteCloser.(*net.TCPConn).SyscallConn()
 	c.Assert(err, qt.IsNil)
 	option := func(name int) (value int) {
 		c.Assert(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }), qt.IsNil)
--- a/internal/operator/golden_test.go
+++ b/internal/operator/golden_test.go
@@ -33,7 +33,7 @@
 	}}},
 	Schedulers: map[string]string{"shard": "host-2"}, Refusals: map[string]uint64{"no_room": 10}, Hosts: 11, Directory: 12, Endpoints: 13,
 	Ejected: []string{"e2"}, Now: goldenTime, Leader: &Leader{Host: "h", Token: 14, Left: time.Second, Reported: 15, Leads: true}, Poison: []PoisonRequest{{Key: "0f", Endpoints: []string{"0e"}, Left: time.Minute}},
-	Pushback: []EndpointPushback{{Endpoint: "e3", Leaving: true, Rest: time.Second, Rejects: 0.5}},
+	Pushback: []EndpointPushback{{Endpoint: "e3", Leaving: true, Rest: time.Second, Rejects: 0.5}}, LostPaths: 16, Tunnels: 17,
 }
 
 // goldenServer returns a server that serves fixed values. The ID of a change selects the error of Accept.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -76,6 +76,10 @@
 	Poison []PoisonRequest `json:"poison,omitzero"`
 	// Pushback are the endpoints, by ID, that are leaving, resting, rejecting requests or slow.
 	Pushback []EndpointPushback `json:"pushback,omitzero"`
+	// LostPaths is the number of endpoints that this host only reaches through a peer, Tunnels the number of connections
+	// to endpoints that it serves for peers.
+	LostPaths int `json:"lost_paths,omitzero"`
+	Tunnels   int `json:"tunnels,omitzero"`
 	// OverShare are the workspaces that are over their share of a service that is short of capacity.
 	OverShare []WorkspaceShare `json:"over_share,omitzero"`
 }
