upstream: an endpoint that is silent for a second keeps its connections

Cause: TCP_USER_TIMEOUT was 1 s, so bytes that are unacknowledged for a second broke the connection; and a set TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count: after 2 s, not 3. With a byte up to a second before the silence, 1 s of it was enough.

Change: 3 s for both, in package deadpeer, also for connections between hosts, which had no options: a tunnel whose host has lost power would have kept its endpoint working. Calls that may be repeated are still given up after a second: a silent connection is checked after 600 ms, and an endpoint that neither this host nor a peer reaches within 400 ms counts as gone. A tunnel to an endpoint that nobody reaches is given up after the connect timeout unless a path was lost shortly before.

Store and provider: their connections are idle for 1 s at most and calls are bounded by 1.5 s or the time that the store holds them, below the 15 s before the first probe, so the option changes nothing there (read, not tested).

--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -137,13 +137,9 @@
 	// endpointIdleTimeout is how long an idle connection to an endpoint is kept if the endpoint states no keep-alive
 	// timeout. The users' servers close idle connections after some seconds.
 	endpointIdleTimeout = 3 * time.Second
-	// deadPeerTimeout is how long an endpoint's machine may leave sent bytes unacknowledged: a machine that has lost
-	// power or is isolated by a network fault resets no connections. On the users' sites, the shortest target of a call
-	// is 150 ms and the shortest deadline 1 s.
-	deadPeerTimeout = time.Second
 )
 
-func newDirectDialer() upstream.Dialer { return upstream.DirectDialer{DeadPeer: deadPeerTimeout} }
+func newDirectDialer() upstream.Dialer { return upstream.DirectDialer{} }
 
 // tunnelParts are the dependencies of the dialer that connects through peers where this host's own path is lost.
 type tunnelParts struct {
--- a/internal/front/gossip/network.go
+++ b/internal/front/gossip/network.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net"
+	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/deadpeer"
 )
 
 // Network connects a host to its peers: connections for syncs, datagrams for heartbeats. Addresses have the form
@@ -17,8 +20,14 @@
 // IPNetwork is the Network of the operating system: TCP and UDP.
 type IPNetwork struct{}
 
+// deadPeerTimeout is how long a host may be silent before a connection to it breaks. Tunnels are open for long, and an
+// endpoint must not go on working for a host that has lost power.
+const deadPeerTimeout = 3 * time.Second
+
 // Listen listens for TCP connections.
-func (IPNetwork) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+func (IPNetwork) Listen(address string) (net.Listener, error) {
+	return deadpeer.ListenConfig(deadPeerTimeout).Listen(context.Background(), "tcp", address)
+}
 
 // ListenPacket listens for UDP datagrams.
 func (IPNetwork) ListenPacket(address string) (net.PacketConn, error) {
@@ -27,6 +36,5 @@
 
 // Dial opens a TCP connection.
 func (IPNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
-	var dialer net.Dialer
-	return dialer.DialContext(ctx, "tcp", address)
+	return deadpeer.Dialer(deadPeerTimeout).DialContext(ctx, "tcp", address)
 }
--- a/internal/front/tunnel/dialer.go
+++ b/internal/front/tunnel/dialer.go
@@ -31,9 +31,9 @@
 	maxAsked      = 12
 	// helperHedge is the time without a result after which twice as many peers are asked as well.
 	helperHedge = 40 * time.Millisecond
-	// minTunnelTimeout is the least time for opening a tunnel, which takes two round trips to the peer and one to the
-	// endpoint.
-	minTunnelTimeout = 250 * time.Millisecond
+	// minAlertTimeout is the least time for opening a tunnel while paths are lost. Otherwise it is the connect timeout, so
+	// that a request to an endpoint that nobody reaches is sent elsewhere soon.
+	minAlertTimeout = 250 * time.Millisecond
 	// maxPathLines bounds the log lines per second about lost and restored paths.
 	maxPathLines = 5
 )
@@ -205,6 +205,14 @@
 	return ownErr
 }
 
+// tunnelTimeout returns how long to try to open a tunnel.
+func (d *Dialer) tunnelTimeout(connectTimeout time.Duration) time.Duration {
+	if d.isAlert() {
+		return max(connectTimeout, minAlertTimeout)
+	}
+	return connectTimeout
+}
+
 func (d *Dialer) isAlert() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -222,7 +230,8 @@
 func (d *Dialer) startTunnel(ctx context.Context, target upstream.Target, peers []Peer) <-chan attempt {
 	result := make(chan attempt, 1)
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, max(target.ConnectTimeout, minTunnelTimeout))
+		target.ConnectTimeout = d.tunnelTimeout(target.ConnectTimeout)
+		ctx, cancel := context.WithTimeout(ctx, target.ConnectTimeout)
 		defer cancel()
 		conn, err := d.dialThrough(ctx, target, peers)
 		result <- attempt{conn, err}
@@ -437,7 +446,7 @@
 
 // exchangeOpen asks a peer for a tunnel on a new stream.
 func exchangeOpen(stream drpc.Stream, peer *Peer, target upstream.Target) error {
-	request := OpenRequest{Endpoint: target.ID, Address: target.Address, Timeout: max(target.ConnectTimeout, minTunnelTimeout)}
+	request := OpenRequest{Endpoint: target.ID, Address: target.Address, Timeout: target.ConnectTimeout}
 	var reply OpenReply
 	err := stream.MsgSend(&request, envelope.Encoding{})
 	if err == nil {
--- a/internal/front/upstream/connection.go
+++ b/internal/front/upstream/connection.go
@@ -13,12 +13,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// The kernel's probes of an idle connection, by which a connection to a dead machine breaks within three seconds.
-const (
-	keepAlivePeriod = time.Second
-	keepAliveProbes = 2
-)
-
 // idleTimeShare is the fraction of an endpoint's keep-alive timeout during which an idle connection is reused. The
 // endpoint may close it slightly early, and a call that is sent at the same time fails.
 const idleTimeShare = 0.6
--- a/internal/front/upstream/dial.go
+++ b/internal/front/upstream/dial.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/deadpeer"
@@ -30,22 +29,18 @@
 	MayReuse(conn io.ReadWriteCloser, target Target) bool
 }
 
+// deadPeerTimeout is how long an endpoint's machine may be silent before a connection to it breaks. A sound endpoint may be
+// silent for a second or so, and a call that may run once only would be lost. Other calls are given up earlier
+// (silenceLimit, checkTimeout).
+const deadPeerTimeout = 3 * time.Second
+
 // DirectDialer is the Dialer that connects to endpoints over this host's own network.
-type DirectDialer struct {
-	// DeadPeer is how long an endpoint's machine may leave sent bytes unacknowledged before a connection breaks; 0 means
-	// the default of the operating system.
-	DeadPeer time.Duration
-}
+type DirectDialer struct{}
 
 // Dial opens a TCP connection.
 func (d DirectDialer) Dial(ctx context.Context, target Target) (io.ReadWriteCloser, error) {
-	dialer := &net.Dialer{
-		Timeout: target.ConnectTimeout,
-		Control: deadpeer.Control(d.DeadPeer),
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
-		},
-	}
+	dialer := deadpeer.Dialer(deadPeerTimeout)
+	dialer.Timeout = target.ConnectTimeout
 	conn, err := dialer.DialContext(ctx, "tcp", target.Address)
 	if err != nil {
 		// A nil *net.TCPConn in the interface would not be nil.
