Endpoints that crash if they reject too many requests are kept from it

What callers would see: since 3 December endpoints may say in their answers that they are brittle (Server-Brittle: N): one that has to turn more than N requests away in a second falls over, and its callers with it (LIMIT).

Cause: the header was not read, and no host knows what the others send to an endpoint that is full.

Change: a brittle endpoint gets nothing beyond 0.9 of its slots by the loads of all hosts.

Why it is safe: without the header nothing changes (an atomic load a grant).

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -68,13 +68,15 @@
 	SignalRejected Signal = "rejected"
 	SignalRest     Signal = "rest"
 	SignalFailed   Signal = "failed"
+	// SignalBrittle means that the endpoint crashes if it has to reject too many requests.
+	SignalBrittle Signal = "brittle"
 	// SignalLimit is a valid limit. SignalMalformedLimit is a limit that can't be parsed.
 	SignalLimit          Signal = "limit"
 	SignalMalformedLimit Signal = "malformed_limit"
 )
 
 // Signals lists all signals.
-var Signals = []Signal{SignalLeaving, SignalRejected, SignalRest, SignalFailed, SignalLimit, SignalMalformedLimit}
+var Signals = []Signal{SignalLeaving, SignalRejected, SignalRest, SignalFailed, SignalBrittle, SignalLimit, SignalMalformedLimit}
 
 // PermitResult is the result of asking for a permit to send a request to a limited endpoint. The set is closed.
 type PermitResult string
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -153,6 +153,7 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limits     *pushback.Limits
+	Brittle    *pushback.Brittle
 	Limiter    *ratelimit.Limiter
 	Shares     *shares.Exchange
 	// Pace is nil unless the host's file selects it.
@@ -225,6 +226,7 @@
 	h.parts.Rejections.Expire()
 	h.parts.Failures.Expire()
 	h.parts.Limits.Expire()
+	h.parts.Brittle.Expire()
 	h.parts.Limiter.Expire()
 	if h.parts.Shares != nil {
 		h.parts.Shares.Expire()
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -71,6 +71,7 @@
 			pushback.NewRejections,
 			pushback.NewFailures,
 			pushback.NewLimits,
+			pushback.NewBrittle,
 			ratelimit.NewLender,
 			newLimiter,
 			newShares,
@@ -182,6 +183,7 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
+	Brittle    *pushback.Brittle
 	Shares     *shares.Exchange
 	// Pace is nil unless the host's file selects it.
 	Pace   *pace.Exchanger
@@ -194,7 +196,7 @@
 
 func newPlacer(p placerParts) *placement.Placer {
 	parts := placement.Parts{
-		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter, Shares: p.Shares, Slots: p.Slots,
+		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter, Brittle: p.Brittle, Shares: p.Shares, Slots: p.Slots,
 		Finish: p.Config.Overload.Finish, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
 	}
 	if p.Pace != nil {
@@ -385,6 +387,7 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limits     *pushback.Limits
+	Brittle    *pushback.Brittle
 	Gossip     *gossip.Gossip
 	Log        *logrus.Logger
 	Clock      func() time.Time
@@ -393,7 +396,7 @@
 
 func newPushbackTracker(p pushbackTrackerParts) *pushback.Tracker {
 	tracker := pushback.New(pushback.Parts{
-		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limits: p.Limits, Peers: p.Gossip,
+		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limits: p.Limits, Brittle: p.Brittle, Peers: p.Gossip,
 		Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random,
 	})
 	p.Gossip.Handle(envelope.KindLeaving, func(from envelope.Sender, body []byte) { tracker.HandleLeaving(from.Host, body) })
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -21,6 +21,7 @@
 		"oxbowslip_endpoints_resting":         func() float64 { return float64(len(h.parts.Rests.Resting())) },
 		"oxbowslip_endpoints_rejecting":       func() float64 { return float64(len(h.parts.Rejections.Shares())) },
 		"oxbowslip_endpoints_failing":         h.countFailingEndpoints,
+		"oxbowslip_endpoints_brittle":         func() float64 { return float64(h.parts.Brittle.Count()) },
 		"oxbowslip_endpoints_limited":         func() float64 { return float64(len(h.parts.Limits.All())) },
 		"oxbowslip_workspaces_over_share":     func() float64 { return float64(len(h.overShare())) },
 		"oxbowslip_endpoints_slow":            func() float64 { return float64(len(h.slowEndpoints())) },
--- a/internal/front/placement/pace_replay_test.go
+++ b/internal/front/placement/pace_replay_test.go
@@ -216,7 +216,7 @@
 	for i := range replayHosts {
 		parts := Parts{
 			Directory: d, Rests: pushback.NewRests(time.Now, r.float), Rejections: pushback.NewRejections(time.Now), Failures: pushback.NewFailures(time.Now),
-			Limiter: unlimitedLimiter(time.Now), Log: log, Clock: time.Now, Random: r.float, Changed: func() {},
+			Limiter: unlimitedLimiter(time.Now), Brittle: pushback.NewBrittle(time.Now), Log: log, Clock: time.Now, Random: r.float, Changed: func() {},
 		}
 		if learnsPace {
 			x := pace.New(pace.Parts{Peers: replayPeers{r, i}, Directory: d, Log: log, Clock: time.Now, Random: r.float})
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -44,6 +44,7 @@
 	Rejections *pushback.Rejections
 	Failures   *pushback.Failures
 	Limiter    *ratelimit.Limiter
+	Brittle    *pushback.Brittle
 	// Shares keeps workspaces within their shares and limits; nil if that is off. Its Admit calls back into the placer while
 	// it holds its own lock, so the placer must not call it while holding mu.
 	Shares *shares.Exchange
@@ -221,6 +222,9 @@
 	if len(usable) == 0 {
 		return nil, rested, admission.ReasonResting
 	}
+	if usable = p.withSlots(usable); len(usable) == 0 {
+		return nil, time.Time{}, admission.ReasonNoRoom
+	}
 	open, denied := p.parts.Limiter.Usable(usable, mayAsk)
 	// An ejected endpoint is tried before a request is refused: it may have been ejected for a brief slowdown.
 	if len(open) == 0 {
@@ -236,6 +240,23 @@
 	return candidates, time.Time{}, ""
 }
 
+// brittleSlotShare is the share of the slots of a brittle endpoint that is used: requests of other hosts may be on their
+// way to it.
+const brittleSlotShare = 0.9
+
+// withSlots returns the endpoints without the brittle ones whose slots are taken: a request that waits there may be
+// rejected. The list is not modified. The lock is held.
+func (p *Placer) withSlots(endpoints []*directory.Entry) []*directory.Entry {
+	if !p.parts.Brittle.Any() {
+		return endpoints
+	}
+	return filter(endpoints, func(e *directory.Entry) bool {
+		slots := float64(e.Endpoint.MaxInFlight) * brittleSlotShare
+		isBrittle := p.parts.Brittle.Has(pushback.Instance{ID: e.ID, Version: e.Endpoint.Version})
+		return !isBrittle || slots == 0 || float64(p.view.loads.Total(e.ID).Requests) < slots
+	})
+}
+
 // recordGrant counts a request at the endpoint chosen for it. The lock is held.
 func (p *Placer) recordGrant(now time.Time, service string, request *admission.Request, choice *Choice) {
 	p.parts.Rests.RecordGrant(choice.Endpoint, choice.Version)
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -395,7 +395,7 @@
 	log.SetOutput(io.Discard)
 	s := New(Parts{
 		Directory: d, Rests: pushback.NewRests(clock, func() float64 { return 0 }), Rejections: pushback.NewRejections(clock),
-		Failures: pushback.NewFailures(clock), Limiter: unlimitedLimiter(clock), Finish: finish, Log: logrus.NewEntry(log), Clock: clock,
+		Failures: pushback.NewFailures(clock), Limiter: unlimitedLimiter(clock), Brittle: pushback.NewBrittle(clock), Finish: finish, Log: logrus.NewEntry(log), Clock: clock,
 		Random: func() float64 { return 0 }, Changed: func() {},
 	})
 	least := 2
--- a/internal/front/placement/queue_test.go
+++ b/internal/front/placement/queue_test.go
@@ -170,7 +170,7 @@
 	}
 	h.placer = New(Parts{
 		Directory: d, Rests: pushback.NewRests(time.Now, r.random), Rejections: h.rejections, Failures: pushback.NewFailures(time.Now),
-		Limiter: ratelimit.New(ratelimit.Parts{Limits: limits, Random: r.random}), Slots: h.client,
+		Brittle: pushback.NewBrittle(time.Now), Limiter: ratelimit.New(ratelimit.Parts{Limits: limits, Random: r.random}), Slots: h.client,
 		Log: logrus.NewEntry(log), Clock: time.Now, Random: r.random, Changed: func() {},
 	})
 	h.owner = owner.New(owner.Parts{
@@ -508,7 +508,7 @@
 	})
 	p := New(Parts{
 		Directory: d, Rests: pushback.NewRests(time.Now, random), Rejections: pushback.NewRejections(time.Now), Failures: pushback.NewFailures(time.Now),
-		Limiter: ratelimit.New(ratelimit.Parts{Limits: pushback.NewLimits(time.Now), Random: random}), Slots: peer.client,
+		Brittle: pushback.NewBrittle(time.Now), Limiter: ratelimit.New(ratelimit.Parts{Limits: pushback.NewLimits(time.Now), Random: random}), Slots: peer.client,
 		Log: logrus.NewEntry(log), Clock: time.Now, Random: random, Changed: func() {},
 	})
 	p.view.loads.Begin("e2", 0)
--- a/internal/front/pushback/limits.go
+++ b/internal/front/pushback/limits.go
@@ -68,6 +68,8 @@
 	// namedAt is when an answer last named the limit, loosenedAt when the limit was last raised or removed.
 	namedAt    time.Time
 	loosenedAt time.Time
+	// changedAt is when the limit was last changed.
+	changedAt time.Time
 }
 
 // Limits holds the limits that endpoints have named, each for one instance of its endpoint. Answers may arrive out of
@@ -116,7 +118,7 @@
 		}
 		known.loosenedAt = now
 	}
-	known.limit, known.namedAt = limit, now
+	known.limit, known.namedAt, known.changedAt = limit, now, now
 	return true
 }
 
@@ -131,10 +133,22 @@
 		}
 		l.size.Add(1)
 	}
-	l.byID[endpoint.ID] = &knownLimit{version: endpoint.Version, limit: limit, namedAt: now}
+	l.byID[endpoint.ID] = &knownLimit{version: endpoint.Version, limit: limit, namedAt: now, changedAt: now}
 	return true
 }
 
+// limitAfterAnswer returns the limit that a brittle endpoint has after an answer.
+func (l *Limits) limitAfterAnswer(endpoint Instance, isRejected bool, maxRejections float64) Limit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var limit Limit
+	var changedAt time.Time
+	if known, ok := l.byID[endpoint.ID]; ok && known.version == endpoint.Version {
+		limit, changedAt = known.limit, known.changedAt
+	}
+	return brittleLimit(limit, changedAt, l.clock(), isRejected, maxRejections)
+}
+
 // Get returns the limit of an endpoint; it is unset if there is none.
 func (l *Limits) Get(endpoint Instance) Limit {
 	if !l.Any() {
--- a/internal/front/pushback/pushback.go
+++ b/internal/front/pushback/pushback.go
@@ -33,6 +33,9 @@
 	Rest time.Duration
 	// Limit is the number of requests a second that the endpoint takes from all hosts, if the answer names one.
 	Limit Limit
+	// MaxRejections is how many requests the endpoint can reject in a second without crashing, if it says that it is
+	// brittle.
+	MaxRejections Limit
 	// MalformedLimit is the text of a limit that could not be parsed, or empty.
 	MalformedLimit string
 }
@@ -55,6 +58,9 @@
 	if s.Limit.IsSet {
 		kinds = append(kinds, counters.SignalLimit)
 	}
+	if s.MaxRejections.IsSet {
+		kinds = append(kinds, counters.SignalBrittle)
+	}
 	if s.MalformedLimit != "" {
 		kinds = append(kinds, counters.SignalMalformedLimit)
 	}
--- a/internal/front/pushback/tracker.go
+++ b/internal/front/pushback/tracker.go
@@ -41,6 +41,7 @@
 	Rejections *Rejections
 	Failures   *Failures
 	Limits     *Limits
+	Brittle    *Brittle
 	Peers      Peers
 	Log        *logrus.Entry
 	Clock      func() time.Time
@@ -106,13 +107,44 @@
 		}
 		return
 	}
-	if !t.parts.Limits.Record(endpoint, signal.Limit, answer.SentAt) {
+	limit, sentAt := t.limitOf(answer), answer.SentAt
+	if limit != signal.Limit {
+		// The limit follows from what has been rejected by now, whenever the request was sent.
+		sentAt = t.parts.Clock()
+	}
+	if !t.parts.Limits.Record(endpoint, limit, sentAt) {
+		return
+	}
+	t.logLimit(endpoint, limit, "the endpoint")
+	t.announce(func(o *outbox) { o.limits.Add(limitUpdate{endpoint: endpoint, limit: limit, sentAt: sentAt}) })
+}
+
+// limitOf returns the limit of an endpoint after an answer: the one that it names, or the one that keeps a brittle endpoint
+// from rejecting too many requests, whichever is stricter.
+func (t *Tracker) limitOf(answer *Answer) Limit {
+	endpoint, signal := answer.Endpoint, &answer.Signal
+	if t.parts.Brittle.Record(endpoint, signal.MaxRejections.IsSet) {
+		t.logBrittle(endpoint, signal.MaxRejections)
+	}
+	if !signal.MaxRejections.IsSet {
+		return signal.Limit
+	}
+	limit := t.parts.Limits.limitAfterAnswer(endpoint, signal.Rejected, signal.MaxRejections.PerSecond)
+	if signal.Limit.rate() < limit.rate() {
+		return signal.Limit
+	}
+	return limit
+}
+
+// logBrittle logs that an endpoint has begun or ceased to be brittle.
+func (t *Tracker) logBrittle(endpoint Instance, maxRejections Limit) {
+	fields := logrus.Fields{"endpoint": endpoint.ID, "version": endpoint.Version}
+	if !maxRejections.IsSet {
+		t.parts.Log.WithFields(fields).Info("endpoint is no longer brittle")
 		return
 	}
-	t.logLimit(endpoint, signal.Limit, "the endpoint")
-	t.announce(func(o *outbox) {
-		o.limits.Add(limitUpdate{endpoint: endpoint, limit: signal.Limit, sentAt: answer.SentAt})
-	})
+	fields["rejections_per_s"] = maxRejections.PerSecond
+	t.parts.Log.WithFields(fields).Info("endpoint is brittle; it gets no requests beyond its slots, and after a rejection only so many a second")
 }
 
 // announce adds an update to the outbox and wakes Run.
--- a/internal/front/pushback/tracker_test.go
+++ b/internal/front/pushback/tracker_test.go
@@ -64,7 +64,7 @@
 	c.Assert(d.Apply(1, changes), qt.IsTrue)
 	random := func() float64 { return 0 }
 	return New(Parts{
-		Directory: d, Rests: NewRests(time.Now, random), Rejections: NewRejections(func() time.Time { return time.Unix(1000, 0) }), Failures: NewFailures(time.Now), Limits: NewLimits(time.Now),
+		Directory: d, Rests: NewRests(time.Now, random), Rejections: NewRejections(func() time.Time { return time.Unix(1000, 0) }), Failures: NewFailures(time.Now), Limits: NewLimits(time.Now), Brittle: NewBrittle(time.Now),
 		Peers: p, Log: log.WithFields(nil), Clock: time.Now, Random: random,
 	}), d
 }
