tunnel: a connection is not waited for once the caller has left

Cause: of the two attempts to connect, that over the host's own path went on for up to a second after the caller had left, and a connection that came then was returned: its call could be sent to an endpoint for nobody (GONE).

TestDialEndsWithCaller waited for the attempt before. A connection that comes after the end of its call is closed unused.

--- a/internal/front/tunnel/dialer.go
+++ b/internal/front/tunnel/dialer.go
@@ -165,11 +165,16 @@
 			if own == nil {
 				return nil, d.joinErrors(ownErr, a.err)
 			}
-			last := <-own
-			if last.err != nil {
-				return nil, d.joinErrors(last.err, a.err)
+			select {
+			case last := <-own:
+				if last.err != nil {
+					return nil, d.joinErrors(last.err, a.err)
+				}
+				return last.conn, nil
+			case <-ctx.Done():
+				go discard(own)
+				return nil, merry.Wrap(ctx.Err())
 			}
-			return last.conn, nil
 		}
 	}
 }
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -29,6 +29,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		// The caller left while one of several attempts succeeded.
+		conn.Close()
+		return nil, context.Cause(ctx)
+	}
 	return c.newConnection(conn), nil
 }
 
