--- a/internal/front/tunnel/dialer.go
+++ b/internal/front/tunnel/dialer.go
@@ -99,10 +99,6 @@
 // Dial implements upstream.Dialer. The error is syscall.ECONNREFUSED only if peers were refused as well, or no peer can
 // be asked.
 func (d *Dialer) Dial(ctx context.Context, target upstream.Target) (io.ReadWriteCloser, error) {
-	peers := d.parts.Peers.Peers()
-	if len(peers) == 0 {
-		return d.dialOwn(ctx, target)
-	}
 	d.mu.Lock()
 	now := d.parts.Clock()
 	isLost, mustRecheck, headStart := d.paths.isLost(target.Address), d.paths.takeRecheck(now, target.Address), d.paths.headStart(now, target.ConnectTimeout)
@@ -111,14 +107,14 @@
 		go d.recheck(target)
 	}
 	if isLost {
-		return d.dialLost(ctx, target, peers)
+		return d.dialLost(ctx, target)
 	}
-	return d.race(ctx, target, peers, headStart)
+	return d.race(ctx, target, headStart)
 }
 
 // dialLost connects to an endpoint to which the path is lost. The path may work again, so it is the last resort.
-func (d *Dialer) dialLost(ctx context.Context, target upstream.Target, peers []Peer) (io.ReadWriteCloser, error) {
-	through := <-d.startTunnel(ctx, target, peers)
+func (d *Dialer) dialLost(ctx context.Context, target upstream.Target) (io.ReadWriteCloser, error) {
+	through := <-d.startTunnel(ctx, target)
 	if through.err == nil {
 		return through.conn, nil
 	}
@@ -130,7 +126,7 @@
 }
 
 // race connects over this host's own path, and through a peer as well if that fails or takes longer than headStart.
-func (d *Dialer) race(ctx context.Context, target upstream.Target, peers []Peer, headStart time.Duration) (io.ReadWriteCloser, error) {
+func (d *Dialer) race(ctx context.Context, target upstream.Target, headStart time.Duration) (io.ReadWriteCloser, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	own := d.startOwn(ctx, target)
@@ -148,7 +144,7 @@
 		go discard(own)
 		return nil, merry.Wrap(ctx.Err())
 	}
-	through := d.startTunnel(ctx, target, peers)
+	through := d.startTunnel(ctx, target)
 	for {
 		select {
 		case a := <-own:
@@ -232,13 +228,13 @@
 }
 
 // startTunnel connects through a peer.
-func (d *Dialer) startTunnel(ctx context.Context, target upstream.Target, peers []Peer) <-chan attempt {
+func (d *Dialer) startTunnel(ctx context.Context, target upstream.Target) <-chan attempt {
 	result := make(chan attempt, 1)
 	go func() {
 		target.ConnectTimeout = d.tunnelTimeout(target.ConnectTimeout)
 		ctx, cancel := context.WithTimeout(ctx, target.ConnectTimeout)
 		defer cancel()
-		conn, err := d.dialThrough(ctx, target, peers)
+		conn, err := d.dialThrough(ctx, target)
 		result <- attempt{conn, err}
 	}()
 	return result
@@ -306,8 +302,8 @@
 
 // dialThrough asks peers to connect to an endpoint: another one if one can't, and twice as many as before if none answers
 // in time. It returns as soon as one has connected.
-func (d *Dialer) dialThrough(ctx context.Context, target upstream.Target, peers []Peer) (io.ReadWriteCloser, error) {
-	q := &query{results: make(chan opening, maxAsked), peers: peers, asked: make(map[string]bool)}
+func (d *Dialer) dialThrough(ctx context.Context, target upstream.Target) (io.ReadWriteCloser, error) {
+	q := &query{results: make(chan opening, maxAsked), peers: d.parts.Peers.Peers(), asked: make(map[string]bool)}
 	for width := 1; ; {
 		d.ask(ctx, q, target, width)
 		if len(q.failed) == len(q.asked) {
@@ -481,7 +477,7 @@
 		}
 		ownErr = err
 	}
-	through := <-d.startTunnel(ctx, target, d.parts.Peers.Peers())
+	through := <-d.startTunnel(ctx, target)
 	if through.err != nil {
 		return nil, upstream.Unreachable, d.joinErrors(ownErr, through.err)
 	}
