Brittle endpoints: the limit grows by less than the endpoint may reject

Cause: the limit grew by half each second and ended at 20 times the number of rejections. On slow hosts it got there before a rejection; then all hosts sent at once, by loads that were old. A factor also oversteps the capacity by more than the endpoint may reject.

Change: a quarter of the number is added each second, to three times it (the burst of permits, a tenth of a second of the limit, has to be borne too), and the limit lasts as long as the endpoint is brittle.

--- a/internal/front/pushback/brittle.go
+++ b/internal/front/pushback/brittle.go
@@ -7,20 +7,22 @@
 )
 
 // A brittle endpoint crashes if it has to reject more than a number of requests in a second. After its first rejection
-// the hosts together send it fewer requests than that, so that it may reject all of them. The limit then grows until the
-// endpoint rejects again, and ends when it no longer matters.
+// the hosts together send it fewer requests than that, so that it may reject all of them. The limit then grows by less than
+// that until the endpoint rejects again, so that it may reject all that is too much, and ends when it is no longer brittle.
 const (
 	// brittleShare is the part of the number of rejections that is sent in a second. The rest is for the burst of the
 	// permits, and for requests on their way.
 	brittleShare = 0.7
-	// brittleCut is the factor of the limit after a rejection, brittleGrowth that after a second without one.
+	// brittleCut is the factor of the limit after a rejection. brittleGrowth is added to it after a second without one, as a
+	// part of the number of rejections.
 	brittleCut    = 0.5
-	brittleGrowth = 1.5
+	brittleGrowth = 0.25
 	// brittleStep is the shortest time between two changes of the limit, so that the rejections of requests that were sent
 	// together count once.
 	brittleStep = time.Second
-	// maxBrittleGrowth is the factor of the endpoint's number of rejections at which the limit ends.
-	maxBrittleGrowth = 20
+	// maxBrittleFactor bounds the limit, as a factor of the number of rejections: the burst of permits grows with the limit,
+	// and the endpoint may have to reject all of it.
+	maxBrittleFactor = 3
 	// brittleTimeout is how long an endpoint counts as brittle after an answer last said so.
 	brittleTimeout = 10 * time.Second
 )
@@ -99,8 +101,6 @@
 		return known
 	case isRejected:
 		return Limit{IsSet: true, PerSecond: max(known.PerSecond*brittleCut, lowest)}
-	case known.PerSecond*brittleGrowth > maxRejections*maxBrittleGrowth:
-		return Limit{}
 	}
-	return Limit{IsSet: true, PerSecond: max(known.PerSecond*brittleGrowth, lowest)}
+	return Limit{IsSet: true, PerSecond: min(max(known.PerSecond+maxRejections*brittleGrowth, lowest), maxRejections*maxBrittleFactor)}
 }
