--- a/cmd/oxbowslip/tool.go
+++ b/cmd/oxbowslip/tool.go
@@ -84,6 +84,9 @@
 		if s.Tunnels > 0 {
 			fmt.Fprintf(w, "connects other hosts to endpoints: %d connections\n\n", s.Tunnels)
 		}
+		for _, m := range s.MixedServices {
+			fmt.Fprintf(w, "endpoints of service %s run several software versions: %s\n\n", m.Service, versionsText(m.Versions))
+		}
 		for _, o := range s.OverShare {
 			fmt.Fprintf(w, "workspace %s is over its share of service %s: it asks for %.0f prompt tokens a second, its share is %.0f\n\n", cmp.Or(o.Workspace, "(public calls)"), o.Service, o.Asked, o.Share)
 		}
@@ -106,6 +109,15 @@
 	})
 }
 
+// versionsText lists software versions with the number of endpoints that run each.
+func versionsText(versions map[string]int) string {
+	var texts []string
+	for _, version := range slices.Sorted(maps.Keys(versions)) {
+		texts = append(texts, fmt.Sprintf("%s at %d", version, versions[version]))
+	}
+	return strings.Join(texts, ", ")
+}
+
 // pushbackText describes how an endpoint restricts the requests that it accepts.
 func pushbackText(p *operator.EndpointPushback) string {
 	var texts []string
--- a/internal/front/directory/directory.go
+++ b/internal/front/directory/directory.go
@@ -51,6 +51,8 @@
 	serving map[string][]*Entry
 	// leaving lists the endpoints of each service that accept no new work, sorted by ID.
 	leaving map[string][]*Entry
+	// versions lists the software versions of each service; see software.go.
+	versions map[string][]VersionCount
 	// lapsed are the entries that are kept although they were removed, with the revision of their removal; see
 	// lapse.go.
 	lapsed revisionByID
@@ -323,6 +325,7 @@
 			slices.SortFunc(entries, compareByID)
 		}
 	}
+	d.versions = d.countVersions()
 }
 
 func compareByID(a, b *Entry) int { return cmp.Compare(a.ID, b.ID) }
--- /dev/null
+++ b/internal/front/directory/software.go
@@ -0,0 +1,70 @@
+package directory
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"oxbowslip.dev/oxbowslip/internal/settings"
+)
+
+// startSeparator separates the software version of an endpoint from the time of its start.
+const startSeparator = " of "
+
+// InstanceVersion returns the version of an entry: that of the endpoint's software, and the start of the endpoint in Unix
+// milliseconds if it is known, so that two starts under one ID differ.
+func InstanceVersion(software string, startMs int64) string {
+	if startMs == 0 {
+		return software
+	}
+	return software + startSeparator + strconv.FormatInt(startMs, 10)
+}
+
+// SoftwareVersion returns the version of an endpoint's software. It undoes InstanceVersion.
+func SoftwareVersion(endpoint *settings.Endpoint) string {
+	at := strings.LastIndex(endpoint.Version, startSeparator)
+	if at < 0 {
+		return endpoint.Version
+	}
+	if _, err := strconv.ParseInt(endpoint.Version[at+len(startSeparator):], 10, 64); err != nil {
+		return endpoint.Version
+	}
+	return endpoint.Version[:at]
+}
+
+// VersionCount is a software version and the number of endpoints that run it.
+type VersionCount struct {
+	Version   string
+	Endpoints int
+}
+
+// Versions returns the software versions of the endpoints of a service, leaving ones included, sorted. The list is shared
+// and must not be modified.
+func (d *Directory) Versions(service string) []VersionCount {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.versions[service]
+}
+
+// countVersions returns the software versions of each service. The lock is held.
+func (d *Directory) countVersions() map[string][]VersionCount {
+	versions := make(map[string][]VersionCount, len(d.serving))
+	for _, lists := range []map[string][]*Entry{d.serving, d.leaving} {
+		for service, entries := range lists {
+			for _, e := range entries {
+				versions[service] = addVersion(versions[service], SoftwareVersion(&e.Endpoint))
+			}
+		}
+	}
+	return versions
+}
+
+// addVersion counts an endpoint of a version in a sorted list.
+func addVersion(counts []VersionCount, version string) []VersionCount {
+	at, known := slices.BinarySearchFunc(counts, version, func(c VersionCount, version string) int { return strings.Compare(c.Version, version) })
+	if !known {
+		counts = slices.Insert(counts, at, VersionCount{Version: version})
+	}
+	counts[at].Endpoints++
+	return counts
+}
--- a/internal/front/keys/keys.go
+++ b/internal/front/keys/keys.go
@@ -37,6 +37,12 @@
 // OfWorkspace returns the key of a workspace.
 func OfWorkspace(name string) Workspace { return Workspace(xxhash.Sum64String(name)) }
 
+// Version is the key of the version of an endpoint's software. 0 stands for no or an unknown version.
+type Version uint32
+
+// OfVersion returns the key of a software version.
+func OfVersion(software string) Version { return max(Version(xxhash.Sum64String(software)), 1) }
+
 // Prefix is the key of a prefix shared by prompts: the low bits of its hash.
 type Prefix uint32
 
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
+	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
@@ -74,6 +75,7 @@
 
 // attempt makes one attempt at an endpoint.
 func (x *exchange) attempt(ctx context.Context, a *owner.Attempt) owner.Result {
+	x.version = directory.SoftwareVersion(&a.Endpoint)
 	ctx, idle := httprelay.WithIdleTimeout(ctx, answerTimeout(&x.policy, a), owner.ErrStalled)
 	defer idle.Stop()
 	answer, err := x.server.parts.Client.Do(ctx, x.upstreamCall(a))
--- a/internal/front/relay/dialect.go
+++ b/internal/front/relay/dialect.go
@@ -28,6 +28,10 @@
 	LengthHint int
 	// Parts are the parts of the prompt, in order.
 	Parts []Part
+	// LastEventID is the ID of the last event that a caller that takes up a stream has received; empty for a new stream.
+	// Resumes is the ID of the caller's request that brought the first event of that stream, or empty if unknown.
+	LastEventID string
+	Resumes     string
 }
 
 // expectedTokens returns the expected length of the answer in tokens, or 0 if nothing is known about it: the caller's
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -42,6 +42,8 @@
 	// sentAt is when the last attempt was sent, isTunneled whether it was sent through a peer.
 	sentAt     time.Time
 	isTunneled bool
+	// version is the software version of the endpoint of the last attempt.
+	version string
 	// signal is the state that the endpoint of the last answer reported.
 	signal pushback.Signal
 	// answer is the complete answer for the caller, serverError an endpoint's server error that is forwarded if no
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -66,6 +67,7 @@
 	status.Poison = h.poison()
 	status.Pushback = h.pushback()
 	status.LostPaths, status.Tunnels = h.parts.Paths.Lost(), h.parts.Tunnels.Served()
+	status.MixedServices = h.mixedServices()
 	status.OverShare = h.overShare()
 	status.Leader = h.parts.Leadership.state()
 	return status
@@ -85,6 +87,23 @@
 	return requests
 }
 
+// mixedServices returns the services whose endpoints run several software versions.
+func (h *Host) mixedServices() []operator.MixedService {
+	var mixed []operator.MixedService
+	for _, service := range slices.Sorted(slices.Values(h.parts.Directory.Services())) {
+		versions := h.parts.Directory.Versions(service)
+		if len(versions) < 2 {
+			continue
+		}
+		m := operator.MixedService{Service: service, Versions: make(map[string]int, len(versions))}
+		for _, v := range versions {
+			m.Versions[v.Version] = v.Endpoints
+		}
+		mixed = append(mixed, m)
+	}
+	return mixed
+}
+
 // minShownShare is the smallest share of rejected or failed requests that is shown to operators.
 const minShownShare = 0.05
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -80,10 +80,19 @@
 	// to endpoints that it serves for peers.
 	LostPaths int `json:"lost_paths,omitzero"`
 	Tunnels   int `json:"tunnels,omitzero"`
+	// MixedServices are the services whose endpoints run several software versions.
+	MixedServices []MixedService `json:"mixed_services,omitzero"`
 	// OverShare are the workspaces that are over their share of a service that is short of capacity.
 	OverShare []WorkspaceShare `json:"over_share,omitzero"`
 }
 
+// MixedService describes a service whose endpoints run several software versions.
+type MixedService struct {
+	Service string `json:"service"`
+	// Versions is the number of endpoints of each version, leaving ones included.
+	Versions map[string]int `json:"versions"`
+}
+
 // WorkspaceShare describes a workspace that is over its share of a service.
 type WorkspaceShare struct {
 	Service string `json:"service"`
