Streams are resumed at the software version that began them

Cause: the choice of an endpoint for a stream that goes on knew nothing of the version that began it, neither inside an answer nor when a caller returns to another host, which could not know it either.

Change: package origin. Inside an answer the host keeps the version. While several versions of a service are in use, it sends a record of 25 bytes to two peers before the first event is written; a host that resumes an unknown stream asks four. What nobody knows is refused (503, not run). The version is taken when the request is sent and confirmed at the first event. With one version nothing is sent.

Why it is safe: a lost message, a cut or a killed host leads to a refusal, never to another version.

--- a/cmd/oxbowslip/doctor.go
+++ b/cmd/oxbowslip/doctor.go
@@ -92,6 +92,9 @@
 		if s.LostPaths > 0 {
 			add("reaches %d of %d endpoints only through other hosts; see OPERATIONS, \"A host has lost its path to endpoints\"", s.LostPaths, s.Endpoints)
 		}
+		if refused := s.Refusals["no_version"] + s.Refusals["unknown_version"]; refused > 0 {
+			add("could not resume %d streams: no endpoint of their software version takes requests, or the version is unknown; see OPERATIONS, \"Several software versions serve\"", refused)
+		}
 		for _, p := range s.Poison {
 			add("does not send the request %s: %d endpoints crashed while running it; `oxbowslip poison lift` once they are fixed", p.Key, len(p.Endpoints))
 		}
--- a/cmd/oxbowslip/doctor_test.go
+++ b/cmd/oxbowslip/doctor_test.go
@@ -37,6 +37,9 @@
 	leads.Leader = &operator.Leader{Host: "b", Leads: true}
 	hasNoLeader := healthy
 	hasNoLeader.Leader = new(operator.Leader)
+	mixed, lostVersion := healthy, healthy
+	mixed.MixedServices = []operator.MixedService{{Service: "engines", Versions: map[string]int{"v1": 1, "v2": 2}}}
+	lostVersion.Refusals = map[string]uint64{"no_version": 2, "unknown_version": 1}
 	tests := map[string]struct {
 		second operator.Status
 		err    error
@@ -57,6 +60,8 @@
 		"an endpoint is leaving":                              {leaving, nil, 0},
 		"paths to endpoints are lost":                         {cutOff, nil, 1},
 		"connects other hosts to endpoints":                   {helps, nil, 0},
+		"several software versions":                           {mixed, nil, 0},
+		"streams of a version that has left":                  {lostVersion, nil, 1},
 		"no answer":                                           {operator.Status{}, errors.New("refused"), 1},
 		"not ready at all":                                    {operator.Status{Problem: "no settings yet", Hosts: 2}, nil, 3},
 	}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -56,6 +56,9 @@
 	// uses them.
 	AnswerTokens int `cbor:"-"`
 	Received     int `cbor:"-"`
+	// SoftwareVersion is the key of the software version at which a stream that has begun must be resumed; 0 means any. Only
+	// the owner's host uses it.
+	SoftwareVersion uint32 `cbor:"-"`
 	// Prefix holds the hash of each leading part of the prompt, the shortest first. Each hash includes the workspace or
 	// the model.
 	Prefix []uint64
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -49,6 +49,8 @@
 	ReasonMaxWait Reason = "max_wait"
 	// ReasonNoEndpoint: no endpoint takes new work.
 	ReasonNoEndpoint Reason = "no_endpoint"
+	// ReasonNoVersion: no endpoint of the software version that the request needs takes new work.
+	ReasonNoVersion Reason = "no_version"
 	// ReasonResting: all endpoints that take new work have asked this host to send none for a while.
 	ReasonResting Reason = "endpoints_resting"
 	// ReasonLimited: every endpoint that takes new work has a limit and no permit left for the request.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -110,6 +110,20 @@
 // SlotResults lists all results.
 var SlotResults = []SlotResult{SlotGranted, SlotQueued, SlotRefused, SlotUnanswered, SlotAlone}
 
+// OriginResult is the result of a search for the software version that began a stream. The set is closed.
+type OriginResult string
+
+// The results of a search.
+const (
+	OriginKnown OriginResult = "known"
+	// OriginAny means that only one version can have begun the stream.
+	OriginAny     OriginResult = "any"
+	OriginUnknown OriginResult = "unknown"
+)
+
+// OriginResults lists all results.
+var OriginResults = []OriginResult{OriginKnown, OriginAny, OriginUnknown}
+
 // Counters are the metrics of one daemon.
 type Counters struct {
 	set      *metrics.Set
@@ -121,6 +135,7 @@
 	signals  map[Signal]*metrics.Counter
 	permits  map[PermitResult]*metrics.Counter
 	slots    map[SlotResult]*metrics.Counter
+	origins  map[OriginResult]*metrics.Counter
 	// Goodput counts the tokens of answers that met the targets of their class.
 	Goodput *metrics.Counter
 	// Tokens counts all relayed tokens.
@@ -149,6 +164,7 @@
 		signals:          make(map[Signal]*metrics.Counter),
 		permits:          make(map[PermitResult]*metrics.Counter),
 		slots:            make(map[SlotResult]*metrics.Counter),
+		origins:          make(map[OriginResult]*metrics.Counter),
 		Goodput:          set.NewCounter("oxbowslip_goodput_tokens_total"),
 		Tokens:           set.NewCounter("oxbowslip_tokens_total"),
 		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
@@ -180,9 +196,15 @@
 	for _, result := range SlotResults {
 		c.slots[result] = set.NewCounter(fmt.Sprintf(`oxbowslip_slot_requests_total{result=%q}`, result))
 	}
+	for _, result := range OriginResults {
+		c.origins[result] = set.NewCounter(fmt.Sprintf(`oxbowslip_stream_origins_total{result=%q}`, result))
+	}
 	return c
 }
 
+// CountOrigin counts the result of a search for the version that began a stream.
+func (c *Counters) CountOrigin(result OriginResult) { c.origins[result].Inc() }
+
 // CountSlot counts the result of asking for a slot.
 func (c *Counters) CountSlot(result SlotResult) { c.slots[result].Inc() }
 
--- a/internal/front/coordinator/coordinator.go
+++ b/internal/front/coordinator/coordinator.go
@@ -3,13 +3,15 @@
 //
 // Every host computes the same order of the live hosts for a matter (rendezvous hashing), and asks the first one that
 // replies. The package owns the numbers of the open questions and the hosts that do not reply. It relies on package
-// gossip for the live hosts and for messages to them, which may be lost. Packages ratelimit and slots use it, each with
-// its own messages and timeouts.
+// gossip for the live hosts and for messages to them, which may be lost. Packages ratelimit, slots and origin use it, each
+// with its own messages and timeouts.
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,6 +112,24 @@
 	return before
 }
 
+// First returns the first hosts in the order for a matter, at most the given number.
+func First(hosts []envelope.Sender, matter string, count int) []envelope.Sender {
+	var first []envelope.Sender
+	var weights []uint64
+	for _, host := range hosts {
+		w := weight(host, matter)
+		at, _ := slices.BinarySearchFunc(weights, w, func(a, b uint64) int { return cmp.Compare(b, a) })
+		if at >= count {
+			continue
+		}
+		first, weights = slices.Insert(first, at, host), slices.Insert(weights, at, w)
+		if len(first) > count {
+			first, weights = first[:count], weights[:count]
+		}
+	}
+	return first
+}
+
 // weight orders the hosts that may decide a matter: the host with the highest weight decides.
 func weight(host envelope.Sender, matter string) uint64 {
 	return xxhash.Sum64String(host.Host + "\x00" + matter)
--- a/internal/front/directory/software.go
+++ b/internal/front/directory/software.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strconv"
 	"strings"
-
-	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
 // startSeparator separates the software version of an endpoint from the time of its start.
@@ -20,16 +18,22 @@
 	return software + startSeparator + strconv.FormatInt(startMs, 10)
 }
 
-// SoftwareVersion returns the version of an endpoint's software. It undoes InstanceVersion.
-func SoftwareVersion(endpoint *settings.Endpoint) string {
-	at := strings.LastIndex(endpoint.Version, startSeparator)
+// SoftwareVersion returns the version of the software in the version of an entry. It undoes InstanceVersion.
+func SoftwareVersion(instance string) string {
+	at := strings.LastIndex(instance, startSeparator)
 	if at < 0 {
-		return endpoint.Version
+		return instance
 	}
-	if _, err := strconv.ParseInt(endpoint.Version[at+len(startSeparator):], 10, 64); err != nil {
-		return endpoint.Version
+	if _, err := strconv.ParseInt(instance[at+len(startSeparator):], 10, 64); err != nil {
+		return instance
 	}
-	return endpoint.Version[:at]
+	return instance[:at]
+}
+
+// SoftwareVersion returns the software version of an endpoint, and whether the endpoint exists.
+func (d *Directory) SoftwareVersion(id string) (string, bool) {
+	endpoint, ok := d.Lookup(id)
+	return SoftwareVersion(endpoint.Version), ok
 }
 
 // VersionCount is a software version and the number of endpoints that run it.
@@ -52,7 +56,7 @@
 	for _, lists := range []map[string][]*Entry{d.serving, d.leaving} {
 		for service, entries := range lists {
 			for _, e := range entries {
-				versions[service] = addVersion(versions[service], SoftwareVersion(&e.Endpoint))
+				versions[service] = addVersion(versions[service], SoftwareVersion(e.Endpoint.Version))
 			}
 		}
 	}
--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -45,6 +45,11 @@
 	KindPace Kind = 16
 	// KindShares reports the work that workspaces ask for at services with engines, and their use of their limits.
 	KindShares Kind = 17
+	// KindStreamOrigins carries the software versions that began streams, KindStreamOriginQuestion asks for that of one, and
+	// KindStreamOriginReply answers.
+	KindStreamOrigins        Kind = 18
+	KindStreamOriginQuestion Kind = 19
+	KindStreamOriginReply    Kind = 20
 )
 
 // Sender identifies the host that sent a message.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -28,6 +28,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
 	"oxbowslip.dev/oxbowslip/internal/front/leader"
+	"oxbowslip.dev/oxbowslip/internal/front/origin"
 	"oxbowslip.dev/oxbowslip/internal/front/pace"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
@@ -160,6 +161,7 @@
 	Pace *pace.Exchanger
 	// Slots is nil if the host's file does not select the queue for slots.
 	Slots      *slots.Client
+	Origins    *origin.Registry
 	Leadership *leadership
 	Clock      func() time.Time
 	Steady     *clock.Clock
@@ -228,6 +230,7 @@
 	h.parts.Limits.Expire()
 	h.parts.Brittle.Expire()
 	h.parts.Limiter.Expire()
+	h.parts.Origins.Expire()
 	if h.parts.Shares != nil {
 		h.parts.Shares.Expire()
 	}
@@ -280,6 +283,7 @@
 	go h.parts.Poison.Run(h.done)
 	go h.parts.Signals.Run(h.done)
 	go h.parts.Limiter.Run(h.done)
+	go h.parts.Origins.Run(h.done)
 	if h.parts.Shares != nil {
 		go h.parts.Shares.Run(h.done)
 	}
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -20,6 +20,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/front/origin"
 	"oxbowslip.dev/oxbowslip/internal/front/pace"
 	"oxbowslip.dev/oxbowslip/internal/front/peersync"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
@@ -77,6 +78,7 @@
 			newShares,
 			newPace,
 			newSlots,
+			newOrigins,
 			newRelay,
 			newFollowers,
 			newUsageClock,
@@ -530,6 +532,31 @@
 	})
 }
 
+// originsParts are the dependencies of the registry of the versions that began streams.
+type originsParts struct {
+	fx.In
+
+	Directory *directory.Directory
+	Freshness *freshness.State
+	Gossip    *gossip.Gossip
+	Counters  *counters.Counters
+	Log       *logrus.Logger
+	Clock     func() time.Time
+	Random    func() float64
+}
+
+func newOrigins(p originsParts) *origin.Registry {
+	registry := origin.New(origin.Parts{
+		Peers: p.Gossip, Services: p.Directory.Services, Versions: p.Directory.Versions,
+		DirectoryAge: func() time.Duration { return p.Freshness.Age(freshness.Endpoints) },
+		Count:        p.Counters.CountOrigin, Log: logging.Part(p.Log, "streams"), Clock: p.Clock, Random: p.Random,
+	})
+	p.Gossip.Handle(envelope.KindStreamOrigins, registry.HandleRecords)
+	p.Gossip.Handle(envelope.KindStreamOriginQuestion, registry.HandleQuestion)
+	p.Gossip.Handle(envelope.KindStreamOriginReply, registry.HandleReply)
+	return registry
+}
+
 // relayParts are the dependencies of the relay, which serves callers.
 type relayParts struct {
 	fx.In
@@ -544,6 +571,8 @@
 	Meter      *usage.Meter
 	Poison     *poison.Detector
 	Signals    *pushback.Tracker
+	Origins    *origin.Registry
+	Directory  *directory.Directory
 	Counters   *counters.Counters
 	Log        *logrus.Logger
 	Steady     *clock.Clock
@@ -553,6 +582,7 @@
 func newRelay(p relayParts) *relay.Server {
 	return relay.New(relay.Parts{
 		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Freshness: p.Freshness, Owner: p.Owner, Client: p.Client, Health: p.Placer, Meter: p.Meter, Poison: p.Poison, Signals: p.Signals,
+		Origins: p.Origins, SoftwareVersion: p.Directory.SoftwareVersion,
 		Dialect: p.Deployment.Dialect, Counters: p.Counters, Log: logging.Part(p.Log, "request"), Clock: p.Steady, Random: p.Random,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout},
 	})
--- a/internal/front/keys/keys.go
+++ b/internal/front/keys/keys.go
@@ -43,6 +43,15 @@
 // OfVersion returns the key of a software version.
 func OfVersion(software string) Version { return max(Version(xxhash.Sum64String(software)), 1) }
 
+// Stream is the key of a stream that may be resumed. It is as long as that of a request, since a stream with the key of
+// another may be resumed at the wrong version.
+type Stream uint64
+
+// OfStream returns the key of the stream that began with the request of an ID. Workspaces choose IDs independently.
+func OfStream(workspace, id string) Stream {
+	return Stream(xxhash.Sum64String(workspace + "\x00" + id))
+}
+
 // Prefix is the key of a prefix shared by prompts: the low bits of its hash.
 type Prefix uint32
 
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -141,7 +141,7 @@
 			p.parts.Changed()
 			return p.newTicket(service, &request, &choice), p.grant(&request, &choice, now.Sub(asked), now), nil
 		}
-		if reason == admission.ReasonNoEndpoint || !now.Before(until) || choice.AvailableAt.After(until) {
+		if isFinal(reason) || !now.Before(until) || choice.AvailableAt.After(until) {
 			p.recordRefusal(now, service, &request, reason, &choice)
 			return nil, p.refusal(service, &request, reason, &choice, now.Sub(asked)), nil
 		}
@@ -151,6 +151,22 @@
 	}
 }
 
+// isFinal reports whether a wait does not change a refusal, as it is not for lack of capacity.
+func isFinal(reason admission.Reason) bool {
+	return reason == admission.ReasonNoEndpoint || reason == admission.ReasonNoVersion
+}
+
+// withVersion returns the endpoints at which a request may run: those of the version that began its stream, or all for a
+// request that begins one. The list is not modified.
+func withVersion(endpoints []*directory.Entry, request *admission.Request) []*directory.Entry {
+	if request.SoftwareVersion == 0 {
+		return endpoints
+	}
+	return filter(endpoints, func(e *directory.Entry) bool {
+		return keys.OfVersion(directory.SoftwareVersion(e.Endpoint.Version)) == keys.Version(request.SoftwareVersion)
+	})
+}
+
 // acquirePermit gets a permit for a chosen endpoint and counts the request there. It waits for the permit only if no
 // other endpoint is left, and no longer than until.
 func (p *Placer) acquirePermit(ctx context.Context, service string, request *admission.Request, choice *Choice, until time.Time) bool {
@@ -184,13 +200,17 @@
 	if len(endpoints) == 0 {
 		return Choice{}, admission.ReasonNoEndpoint
 	}
+	eligible := withVersion(endpoints, request)
+	if len(eligible) == 0 {
+		return Choice{}, admission.ReasonNoVersion
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.view.finish != nil {
 		// A load that is no longer valid must not refuse a request.
 		p.view.loads.expire(now)
 	}
-	candidates, free, reason := p.candidates(now, request, endpoints, mayAsk)
+	candidates, free, reason := p.candidates(now, request, eligible, mayAsk)
 	if reason != "" {
 		return Choice{AvailableAt: free}, reason
 	}
@@ -341,7 +361,7 @@
 
 // recordRefusal counts a request that was refused for lack of room, or because all endpoints rest or are limited.
 func (p *Placer) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason, choice *Choice) {
-	if reason == admission.ReasonNoEndpoint {
+	if isFinal(reason) {
 		return
 	}
 	p.mu.Lock()
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -10,7 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
-	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
@@ -55,7 +54,7 @@
 		Arrived: x.arrived, FirstToken: x.policy.FirstToken, WholeAnswer: x.policy.WholeAnswer, MaxPause: x.policy.MaxPause,
 		Weight: x.policy.Weight, MaxInFlight: x.policy.MaxInFlight, MaxWaiting: x.policy.MaxWaiting, TokensPerMinute: x.policy.TokensPerMinute,
 		Repeatable: x.policy.Repeatable, PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Zone: p.Zone,
-		Deadline: x.deadline, ContentKey: uint64(x.key), AnswerTokens: x.call.expectedTokens(),
+		Deadline: x.deadline, SoftwareVersion: uint32(x.stream.version), ContentKey: uint64(x.key), AnswerTokens: x.call.expectedTokens(),
 	}
 	if x.call.MaxWait > 0 {
 		r.CallerDeadline = x.arrived.Add(x.call.MaxWait)
@@ -75,7 +74,6 @@
 
 // attempt makes one attempt at an endpoint.
 func (x *exchange) attempt(ctx context.Context, a *owner.Attempt) owner.Result {
-	x.version = directory.SoftwareVersion(&a.Endpoint)
 	ctx, idle := httprelay.WithIdleTimeout(ctx, answerTimeout(&x.policy, a), owner.ErrStalled)
 	defer idle.Stop()
 	answer, err := x.server.parts.Client.Do(ctx, x.upstreamCall(a))
@@ -182,6 +180,9 @@
 		if !a.MaySend() {
 			return false
 		}
+		if !x.recordSentVersion(a) {
+			return false
+		}
 		x.sentAt, x.isTunneled = x.server.parts.Clock.Now(), isTunneled
 		a.RecordSend()
 		return true
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -28,6 +28,7 @@
 	route     settings.HostRoute
 	workspace string
 	policy    settings.Policy
+	job       *owner.Job
 	// service is the target of the route that was picked for the request.
 	service string
 	body    []byte
@@ -42,8 +43,6 @@
 	// sentAt is when the last attempt was sent, isTunneled whether it was sent through a peer.
 	sentAt     time.Time
 	isTunneled bool
-	// version is the software version of the endpoint of the last attempt.
-	version string
 	// signal is the state that the endpoint of the last answer reported.
 	signal pushback.Signal
 	// answer is the complete answer for the caller, serverError an endpoint's server error that is forwarded if no
@@ -116,8 +115,8 @@
 	p := &x.server.parts
 	ctx, cancel := p.Clock.WithDeadline(x.r.Context(), x.deadline, owner.ErrTimeLimit)
 	defer cancel()
-	job := x.newJob()
-	end := p.Owner.Run(ctx, job)
+	x.job = x.newJob()
+	end := p.Owner.Run(ctx, x.job)
 	if x.stream.events > 1 && end.Sends == 1 {
 		summary := x.stream.summary()
 		if end.Outcome == request.OutcomeAnswered {
--- a/internal/front/relay/log.go
+++ b/internal/front/relay/log.go
@@ -41,8 +41,8 @@
 	if x.signal.Limit.IsSet {
 		fields["endpoint_limit"] = x.signal.Limit.PerSecond
 	}
-	if x.version != "" {
-		fields["version"] = x.version
+	if x.stream.sentVersion != "" {
+		fields["version"] = x.stream.sentVersion
 	}
 	if x.call.LastEventID != "" {
 		fields["resumes"], fields["last_event"] = x.call.Resumes, x.call.LastEventID
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -20,6 +20,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/origin"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
@@ -58,6 +59,15 @@
 	RecordAnswer(request keys.Request)
 }
 
+// Origins knows the software versions that began streams.
+type Origins interface {
+	// Begin is called before the caller receives the first event of a stream that began at a version; 0 means that the
+	// version is not certain. TimeLeft is the time until the request's limit. It must not block.
+	Begin(stream keys.Stream, service string, version keys.Version, timeLeft time.Duration)
+	// Find returns the origin of a stream that is to be resumed at a service. It blocks for at most some 10 ms.
+	Find(ctx context.Context, stream keys.Stream, service string) origin.Origin
+}
+
 // Signals receives the states that endpoints report. Its methods must not block.
 type Signals interface {
 	// HandleAnswer is called with the state in the head of an answer.
@@ -85,10 +95,13 @@
 	Meter     Meter
 	Poison    Poison
 	Signals   Signals
-	Dialect   Dialect
-	Counters  *counters.Counters
-	Log       *logrus.Entry
-	Clock     Clock
+	Origins   Origins
+	// SoftwareVersion returns the software version of an endpoint, and whether the endpoint is known.
+	SoftwareVersion func(endpoint string) (string, bool)
+	Dialect         Dialect
+	Counters        *counters.Counters
+	Log             *logrus.Entry
+	Clock           Clock
 	// Random returns a random number in [0, 1).
 	Random   func() float64
 	Timeouts httprelay.Timeouts
@@ -129,7 +142,11 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{server: s, w: w, r: r, arrived: s.parts.Clock.Now(), age: freshness.UnknownAge}
 	defer x.recover()
-	if refusal := x.prepare(); refusal != nil {
+	refusal := x.prepare()
+	if refusal == nil {
+		refusal = x.findOrigin()
+	}
+	if refusal != nil {
 		s.parts.Counters.CountRefusal(refusal.Reason)
 		x.logRefused(refusal)
 		httprelay.AnswerBeforeBody(w, r, func() { writeRefusal(w, x.call.ID, refusal) })
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/owner"
@@ -36,6 +37,13 @@
 	// endpoint had yet to process at its end.
 	longestPause      time.Duration
 	unprocessedTokens int
+	// key identifies the stream for hosts that resume it. version is the software version that wrote its events so far; 0
+	// if there is none or it is not certain. sentVersion is that of the endpoint of the last attempt when it was sent.
+	key         keys.Stream
+	version     keys.Version
+	sentVersion string
+	// isRecorded is set once this host has recorded the origin of the stream.
+	isRecorded bool
 }
 
 // summary returns the observations of the stream.
@@ -50,6 +58,7 @@
 	scanner := bufio.NewScanner(answer)
 	scanner.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	scanner.Split(splitEvents)
+	isFirst := true
 	for scanner.Scan() {
 		idle.Reset()
 		x.countRun()
@@ -57,6 +66,10 @@
 		if !x.stream.isNext(eventID(event)) {
 			continue
 		}
+		if isFirst && !x.confirmVersion(a) {
+			return owner.Result{Event: request.EventBroken, Err: errVersionChanged}
+		}
+		isFirst = false
 		if result := x.forwardEvent(a, answer, event); result != nil {
 			return *result
 		}
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -35,9 +35,13 @@
 	ReasonWrongAnswer    Reason = "wrong_answer"
 	ReasonRetryBudget    Reason = "retry_budget"
 	// ReasonPoison: endpoints crash while running the request.
-	ReasonPoison   Reason = "poison_request"
-	ReasonStopped  Reason = "stopped"
-	ReasonInternal Reason = "internal"
+	ReasonPoison Reason = "poison_request"
+	// ReasonNoVersion: no endpoint of the software version that began the stream takes requests. ReasonUnknownVersion: it
+	// is not known which version began the stream.
+	ReasonNoVersion      Reason = "no_version"
+	ReasonUnknownVersion Reason = "unknown_version"
+	ReasonStopped        Reason = "stopped"
+	ReasonInternal       Reason = "internal"
 )
 
 // Reasons lists all reasons, so that each counter exists before its first event.
@@ -49,7 +53,7 @@
 	ReasonNoEndpoint, ReasonCallerGone, ReasonNotStarted,
 	ReasonEndpointFailed, ReasonAnswerBroken, ReasonWrongAnswer,
 	ReasonRetryBudget, ReasonStopped, ReasonInternal, ReasonTimeLimit, ReasonHeadTooLarge, ReasonUnknownRoute, ReasonPoison,
-	ReasonResting, ReasonLimited,
+	ReasonResting, ReasonLimited, ReasonNoVersion, ReasonUnknownVersion,
 }
 
 // RetryReason is the reason for which a request was sent again, resumed or assigned another endpoint. The set is
