placement: prompts are copied between endpoints of one software version only

What two versions write doesn't fit together, and that may hold for cached prompts: an endpoint was told to copy a prefix from any holder (Kv-Fetch). The new case of TestFetchSource (a holder of another version) failed before with e2 for e3. A start at another time isn't another version.

--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -161,7 +161,7 @@
 	}
 	if q.preferred != "" {
 		best.Prefix = keys.Prefix(q.prefix)
-		best.FetchFrom = v.fetchFrom(now, q, best.Endpoint, slices.Concat(endpoints, leaving))
+		best.FetchFrom = v.fetchFrom(now, q, &best, slices.Concat(endpoints, leaving))
 	}
 	return best, true
 }
@@ -299,16 +299,18 @@
 	}
 }
 
-// fetchFrom returns the ID of the endpoint to which the prefix was sent most recently, as a source for an endpoint that
-// lacks it. It is empty if the endpoint holds the prefix itself, or if no endpoint that is not ejected holds it.
-func (v *View) fetchFrom(now time.Time, q *query, endpoint string, endpoints []*directory.Entry) string {
+// fetchFrom returns the ID of the endpoint to which the prefix was sent most recently, as a source for a chosen endpoint
+// that lacks it. It is empty if the chosen endpoint holds the prefix itself, or if no endpoint of its software version that
+// is not ejected holds it: one version can't read what another has cached.
+func (v *View) fetchFrom(now time.Time, q *query, chosen *Choice, endpoints []*directory.Entry) string {
 	newest, at := "", time.Time{}
+	software := directory.SoftwareVersion(chosen.Version)
 	for _, e := range endpoints {
 		sent, ok := q.holders[keys.OfEndpoint(e.ID)]
-		if ok && e.ID == endpoint {
+		if ok && e.ID == chosen.Endpoint {
 			return ""
 		}
-		if ok && sent.After(at) && !v.ejections.isEjected(now, e.ID) {
+		if ok && sent.After(at) && !v.ejections.isEjected(now, e.ID) && directory.SoftwareVersion(e.Endpoint.Version) == software {
 			newest, at = e.ID, sent
 		}
 	}
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -247,17 +247,22 @@
 
 func TestFetchSource(t *testing.T) {
 	three := entries("e1", "e2", "e3")
+	three[0].Endpoint.Version, three[2].Endpoint.Version = "v1", "v1"
 	tests := map[string]struct {
 		held    []string
 		ejected []string
 		to      string
 		want    string
+		// version is that of e2; the others run v1.
+		version string
 	}{
-		"no holder":                            {nil, nil, "e1", ""},
-		"the endpoint itself holds it":         {[]string{"e1", "e2"}, nil, "e1", ""},
-		"another endpoint holds it":            {[]string{"e2"}, nil, "e1", "e2"},
-		"the most recent holder is the source": {[]string{"e3", "e2"}, nil, "e1", "e2"},
-		"an ejected holder is not":             {[]string{"e3", "e2"}, []string{"e2"}, "e1", "e3"},
+		"no holder":                            {nil, nil, "e1", "", "v1"},
+		"the endpoint itself holds it":         {[]string{"e1", "e2"}, nil, "e1", "", "v1"},
+		"another endpoint holds it":            {[]string{"e2"}, nil, "e1", "e2", "v1"},
+		"the most recent holder is the source": {[]string{"e3", "e2"}, nil, "e1", "e2", "v1"},
+		"an ejected holder is not":             {[]string{"e3", "e2"}, []string{"e2"}, "e1", "e3", "v1"},
+		"a holder of another version is not":   {[]string{"e3", "e2"}, nil, "e1", "e3", "v2"},
+		"one that started at another time is":  {[]string{"e3", "e2"}, nil, "e1", "e2", "v1 of 1764000000000"},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -269,7 +274,8 @@
 				b.ejections.Failed(start, id, false)
 			}
 			q := query{prefix: 7, holders: b.holders[7]}
-			qt.Check(t, b.fetchFrom(start, &q, test.to, three), qt.Equals, test.want)
+			three[1].Endpoint.Version = test.version
+			qt.Check(t, b.fetchFrom(start, &q, &Choice{Endpoint: test.to, Version: "v1"}, three), qt.Equals, test.want)
 		})
 	}
 }
