oxbowslipd: an answer is not continued by an engine of another version

While the engines of a model have several versions, an answer is resumed at its own engine only; further tries by others end.

--- a/internal/daemon/api/chat.go
+++ b/internal/daemon/api/chat.go
@@ -18,6 +18,7 @@
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
 const (
@@ -88,7 +89,7 @@
 		x.stream = newStreamRelay(s, x.w, c)
 		job.Attempt = x.streamAttempt
 		job.Resume = x.streamResume
-		job.CanContinue = x.allEnginesContinue()
+		job.CanContinue = allEnginesContinue(x.caller.tree.Endpoints, x.body.Model)
 	}
 	end := s.parts.Owner.Run(ctx, job)
 	s.parts.Recorded.Add(record.Entry{
@@ -97,15 +98,20 @@
 	x.finish(&end)
 }
 
-// allEnginesContinue reports whether all engines of the model can continue from a partial answer,
-// so that any of them may be granted.
-func (x *chatExchange) allEnginesContinue() bool {
-	for _, e := range x.caller.tree.Endpoints {
-		if e.Model == x.body.Model && !e.Continues {
+// allEnginesContinue reports whether any engine of a model can continue the partial answer of any other: all of them can
+// continue one, and all run one version, since the answers of two versions don't fit together.
+func allEnginesContinue(endpoints map[string]settings.Endpoint, model string) bool {
+	versions := make(map[string]bool)
+	for _, e := range endpoints {
+		if e.Model != model {
+			continue
+		}
+		if !e.Continues {
 			return false
 		}
+		versions[e.Version] = true
 	}
-	return true
+	return len(versions) <= 1
 }
 
 func (x *chatExchange) finish(end *owner.End) {
