Rename keys.Request to keys.Content, and the fields Request of package poison to Content

The key will also stand for a part of a prompt. Messages are arrays and rows have names of their own, so that nothing changes on the wire or in the store.

--- a/internal/front/keys/keys.go
+++ b/internal/front/keys/keys.go
@@ -55,12 +55,12 @@
 // Prefix is the key of a prefix shared by prompts: the low bits of its hash.
 type Prefix uint32
 
-// Request is the key of a request's contents. A caller that sends the same request again, under another ID or to
-// another host, gets the same key.
-type Request uint64
+// Content is the key of what an endpoint is sent: the contents of a request. A caller that sends the same request again,
+// under another ID or to another host, gets the same key.
+type Content uint64
 
 // String returns the key as it appears in logs.
-func (k Request) String() string { return fmt.Sprintf("%016x", uint64(k)) }
+func (k Content) String() string { return fmt.Sprintf("%016x", uint64(k)) }
 
 // Identity is the part of a request that its key depends on.
 type Identity struct {
@@ -74,7 +74,7 @@
 }
 
 // OfRequest returns the key of a request. It reads the body once and does not allocate.
-func OfRequest(id *Identity) Request {
+func OfRequest(id *Identity) Content {
 	var hash xxhash.Digest
 	hash.Reset()
 	for _, text := range [...]string{id.Workspace, id.Method, id.Host, id.Target} {
@@ -83,7 +83,7 @@
 		_, _ = hash.Write(textSeparator[:])
 	}
 	_, _ = hash.Write(id.Body)
-	return Request(hash.Sum64())
+	return Content(hash.Sum64())
 }
 
 // textSeparator separates the texts of an Identity; none of them can contain it.
--- a/internal/front/placement/queue.go
+++ b/internal/front/placement/queue.go
@@ -70,7 +70,7 @@
 	}
 	q := &slots.Request{
 		Service: service, Workspace: request.Workspace, Weight: float32(request.Weight), Rank: uint8(min(p.bounds.rank(request), math.MaxUint8)),
-		IsRepeatable: request.Repeatable, Key: keys.Request(request.ContentKey), Zone: request.Zone,
+		IsRepeatable: request.Repeatable, Key: keys.Content(request.ContentKey), Zone: request.Zone,
 		UntilTarget: request.Arrived.Add(max(request.FirstToken, request.WholeAnswer)).Sub(now), UntilLimit: request.Deadline.Sub(now),
 	}
 	for _, e := range endpoints {
--- a/internal/front/poison/blame_test.go
+++ b/internal/front/poison/blame_test.go
@@ -23,14 +23,14 @@
 	downUntil   []freshness.StoreTime
 	generation  []int
 	running     []*simulatedRun
-	lastRequest keys.Request
+	lastRequest keys.Content
 	sent        int
 	blamed      int
 }
 
 // simulatedRun is a request at an endpoint.
 type simulatedRun struct {
-	request  keys.Request
+	request  keys.Content
 	endpoint int
 	// begun is when the endpoint begins to answer, until is when it has finished.
 	begun, until freshness.StoreTime
@@ -189,7 +189,7 @@
 		s := newBlameSimulation(seed)
 		s.run(func(s *blameSimulation) []int {
 			if s.now%freshness.StoreTime(500*time.Millisecond) == 0 {
-				minute := keys.Request(s.now / freshness.StoreTime(time.Minute))
+				minute := keys.Content(s.now / freshness.StoreTime(time.Minute))
 				s.send(&simulatedRun{request: 1 + minute, isPoison: true})
 			}
 			return nil
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -40,7 +40,7 @@
 	// Verdicts returns all stored verdicts, including expired ones.
 	Verdicts(ctx context.Context) ([]Verdict, error)
 	// WriteVerdicts adds some verdicts and removes others.
-	WriteVerdicts(ctx context.Context, verdicts []Verdict, remove []keys.Request) error
+	WriteVerdicts(ctx context.Context, verdicts []Verdict, remove []keys.Content) error
 }
 
 // Parts are the dependencies of a Detector.
@@ -60,7 +60,7 @@
 
 // Call is a call that an endpoint broke.
 type Call struct {
-	Request keys.Request
+	Content keys.Content
 	// Endpoint is the ID of the endpoint, Address its network address.
 	Endpoint string
 	Address  string
@@ -86,7 +86,7 @@
 	sawCrash bool
 	// unsaved are verdicts that are still to be written to the store, outdated are those to be removed from it.
 	unsaved  []Verdict
-	outdated []keys.Request
+	outdated []keys.Content
 }
 
 // New returns a detector without evidence.
@@ -95,7 +95,7 @@
 }
 
 // IsPoison reports whether a request must not be sent to any endpoint.
-func (d *Detector) IsPoison(request keys.Request) bool {
+func (d *Detector) IsPoison(request keys.Content) bool {
 	if d.size.Load() == 0 {
 		return false
 	}
@@ -105,7 +105,7 @@
 }
 
 // RecordAnswer is called when an endpoint has answered a request completely.
-func (d *Detector) RecordAnswer(request keys.Request) {
+func (d *Detector) RecordAnswer(request keys.Content) {
 	if d.size.Load() == 0 {
 		return
 	}
@@ -118,7 +118,7 @@
 
 // clearRequest removes the evidence and the verdict on a request, and reports whether there was any. The caller holds
 // the lock.
-func (d *Detector) clearRequest(request keys.Request) bool {
+func (d *Detector) clearRequest(request keys.Content) bool {
 	wasSuspect, hadVerdict := d.table.RecordAnswer(d.parts.StoreTime(), request)
 	if hadVerdict {
 		d.parts.Log.WithField("request_key", request.String()).Info("request answered or lifted by an operator; its verdict is removed")
@@ -150,13 +150,13 @@
 // recordCrash records that an endpoint has crashed while it had a call. The caller holds the lock.
 func (d *Detector) recordCrash(call *Call) {
 	crash := Crash{Endpoint: keys.OfEndpoint(call.Endpoint), At: d.parts.StoreTime(), Begun: call.Begun}
-	verdict, proved := d.table.RecordCrash(call.Request, crash)
-	d.outbox.addCrash(call.Request, crash)
+	verdict, proved := d.table.RecordCrash(call.Content, crash)
+	d.outbox.addCrash(call.Content, crash)
 	d.sawCrash = true
 	lifetime.Wake(d.storeWake)
 	if proved {
 		d.parts.Log.WithFields(logrus.Fields{
-			"request_key": call.Request.String(), "endpoint": call.Endpoint, "endpoint_keys": verdict.Endpoints, "until": time.Duration(verdict.Until).String(),
+			"request_key": call.Content.String(), "endpoint": call.Endpoint, "endpoint_keys": verdict.Endpoints, "until": time.Duration(verdict.Until).String(),
 		}).Warn("request given up, endpoints end under it")
 		d.unsaved = append(d.unsaved, verdict)
 		d.outbox.addVerdict(verdict)
@@ -178,7 +178,7 @@
 		d.adopt(r.Verdicts[i].verdict(), from.Host)
 	}
 	for i := range r.Ends {
-		if verdict, proved := d.table.RecordCrash(r.Ends[i].Request, r.Ends[i].crash()); proved {
+		if verdict, proved := d.table.RecordCrash(r.Ends[i].Content, r.Ends[i].crash()); proved {
 			d.logAdopted(verdict, from.Host)
 			d.saveIfAnnouncer(verdict)
 		}
@@ -196,8 +196,8 @@
 	var known []ReportedVerdict
 	d.mu.Lock()
 	for i := range r.Ends {
-		verdict, ok := d.table.verdicts[r.Ends[i].Request]
-		if ok && !slices.ContainsFunc(known, func(v ReportedVerdict) bool { return v.Request == verdict.Request }) {
+		verdict, ok := d.table.verdicts[r.Ends[i].Content]
+		if ok && !slices.ContainsFunc(known, func(v ReportedVerdict) bool { return v.Content == verdict.Content }) {
 			known = append(known, reportedVerdict(verdict))
 		}
 	}
@@ -227,7 +227,7 @@
 }
 
 func (d *Detector) logAdopted(verdict Verdict, from string) {
-	d.parts.Log.WithFields(logrus.Fields{"request_key": verdict.Request.String(), "endpoint_keys": verdict.Endpoints, "from": from}).Info("request given up, verdict adopted")
+	d.parts.Log.WithFields(logrus.Fields{"request_key": verdict.Content.String(), "endpoint_keys": verdict.Endpoints, "from": from}).Info("request given up, verdict adopted")
 }
 
 // evidenceChanged updates size and wakes Run to send a report. The caller holds the lock.
@@ -240,7 +240,7 @@
 func (d *Detector) count() { d.size.Store(int64(d.table.SuspectCount() + len(d.table.verdicts))) }
 
 // Lift clears a request at all hosts at an operator's request, and reports whether there was a verdict on it.
-func (d *Detector) Lift(request keys.Request) bool {
+func (d *Detector) Lift(request keys.Content) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.table.IsPoison(request) {
@@ -252,7 +252,7 @@
 }
 
 // queueAnswered has peers clear a request. The caller holds the lock.
-func (d *Detector) queueAnswered(request keys.Request) {
+func (d *Detector) queueAnswered(request keys.Content) {
 	d.outbox.addAnswered(request)
 	d.evidenceChanged()
 }
--- a/internal/front/poison/detector_test.go
+++ b/internal/front/poison/detector_test.go
@@ -35,7 +35,7 @@
 	// loss is the share of datagrams that are lost.
 	loss   float64
 	random *rand.Rand
-	stored map[keys.Request]Verdict
+	stored map[keys.Content]Verdict
 	// storeDown is set while the store does not answer.
 	storeDown bool
 	writes    int
@@ -59,7 +59,7 @@
 func newFleet(c *qt.C, hosts int) *fleet {
 	f := &fleet{
 		c: c, start: time.Now(), listening: make(map[string]bool), unresponsive: make(map[string]bool),
-		random: rand.New(rand.NewPCG(42, 0)), stored: make(map[keys.Request]Verdict),
+		random: rand.New(rand.NewPCG(42, 0)), stored: make(map[keys.Content]Verdict),
 	}
 	for range hosts {
 		f.addHost()
@@ -183,7 +183,7 @@
 	return verdicts, nil
 }
 
-func (f *fleet) WriteVerdicts(_ context.Context, verdicts []Verdict, remove []keys.Request) error {
+func (f *fleet) WriteVerdicts(_ context.Context, verdicts []Verdict, remove []keys.Content) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.storeDown {
@@ -191,7 +191,7 @@
 	}
 	f.writes++
 	for _, v := range verdicts {
-		f.stored[v.Request] = v
+		f.stored[v.Content] = v
 	}
 	for _, request := range remove {
 		delete(f.stored, request)
@@ -200,12 +200,12 @@
 }
 
 // breakCall has an endpoint break a host's call. Unless the endpoint is listening or unresponsive, it has crashed.
-func (f *fleet) breakCall(h *host, request keys.Request, endpoint string) {
-	h.RecordBrokenCall(&Call{Request: request, Endpoint: endpoint, Address: endpoint, Begun: true})
+func (f *fleet) breakCall(h *host, request keys.Content, endpoint string) {
+	h.RecordBrokenCall(&Call{Content: request, Endpoint: endpoint, Address: endpoint, Begun: true})
 }
 
 // countAware returns the number of live hosts with a verdict on a request, and the number of live hosts.
-func (f *fleet) countAware(request keys.Request) (aware, live int) {
+func (f *fleet) countAware(request keys.Content) (aware, live int) {
 	for _, h := range f.hosts {
 		if !h.isolated {
 			live++
@@ -217,7 +217,7 @@
 	return aware, live
 }
 
-func (f *fleet) checkAllAware(request keys.Request) {
+func (f *fleet) checkAllAware(request keys.Content) {
 	aware, live := f.countAware(request)
 	f.c.Check(aware, qt.Equals, live)
 }
@@ -533,7 +533,7 @@
 		b.Run(name, func(b *testing.B) {
 			d := New(Parts{})
 			for n := range verdicts {
-				d.table.Adopt(Verdict{Request: keys.Request(n + 2)})
+				d.table.Adopt(Verdict{Content: keys.Content(n + 2)})
 			}
 			d.count()
 			b.ReportAllocs()
--- a/internal/front/poison/messages.go
+++ b/internal/front/poison/messages.go
@@ -16,7 +16,7 @@
 
 	Ends []ReportedCrash
 	// Answered are requests that have been answered completely in the meantime, or lifted by an operator.
-	Answered []keys.Request
+	Answered []keys.Content
 	Verdicts []ReportedVerdict
 }
 
@@ -24,7 +24,7 @@
 type ReportedCrash struct {
 	_ struct{} `cbor:",toarray"`
 
-	Request  keys.Request
+	Content  keys.Content
 	Endpoint keys.Endpoint
 	// AtMs is when the crash was noticed, in milliseconds of the store's clock.
 	AtMs  int64
@@ -35,7 +35,7 @@
 type ReportedVerdict struct {
 	_ struct{} `cbor:",toarray"`
 
-	Request keys.Request
+	Content keys.Content
 	// UntilMs is when the verdict expires, in milliseconds of the store's clock.
 	UntilMs   int64
 	Endpoints []keys.Endpoint
@@ -52,9 +52,9 @@
 }
 
 func (r *ReportedVerdict) verdict() Verdict {
-	return Verdict{Request: r.Request, Until: fromMs(r.UntilMs), Endpoints: r.Endpoints}
+	return Verdict{Content: r.Content, Until: fromMs(r.UntilMs), Endpoints: r.Endpoints}
 }
 
 func reportedVerdict(v Verdict) ReportedVerdict {
-	return ReportedVerdict{Request: v.Request, UntilMs: toMs(v.Until), Endpoints: v.Endpoints}
+	return ReportedVerdict{Content: v.Content, UntilMs: toMs(v.Until), Endpoints: v.Endpoints}
 }
--- a/internal/front/poison/messages_test.go
+++ b/internal/front/poison/messages_test.go
@@ -16,9 +16,9 @@
 // TestGoldenReport pins the encoded form of a report, which hosts of other versions read.
 func TestGoldenReport(t *testing.T) {
 	golden.Message(t, "report", &Report{
-		Ends:     []ReportedCrash{{Request: 1, Endpoint: 2, AtMs: 3, Begun: true}},
-		Answered: []keys.Request{4},
-		Verdicts: []ReportedVerdict{{Request: 5, UntilMs: 6, Endpoints: []keys.Endpoint{7}}},
+		Ends:     []ReportedCrash{{Content: 1, Endpoint: 2, AtMs: 3, Begun: true}},
+		Answered: []keys.Content{4},
+		Verdicts: []ReportedVerdict{{Content: 5, UntilMs: 6, Endpoints: []keys.Endpoint{7}}},
 	})
 }
 
@@ -31,11 +31,11 @@
 	day := 24 * time.Hour
 	full, announced := new(Report), new(Report)
 	for range maxReported {
-		full.Ends = append(full.Ends, ReportedCrash{Request: math.MaxUint64, Endpoint: math.MaxUint32, AtMs: day.Milliseconds(), Begun: true})
+		full.Ends = append(full.Ends, ReportedCrash{Content: math.MaxUint64, Endpoint: math.MaxUint32, AtMs: day.Milliseconds(), Begun: true})
 	}
 	for range maxAnnounced {
 		announced.Verdicts = append(announced.Verdicts, reportedVerdict(Verdict{
-			Request: math.MaxUint64, Until: freshness.StoreTime(day), Endpoints: []keys.Endpoint{math.MaxUint32, math.MaxUint32, math.MaxUint32},
+			Content: math.MaxUint64, Until: freshness.StoreTime(day), Endpoints: []keys.Endpoint{math.MaxUint32, math.MaxUint32, math.MaxUint32},
 		}))
 	}
 	together := Report{Ends: full.Ends, Verdicts: announced.Verdicts}
@@ -56,8 +56,8 @@
 // FuzzReceived decodes reports from other hosts, which may be any bytes.
 func FuzzReceived(f *testing.F) {
 	for _, report := range []*Report{
-		{Ends: []ReportedCrash{{Request: 1, Endpoint: 2, AtMs: 3, Begun: true}}, Answered: []keys.Request{4}},
-		{Verdicts: []ReportedVerdict{{Request: 5, UntilMs: math.MinInt64, Endpoints: nil}}},
+		{Ends: []ReportedCrash{{Content: 1, Endpoint: 2, AtMs: 3, Begun: true}}, Answered: []keys.Content{4}},
+		{Verdicts: []ReportedVerdict{{Content: 5, UntilMs: math.MinInt64, Endpoints: nil}}},
 	} {
 		data, err := cbor.Marshal(report)
 		qt.Assert(f, err, qt.IsNil)
--- a/internal/front/poison/poison.go
+++ b/internal/front/poison/poison.go
@@ -61,7 +61,7 @@
 
 // Verdict declares a request to be poison.
 type Verdict struct {
-	Request keys.Request
+	Content keys.Content
 	// Until is when the verdict expires, by the store's clock.
 	Until freshness.StoreTime
 	// Endpoints are the endpoints that crashed while they had the request.
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -12,7 +12,7 @@
 // outbox holds the items that are still to be sent in reports.
 type outbox struct {
 	crashes  []repeatedItem[ReportedCrash]
-	answered []repeatedItem[keys.Request]
+	answered []repeatedItem[keys.Content]
 	verdicts []repeatedItem[ReportedVerdict]
 }
 
@@ -22,12 +22,12 @@
 	left int
 }
 
-func (o *outbox) addCrash(request keys.Request, crash Crash) {
-	o.crashes = append(o.crashes, repeatedItem[ReportedCrash]{ReportedCrash{Request: request, Endpoint: crash.Endpoint, AtMs: toMs(crash.At), Begun: crash.Begun}, reportRepeats})
+func (o *outbox) addCrash(request keys.Content, crash Crash) {
+	o.crashes = append(o.crashes, repeatedItem[ReportedCrash]{ReportedCrash{Content: request, Endpoint: crash.Endpoint, AtMs: toMs(crash.At), Begun: crash.Begun}, reportRepeats})
 }
 
-func (o *outbox) addAnswered(request keys.Request) {
-	o.answered = append(o.answered, repeatedItem[keys.Request]{request, reportRepeats})
+func (o *outbox) addAnswered(request keys.Content) {
+	o.answered = append(o.answered, repeatedItem[keys.Content]{request, reportRepeats})
 }
 
 func (o *outbox) addVerdict(verdict Verdict) {
@@ -150,7 +150,7 @@
 	defer d.mu.Unlock()
 	for _, verdict := range verdicts {
 		if verdict.Until < d.parts.StoreTime() {
-			d.outdated = append(d.outdated, verdict.Request)
+			d.outdated = append(d.outdated, verdict.Content)
 			continue
 		}
 		if d.adopt(verdict, "store") {
@@ -173,7 +173,7 @@
 	d.mu.Lock()
 	found, removed := len(d.unsaved), len(d.outdated)
 	// A request whose state has changed in between is written only as it is now: either poison or not.
-	verdicts := slices.DeleteFunc(slices.Clone(d.unsaved), func(v Verdict) bool { return !d.table.IsPoison(v.Request) })
+	verdicts := slices.DeleteFunc(slices.Clone(d.unsaved), func(v Verdict) bool { return !d.table.IsPoison(v.Content) })
 	outdated := slices.DeleteFunc(slices.Clone(d.outdated), d.table.IsPoison)
 	d.mu.Unlock()
 	if len(verdicts) > 0 || (len(outdated) > 0 && d.isAnnouncer()) {
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -12,25 +12,25 @@
 // Table holds the evidence that a host has received, and the verdicts. Times are those of the store's clock. It is
 // not safe for concurrent use.
 type Table struct {
-	suspects map[keys.Request][]Crash
-	verdicts map[keys.Request]Verdict
+	suspects map[keys.Content][]Crash
+	verdicts map[keys.Content]Verdict
 	// crashes are the crashes that no verdict explains, the oldest first.
 	crashes []Crash
 	// answered holds the time of the answer to each request that was suspect or poison at the time.
-	answered map[keys.Request]freshness.StoreTime
+	answered map[keys.Content]freshness.StoreTime
 }
 
 // NewTable returns a table without evidence.
 func NewTable() *Table {
 	return &Table{
-		suspects: make(map[keys.Request][]Crash), verdicts: make(map[keys.Request]Verdict),
-		answered: make(map[keys.Request]freshness.StoreTime),
+		suspects: make(map[keys.Content][]Crash), verdicts: make(map[keys.Content]Verdict),
+		answered: make(map[keys.Content]freshness.StoreTime),
 	}
 }
 
 // RecordCrash records that an endpoint crashed while it had a request. It returns the verdict if this crash proves
 // it.
-func (t *Table) RecordCrash(request keys.Request, crash Crash) (Verdict, bool) {
+func (t *Table) RecordCrash(request keys.Content, crash Crash) (Verdict, bool) {
 	if _, known := t.verdicts[request]; known {
 		return Verdict{}, false
 	}
@@ -46,7 +46,7 @@
 		t.enforceBounds()
 		return Verdict{}, false
 	}
-	verdict := Verdict{Request: request}
+	verdict := Verdict{Content: request}
 	for _, c := range crashes {
 		verdict.Until = max(verdict.Until, c.At+freshness.StoreTime(verdictValidity))
 		verdict.Endpoints = append(verdict.Endpoints, c.Endpoint)
@@ -103,7 +103,7 @@
 // Adopt records a verdict from another host or the store, and reports whether it is new. A verdict on a request that
 // was answered less than answerHold ago is ignored, since it may have been sent before the answer.
 func (t *Table) Adopt(verdict Verdict) bool {
-	if _, answered := t.answered[verdict.Request]; answered {
+	if _, answered := t.answered[verdict.Content]; answered {
 		return false
 	}
 	return t.setVerdict(verdict)
@@ -112,11 +112,11 @@
 // setVerdict records a verdict. The verdict explains its crashes: they no longer count against other requests at the
 // same endpoints. A request that was at several of these endpoints keeps one crash, since it may be poison as well.
 func (t *Table) setVerdict(verdict Verdict) bool {
-	if known, ok := t.verdicts[verdict.Request]; ok && verdict.Until <= known.Until+freshness.StoreTime(sameCrashInterval) {
+	if known, ok := t.verdicts[verdict.Content]; ok && verdict.Until <= known.Until+freshness.StoreTime(sameCrashInterval) {
 		return false
 	}
-	t.verdicts[verdict.Request] = verdict
-	delete(t.suspects, verdict.Request)
+	t.verdicts[verdict.Content] = verdict
+	delete(t.suspects, verdict.Content)
 	explained := func(c Crash) bool { return slices.Contains(verdict.Endpoints, c.Endpoint) }
 	for request, crashes := range t.suspects {
 		if slices.ContainsFunc(crashes, explained) {
@@ -146,7 +146,7 @@
 
 // RecordAnswer records that an endpoint answered a request completely, which proves that the request is not poison.
 // It reports whether the request was suspect, and whether there was a verdict.
-func (t *Table) RecordAnswer(now freshness.StoreTime, request keys.Request) (wasSuspect, hadVerdict bool) {
+func (t *Table) RecordAnswer(now freshness.StoreTime, request keys.Content) (wasSuspect, hadVerdict bool) {
 	_, wasSuspect = t.suspects[request]
 	_, hadVerdict = t.verdicts[request]
 	if wasSuspect || hadVerdict {
@@ -158,7 +158,7 @@
 }
 
 // IsPoison reports whether there is a verdict on a request.
-func (t *Table) IsPoison(request keys.Request) bool {
+func (t *Table) IsPoison(request keys.Content) bool {
 	_, ok := t.verdicts[request]
 	return ok
 }
@@ -166,7 +166,7 @@
 // Verdicts returns all verdicts, those that expire last first.
 func (t *Table) Verdicts() []Verdict {
 	return slices.SortedFunc(maps.Values(t.verdicts), func(a, b Verdict) int {
-		return cmp.Or(cmp.Compare(b.Until, a.Until), cmp.Compare(a.Request, b.Request))
+		return cmp.Or(cmp.Compare(b.Until, a.Until), cmp.Compare(a.Content, b.Content))
 	})
 }
 
@@ -175,14 +175,14 @@
 
 // Expire removes expired evidence and verdicts, and returns the requests that are no longer poison. All but one of
 // the crashes that prove a verdict still count after it has expired, so that one more crash renews it.
-func (t *Table) Expire(now freshness.StoreTime) []keys.Request {
+func (t *Table) Expire(now freshness.StoreTime) []keys.Content {
 	for request, crashes := range t.suspects {
 		crashes = slices.DeleteFunc(crashes, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
 		t.setSuspect(request, crashes)
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
-	maps.DeleteFunc(t.answered, func(_ keys.Request, at freshness.StoreTime) bool { return at+freshness.StoreTime(answerHold) < now })
-	var expired []keys.Request
+	maps.DeleteFunc(t.answered, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(answerHold) < now })
+	var expired []keys.Content
 	for request, verdict := range t.verdicts {
 		if verdict.Until < now {
 			expired = append(expired, request)
@@ -203,7 +203,7 @@
 }
 
 // setSuspect replaces the crashes that count against a request.
-func (t *Table) setSuspect(request keys.Request, crashes []Crash) {
+func (t *Table) setSuspect(request keys.Content, crashes []Crash) {
 	if len(crashes) == 0 {
 		delete(t.suspects, request)
 		return
@@ -216,13 +216,13 @@
 func (t *Table) enforceBounds() {
 	if len(t.verdicts) > maxVerdicts {
 		for _, verdict := range t.Verdicts()[maxVerdicts-maxVerdicts/8:] {
-			delete(t.verdicts, verdict.Request)
+			delete(t.verdicts, verdict.Content)
 		}
 	}
 	if len(t.suspects) <= maxSuspects {
 		return
 	}
-	oldest := slices.SortedFunc(maps.Keys(t.suspects), func(a, b keys.Request) int {
+	oldest := slices.SortedFunc(maps.Keys(t.suspects), func(a, b keys.Content) int {
 		return cmp.Or(cmp.Compare(lastAt(t.suspects[a]), lastAt(t.suspects[b])), cmp.Compare(a, b))
 	})
 	for _, request := range oldest[:maxSuspects/8] {
--- a/internal/front/poison/table_test.go
+++ b/internal/front/poison/table_test.go
@@ -12,8 +12,8 @@
 
 // Requests that the tests use.
 const (
-	poisonRequest keys.Request = 1
-	otherRequest  keys.Request = 2
+	poisonRequest keys.Content = 1
+	otherRequest  keys.Content = 2
 )
 
 // begunCrash and waitingCrash return a crash of an endpoint some seconds after the start: after it had begun to
@@ -111,7 +111,7 @@
 			}
 			late := 1 + verdictValidity.Seconds()
 			c.Check(table.Expire(begunCrash(0, late-1).At), qt.HasLen, 0)
-			c.Check(table.Expire(begunCrash(0, late+1).At), qt.DeepEquals, []keys.Request{poisonRequest})
+			c.Check(table.Expire(begunCrash(0, late+1).At), qt.DeepEquals, []keys.Content{poisonRequest})
 			c.Check(table.IsPoison(poisonRequest), qt.IsFalse)
 			if test.answered {
 				table.RecordAnswer(begunCrash(0, late).At, poisonRequest)
@@ -139,10 +139,10 @@
 	const many = 20_000
 	for n := range many {
 		at := float64(n) / 1000
-		table.Adopt(Verdict{Request: keys.Request(many + n), Until: begunCrash(0, at).At})
+		table.Adopt(Verdict{Content: keys.Content(many + n), Until: begunCrash(0, at).At})
 	}
 	for n := range many {
-		table.RecordCrash(keys.Request(n), begunCrash(1, float64(n)/1000))
+		table.RecordCrash(keys.Content(n), begunCrash(1, float64(n)/1000))
 	}
 	c.Check(table.SuspectCount() <= maxSuspects, qt.IsTrue)
 	c.Check(len(table.verdicts) <= maxVerdicts, qt.IsTrue)
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -140,7 +140,7 @@
 // begins. A call that this host aborted, or whose path it lost, is not reported.
 func (x *exchange) reportBroken(ctx context.Context, a *owner.Attempt, cause error, begun bool) {
 	if ctx.Err() == nil && !errors.Is(cause, upstream.ErrPathLost) {
-		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Request: x.key, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun})
+		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Content: x.key, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun})
 	}
 }
 
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -33,7 +33,7 @@
 	service string
 	body    []byte
 	// key identifies the content of the request; identical requests share it.
-	key keys.Request
+	key keys.Content
 	// deadline is when the request's time limit expires.
 	deadline time.Time
 
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -52,11 +52,11 @@
 // Poison detects the requests that crash the endpoints that run them. Its methods must not block.
 type Poison interface {
 	// IsPoison reports whether a request must not be sent.
-	IsPoison(request keys.Request) bool
+	IsPoison(request keys.Content) bool
 	// RecordBrokenCall is called when an endpoint has broken a call.
 	RecordBrokenCall(call *poison.Call)
 	// RecordAnswer is called when an endpoint has sent a complete answer.
-	RecordAnswer(request keys.Request)
+	RecordAnswer(request keys.Content)
 }
 
 // Origins knows the software versions that began streams.
--- a/internal/front/slots/coordinator_test.go
+++ b/internal/front/slots/coordinator_test.go
@@ -51,7 +51,7 @@
 
 // ask sends a request of host A with the defaults of the tests, and returns the first reply.
 func (q *queue) ask(number uint64, change func(*Request)) Reply {
-	r := &Request{Number: number, Service: "plain", Workspace: "w", Key: keys.Request(number), UntilTarget: 300 * time.Millisecond, UntilLimit: 800 * time.Millisecond}
+	r := &Request{Number: number, Service: "plain", Workspace: "w", Key: keys.Content(number), UntilTarget: 300 * time.Millisecond, UntilLimit: 800 * time.Millisecond}
 	if change != nil {
 		change(r)
 	}
@@ -490,7 +490,7 @@
 // TestPromisesAreBounded refuses more requests than there may be promises.
 func TestPromisesAreBounded(t *testing.T) {
 	var b returns
-	for key := range keys.Request(2 * maxReturns) {
+	for key := range keys.Content(2 * maxReturns) {
 		b.book(start, key, 0, time.Microsecond)
 	}
 	qt.Check(t, len(b) <= maxReturns, qt.IsTrue)
--- a/internal/front/slots/order.go
+++ b/internal/front/slots/order.go
@@ -58,7 +58,7 @@
 	flow      *flow
 	rank      uint8
 	group     group
-	key       keys.Request
+	key       keys.Content
 	zone      string
 	avoid     []keys.Endpoint
 	// start is the start tag of fair queueing, sequence the place in the order of arrival.
--- a/internal/front/slots/returns.go
+++ b/internal/front/slots/returns.go
@@ -29,12 +29,12 @@
 // promisedReturn is the time at which a request with a content is promised to go before newcomers.
 type promisedReturn struct {
 	at  time.Time
-	key keys.Request
+	key keys.Content
 }
 
 // book promises a time to the caller of a request: the first one after a delay that is an interval away from the other
 // promised times. It returns how far away it is, in whole milliseconds as callers are given it.
-func (b *returns) book(now time.Time, key keys.Request, delay, interval time.Duration) time.Duration {
+func (b *returns) book(now time.Time, key keys.Content, delay, interval time.Duration) time.Duration {
 	b.expire(now)
 	at := now.Add(max(delay, minReturn))
 	place := 0
@@ -56,7 +56,7 @@
 }
 
 // take reports whether a request is a return at its promised time. The promise ends; one for a later time is lost.
-func (b *returns) take(now time.Time, key keys.Request) bool {
+func (b *returns) take(now time.Time, key keys.Content) bool {
 	b.expire(now)
 	i := slices.IndexFunc(*b, func(p promisedReturn) bool { return p.key == key })
 	if i < 0 {
--- a/internal/front/slots/slots.go
+++ b/internal/front/slots/slots.go
@@ -33,7 +33,7 @@
 	Rank         uint8
 	IsRepeatable bool
 	// Key identifies the content of the request, by which a caller is recognized that returns.
-	Key  keys.Request
+	Key  keys.Content
 	Zone string
 	// UntilTarget is the time left until the latency target, negative if it is over. UntilLimit is the time left until
 	// the request's time limit.
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -78,7 +78,7 @@
 	now, _ := h.parts.Freshness.StoreTime(h.parts.Clock())
 	var requests []operator.PoisonRequest
 	for _, verdict := range h.parts.Poison.Verdicts() {
-		request := operator.PoisonRequest{Key: verdict.Request.String(), Left: time.Duration(verdict.Until - now)}
+		request := operator.PoisonRequest{Key: verdict.Content.String(), Left: time.Duration(verdict.Until - now)}
 		for _, endpoint := range verdict.Endpoints {
 			request.Endpoints = append(request.Endpoints, fmt.Sprintf("%08x", uint32(endpoint)))
 		}
@@ -183,5 +183,5 @@
 // liftVerdict removes the verdict on a poison request, so that the request is sent again.
 func (h *Host) liftVerdict(key string) bool {
 	number, err := strconv.ParseUint(key, 16, 64)
-	return err == nil && h.parts.Poison.Lift(keys.Request(number))
+	return err == nil && h.parts.Poison.Lift(keys.Content(number))
 }
