poison: verdicts on parts of prompts, as on whole requests

Cause: evidence was kept by the key of the whole request, so that requests which differ never added up.

Change: the same table judges the shared parts of a prompt, by workspace. Four ends of endpoints that had begun to answer, without a whole answer to any request with the part in between, are a verdict; six if the part was answered in the last 10 minutes. Ends within 30 ms count once. Of the parts of one request the last is judged first, and a verdict on a part explains its ends, so that parts which come with it are not blamed. A host that knows of an answer since the last end refutes a verdict. Messages, rows, bounds, lifting and expiry are those of requests; keys of parts have a mark in their low bits.

Why it is safe: one answer clears a part at all hosts; parts of one workspace are never judged by another's requests.

--- a/cmd/oxbowslip/doctor.go
+++ b/cmd/oxbowslip/doctor.go
@@ -96,7 +96,7 @@
 			add("could not resume %d streams: no endpoint of their software version takes requests, or the version is unknown; see OPERATIONS, \"Several software versions serve\"", refused)
 		}
 		for _, p := range s.Poison {
-			add("does not send the request %s: %d endpoints crashed while running it; `oxbowslip poison lift` once they are fixed", p.Key, len(p.Endpoints))
+			add("does not send %s %s: %d endpoints crashed while running it; `oxbowslip poison lift` once they are fixed", poisonText(&p), p.Key, len(p.Endpoints))
 		}
 		for _, endpoint := range s.Ejected {
 			add("sends no new requests to %s because it failed; see its log for 'endpoint ejected'", endpoint)
--- a/cmd/oxbowslip/tool.go
+++ b/cmd/oxbowslip/tool.go
@@ -73,7 +73,7 @@
 			fmt.Fprintf(w, "leader: %s, token %d, lease ends in %s; usage reported up to window %d\n\n", cmp.Or(l.Host, "none"), l.Token, l.Left.Round(time.Millisecond), l.Reported)
 		}
 		for _, p := range s.Poison {
-			fmt.Fprintf(w, "does not send the request %s for %s: %d endpoints crashed while running it\n\n", p.Key, p.Left.Round(time.Second), len(p.Endpoints))
+			fmt.Fprintf(w, "does not send %s %s for %s: %d endpoints crashed while running it\n\n", poisonText(&p), p.Key, p.Left.Round(time.Second), len(p.Endpoints))
 		}
 		for _, p := range s.Pushback {
 			fmt.Fprintf(w, "endpoint %s %s\n\n", p.Endpoint, pushbackText(&p))
@@ -109,6 +109,14 @@
 	})
 }
 
+// poisonText names what a verdict is on.
+func poisonText(p *operator.PoisonRequest) string {
+	if p.Part {
+		return "requests with the prompt part"
+	}
+	return "the request"
+}
+
 // versionsText lists software versions with the number of endpoints that run each.
 func versionsText(versions map[string]int) string {
 	var texts []string
--- a/internal/front/keys/keys.go
+++ b/internal/front/keys/keys.go
@@ -55,10 +55,25 @@
 // Prefix is the key of a prefix shared by prompts: the low bits of its hash.
 type Prefix uint32
 
-// Content is the key of what an endpoint is sent: the contents of a request. A caller that sends the same request again,
-// under another ID or to another host, gets the same key.
+// Content is the key of what an endpoint is sent: the contents of a request, or a part of its prompt. A caller that sends
+// the same request again, under another ID or to another host, gets the same key.
 type Content uint64
 
+// The low bits of the key of a part of a prompt have the value partMark, by which all hosts tell parts from requests. One
+// request in 65,536 has it by chance, and is judged like a part.
+const (
+	partMask = 1<<16 - 1
+	partMark = 0x9a27
+)
+
+// OfPart returns the key of a part of a workspace's prompts.
+func OfPart(workspace, id string) Content {
+	return Content(xxhash.Sum64String(workspace+"\x00"+id))&^partMask | partMark
+}
+
+// IsPart reports whether the key stands for a part of a prompt.
+func (k Content) IsPart() bool { return k&partMask == partMark }
+
 // String returns the key as it appears in logs.
 func (k Content) String() string { return fmt.Sprintf("%016x", uint64(k)) }
 
--- a/internal/front/poison/blame_test.go
+++ b/internal/front/poison/blame_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,7 +31,8 @@
 
 // simulatedRun is a request at an endpoint.
 type simulatedRun struct {
-	request  keys.Content
+	// contents are the request and the parts of its prompt, as in Call.
+	contents []keys.Content
 	endpoint int
 	// begun is when the endpoint begins to answer, until is when it has finished.
 	begun, until freshness.StoreTime
@@ -51,6 +53,9 @@
 	timeToBegin = freshness.StoreTime(40 * time.Millisecond)
 	lossSpread  = freshness.StoreTime(300 * time.Millisecond)
 	restartTime = freshness.StoreTime(3 * time.Second)
+	// blameSessions and blameClasses are the numbers of parts that prompts share.
+	blameSessions = 40
+	blameClasses  = 3
 	// maxSends is two tries of a caller with two attempts each.
 	maxSends = 4
 )
@@ -72,7 +77,7 @@
 		for range requestsPerStep {
 			s.lastRequest++
 			s.sent++
-			s.send(&simulatedRun{request: s.lastRequest})
+			s.send(&simulatedRun{contents: s.harmless()})
 		}
 		if s.now%freshness.StoreTime(time.Second) == 0 {
 			s.table.Expire(s.now)
@@ -80,9 +85,23 @@
 	}
 }
 
+// harmless returns the contents of a new request: the part of a session and that of a class are shared.
+func (s *blameSimulation) harmless() []keys.Content {
+	return []keys.Content{s.lastRequest, simulatedPart("session", s.random.IntN(blameSessions)), simulatedPart("class", s.random.IntN(blameClasses))}
+}
+
+func simulatedPart(kind string, n int) keys.Content {
+	return keys.OfPart("workspace", fmt.Sprint(kind, n))
+}
+
+// isPoison reports whether there is a verdict on any of some contents.
+func (s *blameSimulation) isPoison(contents []keys.Content) bool {
+	return slices.ContainsFunc(contents, s.table.IsPoison)
+}
+
 // send sends a request to a random endpoint that is up, unless the request is poison by the table's verdict.
 func (s *blameSimulation) send(r *simulatedRun) {
-	if s.table.IsPoison(r.request) {
+	if s.isPoison(r.contents) {
 		if !r.isPoison {
 			s.blamed++
 		}
@@ -115,7 +134,9 @@
 			left = append(left, r)
 			ended = append(ended, r.endpoint)
 		default:
-			s.table.RecordAnswer(s.now, r.request)
+			for _, content := range r.contents {
+				s.table.RecordAnswer(s.now, content)
+			}
 		}
 	}
 	s.running = left
@@ -142,7 +163,9 @@
 	}
 	s.running = left
 	for _, r := range broken {
-		s.table.RecordCrash(r.request, Crash{Endpoint: key, At: s.now, Begun: r.begun <= s.now})
+		for _, content := range r.contents {
+			s.table.RecordCrash(content, Crash{Endpoint: key, At: s.now, Begun: r.begun <= s.now})
+		}
 	}
 	for _, r := range broken {
 		s.send(r)
@@ -190,7 +213,7 @@
 		s.run(func(s *blameSimulation) []int {
 			if s.now%freshness.StoreTime(500*time.Millisecond) == 0 {
 				minute := keys.Content(s.now / freshness.StoreTime(time.Minute))
-				s.send(&simulatedRun{request: 1 + minute, isPoison: true})
+				s.send(&simulatedRun{contents: []keys.Content{1 + minute}, isPoison: true})
 			}
 			return nil
 		})
@@ -204,3 +227,39 @@
 	qt.Check(t, blamed*10_000 <= sent, qt.IsTrue)
 	qt.Check(t, crashes <= 30*2*minMajorityCrashes, qt.IsTrue)
 }
+
+// TestHarmlessRequestsBesidePoisonPartAreNotBlamed sends requests with one poison part, no two alike, every half second for
+// ten minutes, a new part each minute. They share the other parts with harmless requests, of which at most 1 in 10,000 may
+// be rejected by mistake. The users accept five crashes and three more requests for each part.
+func TestHarmlessRequestsBesidePoisonPartAreNotBlamed(t *testing.T) {
+	tests := map[string]func(poison keys.Content) []keys.Content{
+		"behind the part of a class": func(poison keys.Content) []keys.Content { return []keys.Content{poison, simulatedPart("class", 0)} },
+		"before the part of a session": func(poison keys.Content) []keys.Content {
+			return []keys.Content{simulatedPart("session", 0), poison, simulatedPart("class", 0)}
+		},
+	}
+	for name, parts := range tests {
+		t.Run(name, func(t *testing.T) {
+			sent, blamed, crashes := 0, 0, 0
+			for seed := range uint64(3) {
+				s := newBlameSimulation(seed)
+				s.run(func(s *blameSimulation) []int {
+					if s.now%freshness.StoreTime(500*time.Millisecond) == 0 {
+						s.lastRequest++
+						poison := simulatedPart("poison", int(s.now/freshness.StoreTime(time.Minute)))
+						s.send(&simulatedRun{contents: append([]keys.Content{s.lastRequest}, parts(poison)...), isPoison: true})
+					}
+					return nil
+				})
+				sent += s.sent
+				blamed += s.blamed
+				for _, generation := range s.generation {
+					crashes += generation
+				}
+			}
+			t.Logf("%d of %d harmless requests rejected, %d crashes from 30 poison parts", blamed, sent, crashes)
+			qt.Check(t, blamed*10_000 <= sent, qt.IsTrue)
+			qt.Check(t, crashes <= 30*(5+3), qt.IsTrue)
+		})
+	}
+}
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -60,7 +60,8 @@
 
 // Call is a call that an endpoint broke.
 type Call struct {
-	Content keys.Content
+	// Contents are the request and the shared parts of its prompt, from the last one on.
+	Contents []keys.Content
 	// Endpoint is the ID of the endpoint, Address its network address.
 	Endpoint string
 	Address  string
@@ -68,7 +69,7 @@
 	Begun bool
 }
 
-// Detector decides for one host which requests are poison. It is safe for concurrent use; none of the methods that
+// Detector decides for one host which contents are poison. It is safe for concurrent use; none of the methods that
 // requests call blocks.
 type Detector struct {
 	parts Parts
@@ -94,35 +95,42 @@
 	return &Detector{parts: parts, reportWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), table: NewTable(), probes: make(map[string]*probe)}
 }
 
-// IsPoison reports whether a request must not be sent to any endpoint.
-func (d *Detector) IsPoison(request keys.Content) bool {
+// FindPoison returns the first of some contents that must not be sent to any endpoint, and whether there is one.
+func (d *Detector) FindPoison(contents []keys.Content) (keys.Content, bool) {
 	if d.size.Load() == 0 {
-		return false
+		return 0, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table.IsPoison(request)
+	for _, content := range contents {
+		if d.table.IsPoison(content) {
+			return content, true
+		}
+	}
+	return 0, false
 }
 
-// RecordAnswer is called when an endpoint has answered a request completely.
-func (d *Detector) RecordAnswer(request keys.Content) {
-	if d.size.Load() == 0 {
+// RecordAnswer is called when an endpoint has answered a request with some contents completely.
+func (d *Detector) RecordAnswer(contents []keys.Content) {
+	if d.size.Load() == 0 && len(contents) < 2 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.clearRequest(request) {
-		d.queueAnswered(request)
+	for _, content := range contents {
+		if d.clear(content) {
+			d.queueAnswered(content)
+		}
 	}
 }
 
-// clearRequest removes the evidence and the verdict on a request, and reports whether there was any. The caller holds
-// the lock.
-func (d *Detector) clearRequest(request keys.Content) bool {
-	wasSuspect, hadVerdict := d.table.RecordAnswer(d.parts.StoreTime(), request)
+// clear removes the evidence and the verdict on some contents, and reports whether there was any. The caller holds the
+// lock.
+func (d *Detector) clear(content keys.Content) bool {
+	wasSuspect, hadVerdict := d.table.RecordAnswer(d.parts.StoreTime(), content)
 	if hadVerdict {
-		d.parts.Log.WithField("request_key", request.String()).Info("request answered or lifted by an operator; its verdict is removed")
-		d.outdated = append(d.outdated, request)
+		d.parts.Log.WithFields(keyFields(content)).Info("request answered or lifted by an operator; its verdict is removed")
+		d.outdated = append(d.outdated, content)
 	}
 	return wasSuspect || hadVerdict
 }
@@ -150,20 +158,33 @@
 // recordCrash records that an endpoint has crashed while it had a call. The caller holds the lock.
 func (d *Detector) recordCrash(call *Call) {
 	crash := Crash{Endpoint: keys.OfEndpoint(call.Endpoint), At: d.parts.StoreTime(), Begun: call.Begun}
-	verdict, proved := d.table.RecordCrash(call.Content, crash)
-	d.outbox.addCrash(call.Content, crash)
+	for _, content := range call.Contents {
+		if content.IsPart() && !call.Begun {
+			continue
+		}
+		verdict, proved := d.table.RecordCrash(content, crash)
+		d.outbox.addCrash(content, crash)
+		if proved {
+			d.parts.Log.WithFields(keyFields(content)).WithFields(logrus.Fields{
+				"endpoint": call.Endpoint, "endpoint_keys": verdict.Endpoints, "until": time.Duration(verdict.Until).String(),
+			}).Warn("request given up, endpoints end under it")
+			d.unsaved = append(d.unsaved, verdict)
+			d.outbox.addVerdict(verdict)
+		}
+	}
 	d.sawCrash = true
 	lifetime.Wake(d.storeWake)
-	if proved {
-		d.parts.Log.WithFields(logrus.Fields{
-			"request_key": call.Content.String(), "endpoint": call.Endpoint, "endpoint_keys": verdict.Endpoints, "until": time.Duration(verdict.Until).String(),
-		}).Warn("request given up, endpoints end under it")
-		d.unsaved = append(d.unsaved, verdict)
-		d.outbox.addVerdict(verdict)
-	}
 	d.evidenceChanged()
 }
 
+// keyFields returns the log fields that name the contents of a verdict: request_key, or part_key for a part of a prompt.
+func keyFields(content keys.Content) logrus.Fields {
+	if content.IsPart() {
+		return logrus.Fields{"part_key": content.String()}
+	}
+	return logrus.Fields{"request_key": content.String()}
+}
+
 // HandleReport handles a peer's Report, encoded as CBOR.
 func (d *Detector) HandleReport(from envelope.Sender, body []byte) {
 	var r Report
@@ -183,8 +204,8 @@
 			d.saveIfAnnouncer(verdict)
 		}
 	}
-	for _, request := range r.Answered {
-		d.clearRequest(request)
+	for _, content := range r.Answered {
+		d.clear(content)
 	}
 	d.count()
 }
@@ -211,6 +232,10 @@
 // adopt records a verdict from a peer or the store unless it has expired, and reports whether it is new. The caller
 // holds the lock.
 func (d *Detector) adopt(verdict Verdict, from string) bool {
+	if d.table.Refutes(verdict) {
+		d.queueAnswered(verdict.Content)
+		return false
+	}
 	isNew := verdict.Until >= d.parts.StoreTime() && d.table.Adopt(verdict)
 	if isNew {
 		d.logAdopted(verdict, from)
@@ -227,7 +252,7 @@
 }
 
 func (d *Detector) logAdopted(verdict Verdict, from string) {
-	d.parts.Log.WithFields(logrus.Fields{"request_key": verdict.Content.String(), "endpoint_keys": verdict.Endpoints, "from": from}).Info("request given up, verdict adopted")
+	d.parts.Log.WithFields(keyFields(verdict.Content)).WithFields(logrus.Fields{"endpoint_keys": verdict.Endpoints, "from": from}).Info("request given up, verdict adopted")
 }
 
 // evidenceChanged updates size and wakes Run to send a report. The caller holds the lock.
@@ -239,21 +264,21 @@
 // count sets size. The caller holds the lock.
 func (d *Detector) count() { d.size.Store(int64(d.table.SuspectCount() + len(d.table.verdicts))) }
 
-// Lift clears a request at all hosts at an operator's request, and reports whether there was a verdict on it.
-func (d *Detector) Lift(request keys.Content) bool {
+// Lift clears contents at all hosts at an operator's request, and reports whether there was a verdict on them.
+func (d *Detector) Lift(content keys.Content) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.table.IsPoison(request) {
+	if !d.table.IsPoison(content) {
 		return false
 	}
-	d.clearRequest(request)
-	d.queueAnswered(request)
+	d.clear(content)
+	d.queueAnswered(content)
 	return true
 }
 
-// queueAnswered has peers clear a request. The caller holds the lock.
-func (d *Detector) queueAnswered(request keys.Content) {
-	d.outbox.addAnswered(request)
+// queueAnswered has peers clear contents. The caller holds the lock.
+func (d *Detector) queueAnswered(content keys.Content) {
+	d.outbox.addAnswered(content)
 	d.evidenceChanged()
 }
 
--- a/internal/front/poison/detector_test.go
+++ b/internal/front/poison/detector_test.go
@@ -201,7 +201,12 @@
 
 // breakCall has an endpoint break a host's call. Unless the endpoint is listening or unresponsive, it has crashed.
 func (f *fleet) breakCall(h *host, request keys.Content, endpoint string) {
-	h.RecordBrokenCall(&Call{Content: request, Endpoint: endpoint, Address: endpoint, Begun: true})
+	h.RecordBrokenCall(&Call{Contents: []keys.Content{request}, Endpoint: endpoint, Address: endpoint, Begun: true})
+}
+
+func (h *host) isPoison(content keys.Content) bool {
+	_, isPoison := h.FindPoison([]keys.Content{content})
+	return isPoison
 }
 
 // countAware returns the number of live hosts with a verdict on a request, and the number of live hosts.
@@ -209,7 +214,7 @@
 	for _, h := range f.hosts {
 		if !h.isolated {
 			live++
-			if h.IsPoison(request) {
+			if h.isPoison(request) {
 				aware++
 			}
 		}
@@ -363,7 +368,7 @@
 		for n := range 12 {
 			f.breakCall(f.hosts[n%4], otherRequest, fmt.Sprint("e", n))
 			time.Sleep(reportTime)
-			f.hosts[(n+1)%4].RecordAnswer(otherRequest)
+			f.hosts[(n+1)%4].RecordAnswer([]keys.Content{otherRequest})
 			time.Sleep(reportTime)
 		}
 		aware, _ := f.countAware(otherRequest)
@@ -376,7 +381,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(qt.New(t), 4)
 		f.provePoison()
-		f.hosts[2].RecordAnswer(poisonRequest)
+		f.hosts[2].RecordAnswer([]keys.Content{poisonRequest})
 		time.Sleep(syncTime)
 		aware, _ := f.countAware(poisonRequest)
 		f.c.Check(aware, qt.Equals, 0)
@@ -427,7 +432,7 @@
 		f.provePoison()
 		f.restart(len(f.hosts))
 		last := f.hosts[len(f.hosts)-1]
-		f.c.Check(last.IsPoison(poisonRequest), qt.IsFalse)
+		f.c.Check(last.isPoison(poisonRequest), qt.IsFalse)
 		f.breakCall(last, poisonRequest, "one more")
 		time.Sleep(reportTime)
 		f.checkAllAware(poisonRequest)
@@ -463,12 +468,12 @@
 		isolated.isolated = true
 		f.mu.Unlock()
 		f.provePoison()
-		f.c.Check(isolated.IsPoison(poisonRequest), qt.IsFalse)
+		f.c.Check(isolated.isPoison(poisonRequest), qt.IsFalse)
 		f.mu.Lock()
 		isolated.isolated = false
 		f.mu.Unlock()
 		time.Sleep(syncTime)
-		f.c.Check(isolated.IsPoison(poisonRequest), qt.IsTrue)
+		f.c.Check(isolated.isPoison(poisonRequest), qt.IsTrue)
 	})
 }
 
@@ -488,7 +493,7 @@
 		f.mu.Unlock()
 		f.breakCall(late, poisonRequest, "one more")
 		time.Sleep(reportTime)
-		f.c.Check(late.IsPoison(poisonRequest), qt.IsTrue)
+		f.c.Check(late.isPoison(poisonRequest), qt.IsTrue)
 	})
 }
 
@@ -538,7 +543,7 @@
 			d.count()
 			b.ReportAllocs()
 			for b.Loop() {
-				d.IsPoison(poisonRequest)
+				d.FindPoison([]keys.Content{poisonRequest})
 			}
 		})
 	}
--- a/internal/front/poison/poison.go
+++ b/internal/front/poison/poison.go
@@ -1,8 +1,8 @@
-// Package poison finds poison requests, which crash the endpoints that run them, and keeps all hosts of the fleet
-// from sending them. Such a request returns under new IDs and at any host, so limits on the attempts of one request
-// don't bound the number of endpoints that it crashes.
+// Package poison finds poison, that is, contents that crash the endpoints that run them, and keeps all hosts of the fleet
+// from sending them: whole requests, and parts of prompts that many different requests share. Such requests return under
+// new IDs and at any host, so limits on the attempts of one request don't bound the number of endpoints that they crash.
 //
-// The package owns the evidence, that is, which endpoints crashed while they had which request, and the verdicts that
+// The package owns the evidence, that is, which endpoints crashed while they had which contents, and the verdicts that
 // follow from it. Table holds the rules and does no I/O. Detector adds probes of endpoints that broke a call, reports
 // from peers, and the store, which keeps verdicts in case all hosts are down. The package relies on package gossip for
 // messages and on package upstream for probes.
@@ -29,6 +29,16 @@
 	// so that the request may only have waited there. An engine that crashes while it reads the prompt is found only
 	// by such crashes.
 	minCrashes = 6
+	// minPartCrashes is the number of crashes, without a complete answer to any request with the part in between, that is
+	// proof against a part of a prompt. Only endpoints that had begun to answer count. A sound part is in many requests,
+	// so that it can be at each crash: it is cleared by the answers to the others.
+	minPartCrashes = 4
+	// minSoundPartCrashes is that number for a part that was in an answered request within soundTime: it may have become
+	// poison with a new version of the endpoints' software.
+	minSoundPartCrashes = 6
+	soundTime           = 10 * time.Minute
+	// partCrashInterval is the interval within which crashes count once against a part: they may have a common cause.
+	partCrashInterval = 30 * time.Millisecond
 	// evidenceValidity is how long a crash counts as evidence. verdictValidity is how long a request stays poison:
 	// about the time that operators need to repair an engine. After that the request is sent again, and one more
 	// crash renews the verdict.
@@ -46,11 +56,13 @@
 	// maxSuspects and maxVerdicts bound the table to about 2 MB in all; the oldest entries are dropped first.
 	maxSuspects = 16384
 	maxVerdicts = 4096
-	// maxCrashes bounds the crashes that are kept for the comparison with other crashes.
+	// maxCrashes bounds the crashes that are kept for the comparison with other crashes, and those that verdicts on parts
+	// explain. maxSound bounds the parts that are known to have been answered, to about 0.5 MB.
 	maxCrashes = 4096
+	maxSound   = 8192
 )
 
-// Crash is a crash of an endpoint that had a request.
+// Crash is a crash of an endpoint that had some contents.
 type Crash struct {
 	Endpoint keys.Endpoint
 	// At is when the crash was noticed, by the store's clock; 0 if the host did not know that clock.
@@ -59,11 +71,11 @@
 	Begun bool
 }
 
-// Verdict declares a request to be poison.
+// Verdict declares contents to be poison.
 type Verdict struct {
 	Content keys.Content
 	// Until is when the verdict expires, by the store's clock.
 	Until freshness.StoreTime
-	// Endpoints are the endpoints that crashed while they had the request.
+	// Endpoints are the endpoints that crashed while they had the contents.
 	Endpoints []keys.Endpoint
 }
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -94,7 +94,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, request := range d.table.Expire(d.parts.StoreTime()) {
-		d.parts.Log.WithField("request_key", request.String()).Info("verdict expired, request may be sent again")
+		d.parts.Log.WithFields(keyFields(request)).Info("verdict expired, request may be sent again")
 		d.outdated = append(d.outdated, request)
 	}
 	for endpoint, p := range d.probes {
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -16,38 +16,53 @@
 	verdicts map[keys.Content]Verdict
 	// crashes are the crashes that no verdict explains, the oldest first.
 	crashes []Crash
-	// answered holds the time of the answer to each request that was suspect or poison at the time.
+	// explained are the crashes that verdicts on parts explain, the oldest first: other parts at the same endpoints are not
+	// to blame for them.
+	explained []Crash
+	// answered holds the time of the answer to each request that was suspect or poison at the time, sound that of the last
+	// answer to a request with each part.
 	answered map[keys.Content]freshness.StoreTime
+	sound    map[keys.Content]freshness.StoreTime
 }
 
 // NewTable returns a table without evidence.
 func NewTable() *Table {
 	return &Table{
 		suspects: make(map[keys.Content][]Crash), verdicts: make(map[keys.Content]Verdict),
-		answered: make(map[keys.Content]freshness.StoreTime),
+		answered: make(map[keys.Content]freshness.StoreTime), sound: make(map[keys.Content]freshness.StoreTime),
 	}
 }
 
-// RecordCrash records that an endpoint crashed while it had a request. It returns the verdict if this crash proves
-// it.
-func (t *Table) RecordCrash(request keys.Content, crash Crash) (Verdict, bool) {
-	if _, known := t.verdicts[request]; known {
+// RecordCrash records that an endpoint crashed while it had some contents. It returns the verdict if this crash proves it.
+// Of the contents of one request, the request itself comes first, and then the parts of its prompt from the last one on:
+// parts that always come with a poison part must not be judged before it.
+func (t *Table) RecordCrash(content keys.Content, crash Crash) (Verdict, bool) {
+	if _, known := t.verdicts[content]; known {
+		if content.IsPart() {
+			t.explain(crash)
+		}
+		return Verdict{}, false
+	}
+	if content.IsPart() && (!crash.Begun || slices.ContainsFunc(t.explained, crash.isSame)) {
 		return Verdict{}, false
 	}
 	t.addCrash(crash)
-	crashes := t.suspects[request]
+	crashes := t.suspects[content]
 	if i := slices.IndexFunc(crashes, crash.isSame); i >= 0 {
 		crashes[i].Begun = crashes[i].Begun || crash.Begun
 	} else {
 		crashes = append(crashes, crash)
 	}
-	t.suspects[request] = crashes
-	if !t.proves(crashes) {
+	t.suspects[content] = crashes
+	if !t.proves(content, crashes) {
 		t.enforceBounds()
 		return Verdict{}, false
 	}
-	verdict := Verdict{Content: request}
+	verdict := Verdict{Content: content}
 	for _, c := range crashes {
+		if content.IsPart() {
+			t.explain(c)
+		}
 		verdict.Until = max(verdict.Until, c.At+freshness.StoreTime(verdictValidity))
 		verdict.Endpoints = append(verdict.Endpoints, c.Endpoint)
 	}
@@ -71,8 +86,42 @@
 	}
 }
 
-// proves reports whether crashes prove that a request is poison.
-func (t *Table) proves(crashes []Crash) bool {
+// explain records that poison has caused a crash. It no longer counts against other parts.
+func (t *Table) explain(crash Crash) {
+	t.explained = append(t.explained, crash)
+	t.explained = t.explained[max(len(t.explained)-maxCrashes, 0):]
+	for content, crashes := range t.suspects {
+		if content.IsPart() && slices.ContainsFunc(crashes, crash.isSame) {
+			t.setSuspect(content, slices.DeleteFunc(crashes, crash.isSame))
+		}
+	}
+}
+
+// provesPart reports whether crashes prove that a part of a prompt is poison.
+func (t *Table) provesPart(part keys.Content, crashes []Crash) bool {
+	required := minPartCrashes
+	if _, isSound := t.sound[part]; isSound {
+		required = minSoundPartCrashes
+	}
+	return countApart(crashes) >= required
+}
+
+// countApart counts crashes; those within partCrashInterval count once. Crashes at an unknown time count each.
+func countApart(crashes []Crash) int {
+	count, from := 0, freshness.StoreTime(0)
+	for _, c := range slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return cmp.Compare(a.At, b.At) }) {
+		if count == 0 || c.At == 0 || c.At-from >= freshness.StoreTime(partCrashInterval) {
+			count, from = count+1, c.At
+		}
+	}
+	return count
+}
+
+// proves reports whether crashes prove that some contents are poison.
+func (t *Table) proves(content keys.Content, crashes []Crash) bool {
+	if content.IsPart() {
+		return t.provesPart(content, crashes)
+	}
 	begun := 0
 	for _, c := range crashes {
 		if c.Begun {
@@ -103,14 +152,22 @@
 // Adopt records a verdict from another host or the store, and reports whether it is new. A verdict on a request that
 // was answered less than answerHold ago is ignored, since it may have been sent before the answer.
 func (t *Table) Adopt(verdict Verdict) bool {
-	if _, answered := t.answered[verdict.Content]; answered {
+	if _, answered := t.answered[verdict.Content]; answered || t.Refutes(verdict) {
 		return false
 	}
 	return t.setVerdict(verdict)
 }
 
+// Refutes reports whether a verdict on a part is wrong, as this host knows of an answer to a request with the part since
+// the last of the crashes.
+func (t *Table) Refutes(verdict Verdict) bool {
+	answeredAt, isSound := t.sound[verdict.Content]
+	return isSound && answeredAt > verdict.Until-freshness.StoreTime(verdictValidity)
+}
+
 // setVerdict records a verdict. The verdict explains its crashes: they no longer count against other requests at the
-// same endpoints. A request that was at several of these endpoints keeps one crash, since it may be poison as well.
+// same endpoints. A request that was at several of these endpoints keeps one crash, since it may be poison as well. A
+// verdict on a request leaves the evidence against parts as it is, since one of its own may be poison.
 func (t *Table) setVerdict(verdict Verdict) bool {
 	if known, ok := t.verdicts[verdict.Content]; ok && verdict.Until <= known.Until+freshness.StoreTime(sameCrashInterval) {
 		return false
@@ -118,9 +175,9 @@
 	t.verdicts[verdict.Content] = verdict
 	delete(t.suspects, verdict.Content)
 	explained := func(c Crash) bool { return slices.Contains(verdict.Endpoints, c.Endpoint) }
-	for request, crashes := range t.suspects {
-		if slices.ContainsFunc(crashes, explained) {
-			t.setSuspect(request, unexplainedCrashes(crashes, explained))
+	for content, crashes := range t.suspects {
+		if !content.IsPart() && slices.ContainsFunc(crashes, explained) {
+			t.setSuspect(content, unexplainedCrashes(crashes, explained))
 		}
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, explained)
@@ -144,9 +201,13 @@
 	return kept
 }
 
-// RecordAnswer records that an endpoint answered a request completely, which proves that the request is not poison.
-// It reports whether the request was suspect, and whether there was a verdict.
+// RecordAnswer records that an endpoint answered a request with some contents completely, which proves that they are not
+// poison. It reports whether they were suspect, and whether there was a verdict.
 func (t *Table) RecordAnswer(now freshness.StoreTime, request keys.Content) (wasSuspect, hadVerdict bool) {
+	if request.IsPart() {
+		t.sound[request] = now
+		t.enforceSoundBound()
+	}
 	_, wasSuspect = t.suspects[request]
 	_, hadVerdict = t.verdicts[request]
 	if wasSuspect || hadVerdict {
@@ -180,7 +241,10 @@
 		crashes = slices.DeleteFunc(crashes, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
 		t.setSuspect(request, crashes)
 	}
-	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
+	for _, list := range []*[]Crash{&t.crashes, &t.explained} {
+		*list = slices.DeleteFunc(*list, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
+	}
+	maps.DeleteFunc(t.sound, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(soundTime) < now })
 	maps.DeleteFunc(t.answered, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(answerHold) < now })
 	var expired []keys.Content
 	for request, verdict := range t.verdicts {
@@ -196,8 +260,12 @@
 // remainingEvidence returns the evidence that remains of an expired verdict.
 func remainingEvidence(verdict Verdict, now freshness.StoreTime) []Crash {
 	var crashes []Crash
-	for _, endpoint := range verdict.Endpoints[:min(len(verdict.Endpoints), minMajorityCrashes-1)] {
-		crashes = append(crashes, Crash{Endpoint: endpoint, At: now, Begun: true})
+	count, interval := minMajorityCrashes-1, freshness.StoreTime(0)
+	if verdict.Content.IsPart() {
+		count, interval = minPartCrashes-1, freshness.StoreTime(partCrashInterval)
+	}
+	for i, endpoint := range verdict.Endpoints[:min(len(verdict.Endpoints), count)] {
+		crashes = append(crashes, Crash{Endpoint: endpoint, At: now - freshness.StoreTime(i)*interval, Begun: true})
 	}
 	return crashes
 }
@@ -230,4 +298,17 @@
 	}
 }
 
+// enforceSoundBound drops the eighth of the parts that were answered longest ago if there are too many.
+func (t *Table) enforceSoundBound() {
+	if len(t.sound) <= maxSound {
+		return
+	}
+	oldest := slices.SortedFunc(maps.Keys(t.sound), func(a, b keys.Content) int {
+		return cmp.Or(cmp.Compare(t.sound[a], t.sound[b]), cmp.Compare(a, b))
+	})
+	for _, part := range oldest[:maxSound/8] {
+		delete(t.sound, part)
+	}
+}
+
 func lastAt(crashes []Crash) freshness.StoreTime { return crashes[len(crashes)-1].At }
--- a/internal/front/poison/table_test.go
+++ b/internal/front/poison/table_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -149,3 +150,111 @@
 	c.Check(table.suspects[many-1], qt.HasLen, 1)
 	c.Check(table.IsPoison(2*many-1), qt.IsTrue)
 }
+
+// TestPartVerdicts has endpoints crash under requests with a part, no two alike.
+func TestPartVerdicts(t *testing.T) {
+	bad, shared, next := keys.OfPart("w", "bad"), keys.OfPart("w", "shared"), keys.OfPart("w", "next")
+	// crash has an endpoint crash every second under a request with some parts, the first one at a time.
+	crash := func(table *Table, first, count int, parts ...keys.Content) {
+		for n := first; n < first+count; n++ {
+			for _, content := range append([]keys.Content{keys.Content(n) << 20}, parts...) {
+				table.RecordCrash(content, begunCrash(keys.Endpoint(n), float64(n)))
+			}
+		}
+	}
+	answer := func(table *Table, seconds float64, parts ...keys.Content) {
+		for _, part := range parts {
+			table.RecordAnswer(begunCrash(0, seconds).At, part)
+		}
+	}
+	tests := map[string]struct {
+		happen func(table *Table)
+		// want are the parts with verdicts.
+		want []keys.Content
+	}{
+		"three crashes": {func(table *Table) { crash(table, 1, 3, bad, shared) }, nil},
+		"four crashes":  {func(table *Table) { crash(table, 1, 4, bad, shared) }, []keys.Content{bad}},
+		"ten crashes":   {func(table *Table) { crash(table, 1, 10, bad, shared) }, []keys.Content{bad}},
+		"four that had not begun": {func(table *Table) {
+			for n := range keys.Endpoint(4) {
+				table.RecordCrash(bad, waitingCrash(n+1, float64(n+1)))
+			}
+		}, nil},
+		"ten at one moment": {func(table *Table) {
+			for n := range keys.Endpoint(10) {
+				table.RecordCrash(bad, begunCrash(n+1, 1+float64(n)/1000))
+			}
+		}, nil},
+		"answered in between": {func(table *Table) {
+			crash(table, 1, 3, bad)
+			answer(table, 3.5, bad)
+			crash(table, 4, 3, bad)
+		}, nil},
+		"the next part is sound": {func(table *Table) {
+			answer(table, 0.5, next)
+			crash(table, 1, 5, next, bad)
+		}, []keys.Content{bad}},
+		"answered before, by another version": {func(table *Table) {
+			answer(table, 0.5, bad)
+			crash(table, 1, 5, bad)
+		}, nil},
+		"answered by another version, six crashes": {func(table *Table) {
+			answer(table, 0.5, bad)
+			crash(table, 1, 6, bad)
+		}, []keys.Content{bad}},
+		"another part at the same endpoints, reported later": {func(table *Table) {
+			crash(table, 1, 6, bad)
+			crash(table, 1, 6, shared)
+		}, []keys.Content{bad}},
+		"another part at the same endpoints, reported before": {func(table *Table) {
+			crash(table, 1, 3, shared)
+			crash(table, 1, 4, bad)
+			crash(table, 5, 1, shared)
+		}, []keys.Content{bad}},
+		"another workspace's part": {func(table *Table) {
+			crash(table, 1, 2, bad)
+			crash(table, 3, 2, keys.OfPart("other", "bad"))
+		}, nil},
+		"requests that are repeated": {func(table *Table) {
+			for n := range 6 {
+				table.RecordCrash(keys.Content(n/3+1)<<20, begunCrash(keys.Endpoint(n+1), float64(n+1)))
+				table.RecordCrash(bad, begunCrash(keys.Endpoint(n+1), float64(n+1)))
+			}
+		}, []keys.Content{bad}},
+		"a verdict that was refuted": {func(table *Table) {
+			answer(table, 9, bad)
+			table.Adopt(Verdict{Content: bad, Until: begunCrash(0, 8).At + freshness.StoreTime(verdictValidity), Endpoints: []keys.Endpoint{1, 2, 3, 4}})
+		}, nil},
+		"a verdict that has expired, one more crash": {func(table *Table) {
+			crash(table, 1, 4, bad)
+			later := 5 + verdictValidity.Seconds()
+			table.Expire(begunCrash(0, later).At)
+			table.RecordCrash(bad, begunCrash(99, later+1))
+		}, []keys.Content{bad}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			test.happen(table)
+			var parts []keys.Content
+			for _, verdict := range table.Verdicts() {
+				if verdict.Content.IsPart() {
+					parts = append(parts, verdict.Content)
+				}
+			}
+			qt.Check(t, parts, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestSoundPartsAreBounded answers more parts than a table keeps.
+func TestSoundPartsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	table := NewTable()
+	for n := range 2 * maxSound {
+		table.RecordAnswer(freshness.StoreTime(n), keys.OfPart("w", strconv.Itoa(n)))
+	}
+	c.Check(len(table.sound) <= maxSound, qt.IsTrue)
+	table.Expire(freshness.StoreTime(time.Hour))
+	c.Check(table.sound, qt.HasLen, 0)
+}
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -41,11 +41,20 @@
 		BudgetGroup: x.service,
 		Deadline:    x.deadline,
 		CanContinue: x.policy.Resumable,
-		IsPoison:    func() bool { return x.server.parts.Poison.IsPoison(x.key) },
+		IsPoison:    x.isPoison,
 		Attempt:     x.attempt,
 	}
 }
 
+// isPoison reports whether the request must not be sent.
+func (x *exchange) isPoison() bool {
+	content, isPoison := x.server.parts.Poison.FindPoison(x.contents)
+	if isPoison {
+		x.poison = content
+	}
+	return isPoison
+}
+
 // admissionRequest describes the request for placement.
 func (x *exchange) admissionRequest() admission.Request {
 	p := &x.server.parts
@@ -140,14 +149,14 @@
 // begins. A call that this host aborted, or whose path it lost, is not reported.
 func (x *exchange) reportBroken(ctx context.Context, a *owner.Attempt, cause error, begun bool) {
 	if ctx.Err() == nil && !errors.Is(cause, upstream.ErrPathLost) {
-		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Content: x.key, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun})
+		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Contents: x.contents, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun})
 	}
 }
 
 // reportAnswered reports that an endpoint has sent a complete answer.
 func (x *exchange) reportAnswered(a *owner.Attempt) {
 	x.server.parts.Health.RecordSuccess(a.EndpointID)
-	x.server.parts.Poison.RecordAnswer(x.key)
+	x.server.parts.Poison.RecordAnswer(x.contents)
 }
 
 func (x *exchange) handleNotStarted(a *owner.Attempt, answer *upstream.Answer) owner.Result {
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -51,12 +51,12 @@
 
 // Poison detects the requests that crash the endpoints that run them. Its methods must not block.
 type Poison interface {
-	// IsPoison reports whether a request must not be sent.
-	IsPoison(request keys.Content) bool
+	// FindPoison returns the first of the contents of a request that must not be sent, and whether there is one.
+	FindPoison(contents []keys.Content) (keys.Content, bool)
 	// RecordBrokenCall is called when an endpoint has broken a call.
 	RecordBrokenCall(call *poison.Call)
-	// RecordAnswer is called when an endpoint has sent a complete answer.
-	RecordAnswer(request keys.Content)
+	// RecordAnswer is called when an endpoint has sent a complete answer to a request with some contents.
+	RecordAnswer(contents []keys.Content)
 }
 
 // Origins knows the software versions that began streams.
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -78,7 +78,7 @@
 	now, _ := h.parts.Freshness.StoreTime(h.parts.Clock())
 	var requests []operator.PoisonRequest
 	for _, verdict := range h.parts.Poison.Verdicts() {
-		request := operator.PoisonRequest{Key: verdict.Content.String(), Left: time.Duration(verdict.Until - now)}
+		request := operator.PoisonRequest{Key: verdict.Content.String(), Part: verdict.Content.IsPart(), Left: time.Duration(verdict.Until - now)}
 		for _, endpoint := range verdict.Endpoints {
 			request.Endpoints = append(request.Endpoints, fmt.Sprintf("%08x", uint32(endpoint)))
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -134,10 +134,13 @@
 	Leads bool `json:"leads,omitzero"`
 }
 
-// PoisonRequest is a request that no host sends because it crashes endpoints.
+// PoisonRequest is a request, or a part of prompts, that no host sends because it crashes endpoints.
 type PoisonRequest struct {
-	// Key is the key of the request, which its log lines (prefix "request:") contain.
+	// Key is the key of the request, which its log lines (prefix "request:") contain as request_key, or that of the part,
+	// which the lines of refused requests contain as poison_key beside the part's ID.
 	Key string `json:"key"`
+	// Part is set if it is a part of prompts.
+	Part bool `json:"part,omitzero"`
 	// Endpoints are the keys of the endpoints that crashed while running the request, in order of the crashes.
 	Endpoints []string `json:"endpoints"`
 	// Left is the remaining time until the verdict expires.
