An overloaded host closes most new connections unread

A host whose goroutines run 100 ms late or more, three times in a row 100 ms apart, closes three of four new connections before it reads from them, so that callers know that nothing ran and try others. It goes on accepting some, as it is ready. A suspension or a spent quota is late once, and changes nothing.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"sync/atomic"
@@ -119,6 +120,7 @@
 	metrics   *http.Server
 	operators *http.Server
 	listeners *listen.Group
+	overload  *listen.Overload
 	bound     Addresses
 	leaving   atomic.Bool
 	// lastContact is when the host was last in contact with the store or a peer. It is a monotonic time, since the time
@@ -171,6 +173,7 @@
 func New(p Parts) *Host {
 	h := &Host{parts: p, log: logging.Part(p.Log, "host"), done: make(chan struct{})}
 	h.listeners = listen.New(h.log)
+	h.overload = listen.NewOverload(h.log)
 	h.recordContact()
 	h.callers = &http.Server{
 		Handler: lifetime.CloseConnectionsWhen(&h.leaving, p.Relay), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -280,6 +283,7 @@
 	go h.parts.Gossip.Run(h.done)
 	go h.parts.Gossip.KeepRegistered(h.done, h.parts.Deployment.Registry)
 	h.parts.Followers.start(h.done)
+	go h.overload.Run(h.done)
 	go h.parts.Poison.Run(h.done)
 	go h.parts.Signals.Run(h.done)
 	go h.parts.Limiter.Run(h.done)
@@ -310,14 +314,15 @@
 		address string
 		what    string
 		bound   *string
+		wrap    func(net.Listener) net.Listener
 	}{
-		{h.callers, h.parts.Config.Callers, "callers", &h.bound.Callers},
-		{h.readiness, h.parts.Config.Readiness, "readiness", &h.bound.Readiness},
-		{h.metrics, h.parts.Config.Metrics, "metrics", &h.bound.Metrics},
-		{h.operators, h.parts.Config.Operators, "operators", &h.bound.Operators},
+		{h.callers, h.parts.Config.Callers, "callers", &h.bound.Callers, h.overload.Wrap},
+		{h.readiness, h.parts.Config.Readiness, "readiness", &h.bound.Readiness, listen.Unchanged},
+		{h.metrics, h.parts.Config.Metrics, "metrics", &h.bound.Metrics, listen.Unchanged},
+		{h.operators, h.parts.Config.Operators, "operators", &h.bound.Operators, listen.Unchanged},
 	} {
 		var err error
-		if *l.bound, err = h.listeners.Start(l.server, l.address, l.what); err != nil {
+		if *l.bound, err = h.listeners.StartWrapped(l.server, l.address, l.what, l.wrap); err != nil {
 			return err
 		}
 	}
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -20,6 +20,7 @@
 		"oxbowslip_poison_requests":           func() float64 { return float64(len(h.parts.Poison.Verdicts())) },
 		"oxbowslip_services_mixed":            func() float64 { return float64(len(h.mixedServices())) },
 		"oxbowslip_stream_records":            func() float64 { return float64(h.parts.Origins.Records()) },
+		"oxbowslip_connections_closed_unread": func() float64 { return float64(h.overload.Closed()) },
 		"oxbowslip_endpoints_resting":         func() float64 { return float64(len(h.parts.Rests.Resting())) },
 		"oxbowslip_endpoints_rejecting":       func() float64 { return float64(len(h.parts.Rejections.Shares())) },
 		"oxbowslip_endpoints_failing":         h.countFailingEndpoints,
--- a/internal/front/origin/registry.go
+++ b/internal/front/origin/registry.go
@@ -27,8 +27,8 @@
 	repeatDelay  = 20 * time.Millisecond
 	// maxDirectoryAge is the age of the directory up to which a host relies on knowing all versions.
 	maxDirectoryAge = 2 * time.Second
-	// observeInterval is the time between two looks at the versions of all services.
-	observeInterval = 100 * time.Millisecond
+	// observeInterval is the time between two looks at the versions of all services. Each stream that begins looks as well.
+	observeInterval = 500 * time.Millisecond
 	// maxSentRecords bounds the records in a message, so that it fits into a datagram.
 	maxSentRecords = 40
 )
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,5 +1,6 @@
 // Package listen opens and closes the HTTP listeners of a daemon. Both programs use it. It
-// owns the listeners; the servers' handlers belong to the components that created them.
+// owns the listeners, and the rule by which an overloaded host closes new connections unread (overload.go); the servers'
+// handlers belong to the components that created them.
 package listen
 
 import (
@@ -24,6 +25,14 @@
 // with the port that the system selected if the given port is 0. name identifies the
 // listener in errors and log lines. With an empty address, Start does not listen.
 func (g *Group) Start(server *http.Server, address, name string) (bound string, err error) {
+	return g.StartWrapped(server, address, name, Unchanged)
+}
+
+// Unchanged returns a listener as it is.
+func Unchanged(listener net.Listener) net.Listener { return listener }
+
+// StartWrapped is Start with a listener that wrap returns for the one of the address.
+func (g *Group) StartWrapped(server *http.Server, address, name string, wrap func(net.Listener) net.Listener) (bound string, err error) {
 	g.servers = append(g.servers, server)
 	if address == "" {
 		return "", nil
@@ -32,7 +41,7 @@
 	if err != nil {
 		return "", merry.Prependf(err, "listen for %s on %s", name, address)
 	}
-	go g.serve(server, listener, name)
+	go g.serve(server, wrap(listener), name)
 	return listener.Addr().String(), nil
 }
 
