origin: streams that callers don't name are not confused with each other

A caller that takes a stream up without Resumes was given the key of the empty ID, which all such callers of a workspace shared: a record made for one while a single version ran was taken for another's later. Such a stream has its own request's key now, which no host knows. TestUnnamedStreamsAreNotConfused failed before (went on where it has to be refused).

--- a/internal/front/relay/resume.go
+++ b/internal/front/relay/resume.go
@@ -28,7 +28,9 @@
 	if x.call.LastEventID == "" {
 		return nil
 	}
-	x.stream.key = keys.OfStream(x.workspace, x.call.Resumes)
+	if x.call.Resumes != "" {
+		x.stream.key = keys.OfStream(x.workspace, x.call.Resumes)
+	}
 	found := x.server.parts.Origins.Find(x.r.Context(), x.stream.key, x.service)
 	switch found.Certainty {
 	case origin.UnknownVersion:
