poison: an answer clears what its own software version crashes on

What belongs to a version was kept for all: while a version that survives a poison part or request serves beside one that crashes on it, each answer of the one cleared the evidence against the other, whose endpoints crashed on. Crashes now know the version of their endpoint, locally, and an answer of another version doesn't clear them. Answers that peers report and operators' lifts clear all, as before. The case 'the other version answers' of TestAnswerClearsItsVersionOnly fails without it. The messages are unchanged.

--- a/internal/front/directory/software.go
+++ b/internal/front/directory/software.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
 // startSeparator separates the software version of an endpoint from the time of its start.
@@ -36,6 +38,19 @@
 	return SoftwareVersion(endpoint.Version), ok
 }
 
+// VersionOfKey returns the key of the software version of the endpoint with a key, or 0 if there is none. It reads the whole
+// directory.
+func (d *Directory) VersionOfKey(key keys.Endpoint) keys.Version {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for id, entry := range d.entries {
+		if keys.OfEndpoint(id) == key {
+			return keys.OfVersion(SoftwareVersion(entry.Endpoint.Version))
+		}
+	}
+	return 0
+}
+
 // VersionCount is a software version and the number of endpoints that run it.
 type VersionCount struct {
 	Version   string
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -359,6 +359,7 @@
 	Deployment Deployment
 	Gossip     *gossip.Gossip
 	Client     *upstream.Client
+	Directory  *directory.Directory
 	Freshness  *freshness.State
 	Log        *logrus.Logger
 	Clock      func() time.Time
@@ -374,7 +375,7 @@
 		return now
 	}
 	detector := poison.New(poison.Parts{
-		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, StoreTime: storeTime, Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random,
+		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, Version: p.Directory.VersionOfKey, StoreTime: storeTime, Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random,
 	})
 	p.Gossip.Handle(envelope.KindPoison, detector.HandleReport)
 	return detector
--- a/internal/front/poison/blame_test.go
+++ b/internal/front/poison/blame_test.go
@@ -135,7 +135,7 @@
 			ended = append(ended, r.endpoint)
 		default:
 			for _, content := range r.contents {
-				s.table.RecordAnswer(s.now, content)
+				s.table.RecordAnswer(s.now, content, 0)
 			}
 		}
 	}
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -48,6 +48,8 @@
 	Peers  Peers
 	Prober Prober
 	Store  Store
+	// Version returns the software version of an endpoint, or 0 if the endpoint is not known.
+	Version func(endpoint keys.Endpoint) keys.Version
 	// StoreTime returns the time of the store's clock, or 0 while this host does not know it.
 	StoreTime func() freshness.StoreTime
 	// Era returns the newest known era of the store.
@@ -65,8 +67,9 @@
 	// Endpoint is the ID of the endpoint, Address its network address.
 	Endpoint string
 	Address  string
-	// Begun has the meaning of Crash.Begun.
-	Begun bool
+	// Begun and Version have the meaning of those of Crash.
+	Begun   bool
+	Version keys.Version
 }
 
 // Detector decides for one host which contents are poison. It is safe for concurrent use; none of the methods that
@@ -110,24 +113,24 @@
 	return 0, false
 }
 
-// RecordAnswer is called when an endpoint has answered a request with some contents completely.
-func (d *Detector) RecordAnswer(contents []keys.Content) {
+// RecordAnswer is called when an endpoint with a software version has answered a request with some contents completely.
+func (d *Detector) RecordAnswer(contents []keys.Content, version keys.Version) {
 	if d.size.Load() == 0 && len(contents) < 2 {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, content := range contents {
-		if d.clear(content) {
+		if d.clear(content, version) {
 			d.queueAnswered(content)
 		}
 	}
 }
 
-// clear removes the evidence and the verdict on some contents, and reports whether there was any. The caller holds the
-// lock.
-func (d *Detector) clear(content keys.Content) bool {
-	wasSuspect, hadVerdict := d.table.RecordAnswer(d.parts.StoreTime(), content)
+// clear removes the evidence and the verdict on some contents that a software version has answered, or all versions if it
+// is 0, and reports whether there was any. The caller holds the lock.
+func (d *Detector) clear(content keys.Content, version keys.Version) bool {
+	wasSuspect, hadVerdict := d.table.RecordAnswer(d.parts.StoreTime(), content, version)
 	if hadVerdict {
 		d.parts.Log.WithFields(keyFields(content)).Info("request answered or lifted by an operator; its verdict is removed")
 		d.outdated = append(d.outdated, content)
@@ -157,7 +160,7 @@
 
 // recordCrash records that an endpoint has crashed while it had a call. The caller holds the lock.
 func (d *Detector) recordCrash(call *Call) {
-	crash := Crash{Endpoint: keys.OfEndpoint(call.Endpoint), At: d.parts.StoreTime(), Begun: call.Begun}
+	crash := Crash{Endpoint: keys.OfEndpoint(call.Endpoint), At: d.parts.StoreTime(), Begun: call.Begun, Version: call.Version}
 	for _, content := range call.Contents {
 		if content.IsPart() && !call.Begun {
 			continue
@@ -193,19 +196,27 @@
 		return
 	}
 	d.sendKnownVerdicts(from.Host, &r)
+	versions := make(map[keys.Endpoint]keys.Version)
+	for i := range r.Ends {
+		if endpoint := r.Ends[i].Endpoint; versions[endpoint] == 0 {
+			versions[endpoint] = d.parts.Version(endpoint)
+		}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for i := range r.Verdicts {
 		d.adopt(r.Verdicts[i].verdict(), from.Host)
 	}
 	for i := range r.Ends {
-		if verdict, proved := d.table.RecordCrash(r.Ends[i].Content, r.Ends[i].crash()); proved {
+		crash := r.Ends[i].crash()
+		crash.Version = versions[crash.Endpoint]
+		if verdict, proved := d.table.RecordCrash(r.Ends[i].Content, crash); proved {
 			d.logAdopted(verdict, from.Host)
 			d.saveIfAnnouncer(verdict)
 		}
 	}
 	for _, content := range r.Answered {
-		d.clear(content)
+		d.clear(content, 0)
 	}
 	d.count()
 }
@@ -239,10 +250,22 @@
 	isNew := verdict.Until >= d.parts.StoreTime() && d.table.Adopt(verdict)
 	if isNew {
 		d.logAdopted(verdict, from)
+		d.table.SetVersions(verdict.Content, d.versionsOf(verdict.Endpoints))
 	}
 	return isNew
 }
 
+// versionsOf returns the software versions of the endpoints that are known.
+func (d *Detector) versionsOf(endpoints []keys.Endpoint) []keys.Version {
+	var versions []keys.Version
+	for _, endpoint := range endpoints {
+		if version := d.parts.Version(endpoint); version != 0 {
+			versions = append(versions, version)
+		}
+	}
+	return versions
+}
+
 // saveIfAnnouncer queues a verdict for the store if this host is an announcer. The verdict follows from crashes at
 // several hosts, none of which may have received all of them. The caller holds the lock.
 func (d *Detector) saveIfAnnouncer(verdict Verdict) {
@@ -271,7 +294,7 @@
 	if !d.table.IsPoison(content) {
 		return false
 	}
-	d.clear(content)
+	d.clear(content, 0)
 	d.queueAnswered(content)
 	return true
 }
--- a/internal/front/poison/detector_test.go
+++ b/internal/front/poison/detector_test.go
@@ -77,7 +77,7 @@
 	log.SetOutput(io.Discard)
 	h := &host{fleet: f, done: make(chan struct{})}
 	h.Detector = New(Parts{
-		Peers: h, Prober: f, Store: f, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) }, Era: f.newestEra,
+		Peers: h, Prober: f, Store: f, Version: func(keys.Endpoint) keys.Version { return 0 }, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) }, Era: f.newestEra,
 		Log: logrus.NewEntry(log), Clock: time.Now, Random: f.randomNumber,
 	})
 	f.mu.Lock()
@@ -368,7 +368,7 @@
 		for n := range 12 {
 			f.breakCall(f.hosts[n%4], otherRequest, fmt.Sprint("e", n))
 			time.Sleep(reportTime)
-			f.hosts[(n+1)%4].RecordAnswer([]keys.Content{otherRequest})
+			f.hosts[(n+1)%4].RecordAnswer([]keys.Content{otherRequest}, 0)
 			time.Sleep(reportTime)
 		}
 		aware, _ := f.countAware(otherRequest)
@@ -381,7 +381,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(qt.New(t), 4)
 		f.provePoison()
-		f.hosts[2].RecordAnswer([]keys.Content{poisonRequest})
+		f.hosts[2].RecordAnswer([]keys.Content{poisonRequest}, 0)
 		time.Sleep(syncTime)
 		aware, _ := f.countAware(poisonRequest)
 		f.c.Check(aware, qt.Equals, 0)
@@ -526,7 +526,7 @@
 	log.SetOutput(io.Discard)
 	return New(Parts{
 		Peers: &host{fleet: &fleet{c: qt.New(t)}}, StoreTime: func() freshness.StoreTime { return 0 }, Era: func() uint64 { return 0 }, Log: logrus.NewEntry(log), Clock: time.Now,
-		Random: func() float64 { return 0 },
+		Random: func() float64 { return 0 }, Version: func(keys.Endpoint) keys.Version { return 0 },
 	})
 }
 
--- a/internal/front/poison/messages_test.go
+++ b/internal/front/poison/messages_test.go
@@ -67,7 +67,7 @@
 		d := newTestDetector(t)
 		d.HandleReport(testSender, data)
 		d.expire()
-		d.RecordAnswer([]keys.Content{1})
+		d.RecordAnswer([]keys.Content{1}, 0)
 		d.sendReport()
 	})
 }
--- a/internal/front/poison/poison.go
+++ b/internal/front/poison/poison.go
@@ -69,6 +69,8 @@
 	At freshness.StoreTime
 	// Begun is set if the endpoint had begun to answer, or if it reports nothing before its answer is complete.
 	Begun bool
+	// Version is the version of the endpoint's software, or 0 if unknown. It is not sent between hosts.
+	Version keys.Version
 }
 
 // Verdict declares contents to be poison.
@@ -78,4 +80,6 @@
 	Until freshness.StoreTime
 	// Endpoints are the endpoints that crashed while they had the contents.
 	Endpoints []keys.Endpoint
+	// Versions are the known software versions of these endpoints. They are neither sent between hosts nor stored.
+	Versions []keys.Version
 }
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -50,6 +50,7 @@
 	crashes := t.suspects[content]
 	if i := slices.IndexFunc(crashes, crash.isSame); i >= 0 {
 		crashes[i].Begun = crashes[i].Begun || crash.Begun
+		crashes[i].Version = max(crashes[i].Version, crash.Version)
 	} else {
 		crashes = append(crashes, crash)
 	}
@@ -65,6 +66,9 @@
 		}
 		verdict.Until = max(verdict.Until, c.At+freshness.StoreTime(verdictValidity))
 		verdict.Endpoints = append(verdict.Endpoints, c.Endpoint)
+		if c.Version != 0 {
+			verdict.Versions = append(verdict.Versions, c.Version)
+		}
 	}
 	t.setVerdict(verdict)
 	return verdict, true
@@ -149,6 +153,14 @@
 	return count
 }
 
+// SetVersions sets the software versions of the endpoints of a verdict.
+func (t *Table) SetVersions(content keys.Content, versions []keys.Version) {
+	if verdict, ok := t.verdicts[content]; ok {
+		verdict.Versions = versions
+		t.verdicts[content] = verdict
+	}
+}
+
 // Adopt records a verdict from another host or the store, and reports whether it is new. A verdict on a request that
 // was answered less than answerHold ago is ignored, since it may have been sent before the answer.
 func (t *Table) Adopt(verdict Verdict) bool {
@@ -201,9 +213,13 @@
 	return kept
 }
 
-// RecordAnswer records that an endpoint answered a request with some contents completely, which proves that they are not
-// poison. It reports whether they were suspect, and whether there was a verdict.
-func (t *Table) RecordAnswer(now freshness.StoreTime, request keys.Content) (wasSuspect, hadVerdict bool) {
+// RecordAnswer records that an endpoint with a software version answered a request with some contents completely, which
+// proves that they are not poison to that version; 0 stands for all versions. It reports whether they were suspect, and
+// whether there was a verdict, and now no longer are.
+func (t *Table) RecordAnswer(now freshness.StoreTime, request keys.Content, version keys.Version) (wasSuspect, hadVerdict bool) {
+	if t.crashesOther(request, version) {
+		return false, false
+	}
 	if request.IsPart() {
 		t.sound[request] = now
 		t.enforceSoundBound()
@@ -218,6 +234,17 @@
 	return wasSuspect, hadVerdict
 }
 
+// crashesOther reports whether an endpoint of another software version than the given one has crashed while it had some
+// contents.
+func (t *Table) crashesOther(content keys.Content, version keys.Version) bool {
+	if version == 0 {
+		return false
+	}
+	isOther := func(v keys.Version) bool { return v != 0 && v != version }
+	return slices.ContainsFunc(t.verdicts[content].Versions, isOther) ||
+		slices.ContainsFunc(t.suspects[content], func(c Crash) bool { return isOther(c.Version) })
+}
+
 // IsPoison reports whether there is a verdict on a request.
 func (t *Table) IsPoison(request keys.Content) bool {
 	_, ok := t.verdicts[request]
--- a/internal/front/poison/table_test.go
+++ b/internal/front/poison/table_test.go
@@ -55,7 +55,7 @@
 			for n, crash := range test.crashes {
 				table.RecordCrash(poisonRequest, crash)
 				if n+1 == test.answered {
-					table.RecordAnswer(crash.At, poisonRequest)
+					table.RecordAnswer(crash.At, poisonRequest, 0)
 				}
 			}
 			qt.Check(t, table.IsPoison(poisonRequest), qt.Equals, test.want)
@@ -115,7 +115,7 @@
 			c.Check(table.Expire(begunCrash(0, late+1).At), qt.DeepEquals, []keys.Content{poisonRequest})
 			c.Check(table.IsPoison(poisonRequest), qt.IsFalse)
 			if test.answered {
-				table.RecordAnswer(begunCrash(0, late).At, poisonRequest)
+				table.RecordAnswer(begunCrash(0, late).At, poisonRequest, 0)
 			}
 			table.RecordCrash(poisonRequest, begunCrash(9, late+2))
 			c.Check(table.IsPoison(poisonRequest), qt.Equals, test.want)
@@ -164,7 +164,7 @@
 	}
 	answer := func(table *Table, seconds float64, parts ...keys.Content) {
 		for _, part := range parts {
-			table.RecordAnswer(begunCrash(0, seconds).At, part)
+			table.RecordAnswer(begunCrash(0, seconds).At, part, 0)
 		}
 	}
 	tests := map[string]struct {
@@ -252,9 +252,36 @@
 	c := qt.New(t)
 	table := NewTable()
 	for n := range 2 * maxSound {
-		table.RecordAnswer(freshness.StoreTime(n), keys.OfPart("w", strconv.Itoa(n)))
+		table.RecordAnswer(freshness.StoreTime(n), keys.OfPart("w", strconv.Itoa(n)), 0)
 	}
 	c.Check(len(table.sound) <= maxSound, qt.IsTrue)
 	table.Expire(freshness.StoreTime(time.Hour))
 	c.Check(table.sound, qt.HasLen, 0)
 }
+
+// TestAnswerClearsItsVersionOnly has endpoints of version 1 crash under a part that version 2 survives.
+func TestAnswerClearsItsVersionOnly(t *testing.T) {
+	bad := keys.OfPart("w", "bad")
+	tests := map[string]struct {
+		// answered are the versions that answer after each crash.
+		answered []keys.Version
+		want     bool
+	}{
+		"the other version answers":             {[]keys.Version{2, 2, 2, 2}, true},
+		"an unknown version answers":            {[]keys.Version{2, 2, 2, 0}, false},
+		"its version answers after the verdict": {[]keys.Version{2, 2, 2, 1}, false},
+		"its version answers before":            {[]keys.Version{2, 1, 2, 2}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable()
+			for n, version := range test.answered {
+				crash := begunCrash(keys.Endpoint(n+1), float64(n+1))
+				crash.Version = 1
+				table.RecordCrash(bad, crash)
+				table.RecordAnswer(crash.At+1, bad, version)
+			}
+			qt.Check(t, table.IsPoison(bad), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -149,14 +149,14 @@
 // begins. A call that this host aborted, or whose path it lost, is not reported.
 func (x *exchange) reportBroken(ctx context.Context, a *owner.Attempt, cause error, begun bool) {
 	if ctx.Err() == nil && !errors.Is(cause, upstream.ErrPathLost) {
-		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Contents: x.contents, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun})
+		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Contents: x.contents, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun, Version: keys.OfVersion(x.stream.sentVersion)})
 	}
 }
 
 // reportAnswered reports that an endpoint has sent a complete answer.
 func (x *exchange) reportAnswered(a *owner.Attempt) {
 	x.server.parts.Health.RecordSuccess(a.EndpointID)
-	x.server.parts.Poison.RecordAnswer(x.contents)
+	x.server.parts.Poison.RecordAnswer(x.contents, keys.OfVersion(x.stream.sentVersion))
 }
 
 func (x *exchange) handleNotStarted(a *owner.Attempt, answer *upstream.Answer) owner.Result {
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -55,8 +55,9 @@
 	FindPoison(contents []keys.Content) (keys.Content, bool)
 	// RecordBrokenCall is called when an endpoint has broken a call.
 	RecordBrokenCall(call *poison.Call)
-	// RecordAnswer is called when an endpoint has sent a complete answer to a request with some contents.
-	RecordAnswer(contents []keys.Content)
+	// RecordAnswer is called when an endpoint with a software version has sent a complete answer to a request with some
+	// contents.
+	RecordAnswer(contents []keys.Content, version keys.Version)
 }
 
 // Origins knows the software versions that began streams.
