--- a/internal/front/poison/messages.go
+++ b/internal/front/poison/messages.go
@@ -20,7 +20,7 @@
 	Verdicts []ReportedVerdict
 }
 
-// ReportedCrash is a crash of an endpoint that had a request.
+// ReportedCrash is a crash of an endpoint that had some contents.
 type ReportedCrash struct {
 	_ struct{} `cbor:",toarray"`
 
@@ -31,7 +31,7 @@
 	Begun bool
 }
 
-// ReportedVerdict declares a request to be poison.
+// ReportedVerdict declares contents to be poison.
 type ReportedVerdict struct {
 	_ struct{} `cbor:",toarray"`
 
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -22,12 +22,12 @@
 	left int
 }
 
-func (o *outbox) addCrash(request keys.Content, crash Crash) {
-	o.crashes = append(o.crashes, repeatedItem[ReportedCrash]{ReportedCrash{Content: request, Endpoint: crash.Endpoint, AtMs: toMs(crash.At), Begun: crash.Begun}, reportRepeats})
+func (o *outbox) addCrash(content keys.Content, crash Crash) {
+	o.crashes = append(o.crashes, repeatedItem[ReportedCrash]{ReportedCrash{Content: content, Endpoint: crash.Endpoint, AtMs: toMs(crash.At), Begun: crash.Begun}, reportRepeats})
 }
 
-func (o *outbox) addAnswered(request keys.Content) {
-	o.answered = append(o.answered, repeatedItem[keys.Content]{request, reportRepeats})
+func (o *outbox) addAnswered(content keys.Content) {
+	o.answered = append(o.answered, repeatedItem[keys.Content]{content, reportRepeats})
 }
 
 func (o *outbox) addVerdict(verdict Verdict) {
@@ -93,9 +93,9 @@
 func (d *Detector) expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, request := range d.table.Expire(d.parts.StoreTime()) {
-		d.parts.Log.WithFields(keyFields(request)).Info("verdict expired, request may be sent again")
-		d.outdated = append(d.outdated, request)
+	for _, content := range d.table.Expire(d.parts.StoreTime()) {
+		d.parts.Log.WithFields(keyFields(content)).Info("verdict expired, request may be sent again")
+		d.outdated = append(d.outdated, content)
 	}
 	for endpoint, p := range d.probes {
 		if p.isOutdated(d.parts.Clock()) {
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -90,37 +90,6 @@
 	}
 }
 
-// explain records that poison has caused a crash. It no longer counts against other parts.
-func (t *Table) explain(crash Crash) {
-	t.explained = append(t.explained, crash)
-	t.explained = t.explained[max(len(t.explained)-maxCrashes, 0):]
-	for content, crashes := range t.suspects {
-		if content.IsPart() && slices.ContainsFunc(crashes, crash.isSame) {
-			t.setSuspect(content, slices.DeleteFunc(crashes, crash.isSame))
-		}
-	}
-}
-
-// provesPart reports whether crashes prove that a part of a prompt is poison.
-func (t *Table) provesPart(part keys.Content, crashes []Crash) bool {
-	required := minPartCrashes
-	if _, isSound := t.sound[part]; isSound {
-		required = minSoundPartCrashes
-	}
-	return countApart(crashes) >= required
-}
-
-// countApart counts crashes; those within partCrashInterval count once. Crashes at an unknown time count each.
-func countApart(crashes []Crash) int {
-	count, from := 0, freshness.StoreTime(0)
-	for _, c := range slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return cmp.Compare(a.At, b.At) }) {
-		if count == 0 || c.At == 0 || c.At-from >= freshness.StoreTime(partCrashInterval) {
-			count, from = count+1, c.At
-		}
-	}
-	return count
-}
-
 // proves reports whether crashes prove that some contents are poison.
 func (t *Table) proves(content keys.Content, crashes []Crash) bool {
 	if content.IsPart() {
@@ -170,13 +139,6 @@
 	return t.setVerdict(verdict)
 }
 
-// Refutes reports whether a verdict on a part is wrong, as this host knows of an answer to a request with the part since
-// the last of the crashes.
-func (t *Table) Refutes(verdict Verdict) bool {
-	answeredAt, isSound := t.sound[verdict.Content]
-	return isSound && answeredAt > verdict.Until-freshness.StoreTime(verdictValidity)
-}
-
 // setVerdict records a verdict. The verdict explains its crashes: they no longer count against other requests at the
 // same endpoints. A request that was at several of these endpoints keeps one crash, since it may be poison as well. A
 // verdict on a request leaves the evidence against parts as it is, since one of its own may be poison.
@@ -216,38 +178,27 @@
 // RecordAnswer records that an endpoint with a software version answered a request with some contents completely, which
 // proves that they are not poison to that version; 0 stands for all versions. It reports whether they were suspect, and
 // whether there was a verdict, and now no longer are.
-func (t *Table) RecordAnswer(now freshness.StoreTime, request keys.Content, version keys.Version) (wasSuspect, hadVerdict bool) {
-	if t.crashesOther(request, version) {
+func (t *Table) RecordAnswer(now freshness.StoreTime, content keys.Content, version keys.Version) (wasSuspect, hadVerdict bool) {
+	if t.crashesOther(content, version) {
 		return false, false
 	}
-	if request.IsPart() {
-		t.sound[request] = now
+	if content.IsPart() {
+		t.sound[content] = now
 		t.enforceSoundBound()
 	}
-	_, wasSuspect = t.suspects[request]
-	_, hadVerdict = t.verdicts[request]
+	_, wasSuspect = t.suspects[content]
+	_, hadVerdict = t.verdicts[content]
 	if wasSuspect || hadVerdict {
-		t.answered[request] = now
+		t.answered[content] = now
 	}
-	delete(t.suspects, request)
-	delete(t.verdicts, request)
+	delete(t.suspects, content)
+	delete(t.verdicts, content)
 	return wasSuspect, hadVerdict
 }
 
-// crashesOther reports whether an endpoint of another software version than the given one has crashed while it had some
-// contents.
-func (t *Table) crashesOther(content keys.Content, version keys.Version) bool {
-	if version == 0 {
-		return false
-	}
-	isOther := func(v keys.Version) bool { return v != 0 && v != version }
-	return slices.ContainsFunc(t.verdicts[content].Versions, isOther) ||
-		slices.ContainsFunc(t.suspects[content], func(c Crash) bool { return isOther(c.Version) })
-}
-
-// IsPoison reports whether there is a verdict on a request.
-func (t *Table) IsPoison(request keys.Content) bool {
-	_, ok := t.verdicts[request]
+// IsPoison reports whether there is a verdict on some contents.
+func (t *Table) IsPoison(content keys.Content) bool {
+	_, ok := t.verdicts[content]
 	return ok
 }
 
@@ -264,9 +215,9 @@
 // Expire removes expired evidence and verdicts, and returns the requests that are no longer poison. All but one of
 // the crashes that prove a verdict still count after it has expired, so that one more crash renews it.
 func (t *Table) Expire(now freshness.StoreTime) []keys.Content {
-	for request, crashes := range t.suspects {
+	for content, crashes := range t.suspects {
 		crashes = slices.DeleteFunc(crashes, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
-		t.setSuspect(request, crashes)
+		t.setSuspect(content, crashes)
 	}
 	for _, list := range []*[]Crash{&t.crashes, &t.explained} {
 		*list = slices.DeleteFunc(*list, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
@@ -274,11 +225,11 @@
 	maps.DeleteFunc(t.sound, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(soundTime) < now })
 	maps.DeleteFunc(t.answered, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(answerHold) < now })
 	var expired []keys.Content
-	for request, verdict := range t.verdicts {
+	for content, verdict := range t.verdicts {
 		if verdict.Until < now {
-			expired = append(expired, request)
-			delete(t.verdicts, request)
-			t.setSuspect(request, remainingEvidence(verdict, now))
+			expired = append(expired, content)
+			delete(t.verdicts, content)
+			t.setSuspect(content, remainingEvidence(verdict, now))
 		}
 	}
 	return expired
@@ -297,13 +248,13 @@
 	return crashes
 }
 
-// setSuspect replaces the crashes that count against a request.
-func (t *Table) setSuspect(request keys.Content, crashes []Crash) {
+// setSuspect replaces the crashes that count against some contents.
+func (t *Table) setSuspect(content keys.Content, crashes []Crash) {
 	if len(crashes) == 0 {
-		delete(t.suspects, request)
+		delete(t.suspects, content)
 		return
 	}
-	t.suspects[request] = crashes
+	t.suspects[content] = crashes
 }
 
 // enforceBounds drops the verdicts that expire first, and the suspects with the oldest last crash, if there are too
@@ -320,21 +271,8 @@
 	oldest := slices.SortedFunc(maps.Keys(t.suspects), func(a, b keys.Content) int {
 		return cmp.Or(cmp.Compare(lastAt(t.suspects[a]), lastAt(t.suspects[b])), cmp.Compare(a, b))
 	})
-	for _, request := range oldest[:maxSuspects/8] {
-		delete(t.suspects, request)
-	}
-}
-
-// enforceSoundBound drops the eighth of the parts that were answered longest ago if there are too many.
-func (t *Table) enforceSoundBound() {
-	if len(t.sound) <= maxSound {
-		return
-	}
-	oldest := slices.SortedFunc(maps.Keys(t.sound), func(a, b keys.Content) int {
-		return cmp.Or(cmp.Compare(t.sound[a], t.sound[b]), cmp.Compare(a, b))
-	})
-	for _, part := range oldest[:maxSound/8] {
-		delete(t.sound, part)
+	for _, content := range oldest[:maxSuspects/8] {
+		delete(t.suspects, content)
 	}
 }
 
