poison: a crash that a verdict on a part explains is recorded once

Each crash is reported three times by each host that had the part there, and each report was appended to the explained crashes and compared with all suspects again. The first does all of it: later crashes of that endpoint are not recorded against other parts. Found on reading the change; tests of poison pass as before.

--- a/internal/front/poison/parts.go
+++ b/internal/front/poison/parts.go
@@ -14,6 +14,9 @@
 
 // explain records that poison has caused a crash. It no longer counts against other parts.
 func (t *Table) explain(crash Crash) {
+	if slices.ContainsFunc(t.explained, crash.isSame) {
+		return
+	}
 	t.explained = append(t.explained, crash)
 	t.explained = t.explained[max(len(t.explained)-maxCrashes, 0):]
 	for content, crashes := range t.suspects {
