retrybudget: shares below one retry add up to the fleet's budget

Cause: each host rounded its share of the budget down. The share is 0.7 (ratio x first tries + slack / hosts): with a slack of 1,040 it is 104 retries at 7 hosts, 9.3 at 78, 2.5 at 295, 0.74 at 985 and 0.36 at 2,000. From 728 hosts on no host could retry at all, although the fleet had room for 728 retries a window; a safe call that an endpoint failed with 500 was never repeated.

Change: the fraction of a share is granted to that fraction of the hosts, by their place in the order that all hosts share. Multiples of the golden ratio spread the roundings evenly, so that the sum over any number of hosts is the sum of the shares, not a random number around it.

Ruled out: drawing lots (at 8 hosts and a budget of 4 the luck of one window can exceed it); a lender of retries (a message for each).

Safe: the sum stays below the limit with the 0.3 that is left for hosts that differ in their lists. Test at 7 to 20,000 hosts. The mock of isolated hosts now states a place that fits the number of hosts.

--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -322,7 +322,11 @@
 
 func newRetryBudget(config hostconfig.Host, g *gossip.Gossip, clock func() time.Time) *retrybudget.Fleet {
 	limits := retrybudget.Limits{Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window}
-	return retrybudget.NewFleet(limits, g.Hosts, clock)
+	place := func() retrybudget.Place {
+		order := g.Order()
+		return retrybudget.Place{Before: order.Before, Hosts: order.Hosts}
+	}
+	return retrybudget.NewFleet(limits, place, clock)
 }
 
 // ownerParts are the dependencies of the owner.
--- a/internal/retrybudget/fleet.go
+++ b/internal/retrybudget/fleet.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -24,17 +25,23 @@
 // a slack of 56 (TestIsolatedHostsShareSlack). A host that starts alone is bounded by its few first tries.
 const missingHostTimeout = time.Minute
 
+// Place is the place of a host in an order that all hosts of the fleet share.
+type Place struct {
+	// Before is the number of live hosts before this one, Hosts the number of all live hosts.
+	Before, Hosts int
+}
+
 // Fleet counts the first tries and retries of this host for each service.
 type Fleet struct {
 	limits Limits
-	hosts  func() int
+	place  func() Place
 	clock  func() time.Time
 
 	mu     sync.Mutex
 	groups map[string]*group
-	// sharingHosts is the number of hosts that share the slack, and missingSince the time since which fewer hosts have
-	// been seen.
-	sharingHosts int
+	// sharing is this host's place among the hosts that share the slack, and missingSince the time since which fewer
+	// hosts have been seen.
+	sharing      Place
 	missingSince time.Time
 }
 
@@ -43,9 +50,9 @@
 	retries    []time.Time
 }
 
-// NewFleet returns a budget without any tries. Hosts returns the number of live hosts, this one included.
-func NewFleet(limits Limits, hosts func() int, clock func() time.Time) *Fleet {
-	return &Fleet{limits: limits, hosts: hosts, clock: clock, groups: make(map[string]*group)}
+// NewFleet returns a budget without any tries. Place returns the current place of this host.
+func NewFleet(limits Limits, place func() Place, clock func() time.Time) *Fleet {
+	return &Fleet{limits: limits, place: place, clock: clock, groups: make(map[string]*group)}
 }
 
 // RecordFirstTry counts a first try. The class's fraction is ignored, since the limits apply to the whole service.
@@ -60,26 +67,38 @@
 // CanRetry reports whether one more retry may be sent to a service: at most usedShare of Ratio times the first tries of
 // this host in the window plus its share of Slack.
 func (b *Fleet) CanRetry(service string) bool {
-	now, hosts := b.clock(), b.hosts()
+	now, place := b.clock(), b.place()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	g := b.group(now, service)
-	allowed := usedShare * (b.limits.Ratio*float64(len(g.firstTries)) + b.slack(now, hosts))
-	return float64(len(g.retries)+1) <= allowed
+	b.updateSharing(now, place)
+	slack := b.limits.Slack / float64(max(b.sharing.Hosts, 1))
+	allowed := usedShare * (b.limits.Ratio*float64(len(g.firstTries)) + slack)
+	return float64(len(g.retries)+1) <= allowed+b.sharing.rounding()
 }
 
-// slack returns this host's equal share of Slack. Hosts that are no longer seen keep their share for
+// updateSharing updates the hosts that share the slack. Hosts that are no longer seen keep their share for
 // missingHostTimeout: they may be running without seeing this host either. The lock is held.
-func (b *Fleet) slack(now time.Time, hosts int) float64 {
+func (b *Fleet) updateSharing(now time.Time, place Place) {
 	switch {
-	case hosts >= b.sharingHosts:
-		b.sharingHosts, b.missingSince = hosts, time.Time{}
+	case place.Hosts >= b.sharing.Hosts:
+		b.sharing, b.missingSince = place, time.Time{}
 	case b.missingSince.IsZero():
 		b.missingSince = now
 	case now.Sub(b.missingSince) >= missingHostTimeout:
-		b.sharingHosts, b.missingSince = hosts, time.Time{}
+		b.sharing, b.missingSince = place, time.Time{}
 	}
-	return b.limits.Slack / float64(max(b.sharingHosts, 1))
+}
+
+// goldenRatio is the fractional part of the golden ratio. Its multiples modulo 1 are spread evenly over [0, 1).
+const goldenRatio = 0.6180339887498949
+
+// rounding returns a number in [0, 1) that is added to a host's share before it is rounded down. The numbers of any
+// successive places are spread evenly, so that of n hosts with a share of 0.3 retries, 0.3 n may send one. If every
+// host rounded its share down, a fleet with more hosts than retries could send none.
+func (p Place) rounding() float64 {
+	_, fraction := math.Modf(goldenRatio * (float64(p.Before) + 0.5))
+	return fraction
 }
 
 // RecordRetry counts a retry.
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -22,7 +22,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			now := time.Unix(0, 0)
-			b := NewFleet(limits, func() int { return test.hosts }, func() time.Time { return now })
+			b := NewFleet(limits, func() Place { return Place{Hosts: test.hosts} }, func() time.Time { return now })
 			for range test.firsts {
 				b.RecordFirstTry("s", 0)
 			}
@@ -60,9 +60,9 @@
 			c := qt.New(t)
 			now := time.Unix(0, 0)
 			retries := 0
-			for range hosts {
+			for place := range hosts {
 				seen := hosts
-				b := NewFleet(limits, func() int { return seen }, func() time.Time { return now })
+				b := NewFleet(limits, func() Place { return Place{Before: min(place, seen-1), Hosts: seen} }, func() time.Time { return now })
 				b.CanRetry("s")
 				seen = 1
 				b.CanRetry("s")
@@ -77,9 +77,44 @@
 	}
 }
 
+// TestSharesAddUpToTheBudget adds up the retries of all hosts of a fleet whose endpoints all fail. Rounded down, the
+// shares of 985 hosts would add up to none.
+func TestSharesAddUpToTheBudget(t *testing.T) {
+	limits := Limits{Ratio: 0.2, Slack: 1040, Window: 10 * time.Second}
+	tests := map[string]struct{ hosts, firstTriesPerHost int }{
+		"7 hosts":                             {7, 0},
+		"78 hosts":                            {78, 0},
+		"295 hosts":                           {295, 0},
+		"985 hosts":                           {985, 0},
+		"985 hosts with 5 first tries each":   {985, 5},
+		"2000 hosts":                          {2000, 0},
+		"2000 hosts with 1 first try each":    {2000, 1},
+		"20000 hosts, less than a tenth each": {20000, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			retries := 0
+			for place := range test.hosts {
+				b := NewFleet(limits, func() Place { return Place{Before: place, Hosts: test.hosts} }, func() time.Time { return time.Unix(0, 0) })
+				for range test.firstTriesPerHost {
+					b.RecordFirstTry("s", 0)
+				}
+				for b.CanRetry("s") {
+					b.RecordRetry("s")
+					retries++
+				}
+			}
+			allowed := limits.Ratio*float64(test.hosts*test.firstTriesPerHost) + limits.Slack
+			c.Check(float64(retries) <= allowed, qt.IsTrue, qt.Commentf("%d retries of %.0f", retries, allowed))
+			c.Check(float64(retries) >= 0.9*usedShare*allowed, qt.IsTrue, qt.Commentf("%d retries of %.0f", retries, allowed))
+		})
+	}
+}
+
 func TestServicesHaveSeparateBudgets(t *testing.T) {
 	c := qt.New(t)
-	b := NewFleet(Limits{Slack: 2, Window: time.Second}, func() int { return 1 }, func() time.Time { return time.Unix(0, 0) })
+	b := NewFleet(Limits{Slack: 2, Window: time.Second}, func() Place { return Place{Hosts: 1} }, func() time.Time { return time.Unix(0, 0) })
 	b.RecordRetry("a")
 	c.Check(b.CanRetry("a"), qt.IsFalse)
 	c.Check(b.CanRetry("b"), qt.IsTrue)
