directory: changes update an index of each service instead of sorting it anew

Cause: each change of any endpoint sorted and counted all endpoints: E log E for each batch, which the store sends four times a second while servers come and go, on every host. ReportedLeaving read all entries at each join of a host.

Software versions are counted when they are asked for.

--- a/internal/front/directory/directory.go
+++ b/internal/front/directory/directory.go
@@ -47,11 +47,12 @@
 	changed  uint64
 	// entries are replaced, never modified.
 	entries map[string]*Entry
-	// serving lists the endpoints of each service that accept new work, sorted by ID.
-	serving map[string][]*Entry
-	// leaving lists the endpoints of each service that accept no new work, sorted by ID.
-	leaving map[string][]*Entry
-	// versions lists the software versions of each service; see software.go.
+	// services holds the index of each service that has an endpoint; see index.go.
+	services map[string]*Index
+	// indexedIn is the service of each endpoint as of the last update of the indexes.
+	indexedIn map[string]string
+	// versions lists the software versions of the services for which they were asked since the last change; see
+	// software.go.
 	versions map[string][]VersionCount
 	// lapsed are the entries that are kept although they were removed, with the revision of their removal; see
 	// lapse.go.
@@ -73,7 +74,7 @@
 // New returns an empty directory.
 func New() *Directory {
 	return &Directory{
-		onRestart: func(string) {}, entries: make(map[string]*Entry), serving: make(map[string][]*Entry), leaving: make(map[string][]*Entry),
+		onRestart: func(string) {}, entries: make(map[string]*Entry), services: make(map[string]*Index), indexedIn: make(map[string]string), versions: make(map[string][]VersionCount),
 		lapsed: make(revisionByID), returned: make(revisionByID),
 	}
 }
@@ -145,7 +146,7 @@
 			d.set(change.Entry, restored)
 		}
 	}
-	d.rebuildIndex()
+	d.updateIndex(slices.Collect(maps.Keys(last)))
 	return true
 }
 
@@ -193,7 +194,11 @@
 	if !restored {
 		d.log.reset(snapshot.Revision)
 	}
-	d.rebuildIndex()
+	changed := removed
+	for _, entry := range set {
+		changed = append(changed, entry.ID)
+	}
+	d.updateIndex(changed)
 	return true
 }
 
@@ -257,7 +262,7 @@
 func (d *Directory) Serving(service string) []*Entry {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.serving[service]
+	return d.index(service).Serving
 }
 
 // IDs returns the IDs of all endpoints, sorted.
@@ -271,7 +276,13 @@
 func (d *Directory) Services() []string {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return slices.Collect(maps.Keys(d.serving))
+	var services []string
+	for service, x := range d.services {
+		if len(x.Serving) > 0 {
+			services = append(services, service)
+		}
+	}
+	return services
 }
 
 // CountServing returns the number of endpoints, over all services, that accept new work.
@@ -279,8 +290,8 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	count := 0
-	for _, entries := range d.serving {
-		count += len(entries)
+	for _, x := range d.services {
+		count += len(x.Serving)
 	}
 	return count
 }
@@ -290,7 +301,7 @@
 func (d *Directory) Leaving(service string) []*Entry {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return d.leaving[service]
+	return d.index(service).Leaving
 }
 
 // set adds or replaces an entry. The flag restored is set if the entry may come from a backup of the store. The lock
@@ -308,24 +319,4 @@
 	d.entries[entry.ID] = &entry
 }
 
-// rebuildIndex rebuilds the lists of each service. The lock is held.
-func (d *Directory) rebuildIndex() {
-	d.serving = make(map[string][]*Entry, len(d.serving))
-	d.leaving = make(map[string][]*Entry)
-	for _, entry := range d.entries {
-		lists := d.serving
-		if d.isLeaving(entry) {
-			lists = d.leaving
-		}
-		service := entry.Endpoint.Service
-		lists[service] = append(lists[service], entry)
-	}
-	for _, lists := range []map[string][]*Entry{d.serving, d.leaving} {
-		for _, entries := range lists {
-			slices.SortFunc(entries, compareByID)
-		}
-	}
-	d.versions = d.countVersions()
-}
-
 func compareByID(a, b *Entry) int { return cmp.Compare(a.ID, b.ID) }
--- a/internal/front/directory/lapse.go
+++ b/internal/front/directory/lapse.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		service := entry.Endpoint.Service
-		if !d.isLeaving(entry) && (restored || isLapse(removed[service], len(d.serving[service]))) {
+		if !d.isLeaving(entry) && (restored || isLapse(removed[service], len(d.index(service).Serving))) {
 			d.lapsed[id] = d.revision
 			continue
 		}
@@ -75,7 +75,7 @@
 		d.drop(d.entries[id])
 	}
 	if len(dropped) > 0 {
-		d.rebuildIndex()
+		d.updateIndex(dropped)
 	}
 	return dropped
 }
--- a/internal/front/directory/leaving.go
+++ b/internal/front/directory/leaving.go
@@ -64,7 +64,7 @@
 		return false
 	}
 	if known {
-		d.rebuildIndex()
+		d.updateIndex([]string{id})
 	}
 	return !before
 }
@@ -89,8 +89,8 @@
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	reported := make(map[string]string)
-	for id, entry := range d.entries {
-		if version := entry.Endpoint.Version; d.reportedLeaving.has(id, version) {
+	for id, version := range d.reportedLeaving.versions {
+		if entry, known := d.entries[id]; known && entry.Endpoint.Version == version {
 			reported[id] = version
 		}
 	}
--- a/internal/front/directory/returned.go
+++ b/internal/front/directory/returned.go
@@ -32,7 +32,7 @@
 	defer d.mu.Unlock()
 	accepted := d.returned.removeUpTo(revision)
 	if len(accepted) > 0 {
-		d.rebuildIndex()
+		d.updateIndex(accepted)
 	}
 	return accepted
 }
--- a/internal/front/directory/software.go
+++ b/internal/front/directory/software.go
@@ -60,21 +60,19 @@
 // Versions returns the software versions of the endpoints of a service, leaving ones included, sorted. The list is shared
 // and must not be modified.
 func (d *Directory) Versions(service string) []VersionCount {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return d.versions[service]
-}
-
-// countVersions returns the software versions of each service. The lock is held.
-func (d *Directory) countVersions() map[string][]VersionCount {
-	versions := make(map[string][]VersionCount, len(d.serving))
-	for _, lists := range []map[string][]*Entry{d.serving, d.leaving} {
-		for service, entries := range lists {
-			for _, e := range entries {
-				versions[service] = addVersion(versions[service], SoftwareVersion(e.Endpoint.Version))
-			}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	versions, isCounted := d.versions[service]
+	if isCounted {
+		return versions
+	}
+	x := d.index(service)
+	for _, entries := range [][]*Entry{x.Serving, x.Leaving} {
+		for _, e := range entries {
+			versions = addVersion(versions, SoftwareVersion(e.Endpoint.Version))
 		}
 	}
+	d.versions[service] = versions
 	return versions
 }
 
