placement: a request is compared at a shortlist of a large service

Cause: a choice passed over all endpoints of a service some ten times (filters, a hash of each for the preferred one and for holders), although a host of 985 sends 0.4 streams a second to 9,845 endpoints. Time and memory of a choice grew with the endpoints.

Change: above 512 endpoints a request is compared at the endpoints that its prefix prefers (a ring, log E), those that hold the prefix, and 8 to 128 random ones, half of them in the caller's zone. If none of these takes the request, all are read as before.

Ruled out: fixed subsets of endpoints for each host: with 0.57 requests a second a host learns nothing about its subset either, and prompts with a shared prefix would not meet.

Tests: allocations at 1,000 to 20,000; hosts that compare other endpoints prefer the same one for a prefix.

--- a/internal/front/placement/bench_test.go
+++ b/internal/front/placement/bench_test.go
@@ -2,11 +2,76 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
 
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 )
 
+// largePlacer returns a placer of a service with a number of endpoints, which it compares at random.
+func largePlacer(number int, seed uint64) *Placer {
+	ids := make([]string, number)
+	for n := range ids {
+		ids[n] = fmt.Sprint("endpoint-", n)
+	}
+	p := newPlacerOf(func() time.Time { return start }, true, ids...)
+	random := rand.New(rand.NewPCG(seed, seed))
+	p.parts.Random, p.view.random = random.Float64, random.Float64
+	return p
+}
+
+// TestChoiceDoesNotGrowWithEndpoints counts what a choice allocates, which stands for what it reads.
+func TestChoiceDoesNotGrowWithEndpoints(t *testing.T) {
+	const maxAllocations = 400
+	for _, number := range []int{1000, 10_000, 20_000} {
+		t.Run(fmt.Sprint(number), func(t *testing.T) {
+			p := largePlacer(number, 1)
+			allocations := testing.AllocsPerRun(20, func() { p.choose("llm", long(7), true) })
+			qt.Check(t, allocations <= maxAllocations, qt.IsTrue, qt.Commentf("%.0f allocations", allocations))
+		})
+	}
+}
+
+// TestHostsOfLargeFleetPreferTheSameEndpoints checks that prompts with a shared prefix meet at an endpoint although each
+// host compares other endpoints, and that prompts without are spread.
+func TestHostsOfLargeFleetPreferTheSameEndpoints(t *testing.T) {
+	const hosts, number = 12, 10_000
+	c := qt.New(t)
+	placers := make([]*Placer, hosts)
+	for host := range placers {
+		placers[host] = largePlacer(number, uint64(host+1))
+	}
+	alone := make(map[string]bool)
+	for prefix := range uint64(20) {
+		together := make(map[string]bool)
+		for _, p := range placers {
+			choice, reason := p.choose("llm", long(100*prefix), true)
+			c.Assert(string(reason), qt.Equals, "")
+			together[choice.Endpoint] = true
+			choice, _ = p.choose("llm", short(), true)
+			alone[choice.Endpoint] = true
+		}
+		c.Check(together, qt.HasLen, 1)
+	}
+	c.Check(len(alone) > hosts/2, qt.IsTrue, qt.Commentf("%d endpoints", len(alone)))
+}
+
+// BenchmarkChooseFromLargeService measures the choice of a host of a large fleet.
+func BenchmarkChooseFromLargeService(b *testing.B) {
+	for _, number := range []int{100, 1000, 10_000, 35_000} {
+		b.Run(fmt.Sprint(number), func(b *testing.B) {
+			p := largePlacer(number, 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				p.choose("llm", long(7), true)
+			}
+		})
+	}
+}
+
 // BenchmarkChoose measures the choice among the endpoints of a service.
 func BenchmarkChoose(b *testing.B) {
 	for _, number := range []int{9, 112, 3500} {
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -140,13 +140,22 @@
 // Endpoints holds all endpoints of the service that take new work, candidates the ones that may be chosen, and leaving the
 // ones that take no new work but can still be copied from. It reports false if there is no candidate.
 func (v *View) Choose(now time.Time, service string, request *admission.Request, endpoints, candidates, leaving []*directory.Entry) (Choice, bool) {
+	return v.chooseFrom(now, request, &pool{service: service, endpoints: endpoints, leaving: leaving}, candidates)
+}
+
+// chooseFrom is Choose for the candidates from a pool.
+func (v *View) chooseFrom(now time.Time, request *admission.Request, from *pool, candidates []*directory.Entry) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	q := v.newQuery(now, service, request, endpoints, candidates)
+	q := v.newQueryFrom(now, request, from, candidates)
+	compared := candidates
+	if from.index == nil {
+		compared = v.sample(q, candidates)
+	}
 	var best Choice
 	equal := 0
-	for _, e := range v.sample(q, candidates) {
+	for _, e := range compared {
 		choice := v.evaluate(q, e)
 		switch {
 		case best.Endpoint == "" || choice.isBetter(&best):
@@ -161,7 +170,7 @@
 	}
 	if q.preferred != "" {
 		best.Prefix = keys.Prefix(q.prefix)
-		best.FetchFrom = v.fetchFrom(now, q, &best, slices.Concat(endpoints, leaving))
+		best.FetchFrom = v.fetchFrom(now, q, &best, q.holdersOf(from))
 	}
 	return best, true
 }
@@ -172,16 +181,21 @@
 }
 
 func (v *View) newQuery(now time.Time, service string, request *admission.Request, endpoints, candidates []*directory.Entry) *query {
-	engines := v.engines.get(keys.OfService(service))
-	q := &query{request: request, engines: engines, endpoints: len(endpoints), isLong: engines.IsLong(keys.OfClass(request.Class))}
-	q.shortSet = v.partitions.get(service, endpoints, min(engines.ShortEndpoints(), len(endpoints)-1), v.pace)
+	return v.newQueryFrom(now, request, &pool{service: service, endpoints: endpoints}, candidates)
+}
+
+// newQueryFrom is newQuery for the candidates from a pool.
+func (v *View) newQueryFrom(now time.Time, request *admission.Request, from *pool, candidates []*directory.Entry) *query {
+	engines := v.engines.get(keys.OfService(from.service))
+	q := &query{request: request, engines: engines, endpoints: len(from.endpoints), isLong: engines.IsLong(keys.OfClass(request.Class))}
+	q.shortSet = v.partitions.get(from.service, from.endpoints, min(engines.ShortEndpoints(), len(from.endpoints)-1), v.pace)
 	q.prefix, q.sharedTokens = sharedPrefix(request)
 	if q.sharedTokens >= minSharedPrefix {
-		q.preferred = rendezvous(q.prefix, inPartition(!q.isLong, q.shortSet, candidates))
+		q.preferred = q.preferredOf(from, candidates)
 		q.holders = v.holders[keys.Prefix(q.prefix)]
 		q.heldByCandidate = slices.ContainsFunc(candidates, q.isHolder)
 	}
-	q.ending = v.newEnding(now, service, request, endpoints, engines)
+	q.ending = v.newEnding(now, request, from, engines)
 	return q
 }
 
--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -120,7 +120,7 @@
 
 // newEnding returns the prediction for a request. Only streams with a prompt and a time limit are predicted, and only if
 // an idle endpoint could read the prompt in time.
-func (v *View) newEnding(now time.Time, service string, request *admission.Request, endpoints []*directory.Entry, engines *engine.Service) *ending {
+func (v *View) newEnding(now time.Time, request *admission.Request, from *pool, engines *engine.Service) *ending {
 	if v.finish == nil || request.PromptTokens == 0 || request.FirstToken == 0 || request.Deadline.IsZero() {
 		return nil
 	}
@@ -132,8 +132,8 @@
 		return nil
 	}
 	e := &ending{
-		figures: figures, timeLeft: scale(request.Deadline.Sub(now), share), reading: v.readingShare(now, service, endpoints),
-		events: engines.Events(keys.OfClass(request.Class), request.AnswerTokens, v.finish.eventTokens[service]),
+		figures: figures, timeLeft: scale(request.Deadline.Sub(now), share), reading: v.readingShare(now, from),
+		events: engines.Events(keys.OfClass(request.Class), request.AnswerTokens, v.finish.eventTokens[from.service]),
 	}
 	if e.events > idle.Seconds()/figures.Gap(0).Seconds() {
 		e.events = 0
@@ -151,16 +151,28 @@
 // readingShare returns the share of a service's endpoints that read prompts, from the loads of all hosts. The demand
 // that package engine extrapolates is no measure of it: it includes refused requests, and the first request after a start
 // stands for those of all hosts.
-func (v *View) readingShare(now time.Time, service string, endpoints []*directory.Entry) float64 {
-	reading, ok := v.finish.reading[service]
+func (v *View) readingShare(now time.Time, from *pool) float64 {
+	reading, ok := v.finish.reading[from.service]
 	if !ok || now.Sub(reading.at) >= readingInterval {
-		busy := filter(endpoints, func(e *directory.Entry) bool { return v.loads.Total(e.ID).Tokens > 0 })
-		reading = readingShare{at: now, share: float64(len(busy)) / float64(len(endpoints))}
-		v.finish.reading[service] = reading
+		reading = readingShare{at: now, share: float64(v.countReading(from)) / float64(len(from.endpoints))}
+		v.finish.reading[from.service] = reading
 	}
 	return reading.share
 }
 
+// countReading returns the number of endpoints of a pool that read prompts.
+func (v *View) countReading(from *pool) int {
+	if from.index == nil {
+		return len(filter(from.endpoints, func(e *directory.Entry) bool { return v.loads.Total(e.ID).Tokens > 0 }))
+	}
+	// Loads name few of the endpoints of a large service.
+	count := 0
+	for _, key := range v.loads.reading() {
+		count += len(from.index.LookupServing(key))
+	}
+	return count
+}
+
 // endpointQueue is the work at an endpoint: the prompt tokens ahead of a request and its own.
 type endpointQueue struct {
 	ahead, own int
@@ -190,11 +202,16 @@
 // else arrives: once the prompts there have been read down far enough. If that takes longer than maxLateRetry, it returns
 // maxLateRetry. If the last endpoint has left since the refusal, it returns minLateRetry. Random is in [0, 1).
 func (v *View) lateRetryAfter(now time.Time, service string, request *admission.Request, endpoints, usable []*directory.Entry, random float64) time.Duration {
-	if len(endpoints) == 0 {
+	return v.lateRetryAfterFrom(now, request, &pool{service: service, endpoints: endpoints}, usable, random)
+}
+
+// lateRetryAfterFrom is lateRetryAfter for the usable endpoints from a pool.
+func (v *View) lateRetryAfterFrom(now time.Time, request *admission.Request, from *pool, usable []*directory.Entry, random float64) time.Duration {
+	if len(from.endpoints) == 0 {
 		return minLateRetry
 	}
 	candidates := v.candidates(now, request, usable)
-	q := v.newQuery(now, service, request, endpoints, candidates)
+	q := v.newQueryFrom(now, request, from, candidates)
 	queues := make([]endpointQueue, 0, len(candidates))
 	for _, e := range candidates {
 		choice := v.evaluate(q, e)
@@ -205,7 +222,7 @@
 	canEnd := func(after time.Duration) bool {
 		return q.ending == nil || q.ending.canEndAfter(after, scale(timeLimitAt(request, now.Add(after)), v.finish.timeShare(request)), queues)
 	}
-	first := max(v.finish.blockedUntil(service, request.Urgency).Sub(now), minLateRetry)
+	first := max(v.finish.blockedUntil(from.service, request.Urgency).Sub(now), minLateRetry)
 	for first < maxLateRetry && !canEnd(first) {
 		first += lateRetryStep
 	}
--- a/internal/front/placement/load.go
+++ b/internal/front/placement/load.go
@@ -15,6 +15,9 @@
 	Tokens int
 }
 
+// Cost returns the cost of the work to a request that is sent to the same endpoint, in prompt tokens.
+func (l *Load) Cost() int { return l.Requests*requestCost + l.Tokens }
+
 func (l *Load) add(other Load) {
 	l.Requests += other.Requests
 	l.Tokens += other.Tokens
@@ -147,6 +150,43 @@
 	t.sums[part.Number] = partSum{at: now, loads: loads}
 }
 
+// requests returns the number of open requests of all hosts, as far as they are known.
+func (t *loadTable) requests() int {
+	sum := 0
+	for _, part := range t.sums {
+		for _, load := range part.loads {
+			sum += load.Requests
+		}
+	}
+	for _, load := range t.own {
+		sum += load.Requests
+	}
+	return sum
+}
+
+// reading returns the keys of the endpoints that have unprocessed prompt tokens.
+func (t *loadTable) reading() []keys.Endpoint {
+	totals := make(map[keys.Endpoint]int)
+	for key, load := range t.peerTotals {
+		totals[key] += load.Tokens
+	}
+	for _, part := range t.sums {
+		for key, load := range part.loads {
+			totals[key] += load.Tokens
+		}
+	}
+	for id, load := range t.own {
+		totals[keys.OfEndpoint(id)] += load.Tokens
+	}
+	var reading []keys.Endpoint
+	for key, tokens := range totals {
+		if tokens > 0 {
+			reading = append(reading, key)
+		}
+	}
+	return reading
+}
+
 // fleetLoad returns the load of an endpoint caused by the other hosts of a large fleet.
 func (t *loadTable) fleetLoad(endpoint keys.Endpoint) Load {
 	if len(t.sums) == 0 {
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -196,28 +196,20 @@
 // request needs a permit first. MayAsk is set if there is time left to ask for a permit.
 func (p *Placer) choose(service string, request *admission.Request, mayAsk bool) (Choice, admission.Reason) {
 	now := p.parts.Clock()
-	endpoints := p.parts.Directory.Serving(service)
-	if len(endpoints) == 0 {
-		return Choice{}, admission.ReasonNoEndpoint
-	}
-	eligible := withVersion(endpoints, request)
-	if len(eligible) == 0 {
-		return Choice{}, admission.ReasonNoVersion
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.view.finish != nil {
 		// A load that is no longer valid must not refuse a request.
 		p.view.loads.expire(now)
 	}
-	candidates, free, reason := p.candidates(now, request, eligible, mayAsk)
+	from, candidates, free, reason := p.candidatesFrom(now, service, request, mayAsk)
 	if reason != "" {
 		return Choice{AvailableAt: free}, reason
 	}
 	if request.PromptTokens > 0 {
-		p.decideSplit(now, service, endpoints)
+		p.decideSplit(now, service, from.endpoints)
 	}
-	choice, ok := p.view.Choose(now, service, request, endpoints, candidates, p.parts.Directory.Leaving(service))
+	choice, ok := p.view.chooseFrom(now, request, from, candidates)
 	if !ok || !p.bounds.admitsChoice(request, &choice) {
 		return choice, admission.ReasonNoRoom
 	}
@@ -352,11 +344,17 @@
 // lateRetryAfter returns when to retry after a refusal because no endpoint could end the request in time. Random is in
 // [0, 1).
 func (p *Placer) lateRetryAfter(now time.Time, service string, request *admission.Request, random float64) time.Duration {
-	endpoints := p.parts.Directory.Serving(service)
-	usable, _ := p.parts.Rests.Usable(endpoints)
+	index := p.parts.Directory.Index(service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.view.lateRetryAfter(now, service, request, endpoints, usable, random)
+	from := &pool{service: service, endpoints: index.Serving}
+	listed := index.Serving
+	if len(index.Serving) > maxCompared {
+		from.index = index
+		listed = p.view.shortlist(index, service, request)
+	}
+	usable, _ := p.parts.Rests.Usable(listed)
+	return p.view.lateRetryAfterFrom(now, request, from, usable, random)
 }
 
 // recordRefusal counts a request that was refused for lack of room, or because all endpoints rest or are limited.
--- a/internal/front/placement/shares.go
+++ b/internal/front/placement/shares.go
@@ -67,17 +67,13 @@
 // It is also true if no endpoint can be chosen, since ask then refuses the request with the reason for that.
 func (p *Placer) hasRoom(service string, request *admission.Request) bool {
 	now := p.parts.Clock()
-	endpoints := p.parts.Directory.Serving(service)
-	if len(endpoints) == 0 {
-		return true
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	candidates, _, reason := p.candidates(now, request, endpoints, false)
+	from, candidates, _, reason := p.candidatesFrom(now, service, request, false)
 	if reason != "" {
 		return true
 	}
-	choice, ok := p.view.Choose(now, service, request, endpoints, candidates, nil)
+	choice, ok := p.view.chooseFrom(now, request, from, candidates)
 	inTime := request.FirstToken == 0 || choice.PredictedFirstEvent <= request.FirstToken
 	return ok && inTime && p.bounds.admitsChoice(request, &choice)
 }
