--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -39,10 +39,28 @@
 	PeerMessages      PeerTraffic = "messages"
 	// PeerTunnels is what endpoints send to peers that connect through this host.
 	PeerTunnels PeerTraffic = "tunnels"
+	// PeerRelays is what is sent to a few hosts to be passed on to all.
+	PeerRelays PeerTraffic = "relays"
 )
 
+// RefusedPeerMessage is the reason why a message of a peer is refused. The set is closed.
+type RefusedPeerMessage string
+
+// The reasons of refused messages.
+const (
+	// RefusedMalformed: it can't be decoded. RefusedMember: it names a host that can't be one, or too many.
+	// RefusedRepeated: too many copies of it have arrived. RefusedSum: a sum names impossible loads.
+	RefusedMalformed RefusedPeerMessage = "malformed"
+	RefusedMember    RefusedPeerMessage = "member"
+	RefusedRepeated  RefusedPeerMessage = "repeated"
+	RefusedSum       RefusedPeerMessage = "sum"
+)
+
+// RefusedPeerMessages lists all reasons.
+var RefusedPeerMessages = []RefusedPeerMessage{RefusedMalformed, RefusedMember, RefusedRepeated, RefusedSum}
+
 // PeerTrafficKinds lists all kinds.
-var PeerTrafficKinds = []PeerTraffic{PeerHeartbeats, PeerAnnouncements, PeerSyncs, PeerMessages, PeerTunnels}
+var PeerTrafficKinds = []PeerTraffic{PeerHeartbeats, PeerAnnouncements, PeerSyncs, PeerMessages, PeerTunnels, PeerRelays}
 
 // StoreCallReason is the reason of a call to the deployment's store. The set is closed.
 type StoreCallReason string
@@ -131,6 +149,7 @@
 	retries  map[request.RetryReason]*metrics.Counter
 	wasted   map[WasteCause]*metrics.Counter
 	peers    map[PeerTraffic]*metrics.Counter
+	refused  map[RefusedPeerMessage]*metrics.Counter
 	store    map[StoreCallReason]*metrics.Counter
 	signals  map[Signal]*metrics.Counter
 	permits  map[PermitResult]*metrics.Counter
@@ -160,6 +179,7 @@
 		retries:          make(map[request.RetryReason]*metrics.Counter),
 		wasted:           make(map[WasteCause]*metrics.Counter),
 		peers:            make(map[PeerTraffic]*metrics.Counter),
+		refused:          make(map[RefusedPeerMessage]*metrics.Counter),
 		store:            make(map[StoreCallReason]*metrics.Counter),
 		signals:          make(map[Signal]*metrics.Counter),
 		permits:          make(map[PermitResult]*metrics.Counter),
@@ -184,6 +204,9 @@
 	for _, kind := range PeerTrafficKinds {
 		c.peers[kind] = set.NewCounter(fmt.Sprintf(`oxbowslip_peer_sent_bytes_total{kind=%q}`, kind))
 	}
+	for _, reason := range RefusedPeerMessages {
+		c.refused[reason] = set.NewCounter(fmt.Sprintf(`oxbowslip_peer_refused_total{reason=%q}`, reason))
+	}
 	for _, reason := range StoreCallReasons {
 		c.store[reason] = set.NewCounter(fmt.Sprintf(`oxbowslip_store_calls_total{reason=%q}`, reason))
 	}
@@ -224,6 +247,9 @@
 // CountPeerBytes counts bytes sent to peers, excluding the UDP or TCP overhead.
 func (c *Counters) CountPeerBytes(kind PeerTraffic, bytes int) { c.peers[kind].Add(bytes) }
 
+// CountPeerRefused counts a message of a peer that is refused.
+func (c *Counters) CountPeerRefused(reason RefusedPeerMessage) { c.refused[reason].Inc() }
+
 // CountRefusal counts a refusal. A reason that only newer peers define counts as
 // internal.
 func (c *Counters) CountRefusal(reason request.Reason) {
--- a/internal/front/aggregate/aggregate.go
+++ b/internal/front/aggregate/aggregate.go
@@ -22,6 +22,9 @@
 	// against the seconds that requests take. A shorter interval would increase the traffic of the aggregators in
 	// proportion.
 	Interval = 250 * time.Millisecond
+	// IdleInterval is the same while most endpoints have no work: loads then hardly decide which endpoint is chosen.
+	// Three messages arrive in WorkTimeout.
+	IdleInterval = 2 * Interval
 	// WorkTimeout is how long a host's work or a zone's sum counts after it was received. Six datagrams in a row are
 	// not expected to be lost at a loss of 1 in 40.
 	WorkTimeout = 6 * Interval
@@ -106,8 +109,8 @@
 	a.toHosts.add(now, work.Holders)
 }
 
-// SetZone replaces one part of the sum over the hosts of another zone, as sent by one of its aggregators. Hosts is
-// the number of hosts in the sum.
+// SetZone replaces one part of the sum over the hosts of another zone, or of a part of a large zone, as sent by one of
+// its aggregators. Hosts is the number of hosts in the sum.
 func (a *Aggregator) SetZone(now time.Time, zone, sender string, part placement.Part, hosts int, work Work) {
 	if !part.IsValid() {
 		return
--- a/internal/front/aggregate/aggregate_test.go
+++ b/internal/front/aggregate/aggregate_test.go
@@ -162,7 +162,7 @@
 			// Within this time three unresponsive aggregators can be passed over in turn, before the first is tried
 			// again.
 			for now := start; now.Before(start.Add(avoidTime / 2)); now = now.Add(Interval) {
-				if primary, backup = choice.Pick(now, "self", test.ranked); !test.unresponsive[primary] {
+				if primary, backup = choice.Pick(now, "self", test.ranked, Interval); !test.unresponsive[primary] {
 					choice.RecordSum(now, primary)
 				}
 			}
--- a/internal/front/aggregate/choice.go
+++ b/internal/front/aggregate/choice.go
@@ -3,9 +3,9 @@
 import "time"
 
 const (
-	// sumTimeout is how long a host waits for a sum before it switches to the next aggregator. By then three sums are
-	// lost or late.
-	sumTimeout = 5 * Interval
+	// sumTimeout is how many intervals a host waits for a sum before it switches to the next aggregator. By then three
+	// sums are lost or late.
+	sumTimeout = 5
 	// avoidTime is how long an aggregator that sent no sum is not tried again. It is longer than finding several more
 	// of them unresponsive takes, and about as long as gossip takes to drop a crashed host from a fleet of 300.
 	avoidTime = 10 * time.Second
@@ -33,9 +33,9 @@
 // Pick returns the primary aggregator, whose sums this host uses, and the backup. The backup is sent this host's work
 // as well, so that its sums are complete when it takes over. Ranked are the hosts of the zone in an order that all
 // hosts share. Self is this host, which never waits for its own sum. The backup is empty if no second host is
-// available.
-func (c *Choice) Pick(now time.Time, self string, ranked []string) (primary, backup string) {
-	if c.primary != "" && c.primary != self && now.Sub(c.receivedAt) > sumTimeout {
+// available. Interval is the time between two sums.
+func (c *Choice) Pick(now time.Time, self string, ranked []string, interval time.Duration) (primary, backup string) {
+	if c.primary != "" && c.primary != self && now.Sub(c.receivedAt) > sumTimeout*interval {
 		if c.avoided == nil {
 			c.avoided = make(map[string]time.Time)
 		}
--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -50,6 +50,13 @@
 	KindStreamOrigins        Kind = 18
 	KindStreamOriginQuestion Kind = 19
 	KindStreamOriginReply    Kind = 20
+	// KindMembers carries Records of hosts and reports of losses, KindMembersDigest a digest of the sender's members, and
+	// KindRelay a message that its receiver passes on.
+	KindMembers       Kind = 21
+	KindMembersDigest Kind = 22
+	KindRelay         Kind = 23
+	// KindChanges carries changes of the directory that are too many for a heartbeat.
+	KindChanges Kind = 24
 )
 
 // Sender identifies the host that sent a message.
--- a/internal/front/fakenet_test.go
+++ b/internal/front/fakenet_test.go
@@ -23,6 +23,8 @@
 	drops func(from, to string) bool
 	// unresponsive contains the hosts that accept connections but never answer on them.
 	unresponsive map[string]bool
+	// sent counts the datagrams that each host has sent.
+	sent map[string]int
 	// dials holds the times of the connections to each host.
 	dials map[string][]time.Time
 }
@@ -30,7 +32,7 @@
 func newFakeNetwork() *fakeNetwork {
 	return &fakeNetwork{
 		packetConns: make(map[string]*fakePacketConn), listeners: make(map[string]*fakeListener),
-		drops: func(string, string) bool { return false }, unresponsive: make(map[string]bool), dials: make(map[string][]time.Time),
+		drops: func(string, string) bool { return false }, unresponsive: make(map[string]bool), dials: make(map[string][]time.Time), sent: make(map[string]int),
 	}
 }
 
@@ -92,6 +94,7 @@
 // deliver delivers a datagram after linkDelay, unless it is lost.
 func (n *fakeNetwork) deliver(data []byte, from, to string) {
 	n.mu.Lock()
+	n.sent[from]++
 	target, ok := n.packetConns[to]
 	lost := n.drops(from, to)
 	n.mu.Unlock()
--- a/internal/front/fleet_test.go
+++ b/internal/front/fleet_test.go
@@ -37,6 +37,8 @@
 	done    chan struct{}
 	running sync.WaitGroup
 	seed    uint64
+	// zones is the number of availability zones.
+	zones int
 }
 
 // fleetHost is one host of a fleet.
@@ -60,7 +62,12 @@
 
 // startFleet starts hosts with a configuration and two endpoints, and waits until they have settled.
 func startFleet(c *qt.C, hosts int, seed uint64) *fleet {
-	f := &fleet{store: newFakeStore(), network: newFakeNetwork(), done: make(chan struct{}), seed: seed}
+	return startFleetIn(c, hosts, 1, seed)
+}
+
+// startFleetIn is startFleet with a number of availability zones.
+func startFleetIn(c *qt.C, hosts, zones int, seed uint64) *fleet {
+	f := &fleet{store: newFakeStore(), network: newFakeNetwork(), done: make(chan struct{}), seed: seed, zones: zones}
 	f.store.putSettings(1)
 	f.store.putEndpoint("e1", settings.StateIn)
 	f.store.putEndpoint("e2", settings.StateIn)
@@ -89,7 +96,7 @@
 
 func (f *fleet) addHost(c *qt.C, n int) {
 	config := hostconfig.Host{
-		Name: fmt.Sprintf("host-%d", n+1), Zone: "zone-a", Peers: fmt.Sprintf("10.0.%d.%d:7000", n/200, n%200+1),
+		Name: fmt.Sprintf("host-%d", n+1), Zone: fmt.Sprintf("zone-%c", 'a'+n%f.zones), Peers: fmt.Sprintf("10.0.%d.%d:7000", n/200, n%200+1),
 		FirstPeers: []string{"10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000"},
 	}
 	log := logrus.New()
--- a/internal/front/followers.go
+++ b/internal/front/followers.go
@@ -52,9 +52,9 @@
 }
 
 // currentDuty returns the current duty of a host for a topic. A reader calls the store continuously. Any other host
-// calls it only if its state has not been confirmed for too long. A host that has just started reads the store once and
-// then waits until its member list is settled, since all hosts of a fleet may have started together. Until then it does
-// not know its place in the order of hosts and waits as long as the last of them.
+// calls it only if its state has not been confirmed for too long. Some of the hosts that have just started read the store
+// once and then wait until their member lists are settled, since all hosts of a fleet may have started together. Until
+// then a host does not know its place in the order of hosts and waits as long as the last of them.
 func currentDuty(topic freshness.Topic, g *gossip.Gossip, state *freshness.State) follow.Duty {
 	order := g.Order()
 	if g.MustReadStore() {
@@ -62,12 +62,12 @@
 	}
 	before := order.Before
 	if !g.IsSettled() {
-		if state.Age(topic) == freshness.UnknownAge {
+		if state.Age(topic) == freshness.UnknownAge && g.MustReadFirst() {
 			return follow.Duty{Call: true}
 		}
 		before = order.Hosts
 	}
-	return follow.Duty{Call: state.MustAsk(topic, before), Retry: freshness.AskRetry(order.Hosts)}
+	return follow.Duty{Call: state.MustAsk(topic, before, g.StorePatience()), Retry: freshness.AskRetry(order.Hosts)}
 }
 
 func newFollowers(p followerParts) *followers {
--- a/internal/front/freshness/freshness_test.go
+++ b/internal/front/freshness/freshness_test.go
@@ -121,7 +121,7 @@
 	c.Check(h.Age(Endpoints), qt.Equals, 3*time.Second, qt.Commentf("nothing is confirmed in the new era"))
 	h.RecordConfirmation(Endpoints, Confirmation{Newest: 50, Revision: 60, AsOf: StoreTime(73 * time.Second)})
 	c.Check(h.Age(Endpoints), qt.Equals, 3*time.Second, qt.Commentf("a confirmation of the earlier era is ignored"))
-	c.Check(h.MustAsk(Endpoints, 0), qt.IsTrue)
+	c.Check(h.MustAsk(Endpoints, 0, 0), qt.IsTrue)
 	h.RecordConfirmation(Endpoints, Confirmation{Newest: 50, Revision: restored, AsOf: StoreTime(2 * time.Second)})
 	c.Check(h.Age(Endpoints), qt.Equals, time.Duration(0))
 	c.Check(h.Revision(Endpoints), qt.Equals, restored)
@@ -217,9 +217,9 @@
 				h := newHost(5)
 				confirm(h)
 				h.setElapsed(test.after)
-				qt.Check(t, h.MustAsk(Settings, test.before), qt.IsFalse)
+				qt.Check(t, h.MustAsk(Settings, test.before, 0), qt.IsFalse)
 				h.setElapsed(test.after + 1)
-				qt.Check(t, h.MustAsk(Settings, test.before), qt.IsTrue)
+				qt.Check(t, h.MustAsk(Settings, test.before, 0), qt.IsTrue)
 			})
 		}
 	}
--- a/internal/front/freshness/rules.go
+++ b/internal/front/freshness/rules.go
@@ -57,8 +57,9 @@
 // AskRetry returns the mean time between a host's calls while they fail, given the number of hosts in the fleet.
 func AskRetry(hosts int) time.Duration { return time.Duration(hosts) * AskRetryPerHost }
 
-// MustAsk reports whether a host with a number of hosts before it in the order must call the store for a topic,
-// because the topic has not been confirmed for too long.
-func (s *State) MustAsk(topic Topic, before int) bool {
-	return s.unconfirmedFor(topic) > AskAfter+AskDelay(before)
+// MustAsk reports whether a host with a number of hosts before it in the order must ask the store or its peers for a
+// topic, because the topic has not been confirmed for too long. Patience is added to the time for which it may be
+// unconfirmed.
+func (s *State) MustAsk(topic Topic, before int, patience time.Duration) bool {
+	return s.unconfirmedFor(topic) > AskAfter+AskDelay(before)+patience
 }
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -295,6 +295,7 @@
 			Fleet: fleetID(p.Config),
 		},
 		Host: sync, Network: p.Network, Log: logging.Part(p.Log, "peers"), Clock: p.Clock, Random: p.Random, CountSent: p.Counters.CountPeerBytes,
+		CountRefused: p.Counters.CountPeerRefused,
 	})
 	g.Handle(envelope.KindPermitRequest, p.Limiter.HandleAsk)
 	g.Handle(envelope.KindPermitReply, p.Limiter.HandleReply)
@@ -427,6 +428,9 @@
 // Hosts returns the number of live hosts, this one included.
 func (l latePeers) Hosts() int { return l.gossip.Load().Hosts() }
 
+// Neighbors returns the peers with which this host shares what it observes of endpoints.
+func (l latePeers) Neighbors() []envelope.Sender { return l.gossip.Load().Neighbors() }
+
 // Broadcast sends a message to all peers.
 func (l latePeers) Broadcast(kind envelope.Kind, message any) {
 	l.gossip.Load().Broadcast(kind, message)
--- a/internal/front/gossip/confirm.go
+++ b/internal/front/gossip/confirm.go
@@ -45,15 +45,14 @@
 func (g *Gossip) sendConfirmation() {
 	topics := g.parts.Host.Confirmations()
 	g.mu.Lock()
-	members := g.memberAddresses()
 	leaving := g.leaving
 	g.mu.Unlock()
 	switch {
 	case leaving || len(topics) == 0:
 	case isOfLaterEra(topics):
-		g.sendEnvelope(envelope.KindConfirmation, topics, members)
+		g.broadcastEnvelope(envelope.KindConfirmation, topics, 1)
 	default:
-		g.sendDatagram(counters.PeerHeartbeats, &Confirmation{Incarnation: g.incarnation, Topics: topics}, members)
+		g.broadcast(counters.PeerHeartbeats, &Confirmation{Incarnation: g.incarnation, Topics: topics}, 1)
 	}
 }
 
@@ -67,7 +66,7 @@
 // handleConfirmation handles a confirmation of the first era.
 func (g *Gossip) handleConfirmation(c *Confirmation) {
 	if !isOfLaterEra(c.Topics) {
-		g.applyConfirmation(c)
+		g.applyConfirmation(c, true)
 	}
 }
 
@@ -78,14 +77,14 @@
 		g.parts.Log.WithError(err).WithField("peer", from.Host).Warn("a confirmation can't be decoded, it is dropped")
 		return
 	}
-	g.applyConfirmation(&c)
+	g.applyConfirmation(&c, true)
 }
 
 // applyConfirmation passes a confirmation to Host. A confirmation of an unknown sender is dropped; later ones are used
-// once the sender has announced itself.
-func (g *Gossip) applyConfirmation(c *Confirmation) {
+// once the sender has announced itself. IsReader is set if the store has just answered the sender.
+func (g *Gossip) applyConfirmation(c *Confirmation, isReader bool) {
 	g.mu.Lock()
-	member, known := g.members.ApplyConfirmation(c)
+	member, known := g.members.ApplyConfirmation(c, isReader)
 	g.mu.Unlock()
 	if !known {
 		return
--- a/internal/front/gossip/envelope.go
+++ b/internal/front/gossip/envelope.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"slices"
+
 	"github.com/fxamacker/cbor/v2"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
@@ -34,23 +36,47 @@
 
 // Senders returns the live hosts, this one first.
 func (g *Gossip) Senders() []envelope.Sender {
-	senders := []envelope.Sender{g.Self()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, member := range g.members.Live() {
+	return slices.Clone(g.members.indexed().senders)
+}
+
+// Broadcast sends a message to all members. Datagrams may be lost; the caller has to repeat them.
+func (g *Gossip) Broadcast(kind envelope.Kind, message any) {
+	g.broadcastEnvelope(kind, message, 1)
+}
+
+// Neighbors returns the members with which this host exchanges what it observes of endpoints: all members, or those of its
+// cell in a large fleet. There every host has few observations, and a message from each to each would cost more than
+// they are worth.
+func (g *Gossip) Neighbors() []envelope.Sender {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var senders []envelope.Sender
+	for _, member := range g.members.neighbors() {
 		senders = append(senders, envelope.Sender{Host: member.Name, Incarnation: member.incarnation})
 	}
 	return senders
 }
 
-// Broadcast sends a message to all members. Datagrams may be lost; the caller has to repeat them.
-func (g *Gossip) Broadcast(kind envelope.Kind, message any) {
+// BroadcastNear sends a message to the Neighbors.
+func (g *Gossip) BroadcastNear(kind envelope.Kind, message any) {
 	g.mu.Lock()
-	addresses := g.memberAddresses()
+	var addresses []string
+	for _, member := range g.members.neighbors() {
+		addresses = append(addresses, member.Address)
+	}
 	g.mu.Unlock()
 	g.sendEnvelope(kind, message, addresses)
 }
 
+// broadcastEnvelope is Broadcast along a number of trees in a large fleet.
+func (g *Gossip) broadcastEnvelope(kind envelope.Kind, message any, copies int) {
+	if e, ok := g.newEnvelope(kind, message); ok {
+		g.broadcast(counters.PeerMessages, e, copies)
+	}
+}
+
 // SendTo sends a message to a member. It does nothing if the host is not a member.
 func (g *Gossip) SendTo(host string, kind envelope.Kind, message any) {
 	g.mu.Lock()
@@ -61,34 +87,64 @@
 	}
 }
 
-func (g *Gossip) sendEnvelope(kind envelope.Kind, message any, targets []string) {
+// newEnvelope returns an envelope with a message. It reports false if the message can't be encoded.
+func (g *Gossip) newEnvelope(kind envelope.Kind, message any) (*Envelope, bool) {
 	body, err := cbor.Marshal(message)
 	if err != nil {
 		g.parts.Log.WithError(err).WithField("kind", kind).Error("encoding a message failed, it is not sent")
-		return
+		return nil, false
 	}
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.envelopes++
-	e := Envelope{Incarnation: g.incarnation, Sequence: g.envelopes, Fleet: g.parts.Config.Fleet, Kind: kind, Body: body}
-	g.mu.Unlock()
-	g.sendDatagram(counters.PeerMessages, &e, targets)
+	return &Envelope{Incarnation: g.incarnation, Sequence: g.envelopes, Fleet: g.parts.Config.Fleet, Kind: kind, Body: body}, true
+}
+
+func (g *Gossip) sendEnvelope(kind envelope.Kind, message any, targets []string) {
+	g.sendEnvelopeAs(counters.PeerMessages, kind, message, targets)
 }
 
-// handleEnvelope passes an envelope to its handler. An envelope of an unknown sender is dropped; later ones are used
-// once the sender has announced itself.
-func (g *Gossip) handleEnvelope(e *Envelope) {
+// sendEnvelopeAs sends an envelope that counts as a kind of traffic.
+func (g *Gossip) sendEnvelopeAs(traffic counters.PeerTraffic, kind envelope.Kind, message any, targets []string) {
+	if e, ok := g.newEnvelope(kind, message); ok {
+		g.sendDatagram(traffic, e, targets)
+	}
+}
+
+// handleEnvelope passes an envelope to its handler. An envelope of an unknown sender is dropped, unless it is about
+// members; later ones are used once the sender has announced itself. From is empty if another host has passed the
+// envelope on.
+func (g *Gossip) handleEnvelope(e *Envelope, from string) {
+	if e.Fleet != g.parts.Config.Fleet {
+		return
+	}
+	switch e.Kind {
+	case envelope.KindMembers:
+		g.handleUpdates(e.Body, from != "")
+		return
+	case envelope.KindMembersDigest:
+		g.handleDigest(e.Incarnation, e.Body, from)
+		return
+	case envelope.KindRelay:
+		if from == "" {
+			g.refuse(counters.RefusedMalformed, "a relayed message contains another one", nil)
+			return
+		}
+		g.handleRelay(e.Body)
+		return
+	}
 	handler, known := g.handlers[e.Kind]
-	if !known || e.Fleet != g.parts.Config.Fleet {
+	if !known {
 		return
 	}
 	g.mu.Lock()
 	member, ok := g.members.byIncarnation(e.Incarnation)
-	var from envelope.Sender
+	var sender envelope.Sender
 	if ok {
-		from = envelope.Sender{Host: member.Name, Incarnation: e.Incarnation}
+		sender = envelope.Sender{Host: member.Name, Incarnation: e.Incarnation}
 	}
 	g.mu.Unlock()
 	if ok {
-		handler(from, e.Body)
+		handler(sender, e.Body)
 	}
 }
--- a/internal/front/gossip/fetch.go
+++ b/internal/front/gossip/fetch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,12 +50,16 @@
 	g.fetchTopic(&fetchRound{
 		topic: t,
 		next: func(asked names) (Member, bool) {
-			if peer, ok := g.memberAhead(t, asked); ok {
+			if peer, ok := g.memberToAsk(t, asked); ok {
 				return peer, true
 			}
 			return first, len(asked) == 0
 		},
 		isDone: func(answered bool) bool {
+			if g.UsesAggregators() {
+				// An answer may be no newer than the own revision.
+				return !g.isBehind(t, &first)
+			}
 			if _, ok := g.memberAhead(t, nil); ok && !answered {
 				return false
 			}
@@ -67,7 +70,22 @@
 
 // memberAhead returns a random member that has a newer revision of a topic and has not been asked.
 func (g *Gossip) memberAhead(t freshness.Topic, asked names) (Member, bool) {
-	return g.pick(func(m *Member) bool { return !asked[m.Name] && g.isBehind(t, m) })
+	own := g.parts.Host.Revisions()
+	return g.pick(func(m *Member) bool { return !asked[m.Name] && isBehind(t, own, m) })
+}
+
+// memberToAsk returns a member to ask for a topic that has not been asked. In a large fleet only a few hosts are known to
+// have a new revision: if all others asked these, their links would take longer than the change takes to spread. Any
+// member of the own zone is asked there, as long as there are some.
+func (g *Gossip) memberToAsk(t freshness.Topic, asked names) (Member, bool) {
+	if !g.UsesAggregators() {
+		return g.memberAhead(t, asked)
+	}
+	zone := g.parts.Config.Zone
+	if peer, ok := g.pick(func(m *Member) bool { return m.Zone == zone && !asked[m.Name] }); ok {
+		return peer, true
+	}
+	return g.pick(func(m *Member) bool { return !asked[m.Name] })
 }
 
 // pollWhenStale polls members for topics that have not been confirmed for too long, until done is closed: the store may
@@ -84,7 +102,14 @@
 		}
 		before := g.Order().Before
 		now := g.parts.Clock()
+		isLarge := g.UsesAggregators()
 		for t := range freshness.NumTopics {
+			if isLarge && now.Sub(polledAt[t]) >= pollInterval && g.parts.Host.MustAsk(t, before) {
+				// A member whose state is confirmed answers with its confirmations, and changes are fetched then.
+				polledAt[t] = now
+				g.sendDigests(digestsPerPoll)
+				continue
+			}
 			if now.Sub(polledAt[t]) >= pollInterval && g.parts.Host.MustAsk(t, before) && g.beginFetch(t) {
 				polledAt[t] = now
 				go g.poll(t)
@@ -97,8 +122,10 @@
 func (g *Gossip) poll(t freshness.Topic) {
 	defer g.endFetch(t)
 	g.fetchTopic(&fetchRound{
-		topic:  t,
-		next:   func(asked names) (Member, bool) { return g.pick(func(m *Member) bool { return !asked[m.Name] }) },
+		topic: t,
+		next: func(asked names) (Member, bool) {
+			return g.pick(func(m *Member) bool { return !asked[m.Name] })
+		},
 		isDone: func(answered bool) bool { return answered },
 	})
 }
@@ -128,13 +155,17 @@
 // pick returns a random member that satisfies a condition.
 func (g *Gossip) pick(wanted func(*Member) bool) (Member, bool) {
 	g.mu.Lock()
-	members := g.members.Live()
-	g.mu.Unlock()
-	members = slices.DeleteFunc(members, func(m Member) bool { return !wanted(&m) })
+	defer g.mu.Unlock()
+	var members []*Member
+	for _, member := range g.members.indexed().byName {
+		if wanted(member) {
+			members = append(members, member)
+		}
+	}
 	if len(members) == 0 {
 		return Member{}, false
 	}
-	return members[int(g.parts.Random()*float64(len(members)))], true
+	return *members[int(g.parts.Random()*float64(len(members)))], true
 }
 
 // names is a set of names of members.
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -36,6 +36,8 @@
 	ReadsStore bool
 	Delta      *DirectoryDelta
 	Patch      *SettingsPatch
+	// Changes are changes of the directory that are too many for a Delta.
+	Changes *ChangesResponse
 }
 
 // Host provides the state that Gossip sends, and handles the messages that Gossip receives. Its methods may be called
@@ -44,14 +46,17 @@
 	// State returns the content of the next heartbeat. It includes loads and holders if direct is set, as in a fleet
 	// without aggregators.
 	State(direct bool) State
+	// IsBusy reports whether so many endpoints have work that their loads have to be known soon.
+	IsBusy() bool
 	// Work returns this host's work for its aggregators.
 	Work() Work
 	// HandleContribution handles the work of a host of this zone, which may be this host.
 	HandleContribution(host string, contribution *Contribution)
 	// Sums returns the parts of the sum over this zone and the parts of the sum over all hosts.
 	Sums() ([]ZoneSum, []FleetSum)
-	// HandleZoneSum handles a peer's sum over its zone.
-	HandleZoneSum(peer, zone string, sum *ZoneSum)
+	// HandleZoneSum handles a peer's sum over its cell, a part of its zone or the whole. IsOwn is set if this host is in
+	// the same cell.
+	HandleZoneSum(peer, cell string, isOwn bool, sum *ZoneSum)
 	// HandleFleetSum handles a sum over all hosts, made by a peer or by this host. Counted is the work of this host
 	// that the sum includes, or nil.
 	HandleFleetSum(sum *FleetSum, counted *Work)
@@ -92,6 +97,9 @@
 	FirstPeers []string
 	// Fleet identifies the fleet; it is equal at all hosts of a fleet.
 	Fleet uint64
+	// LinkMbps is the bandwidth of this host's link in Mbit/s, or 0 if it is unknown. Hosts with faster links are
+	// preferred for tasks that carry more messages.
+	LinkMbps uint32
 }
 
 // Parts are the dependencies of a Gossip.
@@ -105,6 +113,8 @@
 	Random func() float64
 	// CountSent counts the bytes that are sent to peers.
 	CountSent func(kind counters.PeerTraffic, bytes int)
+	// CountRefused counts messages of peers that are refused.
+	CountRefused func(reason counters.RefusedPeerMessage)
 }
 
 // Gossip exchanges state with peers. Its methods are safe for concurrent use.
@@ -120,6 +130,11 @@
 	// joinedAt is when the last peer joined, or when this host started if no peer has joined.
 	joinedAt time.Time
 
+	// startDraw is a random number in [0, 1) that is drawn at the start, see MustReadFirst. announcedHosts is the largest
+	// number of hosts that a peer has announced.
+	startDraw      float64
+	announcedHosts int
+
 	registration registration
 
 	// handlers, streams and onJoin do not change after Start.
@@ -134,9 +149,11 @@
 	confirmationWanted chan struct{}
 	cancel             context.CancelFunc
 
-	mu       sync.Mutex
-	members  *Members
-	sequence uint64
+	mu         sync.Mutex
+	members    *Members
+	membership membership
+	relays     relayState
+	sequence   uint64
 	// envelopes counts the envelopes sent.
 	envelopes uint64
 	// lastState is the state in the last heartbeat, without its lists.
@@ -150,6 +167,10 @@
 	// fetching is set for the topics that are being fetched.
 	fetching [freshness.NumTopics]bool
 	sharing  workSharing
+	// pushed identifies the news that were last sent to all hosts of a large fleet.
+	pushed pushedNews
+	// refusedLoggedAt is when a refused message was last logged.
+	refusedLoggedAt time.Time
 }
 
 // New returns a Gossip that does not listen yet.
@@ -158,11 +179,15 @@
 	g := &Gossip{
 		parts: parts, address: parts.Config.Address, started: now, joinedAt: now, startNanos: now.UnixNano(),
 		incarnation:     uint32(parts.Random() * math.MaxUint32),
+		startDraw:       parts.Random(),
 		heartbeatWanted: make(chan struct{}, 1), urgentWanted: make(chan struct{}, 1), confirmationWanted: make(chan struct{}, 1),
 		members: NewMembers(parts.Config.Name, parts.Config.Zone), handlers: make(map[envelope.Kind]envelope.Handler), streams: make(map[string]StreamHandler), onJoin: func(envelope.Sender) {},
 	}
-	g.members.address = g.address
+	g.membership.wanted = make(chan struct{}, 1)
+	g.members.SetOwn(g.address, g.incarnation, g.startNanos, parts.Config.LinkMbps)
 	g.Handle(envelope.KindConfirmation, g.handleRestoredConfirmation)
+	g.Handle(envelope.KindChanges, g.handleChanges)
+	g.streams[rpcMembers] = g.answerMembers
 	g.AddContacts(parts.Config.FirstPeers)
 	return g
 }
@@ -203,6 +228,30 @@
 	return order.IsReader() && (order.Before < freshness.Readers || g.parts.Clock().Sub(g.started) >= maxSettleTime)
 }
 
+// MustReadFirst reports whether this host, which has started without settings or endpoints, reads the store before it
+// knows its place in the order of hosts. If all hosts of a fleet start together, firstReaders x (1 + ln(hosts /
+// firstReaders)) of them are expected to: the more hosts a host finds, the less likely it reads the store. The others
+// get the state from these.
+func (g *Gossip) MustReadFirst() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	hosts := max(g.members.Count()+1, g.announcedHosts)
+	if hosts == 1 {
+		wait := time.Duration(g.startDraw * float64(firstPeersWait))
+		return len(g.parts.Config.FirstPeers) == 0 || g.parts.Clock().Sub(g.started) >= wait
+	}
+	return g.startDraw*float64(hosts) < firstReaders
+}
+
+// StorePatience returns how much longer a host waits for confirmations before it asks the store than before it asks
+// peers.
+func (g *Gossip) StorePatience() time.Duration {
+	if g.UsesAggregators() {
+		return largeFleetStorePatience
+	}
+	return 0
+}
+
 // Order returns this host's place in the order of the live hosts.
 func (g *Gossip) Order() Order {
 	g.mu.Lock()
@@ -228,7 +277,7 @@
 		return merry.Prependf(err, "listen for peers on %s", g.address)
 	}
 	g.address = listener.Addr().String()
-	g.members.address = g.address
+	g.members.SetOwn(g.address, g.incarnation, g.startNanos, g.parts.Config.LinkMbps)
 	packets, err := g.parts.Network.ListenPacket(g.address)
 	if err != nil {
 		listener.Close()
@@ -254,6 +303,7 @@
 	loops.Go(func() { g.sendConfirmations(done) })
 	loops.Go(func() { g.pollWhenStale(done) })
 	loops.Go(func() { g.shareWork(done) })
+	loops.Go(func() { g.maintainMembers(done) })
 	for {
 		g.broadcastHeartbeat()
 		if !g.waitForNext(done) {
@@ -263,9 +313,19 @@
 	}
 }
 
+// heartbeatPace returns the minimum time between two heartbeats. In a large fleet few hosts get each heartbeat.
+func (g *Gossip) heartbeatPace() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.members.IsLarge() {
+		return pace(len(g.legacyAddresses()) + watchers)
+	}
+	return pace(g.members.Count() + 1)
+}
+
 // waitForNext waits until the next heartbeat is due. It reports false if done was closed.
 func (g *Gossip) waitForNext(done <-chan struct{}) bool {
-	next := time.NewTimer(pace(g.Hosts()))
+	next := time.NewTimer(g.heartbeatPace())
 	defer next.Stop()
 	select {
 	case <-next.C:
@@ -304,9 +364,8 @@
 	g.mu.Lock()
 	g.leaving = true
 	heartbeat := g.newHeartbeat(State{})
-	members := g.memberAddresses()
 	g.mu.Unlock()
-	g.sendHeartbeat(heartbeat, members)
+	g.broadcast(counters.PeerHeartbeats, heartbeat, urgentCopies)
 }
 
 // Close closes the listener and the socket.
--- a/internal/front/gossip/gossip_test.go
+++ b/internal/front/gossip/gossip_test.go
@@ -163,6 +163,8 @@
 	return state
 }
 
+func (n *node) IsBusy() bool { return true }
+
 func (n *node) Work() Work {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -175,7 +177,7 @@
 	n.contributed[host] = contribution
 }
 
-func (n *node) HandleZoneSum(peer, _ string, _ *ZoneSum) {
+func (n *node) HandleZoneSum(peer, _ string, _ bool, _ *ZoneSum) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.zoneSums[peer]++
@@ -287,7 +289,7 @@
 	log.SetOutput(io.Discard)
 	n.gossip = New(Parts{
 		Config: Config{Name: name, Address: "127.0.0.1:0", FirstPeers: first}, Host: n, Network: IPNetwork{}, Log: logrus.NewEntry(log),
-		Clock: time.Now, Random: rand.Float64, CountSent: n.count,
+		Clock: time.Now, Random: rand.Float64, CountSent: n.count, CountRefused: func(counters.RefusedPeerMessage) {},
 	})
 	c.Assert(n.gossip.Start(), qt.IsNil)
 	ended := make(chan struct{})
@@ -441,10 +443,10 @@
 func TestConfirmationsOfUnknownHostsAreIgnored(t *testing.T) {
 	c := qt.New(t)
 	m := NewMembers("self", "")
-	_, known := m.ApplyConfirmation(&Confirmation{Incarnation: 1})
+	_, known := m.ApplyConfirmation(&Confirmation{Incarnation: 1}, true)
 	c.Check(known, qt.IsFalse)
 	m.ApplyHeartbeat(start, &Heartbeat{Incarnation: 1, Sequence: 1, Settings: 3, Directory: 4, Announcement: announcement("a", 1)})
-	member, known := m.ApplyConfirmation(&Confirmation{Incarnation: 1, Topics: []TopicConfirmation{{Newest: 5}, {Newest: 2}, {Newest: 99}}})
+	member, known := m.ApplyConfirmation(&Confirmation{Incarnation: 1, Topics: []TopicConfirmation{{Newest: 5}, {Newest: 2}, {Newest: 99}}}, true)
 	c.Check(known, qt.IsTrue)
 	c.Check(member.Settings, qt.Equals, uint64(5))
 	c.Check(member.Directory, qt.Equals, uint64(4), qt.Commentf("an older revision does not replace a newer one"))
@@ -464,7 +466,7 @@
 	c.Check(host.confirmed, qt.HasLen, 0)
 	body, err := cbor.Marshal(topics)
 	c.Assert(err, qt.IsNil)
-	g.handleEnvelope(&Envelope{Incarnation: 1, Kind: envelope.KindConfirmation, Body: body})
+	g.handleEnvelope(&Envelope{Incarnation: 1, Kind: envelope.KindConfirmation, Body: body}, "127.0.0.1:9")
 	c.Check(host.confirmed, qt.DeepEquals, topics)
 }
 
@@ -476,7 +478,7 @@
 	log.SetOutput(io.Discard)
 	g := New(Parts{
 		Config: Config{Name: "a"}, Host: &node{}, Log: logrus.NewEntry(log), Clock: time.Now,
-		Random: func() float64 { return 0.5 }, CountSent: func(counters.PeerTraffic, int) {},
+		Random: func() float64 { return 0.5 }, CountSent: func(counters.PeerTraffic, int) {}, CountRefused: func(counters.RefusedPeerMessage) {},
 	})
 	for n := range 300 {
 		g.members.ApplyHeartbeat(time.Now(), &Heartbeat{Incarnation: uint32(n + 1), Sequence: 1, Announcement: announcement(fmt.Sprintf("host-%d", n), 1)})
@@ -498,7 +500,7 @@
 			host := &node{}
 			g := New(Parts{
 				Config: Config{Name: "a"}, Host: host, Log: logrus.NewEntry(log), Clock: time.Now,
-				Random: func() float64 { return 0.5 }, CountSent: func(counters.PeerTraffic, int) {},
+				Random: func() float64 { return 0.5 }, CountSent: func(counters.PeerTraffic, int) {}, CountRefused: func(counters.RefusedPeerMessage) {},
 			})
 			for n := range hosts {
 				g.members.ApplyHeartbeat(time.Now(), &Heartbeat{Incarnation: uint32(n + 1), Sequence: 1, Announcement: announcement(fmt.Sprintf("host-%d", n), 1)})
@@ -530,7 +532,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	g := New(Parts{Config: Config{Name: "a"}, Host: peer, Log: logrus.NewEntry(log), Clock: time.Now, Random: func() float64 { return 0.5 }, CountSent: func(counters.PeerTraffic, int) {}})
+	g := New(Parts{Config: Config{Name: "a"}, Host: peer, Log: logrus.NewEntry(log), Clock: time.Now, Random: func() float64 { return 0.5 }, CountSent: func(counters.PeerTraffic, int) {}, CountRefused: func(counters.RefusedPeerMessage) {}})
 	c.Check(g.beginFetch(freshness.Endpoints), qt.IsTrue)
 	c.Check(g.beginFetch(freshness.Endpoints), qt.IsFalse)
 	c.Check(g.beginFetch(freshness.Settings), qt.IsTrue)
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -5,12 +5,14 @@
 	"net"
 	"slices"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/backoff"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
 // broadcastHeartbeat sends this host's state to all members, and announces this host to addresses of unknown hosts.
@@ -21,25 +23,117 @@
 		g.mu.Unlock()
 		return
 	}
+	isForAll, isForCell := g.takeNews(&state), g.hasNewEjection(&state)
 	heartbeat := g.newHeartbeat(state)
-	members := g.memberAddresses()
+	members := g.heartbeatTargets(isForCell)
 	announcement := g.newAnnouncement(true, 0)
-	targets := append(g.members.AnnouncementTargets(g.parts.Clock()), g.memberToQuery()...)
+	contacts, query := g.members.AnnouncementTargets(g.parts.Clock()), g.memberToQuery()
 	report := g.nextReport()
 	g.mu.Unlock()
-	g.sendHeartbeat(heartbeat, members)
+	if isForAll {
+		g.broadcast(counters.PeerHeartbeats, heartbeat, urgentCopies)
+	} else {
+		g.sendHeartbeat(heartbeat, members)
+	}
+	if state.Changes != nil {
+		g.broadcastEnvelope(envelope.KindChanges, state.Changes, urgentCopies)
+	}
 	if report != nil {
 		report.Engines = g.parts.Host.EngineReports()
 		g.sendDatagram(counters.PeerHeartbeats, report, members)
 	}
-	g.sendHeartbeat(announcement, targets)
+	g.sendRecord(contacts)
+	g.sendHeartbeat(announcement, append(contacts, query...))
+}
+
+// pushedNews identifies the news in the last heartbeat to all hosts of a large fleet.
+type pushedNews struct {
+	settings   uint64
+	directory  uint64
+	readsStore bool
+	// ejected are the endpoints in the last heartbeat.
+	ejected map[keys.Endpoint]bool
+}
+
+// pushingReaders is the number of readers of the store that send changes to all hosts of a large fleet. The others only
+// confirm them: further copies would be the most of what hosts send each other.
+const pushingReaders = 2
+
+// takeNews reports whether the next heartbeat is for all hosts of a large fleet, because it has news, and removes news
+// that are sent by others or were sent before. The lock is held.
+func (g *Gossip) takeNews(state *State) bool {
+	if !g.members.IsLarge() {
+		state.Changes = nil
+		return false
+	}
+	isPushing := state.ReadsStore && g.members.Order().ReadersBefore < pushingReaders
+	if state.Patch != nil && (!isPushing || state.Patch.To <= g.pushed.settings) {
+		state.Patch = nil
+	}
+	if state.Delta != nil && (!isPushing || state.Delta.To <= g.pushed.directory) {
+		state.Delta = nil
+	}
+	if state.Changes != nil {
+		if !isPushing || state.Changes.To <= g.pushed.directory {
+			state.Changes = nil
+		} else {
+			g.pushed.directory = state.Changes.To
+		}
+	}
+	hasNews := state.Patch != nil || state.Delta != nil || state.ReadsStore != g.pushed.readsStore
+	g.pushed.readsStore = state.ReadsStore
+	if state.Patch != nil {
+		g.pushed.settings = state.Patch.To
+	}
+	if state.Delta != nil {
+		g.pushed.directory = state.Delta.To
+	}
+	return hasNews
+}
+
+// hasNewEjection reports whether a state has an ejection that the last heartbeat did not have. The lock is held.
+func (g *Gossip) hasNewEjection(state *State) bool {
+	ejected, isNew := make(map[keys.Endpoint]bool, len(state.Ejections)), false
+	for _, e := range state.Ejections {
+		ejected[e.Endpoint] = true
+		isNew = isNew || !g.pushed.ejected[e.Endpoint]
+	}
+	g.pushed.ejected = ejected
+	return isNew
+}
+
+// heartbeatTargets returns the addresses of the hosts to which this host sends a heartbeat: all members, or, in a large
+// fleet, its watchers and the members that do not pass messages on. IsForCell adds the hosts of its cell. The lock is
+// held.
+func (g *Gossip) heartbeatTargets(isForCell bool) []string {
+	if !g.members.IsLarge() {
+		return g.memberAddresses()
+	}
+	targets := append(g.members.Watchers(), g.legacyAddresses()...)
+	if isForCell {
+		for _, member := range g.members.neighbors() {
+			if member.relays && !slices.Contains(targets, member.Address) {
+				targets = append(targets, member.Address)
+			}
+		}
+	}
+	return targets
+}
+
+// legacyAddresses returns the addresses of the members that do not pass messages on. The lock is held.
+func (g *Gossip) legacyAddresses() []string {
+	var addresses []string
+	for _, member := range g.members.indexed().legacy {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
 }
 
 // memberToQuery returns the address of a member to ask for hosts that this host does not know, if a query is due. The
 // lock is held.
 func (g *Gossip) memberToQuery() []string {
 	now := g.parts.Clock()
-	if now.Before(g.nextQueryAt) {
+	if now.Before(g.nextQueryAt) || g.members.IsLarge() {
 		return nil
 	}
 	g.nextQueryAt = now.Add(backoff.Spread(queryInterval, querySpread, g.parts.Random()))
@@ -95,17 +189,24 @@
 // memberAddresses returns the addresses of all members. The lock is held.
 func (g *Gossip) memberAddresses() []string {
 	addresses := make([]string, 0, g.members.Count())
-	for _, member := range g.members.Live() {
+	for _, member := range g.members.indexed().byName {
 		addresses = append(addresses, member.Address)
 	}
 	return addresses
 }
 
 // replyToAnnouncement announces this host to a host that asked for a reply.
-func (g *Gossip) replyToAnnouncement(sender *Announcement) {
+func (g *Gossip) replyToAnnouncement(sender *Announcement, isNew bool) {
 	g.mu.Lock()
-	announcement := g.newAnnouncement(false, addressCountFor(sender.Hosts, g.members.Count()+1))
+	addresses := addressCountFor(sender.Hosts, g.members.Count()+1)
+	if g.members.IsLarge() {
+		addresses = min(addresses, someAddresses)
+	}
+	announcement := g.newAnnouncement(false, addresses)
 	g.mu.Unlock()
+	if isNew {
+		g.sendRecord([]string{sender.Address})
+	}
 	g.sendHeartbeat(announcement, []string{sender.Address})
 }
 
@@ -158,27 +259,69 @@
 // HandleDatagram decodes and handles a datagram from an address. The data are untrusted. Messages are distinguished by
 // the number and types of their fields.
 func (g *Gossip) HandleDatagram(data []byte, from string) {
-	var h Heartbeat
-	err := cbor.Unmarshal(data, &h)
-	if err == nil {
-		g.handleHeartbeat(&h, from)
-		return
+	g.mu.Lock()
+	g.members.RecordHeard(g.parts.Clock())
+	g.mu.Unlock()
+	g.handleMessage(data, from)
+}
+
+// The lengths of the arrays that messages are encoded as, by which they are distinguished.
+const (
+	confirmationFields = 2
+	reportFields       = 3
+	contributionFields = 4
+	envelopeFields     = 5
+	zoneSumFields      = 7
+	fleetSumFields     = 9
+	heartbeatFields    = 13
+)
+
+// fieldCount returns the number of fields of a message, or 0 if it is no array of at most 23 elements.
+func fieldCount(data []byte) int {
+	const arrayType, arrayMask, maxShortArray = 0x80, 0xe0, 23
+	if len(data) == 0 || data[0]&arrayMask != arrayType || data[0]&^arrayMask > maxShortArray {
+		return 0
 	}
-	if decodeAs(data, g.handleReport) || decodeAs(data, g.handleConfirmation) ||
-		decodeAs(data, g.handleContribution) || decodeAs(data, g.handleFleetSum) || decodeAs(data, g.handleZoneSum) || decodeAs(data, g.handleEnvelope) {
-		return
+	return int(data[0] &^ arrayMask)
+}
+
+// handleMessage handles a message from an address, which is empty if another host has passed the message on.
+func (g *Gossip) handleMessage(data []byte, from string) {
+	var err error
+	switch fieldCount(data) {
+	case heartbeatFields:
+		err = decodeAs(data, func(h *Heartbeat) { g.handleHeartbeat(h, from) })
+	case reportFields:
+		err = decodeAs(data, g.handleReport)
+	case confirmationFields:
+		err = decodeAs(data, g.handleConfirmation)
+	case contributionFields:
+		err = decodeAs(data, g.handleContribution)
+	case fleetSumFields:
+		err = decodeAs(data, g.handleFleetSum)
+	case zoneSumFields:
+		err = decodeAs(data, g.handleZoneSum)
+	case envelopeFields:
+		err = decodeAs(data, func(e *Envelope) { g.handleEnvelope(e, from) })
+	default:
+		err = errUnknownMessage
+	}
+	if err != nil {
+		g.refuse(counters.RefusedMalformed, "a datagram can't be decoded as any known message", err)
 	}
-	g.parts.Log.WithError(err).WithField("address", from).Debug("a datagram can't be decoded as any known message, it is dropped")
 }
 
-// decodeAs handles a datagram if it decodes as a message of type T, and reports whether it does.
-func decodeAs[T any](data []byte, handle func(*T)) bool {
+// errUnknownMessage is the error for a datagram with an unknown number of fields.
+var errUnknownMessage = merry.New("unknown number of fields")
+
+// decodeAs handles a datagram that is a message of type T.
+func decodeAs[T any](data []byte, handle func(*T)) error {
 	message := new(T)
-	if cbor.Unmarshal(data, message) != nil {
-		return false
+	if err := cbor.Unmarshal(data, message); err != nil {
+		return err
 	}
 	handle(message)
-	return true
+	return nil
 }
 
 func (g *Gossip) handleReport(r *Report) {
@@ -194,15 +337,31 @@
 func (g *Gossip) handleHeartbeat(h *Heartbeat, from string) {
 	g.mu.Lock()
 	member, isNew, accepted := g.members.ApplyHeartbeat(g.parts.Clock(), h)
-	if !accepted && h.Announcement == nil && !g.members.HasIncarnation(h.Incarnation) {
+	if !accepted && h.Announcement == nil && from != "" && !g.members.HasIncarnation(h.Incarnation) {
 		g.members.AddUnknownSender(g.parts.Clock(), from)
 	}
+	if h.Announcement != nil {
+		g.announcedHosts = max(g.announcedHosts, min(h.Announcement.Hosts, maxMembers))
+	}
 	if isNew && accepted {
 		g.joinedAt = g.parts.Clock()
 	}
+	sender, isKnown := g.members.byIncarnation(h.Incarnation)
+	var name string
+	if isKnown {
+		name = sender.Name
+	}
 	hosts := g.members.Count() + 1
 	leaving := g.leaving
 	g.mu.Unlock()
+	if !accepted && isKnown && from == "" && (h.Patch != nil || h.Delta != nil) {
+		// Heartbeats that take different ways overtake each other. Changes have revisions of their own.
+		g.parts.Host.HandleHeartbeat(name, &Heartbeat{Patch: h.Patch, Delta: h.Delta})
+		return
+	}
+	if h.Announcement != nil && g.reportLoss(h.Announcement) {
+		return
+	}
 	if !accepted {
 		return
 	}
@@ -214,7 +373,10 @@
 	if h.Announcement == nil {
 		g.parts.Host.HandleHeartbeat(member.Name, h)
 	} else if h.Announcement.WantReply && !leaving {
-		g.replyToAnnouncement(h.Announcement)
+		g.replyToAnnouncement(h.Announcement, isNew)
+	}
+	if h.Announcement != nil && member.relays && h.Announcement.Hosts > minMembersToAggregate && hosts < h.Announcement.Hosts {
+		g.pullMembers(member.Address)
 	}
 	if isNew {
 		g.parts.Log.WithFields(logrus.Fields{"peer": member.Name, "address": member.Address, "hosts": hosts}).Info("peer joined")
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -1,8 +1,6 @@
 package gossip
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -22,8 +20,10 @@
 	readsStore  bool
 	incarnation uint32
 	startNanos  int64
-	sequence    uint64
-	lastReport  uint64
+	// generation counts how often this start of the host was wrongly reported as lost.
+	generation uint32
+	sequence   uint64
+	lastReport uint64
 	// lastFleetSum is the sequence number of the newest sum over all hosts that the member has sent.
 	lastFleetSum uint64
 	lastSeen     time.Time
@@ -31,6 +31,15 @@
 	// stops counting as a sender of sums over its zone.
 	wantsSumsUntil     time.Time
 	sendsZoneSumsUntil time.Time
+	// rank is the member's Rank.
+	rank uint64
+	// relays is set if the member's version exchanges Records and passes messages on (relay.go).
+	relays bool
+	// linkMbps is the bandwidth of the member's link in Mbit/s, or 0 if it is unknown.
+	linkMbps uint32
+	// watchedSince is when this host began to watch the member, probedAt when it last probed it.
+	watchedSince time.Time
+	probedAt     time.Time
 }
 
 // Members is a host's view of its peers. It does no I/O and takes the time as a parameter. It is not safe for
@@ -45,12 +54,33 @@
 	nameByIncarnation map[uint32]string
 	// contacts are the addresses at which hosts may listen.
 	contacts map[string]*contact
+	// own is this host as a member. It is not in live.
+	own Member
+	// lost are the members that were reported as lost.
+	lost map[string]tombstone
+	// digest identifies the Records of the live hosts, this one included.
+	digest digest
+	// index is nil after a change of the members.
+	index *index
+	watch watch
 }
 
 // NewMembers returns the view of a host without peers.
 func NewMembers(self, zone string) *Members {
 	return &Members{
 		self: self, zone: zone, live: make(map[string]*Member), nameByIncarnation: make(map[uint32]string), contacts: make(map[string]*contact),
+		own: Member{Name: self, Zone: zone, rank: Rank(self), relays: true}, lost: make(map[string]tombstone),
+	}
+}
+
+// SetOwn sets what identifies this host to its peers, its Record included.
+func (m *Members) SetOwn(address string, incarnation uint32, startNanos int64, linkMbps uint32) {
+	m.address = address
+	m.own.Address, m.own.incarnation, m.own.startNanos, m.own.linkMbps = address, incarnation, startNanos, linkMbps
+	m.digest = digest{}
+	m.digest.toggle(&m.own)
+	for _, member := range m.live {
+		m.digest.toggle(member)
 	}
 }
 
@@ -88,6 +118,9 @@
 	sender.sequence, sender.lastSeen = h.Sequence, now
 	sender.Settings, sender.Directory, sender.readsStore = h.Settings, h.Directory, h.ReadsStore
 	if h.Leaving {
+		if m.IsLarge() && len(m.lost) < maxLostMembers {
+			m.lost[sender.Name] = tombstone{record: LostRecord{Host: sender.Name, Start: sender.startNanos, Generation: sender.generation}, at: now}
+		}
 		m.drop(sender.Name)
 		delete(m.contacts, sender.Address)
 	}
@@ -110,19 +143,34 @@
 	if ok && a.Start < member.startNanos {
 		return false
 	}
-	for _, address := range a.KnownAddresses {
-		m.AddContact(now, address)
+	if !m.IsLarge() && !(ok && member.relays && a.Hosts > minMembersToAggregate) {
+		// The hosts of a large fleet learn of each other by their Records.
+		for _, address := range a.KnownAddresses {
+			m.AddContact(now, address)
+		}
+		m.AddContact(now, a.Address)
 	}
-	m.AddContact(now, a.Address)
 	if ok && member.incarnation == h.Incarnation {
 		return false
 	}
-	m.drop(a.Host)
-	m.live[a.Host] = &Member{Name: a.Host, Address: a.Address, Zone: a.Zone, incarnation: h.Incarnation, startNanos: a.Start}
-	m.nameByIncarnation[h.Incarnation] = a.Host
+	if _, isLost := m.lossOf(a.Host, a.Start); isLost || (!ok && len(m.live) >= maxMembers) {
+		return false
+	}
+	m.add(now, &Member{Name: a.Host, Address: a.Address, Zone: a.Zone, incarnation: h.Incarnation, startNanos: a.Start})
 	return true
 }
 
+// add adds a member, or replaces an earlier start of it.
+func (m *Members) add(now time.Time, member *Member) {
+	m.drop(member.Name)
+	delete(m.lost, member.Name)
+	member.rank, member.lastSeen, member.watchedSince = Rank(member.Name), now, now
+	m.live[member.Name] = member
+	m.nameByIncarnation[member.incarnation] = member.Name
+	m.digest.toggle(member)
+	m.index = nil
+}
+
 // ApplyReport records a report. It returns its sender, and whether the report is newer than the sender's last one.
 func (m *Members) ApplyReport(r *Report) (name string, accepted bool) {
 	sender, ok := m.byIncarnation(r.Incarnation)
@@ -146,14 +194,15 @@
 	return sender.Name, true
 }
 
-// ApplyZoneSum records a sum over a zone. It returns its sender, and whether the sender is a member.
-func (m *Members) ApplyZoneSum(now time.Time, s *ZoneSum) (member Member, known bool) {
+// ApplyZoneSum records a sum over a cell. It returns its sender and the sender's cell, and whether the sender is a
+// member.
+func (m *Members) ApplyZoneSum(now time.Time, s *ZoneSum) (cell, name string, known bool) {
 	sender, ok := m.byIncarnation(s.Incarnation)
 	if !ok {
-		return Member{}, false
+		return "", "", false
 	}
 	sender.sendsZoneSumsUntil = now.Add(aggregate.WorkTimeout)
-	return *sender, true
+	return m.cellOf(sender), sender.Name, true
 }
 
 // ApplyFleetSum records a sum over all hosts. It returns its sender, and whether the sum is at least as new as the
@@ -167,30 +216,6 @@
 	return sender.Name, true
 }
 
-// Zones returns the zones of the members in no particular order.
-func (m *Members) Zones() []string {
-	zones := make(map[string]bool)
-	for _, member := range m.live {
-		zones[member.Zone] = true
-	}
-	return slices.Collect(maps.Keys(zones))
-}
-
-// Ranked returns the names of the live hosts of a zone in the order of Rank, including this host if it is in the zone.
-func (m *Members) Ranked(zone string) []string {
-	var names []string
-	if zone == m.zone {
-		names = append(names, m.self)
-	}
-	for name, member := range m.live {
-		if member.Zone == zone {
-			names = append(names, name)
-		}
-	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(Rank(a), Rank(b)) })
-	return names
-}
-
 // Address returns the address of a member, or "" if it is not live.
 func (m *Members) Address(name string) string {
 	if member, ok := m.live[name]; ok {
@@ -200,11 +225,16 @@
 }
 
 // ApplyConfirmation records the revisions in a confirmation. It returns its sender, and whether the sender is a member.
-func (m *Members) ApplyConfirmation(c *Confirmation) (member Member, known bool) {
+// IsReader is set if the store has just answered the sender.
+func (m *Members) ApplyConfirmation(c *Confirmation, isReader bool) (member Member, known bool) {
 	sender, ok := m.byIncarnation(c.Incarnation)
 	if !ok {
 		return Member{}, false
 	}
+	if isReader && m.IsLarge() {
+		// The heartbeat that says so reaches only the members of its time.
+		sender.readsStore = true
+	}
 	for topic, confirmed := range c.Topics {
 		switch freshness.Topic(topic) {
 		case freshness.Settings:
@@ -227,11 +257,14 @@
 	if member, ok := m.live[name]; ok {
 		delete(m.nameByIncarnation, member.incarnation)
 		delete(m.live, name)
+		m.digest.toggle(member)
+		m.index = nil
 	}
 }
 
-// Expire removes the members without a heartbeat for longer than a limit, and returns their names. It also removes the
-// addresses that no host has named for contactTimeout.
+// Expire removes the members without a heartbeat for longer than a limit, and returns their names. Members of a large
+// fleet that are watched are left to CheckWatched. It also removes the addresses that no host has named for
+// contactTimeout.
 func (m *Members) Expire(now time.Time, limit time.Duration) []string {
 	for address, entry := range m.contacts {
 		if now.Sub(entry.lastNamedAt) > contactTimeout {
@@ -240,7 +273,7 @@
 	}
 	var lost []string
 	for name, member := range m.live {
-		if now.Sub(member.lastSeen) > limit {
+		if !m.isWatched(member) && now.Sub(member.lastSeen) > limit {
 			m.drop(name)
 			lost = append(lost, name)
 		}
@@ -251,16 +284,29 @@
 // Live returns the members, sorted by name.
 func (m *Members) Live() []Member {
 	members := make([]Member, 0, len(m.live))
-	for _, member := range m.live {
+	for _, member := range m.indexed().byName {
 		members = append(members, *member)
 	}
-	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
 	return members
 }
 
 // Count returns the number of members; this host is not counted.
 func (m *Members) Count() int { return len(m.live) }
 
+// IsLarge reports whether the fleet is so large that not every host sends messages to each other one.
+func (m *Members) IsLarge() bool { return len(m.live) >= minMembersToAggregate }
+
+// randomRelay returns the address of a random member that exchanges Records, or "" if there is none. Random returns
+// numbers in [0, 1).
+func (m *Members) randomRelay(random func() float64) string {
+	x := m.indexed()
+	if len(x.ring) < 2 {
+		return ""
+	}
+	place := x.ownPlace + 1 + int(random()*float64(len(x.ring)-1))
+	return x.ring[place%len(x.ring)].Address
+}
+
 // AddUnknownSender records that a heartbeat of an unknown incarnation came from an address.
 func (m *Members) AddUnknownSender(now time.Time, address string) {
 	if _, ok := m.contacts[address]; !ok {
--- /dev/null
+++ b/internal/front/gossip/membership.go
@@ -0,0 +1,431 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"storj.io/drpc"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/envelope"
+	"oxbowslip.dev/oxbowslip/internal/front/era"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+	"oxbowslip.dev/oxbowslip/internal/front/pack"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
+)
+
+// The members of a large fleet. A host that joins sends its Record to the hosts that it knows, which pass it on to all,
+// and fetches the list of members from one of them. Once a second each host sends a digest of its list to a random
+// member, which fetches what differs: so lists become equal although datagrams are lost.
+
+const (
+	// updateDelay is how long changes of the members are collected before they are sent to all.
+	updateDelay = 50 * time.Millisecond
+	// maxUpdateRecords bounds the Records and reports of losses in a message of some 1.5 KB.
+	maxUpdateRecords = 16
+	// digestInterval is the mean time between two digests.
+	digestInterval = time.Second
+	// digestQuietTime is how long the own list must not have changed before a different one is fetched: a change that is
+	// on its way to all hosts needs no fetch.
+	digestQuietTime = 500 * time.Millisecond
+	// minPullInterval is the time between two fetches of members.
+	minPullInterval = 300 * time.Millisecond
+	// pullCacheTime is how long the list of members for hosts that join is kept. Many join at a time, and each join
+	// changes the list.
+	pullCacheTime = 250 * time.Millisecond
+	// rpcMembers is the name of the call that takes a MembersRequest.
+	rpcMembers = "oxbowslip/members"
+)
+
+// MemberUpdates is a message with changes of the members.
+type MemberUpdates struct {
+	_ struct{} `cbor:",toarray"`
+
+	Records []Record
+	Lost    []LostRecord
+}
+
+// MembersDigest is a message with a digest of the sender's members and the state of its topics.
+type MembersDigest struct {
+	_ struct{} `cbor:",toarray"`
+
+	Sum    uint64
+	Hosts  int
+	Topics []TopicConfirmation
+}
+
+// MembersRequest asks a peer for the Records that differ, given a digest of the own ones by bucket.
+type MembersRequest struct {
+	_ struct{} `cbor:",toarray"`
+
+	Digest []uint64
+}
+
+// MembersResponse answers a MembersRequest. Updates is a MemberUpdates in CBOR, compressed without a base.
+type MembersResponse struct {
+	_ struct{} `cbor:",toarray"`
+
+	Updates []byte
+}
+
+// membership is this host's state for exchanging Records.
+type membership struct {
+	// unsent are the changes that are still to be sent to all hosts. wanted wakes the goroutine that sends them.
+	unsent MemberUpdates
+	wanted chan struct{}
+	// changedAt is when the list of members last changed.
+	changedAt time.Time
+	// isPulling is set while members are fetched, pulledAt is when the last fetch began.
+	isPulling bool
+	pulledAt  time.Time
+	// wholeList is the response with all Records as of wholeListAt.
+	wholeList   []byte
+	wholeListAt time.Time
+}
+
+// maintainMembers sends changes of the members and digests, and watches some members, until done is closed.
+func (g *Gossip) maintainMembers(done <-chan struct{}) {
+	go lifetime.Every(done, digestInterval, g.parts.Random, func(context.Context) { g.sendDigests(1) })
+	check := time.NewTicker(watchInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-g.membership.wanted:
+			delay := time.NewTimer(updateDelay)
+			select {
+			case <-delay.C:
+			case <-done:
+				delay.Stop()
+				return
+			}
+			g.sendUpdates()
+		case <-check.C:
+			g.watchMembers()
+		case <-done:
+			return
+		}
+	}
+}
+
+// sendUpdates sends the unsent changes of the members to all hosts.
+func (g *Gossip) sendUpdates() {
+	g.mu.Lock()
+	updates := g.membership.unsent
+	g.membership.unsent = MemberUpdates{}
+	leaving := g.leaving
+	g.mu.Unlock()
+	for !leaving && len(updates.Records)+len(updates.Lost) > 0 {
+		records := min(len(updates.Records), maxUpdateRecords)
+		lost := min(len(updates.Lost), maxUpdateRecords-records)
+		batch := MemberUpdates{Records: updates.Records[:records], Lost: updates.Lost[:lost]}
+		updates.Records, updates.Lost = updates.Records[records:], updates.Lost[lost:]
+		g.broadcastEnvelope(envelope.KindMembers, &batch, urgentCopies)
+	}
+}
+
+// queueUpdate queues changes of the members for all hosts. The lock is held.
+func (g *Gossip) queueUpdate(records []Record, lost []LostRecord) {
+	if !g.members.IsLarge() || len(records)+len(lost) == 0 {
+		return
+	}
+	g.membership.unsent.Records = append(g.membership.unsent.Records, records...)
+	g.membership.unsent.Lost = append(g.membership.unsent.Lost, lost...)
+	lifetime.Wake(g.membership.wanted)
+}
+
+// watchMembers probes the silent ones of the members that this host watches, and reports the lost ones.
+func (g *Gossip) watchMembers() {
+	g.mu.Lock()
+	if !g.members.IsLarge() || g.leaving {
+		g.mu.Unlock()
+		return
+	}
+	now := g.parts.Clock()
+	probe, lost := g.members.CheckWatched(now)
+	announcement := g.newAnnouncement(true, 0)
+	var addresses []string
+	for i := range lost {
+		address := g.members.Address(lost[i].Host)
+		// The host is told as well: it refutes the report if it runs. Its address is tried until it returns.
+		addresses = append(addresses, address)
+		g.members.AddContact(now, address)
+	}
+	g.mu.Unlock()
+	g.sendHeartbeat(announcement, probe)
+	if len(lost) == 0 {
+		return
+	}
+	g.sendEnvelope(envelope.KindMembers, &MemberUpdates{Lost: lost}, addresses)
+	g.applyUpdates(&MemberUpdates{Lost: lost}, true)
+}
+
+// sendDigests sends a digest of the members to a number of them.
+func (g *Gossip) sendDigests(number int) {
+	g.mu.Lock()
+	g.members.expireLost(g.parts.Clock())
+	var targets []string
+	for range number {
+		if target := g.members.randomRelay(g.parts.Random); target != "" && g.members.IsLarge() && !g.leaving {
+			targets = append(targets, target)
+		}
+	}
+	g.mu.Unlock()
+	if len(targets) > 0 {
+		g.sendDigestTo(g.parts.Host.Confirmations(), targets)
+	}
+}
+
+// sendDigestTo sends a digest of the members with confirmations to some hosts.
+func (g *Gossip) sendDigestTo(topics []TopicConfirmation, targets []string) {
+	g.mu.Lock()
+	message := MembersDigest{Sum: g.members.digest.sum(), Hosts: g.members.Count() + 1, Topics: topics}
+	g.mu.Unlock()
+	g.sendEnvelope(envelope.KindMembersDigest, &message, targets)
+}
+
+// handleDigest handles a peer's digest.
+func (g *Gossip) handleDigest(incarnation uint32, body []byte, from string) {
+	var message MembersDigest
+	if err := cbor.Unmarshal(body, &message); err != nil {
+		g.refuse(counters.RefusedMalformed, "a digest of members can't be decoded", err)
+		return
+	}
+	g.mu.Lock()
+	differs := message.Sum != g.members.digest.sum()
+	isQuiet := g.parts.Clock().Sub(g.membership.changedAt) >= digestQuietTime
+	own := g.members.Count() + 1
+	g.mu.Unlock()
+	if differs && (isQuiet || own < message.Hosts) {
+		g.pullMembers(from)
+	}
+	g.applyConfirmation(&Confirmation{Incarnation: incarnation, Topics: message.Topics}, false)
+	// A host that knows more answers, so that the sender learns of it too.
+	if topics := g.parts.Host.Confirmations(); own > message.Hosts || isFresher(topics, message.Topics) {
+		g.sendDigestTo(topics, []string{from})
+	}
+}
+
+// isFresher reports whether confirmations are newer than others by more than the time between two of them.
+func isFresher(own, theirs []TopicConfirmation) bool {
+	for topic := range own {
+		if topic >= len(theirs) {
+			return true
+		}
+		a, b := &own[topic], &theirs[topic]
+		isSameEra := era.Of(a.Revision) == era.Of(b.Revision)
+		if era.Of(a.Revision) > era.Of(b.Revision) || (isSameEra && a.AsOf > b.AsOf+uint64(freshness.Phase.Milliseconds())) {
+			return true
+		}
+	}
+	return false
+}
+
+// handleChanges applies changes of the directory that a reader of the store sends to all hosts.
+func (g *Gossip) handleChanges(from envelope.Sender, body []byte) {
+	var changes ChangesResponse
+	if err := cbor.Unmarshal(body, &changes); err != nil || !changes.IsKnown {
+		g.refuse(counters.RefusedMalformed, "changes of the directory can't be decoded", err)
+		return
+	}
+	// A host that lacks earlier changes fetches them once it learns of the newest revision.
+	g.parts.Host.ApplyChanges(from.Host, changes)
+}
+
+// handleUpdates handles changes of the members. Direct is set if the message was not sent to all hosts.
+func (g *Gossip) handleUpdates(body []byte, direct bool) {
+	var updates MemberUpdates
+	if err := cbor.Unmarshal(body, &updates); err != nil || len(updates.Records)+len(updates.Lost) > 2*maxUpdateRecords {
+		g.refuse(counters.RefusedMalformed, "an update of members can't be decoded or is too long", err)
+		return
+	}
+	g.applyUpdates(&updates, direct)
+}
+
+// applyUpdates applies changes of the members. If the message was sent to this host directly, it passes on what is new to
+// all hosts.
+func (g *Gossip) applyUpdates(updates *MemberUpdates, direct bool) {
+	var news MemberUpdates
+	var joined []envelope.Sender
+	var lost []string
+	refused := 0
+	g.mu.Lock()
+	now := g.parts.Clock()
+	for i := range updates.Lost {
+		switch g.members.ApplyLost(now, &updates.Lost[i]) {
+		case Lost:
+			lost = append(lost, updates.Lost[i].Host)
+			news.Lost = append(news.Lost, updates.Lost[i])
+		case Refuted:
+			g.queueUpdate([]Record{g.members.OwnRecord()}, nil)
+		case Refused:
+			refused++
+		}
+	}
+	for i := range updates.Records {
+		switch r := &updates.Records[i]; g.members.ApplyRecord(now, r) {
+		case Joined:
+			joined = append(joined, envelope.Sender{Host: r.Host, Incarnation: r.Incarnation})
+			news.Records = append(news.Records, *r)
+		case Updated:
+			news.Records = append(news.Records, *r)
+		case Refused:
+			refused++
+		}
+	}
+	if len(joined) > 0 {
+		g.joinedAt = now
+	}
+	if len(joined)+len(lost) > 0 {
+		g.membership.changedAt = now
+	}
+	if direct {
+		g.queueUpdate(news.Records, news.Lost)
+	}
+	hosts := g.members.Count() + 1
+	g.mu.Unlock()
+	g.notifyUpdates(joined, lost, refused, hosts)
+}
+
+// notifyUpdates informs the other parts of this host of changes of the members.
+func (g *Gossip) notifyUpdates(joined []envelope.Sender, lost []string, refused, hosts int) {
+	for _, host := range lost {
+		g.parts.Host.HandlePeerLoss(host)
+	}
+	for _, sender := range joined {
+		g.onJoin(sender)
+	}
+	if len(lost) > 0 {
+		g.parts.Log.WithFields(logrus.Fields{"peer": lost[0], "lost": len(lost), "hosts": hosts}).Warn("peers lost")
+	}
+	if len(joined) > 0 {
+		g.parts.Log.WithFields(logrus.Fields{"peer": joined[0].Host, "joined": len(joined), "hosts": hosts}).Info("peers joined")
+	}
+	if refused > 0 {
+		g.refuse(counters.RefusedMember, "members can't be hosts or are too many", nil)
+	}
+}
+
+// pullMembers fetches the members that differ from a peer in the background, unless a fetch is running or was just made.
+func (g *Gossip) pullMembers(address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.parts.Clock()
+	if g.membership.isPulling || now.Sub(g.membership.pulledAt) < minPullInterval {
+		return
+	}
+	g.membership.isPulling, g.membership.pulledAt = true, now
+	request := MembersRequest{Digest: g.members.digest[:]}
+	go func() {
+		if err := g.fetchMembers(address, &request); err != nil {
+			g.parts.Log.WithError(err).WithField("address", address).Info("fetching members from a peer failed, another one is asked later")
+		}
+		g.mu.Lock()
+		g.membership.isPulling = false
+		g.mu.Unlock()
+	}()
+}
+
+// fetchMembers fetches the members that differ from a peer and applies them.
+func (g *Gossip) fetchMembers(address string, request *MembersRequest) error {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	var response MembersResponse
+	if err := g.call(ctx, address, rpcMembers, request, &response); err != nil {
+		return err
+	}
+	data, err := pack.Decompress(nil, response.Updates)
+	if err != nil {
+		return err
+	}
+	var updates MemberUpdates
+	if err := cbor.Unmarshal(data, &updates); err != nil {
+		return err
+	}
+	if len(updates.Records) > maxMembers {
+		updates.Records = updates.Records[:maxMembers]
+		g.refuse(counters.RefusedMember, "a peer's list of members is too long", nil)
+	}
+	g.applyUpdates(&updates, false)
+	g.RequestHeartbeat()
+	return nil
+}
+
+// answerMembers answers a MembersRequest.
+func (g *Gossip) answerMembers(stream drpc.Stream) error {
+	var request MembersRequest
+	if err := stream.MsgRecv(&request, envelope.Encoding{}); err != nil {
+		return err
+	}
+	data, err := g.membersFor(request.Digest)
+	if err != nil {
+		return err
+	}
+	g.parts.CountSent(counters.PeerSyncs, len(data))
+	return stream.MsgSend(&MembersResponse{Updates: data}, envelope.Encoding{})
+}
+
+// membersFor returns the compressed updates for a peer with a digest. A host that joins differs in all buckets.
+func (g *Gossip) membersFor(theirs []uint64) ([]byte, error) {
+	g.mu.Lock()
+	records, lost := g.members.RecordsIn(theirs)
+	isWhole := len(records) == len(g.members.indexed().ring)
+	now := g.parts.Clock()
+	if isWhole && now.Sub(g.membership.wholeListAt) < pullCacheTime {
+		defer g.mu.Unlock()
+		return g.membership.wholeList, nil
+	}
+	g.mu.Unlock()
+	data, err := cbor.Marshal(&MemberUpdates{Records: records, Lost: lost})
+	if err == nil {
+		data, err = pack.Compress(nil, data)
+	}
+	if err == nil && isWhole {
+		g.mu.Lock()
+		g.membership.wholeList, g.membership.wholeListAt = data, now
+		g.mu.Unlock()
+	}
+	return data, err
+}
+
+// sendRecord sends this host's Record to hosts that may not know it.
+func (g *Gossip) sendRecord(targets []string) {
+	if len(targets) == 0 {
+		return
+	}
+	g.mu.Lock()
+	updates := MemberUpdates{Records: []Record{g.members.OwnRecord()}}
+	g.mu.Unlock()
+	g.sendEnvelope(envelope.KindMembers, &updates, targets)
+}
+
+// reportLoss tells a host that it was reported as lost, so that it refutes that. It reports whether it was.
+func (g *Gossip) reportLoss(a *Announcement) bool {
+	g.mu.Lock()
+	lost, ok := g.members.lossOf(a.Host, a.Start)
+	g.mu.Unlock()
+	if ok {
+		g.sendEnvelope(envelope.KindMembers, &MemberUpdates{Lost: []LostRecord{lost}}, []string{a.Address})
+	}
+	return ok
+}
+
+// refuse counts what a peer sent and this host refuses. The log has one line a second at most, as datagrams may come from
+// anyone.
+func (g *Gossip) refuse(reason counters.RefusedPeerMessage, what string, err error) {
+	g.parts.CountRefused(reason)
+	g.mu.Lock()
+	now := g.parts.Clock()
+	isDue := now.Sub(g.refusedLoggedAt) >= refusedLogInterval
+	if isDue {
+		g.refusedLoggedAt = now
+	}
+	g.mu.Unlock()
+	if isDue {
+		g.parts.Log.WithError(err).WithField("reason", reason).Warn("a peer's message was refused: " + what)
+	}
+}
+
+// refusedLogInterval is the time between two log lines on refused messages.
+const refusedLogInterval = time.Second
--- a/internal/front/gossip/rules.go
+++ b/internal/front/gossip/rules.go
@@ -120,6 +120,16 @@
 )
 
 const (
+	// firstReaders is the number of hosts of a fleet that starts which all read the store; of the further ones some do.
+	firstReaders = maxReaders
+	// largeFleetStorePatience is how long the hosts of a large fleet ask each other before they ask the store: five
+	// digests are sent in this time, of which each may be the answer.
+	largeFleetStorePatience = 1500 * time.Millisecond
+	// digestsPerPoll is the number of members to which a host whose state is not confirmed sends a digest.
+	digestsPerPoll = 3
+	// maxRequests and maxTokenUnits bound the work at an endpoint that a peer may report.
+	maxRequests   = 1 << 20
+	maxTokenUnits = 1 << 24
 	// maxReaders is the number of hosts in the order that may read the store, including those that take over from
 	// readers without answers. It is bounded so that not all hosts call a store that is down.
 	maxReaders = 3 * freshness.Readers
@@ -140,17 +150,14 @@
 
 // Order returns this host's place in the order.
 func (m *Members) Order() Order {
-	own := Rank(m.self)
-	o := Order{Hosts: len(m.live) + 1, Readers: 1}
-	for name, member := range m.live {
-		isBefore := Rank(name) < own
-		if isBefore {
-			o.Before++
+	x := m.indexed()
+	o := Order{Before: x.before, Hosts: len(x.ranked), Readers: 1}
+	for place, member := range x.ranked {
+		if !member.readsStore {
+			continue
 		}
-		if member.readsStore {
-			o.Readers++
-		}
-		if isBefore && member.readsStore {
+		o.Readers++
+		if place < x.before {
 			o.ReadersBefore++
 		}
 	}
--- a/internal/front/gossip/share.go
+++ b/internal/front/gossip/share.go
@@ -17,7 +17,7 @@
 // messages for it.
 
 const (
-	// shareJitter is the fraction of aggregate.Interval over which the messages of different hosts are spread.
+	// shareJitter is the fraction of the interval over which the messages of different hosts are spread.
 	shareJitter = 0.2
 	// keptContributions is how many sent contributions a host keeps, to find the one that a sum includes. A sum with an
 	// older contribution has expired.
@@ -25,10 +25,10 @@
 	// sumBatchHosts is the number of hosts to which an aggregator sends a sum at a time. A batch of 16 KB takes 7 ms on
 	// a link of 20 Mbit/s, which bounds the delay of other answers.
 	sumBatchHosts = 4
-	// sumBatchSpread is the fraction of aggregate.Interval over which the batches are spread.
+	// sumBatchSpread is the fraction of the interval over which the batches are spread.
 	sumBatchSpread = 0.6
-	// aggregatorsPerZone is how many hosts of each zone receive the sums of other zones: the aggregator and its backup.
-	aggregatorsPerZone = 2
+	// aggregatorsPerCell is how many hosts of each cell receive the sums of other cells: the aggregator and its backup.
+	aggregatorsPerCell = 2
 )
 
 // workSharing is this host's state for sharing work.
@@ -55,7 +55,7 @@
 }
 
 // usesAggregatorsLocked is UsesAggregators with the lock held.
-func (g *Gossip) usesAggregatorsLocked() bool { return g.members.Count() >= minMembersToAggregate }
+func (g *Gossip) usesAggregatorsLocked() bool { return g.members.IsLarge() }
 
 // shareWork sends this host's work to its aggregators, and sums to the hosts that use this host as their aggregator,
 // until done is closed.
@@ -64,7 +64,8 @@
 	defer cancel()
 	next := g.parts.Clock()
 	for {
-		next = next.Add(backoff.Spread(aggregate.Interval, shareJitter, g.parts.Random()))
+		interval := g.shareInterval()
+		next = next.Add(backoff.Spread(interval, shareJitter, g.parts.Random()))
 		// A host that was suspended or is slow skips the rounds that it missed.
 		if now := g.parts.Clock(); next.Before(now) {
 			next = now
@@ -73,13 +74,21 @@
 			return
 		}
 		if g.UsesAggregators() {
-			g.sendSums(ctx, g.contribute())
+			g.sendSums(ctx, interval, g.contribute(interval))
 		}
 	}
 }
 
+// shareInterval returns the time between two messages of work.
+func (g *Gossip) shareInterval() time.Duration {
+	if g.parts.Host.IsBusy() {
+		return aggregate.Interval
+	}
+	return aggregate.IdleInterval
+}
+
 // contribute sends this host's work to its aggregators. It reports whether this host is its own aggregator.
-func (g *Gossip) contribute() bool {
+func (g *Gossip) contribute(interval time.Duration) bool {
 	work := g.parts.Host.Work()
 	self := g.parts.Config.Name
 	g.mu.Lock()
@@ -89,7 +98,7 @@
 	}
 	s := &g.sharing
 	previous := s.choice.Primary()
-	primary, backup := s.choice.Pick(g.parts.Clock(), self, g.members.Ranked(g.parts.Config.Zone))
+	primary, backup := s.choice.Pick(g.parts.Clock(), self, g.members.Aggregators(), interval)
 	s.contributions++
 	s.sent[s.contributions%keptContributions] = sentContribution{sequence: s.contributions, work: work}
 	contribution := Contribution{Incarnation: g.incarnation, Sequence: s.contributions, Work: work}
@@ -112,8 +121,8 @@
 }
 
 // sendSums sends an aggregator's sums in batches, or until ctx ends. A host that is no aggregator sends nothing.
-func (g *Gossip) sendSums(ctx context.Context, isPrimary bool) {
-	receivers, aggregators := g.sumTargets()
+func (g *Gossip) sendSums(ctx context.Context, interval time.Duration, isPrimary bool) {
+	receivers, aggregators := g.sumTargets(isPrimary)
 	if len(receivers) == 0 && !isPrimary {
 		return
 	}
@@ -134,7 +143,7 @@
 		}
 		for batch := range slices.Chunk(receivers, sumBatchHosts) {
 			g.sendDatagram(counters.PeerHeartbeats, &fleet[i], batch)
-			if !lifetime.Sleep(ctx, time.Duration(sumBatchSpread*float64(aggregate.Interval)/float64(batches*len(fleet)))) {
+			if !lifetime.Sleep(ctx, time.Duration(sumBatchSpread*float64(interval)/float64(batches*len(fleet)))) {
 				return
 			}
 		}
@@ -142,23 +151,29 @@
 }
 
 // sumTargets returns the addresses of the hosts that use this host's sums, and the addresses of the aggregators that
-// receive the sum over its zone: the first hosts of each zone, and those that send sums over their zones.
-func (g *Gossip) sumTargets() (receivers, aggregators []string) {
+// receive the sum over its cell: the first hosts of each cell, and those that send sums over their cells. They are empty
+// if this host adds up nobody's work.
+func (g *Gossip) sumTargets(isPrimary bool) (receivers, aggregators []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.parts.Clock()
-	selected := make(map[string]bool)
-	for _, zone := range g.members.Zones() {
-		ranked := g.members.Ranked(zone)
-		for _, name := range ranked[:min(aggregatorsPerZone, len(ranked))] {
-			selected[name] = true
-		}
-	}
-	for _, member := range g.members.Live() {
+	x := g.members.indexed()
+	for _, member := range x.byName {
 		if now.Before(member.wantsSumsUntil) {
 			receivers = append(receivers, member.Address)
 		}
-		if selected[member.Name] || now.Before(member.sendsZoneSumsUntil) {
+	}
+	if len(receivers) == 0 && !isPrimary {
+		return nil, nil
+	}
+	selected := make(map[*Member]bool)
+	for _, cell := range x.cells {
+		for _, member := range cell[:min(aggregatorsPerCell, len(cell))] {
+			selected[member] = true
+		}
+	}
+	for _, member := range x.byName {
+		if selected[member] || now.Before(member.sendsZoneSumsUntil) {
 			aggregators = append(aggregators, member.Address)
 		}
 	}
@@ -170,18 +185,31 @@
 	g.mu.Lock()
 	host, accepted := g.members.ApplyContribution(g.parts.Clock(), c)
 	g.mu.Unlock()
-	if accepted {
+	if accepted && g.isPlausible(&c.Work) {
 		g.parts.Host.HandleContribution(host, c)
 	}
 }
 
+// isPlausible reports whether endpoints can have some work.
+func (g *Gossip) isPlausible(w *Work) bool {
+	isOutOf := func(limit int) func(int) bool {
+		return func(n int) bool { return n < -limit || n > limit }
+	}
+	if slices.ContainsFunc(w.Requests, isOutOf(maxRequests)) || slices.ContainsFunc(w.Tokens, isOutOf(maxTokenUnits)) {
+		g.refuse(counters.RefusedSum, "a message with work names impossible loads", nil)
+		return false
+	}
+	return true
+}
+
 // handleZoneSum passes a member's sum over its zone to Host.
 func (g *Gossip) handleZoneSum(s *ZoneSum) {
 	g.mu.Lock()
-	member, known := g.members.ApplyZoneSum(g.parts.Clock(), s)
+	cell, sender, known := g.members.ApplyZoneSum(g.parts.Clock(), s)
+	isOwn := cell == g.members.cellOf(&g.members.own)
 	g.mu.Unlock()
-	if known {
-		g.parts.Host.HandleZoneSum(member.Name, member.Zone, s)
+	if known && g.isPlausible(&s.Work) {
+		g.parts.Host.HandleZoneSum(sender, cell, isOwn, s)
 	}
 }
 
@@ -193,7 +221,7 @@
 		g.sharing.choice.RecordSum(g.parts.Clock(), aggregator)
 	}
 	g.mu.Unlock()
-	if accepted {
+	if accepted && g.isPlausible(&s.Work) {
 		g.applyFleetSum(s)
 	}
 }
--- a/internal/front/gossip/share_test.go
+++ b/internal/front/gossip/share_test.go
@@ -93,7 +93,7 @@
 			host := &node{contributed: make(map[string]*Contribution), zoneSums: make(map[string]int)}
 			g := New(Parts{
 				Config: Config{Name: "self", Zone: "z"}, Host: host, Log: logrus.NewEntry(log), Clock: time.Now,
-				Random: rand.Float64, CountSent: func(counters.PeerTraffic, int) {},
+				Random: rand.Float64, CountSent: func(counters.PeerTraffic, int) {}, CountRefused: func(counters.RefusedPeerMessage) {},
 			})
 			remote := announcement("b", 1)
 			remote.Zone = "far"
--- a/internal/front/pace/exchanger.go
+++ b/internal/front/pace/exchanger.go
@@ -43,8 +43,8 @@
 // Peers reaches the other hosts. Messages may be lost.
 type Peers interface {
 	SendTo(host string, kind envelope.Kind, message any)
-	// Senders returns the live hosts, this one first.
-	Senders() []envelope.Sender
+	// Neighbors returns the peers with which this host shares samples.
+	Neighbors() []envelope.Sender
 }
 
 // Directory is the registry of endpoints.
@@ -239,7 +239,7 @@
 	if x.allowance < 0 {
 		return
 	}
-	message, peers := x.take(), x.parts.Peers.Senders()[1:]
+	message, peers := x.take(), x.parts.Peers.Neighbors()
 	if len(message.Services) == 0 || len(peers) == 0 {
 		return
 	}
--- a/internal/front/pace/exchanger_test.go
+++ b/internal/front/pace/exchanger_test.go
@@ -40,8 +40,8 @@
 	to       *Exchanger
 }
 
-func (p *fakePeers) Senders() []envelope.Sender {
-	senders := make([]envelope.Sender, p.hosts)
+func (p *fakePeers) Neighbors() []envelope.Sender {
+	senders := make([]envelope.Sender, p.hosts-1)
 	for i := range senders {
 		senders[i].Host = fmt.Sprint(i)
 	}
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -20,6 +20,13 @@
 // entries fit in a datagram.
 const maxDeltaChanges = 64
 
+// maxBulkChanges and maxBulkBytes bound the changes that are sent to all hosts of a large fleet in one datagram. A change
+// takes some 25 B.
+const (
+	maxBulkChanges = 500
+	maxBulkBytes   = 12 << 10
+)
+
 // maxCachedResponses bounds the cached responses for peers, some KB each.
 const maxCachedResponses = 16
 
@@ -28,8 +35,10 @@
 	parts EndpointsParts
 
 	mu sync.Mutex
-	// delta is the newest change, heartbeatsLeft the number of further heartbeats that carry it.
+	// delta is the newest change, or bulk if that is too large for a heartbeat. heartbeatsLeft is the number of further
+	// heartbeats that carry it.
 	delta          *gossip.DirectoryDelta
+	bulk           *gossip.ChangesResponse
 	heartbeatsLeft int
 	// compressedEntries are all entries as of the change compressedAt, compressed for peers.
 	compressedEntries []byte
@@ -101,8 +110,9 @@
 func (s *Endpoints) scheduleDelta(from, to uint64, changes []directory.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.delta, s.heartbeatsLeft = nil, 0
+	s.delta, s.bulk, s.heartbeatsLeft = nil, nil, 0
 	if len(changes) > maxDeltaChanges {
+		s.scheduleBulk(from, to, changes)
 		return
 	}
 	s.delta, s.heartbeatsLeft = &gossip.DirectoryDelta{From: from, To: to}, heartbeatsPerChange
@@ -111,15 +121,34 @@
 	}
 }
 
-// nextDelta returns the changes for the next heartbeat, or nil.
-func (s *Endpoints) nextDelta() *gossip.DirectoryDelta {
+// scheduleBulk adds many changes to the next heartbeats, if they fit a datagram when they are compressed. The lock is held.
+func (s *Endpoints) scheduleBulk(from, to uint64, changes []directory.Change) {
+	if len(changes) > maxBulkChanges {
+		return
+	}
+	messages := make([]gossip.EndpointChange, 0, len(changes))
+	for i := range changes {
+		messages = append(messages, toMessage(&changes[i]))
+	}
+	entries, err := compressChanges(messages)
+	if err != nil {
+		s.parts.Log.WithError(err).Error("changes of endpoints can't be compressed for peers, they have to fetch them")
+		return
+	}
+	if len(entries) <= maxBulkBytes {
+		s.bulk, s.heartbeatsLeft = &gossip.ChangesResponse{IsKnown: true, From: from, To: to, Entries: entries}, heartbeatsPerChange
+	}
+}
+
+// nextDelta returns the changes for the next heartbeat: a delta, changes in bulk, or neither.
+func (s *Endpoints) nextDelta() (*gossip.DirectoryDelta, *gossip.ChangesResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.heartbeatsLeft == 0 {
-		return nil
+		return nil, nil
 	}
 	s.heartbeatsLeft--
-	return s.delta
+	return s.delta, s.bulk
 }
 
 // applyDelta applies a peer's changes, if this host has all changes before them.
--- a/internal/front/peersync/freshness.go
+++ b/internal/front/peersync/freshness.go
@@ -24,7 +24,7 @@
 
 // MustAsk reports whether a host with a number of hosts before it in the order must ask others about a topic.
 func (s *Sync) MustAsk(topic freshness.Topic, before int) bool {
-	return s.parts.Freshness.MustAsk(topic, before)
+	return s.parts.Freshness.MustAsk(topic, before, 0)
 }
 
 // HandleConfirmations handles a peer's confirmations.
--- a/internal/front/peersync/peersync.go
+++ b/internal/front/peersync/peersync.go
@@ -72,8 +72,9 @@
 	s.mu.Unlock()
 	state := gossip.State{
 		Settings: p.Holder.Number(), Directory: p.Directory.Changed(), ReadsStore: p.ReadsStore(),
-		Delta: p.Endpoints.nextDelta(), Patch: p.Settings.documents.nextPatch(),
+		Patch: p.Settings.documents.nextPatch(),
 	}
+	state.Delta, state.Changes = p.Endpoints.nextDelta()
 	now := p.Clock()
 	for endpoint, until := range ejected {
 		state.Ejections = append(state.Ejections, gossip.Ejection{Endpoint: keys.OfEndpoint(endpoint), Left: until.Sub(now)})
--- a/internal/front/peersync/sums.go
+++ b/internal/front/peersync/sums.go
@@ -21,6 +21,10 @@
 // datagram that is read (gossip.maxDatagram).
 const maxPartEndpoints = 1000
 
+// maxSumEndpoints bounds the endpoints in a sum over all hosts. Each host receives it, so that its size must not grow
+// with the number of endpoints.
+const maxSumEndpoints = maxPartEndpoints
+
 // sums holds the sums of this host as an aggregator, and the splits that aggregators propose.
 type sums struct {
 	mu         sync.Mutex
@@ -39,6 +43,11 @@
 	return &sums{aggregator: aggregate.New(), proposals: make(map[string]proposal)}
 }
 
+// IsBusy reports whether as many requests are open as there are endpoints, or as a sum names endpoints.
+func (s *Sync) IsBusy() bool {
+	return s.parts.Placer.OpenRequests() >= min(s.parts.Directory.CountServing(), maxSumEndpoints)
+}
+
 // Work returns this host's work for its aggregators.
 func (s *Sync) Work() gossip.Work {
 	loads, _ := s.parts.Placer.Snapshot()
@@ -81,7 +90,7 @@
 	return messages
 }
 
-// fleetSumsOf returns the messages with the sum over all hosts. The first part carries the splits.
+// fleetSumsOf returns the message with the sum over all hosts, which names the endpoints with the most work.
 func fleetSumsOf(sums *aggregate.Sums, decider string, splits []gossip.ServiceSplit) []gossip.FleetSum {
 	var counted []uint32
 	var sequences []uint64
@@ -89,27 +98,41 @@
 		counted = append(counted, mark.Incarnation)
 		sequences = append(sequences, mark.Sequence)
 	}
-	var messages []gossip.FleetSum
-	for _, part := range partsOfSum(&sums.Fleet) {
-		messages = append(messages, gossip.FleetSum{
-			Counted: counted, Sequences: sequences, Part: part.Number, Parts: part.Of, Work: toWork(&sums.Fleet, part),
-		})
+	fleet := sums.Fleet
+	fleet.Loads = heaviest(fleet.Loads, maxSumEndpoints)
+	return []gossip.FleetSum{{
+		Counted: counted, Sequences: sequences, Parts: 1, Work: toWork(&fleet, placement.Part{Of: 1}), Decider: decider, Splits: splits,
+	}}
+}
+
+// heaviest returns the loads of the endpoints with the most work, at most a number of them. Requests avoid an endpoint
+// because of its load, so that an endpoint that is left out is at worst chosen as if it were idle.
+func heaviest(loads map[keys.Endpoint]placement.Load, limit int) map[keys.Endpoint]placement.Load {
+	if len(loads) <= limit {
+		return loads
 	}
-	messages[0].Decider, messages[0].Splits = decider, splits
-	return messages
+	endpoints := slices.SortedFunc(maps.Keys(loads), func(a, b keys.Endpoint) int {
+		x, y := loads[a], loads[b]
+		return cmp.Or(cmp.Compare(y.Cost(), x.Cost()), cmp.Compare(a, b))
+	})
+	kept := make(map[keys.Endpoint]placement.Load, limit)
+	for _, endpoint := range endpoints[:limit] {
+		kept[endpoint] = loads[endpoint]
+	}
+	return kept
 }
 
-// HandleZoneSum handles a part of the sum over a zone. Only the splits are used of a sum over this host's own zone.
-func (s *Sync) HandleZoneSum(peer, zone string, sum *gossip.ZoneSum) {
+// HandleZoneSum handles a part of the sum over a cell. Only the splits are used of a sum over this host's own cell.
+func (s *Sync) HandleZoneSum(peer, cell string, isOwn bool, sum *gossip.ZoneSum) {
 	now := s.parts.Clock()
 	s.sums.mu.Lock()
 	defer s.sums.mu.Unlock()
 	if sum.Part == 0 {
 		s.sums.proposals[peer] = proposal{at: now, splits: sum.Splits}
 	}
-	if zone != s.parts.Zone {
+	if !isOwn {
 		part := placement.Part{Number: sum.Part, Of: sum.Parts}
-		s.sums.aggregator.SetZone(now, zone, peer, part, sum.Hosts, fromWork(&sum.Work))
+		s.sums.aggregator.SetZone(now, cell, peer, part, sum.Hosts, fromWork(&sum.Work))
 	}
 }
 
--- a/internal/front/placement/pace_replay_test.go
+++ b/internal/front/placement/pace_replay_test.go
@@ -178,9 +178,9 @@
 	self int
 }
 
-func (p replayPeers) Senders() []envelope.Sender {
+func (p replayPeers) Neighbors() []envelope.Sender {
 	var senders []envelope.Sender
-	for i := range replayHosts {
+	for i := 1; i < replayHosts; i++ {
 		senders = append(senders, envelope.Sender{Host: strconv.Itoa((p.self + i) % replayHosts)})
 	}
 	return senders
--- a/internal/front/placement/sum.go
+++ b/internal/front/placement/sum.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// OpenRequests returns the number of requests that all hosts of a large fleet have open, as far as this host knows.
+func (p *Placer) OpenRequests() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view.loads.requests()
+}
+
 // serviceName returns the name of a service, or an empty string if it has no endpoint.
 func (p *Placer) serviceName(key keys.Service) string {
 	for _, service := range p.parts.Directory.Services() {
--- a/internal/front/pushback/outbox.go
+++ b/internal/front/pushback/outbox.go
@@ -17,9 +17,9 @@
 	// well within the 2 s in which a leaving endpoint must stop getting new work.
 	announceInterval = 400 * time.Millisecond
 	announceRepeats  = 2
-	// minCountInterval and countIntervalPerHost determine the time between two messages with counts of one host. In a
-	// small fleet it is short against the half-life of the counts. It grows with the fleet, so that the bytes that a
-	// host sends to all peers together stay the same.
+	// minCountInterval and countIntervalPerHost determine the time between two messages with counts of one host. With few
+	// neighbors it is short against the half-life of the counts. It grows with their number, so that the bytes that a
+	// host sends to all of them together stay the same.
 	minCountInterval     = 200 * time.Millisecond
 	countIntervalPerHost = 25 * time.Millisecond
 	// These limits keep a message within a datagram: a full one takes 9 KB at most (TestMessageBytes).
@@ -107,7 +107,7 @@
 			}
 		case <-counted:
 			t.sendCounts()
-			paused = t.after(max(minCountInterval, time.Duration(t.parts.Peers.Hosts())*countIntervalPerHost))
+			paused = t.after(max(minCountInterval, time.Duration(len(t.parts.Peers.Neighbors()))*countIntervalPerHost))
 		case <-paused:
 			paused = nil
 		case <-done:
@@ -186,13 +186,13 @@
 		rejections = append(rejections, RejectedCount{Endpoint: endpoint, Rejected: c.bad, Taken: c.good})
 	}
 	for batch := range slices.Chunk(rejections, maxRejectionsPerMessage) {
-		t.parts.Peers.Broadcast(envelope.KindRejections, &Rejected{Endpoints: batch})
+		t.parts.Peers.BroadcastNear(envelope.KindRejections, &Rejected{Endpoints: batch})
 	}
 	var failures []FailedCount
 	for key, c := range failed {
 		failures = append(failures, FailedCount{Work: key, Failed: c.bad, Answered: c.good})
 	}
 	for batch := range slices.Chunk(failures, maxFailuresPerMessage) {
-		t.parts.Peers.Broadcast(envelope.KindFailures, &Failed{Counts: batch})
+		t.parts.Peers.BroadcastNear(envelope.KindFailures, &Failed{Counts: batch})
 	}
 }
--- a/internal/front/pushback/tracker.go
+++ b/internal/front/pushback/tracker.go
@@ -28,10 +28,11 @@
 	// Broadcast sends a message to all peers, SendTo to one.
 	Broadcast(kind envelope.Kind, message any)
 	SendTo(host string, kind envelope.Kind, message any)
-	// Hosts returns the number of live hosts, this one included.
-	Hosts() int
 	// Senders returns the live hosts, this one first.
 	Senders() []envelope.Sender
+	// Neighbors returns the peers that share their counts, BroadcastNear sends a message to them.
+	Neighbors() []envelope.Sender
+	BroadcastNear(kind envelope.Kind, message any)
 }
 
 // Parts are the dependencies of a Tracker.
@@ -224,11 +225,16 @@
 
 // HandleJoin handles a host that has joined: a few hosts send it what endpoints reported before.
 func (t *Tracker) HandleJoin(host envelope.Sender) {
-	if t.isStateSender(host) {
+	if t.hasState() && t.isStateSender(host) {
 		t.announce(func(o *outbox) { o.joined.Add(host) })
 	}
 }
 
+// hasState reports whether there is anything that a host that has joined has to be told.
+func (t *Tracker) hasState() bool {
+	return len(t.parts.Directory.ReportedLeaving()) > 0 || len(t.parts.Limits.All()) > 0
+}
+
 // isStateSender reports whether this host is among the stateSenders hosts that send the state to a host that has
 // joined.
 func (t *Tracker) isStateSender(joined envelope.Sender) bool {
--- a/internal/front/pushback/tracker_test.go
+++ b/internal/front/pushback/tracker_test.go
@@ -47,8 +47,10 @@
 }
 
 func (p peers) SendTo(_ string, _ envelope.Kind, message any) { p.sentTo <- message }
-func (p peers) Hosts() int                                    { return 2 }
-func (p peers) Senders() []envelope.Sender                    { return []envelope.Sender{{Host: "self"}, {Host: "other"}} }
+func (p peers) BroadcastNear(kind envelope.Kind, message any) { p.Broadcast(kind, message) }
+func (p peers) Neighbors() []envelope.Sender { return []envelope.Sender{{Host: "other"}} }
+
+func (p peers) Senders() []envelope.Sender { return []envelope.Sender{{Host: "self"}, {Host: "other"}} }
 
 // newTracker returns a tracker over a directory with two endpoints.
 func newTracker(c *qt.C, p Peers) (*Tracker, *directory.Directory) {
@@ -239,8 +241,9 @@
 type senders []envelope.Sender
 
 func (s senders) Broadcast(envelope.Kind, any)      {}
+func (s senders) BroadcastNear(envelope.Kind, any)  {}
 func (s senders) SendTo(string, envelope.Kind, any) {}
-func (s senders) Hosts() int                        { return len(s) }
+func (s senders) Neighbors() []envelope.Sender      { return s[1:] }
 func (s senders) Senders() []envelope.Sender        { return s }
 
 // TestGoldenLimited pins the encoded form, which hosts of other versions read.
