Operators see a fleet by role: oxbowslip fleet, metrics of what hosts exchange

'oxbowslip fleet' reads them twice and shows least, p50, p99, most and the ten worst of each figure for readers, aggregators and members. 'doctor' lists ten hosts of a kind and counts the rest. 'endpoint changed' has a line of its own only for up to 8 changes.

--- a/cmd/oxbowslip/doctor.go
+++ b/cmd/oxbowslip/doctor.go
@@ -60,10 +60,14 @@
 	findings = append(findings, checkLeaders(reports)...)
 	findings = append(findings, checkPushback(reports)...)
 	findings = append(findings, checkLimits(reports)...)
+	// shown counts the hosts with a finding of each kind. Beyond worstShown they are only counted.
+	shown := make(map[string]int)
 	for i := range reports {
 		r := &reports[i]
 		add := func(format string, args ...any) {
-			findings = append(findings, r.Address+": "+fmt.Sprintf(format, args...))
+			if shown[format]++; shown[format] <= worstShown {
+				findings = append(findings, r.Address+": "+fmt.Sprintf(format, args...))
+			}
 		}
 		if r.err != nil {
 			add("no answer: %v; is the host up, and is the key an operator's?", r.err)
@@ -102,6 +106,11 @@
 			add("sends no new requests to %s because it failed; see its log for 'endpoint ejected'", endpoint)
 		}
 	}
+	for _, format := range slices.Sorted(maps.Keys(shown)) {
+		if more := shown[format] - worstShown; more > 0 {
+			findings = append(findings, fmt.Sprintf("%d more findings of the kind %q", more, format))
+		}
+	}
 	return findings
 }
 
--- a/cmd/oxbowslip/main.go
+++ b/cmd/oxbowslip/main.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -94,9 +95,15 @@
 	Hosts []string `arg:"--hosts,required" help:"operators' addresses of all hosts" placeholder:"ADDR"`
 }
 
+type fleetCommand struct {
+	Metrics []string      `arg:"--metrics,required" help:"addresses and paths of the metrics of all hosts" placeholder:"ADDR/PATH"`
+	Over    time.Duration `arg:"--over" default:"5s" help:"the time over which rates are measured"`
+}
+
 type arguments struct {
 	Logs     *logsCommand     `arg:"subcommand:logs" help:"show what saved logs say of a request"`
 	Doctor   *doctorCommand   `arg:"subcommand:doctor" help:"ask all hosts and report what is wrong"`
+	Fleet    *fleetCommand    `arg:"subcommand:fleet" help:"show what hosts use and exchange, by role, and the ten worst"`
 	Settings *settingsCommand `arg:"subcommand:settings" help:"read and change the settings"`
 	Endpoint *endpointCommand `arg:"subcommand:endpoint" help:"list endpoints and order them in or out"`
 	Poison   *poisonCommand   `arg:"subcommand:poison" help:"list the requests that end endpoints, and lift one"`
@@ -143,6 +150,8 @@
 		return func(_ context.Context, t *tool) error { return t.logs(args.Logs.ID, args.Logs.Files) }
 	case args.Doctor != nil:
 		return func(ctx context.Context, t *tool) error { return t.doctor(ctx, args.Doctor.Hosts) }
+	case args.Fleet != nil:
+		return func(ctx context.Context, t *tool) error { return t.fleet(ctx, args.Fleet.Metrics, args.Fleet.Over) }
 	case args.Settings != nil:
 		return selectSettingsCommand(args.Settings)
 	case args.Endpoint != nil:
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"math"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ansel1/merry/v2"
@@ -167,8 +168,10 @@
 	// fetching is set for the topics that are being fetched.
 	fetching [freshness.NumTopics]bool
 	sharing  workSharing
-	// pushed identifies the news that were last sent to all hosts of a large fleet.
-	pushed pushedNews
+	// pushed identifies the updates that were last sent to all hosts of a large fleet.
+	pushed pushedUpdates
+	// stats counts what this host exchanges with peers.
+	stats stats
 	// refusedLoggedAt is when a refused message was last logged.
 	refusedLoggedAt time.Time
 }
@@ -293,6 +296,28 @@
 	return nil
 }
 
+// stats are counts since the start of a host.
+type stats struct {
+	datagramsSent, datagramsReceived, lostMembers atomic.Int64
+}
+
+// Stats describes what a host exchanges with its peers.
+type Stats struct {
+	// DatagramsSent, DatagramsReceived and LostMembers are counts since the start.
+	DatagramsSent, DatagramsReceived, LostMembers int64
+	// Served is the number of hosts whose work this host adds up and to which it sends the sums.
+	Served int
+}
+
+// Stats returns what this host exchanges with its peers.
+func (g *Gossip) Stats() Stats {
+	receivers, _ := g.sumTargets(false)
+	return Stats{
+		DatagramsSent: g.stats.datagramsSent.Load(), DatagramsReceived: g.stats.datagramsReceived.Load(),
+		LostMembers: g.stats.lostMembers.Load(), Served: len(receivers),
+	}
+}
+
 // Address returns the address at which peers reach this host.
 func (g *Gossip) Address() string { return g.address }
 
@@ -353,6 +378,7 @@
 	lost := g.members.Expire(g.parts.Clock(), limit)
 	hosts := g.members.Count() + 1
 	g.mu.Unlock()
+	g.stats.lostMembers.Add(int64(len(lost)))
 	for _, name := range lost {
 		g.parts.Host.HandlePeerLoss(name)
 		g.parts.Log.WithFields(logrus.Fields{"peer": name, "hosts": hosts, "silent_ms": limit.Milliseconds()}).Warn("peer lost")
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -23,7 +23,7 @@
 		g.mu.Unlock()
 		return
 	}
-	isForAll, isForCell := g.takeNews(&state), g.hasNewEjection(&state)
+	isForAll, isForCell := g.takeUpdates(&state), g.hasNewEjection(&state)
 	heartbeat := g.newHeartbeat(state)
 	members := g.heartbeatTargets(isForCell)
 	announcement := g.newAnnouncement(true, 0)
@@ -46,8 +46,8 @@
 	g.sendHeartbeat(announcement, append(contacts, query...))
 }
 
-// pushedNews identifies the news in the last heartbeat to all hosts of a large fleet.
-type pushedNews struct {
+// pushedUpdates identifies the updates in the last heartbeat to all hosts of a large fleet.
+type pushedUpdates struct {
 	settings   uint64
 	directory  uint64
 	readsStore bool
@@ -59,9 +59,9 @@
 // confirm them: further copies would be the most of what hosts send each other.
 const pushingReaders = 2
 
-// takeNews reports whether the next heartbeat is for all hosts of a large fleet, because it has news, and removes news
+// takeUpdates reports whether the next heartbeat is for all hosts of a large fleet, because it has updates, and removes updates
 // that are sent by others or were sent before. The lock is held.
-func (g *Gossip) takeNews(state *State) bool {
+func (g *Gossip) takeUpdates(state *State) bool {
 	if !g.members.IsLarge() {
 		state.Changes = nil
 		return false
@@ -80,7 +80,7 @@
 			g.pushed.directory = state.Changes.To
 		}
 	}
-	hasNews := state.Patch != nil || state.Delta != nil || state.ReadsStore != g.pushed.readsStore
+	hasUpdates := state.Patch != nil || state.Delta != nil || state.ReadsStore != g.pushed.readsStore
 	g.pushed.readsStore = state.ReadsStore
 	if state.Patch != nil {
 		g.pushed.settings = state.Patch.To
@@ -88,7 +88,7 @@
 	if state.Delta != nil {
 		g.pushed.directory = state.Delta.To
 	}
-	return hasNews
+	return hasUpdates
 }
 
 // hasNewEjection reports whether a state has an ejection that the last heartbeat did not have. The lock is held.
@@ -229,6 +229,7 @@
 		return
 	}
 	g.parts.CountSent(kind, len(data)*len(targets))
+	g.stats.datagramsSent.Add(int64(len(targets)))
 	for _, target := range targets {
 		address, err := net.ResolveUDPAddr("udp", target)
 		if err != nil {
@@ -259,8 +260,9 @@
 // HandleDatagram decodes and handles a datagram from an address. The data are untrusted. Messages are distinguished by
 // the number and types of their fields.
 func (g *Gossip) HandleDatagram(data []byte, from string) {
+	g.stats.datagramsReceived.Add(1)
 	g.mu.Lock()
-	g.members.RecordHeard(g.parts.Clock())
+	g.members.RecordReceived(g.parts.Clock())
 	g.mu.Unlock()
 	g.handleMessage(data, from)
 }
--- a/internal/front/gossip/large_test.go
+++ b/internal/front/gossip/large_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +10,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 )
 
 // sizes are the numbers of hosts of the fleets that the rules for large fleets are tested with.
@@ -133,16 +139,16 @@
 // tell.
 func TestSilentHostsAreReported(t *testing.T) {
 	tests := map[string]struct {
-		// silent has the watched hosts send nothing, hears has another host send.
-		silent, hears bool
+		// silent has the watched hosts send nothing, receives has another host send.
+		silent, receives bool
 		// gap is a time during which the watcher does not run, before the end.
 		gap  time.Duration
 		lost int
 	}{
-		"nobody is silent":             {silent: false, hears: true, lost: 0},
-		"all watched hosts are silent": {silent: true, hears: true, lost: watchers},
-		"the watcher is isolated":      {silent: true, hears: false, lost: 0},
-		"the watcher was suspended":    {silent: true, hears: true, gap: 4 * time.Second, lost: 0},
+		"nobody is silent":             {silent: false, receives: true, lost: 0},
+		"all watched hosts are silent": {silent: true, receives: true, lost: watchers},
+		"the watcher is isolated":      {silent: true, receives: false, lost: 0},
+		"the watcher was suspended":    {silent: true, receives: true, gap: 4 * time.Second, lost: 0},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -154,8 +160,8 @@
 					continue
 				}
 				now := start.Add(at)
-				if test.hears {
-					m.RecordHeard(now)
+				if test.receives {
+					m.RecordReceived(now)
 				}
 				for _, member := range m.watched() {
 					if !test.silent {
@@ -309,3 +315,48 @@
 	}
 	c.Check(len(s.seen) <= maxRelaySenders, qt.IsTrue)
 }
+
+// TestMalformedDatagramsAreRefused sends datagrams that no host sends.
+func TestMalformedDatagramsAreRefused(t *testing.T) {
+	envelopeOf := func(kind envelope.Kind, message any) any {
+		body, err := cbor.Marshal(message)
+		qt.Assert(t, err, qt.IsNil)
+		return &Envelope{Incarnation: 1, Kind: kind, Body: body}
+	}
+	nested, err := cbor.Marshal(envelopeOf(envelope.KindRelay, &Relay{Origin: 1, Number: 2, From: 1}))
+	qt.Assert(t, err, qt.IsNil)
+	tests := map[string]struct {
+		message any
+		reason  counters.RefusedPeerMessage
+	}{
+		"a text":                         {"text", counters.RefusedMalformed},
+		"an unknown number of fields":    {[]int{1, 2, 3, 4, 5, 6}, counters.RefusedMalformed},
+		"fields of other types":          {[]string{"a", "b"}, counters.RefusedMalformed},
+		"impossible loads":               {&FleetSum{Incarnation: 1, Parts: 1, Work: Work{Requests: []int{maxRequests + 1}}}, counters.RefusedSum},
+		"a thousand Records":             {envelopeOf(envelope.KindMembers, &MemberUpdates{Records: make([]Record, 1000)}), counters.RefusedMalformed},
+		"a Record of no host":            {envelopeOf(envelope.KindMembers, &MemberUpdates{Records: make([]Record, 1)}), counters.RefusedMember},
+		"a relayed message in another":   {envelopeOf(envelope.KindRelay, &Relay{Origin: 1, Number: 1, From: 1, Datagram: nested}), counters.RefusedMalformed},
+		"a message relayed too often":    {envelopeOf(envelope.KindRelay, &Relay{Origin: 1, Number: 1, From: 1, By: make([]uint64, maxRelaySteps+1)}), counters.RefusedMalformed},
+		"changes of an unknown base":     {envelopeOf(envelope.KindChanges, &ChangesResponse{}), counters.RefusedMalformed},
+		"a digest that can't be decoded": {envelopeOf(envelope.KindMembersDigest, "text"), counters.RefusedMalformed},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			var refused []counters.RefusedPeerMessage
+			g := New(Parts{
+				Config: Config{Name: "self", Zone: "z"}, Host: &node{}, Log: logrus.NewEntry(log), Clock: time.Now, Random: rand.Float64,
+				CountSent:    func(counters.PeerTraffic, int) {},
+				CountRefused: func(reason counters.RefusedPeerMessage) { refused = append(refused, reason) },
+			})
+			g.members.ApplyHeartbeat(start, &Heartbeat{Incarnation: 1, Sequence: 1, Announcement: announcement("a", 1)})
+			data, err := cbor.Marshal(test.message)
+			c.Assert(err, qt.IsNil)
+			g.HandleDatagram(data, "127.0.0.1:9")
+			c.Check(refused, qt.DeepEquals, []counters.RefusedPeerMessage{test.reason})
+			c.Check(g.Hosts(), qt.Equals, 2)
+		})
+	}
+}
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -322,7 +322,9 @@
 	// a second.
 	ofMembers := map[string]bool{m.address: true}
 	for _, member := range m.live {
-		ofMembers[member.Address] = true
+		if _, ok := m.contacts[member.Address]; ok {
+			ofMembers[member.Address] = true
+		}
 	}
 	var addresses []string
 	for address, entry := range m.contacts {
--- a/internal/front/gossip/membership.go
+++ b/internal/front/gossip/membership.go
@@ -246,7 +246,7 @@
 // applyUpdates applies changes of the members. If the message was sent to this host directly, it passes on what is new to
 // all hosts.
 func (g *Gossip) applyUpdates(updates *MemberUpdates, direct bool) {
-	var news MemberUpdates
+	var fresh MemberUpdates
 	var joined []envelope.Sender
 	var lost []string
 	refused := 0
@@ -256,7 +256,7 @@
 		switch g.members.ApplyLost(now, &updates.Lost[i]) {
 		case Lost:
 			lost = append(lost, updates.Lost[i].Host)
-			news.Lost = append(news.Lost, updates.Lost[i])
+			fresh.Lost = append(fresh.Lost, updates.Lost[i])
 		case Refuted:
 			g.queueUpdate([]Record{g.members.OwnRecord()}, nil)
 		case Refused:
@@ -267,9 +267,9 @@
 		switch r := &updates.Records[i]; g.members.ApplyRecord(now, r) {
 		case Joined:
 			joined = append(joined, envelope.Sender{Host: r.Host, Incarnation: r.Incarnation})
-			news.Records = append(news.Records, *r)
+			fresh.Records = append(fresh.Records, *r)
 		case Updated:
-			news.Records = append(news.Records, *r)
+			fresh.Records = append(fresh.Records, *r)
 		case Refused:
 			refused++
 		}
@@ -281,7 +281,7 @@
 		g.membership.changedAt = now
 	}
 	if direct {
-		g.queueUpdate(news.Records, news.Lost)
+		g.queueUpdate(fresh.Records, fresh.Lost)
 	}
 	hosts := g.members.Count() + 1
 	g.mu.Unlock()
@@ -290,6 +290,7 @@
 
 // notifyUpdates informs the other parts of this host of changes of the members.
 func (g *Gossip) notifyUpdates(joined []envelope.Sender, lost []string, refused, hosts int) {
+	g.stats.lostMembers.Add(int64(len(lost)))
 	for _, host := range lost {
 		g.parts.Host.HandlePeerLoss(host)
 	}
@@ -400,7 +401,7 @@
 	g.sendEnvelope(envelope.KindMembers, &updates, targets)
 }
 
-// reportLoss tells a host that it was reported as lost, so that it refutes that. It reports whether it was.
+// reportLoss informs a host that it was reported as lost, so that it refutes that. It reports whether it was.
 func (g *Gossip) reportLoss(a *Announcement) bool {
 	g.mu.Lock()
 	lost, ok := g.members.lossOf(a.Host, a.Start)
--- a/internal/front/gossip/watch.go
+++ b/internal/front/gossip/watch.go
@@ -7,7 +7,7 @@
 
 // Failure detection in a large fleet. If every host sent its heartbeats to every other, their number would grow with the
 // square of the fleet. Each host therefore sends them to a few watchers, the next hosts in the order of Rank. A watcher
-// that hears nothing from a host probes it, and then reports it as lost to all (relay.go). A host that learns that it was
+// that receives nothing from a host probes it, and then reports it as lost to all (relay.go). A host that learns that it was
 // reported as lost although it runs refutes the report with a new generation of its Record (roster.go), as in SWIM.
 
 const (
@@ -23,7 +23,7 @@
 	// watcherStep is added to minMemberTimeout for each watcher that is closer to the silent host. The first one usually
 	// reports for all.
 	watcherStep = 200 * time.Millisecond
-	// isolationTime is how long a host may hear from nobody before it counts itself as isolated. Everyone is then silent
+	// isolationTime is how long a host may receive no message before it counts itself as isolated. Everyone is then silent
 	// to it, and its reports would be wrong.
 	isolationTime = 1500 * time.Millisecond
 	// maxWatchGap is the time between two checks above which this host was suspended or starved itself. Silence during
@@ -33,9 +33,9 @@
 
 // watch is this host's state as a watcher.
 type watch struct {
-	// heardAt is when this host last received a message from any peer, checkedAt when it last checked the watched hosts.
-	heardAt   time.Time
-	checkedAt time.Time
+	// receivedAt is when this host last received a message from any peer, checkedAt when it last checked the watched hosts.
+	receivedAt time.Time
+	checkedAt  time.Time
 	// watched are the hosts that were watched at the last check.
 	watched []*Member
 }
@@ -67,7 +67,7 @@
 // to be reported as lost.
 func (m *Members) CheckWatched(now time.Time) (probe []string, lost []LostRecord) {
 	watched, before := m.watched(), m.watch.watched
-	isUnreliable := now.Sub(m.watch.checkedAt) > maxWatchGap || now.Sub(m.watch.heardAt) > isolationTime
+	isUnreliable := now.Sub(m.watch.checkedAt) > maxWatchGap || now.Sub(m.watch.receivedAt) > isolationTime
 	m.watch.checkedAt, m.watch.watched = now, watched
 	for place, member := range watched {
 		if isUnreliable || !slices.Contains(before, member) {
@@ -90,5 +90,5 @@
 	return probe, lost
 }
 
-// RecordHeard records that a message from a peer has arrived.
-func (m *Members) RecordHeard(now time.Time) { m.watch.heardAt = now }
+// RecordReceived records that a message from a peer has arrived.
+func (m *Members) RecordReceived(now time.Time) { m.watch.receivedAt = now }
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -20,6 +20,9 @@
 // entries fit in a datagram.
 const maxDeltaChanges = 64
 
+// maxLoggedChanges is the number of changes up to which each has its own log line.
+const maxLoggedChanges = 8
+
 // maxBulkChanges and maxBulkBytes bound the changes that are sent to all hosts of a large fleet in one datagram. A change
 // takes some 25 B.
 const (
@@ -97,6 +100,16 @@
 
 // finishApply logs changes that were applied, and schedules the checks that they need.
 func (s *Endpoints) finishApply(revision uint64, from string, changes []directory.Change) {
+	if len(changes) > maxLoggedChanges {
+		leaving := 0
+		for i := range changes {
+			if changes[i].Gone || changes[i].Entry.Endpoint.State == settings.StateOut {
+				leaving++
+			}
+		}
+		era.Log(s.parts.Log, revision).WithFields(logrus.Fields{"from": from, "changes": len(changes), "leaving_or_gone": leaving}).Info("endpoints changed")
+		changes = nil
+	}
 	for _, change := range changes {
 		era.Log(s.parts.Log, revision).WithFields(logrus.Fields{
 			"from": from, "endpoint": change.Entry.ID, "gone": change.Gone, "state": change.Entry.Endpoint.State,
