peersync: changes sent in bulk apply without changes of states; joins are sent on by two contacts

Change: no data stand for no changes; a host asks two contacts to send its Record to all, 64 in a datagram; members are logged once in 0.7 s; watchers judge nobody in their first 6 s, and a host that they have begun to watch after 2.5 s. Test: 200 changes reach a large fleet without fetches.

--- a/internal/front/gossip/envelope.go
+++ b/internal/front/gossip/envelope.go
@@ -120,7 +120,7 @@
 	}
 	switch e.Kind {
 	case envelope.KindMembers:
-		g.handleUpdates(e.Body, from != "")
+		g.handleUpdates(e.Body)
 		return
 	case envelope.KindMembersDigest:
 		g.handleDigest(e.Incarnation, e.Body, from)
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -42,7 +42,7 @@
 		report.Engines = g.parts.Host.EngineReports()
 		g.sendDatagram(counters.PeerHeartbeats, report, members)
 	}
-	g.sendRecord(contacts)
+	g.introduce(contacts)
 	g.sendHeartbeat(announcement, append(contacts, query...))
 }
 
@@ -206,7 +206,7 @@
 	announcement := g.newAnnouncement(false, addresses)
 	g.mu.Unlock()
 	if isNew {
-		g.sendRecord([]string{sender.Address})
+		g.sendRecord([]string{sender.Address}, false)
 	}
 	g.sendHeartbeat(announcement, []string{sender.Address})
 }
--- a/internal/front/gossip/membership.go
+++ b/internal/front/gossip/membership.go
@@ -28,8 +28,10 @@
 	// hosts fail together, most ways of the first message lead through failed ones.
 	lostRepeats    = 2
 	repeatInterval = 700 * time.Millisecond
-	// maxUpdateRecords bounds the Records and reports of losses in a message of some 1.5 KB.
-	maxUpdateRecords = 16
+	// maxUpdateRecords bounds the Records and reports of losses in a message of some 5 KB.
+	maxUpdateRecords = 64
+	// maxIntroducers is the number of contacts that a host asks to send its Record to all hosts.
+	maxIntroducers = 2
 	// digestInterval is the mean time between two digests.
 	digestInterval = time.Second
 	// digestQuietTime is how long the own list must not have changed before a different one is fetched: a change that is
@@ -52,6 +54,8 @@
 
 	Records []Record
 	Lost    []LostRecord
+	// PassOn asks the receiver to send what is new to it to all hosts.
+	PassOn bool
 }
 
 // MembersDigest is a message with a digest of the sender's members and the state of its topics.
@@ -88,11 +92,44 @@
 	// isPulling is set while members are fetched, pulledAt is when the last fetch began.
 	isPulling bool
 	pulledAt  time.Time
+	// unlogged are the changes of the members that were not logged yet.
+	unlogged memberChanges
 	// wholeList is the response with all Records as of wholeListAt.
 	wholeList   []byte
 	wholeListAt time.Time
 }
 
+// memberChanges counts changes of the members. The names are those of one of the hosts.
+type memberChanges struct {
+	joined, lost         int
+	joinedName, lostName string
+}
+
+func (c *memberChanges) add(joined []envelope.Sender, lost []string) {
+	c.joined += len(joined)
+	c.lost += len(lost)
+	if len(joined) > 0 {
+		c.joinedName = joined[0].Host
+	}
+	if len(lost) > 0 {
+		c.lostName = lost[0]
+	}
+}
+
+// logChanges logs the changes of the members since the last call: many hosts join or fail at a time.
+func (g *Gossip) logChanges() {
+	g.mu.Lock()
+	c, hosts := g.membership.unlogged, g.members.Count()+1
+	g.membership.unlogged = memberChanges{}
+	g.mu.Unlock()
+	if c.lost > 0 {
+		g.parts.Log.WithFields(logrus.Fields{"peer": c.lostName, "lost": c.lost, "hosts": hosts}).Warn("peers lost")
+	}
+	if c.joined > 0 {
+		g.parts.Log.WithFields(logrus.Fields{"peer": c.joinedName, "joined": c.joined, "hosts": hosts}).Info("peers joined")
+	}
+}
+
 // maintainMembers sends changes of the members and digests, and watches some members, until done is closed.
 func (g *Gossip) maintainMembers(done <-chan struct{}) {
 	go lifetime.Every(done, digestInterval, g.parts.Random, func(context.Context) { g.sendDigests(1) })
@@ -112,6 +149,7 @@
 			g.sendUpdates((*announce.List[LostRecord]).Unsent)
 		case <-repeat.C:
 			g.sendUpdates((*announce.List[LostRecord]).All)
+			g.logChanges()
 		case <-check.C:
 			g.watchMembers()
 		case <-done:
@@ -152,11 +190,12 @@
 // watchMembers probes the silent ones of the members that this host watches, and reports the lost ones.
 func (g *Gossip) watchMembers() {
 	g.mu.Lock()
-	if !g.members.IsLarge() || g.leaving {
+	now := g.parts.Clock()
+	// Hosts that start together are too busy to answer each other in time.
+	if !g.members.IsLarge() || g.leaving || now.Sub(g.started) < maxSettleTime {
 		g.mu.Unlock()
 		return
 	}
-	now := g.parts.Clock()
 	probe, lost := g.members.CheckWatched(now)
 	announcement := g.newAnnouncement(true, 0)
 	var addresses []string
@@ -172,7 +211,7 @@
 		return
 	}
 	g.sendEnvelope(envelope.KindMembers, &MemberUpdates{Lost: lost}, addresses)
-	g.applyUpdates(&MemberUpdates{Lost: lost}, true)
+	g.applyUpdates(&MemberUpdates{Lost: lost, PassOn: true})
 }
 
 // sendDigests sends a digest of the members to a number of them.
@@ -248,19 +287,18 @@
 	g.parts.Host.ApplyChanges(from.Host, changes)
 }
 
-// handleUpdates handles changes of the members. Direct is set if the message was not sent to all hosts.
-func (g *Gossip) handleUpdates(body []byte, direct bool) {
+// handleUpdates handles changes of the members.
+func (g *Gossip) handleUpdates(body []byte) {
 	var updates MemberUpdates
 	if err := cbor.Unmarshal(body, &updates); err != nil || len(updates.Records)+len(updates.Lost) > 2*maxUpdateRecords {
 		g.refuse(counters.RefusedMalformed, "an update of members can't be decoded or is too long", err)
 		return
 	}
-	g.applyUpdates(&updates, direct)
+	g.applyUpdates(&updates)
 }
 
-// applyUpdates applies changes of the members. If the message was sent to this host directly, it passes on what is new to
-// all hosts.
-func (g *Gossip) applyUpdates(updates *MemberUpdates, direct bool) {
+// applyUpdates applies changes of the members, and sends what is new to all hosts if it is asked to.
+func (g *Gossip) applyUpdates(updates *MemberUpdates) {
 	var fresh MemberUpdates
 	var joined []envelope.Sender
 	var lost []string
@@ -295,16 +333,16 @@
 	if len(joined)+len(lost) > 0 {
 		g.membership.changedAt = now
 	}
-	if direct {
+	if updates.PassOn {
 		g.queueUpdate(fresh.Records, fresh.Lost)
 	}
-	hosts := g.members.Count() + 1
+	g.membership.unlogged.add(joined, lost)
 	g.mu.Unlock()
-	g.notifyUpdates(joined, lost, refused, hosts)
+	g.notifyUpdates(joined, lost, refused)
 }
 
 // notifyUpdates informs the other parts of this host of changes of the members.
-func (g *Gossip) notifyUpdates(joined []envelope.Sender, lost []string, refused, hosts int) {
+func (g *Gossip) notifyUpdates(joined []envelope.Sender, lost []string, refused int) {
 	g.stats.lostMembers.Add(int64(len(lost)))
 	for _, host := range lost {
 		g.parts.Host.HandlePeerLoss(host)
@@ -312,12 +350,6 @@
 	for _, sender := range joined {
 		g.onJoin(sender)
 	}
-	if len(lost) > 0 {
-		g.parts.Log.WithFields(logrus.Fields{"peer": lost[0], "lost": len(lost), "hosts": hosts}).Warn("peers lost")
-	}
-	if len(joined) > 0 {
-		g.parts.Log.WithFields(logrus.Fields{"peer": joined[0].Host, "joined": len(joined), "hosts": hosts}).Info("peers joined")
-	}
 	if refused > 0 {
 		g.refuse(counters.RefusedMember, "members can't be hosts or are too many", nil)
 	}
@@ -363,7 +395,8 @@
 		updates.Records = updates.Records[:maxMembers]
 		g.refuse(counters.RefusedMember, "a peer's list of members is too long", nil)
 	}
-	g.applyUpdates(&updates, false)
+	updates.PassOn = false
+	g.applyUpdates(&updates)
 	g.RequestHeartbeat()
 	return nil
 }
@@ -405,13 +438,20 @@
 	return data, err
 }
 
+// introduce sends this host's Record to contacts that may not know it, and asks some of them to send it to all hosts.
+func (g *Gossip) introduce(contacts []string) {
+	introducers := min(len(contacts), maxIntroducers)
+	g.sendRecord(contacts[:introducers], true)
+	g.sendRecord(contacts[introducers:], false)
+}
+
 // sendRecord sends this host's Record to hosts that may not know it.
-func (g *Gossip) sendRecord(targets []string) {
+func (g *Gossip) sendRecord(targets []string, passOn bool) {
 	if len(targets) == 0 {
 		return
 	}
 	g.mu.Lock()
-	updates := MemberUpdates{Records: []Record{g.members.OwnRecord()}}
+	updates := MemberUpdates{Records: []Record{g.members.OwnRecord()}, PassOn: passOn}
 	g.mu.Unlock()
 	g.sendEnvelope(envelope.KindMembers, &updates, targets)
 }
--- a/internal/front/gossip/watch.go
+++ b/internal/front/gossip/watch.go
@@ -20,7 +20,7 @@
 	probeInterval = 500 * time.Millisecond
 	// newlyWatchedTimeout is how long a host may be silent that this host has just begun to watch. It is probed at once, and
 	// several times.
-	newlyWatchedTimeout = 1500 * time.Millisecond
+	newlyWatchedTimeout = 2500 * time.Millisecond
 	// watchInterval is the time between two checks of the watched hosts.
 	watchInterval = 200 * time.Millisecond
 	// watcherStep is added to minMemberTimeout for each watcher that is closer to the silent host. The first one usually
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -383,8 +383,11 @@
 	return entries, nil
 }
 
-// decompressChanges reverses compressChanges.
+// decompressChanges reverses compressChanges. No data stand for no changes.
 func decompressChanges(compressed []byte) ([]directory.Change, error) {
+	if len(compressed) == 0 {
+		return nil, nil
+	}
 	data, err := pack.Decompress(nil, compressed)
 	if err != nil {
 		return nil, err
--- a/internal/front/scale_test.go
+++ b/internal/front/scale_test.go
@@ -25,6 +25,9 @@
 		// maxNotice bounds the time until all have noticed hosts that are cut off, and maxReturn that until all know of their
 		// return: in the users' deployment, faults count for 6 s after their end.
 		maxNotice, maxReturn = 6 * time.Second, 6 * time.Second
+		// manyChanges is the number of endpoints that change together. All hosts together fetch no more bytes for that than
+		// one, as the changes are sent to them.
+		manyChanges, bytesPerChange = 200, 60
 		// maxUnnoticed is the share of the hosts that may be noticed later, as all their watchers are cut off as well.
 		maxUnnoticed = 0.02
 	)
@@ -50,6 +53,13 @@
 			return h.settings.Number() == 2 && len(h.directory.Serving("llm")) == 1
 		}))
 
+		bytes := f.syncBytes()
+		f.store.putEndpoints(manyChanges, settings.StateIn)
+		t.Logf("%d changes are in force everywhere after %s", manyChanges, f.until(c, largeFleetBound, func(h *fleetHost) bool {
+			return len(h.directory.Serving("llm")) == manyChanges+1
+		}))
+		c.Check(f.syncBytes()-bytes <= manyChanges*bytesPerChange, qt.IsTrue, qt.Commentf("%d B were fetched", f.syncBytes()-bytes))
+
 		cut := make(map[string]bool)
 		for n, h := range f.hosts {
 			cut[h.address] = n%2 == 0
