--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -199,13 +199,14 @@
 // replyToAnnouncement announces this host to a host that asked for a reply.
 func (g *Gossip) replyToAnnouncement(sender *Announcement, isNew bool) {
 	g.mu.Lock()
-	addresses := addressCountFor(sender.Hosts, g.members.Count()+1)
+	hosts := g.members.Count() + 1
+	addresses := addressCountFor(sender.Hosts, hosts)
 	if g.members.IsLarge() {
 		addresses = min(addresses, someAddresses)
 	}
 	announcement := g.newAnnouncement(false, addresses)
 	g.mu.Unlock()
-	if isNew {
+	if isNew || sender.Hosts < hosts {
 		g.sendRecord([]string{sender.Address}, false)
 	}
 	g.sendHeartbeat(announcement, []string{sender.Address})
--- a/internal/front/gossip/membership.go
+++ b/internal/front/gossip/membership.go
@@ -23,7 +23,7 @@
 
 const (
 	// updateDelay is how long changes of the members are collected before they are sent to all.
-	updateDelay = 50 * time.Millisecond
+	updateDelay = 200 * time.Millisecond
 	// lostRepeats is the number of repetitions of a report of a loss, and repeatInterval the time between them. If many
 	// hosts fail together, most ways of the first message lead through failed ones.
 	lostRepeats    = 2
--- a/internal/front/pushback/tracker_test.go
+++ b/internal/front/pushback/tracker_test.go
@@ -48,7 +48,7 @@
 
 func (p peers) SendTo(_ string, _ envelope.Kind, message any) { p.sentTo <- message }
 func (p peers) BroadcastNear(kind envelope.Kind, message any) { p.Broadcast(kind, message) }
-func (p peers) Neighbors() []envelope.Sender { return []envelope.Sender{{Host: "other"}} }
+func (p peers) Neighbors() []envelope.Sender                  { return []envelope.Sender{{Host: "other"}} }
 
 func (p peers) Senders() []envelope.Sender { return []envelope.Sender{{Host: "self"}, {Host: "other"}} }
 
