--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -38,8 +38,8 @@
 	ReadsStore bool
 	Delta      *DirectoryDelta
 	Patch      *SettingsPatch
-	// Changes are changes of the directory that are too many for a Delta.
-	Changes *ChangesResponse
+	// Changes are the changes of the directory since the last heartbeat, instead of Delta in a large fleet.
+	Changes []*ChangesResponse
 }
 
 // Host provides the state that Gossip sends, and handles the messages that Gossip receives. Its methods may be called
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -35,8 +35,8 @@
 	} else {
 		g.sendHeartbeat(heartbeat, members)
 	}
-	if state.Changes != nil {
-		g.broadcastEnvelope(envelope.KindChanges, state.Changes, urgentCopies)
+	for _, changes := range state.Changes {
+		g.broadcastEnvelope(envelope.KindChanges, changes, urgentCopies)
 	}
 	if report != nil {
 		report.Engines = g.parts.Host.EngineReports()
@@ -49,7 +49,6 @@
 // pushedUpdates identifies the updates in the last heartbeat to all hosts of a large fleet.
 type pushedUpdates struct {
 	settings   uint64
-	directory  uint64
 	readsStore bool
 	// ejected are the endpoints in the last heartbeat.
 	ejected map[keys.Endpoint]bool
@@ -63,7 +62,6 @@
 // that are sent by others or were sent before. The lock is held.
 func (g *Gossip) takeUpdates(state *State) bool {
 	if !g.members.IsLarge() {
-		state.Changes = nil
 		return false
 	}
 	// A host that does not read for others has changes only if it had to ask the store itself, as readers are silent.
@@ -71,24 +69,14 @@
 	if state.Patch != nil && (!isPushing || state.Patch.To <= g.pushed.settings) {
 		state.Patch = nil
 	}
-	if state.Delta != nil && (!isPushing || state.Delta.To <= g.pushed.directory) {
-		state.Delta = nil
-	}
-	if state.Changes != nil {
-		if !isPushing || state.Changes.To <= g.pushed.directory {
-			state.Changes = nil
-		} else {
-			g.pushed.directory = state.Changes.To
-		}
+	if !isPushing {
+		state.Changes = nil
 	}
-	hasUpdates := state.Patch != nil || state.Delta != nil || state.ReadsStore != g.pushed.readsStore
+	hasUpdates := state.Patch != nil || state.ReadsStore != g.pushed.readsStore
 	g.pushed.readsStore = state.ReadsStore
 	if state.Patch != nil {
 		g.pushed.settings = state.Patch.To
 	}
-	if state.Delta != nil {
-		g.pushed.directory = state.Delta.To
-	}
 	return hasUpdates
 }
 
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -24,12 +24,19 @@
 const maxLoggedChanges = 8
 
 // maxBulkChanges and maxBulkBytes bound the changes that are sent to all hosts of a large fleet in one datagram. A change
-// takes some 25 B.
+// takes some 25 B. maxPendingChanges bounds the answers of the store whose changes wait to be sent.
 const (
-	maxBulkChanges = 500
-	maxBulkBytes   = 12 << 10
+	maxBulkChanges    = 500
+	maxBulkBytes      = 12 << 10
+	maxPendingChanges = 16
 )
 
+// pendingChanges are the changes after a revision up to another one.
+type pendingChanges struct {
+	from, to uint64
+	changes  []directory.Change
+}
+
 // maxCachedResponses bounds the cached responses for peers, some KB each.
 const maxCachedResponses = 16
 
@@ -38,11 +45,11 @@
 	parts EndpointsParts
 
 	mu sync.Mutex
-	// delta is the newest change, or bulk if that is too large for a heartbeat. heartbeatsLeft is the number of further
-	// heartbeats that carry it.
+	// delta is the newest change, heartbeatsLeft the number of further heartbeats that carry it.
 	delta          *gossip.DirectoryDelta
-	bulk           *gossip.ChangesResponse
 	heartbeatsLeft int
+	// pending are the changes since the last heartbeat, one after the other.
+	pending []pendingChanges
 	// compressedEntries are all entries as of the change compressedAt, compressed for peers.
 	compressedEntries []byte
 	compressedAt      uint64
@@ -123,9 +130,9 @@
 func (s *Endpoints) scheduleDelta(from, to uint64, changes []directory.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.delta, s.bulk, s.heartbeatsLeft = nil, nil, 0
+	s.schedulePending(from, to, changes)
+	s.delta, s.heartbeatsLeft = nil, 0
 	if len(changes) > maxDeltaChanges {
-		s.scheduleBulk(from, to, changes)
 		return
 	}
 	s.delta, s.heartbeatsLeft = &gossip.DirectoryDelta{From: from, To: to}, heartbeatsPerChange
@@ -134,34 +141,61 @@
 	}
 }
 
-// scheduleBulk adds many changes to the next heartbeats, if they fit a datagram when they are compressed. The lock is held.
-func (s *Endpoints) scheduleBulk(from, to uint64, changes []directory.Change) {
-	if len(changes) > maxBulkChanges {
-		return
+// schedulePending adds changes to those that are still to be sent to all hosts of a large fleet. The lock is held.
+func (s *Endpoints) schedulePending(from, to uint64, changes []directory.Change) {
+	if last := len(s.pending) - 1; last >= 0 && s.pending[last].to != from {
+		s.pending = nil
+	}
+	s.pending = append(s.pending, pendingChanges{from: from, to: to, changes: changes})
+	if len(s.pending) > maxPendingChanges {
+		s.pending = nil
+	}
+}
+
+// nextBulk returns the changes since the last call, for all hosts of a large fleet. Successive changes share a message as
+// long as it fits a datagram; a change that does not fit one is left out, and fetched.
+func (s *Endpoints) nextBulk() []*gossip.ChangesResponse {
+	s.mu.Lock()
+	pending := s.pending
+	s.pending = nil
+	s.mu.Unlock()
+	var bulk []*gossip.ChangesResponse
+	for len(pending) > 0 {
+		joined := 1
+		messages := messagesOf(pending[0].changes)
+		for joined < len(pending) && len(messages)+len(pending[joined].changes) <= maxBulkChanges {
+			messages = append(messages, messagesOf(pending[joined].changes)...)
+			joined++
+		}
+		entries, err := compressChanges(messages)
+		if err != nil {
+			s.parts.Log.WithError(err).Error("changes of endpoints can't be compressed for peers, they have to fetch them")
+		} else if len(entries) <= maxBulkBytes {
+			bulk = append(bulk, &gossip.ChangesResponse{IsKnown: true, From: pending[0].from, To: pending[joined-1].to, Entries: entries})
+		}
+		pending = pending[joined:]
 	}
+	return bulk
+}
+
+func messagesOf(changes []directory.Change) []gossip.EndpointChange {
 	messages := make([]gossip.EndpointChange, 0, len(changes))
 	for i := range changes {
 		messages = append(messages, toMessage(&changes[i]))
 	}
-	entries, err := compressChanges(messages)
-	if err != nil {
-		s.parts.Log.WithError(err).Error("changes of endpoints can't be compressed for peers, they have to fetch them")
-		return
-	}
-	if len(entries) <= maxBulkBytes {
-		s.bulk, s.heartbeatsLeft = &gossip.ChangesResponse{IsKnown: true, From: from, To: to, Entries: entries}, heartbeatsPerChange
-	}
+	return messages
 }
 
-// nextDelta returns the changes for the next heartbeat: a delta, changes in bulk, or neither.
-func (s *Endpoints) nextDelta() (*gossip.DirectoryDelta, *gossip.ChangesResponse) {
+// nextDelta returns the changes for the next heartbeat, or nil.
+func (s *Endpoints) nextDelta() *gossip.DirectoryDelta {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.pending = nil
 	if s.heartbeatsLeft == 0 {
-		return nil, nil
+		return nil
 	}
 	s.heartbeatsLeft--
-	return s.delta, s.bulk
+	return s.delta
 }
 
 // applyDelta applies a peer's changes, if this host has all changes before them.
--- a/internal/front/peersync/peersync.go
+++ b/internal/front/peersync/peersync.go
@@ -74,7 +74,11 @@
 		Settings: p.Holder.Number(), Directory: p.Directory.Changed(), ReadsStore: p.ReadsStore(),
 		Patch: p.Settings.documents.nextPatch(),
 	}
-	state.Delta, state.Changes = p.Endpoints.nextDelta()
+	if direct {
+		state.Delta = p.Endpoints.nextDelta()
+	} else {
+		state.Changes = p.Endpoints.nextBulk()
+	}
 	now := p.Clock()
 	for endpoint, until := range ejected {
 		state.Ejections = append(state.Ejections, gossip.Ejection{Endpoint: keys.OfEndpoint(endpoint), Left: until.Sub(now)})
