gossip: fewer timers wake a host of a large fleet

Two followers checked ten times a second whether they have to call the store, and a third loop five times whether to poll peers, for thresholds of 1.1 to 2.6 s. In a large fleet both check twice a second; members, digests and losses share one ticker.

--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -9,6 +9,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync/atomic"
@@ -71,6 +72,8 @@
 	Hold time.Duration
 	// Retry is the mean time between failing calls of a host that does not read for others.
 	Retry time.Duration
+	// CheckAfter is when the duty of a host that does not call is checked again; 0 stands for DutyCheckInterval.
+	CheckAfter time.Duration
 }
 
 const (
@@ -118,8 +121,10 @@
 	// Spacing is the minimum time between a change and the next call, so that changes in short succession are read
 	// in one call.
 	Spacing = 250 * time.Millisecond
-	// DutyCheckInterval is the time between two checks of the duty of a host that does not call.
-	DutyCheckInterval = 100 * time.Millisecond
+	// DutyCheckInterval is the time between two checks of the duty of a host that does not call, and RareDutyCheckInterval
+	// the same for hosts of a large fleet, which rarely have to call.
+	DutyCheckInterval     = 100 * time.Millisecond
+	RareDutyCheckInterval = 500 * time.Millisecond
 )
 
 // Parts are the dependencies of a Follower.
@@ -187,7 +192,7 @@
 			f.stopReading()
 		}
 		if !f.mustCall(duty) {
-			lifetime.Sleep(ctx, DutyCheckInterval)
+			lifetime.Sleep(ctx, cmp.Or(duty.CheckAfter, DutyCheckInterval))
 			continue
 		}
 		isLast, err := f.readNext(ctx, duty)
--- a/internal/front/followers.go
+++ b/internal/front/followers.go
@@ -67,7 +67,11 @@
 		}
 		before = order.Hosts
 	}
-	return follow.Duty{Call: state.MustAsk(topic, before, g.StorePatience()), Retry: freshness.AskRetry(order.Hosts)}
+	duty := follow.Duty{Call: state.MustAsk(topic, before, g.StorePatience()), Retry: freshness.AskRetry(order.Hosts)}
+	if g.UsesAggregators() && g.IsSettled() {
+		duty.CheckAfter = follow.RareDutyCheckInterval
+	}
+	return duty
 }
 
 func newFollowers(p followerParts) *followers {
--- a/internal/front/gossip/fetch.go
+++ b/internal/front/gossip/fetch.go
@@ -98,18 +98,21 @@
 // pollWhenStale polls members for topics that have not been confirmed for too long, until done is closed: the store may
 // not answer this host, and heartbeats of hosts with newer revisions may be lost.
 func (g *Gossip) pollWhenStale(done <-chan struct{}) {
-	ticker := time.NewTicker(pollCheckInterval)
-	defer ticker.Stop()
 	var polledAt [freshness.NumTopics]time.Time
+	isLarge := false
 	for {
+		interval := pollCheckInterval
+		if isLarge {
+			interval = pollInterval
+		}
 		select {
-		case <-ticker.C:
+		case <-time.After(interval):
 		case <-done:
 			return
 		}
 		before := g.Order().Before
 		now := g.parts.Clock()
-		isLarge := g.UsesAggregators()
+		isLarge = g.UsesAggregators()
 		for t := range freshness.NumTopics {
 			if isLarge && now.Sub(polledAt[t]) >= pollInterval && g.parts.Host.MustAsk(t, before) {
 				// A member whose state is confirmed answers with its confirmations, and changes are fetched then.
--- a/internal/front/gossip/large_test.go
+++ b/internal/front/gossip/large_test.go
@@ -155,7 +155,7 @@
 			c := qt.New(t)
 			m := newLargeFleet(150).viewOf(0)
 			lost := make(map[string]bool)
-			for at := time.Duration(0); at < 4800*time.Millisecond; at += watchInterval {
+			for at := time.Duration(0); at < minMemberTimeout+watchers*watcherStep+2*watchInterval; at += watchInterval {
 				if at >= time.Second && at < time.Second+test.gap {
 					continue
 				}
--- a/internal/front/gossip/membership.go
+++ b/internal/front/gossip/membership.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 	"storj.io/drpc"
 
+	"oxbowslip.dev/oxbowslip/internal/backoff"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/announce"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
@@ -27,13 +28,14 @@
 	// lostRepeats is the number of repetitions of a report of a loss, and repeatInterval the time between them. If many
 	// hosts fail together, most ways of the first message lead through failed ones.
 	lostRepeats    = 2
-	repeatInterval = 700 * time.Millisecond
+	repeatInterval = 500 * time.Millisecond
 	// maxUpdateRecords bounds the Records and reports of losses in a message of some 5 KB.
 	maxUpdateRecords = 64
 	// maxIntroducers is the number of contacts that a host asks to send its Record to all hosts.
 	maxIntroducers = 2
-	// digestInterval is the mean time between two digests.
+	// digestInterval is the mean time between two digests, digestSpread the fraction of it over which they are spread.
 	digestInterval = time.Second
+	digestSpread   = 0.5
 	// digestQuietTime is how long the own list must not have changed before a different one is fetched: a change that is
 	// on its way to all hosts needs no fetch.
 	digestQuietTime = 500 * time.Millisecond
@@ -132,26 +134,32 @@
 
 // maintainMembers sends changes of the members and digests, and watches some members, until done is closed.
 func (g *Gossip) maintainMembers(done <-chan struct{}) {
-	go lifetime.Every(done, digestInterval, g.parts.Random, func(context.Context) { g.sendDigests(1) })
-	check, repeat := time.NewTicker(watchInterval), time.NewTicker(repeatInterval)
+	// updates is nil while there are none to send.
+	var updates <-chan time.Time
+	check := time.NewTicker(watchInterval)
 	defer check.Stop()
-	defer repeat.Stop()
+	var repeatAt, digestAt time.Time
 	for {
 		select {
 		case <-g.membership.wanted:
-			delay := time.NewTimer(updateDelay)
-			select {
-			case <-delay.C:
-			case <-done:
-				delay.Stop()
-				return
+			if updates == nil {
+				updates = time.After(updateDelay)
 			}
+		case <-updates:
+			updates = nil
 			g.sendUpdates((*announce.List[LostRecord]).Unsent)
-		case <-repeat.C:
-			g.sendUpdates((*announce.List[LostRecord]).All)
-			g.logChanges()
 		case <-check.C:
+			now := g.parts.Clock()
 			g.watchMembers()
+			if !now.Before(repeatAt) {
+				repeatAt = now.Add(repeatInterval)
+				g.sendUpdates((*announce.List[LostRecord]).All)
+				g.logChanges()
+			}
+			if !now.Before(digestAt) {
+				digestAt = now.Add(backoff.Spread(digestInterval, digestSpread, g.parts.Random()))
+				g.sendDigests(1)
+			}
 		case <-done:
 			return
 		}
--- a/internal/front/gossip/watch.go
+++ b/internal/front/gossip/watch.go
@@ -22,16 +22,16 @@
 	// several times.
 	newlyWatchedTimeout = 2500 * time.Millisecond
 	// watchInterval is the time between two checks of the watched hosts.
-	watchInterval = 200 * time.Millisecond
+	watchInterval = 300 * time.Millisecond
 	// watcherStep is added to minMemberTimeout for each watcher that is closer to the silent host. The first one usually
 	// reports for all.
-	watcherStep = 200 * time.Millisecond
+	watcherStep = 100 * time.Millisecond
 	// isolationTime is how long a host may receive no message before it counts itself as isolated. Everyone is then silent
 	// to it, and its reports would be wrong.
 	isolationTime = 1500 * time.Millisecond
 	// maxWatchGap is the time between two checks above which this host was suspended or starved itself. Silence during
 	// that time says nothing.
-	maxWatchGap = 5 * watchInterval
+	maxWatchGap = 4 * watchInterval
 )
 
 // watch is this host's state as a watcher.
