--- a/internal/front/gossip/envelope.go
+++ b/internal/front/gossip/envelope.go
@@ -122,15 +122,15 @@
 	case envelope.KindMembers:
 		g.handleUpdates(e.Body)
 		return
-	case envelope.KindMembersDigest:
-		g.handleDigest(e.Incarnation, e.Body, from)
-		return
-	case envelope.KindRelay:
-		if from == "" {
-			g.refuse(counters.RefusedMalformed, "a relayed message contains another one", nil)
-			return
+	case envelope.KindMembersDigest, envelope.KindRelay:
+		switch {
+		case from == "":
+			g.refuse(counters.RefusedMalformed, "a relayed message contains one that is never relayed", nil)
+		case e.Kind == envelope.KindRelay:
+			g.handleRelay(e.Body)
+		default:
+			g.handleDigest(e.Incarnation, e.Body, from)
 		}
-		g.handleRelay(e.Body)
 		return
 	}
 	handler, known := g.handlers[e.Kind]
--- a/internal/front/gossip/golden_test.go
+++ b/internal/front/gossip/golden_test.go
@@ -61,6 +61,14 @@
 		"confirmation-in-era": &[]TopicConfirmation{{Newest: 1, Revision: 2<<40 | 3, AsOf: 4}},
 		"want":                &SyncRequest{Settings: 1, Directory: 2},
 		"news":                &SyncResponse{Settings: []byte("settings"), Base: 1, Snapshot: &DirectorySnapshot{Revision: 2, Changed: 3, Entries: []byte("entries")}},
+		"members": &MemberUpdates{
+			Records: []Record{{Host: "h", Address: "10.0.0.2:2", Zone: "b", Incarnation: 1, Start: 2, Generation: 3, LinkMbps: 4}},
+			Lost:    []LostRecord{{Host: "g", Start: 5, Generation: 6}}, PassOn: true,
+		},
+		"members-digest":   &MembersDigest{Sum: 1, Hosts: 2, Topics: []TopicConfirmation{{Newest: 3, Revision: 4, AsOf: 5}}},
+		"members-request":  &MembersRequest{Digest: []uint64{1, 2}},
+		"members-response": &MembersResponse{Updates: []byte{1}},
+		"relay":            &Relay{Origin: 1, Number: 2, From: 3, To: 4, By: []uint64{5}, Datagram: []byte{6}},
 		"entries": &[]EndpointChange{
 			{ID: "e1", Service: "llm", Address: "10.0.0.1:1", Zone: "a", Version: "v2", Slots: 14},
 		},
