--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -148,7 +148,7 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	q := v.newQueryFrom(now, request, from, candidates)
+	q := v.newQuery(now, request, from, candidates)
 	compared := candidates
 	if from.index == nil {
 		compared = v.sample(q, candidates)
@@ -180,12 +180,8 @@
 	return v.random != nil && v.random()*float64(equal) >= float64(equal-1)
 }
 
-func (v *View) newQuery(now time.Time, service string, request *admission.Request, endpoints, candidates []*directory.Entry) *query {
-	return v.newQueryFrom(now, request, &pool{service: service, endpoints: endpoints}, candidates)
-}
-
-// newQueryFrom is newQuery for the candidates from a pool.
-func (v *View) newQueryFrom(now time.Time, request *admission.Request, from *pool, candidates []*directory.Entry) *query {
+// newQuery returns a request with the values that the costs of the candidates from a pool depend on.
+func (v *View) newQuery(now time.Time, request *admission.Request, from *pool, candidates []*directory.Entry) *query {
 	engines := v.engines.get(keys.OfService(from.service))
 	q := &query{request: request, engines: engines, endpoints: len(from.endpoints), isLong: engines.IsLong(keys.OfClass(request.Class))}
 	q.shortSet = v.partitions.get(from.service, from.endpoints, min(engines.ShortEndpoints(), len(from.endpoints)-1), v.pace)
--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -201,17 +201,12 @@
 // lateRetryAfter returns when a refused request can return and end in time at one of the usable endpoints if nothing
 // else arrives: once the prompts there have been read down far enough. If that takes longer than maxLateRetry, it returns
 // maxLateRetry. If the last endpoint has left since the refusal, it returns minLateRetry. Random is in [0, 1).
-func (v *View) lateRetryAfter(now time.Time, service string, request *admission.Request, endpoints, usable []*directory.Entry, random float64) time.Duration {
-	return v.lateRetryAfterFrom(now, request, &pool{service: service, endpoints: endpoints}, usable, random)
-}
-
-// lateRetryAfterFrom is lateRetryAfter for the usable endpoints from a pool.
-func (v *View) lateRetryAfterFrom(now time.Time, request *admission.Request, from *pool, usable []*directory.Entry, random float64) time.Duration {
+func (v *View) lateRetryAfter(now time.Time, request *admission.Request, from *pool, usable []*directory.Entry, random float64) time.Duration {
 	if len(from.endpoints) == 0 {
 		return minLateRetry
 	}
 	candidates := v.candidates(now, request, usable)
-	q := v.newQueryFrom(now, request, from, candidates)
+	q := v.newQuery(now, request, from, candidates)
 	queues := make([]endpointQueue, 0, len(candidates))
 	for _, e := range candidates {
 		choice := v.evaluate(q, e)
--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -291,7 +291,7 @@
 		t.Run(name, func(t *testing.T) {
 			v, request, endpoints := finishView(), finishRequest(2, 10), entries("e1", "e2")
 			test.prepare(v, request)
-			got := v.evaluate(v.newQuery(start, "llm", request, endpoints, endpoints), endpoints[0])
+			got := v.evaluate(v.newQuery(start, request, &pool{service: "llm", endpoints: endpoints}, endpoints), endpoints[0])
 			qt.Check(t, got.PredictedEnd.Round(5*time.Millisecond), qt.Equals, test.want)
 			qt.Check(t, got.CanEnd, qt.IsTrue)
 		})
@@ -361,7 +361,7 @@
 			for _, id := range test.unreliable {
 				v.setUnreliable(id, 9, 0)
 			}
-			qt.Check(t, v.lateRetryAfter(start, "llm", request, endpoints, endpoints, 0), qt.Equals, test.want)
+			qt.Check(t, v.lateRetryAfter(start, request, &pool{service: "llm", endpoints: endpoints}, endpoints, 0), qt.Equals, test.want)
 		})
 	}
 }
@@ -400,7 +400,7 @@
 			v.loads.SetPeer(start, "peer", loads)
 			request := finishRequest(1, 0)
 			request.Class = "long"
-			c.Check(v.lateRetryAfter(start, "llm", request, all, all, 0), qt.Equals, test.want)
+			c.Check(v.lateRetryAfter(start, request, &pool{service: "llm", endpoints: all}, all, 0), qt.Equals, test.want)
 		})
 	}
 }
@@ -655,7 +655,7 @@
 			if test.callerLeft > 0 {
 				request.CallerDeadline = start.Add(test.callerLeft)
 			}
-			qt.Check(t, v.lateRetryAfter(start, "llm", request, endpoints, endpoints, test.random), qt.Equals, test.want)
+			qt.Check(t, v.lateRetryAfter(start, request, &pool{service: "llm", endpoints: endpoints}, endpoints, test.random), qt.Equals, test.want)
 		})
 	}
 }
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -354,7 +354,7 @@
 		listed = p.view.shortlist(index, service, request)
 	}
 	usable, _ := p.parts.Rests.Usable(listed)
-	return p.view.lateRetryAfterFrom(now, request, from, usable, random)
+	return p.view.lateRetryAfter(now, request, from, usable, random)
 }
 
 // recordRefusal counts a request that was refused for lack of room, or because all endpoints rest or are limited.
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -236,7 +236,7 @@
 		request.FirstToken = time.Second
 		before := math.MinInt
 		for range 80 {
-			q := v.newQuery(start, "llm", request, all, all)
+			q := v.newQuery(start, request, &pool{service: "llm", endpoints: all}, all)
 			cost := v.evaluate(q, all[0]).Cost
 			c.Check(cost >= before, qt.IsTrue)
 			before = cost
@@ -766,7 +766,7 @@
 			if test.holder != "" {
 				v.holders.Record(start, Holder{Prefix: 7, Endpoint: keys.OfEndpoint(test.holder)})
 			}
-			q := v.newQuery(start, "llm", long(7), three, three)
+			q := v.newQuery(start, long(7), &pool{service: "llm", endpoints: three}, three)
 			qt.Check(t, v.evaluate(q, three[0]).Tokens, qt.Equals, test.unread)
 		})
 	}
