Connections to one of many endpoints are used again; a lone host finds a fleet sooner

Of equal endpoints of a service with 64 or more, one to which the host has a connection is preferred. - a host that starts before its first peers tried them again after 3 s, and registered in the store meanwhile. It tries them every 0.2 s while alone. - a change that two readers pushed was decoded twice by each host.

--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -97,15 +97,17 @@
 // randomNumber returns a random number in [0, 1).
 func randomNumber() float64 { return rand.Float64() }
 
-// lateParts holds components that others refer to before they are constructed, which breaks three cycles: gossip
+// lateParts holds components that others refer to before they are constructed, which breaks four cycles: gossip
 // reports the state of placement, settings and endpoints, which notify gossip of changes; gossip determines whether this
-// host reads the store, and reports to peers whether it does; and placement asks for slots, which are granted by the
-// loads that placement knows. The fields are set while the host is wired, before any component runs.
+// host reads the store, and reports to peers whether it does; placement asks for slots, which are granted by the
+// loads that placement knows; and placement prefers endpoints to which the client has a connection, which reports lost
+// paths to placement. The fields are set while the host is wired, before any component runs.
 type lateParts struct {
 	placer    atomic.Pointer[placement.Placer]
 	gossip    atomic.Pointer[gossip.Gossip]
 	sync      atomic.Pointer[peersync.Sync]
 	followers atomic.Pointer[followers]
+	client    atomic.Pointer[upstream.Client]
 }
 
 // onRevisionChange requests an urgent heartbeat, so that peers receive a new revision without delay.
@@ -171,8 +173,10 @@
 	})
 }
 
-func newUpstreamClient(deployment Deployment, dialer *tunnel.Dialer, clock func() time.Time) *upstream.Client {
-	return upstream.New(upstream.Config{AnswerID: deployment.Dialect.AnswerID, KeepIdle: endpointIdleTimeout, Dialer: dialer}, clock)
+func newUpstreamClient(deployment Deployment, dialer *tunnel.Dialer, clock func() time.Time, late *lateParts) *upstream.Client {
+	client := upstream.New(upstream.Config{AnswerID: deployment.Dialect.AnswerID, KeepIdle: endpointIdleTimeout, Dialer: dialer}, clock)
+	late.client.Store(client)
+	return client
 }
 
 // placerParts are the dependencies of the placer.
@@ -204,6 +208,10 @@
 	if p.Pace != nil {
 		parts.Pace = p.Pace
 	}
+	parts.HasIdle = func(address string) bool {
+		client := p.Late.client.Load()
+		return client != nil && client.HasIdle(address)
+	}
 	placer := placement.New(parts)
 	p.Late.placer.Store(placer)
 	p.Directory.OnRestart(placer.ResetEndpoint)
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -365,7 +365,11 @@
 	case <-done:
 		return false
 	}
-	idle := time.NewTimer(backoff.Spread(idleInterval, idleSpread, g.parts.Random()))
+	interval := idleInterval
+	if g.isAlone() {
+		interval = aloneInterval
+	}
+	idle := time.NewTimer(backoff.Spread(interval, idleSpread, g.parts.Random()))
 	defer idle.Stop()
 	select {
 	case <-g.heartbeatWanted:
@@ -377,6 +381,13 @@
 	return true
 }
 
+// isAlone reports whether this host has just started and found no peer: its first peers may start just then as well.
+func (g *Gossip) isAlone() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Count() == 0 && g.parts.Clock().Sub(g.started) < maxSettleTime
+}
+
 // expireMembers drops the members that have timed out.
 func (g *Gossip) expireMembers() {
 	g.mu.Lock()
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -318,6 +318,10 @@
 // AnnouncementTargets returns the addresses that are due for an announcement: those of unknown senders, and those that
 // belong to no member. They count as tried.
 func (m *Members) AnnouncementTargets(now time.Time) []string {
+	interval := contactInterval
+	if len(m.live) == 0 {
+		interval = aloneInterval
+	}
 	// This host's own address is left out: 300 hosts that announce themselves to themselves send 100 useless datagrams
 	// a second.
 	ofMembers := map[string]bool{m.address: true}
@@ -329,7 +333,7 @@
 	var addresses []string
 	for address, entry := range m.contacts {
 		wanted := entry.hasUnknownSender || !ofMembers[address]
-		if !wanted || (!entry.lastTriedAt.IsZero() && now.Sub(entry.lastTriedAt) < contactInterval) {
+		if !wanted || (!entry.lastTriedAt.IsZero() && now.Sub(entry.lastTriedAt) < interval) {
 			continue
 		}
 		entry.lastTriedAt, entry.hasUnknownSender = now, false
--- a/internal/front/gossip/rules.go
+++ b/internal/front/gossip/rules.go
@@ -14,6 +14,8 @@
 const (
 	// idleInterval is the mean time between heartbeats while nothing changes.
 	idleInterval = time.Second
+	// aloneInterval is the same for a host that has just started and found no peer.
+	aloneInterval = 200 * time.Millisecond
 	// idleSpread is the fraction of idleInterval over which heartbeats are spread.
 	idleSpread = 0.5
 	// pacePerHost and minPace space the heartbeats that report changes. The more peers a host has, the less often it
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -269,6 +269,9 @@
 // applyChanges applies a peer's changes. It returns false if this host lacks earlier changes or an entry of which only
 // the state changes, or if the changes cannot be decompressed.
 func (s *Endpoints) applyChanges(peer string, response *gossip.ChangesResponse) bool {
+	if s.parts.Directory.Revision() >= response.To {
+		return true
+	}
 	entries, err := decompressChanges(response.Entries)
 	if err == nil {
 		var states []directory.Change
--- a/internal/front/placement/bench_test.go
+++ b/internal/front/placement/bench_test.go
@@ -18,6 +18,9 @@
 		ids[n] = fmt.Sprint("endpoint-", n)
 	}
 	p := newPlacerOf(func() time.Time { return start }, true, ids...)
+	for n, e := range p.parts.Directory.Serving("llm") {
+		e.Endpoint.Address = fmt.Sprintf("10.1.%d.%d:80", n/250, n%250+1)
+	}
 	random := rand.New(rand.NewPCG(seed, seed))
 	p.parts.Random, p.view.random = random.Float64, random.Float64
 	return p
@@ -59,6 +62,32 @@
 	c.Check(len(alone) > hosts/2, qt.IsTrue, qt.Commentf("%d endpoints", len(alone)))
 }
 
+// TestConnectionsAreReused checks that a host of a large fleet prefers one of many equal endpoints to which it has a
+// connection, and that it does not in a service with few.
+func TestConnectionsAreReused(t *testing.T) {
+	tests := map[string]struct {
+		endpoints int
+		reused    bool
+	}{
+		"many endpoints": {155, true},
+		"few endpoints":  {9, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			p := largePlacer(test.endpoints, 1)
+			chosen := make(map[string]bool)
+			connected := p.parts.Directory.Serving("llm")[3]
+			p.view.hasIdle = func(address string) bool { return address == connected.Endpoint.Address }
+			for range 20 {
+				choice, _ := p.view.Choose(start, "llm", short(), p.parts.Directory.Serving("llm"), p.parts.Directory.Serving("llm"), nil)
+				chosen[choice.Endpoint] = true
+			}
+			c.Check(len(chosen) == 1 && chosen[connected.ID], qt.Equals, test.reused)
+		})
+	}
+}
+
 // BenchmarkChooseFromLargeService measures the choice of a host of a large fleet.
 func BenchmarkChooseFromLargeService(b *testing.B) {
 	for _, number := range []int{100, 1000, 10_000, 35_000} {
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -49,6 +49,8 @@
 	// IsLimited is set if the endpoint has a limit, so that the request needs a permit; permit is the permit acquired.
 	IsLimited bool
 	permit    ratelimit.Permit
+	// address is the network address of the endpoint.
+	address string
 	// Slots is the number of requests that the endpoint runs concurrently; 0 means unknown.
 	Slots int
 	// Load is the load of the endpoint without this request.
@@ -160,7 +162,11 @@
 		switch {
 		case best.Endpoint == "" || choice.isBetter(&best):
 			best, equal = choice, 1
-		case !best.isBetter(&choice):
+		case best.isBetter(&choice):
+		case v.prefersConnected(from, &choice, &best):
+			best, equal = choice, 1
+		case v.prefersConnected(from, &best, &choice):
+		default:
 			// Equal endpoints are equally likely to be chosen: otherwise the first would get all requests at low load.
 			equal++
 			if v.replacesEqual(equal) {
@@ -175,6 +181,20 @@
 	return best, true
 }
 
+// minEndpointsToReuse is the number of endpoints of a service from which a host prefers one to which it has a connection. A
+// host before so many would hardly ever use a connection twice. With fewer, connections to all are kept anyway, and the
+// preference would send all requests of a quiet time to one endpoint.
+const minEndpointsToReuse = 64
+
+// prefersConnected reports whether a choice is preferred to an equal one because this host has a connection to the first
+// only.
+func (v *View) prefersConnected(from *pool, choice, other *Choice) bool {
+	if v.hasIdle == nil || len(from.endpoints) < minEndpointsToReuse {
+		return false
+	}
+	return v.hasIdle(choice.address) && !v.hasIdle(other.address)
+}
+
 // replacesEqual reports whether the last of a number of equal endpoints replaces the previous choice.
 func (v *View) replacesEqual(equal int) bool {
 	return v.random != nil && v.random()*float64(equal) >= float64(equal-1)
@@ -272,7 +292,7 @@
 
 // evaluate returns the cost of sending a request to an endpoint, with the figures behind it.
 func (v *View) evaluate(q *query, e *directory.Entry) Choice {
-	choice := Choice{Endpoint: e.ID, Version: e.Endpoint.Version, Slots: e.Endpoint.MaxInFlight, Load: v.loads.Total(e.ID)}
+	choice := Choice{Endpoint: e.ID, address: e.Endpoint.Address, Version: e.Endpoint.Version, Slots: e.Endpoint.MaxInFlight, Load: v.loads.Total(e.ID)}
 	key := keys.OfEndpoint(e.ID)
 	choice.RejectionShare = v.rejections.Share(key)
 	choice.ExcessFailures = v.failures.Excess(pushback.EndpointClass{Endpoint: key, Class: keys.OfClass(q.request.Class)}, q.endpoints)
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -52,6 +52,8 @@
 	Pace Pace
 	// Slots asks for the slots of busy plain services. If it is nil, this host decides alone.
 	Slots *slots.Client
+	// HasIdle reports whether this host has an idle connection to an address. If it is nil, connections do not matter.
+	HasIdle func(address string) bool
 	// Finish is set if requests that can't end within their time limit are refused.
 	Finish bool
 	Log    *logrus.Entry
@@ -85,7 +87,7 @@
 // New returns a placer with no requests in flight.
 func New(parts Parts) *Placer {
 	view := NewView()
-	view.random, view.rejections, view.failures = parts.Random, parts.Rejections, parts.Failures
+	view.random, view.rejections, view.failures, view.hasIdle = parts.Random, parts.Rejections, parts.Failures, parts.HasIdle
 	if parts.Pace != nil {
 		view.pace = parts.Pace
 	}
--- a/internal/front/placement/view.go
+++ b/internal/front/placement/view.go
@@ -23,6 +23,8 @@
 	finish *finishRule
 	// pace holds the speed of each endpoint.
 	pace Pace
+	// hasIdle reports whether this host has an idle connection to an address; nil if it does not matter.
+	hasIdle func(address string) bool
 	// random returns numbers in [0, 1) and selects the endpoints to compare. If it is nil, all are compared.
 	random func() float64
 }
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -54,6 +54,14 @@
 	c.putIdle(address, conn)
 }
 
+// HasIdle reports whether a connection to an address is kept for a later call.
+func (c *Client) HasIdle(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.idle[address]
+	return len(kept) > 0 && c.clock().Before(kept[len(kept)-1].expires)
+}
+
 func (c *Client) takeIdle(address string) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
