gossip: a large fleet of which half fails stays large

It also could have dropped members that others had watched, as these had sent it nothing. A fleet is large until it has less than 60 members, and a host that goes back gives every member the full time.

--- a/internal/front/gossip/digest.go
+++ b/internal/front/gossip/digest.go
@@ -27,7 +27,7 @@
 	// minPullInterval is the time between two fetches of members, and maxPullInterval the time after which different lists
 	// are fetched although the own one is changing.
 	minPullInterval = 300 * time.Millisecond
-	maxPullInterval = 2 * time.Second
+	maxPullInterval = time.Second
 	// pullCacheTime is how long the list of members for hosts that join is kept. Many join at a time, and each join
 	// changes the list.
 	pullCacheTime = 250 * time.Millisecond
--- a/internal/front/gossip/large_test.go
+++ b/internal/front/gossip/large_test.go
@@ -360,3 +360,18 @@
 		})
 	}
 }
+
+// TestShrunkFleetKeepsItsMembers loses more and more hosts of a large fleet. It stays large until less than half of the
+// smallest large fleet is left, and then drops no member only because others watched it.
+func TestShrunkFleetKeepsItsMembers(t *testing.T) {
+	c := qt.New(t)
+	const hosts, later = 150, time.Minute
+	m := newLargeFleet(hosts).viewOf(0)
+	for n := 1; n < hosts; n++ {
+		left := m.Count()
+		c.Check(m.IsLarge(), qt.Equals, left >= maxMembersOfShrunkFleet, qt.Commentf("%d members", left))
+		m.Expire(start.Add(later), minMemberTimeout)
+		c.Assert(m.Count(), qt.Equals, left)
+		m.ApplyLost(start.Add(later), &LostRecord{Host: fmt.Sprint("host-", n), Start: 1})
+	}
+}
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -54,6 +54,8 @@
 	nameByIncarnation map[uint32]string
 	// contacts are the addresses at which hosts may listen.
 	contacts map[string]*contact
+	// large is set if the fleet is large, and hasShrunk if it was until members were dropped after the last Expire.
+	large, hasShrunk bool
 	// own is this host as a member. It is not in live.
 	own Member
 	// lost are the members that were reported as lost.
@@ -169,6 +171,7 @@
 	m.nameByIncarnation[member.incarnation] = member.Name
 	m.digest.toggle(member)
 	m.index = nil
+	m.large = m.large || len(m.live) >= minMembersToAggregate
 }
 
 // ApplyReport records a report. It returns its sender, and whether the report is newer than the sender's last one.
@@ -259,6 +262,9 @@
 		delete(m.live, name)
 		m.digest.toggle(member)
 		m.index = nil
+		if m.large && len(m.live) < maxMembersOfShrunkFleet {
+			m.large, m.hasShrunk = false, true
+		}
 	}
 }
 
@@ -271,6 +277,13 @@
 			delete(m.contacts, address)
 		}
 	}
+	if m.hasShrunk {
+		// Members that had other watchers did not send heartbeats to this host.
+		m.hasShrunk = false
+		for _, member := range m.live {
+			member.lastSeen = now
+		}
+	}
 	var lost []string
 	for name, member := range m.live {
 		if !m.isWatched(member) && now.Sub(member.lastSeen) > limit {
@@ -294,7 +307,7 @@
 func (m *Members) Count() int { return len(m.live) }
 
 // IsLarge reports whether the fleet is so large that not every host sends messages to each other one.
-func (m *Members) IsLarge() bool { return len(m.live) >= minMembersToAggregate }
+func (m *Members) IsLarge() bool { return m.large }
 
 // randomRelay returns the address of a random member that exchanges Records, or "" if there is none. Random returns
 // numbers in [0, 1).
--- a/internal/front/gossip/membership.go
+++ b/internal/front/gossip/membership.go
@@ -74,8 +74,9 @@
 	}
 }
 
-// logChanges logs the changes of the members since the last call: many hosts join or fail at a time.
-func (g *Gossip) logChanges() {
+// logChanges logs the changes of the members since the last call: many hosts join or fail at a time. It reports whether
+// members were lost.
+func (g *Gossip) logChanges() bool {
 	g.mu.Lock()
 	c, hosts := g.membership.unlogged, g.members.Count()+1
 	g.membership.unlogged = memberChanges{}
@@ -86,6 +87,7 @@
 	if c.joined > 0 {
 		g.parts.Log.WithFields(logrus.Fields{"peer": c.joinedName, "joined": c.joined, "hosts": hosts}).Info("peers joined")
 	}
+	return c.lost > 0
 }
 
 // maintainMembers sends changes of the members and digests, and watches some members, until done is closed.
@@ -110,7 +112,10 @@
 			if !now.Before(repeatAt) {
 				repeatAt = now.Add(repeatInterval)
 				g.sendUpdates((*announce.List[LostRecord]).All)
-				g.logChanges()
+				if g.logChanges() {
+					// Reports of losses do not reach all hosts while many fail.
+					g.sendDigests(digestsPerPoll)
+				}
 			}
 			if !now.Before(digestAt) {
 				digestAt = now.Add(backoff.Spread(digestInterval, digestSpread, g.parts.Random()))
--- a/internal/front/gossip/rules.go
+++ b/internal/front/gossip/rules.go
@@ -61,6 +61,10 @@
 // make up most of the traffic between zones.
 const minMembersToAggregate = 120
 
+// maxMembersOfShrunkFleet is the number of members below which a fleet that was large is no longer. It is far below
+// minMembersToAggregate, since a large fleet of which half fails must not change the way in which it notices that.
+const maxMembersOfShrunkFleet = minMembersToAggregate / 2
+
 // The number of addresses of other hosts in an announcement. 64 addresses fit one datagram (TestHeartbeatBytes).
 const (
 	// manyAddresses are sent to a host that knows less than half as many hosts as the sender.
