--- a/internal/front/gossip/digest.go
+++ b/internal/front/gossip/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -129,7 +130,7 @@
 		return
 	}
 	g.membership.isPulling, g.membership.pulledAt = true, now
-	request := MembersRequest{Digest: g.members.digest[:]}
+	request := MembersRequest{Digest: slices.Clone(g.members.digest[:])}
 	go func() {
 		if err := g.fetchMembers(address, &request); err != nil {
 			g.parts.Log.WithError(err).WithField("address", address).Info("fetching members from a peer failed, another one is asked later")
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -366,9 +366,11 @@
 		return false
 	}
 	interval := idleInterval
+	g.mu.Lock()
 	if g.isAlone() {
 		interval = aloneInterval
 	}
+	g.mu.Unlock()
 	idle := time.NewTimer(backoff.Spread(interval, idleSpread, g.parts.Random()))
 	defer idle.Stop()
 	select {
@@ -381,10 +383,9 @@
 	return true
 }
 
-// isAlone reports whether this host has just started and found no peer: its first peers may start just then as well.
+// isAlone reports whether this host has just started and found no peer: its first peers may start just then as well. The
+// lock is held.
 func (g *Gossip) isAlone() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	return g.members.Count() == 0 && g.parts.Clock().Sub(g.started) < maxSettleTime
 }
 
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -27,6 +27,10 @@
 	heartbeat := g.newHeartbeat(state)
 	members := g.heartbeatTargets(isForCell)
 	announcement := g.newAnnouncement(true, 0)
+	g.members.contactInterval = contactInterval
+	if g.isAlone() {
+		g.members.contactInterval = aloneInterval
+	}
 	contacts, query := g.members.AnnouncementTargets(g.parts.Clock()), g.memberToQuery()
 	report := g.nextReport()
 	g.mu.Unlock()
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -52,8 +52,10 @@
 	live    map[string]*Member
 	// nameByIncarnation maps incarnations to members.
 	nameByIncarnation map[uint32]string
-	// contacts are the addresses at which hosts may listen.
-	contacts map[string]*contact
+	// contacts are the addresses at which hosts may listen, and contactInterval is the time between two announcements to
+	// one that does not answer.
+	contacts        map[string]*contact
+	contactInterval time.Duration
 	// large is set if the fleet is large, and hasShrunk if it was until members were dropped after the last Expire.
 	large, hasShrunk bool
 	// own is this host as a member. It is not in live.
@@ -70,7 +72,7 @@
 // NewMembers returns the view of a host without peers.
 func NewMembers(self, zone string) *Members {
 	return &Members{
-		self: self, zone: zone, live: make(map[string]*Member), nameByIncarnation: make(map[uint32]string), contacts: make(map[string]*contact),
+		self: self, zone: zone, live: make(map[string]*Member), nameByIncarnation: make(map[uint32]string), contacts: make(map[string]*contact), contactInterval: contactInterval,
 		own: Member{Name: self, Zone: zone, rank: Rank(self), relays: true}, lost: make(map[string]tombstone),
 	}
 }
@@ -331,10 +333,6 @@
 // AnnouncementTargets returns the addresses that are due for an announcement: those of unknown senders, and those that
 // belong to no member. They count as tried.
 func (m *Members) AnnouncementTargets(now time.Time) []string {
-	interval := contactInterval
-	if len(m.live) == 0 {
-		interval = aloneInterval
-	}
 	// This host's own address is left out: 300 hosts that announce themselves to themselves send 100 useless datagrams
 	// a second.
 	ofMembers := map[string]bool{m.address: true}
@@ -346,7 +344,7 @@
 	var addresses []string
 	for address, entry := range m.contacts {
 		wanted := entry.hasUnknownSender || !ofMembers[address]
-		if !wanted || (!entry.lastTriedAt.IsZero() && now.Sub(entry.lastTriedAt) < interval) {
+		if !wanted || (!entry.lastTriedAt.IsZero() && now.Sub(entry.lastTriedAt) < m.contactInterval) {
 			continue
 		}
 		entry.lastTriedAt, entry.hasUnknownSender = now, false
