--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -300,7 +300,7 @@
 	g := gossip.New(gossip.Parts{
 		Config: gossip.Config{
 			Name: p.Config.Name, Zone: p.Config.Zone, Address: p.Config.Peers, FirstPeers: p.Config.FirstPeers,
-			Fleet: fleetID(p.Config), LinkMbps: uint32(p.Config.LinkMbps),
+			Fleet: fleetID(p.Config), LinkMbit: uint32(p.Config.LinkMbit),
 		},
 		Host: sync, Network: p.Network, Log: logging.Part(p.Log, "peers"), Clock: p.Clock, Random: p.Random, CountSent: p.Counters.CountPeerBytes,
 		CountRefused: p.Counters.CountPeerRefused,
--- a/internal/front/gossip/golden_test.go
+++ b/internal/front/gossip/golden_test.go
@@ -62,7 +62,7 @@
 		"want":                &SyncRequest{Settings: 1, Directory: 2},
 		"news":                &SyncResponse{Settings: []byte("settings"), Base: 1, Snapshot: &DirectorySnapshot{Revision: 2, Changed: 3, Entries: []byte("entries")}},
 		"members": &MemberUpdates{
-			Records: []Record{{Host: "h", Address: "10.0.0.2:2", Zone: "b", Incarnation: 1, Start: 2, Generation: 3, LinkMbps: 4}},
+			Records: []Record{{Host: "h", Address: "10.0.0.2:2", Zone: "b", Incarnation: 1, Start: 2, Generation: 3, LinkMbit: 4}},
 			Lost:    []LostRecord{{Host: "g", Start: 5, Generation: 6}}, PassOn: true,
 		},
 		"members-digest":   &MembersDigest{Sum: 1, Hosts: 2, Topics: []TopicConfirmation{{Newest: 3, Revision: 4, AsOf: 5}}},
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -99,9 +99,9 @@
 	FirstPeers []string
 	// Fleet identifies the fleet; it is equal at all hosts of a fleet.
 	Fleet uint64
-	// LinkMbps is the bandwidth of this host's link in Mbit/s, or 0 if it is unknown. Hosts with faster links are
+	// LinkMbit is the bandwidth of this host's link in Mbit/s, or 0 if it is unknown. Hosts with faster links are
 	// preferred for tasks that carry more messages.
-	LinkMbps uint32
+	LinkMbit uint32
 }
 
 // Parts are the dependencies of a Gossip.
@@ -190,7 +190,7 @@
 	g.membership = membership{
 		records: announce.New[Record](0), lost: announce.New[LostRecord](lostRepeats), wanted: make(chan struct{}, 1),
 	}
-	g.members.SetOwn(g.address, g.incarnation, g.startNanos, parts.Config.LinkMbps)
+	g.members.SetOwn(g.address, g.incarnation, g.startNanos, parts.Config.LinkMbit)
 	g.Handle(envelope.KindConfirmation, g.handleRestoredConfirmation)
 	g.Handle(envelope.KindChanges, g.handleChanges)
 	g.streams[rpcMembers] = g.answerMembers
@@ -286,7 +286,7 @@
 		return merry.Prependf(err, "listen for peers on %s", g.address)
 	}
 	g.address = listener.Addr().String()
-	g.members.SetOwn(g.address, g.incarnation, g.startNanos, g.parts.Config.LinkMbps)
+	g.members.SetOwn(g.address, g.incarnation, g.startNanos, g.parts.Config.LinkMbit)
 	packets, err := g.parts.Network.ListenPacket(g.address)
 	if err != nil {
 		listener.Close()
--- a/internal/front/gossip/index.go
+++ b/internal/front/gossip/index.go
@@ -110,7 +110,7 @@
 // fastest links first, then by Rank. Hosts that do not exchange Records come last: they add up the work of whole zones.
 func sortForAggregation(cell []*Member) {
 	slices.SortStableFunc(cell, func(a, b *Member) int {
-		return cmp.Or(compareBool(b.relays, a.relays), cmp.Compare(b.linkMbps, a.linkMbps))
+		return cmp.Or(compareBool(b.relays, a.relays), cmp.Compare(b.linkMbit, a.linkMbit))
 	})
 }
 
--- a/internal/front/gossip/large_test.go
+++ b/internal/front/gossip/large_test.go
@@ -31,7 +31,7 @@
 	for n := range f.records {
 		f.records[n] = Record{
 			Host: fmt.Sprint("host-", n), Address: fmt.Sprintf("10.0.%d.%d:7000", n/250, n%250+1), Zone: fmt.Sprint("zone-", n%5),
-			Incarnation: uint32(n + 1), Start: 1, LinkMbps: 20,
+			Incarnation: uint32(n + 1), Start: 1, LinkMbit: 20,
 		}
 	}
 	return f
@@ -44,7 +44,7 @@
 	}
 	own := f.records[slices.IndexFunc(f.records, func(r Record) bool { return r.Address == address })]
 	m := NewMembers(own.Host, own.Zone)
-	m.SetOwn(own.Address, own.Incarnation, own.Start, own.LinkMbps)
+	m.SetOwn(own.Address, own.Incarnation, own.Start, own.LinkMbit)
 	for i := range f.records {
 		m.ApplyRecord(start, &f.records[i])
 	}
@@ -274,7 +274,7 @@
 			c := qt.New(t)
 			f := newLargeFleet(hosts)
 			a, b := f.viewOf(0), f.viewOf(hosts/2)
-			fast := Record{Host: "fast", Address: "10.9.0.1:1", Zone: "zone-0", Incarnation: math.MaxUint32, Start: 1, LinkMbps: 1000}
+			fast := Record{Host: "fast", Address: "10.9.0.1:1", Zone: "zone-0", Incarnation: math.MaxUint32, Start: 1, LinkMbit: 1000}
 			largest := 0
 			for _, m := range []*Members{a, b} {
 				m.ApplyRecord(start, &fast)
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -35,8 +35,8 @@
 	rank uint64
 	// relays is set if the member's version exchanges Records and passes messages on (relay.go).
 	relays bool
-	// linkMbps is the bandwidth of the member's link in Mbit/s, or 0 if it is unknown.
-	linkMbps uint32
+	// linkMbit is the bandwidth of the member's link in Mbit/s, or 0 if it is unknown.
+	linkMbit uint32
 	// watchedSince is when this host began to watch the member, probedAt when it last probed it.
 	watchedSince time.Time
 	probedAt     time.Time
@@ -78,9 +78,9 @@
 }
 
 // SetOwn sets what identifies this host to its peers, its Record included.
-func (m *Members) SetOwn(address string, incarnation uint32, startNanos int64, linkMbps uint32) {
+func (m *Members) SetOwn(address string, incarnation uint32, startNanos int64, linkMbit uint32) {
 	m.address = address
-	m.own.Address, m.own.incarnation, m.own.startNanos, m.own.linkMbps = address, incarnation, startNanos, linkMbps
+	m.own.Address, m.own.incarnation, m.own.startNanos, m.own.linkMbit = address, incarnation, startNanos, linkMbit
 	m.digest = digest{}
 	m.digest.toggle(&m.own)
 	for _, member := range m.live {
--- a/internal/front/gossip/roster.go
+++ b/internal/front/gossip/roster.go
@@ -40,8 +40,8 @@
 	Start int64
 	// Generation counts the reports of a loss that this start of the host has refuted.
 	Generation uint32
-	// LinkMbps is the bandwidth of the host's link in Mbit/s, or 0 if it is unknown.
-	LinkMbps uint32
+	// LinkMbit is the bandwidth of the host's link in Mbit/s, or 0 if it is unknown.
+	LinkMbit uint32
 }
 
 // LostRecord reports that a start of a host is lost or has left, up to a generation.
@@ -82,7 +82,7 @@
 func recordOf(member *Member) Record {
 	return Record{
 		Host: member.Name, Address: member.Address, Zone: member.Zone, Incarnation: member.incarnation,
-		Start: member.startNanos, Generation: member.generation, LinkMbps: member.linkMbps,
+		Start: member.startNanos, Generation: member.generation, LinkMbit: member.linkMbit,
 	}
 }
 
@@ -126,14 +126,14 @@
 	case !ok || r.Start > member.startNanos:
 		m.add(now, &Member{
 			Name: r.Host, Address: r.Address, Zone: r.Zone, incarnation: r.Incarnation, startNanos: r.Start,
-			generation: r.Generation, relays: true, linkMbps: r.LinkMbps,
+			generation: r.Generation, relays: true, linkMbit: r.LinkMbit,
 		})
 		return Joined
 	case r.Start < member.startNanos || r.Incarnation != member.incarnation || (member.relays && r.Generation <= member.generation):
 		return Unchanged
 	}
 	m.digest.toggle(member)
-	member.generation, member.relays, member.linkMbps = r.Generation, true, r.LinkMbps
+	member.generation, member.relays, member.linkMbit = r.Generation, true, r.LinkMbit
 	m.digest.toggle(member)
 	m.index = nil
 	return Updated
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -50,9 +50,9 @@
 	Metrics   string `json:"metrics,omitzero"`
 	// MemoryMB is the memory limit of the host, in MB; 0 means no limit.
 	MemoryMB int `json:"memory_mb,omitzero"`
-	// LinkMbps is the bandwidth of the host's link in Mbit/s; 0 means that it is unknown. Hosts with faster links add up
+	// LinkMbit is the bandwidth of the host's link in Mbit/s; 0 means that it is unknown. Hosts with faster links add up
 	// the work of others in a large fleet.
-	LinkMbps float64 `json:"link_mbps,omitzero"`
+	LinkMbit float64 `json:"link_mbps,omitzero"`
 	// Retries limits the retries of all hosts together.
 	Retries Retries `json:"retries,omitzero"`
 	// Provider is the provider of the endpoints. Without its address, the hosts elect no leader.
