tunnel: a tunnel of which all data are read is quiet at once

Traced: the receiving goroutine cleared the mark of pending data after Read had returned them, so that IsQuiet was false for a moment and the tunnel was not used again.

--- a/internal/front/tunnel/conn.go
+++ b/internal/front/tunnel/conn.go
@@ -29,8 +29,9 @@
 	received chan []byte
 	endErr   error
 	rest     []byte
-	// isPending is set while received data wait for Read, isEnding once the tunnel must not be used for another call.
-	isPending atomic.Bool
+	// pending counts the received data that wait for Read. isEnding is set once the tunnel must not be used for another
+	// call.
+	pending   atomic.Int32
 	isEnding  atomic.Bool
 	closeOnce sync.Once
 	closed    chan struct{}
@@ -55,14 +56,13 @@
 		}
 		switch chunk.Kind {
 		case ChunkData:
-			c.isPending.Store(true)
+			c.pending.Add(1)
 			select {
 			case c.received <- chunk.Data:
 			case <-c.closed:
 				c.endErr = merry.Wrap(io.ErrClosedPipe)
 				return
 			}
-			c.isPending.Store(false)
 		case ChunkEnd:
 			c.endErr = io.EOF
 			return
@@ -82,6 +82,7 @@
 		if !ok {
 			return 0, c.endErr
 		}
+		c.pending.Add(-1)
 		c.rest = data
 	}
 	n := copy(p, c.rest)
@@ -117,5 +118,5 @@
 // IsQuiet reports whether the idle tunnel may be used for another call: it has not ended, and no unread bytes have
 // arrived.
 func (c *Conn) IsQuiet() bool {
-	return !c.isEnding.Load() && !c.isPending.Load() && len(c.rest) == 0
+	return !c.isEnding.Load() && c.pending.Load() == 0 && len(c.rest) == 0
 }
