--- a/internal/front/gossip/roster.go
+++ b/internal/front/gossip/roster.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
 // The hosts of a large fleet learn of each other by Records, which any host may pass on, rather than by an announcement
@@ -195,7 +195,7 @@
 	if !member.relays {
 		return
 	}
-	hash := mix(mix(member.rank^uint64(member.startNanos)) ^ uint64(member.generation))
+	hash := keys.MixBits(keys.MixBits(member.rank^uint64(member.startNanos)) ^ uint64(member.generation))
 	d[bucketOf(member.rank)] ^= hash
 }
 
@@ -206,20 +206,11 @@
 func (d *digest) sum() uint64 {
 	var sum uint64
 	for _, bucket := range d {
-		sum = mix(sum ^ bucket)
+		sum = keys.MixBits(sum ^ bucket)
 	}
 	return sum
 }
 
-// mix spreads the bits of a number over the hash of it.
-func mix(n uint64) uint64 {
-	var bytes [8]byte
-	for i := range bytes {
-		bytes[i] = byte(n >> (8 * i))
-	}
-	return xxhash.Sum64(bytes[:])
-}
-
 // RecordsIn returns the Records and the reports of losses in the buckets in which a peer's digest differs from this
 // host's. A peer's digest of the wrong length differs in all.
 func (m *Members) RecordsIn(theirs []uint64) (records []Record, lost []LostRecord) {
--- a/internal/front/keys/keys.go
+++ b/internal/front/keys/keys.go
@@ -103,3 +103,12 @@
 
 // textSeparator separates the texts of an Identity; none of them can contain it.
 var textSeparator = [1]byte{0}
+
+// MixBits spreads the bits of a hash over all bits of the result (the finalizer of MurmurHash3).
+func MixBits(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
--- a/internal/front/peersync/endpoints.go
+++ b/internal/front/peersync/endpoints.go
@@ -135,10 +135,7 @@
 	if len(changes) > maxDeltaChanges {
 		return
 	}
-	s.delta, s.heartbeatsLeft = &gossip.DirectoryDelta{From: from, To: to}, heartbeatsPerChange
-	for i := range changes {
-		s.delta.Changes = append(s.delta.Changes, toMessage(&changes[i]))
-	}
+	s.delta, s.heartbeatsLeft = &gossip.DirectoryDelta{From: from, To: to, Changes: messagesOf(changes)}, heartbeatsPerChange
 }
 
 // schedulePending adds changes to those that are still to be sent to all hosts of a large fleet. The lock is held.
--- a/internal/front/placement/affinity.go
+++ b/internal/front/placement/affinity.go
@@ -80,19 +80,10 @@
 func rendezvous(key uint64, endpoints []*directory.Entry) string {
 	best, highest := "", uint64(0)
 	for _, e := range endpoints {
-		hash := mixBits(key ^ xxhash.Sum64String(e.ID))
+		hash := keys.MixBits(key ^ xxhash.Sum64String(e.ID))
 		if best == "" || hash > highest {
 			best, highest = e.ID, hash
 		}
 	}
 	return best
 }
-
-// mixBits spreads the bits of a hash (the finalizer of MurmurHash3).
-func mixBits(h uint64) uint64 {
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	h ^= h >> 33
-	h *= 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
--- a/internal/front/placement/partition.go
+++ b/internal/front/placement/partition.go
@@ -24,7 +24,7 @@
 	speed := func(e *directory.Entry) pace.Speed { return speeds[keys.OfEndpoint(e.ID)] }
 	ordered := slices.Clone(endpoints)
 	slices.SortFunc(ordered, func(a, b *directory.Entry) int {
-		return cmp.Or(cmp.Compare(speed(a), speed(b)), cmp.Compare(mixBits(xxhash.Sum64String(a.ID)), mixBits(xxhash.Sum64String(b.ID))))
+		return cmp.Or(cmp.Compare(speed(a), speed(b)), cmp.Compare(keys.MixBits(xxhash.Sum64String(a.ID)), keys.MixBits(xxhash.Sum64String(b.ID))))
 	})
 	set := make(shortSet, number)
 	for _, e := range ordered[:min(number, len(ordered))] {
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -349,12 +349,7 @@
 	index := p.parts.Directory.Index(service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	from := &pool{service: service, endpoints: index.Serving}
-	listed := index.Serving
-	if len(index.Serving) > maxCompared {
-		from.index = index
-		listed = p.view.shortlist(index, service, request)
-	}
+	from, listed := p.view.listed(index, service, request)
 	usable, _ := p.parts.Rests.Usable(listed)
 	return p.view.lateRetryAfter(now, request, from, usable, random)
 }
--- a/internal/front/placement/shortlist.go
+++ b/internal/front/placement/shortlist.go
@@ -113,15 +113,23 @@
 	return holding
 }
 
+// listed returns the pool of a service's endpoints, and those of them to compare for a request: a shortlist, or all.
+func (v *View) listed(index *directory.Index, service string, request *admission.Request) (*pool, []*directory.Entry) {
+	from := &pool{service: service, endpoints: index.Serving, leaving: index.Leaving}
+	if len(index.Serving) <= maxCompared {
+		return from, index.Serving
+	}
+	from.index = index
+	return from, v.shortlist(index, service, request)
+}
+
 // candidatesFrom returns the endpoints of a service that may be chosen for a request, and the pool that they are from. The
 // other results are those of candidates. If a shortlist has none, all endpoints are read. The lock is held.
 func (p *Placer) candidatesFrom(now time.Time, service string, request *admission.Request, mayAsk bool) (from *pool, candidates []*directory.Entry, free time.Time, reason admission.Reason) {
 	index := p.parts.Directory.Index(service)
-	from = &pool{service: service, endpoints: index.Serving, leaving: index.Leaving}
-	if len(index.Serving) > maxCompared {
-		from.index = index
-		listed := withVersion(p.view.shortlist(index, service, request), request)
-		if len(listed) > 0 {
+	from, listed := p.view.listed(index, service, request)
+	if from.index != nil {
+		if listed = withVersion(listed, request); len(listed) > 0 {
 			if candidates, free, reason = p.candidates(now, request, listed, mayAsk); reason == "" && free.IsZero() && len(candidates) > 0 {
 				return from, candidates, free, reason
 			}
