--- a/internal/front/follow/follow.go
+++ b/internal/front/follow/follow.go
@@ -122,9 +122,11 @@
 	// in one call.
 	Spacing = 250 * time.Millisecond
 	// DutyCheckInterval is the time between two checks of the duty of a host that does not call, and RareDutyCheckInterval
-	// the same for hosts of a large fleet, which rarely have to call.
-	DutyCheckInterval     = 100 * time.Millisecond
-	RareDutyCheckInterval = 500 * time.Millisecond
+	// the same for hosts of a large fleet, which rarely have to call. FirstDutyCheckInterval is that of a host that waits for
+	// its first peers.
+	DutyCheckInterval      = 100 * time.Millisecond
+	RareDutyCheckInterval  = 500 * time.Millisecond
+	FirstDutyCheckInterval = 10 * time.Millisecond
 )
 
 // Parts are the dependencies of a Follower.
--- a/internal/front/followers.go
+++ b/internal/front/followers.go
@@ -65,6 +65,10 @@
 		if state.Age(topic) == freshness.UnknownAge && g.MustReadFirst() {
 			return follow.Duty{Call: true}
 		}
+		if order.Hosts == 1 {
+			// A peer that answers now may make this host ready before the store has confirmed its state.
+			return follow.Duty{CheckAfter: follow.FirstDutyCheckInterval}
+		}
 		before = order.Hosts
 	}
 	duty := follow.Duty{Call: state.MustAsk(topic, before, g.StorePatience()), Retry: freshness.AskRetry(order.Hosts)}
