silence: logs and metrics tell why a host ended a call

The step of a call that this host gave up said 'use of closed network connection', whatever the reason. It now names the cause (endpoint stalled, time limit, path lost) and how many endpoints of the service were silent; oxbowslip_silent_calls_total counts such calls.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -142,6 +142,23 @@
 // OriginResults lists all results.
 var OriginResults = []OriginResult{OriginKnown, OriginAny, OriginUnknown}
 
+// SilenceResult is what became of a call whose endpoint sent nothing for too long. The set is closed.
+type SilenceResult string
+
+// The results of silence.
+const (
+	// SilenceLeft means that the call went to another endpoint. SilenceKept means that there was no better one, and the
+	// call stayed. SilenceResumed means that the endpoint sent something while another one was being prepared.
+	// SilenceEnded means that the call was given up.
+	SilenceLeft    SilenceResult = "left"
+	SilenceKept    SilenceResult = "kept"
+	SilenceResumed SilenceResult = "resumed"
+	SilenceEnded   SilenceResult = "ended"
+)
+
+// SilenceResults lists all results.
+var SilenceResults = []SilenceResult{SilenceLeft, SilenceKept, SilenceResumed, SilenceEnded}
+
 // Counters are the metrics of one daemon.
 type Counters struct {
 	set      *metrics.Set
@@ -155,6 +172,7 @@
 	permits  map[PermitResult]*metrics.Counter
 	slots    map[SlotResult]*metrics.Counter
 	origins  map[OriginResult]*metrics.Counter
+	silences map[SilenceResult]*metrics.Counter
 	// Goodput counts the tokens of answers that met the targets of their class.
 	Goodput *metrics.Counter
 	// Tokens counts all relayed tokens.
@@ -185,6 +203,7 @@
 		permits:          make(map[PermitResult]*metrics.Counter),
 		slots:            make(map[SlotResult]*metrics.Counter),
 		origins:          make(map[OriginResult]*metrics.Counter),
+		silences:         make(map[SilenceResult]*metrics.Counter),
 		Goodput:          set.NewCounter("oxbowslip_goodput_tokens_total"),
 		Tokens:           set.NewCounter("oxbowslip_tokens_total"),
 		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
@@ -222,12 +241,18 @@
 	for _, result := range OriginResults {
 		c.origins[result] = set.NewCounter(fmt.Sprintf(`oxbowslip_stream_origins_total{result=%q}`, result))
 	}
+	for _, result := range SilenceResults {
+		c.silences[result] = set.NewCounter(fmt.Sprintf(`oxbowslip_silent_calls_total{result=%q}`, result))
+	}
 	return c
 }
 
 // CountOrigin counts the result of a search for the version that began a stream.
 func (c *Counters) CountOrigin(result OriginResult) { c.origins[result].Inc() }
 
+// CountSilence counts what became of a call whose endpoint sent nothing for too long.
+func (c *Counters) CountSilence(result SilenceResult) { c.silences[result].Inc() }
+
 // CountSlot counts the result of asking for a slot.
 func (c *Counters) CountSlot(result SlotResult) { c.slots[result].Inc() }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -39,6 +39,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/reporter"
 	"oxbowslip.dev/oxbowslip/internal/front/scaler"
 	"oxbowslip.dev/oxbowslip/internal/front/shares"
+	"oxbowslip.dev/oxbowslip/internal/front/silence"
 	"oxbowslip.dev/oxbowslip/internal/front/slots"
 	"oxbowslip.dev/oxbowslip/internal/front/tunnel"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
@@ -164,6 +165,7 @@
 	// Slots is nil if the host's file does not select the queue for slots.
 	Slots      *slots.Client
 	Origins    *origin.Registry
+	Silence    *silence.Tracker
 	Leadership *leadership
 	Clock      func() time.Time
 	Steady     *clock.Clock
@@ -234,6 +236,7 @@
 	h.parts.Brittle.Expire()
 	h.parts.Limiter.Expire()
 	h.parts.Origins.Expire()
+	h.parts.Silence.Expire()
 	if h.parts.Shares != nil {
 		h.parts.Shares.Expire()
 	}
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -29,6 +29,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
 	"oxbowslip.dev/oxbowslip/internal/front/shares"
+	"oxbowslip.dev/oxbowslip/internal/front/silence"
 	"oxbowslip.dev/oxbowslip/internal/front/slots"
 	"oxbowslip.dev/oxbowslip/internal/front/tunnel"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
@@ -79,6 +80,7 @@
 			newPace,
 			newSlots,
 			newOrigins,
+			silence.New,
 			newRelay,
 			newFollowers,
 			newUsageClock,
@@ -589,6 +591,7 @@
 	Poison     *poison.Detector
 	Signals    *pushback.Tracker
 	Origins    *origin.Registry
+	Silence    *silence.Tracker
 	Directory  *directory.Directory
 	Counters   *counters.Counters
 	Log        *logrus.Logger
@@ -599,7 +602,7 @@
 func newRelay(p relayParts) *relay.Server {
 	return relay.New(relay.Parts{
 		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Freshness: p.Freshness, Owner: p.Owner, Client: p.Client, Health: p.Placer, Meter: p.Meter, Poison: p.Poison, Signals: p.Signals,
-		Origins: p.Origins, SoftwareVersion: p.Directory.SoftwareVersion,
+		Origins: p.Origins, Silence: p.Silence, SoftwareVersion: p.Directory.SoftwareVersion,
 		Dialect: p.Deployment.Dialect, Counters: p.Counters, Log: logging.Part(p.Log, "request"), Clock: p.Steady, Random: p.Random,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout},
 	})
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -85,6 +85,8 @@
 func (x *exchange) attempt(ctx context.Context, a *owner.Attempt) owner.Result {
 	ctx, idle := httprelay.WithIdleTimeout(ctx, answerTimeout(&x.policy, a), owner.ErrStalled)
 	defer idle.Stop()
+	waiting := x.server.parts.Silence.Begin(x.service, a.EndpointID)
+	defer waiting.End()
 	answer, err := x.server.parts.Client.Do(ctx, x.upstreamCall(a))
 	if errors.Is(err, upstream.ErrWithheld) {
 		return owner.Result{Event: request.EventWithheld, Err: err}
@@ -95,16 +97,17 @@
 			return owner.Result{Event: request.EventDialFailed, Err: err}
 		}
 		x.reportBroken(ctx, a, err, !x.policy.Stream)
-		return owner.Result{Event: request.EventBroken, Err: err}
+		return owner.Result{Event: request.EventBroken, Err: x.describeSilence(ctx, err)}
 	}
 	defer answer.Close()
+	waiting.RecordData()
 	x.recordSignal(a, answer)
 	if x.server.parts.Dialect.IsNotStarted(answer.Status, answer.Header) {
 		return x.handleNotStarted(a, answer)
 	}
 	if x.policy.Stream && answer.Status == http.StatusOK {
 		idle.SetLimit(ctx, eventTimeout(&x.policy, a))
-		return x.relayStream(ctx, a, answer, idle)
+		return x.relayStream(ctx, a, answer, idle, waiting)
 	}
 	return x.relayPlain(ctx, a, answer)
 }
@@ -208,7 +211,7 @@
 	if err != nil {
 		x.reportFailure(ctx, a, err)
 		x.reportBroken(ctx, a, err, true)
-		return owner.Result{Event: request.EventBroken, Err: err}
+		return owner.Result{Event: request.EventBroken, Err: x.describeSilence(ctx, err)}
 	}
 	held := &httprelay.HeldAnswer{Status: answer.Status, Header: answer.Header, Body: body}
 	if answer.Status >= http.StatusInternalServerError || answer.Status == http.StatusTooManyRequests {
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -23,6 +23,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/origin"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
+	"oxbowslip.dev/oxbowslip/internal/front/silence"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/logging"
@@ -97,6 +98,8 @@
 	Poison    Poison
 	Signals   Signals
 	Origins   Origins
+	// Silence records which endpoints send something to this host.
+	Silence *silence.Tracker
 	// SoftwareVersion returns the software version of an endpoint, and whether the endpoint is known.
 	SoftwareVersion func(endpoint string) (string, bool)
 	Dialect         Dialect
--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -1,8 +1,13 @@
 package relay
 
 import (
+	"context"
+	"errors"
 	"time"
 
+	"github.com/ansel1/merry/v2"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
@@ -61,3 +66,17 @@
 	target := max(policy.FirstToken, policy.WholeAnswer)
 	return min(max(target/connectTargetDivisor, minConnect), maxConnect)
 }
+
+// quietTime is how long an endpoint may send nothing before it counts as silent.
+const quietTime = 400 * time.Millisecond
+
+// describeSilence adds to the error of an attempt that was given up for silence how many endpoints of the service are
+// silent.
+func (x *exchange) describeSilence(ctx context.Context, err error) error {
+	if !errors.Is(context.Cause(ctx), owner.ErrStalled) {
+		return err
+	}
+	x.server.parts.Counters.CountSilence(counters.SilenceEnded)
+	fleet, _ := x.server.parts.Silence.Survey(x.service, quietTime)
+	return merry.Wrap(err, merry.AppendMessagef("%d endpoints silent, %d alive", fleet.Silent, fleet.Alive))
+}
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -11,6 +11,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/silence"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/owner"
@@ -54,13 +55,14 @@
 }
 
 // relayStream forwards complete events until the stream ends or breaks. It blocks while the caller does not read.
-func (x *exchange) relayStream(ctx context.Context, a *owner.Attempt, answer *upstream.Answer, idle *httprelay.IdleTimer) owner.Result {
+func (x *exchange) relayStream(ctx context.Context, a *owner.Attempt, answer *upstream.Answer, idle *httprelay.IdleTimer, waiting *silence.Call) owner.Result {
 	scanner := bufio.NewScanner(answer)
 	scanner.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	scanner.Split(splitEvents)
 	isFirst := true
 	for scanner.Scan() {
 		idle.Reset()
+		waiting.RecordData()
 		x.countRun()
 		event := scanner.Bytes()
 		if !x.stream.isNext(eventID(event)) {
@@ -77,7 +79,7 @@
 	if err := scanner.Err(); err != nil {
 		x.reportFailure(ctx, a, err)
 		x.reportBroken(ctx, a, err, true)
-		return owner.Result{Event: request.EventBroken, Err: err}
+		return owner.Result{Event: request.EventBroken, Err: x.describeSilence(ctx, err)}
 	}
 	x.reportAnswered(a)
 	if !a.StartDelivery() {
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -122,7 +122,7 @@
 var ErrWithheld = merry.Sentinel("withheld: not to be sent any more")
 
 // Do sends a call once and waits for the head of its answer. The error is request.ErrNotSent or request.ErrBroken with
-// its cause, or ErrWithheld. The connection is closed when ctx ends.
+// its cause, or ErrWithheld. The connection is closed when ctx ends, and the call fails with the cause of that.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
 	wire, err := encode(call)
 	if err != nil {
@@ -137,7 +137,7 @@
 		return nil, merry.Wrap(ErrWithheld)
 	}
 	x := &exchange{client: c, conn: conn, address: call.Target.Address, writeResult: make(chan error, 1)}
-	x.stopAbort = context.AfterFunc(ctx, func() { conn.Close() })
+	x.stopAbort = context.AfterFunc(ctx, func() { x.abortWith(context.Cause(ctx)) })
 	conn.recordActivity()
 	x.write(wire)
 	if !conn.isTunnel() {
--- a/internal/front/upstream/upstream_test.go
+++ b/internal/front/upstream/upstream_test.go
@@ -304,3 +304,34 @@
 	c.Check(givenUp-idle >= minSilence, qt.IsTrue, qt.Commentf("probes break the connection after %v", givenUp))
 	c.Check(max(timeout, givenUp) <= maxDetection, qt.IsTrue, qt.Commentf("a dead peer is noticed after %v and %v", timeout, givenUp))
 }
+
+// TestAbortedCallNamesCause guards against logs that say of a call that this host ended only that its connection was
+// closed.
+func TestAbortedCallNamesCause(t *testing.T) {
+	errSilent := errors.New("silent for too long")
+	for name, sent := range map[string]string{
+		"before the head": "",
+		"in the body":     "HTTP/1.1 200 OK\r\n" + headerID + ": 1\r\nContent-Length: 10\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			client := newClient(time.Now)
+			c.Cleanup(client.Close)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			p := startTestServer(c, func(_ int, conn net.Conn, reader *bufio.Reader) {
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, sent)
+				cancel(errSilent)
+				_, _ = io.Copy(io.Discard, reader)
+			})
+			answer, err := client.Do(ctx, p.call("1", "hello"))
+			if err == nil {
+				_, err = io.ReadAll(answer)
+				answer.Close()
+			}
+			c.Check(errors.Is(err, errSilent), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
