--- a/internal/front/upstream/check_test.go
+++ b/internal/front/upstream/check_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
@@ -85,3 +87,52 @@
 		})
 	}
 }
+
+// fillAcceptQueue makes a listener that accepts nothing drop new connections.
+func fillAcceptQueue(c *qt.C, listener net.Listener) {
+	raw, err := listener.(syscall.Conn).SyscallConn()
+	c.Assert(err, qt.IsNil)
+	var listenErr error
+	c.Assert(raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), 1) }), qt.IsNil)
+	c.Assert(listenErr, qt.IsNil)
+	for {
+		conn, err := net.DialTimeout("tcp", listener.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			return
+		}
+		c.Cleanup(func() { conn.Close() })
+	}
+}
+
+// TestEndpointWithFullAcceptQueueKeepsItsCalls guards against taking an endpoint that accepts no connections for a dead
+// one: a process that stands still drops them as soon as its queue is full, and goes on with its calls afterwards.
+func TestEndpointWithFullAcceptQueueKeepsItsCalls(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { listener.Close() })
+	const pause = 1600 * time.Millisecond
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		fillAcceptQueue(c, listener)
+		time.Sleep(pause)
+		_, _ = io.WriteString(conn, answerText("1", "a"))
+		_, _ = io.Copy(io.Discard, reader)
+	}()
+	client := newClient(time.Now)
+	c.Cleanup(client.Close)
+	p := &testServer{listener: listener}
+	call := p.call("1", "hello")
+	call.MayAbandon = true
+	got, err := p.do(client, call)
+	c.Check(err, qt.IsNil)
+	c.Check(got, qt.Equals, "a")
+}
