A call leaves a silent endpoint only for another one that is in hand

Callers saw cut streams and 502: 38 of 45 while all endpoints of a service stood still for 1.3 to 2.5 s and the retry budget was used up, 18 to 27 with three of four, 2 to 4 with one of four.

Cause: the limit of silence closed the connection, and only then the lifecycle asked whether a retry is allowed, placement for an endpoint, the client for a connection. Where one was not to be had the call was lost, although its endpoint would have finished it. Class: a resource is given up before its replacement is secured.

Change: the next step is prepared while the call goes on (owner.Successor: a retry reserved, an endpoint granted, a connection open); what is missing keeps the call where it is. The rule is package silence: an endpoint that is silent to this host is no replacement; where most that it knows are silent, one call at a time tries one of which nothing is known.

Ruled out: the change of configuration (same losses with and without). Limits are unchanged; unreachable endpoints are left after 1.0 s as before, lost paths too.

--- a/internal/front/placement/queue_test.go
+++ b/internal/front/placement/queue_test.go
@@ -185,6 +185,8 @@
 func (unlimitedBudget) RecordFirstTry(string, float64) {}
 func (unlimitedBudget) CanRetry(string) bool           { return true }
 func (unlimitedBudget) RecordRetry(string)             {}
+func (unlimitedBudget) Reserve(string) bool            { return true }
+func (unlimitedBudget) Release(string)                 {}
 
 // Senders returns the live hosts, which do not depend on who is cut off: gossip notices that only after seconds.
 func (h *replayHost) Senders() []envelope.Sender {
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -17,6 +17,7 @@
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
 const (
@@ -42,6 +43,7 @@
 		Deadline:    x.deadline,
 		CanContinue: x.policy.Resumable,
 		IsPoison:    x.isPoison,
+		Connect:     x.connect,
 		Attempt:     x.attempt,
 	}
 }
@@ -83,11 +85,9 @@
 
 // attempt makes one attempt at an endpoint.
 func (x *exchange) attempt(ctx context.Context, a *owner.Attempt) owner.Result {
-	ctx, idle := httprelay.WithIdleTimeout(ctx, answerTimeout(&x.policy, a), owner.ErrStalled)
-	defer idle.Stop()
-	waiting := x.server.parts.Silence.Begin(x.service, a.EndpointID)
-	defer waiting.End()
-	answer, err := x.server.parts.Client.Do(ctx, x.upstreamCall(a))
+	ctx, watch := x.watchSilence(ctx, a)
+	defer watch.stop()
+	answer, err := x.server.parts.Client.Do(ctx, x.upstreamCall(a, watch))
 	if errors.Is(err, upstream.ErrWithheld) {
 		return owner.Result{Event: request.EventWithheld, Err: err}
 	}
@@ -97,17 +97,17 @@
 			return owner.Result{Event: request.EventDialFailed, Err: err}
 		}
 		x.reportBroken(ctx, a, err, !x.policy.Stream)
-		return owner.Result{Event: request.EventBroken, Err: x.describeSilence(ctx, err)}
+		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	defer answer.Close()
-	waiting.RecordData()
+	watch.recordData()
 	x.recordSignal(a, answer)
 	if x.server.parts.Dialect.IsNotStarted(answer.Status, answer.Header) {
 		return x.handleNotStarted(a, answer)
 	}
 	if x.policy.Stream && answer.Status == http.StatusOK {
-		idle.SetLimit(ctx, eventTimeout(&x.policy, a))
-		return x.relayStream(ctx, a, answer, idle, waiting)
+		watch.setEventLimit()
+		return x.relayStream(ctx, a, answer, watch)
 	}
 	return x.relayPlain(ctx, a, answer)
 }
@@ -126,16 +126,14 @@
 	})
 }
 
-// reportFailure reports an endpoint's failure, unless the request itself was aborted. A stalled endpoint has failed
-// too.
+// reportFailure reports an endpoint's failure, unless the request itself was aborted or left a silent endpoint.
 func (x *exchange) reportFailure(ctx context.Context, a *owner.Attempt, cause error) {
-	isStalled := errors.Is(context.Cause(ctx), owner.ErrStalled)
-	if (ctx.Err() != nil && !isStalled) || errors.Is(cause, upstream.ErrPathLost) {
+	if ctx.Err() != nil || errors.Is(cause, upstream.ErrPathLost) {
 		return
 	}
 	isReached := !errors.Is(cause, request.ErrNotSent)
 	report := func() { x.server.parts.Health.RecordFailure(a.EndpointID, isReached, cause) }
-	if isReached && !x.isTunneled && (isStalled || upstream.MayBePathLoss(cause)) {
+	if isReached && !x.isTunneled && upstream.MayBePathLoss(cause) {
 		x.server.parts.Client.ReportUnlessPathLost(x.target(a), report)
 		return
 	}
@@ -144,7 +142,11 @@
 
 // target returns the endpoint of an attempt.
 func (x *exchange) target(a *owner.Attempt) upstream.Target {
-	return upstream.Target{ID: a.EndpointID, Address: a.Endpoint.Address, Zone: a.Endpoint.Zone, ConnectTimeout: connectTimeout(&x.policy)}
+	return x.targetOf(a.EndpointID, a.Endpoint)
+}
+
+func (x *exchange) targetOf(id string, e settings.Endpoint) upstream.Target {
+	return upstream.Target{ID: id, Address: e.Address, Zone: e.Zone, ConnectTimeout: connectTimeout(&x.policy)}
 }
 
 // reportBroken reports a call that was sent and then broken by its endpoint, which may have crashed while running it.
@@ -171,7 +173,7 @@
 	return owner.Result{Event: request.EventNotStarted, Err: errors.New("not started: " + strconv.Itoa(answer.Status))}
 }
 
-func (x *exchange) upstreamCall(a *owner.Attempt) *upstream.Call {
+func (x *exchange) upstreamCall(a *owner.Attempt, watch *silenceWatch) *upstream.Call {
 	header := x.server.parts.Dialect.EndpointHeader(x.r.Header, Send{
 		EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, Urgency: x.policy.Urgency, FetchFrom: a.FetchFrom,
 		TimeLeft: x.deadline.Sub(x.server.parts.Clock.Now()),
@@ -181,12 +183,13 @@
 	}
 	return &upstream.Call{
 		Target: x.target(a), ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
-		Header: header, Body: x.body, MayAbandon: mayTryElsewhere(&x.policy, a), OnSend: x.onSend(a),
+		Header: header, Body: x.body, MayAbandon: mayTryElsewhere(&x.policy, a), OnSend: x.onSend(a, watch),
+		OnUnreachable: watch.handleUnreachable, Connection: heldConnection(a),
 	}
 }
 
 // onSend returns the function that decides, once the connection is open, whether an attempt is sent.
-func (x *exchange) onSend(a *owner.Attempt) func(isTunneled bool) bool {
+func (x *exchange) onSend(a *owner.Attempt, watch *silenceWatch) func(isTunneled bool) bool {
 	return func(isTunneled bool) bool {
 		// Connecting may take a second, during which the endpoint may have reported that it is leaving.
 		if !a.MaySend() {
@@ -197,6 +200,7 @@
 		}
 		x.sentAt, x.isTunneled = x.server.parts.Clock.Now(), isTunneled
 		a.RecordSend()
+		watch.recordSent(isTunneled)
 		return true
 	}
 }
@@ -211,7 +215,7 @@
 	if err != nil {
 		x.reportFailure(ctx, a, err)
 		x.reportBroken(ctx, a, err, true)
-		return owner.Result{Event: request.EventBroken, Err: x.describeSilence(ctx, err)}
+		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	held := &httprelay.HeldAnswer{Status: answer.Status, Header: answer.Header, Body: body}
 	if answer.Status >= http.StatusInternalServerError || answer.Status == http.StatusTooManyRequests {
--- a/internal/front/relay/resume.go
+++ b/internal/front/relay/resume.go
@@ -74,8 +74,7 @@
 		return false
 	}
 	x.stream.version = version
-	x.job.Request.SoftwareVersion = uint32(version)
-	x.job.CanContinue = version != 0
+	a.SetVersion(uint32(version), version != 0)
 	if !x.stream.isRecorded {
 		x.stream.isRecorded = true
 		x.server.parts.Origins.Begin(x.stream.key, x.service, version, x.deadline.Sub(x.server.parts.Clock.Now()))
--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -2,55 +2,293 @@
 
 import (
 	"context"
-	"errors"
+	"io"
+	"sync"
 	"time"
 
 	"github.com/ansel1/merry/v2"
 
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/silence"
+	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
-// The timeouts after which an attempt at an endpoint that sends nothing is abandoned. An unresponsive endpoint can't be
-// distinguished from a slow one, so they apply only to requests that can be sent to another endpoint: at that point the
-// latency target is missed anyway, and an answer from another endpoint is better than none.
-const (
-	// plainTimeoutTargets is the timeout of a plain call in multiples of its latency target.
-	plainTimeoutTargets = 2
-	// eventTimeoutPauses is the timeout between events of a stream in multiples of its target for pauses.
-	eventTimeoutPauses = 4
-	// firstEventTimeoutTargets is the timeout for the first event of a stream in multiples of its latency target. The
-	// time to process the prompts ahead of it is added.
-	firstEventTimeoutTargets = 2
-	// minPromptTokensPerMS is the assumed minimum rate at which an engine processes prompts, a quarter of the rate of
-	// the slowest engines in use (37 tokens per ms). With slower engines, streams that wait behind long prompts are
-	// sent to another endpoint too early.
-	minPromptTokensPerMS = 9
-)
-
 // mayTryElsewhere reports whether an attempt may be given up, to be made at another endpoint.
 func mayTryElsewhere(policy *settings.Policy, a *owner.Attempt) bool {
 	return policy.Repeatable && a.Number < policy.MaxTries
 }
 
-// answerTimeout returns how long an endpoint may take to begin its answer, or 0 if there is no limit.
-func answerTimeout(policy *settings.Policy, a *owner.Attempt) time.Duration {
-	if !mayTryElsewhere(policy, a) {
-		return 0
+// silenceWatch watches the endpoint of an attempt. If the endpoint sends nothing for a limit, the watch looks for another
+// one, and ends the attempt as soon as that is in hand.
+type silenceWatch struct {
+	exchange *exchange
+	attempt  *owner.Attempt
+	// end ends the attempt with a cause.
+	end context.CancelCauseFunc
+
+	mu sync.Mutex
+	// waiting is the call at the endpoint, nil until it is sent. IsTunneled is set if it was sent through a peer.
+	waiting    *silence.Call
+	isTunneled bool
+	limit      time.Duration
+	timer      *time.Timer
+	// search is the search for another endpoint that is under way, or nil.
+	search *search
+	// isPaused is set while the attempt waits for the caller and not for the endpoint.
+	isPaused bool
+	// isReported is set once the silence has been reported as a failure of the endpoint, and isKept once the request's
+	// steps state why the call stays.
+	isReported, isKept bool
+	isOver             bool
+}
+
+// errNobodyAlive is the reason why a call stays while most endpoints are silent and one call tries another endpoint.
+var errNobodyAlive = merry.Sentinel("no endpoint is known to be alive")
+
+// search is a search for another endpoint.
+type search struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+	// quiet is how long an endpoint may send nothing before it counts as silent.
+	quiet time.Duration
+	// isUnreachable is set if nobody can connect to the endpoint of the attempt, or a peer only.
+	isUnreachable bool
+}
+
+// watchSilence returns the context of an attempt and its watch. Stop must be called.
+func (x *exchange) watchSilence(ctx context.Context, a *owner.Attempt) (context.Context, *silenceWatch) {
+	ctx, end := context.WithCancelCause(ctx)
+	w := &silenceWatch{exchange: x, attempt: a, end: end}
+	if mayTryElsewhere(&x.policy, a) {
+		w.setLimit(silence.AnswerLimit(&x.policy, a.UnprocessedTokens))
 	}
-	if policy.Stream {
-		return firstEventTimeoutTargets*policy.FirstToken + time.Duration(a.UnprocessedTokens/minPromptTokensPerMS)*time.Millisecond
+	return ctx, w
+}
+
+// recordSent records that the call has been sent.
+func (w *silenceWatch) recordSent(isTunneled bool) {
+	waiting := w.exchange.server.parts.Silence.Begin(w.exchange.service, w.attempt.EndpointID)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting, w.isTunneled = waiting, isTunneled
+}
+
+// recordData records that the endpoint has sent something for the call, which ends a search.
+func (w *silenceWatch) recordData() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.waiting.RecordData()
+	if w.search != nil {
+		w.search.cancel()
 	}
-	return plainTimeoutTargets * policy.WholeAnswer
+	w.rearm(w.limit)
 }
 
-// eventTimeout returns how long an endpoint may take between two events of a stream, or 0 if there is no limit.
-func eventTimeout(policy *settings.Policy, a *owner.Attempt) time.Duration {
-	if !policy.Resumable || a.Number >= policy.MaxTries {
-		return 0
+// pause stops the watch while the attempt waits for the caller.
+func (w *silenceWatch) pause() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isPaused = true
+}
+
+// resume ends a pause.
+func (w *silenceWatch) resume() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isPaused = false
+	w.rearm(w.limit)
+}
+
+// rearm restarts the timer, if there is a limit. The lock is held.
+func (w *silenceWatch) rearm(after time.Duration) {
+	if w.timer != nil && !w.isOver {
+		w.timer.Reset(after)
 	}
-	return eventTimeoutPauses * policy.MaxPause
+}
+
+// setEventLimit sets the limit between the events of a stream that has begun.
+func (w *silenceWatch) setEventLimit() {
+	limit := time.Duration(0)
+	if mayTryElsewhere(&w.exchange.policy, w.attempt) {
+		limit = silence.EventLimit(&w.exchange.policy)
+	}
+	w.setLimit(limit)
+}
+
+// setLimit sets how long the endpoint may send nothing, from now on; 0 means that there is no limit.
+func (w *silenceWatch) setLimit(limit time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = limit
+	if w.timer != nil {
+		w.timer.Stop()
+		w.timer = nil
+	}
+	if limit > 0 {
+		w.timer = time.AfterFunc(limit, w.handleSilence)
+	}
+}
+
+// stop ends the watch and the attempt. When it returns, no search is under way.
+func (w *silenceWatch) stop() {
+	w.mu.Lock()
+	w.isOver = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	running := w.search
+	if running != nil {
+		running.cancel()
+	}
+	w.mu.Unlock()
+	if running != nil {
+		<-running.done
+	}
+	if w.waiting != nil {
+		w.waiting.End()
+	}
+	w.end(nil)
+}
+
+// handleSilence looks for another endpoint because the limit has passed.
+func (w *silenceWatch) handleSilence() { w.searchOnce(false) }
+
+// handleUnreachable looks for another endpoint because nobody can connect to that of the attempt, or a peer only. It
+// reports whether the request goes on elsewhere.
+func (w *silenceWatch) handleUnreachable() bool {
+	w.mu.Lock()
+	running := w.search
+	w.mu.Unlock()
+	if running != nil {
+		<-running.done
+	}
+	return w.searchOnce(true)
+}
+
+// searchOnce makes a search, and reports whether the request goes on elsewhere.
+func (w *silenceWatch) searchOnce(isUnreachable bool) bool {
+	s := w.beginSearch(isUnreachable)
+	if s == nil {
+		return false
+	}
+	w.reportSilence()
+	result := w.leave(s)
+	w.endSearch(s, result)
+	return result == counters.SilenceLeft
+}
+
+// beginSearch returns nil if no search is to be made: the attempt has ended, a search is under way, or the call has not
+// been sent yet or waits for its caller.
+func (w *silenceWatch) beginSearch(isUnreachable bool) *search {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isOver || w.search != nil {
+		return nil
+	}
+	if w.waiting == nil || w.isPaused {
+		w.rearm(w.limit)
+		return nil
+	}
+	ctx, cancel := context.WithCancel(w.exchange.r.Context())
+	w.search = &search{
+		ctx: ctx, cancel: cancel, done: make(chan struct{}), quiet: silence.QuietTime(w.limit), isUnreachable: isUnreachable,
+	}
+	return w.search
+}
+
+func (w *silenceWatch) endSearch(s *search, result counters.SilenceResult) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.cancel()
+	close(s.done)
+	w.search = nil
+	if result == counters.SilenceKept {
+		w.rearm(silence.LookInterval(s.quiet))
+		if w.isKept {
+			return
+		}
+		w.isKept = true
+	}
+	w.exchange.server.parts.Counters.CountSilence(result)
+}
+
+// leave ends the attempt if another endpoint is in hand.
+func (w *silenceWatch) leave(s *search) counters.SilenceResult {
+	x, tracker := w.exchange, w.exchange.server.parts.Silence
+	fleet, silent := tracker.Survey(x.service, s.quiet)
+	if !silence.MayFind(fleet, tracker.IsTrialDue(x.service, s.quiet), s.isUnreachable) {
+		w.recordKept(errNobodyAlive, fleet)
+		return counters.SilenceKept
+	}
+	successor, err := w.attempt.PrepareSuccessor(s.ctx, silent, func(endpoint string) bool {
+		choice := silence.Choose(fleet, tracker.State(x.service, endpoint, s.quiet), s.isUnreachable)
+		return choice == silence.Leave || choice == silence.LeaveAsTrial && tracker.BeginTrial(x.service, s.quiet)
+	})
+	switch {
+	case s.ctx.Err() != nil:
+		if err == nil {
+			successor.Discard()
+		}
+		return counters.SilenceResumed
+	case err != nil:
+		w.recordKept(err, fleet)
+		return counters.SilenceKept
+	case !w.attempt.Leave(successor):
+		return counters.SilenceKept
+	}
+	w.end(describeSilence(owner.ErrStalled, fleet))
+	return counters.SilenceLeft
+}
+
+// recordKept records once in the request's steps why the call stays at its silent endpoint.
+func (w *silenceWatch) recordKept(reason error, fleet silence.Fleet) {
+	w.mu.Lock()
+	isKept := w.isKept
+	w.mu.Unlock()
+	if !isKept {
+		w.attempt.RecordWait(describeSilence(reason, fleet))
+	}
+}
+
+// describeSilence adds to an error how many endpoints are silent.
+func describeSilence(err error, fleet silence.Fleet) error {
+	return merry.Wrap(err, merry.AppendMessagef("%d endpoints silent, %d alive", fleet.Silent, fleet.Alive))
+}
+
+// reportSilence reports, once, the silence as a failure of the endpoint, unless the path to it is lost.
+func (w *silenceWatch) reportSilence() {
+	w.mu.Lock()
+	isReported, isTunneled := w.isReported, w.isTunneled
+	w.isReported = true
+	w.mu.Unlock()
+	if isReported {
+		return
+	}
+	p, a := &w.exchange.server.parts, w.attempt
+	report := func() { p.Health.RecordFailure(a.EndpointID, true, owner.ErrStalled) }
+	if isTunneled {
+		report()
+		return
+	}
+	p.Client.ReportUnlessPathLost(w.exchange.target(a), report)
+}
+
+// connect opens a connection for a successor of an attempt.
+func (x *exchange) connect(ctx context.Context, id string, endpoint settings.Endpoint) (io.Closer, error) {
+	connection, err := x.server.parts.Client.Connect(ctx, x.targetOf(id, endpoint))
+	if err != nil {
+		return nil, err
+	}
+	return connection, nil
+}
+
+// heldConnection returns the open connection of an attempt, or nil.
+func heldConnection(a *owner.Attempt) *upstream.Connection {
+	connection, _ := a.Connection.(*upstream.Connection)
+	return connection
 }
 
 // The bounds of the connect timeout. A quarter of the latency target leaves time for another endpoint. Endpoints
@@ -66,17 +304,3 @@
 	target := max(policy.FirstToken, policy.WholeAnswer)
 	return min(max(target/connectTargetDivisor, minConnect), maxConnect)
 }
-
-// quietTime is how long an endpoint may send nothing before it counts as silent.
-const quietTime = 400 * time.Millisecond
-
-// describeSilence adds to the error of an attempt that was given up for silence how many endpoints of the service are
-// silent.
-func (x *exchange) describeSilence(ctx context.Context, err error) error {
-	if !errors.Is(context.Cause(ctx), owner.ErrStalled) {
-		return err
-	}
-	x.server.parts.Counters.CountSilence(counters.SilenceEnded)
-	fleet, _ := x.server.parts.Silence.Survey(x.service, quietTime)
-	return merry.Wrap(err, merry.AppendMessagef("%d endpoints silent, %d alive", fleet.Silent, fleet.Alive))
-}
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -11,7 +11,6 @@
 
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
-	"oxbowslip.dev/oxbowslip/internal/front/silence"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/owner"
@@ -55,14 +54,13 @@
 }
 
 // relayStream forwards complete events until the stream ends or breaks. It blocks while the caller does not read.
-func (x *exchange) relayStream(ctx context.Context, a *owner.Attempt, answer *upstream.Answer, idle *httprelay.IdleTimer, waiting *silence.Call) owner.Result {
+func (x *exchange) relayStream(ctx context.Context, a *owner.Attempt, answer *upstream.Answer, watch *silenceWatch) owner.Result {
 	scanner := bufio.NewScanner(answer)
 	scanner.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	scanner.Split(splitEvents)
 	isFirst := true
 	for scanner.Scan() {
-		idle.Reset()
-		waiting.RecordData()
+		watch.recordData()
 		x.countRun()
 		event := scanner.Bytes()
 		if !x.stream.isNext(eventID(event)) {
@@ -72,14 +70,17 @@
 			return owner.Result{Event: request.EventBroken, Err: errVersionChanged}
 		}
 		isFirst = false
-		if result := x.forwardEvent(a, answer, event); result != nil {
+		watch.pause()
+		result := x.forwardEvent(a, answer, event)
+		watch.resume()
+		if result != nil {
 			return *result
 		}
 	}
 	if err := scanner.Err(); err != nil {
 		x.reportFailure(ctx, a, err)
 		x.reportBroken(ctx, a, err, true)
-		return owner.Result{Event: request.EventBroken, Err: x.describeSilence(ctx, err)}
+		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	x.reportAnswered(a)
 	if !a.StartDelivery() {
--- a/internal/front/silence/tracker.go
+++ b/internal/front/silence/tracker.go
@@ -34,6 +34,8 @@
 
 	mu       sync.Mutex
 	services map[string]map[string]*endpoint
+	// trials holds when the last trial of each service began.
+	trials map[string]time.Time
 }
 
 // endpoint is an endpoint to which this host has sent calls.
@@ -47,7 +49,7 @@
 
 // New returns a tracker without endpoints.
 func New(clock func() time.Time) *Tracker {
-	return &Tracker{clock: clock, services: make(map[string]map[string]*endpoint)}
+	return &Tracker{clock: clock, services: make(map[string]map[string]*endpoint), trials: make(map[string]time.Time)}
 }
 
 // Call is a call that waits for an endpoint.
@@ -153,6 +155,32 @@
 		}
 		if len(endpoints) == 0 {
 			delete(t.services, service)
+			delete(t.trials, service)
 		}
 	}
 }
+
+// IsTrialDue reports whether BeginTrial allows a trial.
+func (t *Tracker) IsTrialDue(service string, quiet time.Duration) bool {
+	now := t.clock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isTrialDue(now, service, quiet)
+}
+
+func (t *Tracker) isTrialDue(now time.Time, service string, quiet time.Duration) bool {
+	return now.Sub(t.trials[service]) >= quiet
+}
+
+// BeginTrial reports whether a call may go to an endpoint of a service of which nothing is known. It allows one call in
+// each quiet time, after which the state of the endpoint is known.
+func (t *Tracker) BeginTrial(service string, quiet time.Duration) bool {
+	now := t.clock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isTrialDue(now, service, quiet) {
+		return false
+	}
+	t.trials[service] = now
+	return true
+}
--- a/internal/front/upstream/check.go
+++ b/internal/front/upstream/check.go
@@ -18,7 +18,7 @@
 	silenceLimit   = 600 * time.Millisecond
 	recheckSilence = time.Second
 	// checkTimeout bounds connecting over one path in a check. With silenceLimit it is a second, the time that an endpoint
-	// may be silent before a call that may be repeated is sent elsewhere.
+	// that can't be reached may be silent before a call that may be repeated is sent elsewhere.
 	checkTimeout = 400 * time.Millisecond
 )
 
@@ -127,17 +127,24 @@
 	}
 	k := x.client.startCheck(call.Target)
 	<-k.done
-	if call.MayAbandon && x.conn.silentFor() >= silenceLimit {
-		switch k.reach {
-		case ReachedByPeer:
-			x.abortWith(ErrPathLost)
-		case Unreachable:
-			x.abortWith(errUnreachable)
-		}
+	if call.MayAbandon && k.reach != ReachedDirectly && x.conn.silentFor() >= silenceLimit {
+		x.handleUnreachable(call, k.reach)
 	}
 	x.rearm(recheckSilence)
 }
 
+// handleUnreachable ends a silent call to an endpoint to which this host can't open another connection.
+func (x *exchange) handleUnreachable(call *Call, reach Reach) {
+	if call.OnUnreachable != nil && call.OnUnreachable() {
+		return
+	}
+	if reach == ReachedByPeer {
+		x.abortWith(ErrPathLost)
+		return
+	}
+	x.abortWith(errUnreachable)
+}
+
 func (x *exchange) rearm(after time.Duration) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -6,8 +6,33 @@
 	"io"
 )
 
-// connect returns an idle connection that is still usable, or opens one.
+// Connection is an open connection that is kept for a certain call.
+type Connection struct {
+	client  *Client
+	conn    *connection
+	address string
+}
+
+// Close gives the connection back to the client, if no call was sent on it.
+func (h *Connection) Close() error {
+	h.client.putUnused(h.address, h.conn)
+	return nil
+}
+
+// Connect returns a connection for a call to a target. It must be used for a call or closed.
+func (c *Client) Connect(ctx context.Context, target Target) (*Connection, error) {
+	conn, err := c.connect(ctx, &Call{Target: target})
+	if err != nil {
+		return nil, err
+	}
+	return &Connection{client: c, conn: conn, address: target.Address}, nil
+}
+
+// connect returns the connection of the call, an idle one that is still usable, or a new one.
 func (c *Client) connect(ctx context.Context, call *Call) (*connection, error) {
+	if call.Connection != nil {
+		return call.Connection.conn, nil
+	}
 	for {
 		conn := c.takeIdle(call.Target.Address)
 		if conn == nil {
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -53,6 +53,11 @@
 	Body   []byte
 	// MayAbandon is set if the call may be given up, to be sent to another endpoint, when its path is lost.
 	MayAbandon bool
+	// OnUnreachable is called, if the call may be given up, when its connection is silent and this host can't open another
+	// one to the endpoint. It reports whether it has ended the call in favour of another endpoint. It may be nil.
+	OnUnreachable func() bool
+	// Connection is used for the call if it is not nil. It must lead to the target.
+	Connection *Connection
 	// OnSend is called when the connection is open, before the first byte is written. IsTunneled is set if it leads
 	// through a peer. If it returns false, the call is not sent.
 	OnSend func(isTunneled bool) bool
--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
 	"time"
 
@@ -36,7 +37,9 @@
 	// UnprocessedTokens is the number of prompt tokens, including those of the request, that the endpoint has to
 	// process before the answer begins; 0 if unknown.
 	UnprocessedTokens int
-	state             atomic.Int32
+	// Connection is the open connection to the endpoint that Job.Connect has returned, or nil.
+	Connection io.Closer
+	state      atomic.Int32
 }
 
 // watchPreemption cancels the attempt when it is preempted, unless a part of the answer has been delivered or the
@@ -61,7 +64,7 @@
 
 // RecordSend is called once the connection is established: from then on bytes may reach the endpoint.
 func (a *Attempt) RecordSend() {
-	a.run.lifecycle.Apply(request.EventSent, request.Facts{})
+	a.run.apply(request.EventSent)
 	a.run.ticket.Started()
 	a.run.recordStep("sent", "", nil)
 }
@@ -72,10 +75,25 @@
 	if a.state.Load() != attemptDelivered && !a.state.CompareAndSwap(attemptOpen, attemptDelivered) {
 		return false
 	}
-	a.run.lifecycle.Apply(request.EventDelivered, request.Facts{})
+	a.run.apply(request.EventDelivered)
 	return true
 }
 
+// apply applies an event during an attempt.
+func (r *run) apply(event request.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lifecycle.Apply(event, request.Facts{})
+}
+
+// SetVersion records the software version that writes the answer, and whether another endpoint can continue it.
+func (a *Attempt) SetVersion(version uint32, canContinue bool) {
+	r := a.run
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.job.Request.SoftwareVersion, r.job.CanContinue = version, canContinue
+}
+
 // RecordTokens is called with the number of tokens received so far, over all attempts that continue each other. If the
 // endpoint does not report tokens, events count as tokens.
 func (a *Attempt) RecordTokens(tokens int) {
@@ -84,7 +102,7 @@
 	if tokens > r.tokens {
 		r.owner.parts.Counters.Tokens.Add(tokens - r.tokens)
 	}
-	r.tokens = tokens
+	r.setTokens(tokens)
 	if r.firstToken == 0 {
 		r.firstToken = now.Sub(r.arrived)
 	}
@@ -99,6 +117,12 @@
 	}
 }
 
+func (r *run) setTokens(tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens = tokens
+}
+
 func (r *run) recordProgress(now time.Time, tokens int) {
 	r.reportedAt = now
 	r.reportedTokens = tokens
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
 // Job is a request and the functions that attempt it.
@@ -26,6 +28,9 @@
 	// IsPoison reports whether the request must not be sent, because endpoints crash while running it; nil means never.
 	// It is called before asking for an endpoint, and again before each send.
 	IsPoison func() bool
+	// Connect opens a connection to an endpoint for a successor of the present attempt, which is passed to Attempt or
+	// closed; nil if attempts have none.
+	Connect func(ctx context.Context, endpointID string, endpoint settings.Endpoint) (io.Closer, error)
 	// Attempt sends the request to the granted endpoint and relays the answer.
 	Attempt func(ctx context.Context, a *Attempt) Result
 	// Resume continues an interrupted stream at the same endpoint; nil if it can't be resumed.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -68,6 +68,10 @@
 	CanRetry(group string) bool
 	// RecordRetry counts a retry.
 	RecordRetry(group string)
+	// Reserve counts a retry if the group may retry once more, and reports whether it may. Release takes it back if the
+	// retry is not made.
+	Reserve(group string) bool
+	Release(group string)
 }
 
 // Parts holds the dependencies of an owner.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"testing"
 	"time"
 
@@ -46,6 +48,8 @@
 func (unlimitedBudget) RecordFirstTry(string, float64) {}
 func (unlimitedBudget) CanRetry(string) bool           { return true }
 func (unlimitedBudget) RecordRetry(string)             {}
+func (unlimitedBudget) Reserve(string) bool            { return true }
+func (unlimitedBudget) Release(string)                 {}
 
 // TestRejectionPassesOnRetryAfterOfGrant has the only endpoint reject a request: its caller receives the Retry-After of
 // the grant.
@@ -156,3 +160,98 @@
 	c.Check(end.Outcome, qt.Equals, request.OutcomeAnswered)
 	c.Check(admitter.received, qt.DeepEquals, []int{0, 0, 5})
 }
+
+// countingBudget allows a number of retries and counts those that were made.
+type countingBudget struct {
+	unlimitedBudget
+	left int
+}
+
+func (b *countingBudget) Reserve(string) bool {
+	if b.left == 0 {
+		return false
+	}
+	b.left--
+	return true
+}
+
+func (b *countingBudget) Release(string) { b.left++ }
+
+// closeCounter counts the connections that are open.
+type closeCounter struct{ open *int }
+
+func (c closeCounter) Close() error {
+	*c.open--
+	return nil
+}
+
+// TestSuccessorIsInHand checks that an attempt is only left for an endpoint that is granted and connected to within the
+// retry budget, and that whatever is not used is given back.
+func TestSuccessorIsInHand(t *testing.T) {
+	errRefused := errors.New("connection refused")
+	tests := map[string]struct {
+		endpoints  firstAvailable
+		maxTries   int
+		budget     int
+		connectErr error
+		rejects    bool
+		// answers is set if the first endpoint still answers.
+		answers bool
+		wantErr error
+		sent    []string
+		left    int
+	}{
+		"it goes on at the successor":                 {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, sent: []string{"e1", "e2"}},
+		"the endpoint answers":                        {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, answers: true, sent: []string{"e1"}, left: 1},
+		"no budget":                                   {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, wantErr: errNoBudget, answers: true, sent: []string{"e1"}},
+		"no other endpoint":                           {endpoints: firstAvailable{"e1"}, maxTries: 2, budget: 1, wantErr: errNotGranted, answers: true, sent: []string{"e1"}, left: 1},
+		"the other endpoint is not accepted":          {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, rejects: true, wantErr: errNotBetter, answers: true, sent: []string{"e1"}, left: 1},
+		"the other endpoint can't be reached":         {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, connectErr: errRefused, wantErr: errNotConnected, answers: true, sent: []string{"e1"}, left: 1},
+		"the request may not be sent again":           {endpoints: firstAvailable{"e1", "e2"}, maxTries: 1, budget: 1, wantErr: errLastTry, answers: true, sent: []string{"e1"}, left: 1},
+		"an avoided endpoint is granted nevertheless": {endpoints: firstAvailable{"e1", "avoided"}, maxTries: 2, budget: 1, wantErr: errNotGranted, answers: true, sent: []string{"e1"}, left: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			budget := &countingBudget{left: test.budget}
+			o := New(Parts{
+				Admitter: test.endpoints, Budget: budget, Counters: counters.New(), Explained: explain.New(),
+				Clock: time.Now, Random: func() float64 { return 0 },
+				Endpoints: func(string) (settings.Endpoint, bool) { return settings.Endpoint{}, true },
+			})
+			var sent []string
+			open := 0
+			end := o.Run(context.Background(), &Job{
+				Rules: request.Rules{MaxTries: test.maxTries, Repeatable: true},
+				Connect: func(context.Context, string, settings.Endpoint) (io.Closer, error) {
+					if test.connectErr != nil {
+						return nil, test.connectErr
+					}
+					open++
+					return closeCounter{&open}, nil
+				},
+				Attempt: func(ctx context.Context, a *Attempt) Result {
+					a.RecordSend()
+					sent = append(sent, a.EndpointID)
+					if a.Number > 1 {
+						c.Check(a.Connection, qt.Not(qt.IsNil))
+						return Result{Event: request.EventWhole}
+					}
+					s, err := a.PrepareSuccessor(ctx, []string{"avoided"}, func(string) bool { return !test.rejects })
+					c.Check(errors.Is(err, test.wantErr), qt.IsTrue, qt.Commentf("%v", err))
+					if err == nil {
+						c.Check(a.Leave(s), qt.IsTrue)
+					}
+					if test.answers {
+						return Result{Event: request.EventWhole}
+					}
+					return Result{Event: request.EventBroken, Err: ErrStalled}
+				},
+			})
+			c.Check(end.Outcome, qt.Equals, request.OutcomeAnswered)
+			c.Check(sent, qt.DeepEquals, test.sent)
+			c.Check(budget.left, qt.Equals, test.left)
+			c.Check(open, qt.Equals, len(test.sent)-1, qt.Commentf("connections that are not in use"))
+		})
+	}
+}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"sync"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
@@ -46,9 +48,17 @@
 	reportedAt     time.Time
 	reportedTokens int
 
+	// connection is the open connection to the granted endpoint, if the grant is that of a successor.
+	connection io.Closer
+
 	retryAfter time.Duration
 	detail     string
-	steps      []explain.Step
+
+	// mu guards what PrepareSuccessor and RecordWait use while an attempt goes on: the lifecycle, job.Request,
+	// job.CanContinue, tokens, successor and steps.
+	mu        sync.Mutex
+	successor *Successor
+	steps     []explain.Step
 }
 
 func (r *run) loop(ctx context.Context) {
@@ -86,10 +96,7 @@
 	if err != nil {
 		return r.endCancelled(ctx)
 	}
-	r.addStep(explain.Step{
-		At: r.owner.parts.Clock(), What: decision.Kind.String(), Endpoint: decision.Endpoint,
-		Reason: string(decision.Reason), Figures: &decision.Figures,
-	})
+	r.recordDecision(&decision)
 	if decision.Kind == admission.Refuse {
 		r.retryAfter = decision.RetryAfter
 		r.detail = "the scheduler gave the request up"
@@ -98,7 +105,7 @@
 	}
 	r.ticket = ticket
 	r.job.Request.Retry = true
-	return r.checkGrant(decision)
+	return r.checkGrant(&decision)
 }
 
 // isPoison reports whether the request must not be sent, and refuses it in that case.
@@ -128,7 +135,7 @@
 
 // checkGrant checks a grant against the latest directory entry of its endpoint, which may have been taken out of
 // service since the decision.
-func (r *run) checkGrant(decision admission.Decision) request.Action {
+func (r *run) checkGrant(decision *admission.Decision) request.Action {
 	if r.isPoison() {
 		r.release(admission.Unused)
 		return request.ActFinish
@@ -140,6 +147,11 @@
 		r.job.Request.Avoid = append(r.job.Request.Avoid, decision.Endpoint)
 		return r.lifecycle.Apply(request.EventGrantVoid, r.facts(false))
 	}
+	return r.useGrant(decision, e)
+}
+
+// useGrant makes the granted endpoint that of the next attempt.
+func (r *run) useGrant(decision *admission.Decision, e settings.Endpoint) request.Action {
 	r.endpointID, r.endpoint, r.fetchFrom = decision.Endpoint, e, decision.FetchFrom
 	r.retryAfter = decision.RetryAfter
 	r.unprocessedTokens = decision.UnprocessedTokens
@@ -154,12 +166,18 @@
 	defer cancel(nil)
 	a := &Attempt{
 		run: r, Number: r.lifecycle.Tries(), EndpointID: r.endpointID, Endpoint: r.endpoint, FetchFrom: r.fetchFrom,
-		UnprocessedTokens: r.unprocessedTokens,
+		UnprocessedTokens: r.unprocessedTokens, Connection: r.connection,
 	}
+	r.connection = nil
 	done := make(chan struct{})
 	go a.watchPreemption(r.ticket.Preempted(), cancel, done)
 	result := try(ctx, a)
 	close(done)
+	return r.goOn(r.endAttempt(ctx, result))
+}
+
+// endAttempt returns the action that follows from the result of an attempt. Ctx is the context of the attempt.
+func (r *run) endAttempt(ctx context.Context, result Result) request.Action {
 	cause := context.Cause(ctx)
 	event := result.Event
 	switch {
@@ -268,10 +286,17 @@
 		CanResume:   canResume,
 		CanContinue: r.job.CanContinue,
 		Expired:     !deadline.IsZero() && r.owner.parts.Clock().After(deadline),
-		BudgetLeft:  r.owner.parts.Budget.CanRetry(r.job.budgetGroup()),
+		BudgetLeft:  r.successor != nil || r.owner.parts.Budget.CanRetry(r.job.budgetGroup()),
 	}
 }
 
+func (r *run) recordDecision(decision *admission.Decision) {
+	r.addStep(explain.Step{
+		At: r.owner.parts.Clock(), What: decision.Kind.String(), Endpoint: decision.Endpoint,
+		Reason: string(decision.Reason), Figures: &decision.Figures,
+	})
+}
+
 func (r *run) recordStep(what, reason string, figures *admission.Figures) {
 	r.addStep(explain.Step{
 		At: r.owner.parts.Clock(), What: what, Endpoint: r.endpointID, Reason: reason, Figures: figures,
@@ -280,6 +305,8 @@
 
 func (r *run) addStep(step explain.Step) {
 	r.owner.parts.Explained.Add(r.job.Request.ID, step)
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.steps = append(r.steps, step)
 }
 
--- a/internal/request/lifecycle.go
+++ b/internal/request/lifecycle.go
@@ -183,6 +183,13 @@
 // Tries returns the number of grants that were used, with or without a send.
 func (l *Lifecycle) Tries() int { return l.tries }
 
+// CanLeave reports whether the request may be sent to another endpoint if its attempt is ended now. It does not consider
+// the retry budget.
+func (l *Lifecycle) CanLeave(facts Facts) bool {
+	isOpen := l.outcome == OutcomeOpen && l.tries < l.rules.MaxTries && !facts.Expired
+	return isOpen && l.rules.Repeatable && (!l.delivered || facts.CanContinue)
+}
+
 // Delivered reports whether a part of an answer was sent to the caller.
 func (l *Lifecycle) Delivered() bool { return l.delivered }
 
--- a/internal/retrybudget/class.go
+++ b/internal/retrybudget/class.go
@@ -43,3 +43,21 @@
 	defer b.mu.Unlock()
 	b.balance[class]--
 }
+
+// Reserve counts a retry if the class may retry once more.
+func (b *Class) Reserve(class string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.balance[class] < 1 {
+		return false
+	}
+	b.balance[class]--
+	return true
+}
+
+// Release takes back a retry that was counted.
+func (b *Class) Release(class string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance[class]++
+}
--- a/internal/retrybudget/fleet.go
+++ b/internal/retrybudget/fleet.go
@@ -70,7 +70,11 @@
 	now, place := b.clock(), b.place()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	g := b.group(now, service)
+	return b.canRetry(now, place, b.group(now, service))
+}
+
+// canRetry is CanRetry for the counts of a service. The lock is held.
+func (b *Fleet) canRetry(now time.Time, place Place, g *group) bool {
 	b.updateSharing(now, place)
 	slack := b.limits.Slack / float64(max(b.sharing.Hosts, 1))
 	allowed := usedShare * (b.limits.Ratio*float64(len(g.firstTries)) + slack)
@@ -110,6 +114,28 @@
 	g.retries = append(g.retries, now)
 }
 
+// Reserve counts a retry if one more may be sent to a service.
+func (b *Fleet) Reserve(service string) bool {
+	now, place := b.clock(), b.place()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(now, service)
+	if !b.canRetry(now, place, g) {
+		return false
+	}
+	g.retries = append(g.retries, now)
+	return true
+}
+
+// Release takes back the last retry that was counted.
+func (b *Fleet) Release(service string) {
+	now := b.clock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	g := b.group(now, service)
+	g.retries = g.retries[:max(len(g.retries)-1, 0)]
+}
+
 // group returns a service's counts within the window. The lock is held.
 func (b *Fleet) group(now time.Time, service string) *group {
 	g, ok := b.groups[service]
