upstream: an endpoint that accepts no connections is dead only if its machine acknowledges nothing

Callers saw a cut stream or a 502 after 1.0 s of silence of an endpoint that stood still and whose accept queue was full.

Cause: a check that can't connect was taken for a dead endpoint. Linux drops new connections once the queue of a process that stands still is full, and a process that stops refuses them; both finish their calls. Class: absence of an answer to one question taken for the answer to another.

Change: when nobody connects, or a peer only, the call first looks for another endpoint, at 1.0 s as before. Without one, the kernel's record of the call's own connection decides (TCP_INFO): a keep-alive probe that is acknowledged keeps the call, none by 1.2 s of silence ends it. Where the kernel states nothing the call ends as before.

TestSilentCallIsGivenUp held for its cases 'unreachable' and 'path lost' a connection whose machine acknowledges everything: it asserted the fault. These cases now have connections without that knowledge, and two cases with it were added that expect the call to stay.

--- a/internal/front/upstream/check.go
+++ b/internal/front/upstream/check.go
@@ -20,6 +20,9 @@
 	// checkTimeout bounds connecting over one path in a check. With silenceLimit it is a second, the time that an endpoint
 	// that can't be reached may be silent before a call that may be repeated is sent elsewhere.
 	checkTimeout = 400 * time.Millisecond
+	// probedAfter is the silence after which the first keep-alive probe has been answered if the endpoint's machine runs
+	// and can be reached: the kernel sends it after a second.
+	probedAfter = 1200 * time.Millisecond
 )
 
 // ErrPathLost is the error of a call whose connection this host has lost although its endpoint can be reached, by a peer
@@ -133,11 +136,19 @@
 	x.rearm(recheckSilence)
 }
 
-// handleUnreachable ends a silent call to an endpoint to which this host can't open another connection.
+// handleUnreachable ends a silent call to an endpoint to which this host can't open another connection, if the call goes
+// on elsewhere or its connection is dead as well. An endpoint that stands still drops new connections once its queue of
+// them is full, and one that stops refuses them; both may still finish their calls.
 func (x *exchange) handleUnreachable(call *Call, reach Reach) {
 	if call.OnUnreachable != nil && call.OnUnreachable() {
 		return
 	}
+	if x.conn.knowsAcknowledgements() {
+		time.Sleep(probedAfter - x.conn.silentFor())
+		if x.conn.silentFor() < probedAfter || x.conn.isAcknowledged() {
+			return
+		}
+	}
 	if reach == ReachedByPeer {
 		x.abortWith(ErrPathLost)
 		return
--- a/internal/front/upstream/check_test.go
+++ b/internal/front/upstream/check_test.go
@@ -22,10 +22,21 @@
 	DirectDialer
 	reach Reach
 	err   error
+	// hidesSocket is set if it is unknown whether the endpoint's machine acknowledges anything.
+	hidesSocket bool
 	// checked receives a value for each check.
 	checked chan struct{}
 }
 
+// Dial implements Dialer.
+func (d *reachDialer) Dial(ctx context.Context, target Target) (io.ReadWriteCloser, error) {
+	conn, err := d.DirectDialer.Dial(ctx, target)
+	if err == nil && d.hidesSocket {
+		conn = struct{ io.ReadWriteCloser }{conn}
+	}
+	return conn, err
+}
+
 // Check implements Dialer.
 func (d *reachDialer) Check(ctx context.Context, target Target) (io.ReadWriteCloser, Reach, error) {
 	d.checked <- struct{}{}
@@ -45,18 +56,22 @@
 		reach      Reach
 		checkErr   error
 		mayAbandon bool
-		want       error
+		// acknowledges is set if the endpoint's machine answers keep-alive probes.
+		acknowledges bool
+		want         error
 	}{
-		"path lost":                    {ReachedByPeer, nil, true, ErrPathLost},
-		"unreachable":                  {Unreachable, errNotConnected, true, errUnreachable},
-		"slow endpoint":                {ReachedDirectly, nil, true, nil},
-		"path lost, may run once only": {ReachedByPeer, nil, false, nil},
+		"path lost":                              {ReachedByPeer, nil, true, false, ErrPathLost},
+		"unreachable":                            {Unreachable, errNotConnected, true, false, errUnreachable},
+		"slow endpoint":                          {ReachedDirectly, nil, true, true, nil},
+		"path lost, may run once only":           {ReachedByPeer, nil, false, false, nil},
+		"new connections fail, the call's works": {Unreachable, errNotConnected, true, true, nil},
+		"only a peer connects, the call's works": {ReachedByPeer, nil, true, true, nil},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			dialer := &reachDialer{reach: test.reach, err: test.checkErr, checked: make(chan struct{}, 8)}
+			dialer := &reachDialer{reach: test.reach, err: test.checkErr, hidesSocket: !test.acknowledges, checked: make(chan struct{}, 8)}
 			client := New(Config{AnswerID: func(h http.Header) string { return h.Get(headerID) }, KeepIdle: time.Minute, Dialer: dialer}, time.Now)
 			c.Cleanup(client.Close)
 			p := startTestServer(c, func(number int, conn net.Conn, reader *bufio.Reader) {
--- a/internal/front/upstream/connection.go
+++ b/internal/front/upstream/connection.go
@@ -117,3 +117,39 @@
 	})
 	return err == nil && quiet
 }
+
+// knowsAcknowledgements reports whether isAcknowledged can find anything out.
+func (c *connection) knowsAcknowledgements() bool {
+	_, ok := c.sinceAcknowledgement()
+	return ok
+}
+
+// isAcknowledged reports whether the endpoint's machine has acknowledged a keep-alive probe in the current silence.
+func (c *connection) isAcknowledged() bool {
+	since, ok := c.sinceAcknowledgement()
+	return ok && c.silentFor()-since >= minProbeDelay
+}
+
+// minProbeDelay is the least time between the start of a silence and the acknowledgement of a keep-alive probe. Sooner,
+// the acknowledgement may be that of the call.
+const minProbeDelay = 700 * time.Millisecond
+
+// sinceAcknowledgement returns the time since the endpoint's machine last acknowledged something on the connection, and
+// whether the kernel states it.
+func (c *connection) sinceAcknowledgement() (time.Duration, bool) {
+	holder, ok := c.ReadWriteCloser.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || infoErr != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond, true
+}
