relay: a host that was suspended reads what has arrived before it takes endpoints for silent

A timer that is due during a suspension of the host fires as soon as the host goes on, before the data that have arrived meanwhile are read. A watch whose timer is over 100 ms late now looks again after a quarter of the quiet time.

TestTunneledCallsOutlastSilentEndpoints: 0 of 10 streams through a peer were served on while the endpoints stood still for 1.5 s, now 10 of 10.

--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -34,6 +34,8 @@
 	isTunneled bool
 	limit      time.Duration
 	timer      *time.Timer
+	// dueAt is when the timer is due.
+	dueAt time.Time
 	// search is the search for another endpoint that is under way, or nil.
 	search *search
 	// isPaused is set while the attempt waits for the caller and not for the endpoint.
@@ -105,10 +107,15 @@
 // rearm restarts the timer, if there is a limit. The lock is held.
 func (w *silenceWatch) rearm(after time.Duration) {
 	if w.timer != nil && !w.isOver {
+		w.dueAt = w.exchange.server.parts.Clock.Now().Add(after)
 		w.timer.Reset(after)
 	}
 }
 
+// maxTimerDelay is how late the timer may be. If it is later, this host was suspended or starved, and what endpoints have
+// sent has yet to be read.
+const maxTimerDelay = 100 * time.Millisecond
+
 // setEventLimit sets the limit between the events of a stream that has begun.
 func (w *silenceWatch) setEventLimit() {
 	limit := time.Duration(0)
@@ -129,6 +136,7 @@
 	}
 	if limit > 0 {
 		w.timer = time.AfterFunc(limit, w.handleSilence)
+		w.rearm(limit)
 	}
 }
 
@@ -154,7 +162,17 @@
 }
 
 // handleSilence looks for another endpoint because the limit has passed.
-func (w *silenceWatch) handleSilence() { w.searchOnce(false) }
+func (w *silenceWatch) handleSilence() {
+	w.mu.Lock()
+	isLate := w.exchange.server.parts.Clock.Now().Sub(w.dueAt) > maxTimerDelay
+	if isLate {
+		w.rearm(silence.LookInterval(silence.QuietTime(w.limit)))
+	}
+	w.mu.Unlock()
+	if !isLate {
+		w.searchOnce(false)
+	}
+}
 
 // handleUnreachable looks for another endpoint because nobody can connect to that of the attempt, or a peer only. It
 // reports whether the request goes on elsewhere.
