relay: the watch ignores a timer that data have overtaken; bodies of plain answers count as data

Found by reading: a timer that was triggered just before data arrived began a search; a plain answer of which bytes arrive was taken for silent once the limit had passed since its head; a panic in an attempt kept its successor.

--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -109,7 +109,7 @@
 		watch.setEventLimit()
 		return x.relayStream(ctx, a, answer, watch)
 	}
-	return x.relayPlain(ctx, a, answer)
+	return x.relayPlain(ctx, a, answer, watch)
 }
 
 // recordSignal records the endpoint's state in the head of an answer, as soon as the head has arrived: the store may be
@@ -206,9 +206,9 @@
 }
 
 // relayPlain reads a complete plain answer before any of it is forwarded, so that a broken answer is not delivered.
-func (x *exchange) relayPlain(ctx context.Context, a *owner.Attempt, answer *upstream.Answer) owner.Result {
+func (x *exchange) relayPlain(ctx context.Context, a *owner.Attempt, answer *upstream.Answer, watch *silenceWatch) owner.Result {
 	x.countRun()
-	body, err := io.ReadAll(io.LimitReader(answer, maxPlainAnswerBytes+1))
+	body, err := io.ReadAll(io.LimitReader(watchedReader{answer, watch}, maxPlainAnswerBytes+1))
 	if err == nil && len(body) > maxPlainAnswerBytes {
 		err = errors.New("answer too large")
 	}
--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -89,19 +89,26 @@
 	w.rearm(w.limit)
 }
 
-// pause stops the watch while the attempt waits for the caller.
-func (w *silenceWatch) pause() {
+// setPaused stops the watch while the attempt waits for the caller.
+func (w *silenceWatch) setPaused(isPaused bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isPaused = true
+	w.isPaused = isPaused
 }
 
-// resume ends a pause.
-func (w *silenceWatch) resume() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.isPaused = false
-	w.rearm(w.limit)
+// watchedReader reads the body of an answer and records its data.
+type watchedReader struct {
+	io.Reader
+	watch *silenceWatch
+}
+
+// Read implements io.Reader.
+func (r watchedReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		r.watch.recordData()
+	}
+	return n, err
 }
 
 // rearm restarts the timer, if there is a limit. The lock is held.
@@ -164,12 +171,17 @@
 // handleSilence looks for another endpoint because the limit has passed.
 func (w *silenceWatch) handleSilence() {
 	w.mu.Lock()
-	isLate := w.exchange.server.parts.Clock.Now().Sub(w.dueAt) > maxTimerDelay
-	if isLate {
+	delay := w.exchange.server.parts.Clock.Now().Sub(w.dueAt)
+	isDue := delay >= 0 && delay <= maxTimerDelay
+	switch {
+	case delay < 0:
+		// Data have arrived since the timer was triggered.
+		w.rearm(-delay)
+	case !isDue:
 		w.rearm(silence.LookInterval(silence.QuietTime(w.limit)))
 	}
 	w.mu.Unlock()
-	if !isLate {
+	if isDue {
 		w.searchOnce(false)
 	}
 }
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -70,9 +70,9 @@
 			return owner.Result{Event: request.EventBroken, Err: errVersionChanged}
 		}
 		isFirst = false
-		watch.pause()
+		watch.setPaused(true)
 		result := x.forwardEvent(a, answer, event)
-		watch.resume()
+		watch.setPaused(false)
 		if result != nil {
 			return *result
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -121,6 +121,7 @@
 	})
 	// After a panic in an attempt, the request must not keep counting at its endpoint.
 	defer r.release(admission.Cancelled)
+	defer r.dropSuccessor()
 	r.loop(ctx)
 	return r.end()
 }
--- a/internal/owner/successor.go
+++ b/internal/owner/successor.go
@@ -131,13 +131,25 @@
 	return true
 }
 
-// goOn takes the action that follows from the end of an attempt. If the request is to be sent again and has a successor,
-// it is sent there.
-func (r *run) goOn(action request.Action) request.Action {
+// dropSuccessor discards the successor, if there is one.
+func (r *run) dropSuccessor() {
+	if s := r.takeSuccessor(); s != nil {
+		s.Discard()
+	}
+}
+
+func (r *run) takeSuccessor() *Successor {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	s := r.successor
 	r.successor = nil
-	r.mu.Unlock()
+	return s
+}
+
+// goOn takes the action that follows from the end of an attempt. If the request is to be sent again and has a successor,
+// it is sent there.
+func (r *run) goOn(action request.Action) request.Action {
+	s := r.takeSuccessor()
 	if s == nil {
 		return action
 	}
