placement: a search for a successor grants no endpoint that it would reject

Found by reading: while all endpoints of a service were silent, each search was granted an avoided endpoint and gave it back. Each such grant counted an arrival, recorded the endpoint as a holder of the prompt's prefix and woke the heartbeats, up to seven times a second a call. Requests now exclude endpoints strictly (admission.Request.Excluded, Only; not on the wire), and a search is repeated after the quiet time unless it only waits for an endpoint to show that it is alive.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -68,6 +68,10 @@
 	Zone string
 	// Avoid lists the IDs of endpoints that have failed the request.
 	Avoid []string
+	// Only, if not empty, lists the IDs of the only endpoints at which the request may run, Excluded those at which it may
+	// not run even if no other is left. Only the owner's host uses them.
+	Only     []string `cbor:"-"`
+	Excluded []string `cbor:"-"`
 	// Retry is set once the request has been granted an endpoint.
 	Retry bool
 
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -158,8 +159,23 @@
 	return reason == admission.ReasonNoEndpoint || reason == admission.ReasonNoVersion
 }
 
-// withVersion returns the endpoints at which a request may run: those of the version that began its stream, or all for a
-// request that begins one. The list is not modified.
+// eligible returns the endpoints at which a request may run: those that it does not rule out, of the version that began
+// its stream. The list is not modified.
+func eligible(endpoints []*directory.Entry, request *admission.Request) []*directory.Entry {
+	return withVersion(notRuledOut(endpoints, request), request)
+}
+
+// notRuledOut returns the endpoints that a request does not rule out.
+func notRuledOut(endpoints []*directory.Entry, request *admission.Request) []*directory.Entry {
+	if len(request.Only) == 0 && len(request.Excluded) == 0 {
+		return endpoints
+	}
+	return filter(endpoints, func(e *directory.Entry) bool {
+		return !slices.Contains(request.Excluded, e.ID) && (len(request.Only) == 0 || slices.Contains(request.Only, e.ID))
+	})
+}
+
+// withVersion returns the endpoints of the version that began a request's stream, or all for a request that begins one.
 func withVersion(endpoints []*directory.Entry, request *admission.Request) []*directory.Entry {
 	if request.SoftwareVersion == 0 {
 		return endpoints
--- a/internal/front/placement/queue.go
+++ b/internal/front/placement/queue.go
@@ -64,7 +64,11 @@
 	if p.hasEngine[service] || !p.isBusy(now, service, endpoints) {
 		return nil, false
 	}
-	candidates, free, reason := p.candidates(now, request, endpoints, true)
+	usable := eligible(endpoints, request)
+	if len(usable) == 0 {
+		return nil, false
+	}
+	candidates, free, reason := p.candidates(now, request, usable, true)
 	if reason != "" || !free.IsZero() {
 		return nil, false
 	}
@@ -104,7 +108,7 @@
 	now := p.parts.Clock()
 	endpoints := p.parts.Directory.Serving(service)
 	p.mu.Lock()
-	candidates, free, reason := p.candidates(now, request, endpoints, true)
+	candidates, free, reason := p.candidates(now, request, eligible(endpoints, request), true)
 	candidates = filter(candidates, func(e *directory.Entry) bool { return keys.OfEndpoint(e.ID) == granted })
 	if reason != "" || !free.IsZero() || len(candidates) == 0 {
 		p.mu.Unlock()
--- a/internal/front/placement/shortlist.go
+++ b/internal/front/placement/shortlist.go
@@ -129,20 +129,20 @@
 	index := p.parts.Directory.Index(service)
 	from, listed := p.view.listed(index, service, request)
 	if from.index != nil {
-		if listed = withVersion(listed, request); len(listed) > 0 {
+		if listed = eligible(listed, request); len(listed) > 0 {
 			if candidates, free, reason = p.candidates(now, request, listed, mayAsk); reason == "" && free.IsZero() && len(candidates) > 0 {
 				return from, candidates, free, reason
 			}
 		}
 		from.index = nil
 	}
-	eligible := withVersion(index.Serving, request)
+	usable := eligible(index.Serving, request)
 	switch {
-	case len(index.Serving) == 0:
+	case len(notRuledOut(index.Serving, request)) == 0:
 		return from, nil, time.Time{}, admission.ReasonNoEndpoint
-	case len(eligible) == 0:
+	case len(usable) == 0:
 		return from, nil, time.Time{}, admission.ReasonNoVersion
 	}
-	candidates, free, reason = p.candidates(now, request, eligible, mayAsk)
+	candidates, free, reason = p.candidates(now, request, usable, mayAsk)
 	return from, candidates, free, reason
 }
--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -58,6 +58,8 @@
 	quiet time.Duration
 	// isUnreachable is set if nobody can connect to the endpoint of the attempt, or a peer only.
 	isUnreachable bool
+	// again is the time until the next search if this one finds nothing.
+	again time.Duration
 }
 
 // watchSilence returns the context of an attempt and its watch. Stop must be called.
@@ -223,8 +225,9 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancel(w.exchange.r.Context())
+	quiet := silence.QuietTime(w.limit)
 	w.search = &search{
-		ctx: ctx, cancel: cancel, done: make(chan struct{}), quiet: silence.QuietTime(w.limit), isUnreachable: isUnreachable,
+		ctx: ctx, cancel: cancel, done: make(chan struct{}), quiet: quiet, isUnreachable: isUnreachable, again: quiet,
 	}
 	return w.search
 }
@@ -236,7 +239,7 @@
 	close(s.done)
 	w.search = nil
 	if result == counters.SilenceKept {
-		w.rearm(silence.LookInterval(s.quiet))
+		w.rearm(s.again)
 		if w.isKept {
 			return
 		}
@@ -248,15 +251,20 @@
 // leave ends the attempt if another endpoint is in hand.
 func (w *silenceWatch) leave(s *search) counters.SilenceResult {
 	x, tracker := w.exchange, w.exchange.server.parts.Silence
-	fleet, silent := tracker.Survey(x.service, s.quiet)
-	if !silence.MayFind(fleet, tracker.IsTrialDue(x.service, s.quiet), s.isUnreachable) {
-		w.recordKept(errNobodyAlive, fleet)
+	survey := tracker.Survey(x.service, s.quiet)
+	filter := &owner.EndpointFilter{Excluded: survey.Silent, Accept: func(endpoint string) bool {
+		choice := silence.Choose(&survey, tracker.State(x.service, endpoint, s.quiet), s.isUnreachable)
+		return choice == silence.Leave || choice == silence.LeaveAsTrial && tracker.BeginTrial(x.service, s.quiet)
+	}}
+	switch silence.ScopeOf(&survey, tracker.IsTrialDue(x.service, s.quiet), s.isUnreachable) {
+	case silence.Nowhere:
+		s.again = silence.LookInterval(s.quiet)
+		w.recordKept(errNobodyAlive, &survey)
 		return counters.SilenceKept
+	case silence.AmongAlive:
+		filter.Only = survey.Alive
 	}
-	successor, err := w.attempt.PrepareSuccessor(s.ctx, silent, func(endpoint string) bool {
-		choice := silence.Choose(fleet, tracker.State(x.service, endpoint, s.quiet), s.isUnreachable)
-		return choice == silence.Leave || choice == silence.LeaveAsTrial && tracker.BeginTrial(x.service, s.quiet)
-	})
+	successor, err := w.attempt.PrepareSuccessor(s.ctx, filter)
 	switch {
 	case s.ctx.Err() != nil:
 		if err == nil {
@@ -264,28 +272,28 @@
 		}
 		return counters.SilenceResumed
 	case err != nil:
-		w.recordKept(err, fleet)
+		w.recordKept(err, &survey)
 		return counters.SilenceKept
 	case !w.attempt.Leave(successor):
 		return counters.SilenceKept
 	}
-	w.end(describeSilence(owner.ErrStalled, fleet))
+	w.end(describeSilence(owner.ErrStalled, &survey))
 	return counters.SilenceLeft
 }
 
 // recordKept records once in the request's steps why the call stays at its silent endpoint.
-func (w *silenceWatch) recordKept(reason error, fleet silence.Fleet) {
+func (w *silenceWatch) recordKept(reason error, survey *silence.Survey) {
 	w.mu.Lock()
 	isKept := w.isKept
 	w.mu.Unlock()
 	if !isKept {
-		w.attempt.RecordWait(describeSilence(reason, fleet))
+		w.attempt.RecordWait(describeSilence(reason, survey))
 	}
 }
 
 // describeSilence adds to an error how many endpoints are silent.
-func describeSilence(err error, fleet silence.Fleet) error {
-	return merry.Wrap(err, merry.AppendMessagef("%d endpoints silent, %d alive", fleet.Silent, fleet.Alive))
+func describeSilence(err error, survey *silence.Survey) error {
+	return merry.Wrap(err, merry.AppendMessagef("%d endpoints silent, %d alive", len(survey.Silent), len(survey.Alive)))
 }
 
 // reportSilence reports, once, the silence as a failure of the endpoint, unless the path to it is lost.
--- a/internal/front/silence/model_test.go
+++ b/internal/front/silence/model_test.go
@@ -137,9 +137,10 @@
 // choose returns the endpoint that a call would get, and whether the call leaves its own for it. It prefers endpoints
 // that are not known to be silent, as placement does.
 func (m *model) choose(c *modelCall, quiet time.Duration) (string, bool) {
-	fleet, silent := m.tracker.Survey("engines", quiet)
+	survey := m.tracker.Survey("engines", quiet)
+	scope := ScopeOf(&survey, m.tracker.IsTrialDue("engines", quiet), false)
 	avoid := map[string]bool{c.endpoint: true}
-	for _, id := range silent {
+	for _, id := range survey.Silent {
 		avoid[id] = true
 	}
 	last := ""
@@ -149,10 +150,11 @@
 			continue
 		}
 		last = id
-		if avoid[id] {
+		state := m.tracker.State("engines", id, quiet)
+		if avoid[id] || scope == Nowhere || scope == AmongAlive && state != Alive {
 			continue
 		}
-		choice := Choose(fleet, m.tracker.State("engines", id, quiet), false)
+		choice := Choose(&survey, state, false)
 		return id, choice == Leave || choice == LeaveAsTrial && m.tracker.BeginTrial("engines", quiet)
 	}
 	return last, false
@@ -196,25 +198,26 @@
 
 func TestChoose(t *testing.T) {
 	tests := map[string]struct {
-		fleet         Fleet
+		silent, alive int
 		other         State
 		isUnreachable bool
 		want          Choice
 	}{
-		"the other one is silent":                           {Fleet{Silent: 2, Alive: 9}, Silent, false, Stay},
-		"the other one is silent, the own unreachable":      {Fleet{Silent: 2, Alive: 9}, Silent, true, Stay},
-		"the other one is alive":                            {Fleet{Silent: 8, Alive: 1}, Alive, false, Leave},
-		"only the own is silent":                            {Fleet{Silent: 1}, Unknown, false, Leave},
-		"the own is not silent to other calls":              {Fleet{Alive: 1}, Unknown, false, Leave},
-		"most are alive":                                    {Fleet{Silent: 2, Alive: 2}, Unknown, false, Leave},
-		"most are silent":                                   {Fleet{Silent: 3, Alive: 2}, Unknown, false, LeaveAsTrial},
-		"all are silent":                                    {Fleet{Silent: 3}, Unknown, false, LeaveAsTrial},
-		"all are silent, and nobody connects to the own":    {Fleet{Silent: 3}, Unknown, true, Leave},
-		"most are silent, the other one has sent something": {Fleet{Silent: 3, Alive: 1}, Alive, false, Leave},
+		"the other one is silent":                           {2, 9, Silent, false, Stay},
+		"the other one is silent, the own unreachable":      {2, 9, Silent, true, Stay},
+		"the other one is alive":                            {8, 1, Alive, false, Leave},
+		"only the own is silent":                            {1, 0, Unknown, false, Leave},
+		"the own is not silent to other calls":              {0, 1, Unknown, false, Leave},
+		"most are alive":                                    {2, 2, Unknown, false, Leave},
+		"most are silent":                                   {3, 2, Unknown, false, LeaveAsTrial},
+		"all are silent":                                    {3, 0, Unknown, false, LeaveAsTrial},
+		"all are silent, and nobody connects to the own":    {3, 0, Unknown, true, Leave},
+		"most are silent, the other one has sent something": {3, 1, Alive, false, Leave},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			qt.New(t).Check(Choose(test.fleet, test.other, test.isUnreachable), qt.Equals, test.want)
+			survey := &Survey{Silent: make([]string, test.silent), Alive: make([]string, test.alive)}
+			qt.New(t).Check(Choose(survey, test.other, test.isUnreachable), qt.Equals, test.want)
 		})
 	}
 }
@@ -238,9 +241,7 @@
 	second.End()
 	now = now.Add(quiet)
 	c.Check(state(), qt.Equals, Silent, qt.Commentf("the first call still waits"))
-	fleet, silent := tracker.Survey("apps", quiet)
-	c.Check(fleet, qt.Equals, Fleet{Silent: 1})
-	c.Check(silent, qt.DeepEquals, []string{"app-1"})
+	c.Check(tracker.Survey("apps", quiet), qt.DeepEquals, Survey{Silent: []string{"app-1"}})
 	first.End()
 	c.Check(state(), qt.Equals, Unknown)
 	c.Check(tracker.BeginTrial("apps", quiet), qt.IsTrue)
--- a/internal/front/silence/rules.go
+++ b/internal/front/silence/rules.go
@@ -47,12 +47,12 @@
 	quietDivisor = 2
 	// maxQuietTime bounds that time. Engines send an event of some stream more often.
 	maxQuietTime = 600 * time.Millisecond
-	// lookDivisor divides the quiet time: a call looks for another endpoint again after that time, since one may have sent
-	// something in between.
+	// lookDivisor divides the quiet time: a call that knows of no endpoint that is alive looks again after that time, since
+	// one may have sent something in between.
 	lookDivisor = 4
 )
 
-// LookInterval returns the interval at which a call that has stayed looks for another endpoint again.
+// LookInterval returns the interval at which a call looks for an endpoint that is alive.
 func LookInterval(quiet time.Duration) time.Duration { return quiet / lookDivisor }
 
 // QuietTime returns how long an endpoint may send nothing before a call with a limit takes it for silent. A limit of 0
@@ -79,21 +79,38 @@
 
 // Choose decides whether a call leaves its endpoint for another one of a service. IsUnreachable is set if nobody can
 // connect to the call's endpoint, or a peer only.
-func Choose(fleet Fleet, other State, isUnreachable bool) Choice {
+func Choose(s *Survey, other State, isUnreachable bool) Choice {
 	switch {
 	case other == Silent:
 		return Stay
 	case other == Alive, isUnreachable:
 		return Leave
-	case fleet.isMostlySilent():
+	case s.isMostlySilent():
 		return LeaveAsTrial
 	}
 	return Leave
 }
 
-func (f Fleet) isMostlySilent() bool { return f.Silent > 1 && f.Silent > f.Alive }
+func (s *Survey) isMostlySilent() bool { return len(s.Silent) > 1 && len(s.Silent) > len(s.Alive) }
 
-// MayFind reports whether a call may find an endpoint to leave for. IsTrialDue is set if a trial may begin.
-func MayFind(fleet Fleet, isTrialDue, isUnreachable bool) bool {
-	return isUnreachable || isTrialDue || fleet.Alive > 0 || !fleet.isMostlySilent()
+// Scope is where a call looks for another endpoint.
+type Scope uint8
+
+// The scopes. Nowhere: no endpoint is known to be better. AmongAlive: only those that are alive are. Everywhere: all that
+// are not silent may be.
+const (
+	Nowhere Scope = iota
+	AmongAlive
+	Everywhere
+)
+
+// ScopeOf returns where a call looks for another endpoint. IsTrialDue is set if a trial may begin.
+func ScopeOf(s *Survey, isTrialDue, isUnreachable bool) Scope {
+	switch {
+	case isUnreachable, isTrialDue, !s.isMostlySilent():
+		return Everywhere
+	case len(s.Alive) > 0:
+		return AmongAlive
+	}
+	return Nowhere
 }
--- a/internal/front/silence/tracker.go
+++ b/internal/front/silence/tracker.go
@@ -23,9 +23,9 @@
 	Silent
 )
 
-// Fleet counts the endpoints of a service whose state this host knows.
-type Fleet struct {
-	Alive, Silent int
+// Survey holds the IDs of the endpoints of a service whose state this host knows.
+type Survey struct {
+	Alive, Silent []string
 }
 
 // Tracker records what endpoints send to this host. It is safe for concurrent use.
@@ -122,21 +122,21 @@
 	return e.state(now, quiet)
 }
 
-// Survey counts the endpoints of a service by their states, and returns the silent ones.
-func (t *Tracker) Survey(service string, quiet time.Duration) (fleet Fleet, silent []string) {
+// Survey returns the endpoints of a service whose state is known.
+func (t *Tracker) Survey(service string, quiet time.Duration) Survey {
+	var s Survey
 	now := t.clock()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, e := range t.services[service] {
 		switch e.state(now, quiet) {
 		case Alive:
-			fleet.Alive++
+			s.Alive = append(s.Alive, id)
 		case Silent:
-			fleet.Silent++
-			silent = append(silent, id)
+			s.Silent = append(s.Silent, id)
 		}
 	}
-	return fleet, silent
+	return s
 }
 
 // keepTime is how long an endpoint without open calls is kept after it has last sent something.
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 func (f firstAvailable) Ask(_ context.Context, _ string, r admission.Request) (Ticket, admission.Decision, error) {
 	for _, id := range f {
 		avoided := false
-		for _, a := range r.Avoid {
+		for _, a := range slices.Concat(r.Avoid, r.Excluded) {
 			avoided = avoided || a == id
 		}
 		if !avoided {
@@ -201,14 +202,14 @@
 		sent    []string
 		left    int
 	}{
-		"it goes on at the successor":                 {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, sent: []string{"e1", "e2"}},
-		"the endpoint answers":                        {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, answers: true, sent: []string{"e1"}, left: 1},
-		"no budget":                                   {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, wantErr: errNoBudget, answers: true, sent: []string{"e1"}},
-		"no other endpoint":                           {endpoints: firstAvailable{"e1"}, maxTries: 2, budget: 1, wantErr: errNotGranted, answers: true, sent: []string{"e1"}, left: 1},
-		"the other endpoint is not accepted":          {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, rejects: true, wantErr: errNotBetter, answers: true, sent: []string{"e1"}, left: 1},
-		"the other endpoint can't be reached":         {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, connectErr: errRefused, wantErr: errNotConnected, answers: true, sent: []string{"e1"}, left: 1},
-		"the request may not be sent again":           {endpoints: firstAvailable{"e1", "e2"}, maxTries: 1, budget: 1, wantErr: errLastTry, answers: true, sent: []string{"e1"}, left: 1},
-		"an avoided endpoint is granted nevertheless": {endpoints: firstAvailable{"e1", "avoided"}, maxTries: 2, budget: 1, wantErr: errNotGranted, answers: true, sent: []string{"e1"}, left: 1},
+		"it goes on at the successor":         {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, sent: []string{"e1", "e2"}},
+		"the endpoint answers":                {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, answers: true, sent: []string{"e1"}, left: 1},
+		"no budget":                           {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, wantErr: errNoBudget, answers: true, sent: []string{"e1"}},
+		"no other endpoint":                   {endpoints: firstAvailable{"e1"}, maxTries: 2, budget: 1, wantErr: errNotGranted, answers: true, sent: []string{"e1"}, left: 1},
+		"the other endpoint is not accepted":  {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, rejects: true, wantErr: errNotBetter, answers: true, sent: []string{"e1"}, left: 1},
+		"the other endpoint can't be reached": {endpoints: firstAvailable{"e1", "e2"}, maxTries: 2, budget: 1, connectErr: errRefused, wantErr: errNotConnected, answers: true, sent: []string{"e1"}, left: 1},
+		"the request may not be sent again":   {endpoints: firstAvailable{"e1", "e2"}, maxTries: 1, budget: 1, wantErr: errLastTry, answers: true, sent: []string{"e1"}, left: 1},
+		"all others are excluded":             {endpoints: firstAvailable{"e1", "excluded"}, maxTries: 2, budget: 1, wantErr: errNotGranted, answers: true, sent: []string{"e1"}, left: 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -237,7 +238,7 @@
 						c.Check(a.Connection, qt.Not(qt.IsNil))
 						return Result{Event: request.EventWhole}
 					}
-					s, err := a.PrepareSuccessor(ctx, []string{"avoided"}, func(string) bool { return !test.rejects })
+					s, err := a.PrepareSuccessor(ctx, &EndpointFilter{Excluded: []string{"excluded"}, Accept: func(string) bool { return !test.rejects }})
 					c.Check(errors.Is(err, test.wantErr), qt.IsTrue, qt.Commentf("%v", err))
 					if err == nil {
 						c.Check(a.Leave(s), qt.IsTrue)
--- a/internal/owner/successor.go
+++ b/internal/owner/successor.go
@@ -33,13 +33,20 @@
 	discarded  sync.Once
 }
 
-// PrepareSuccessor prepares the next try. It avoids a list of endpoints and those that accept rejects. It blocks while it
-// asks for an endpoint and connects, and returns soon after ctx ends. Unlike the other methods it may be called from
-// another goroutine than that of the request, one at a time, until the attempt returns. The successor must be passed to
-// Leave or discarded.
-func (a *Attempt) PrepareSuccessor(ctx context.Context, avoid []string, accept func(endpoint string) bool) (*Successor, error) {
+// EndpointFilter limits the endpoints of a successor.
+type EndpointFilter struct {
+	// Excluded lists endpoints that are not to be chosen. Only, if not empty, lists the only ones that may be.
+	Excluded, Only []string
+	// Accept is asked for the endpoint that is granted.
+	Accept func(endpoint string) bool
+}
+
+// PrepareSuccessor prepares the next try. It blocks while it asks for an endpoint and connects, and returns soon after ctx
+// ends. Unlike the other methods it may be called from another goroutine than that of the request, one at a time, until
+// the attempt returns. The successor must be passed to Leave or discarded.
+func (a *Attempt) PrepareSuccessor(ctx context.Context, filter *EndpointFilter) (*Successor, error) {
 	r := a.run
-	ask, ok := r.successorRequest(avoid)
+	ask, ok := r.successorRequest(filter)
 	if !ok {
 		return nil, merry.Wrap(errLastTry)
 	}
@@ -48,7 +55,7 @@
 		return nil, merry.Wrap(errNoBudget)
 	}
 	s := &Successor{run: r}
-	if err := s.prepare(ctx, ask, accept); err != nil {
+	if err := s.prepare(ctx, ask, filter.Accept); err != nil {
 		s.Discard()
 		return nil, err
 	}
@@ -56,15 +63,15 @@
 }
 
 // successorRequest returns the request for the endpoint of the next try, and whether there may be one.
-func (r *run) successorRequest(avoid []string) (admission.Request, bool) {
+func (r *run) successorRequest(filter *EndpointFilter) (admission.Request, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.job.Connect == nil || !r.lifecycle.CanLeave(r.leavingFacts()) {
 		return admission.Request{}, false
 	}
 	ask := r.job.Request
-	ask.Avoid = slices.Concat(ask.Avoid, avoid, []string{r.endpointID})
-	ask.Received, ask.Retry = r.tokens, true
+	ask.Excluded = slices.Concat(ask.Avoid, filter.Excluded, []string{r.endpointID})
+	ask.Only, ask.Received, ask.Retry = filter.Only, r.tokens, true
 	return ask, true
 }
 
@@ -86,7 +93,7 @@
 	}
 	s.ticket, s.decision = ticket, decision
 	endpoint, takesWork := r.owner.parts.Endpoints(decision.Endpoint)
-	if !takesWork || slices.Contains(ask.Avoid, decision.Endpoint) || !accept(decision.Endpoint) {
+	if !takesWork || !accept(decision.Endpoint) {
 		return merry.Wrap(errNotBetter)
 	}
 	s.endpoint = endpoint
