--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -46,6 +46,9 @@
 	isOver             bool
 }
 
+// errNotConnectable is the cause of leaving an endpoint to which nobody can connect, or a peer only.
+var errNotConnectable = merry.Sentinel("the endpoint is silent, and this host can't open another connection to it")
+
 // errNobodyAlive is the reason why a call stays while most endpoints are silent and one call tries another endpoint.
 var errNobodyAlive = merry.Sentinel("no endpoint is known to be alive")
 
@@ -277,7 +280,11 @@
 	case !w.attempt.Leave(successor):
 		return counters.SilenceKept
 	}
-	w.end(describeSilence(owner.ErrStalled, &survey))
+	cause := owner.ErrStalled
+	if s.isUnreachable {
+		cause = errNotConnectable
+	}
+	w.end(describeSilence(cause, &survey))
 	return counters.SilenceLeft
 }
 
