silence: an endpoint that calls have left counts as silent until it sends something

Found by the model once it chose the endpoint with the fewest calls, as placement does: an endpoint whose silent calls had all left was unknown, had the fewest calls, and got the next ones.

--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -280,6 +280,7 @@
 	case !w.attempt.Leave(successor):
 		return counters.SilenceKept
 	}
+	w.waiting.RecordLeft()
 	cause := owner.ErrStalled
 	if s.isUnreachable {
 		cause = errNotConnectable
--- a/internal/front/silence/model_test.go
+++ b/internal/front/silence/model_test.go
@@ -127,6 +127,7 @@
 	m.budget--
 	m.moved++
 	c.tries++
+	c.waiting.RecordLeft()
 	c.waiting.End()
 	dataAt := c.dataAt
 	m.send(c, other, modelRead)
@@ -134,30 +135,34 @@
 	return false
 }
 
-// choose returns the endpoint that a call would get, and whether the call leaves its own for it. It prefers endpoints
-// that are not known to be silent, as placement does.
+// choose returns the endpoint with the fewest calls, as placement does, of those that a call may leave for, and whether the
+// call leaves its own for it. Calls that are not cautious don't know which ones are silent.
 func (m *model) choose(c *modelCall, quiet time.Duration) (string, bool) {
 	survey := m.tracker.Survey("engines", quiet)
 	scope := ScopeOf(&survey, m.tracker.IsTrialDue("engines", quiet), false)
-	avoid := map[string]bool{c.endpoint: true}
-	for _, id := range survey.Silent {
-		avoid[id] = true
-	}
-	last := ""
-	for n := len(m.paused) - 1; n >= 0; n-- {
+	chosen, isBetter := "", false
+	for n := range len(m.paused) {
 		id := endpointName(n)
-		if id == c.endpoint {
-			continue
-		}
-		last = id
 		state := m.tracker.State("engines", id, quiet)
-		if avoid[id] || scope == Nowhere || scope == AmongAlive && state != Alive {
+		isRuledOut := state == Silent || scope == Nowhere || scope == AmongAlive && state != Alive
+		if id == c.endpoint || m.isCautious && isRuledOut || chosen != "" && m.open(id) >= m.open(chosen) {
 			continue
 		}
-		choice := Choose(&survey, state, false)
-		return id, choice == Leave || choice == LeaveAsTrial && m.tracker.BeginTrial("engines", quiet)
+		chosen = id
 	}
-	return last, false
+	if m.isCautious && chosen != "" {
+		choice := Choose(&survey, m.tracker.State("engines", chosen, quiet), false)
+		isBetter = choice == Leave || choice == LeaveAsTrial && m.tracker.BeginTrial("engines", quiet)
+	}
+	return chosen, isBetter
+}
+
+// open returns the number of calls at an endpoint.
+func (m *model) open(id string) int {
+	if e, ok := m.tracker.services["engines"][id]; ok {
+		return e.open
+	}
+	return 0
 }
 
 // TestModelOfSilence plays the rules over pauses of different lengths of one, most and all of four endpoints, with and
@@ -244,6 +249,12 @@
 	c.Check(tracker.Survey("apps", quiet), qt.DeepEquals, Survey{Silent: []string{"app-1"}})
 	first.End()
 	c.Check(state(), qt.Equals, Unknown)
+	left := tracker.Begin("apps", "app-1")
+	left.RecordLeft()
+	left.End()
+	c.Check(state(), qt.Equals, Silent, qt.Commentf("a call has left it"))
+	now = now.Add(keepTime)
+	c.Check(state(), qt.Equals, Unknown)
 	c.Check(tracker.BeginTrial("apps", quiet), qt.IsTrue)
 	c.Check(tracker.BeginTrial("apps", quiet), qt.IsFalse)
 	now = now.Add(quiet)
--- a/internal/front/silence/tracker.go
+++ b/internal/front/silence/tracker.go
@@ -43,8 +43,9 @@
 	// open counts the calls that wait for the endpoint, openSince is when the first of them was sent.
 	open      int
 	openSince time.Time
-	// receivedAt is when the endpoint last sent something for any call.
+	// receivedAt is when the endpoint last sent something for any call, leftAt when a call last left it for its silence.
 	receivedAt time.Time
+	leftAt     time.Time
 }
 
 // New returns a tracker without endpoints.
@@ -88,6 +89,14 @@
 	c.endpoint.receivedAt = now
 }
 
+// RecordLeft records that the call leaves the endpoint, which counts as silent until it sends something or keepTime is over.
+func (c *Call) RecordLeft() {
+	now := c.tracker.clock()
+	c.tracker.mu.Lock()
+	defer c.tracker.mu.Unlock()
+	c.endpoint.leftAt = now
+}
+
 // End records that the call no longer waits.
 func (c *Call) End() {
 	c.tracker.mu.Lock()
@@ -101,10 +110,11 @@
 	if e.receivedAt.After(waitingSince) {
 		waitingSince = e.receivedAt
 	}
+	wasLeft := e.leftAt.After(e.receivedAt) && now.Sub(e.leftAt) < keepTime
 	switch {
 	case now.Sub(e.receivedAt) < quiet:
 		return Alive
-	case e.open > 0 && now.Sub(waitingSince) >= quiet:
+	case wasLeft, e.open > 0 && now.Sub(waitingSince) >= quiet:
 		return Silent
 	}
 	return Unknown
@@ -139,7 +149,7 @@
 	return s
 }
 
-// keepTime is how long an endpoint without open calls is kept after it has last sent something.
+// keepTime is how long an endpoint without open calls is kept after it has last sent something or was left.
 const keepTime = 10 * time.Second
 
 // Expire drops the endpoints that this host no longer calls. It is called about once a second.
@@ -149,7 +159,7 @@
 	defer t.mu.Unlock()
 	for service, endpoints := range t.services {
 		for id, e := range endpoints {
-			if e.open == 0 && now.Sub(e.receivedAt) >= keepTime {
+			if e.open == 0 && now.Sub(e.receivedAt) >= keepTime && now.Sub(e.leftAt) >= keepTime {
 				delete(endpoints, id)
 			}
 		}
