--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
+	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
@@ -128,10 +129,14 @@
 
 // reportFailure reports an endpoint's failure, unless the request itself was aborted or left a silent endpoint.
 func (x *exchange) reportFailure(ctx context.Context, a *owner.Attempt, cause error) {
-	if ctx.Err() != nil || errors.Is(cause, upstream.ErrPathLost) {
+	isReached := !errors.Is(cause, request.ErrNotSent)
+	isPathLost := errors.Is(cause, upstream.ErrPathLost)
+	if isReached && !x.isTunneled && (isPathLost || errors.Is(cause, upstream.ErrUnreachable)) {
+		x.server.parts.Counters.CountSilence(counters.SilenceEnded)
+	}
+	if ctx.Err() != nil || isPathLost {
 		return
 	}
-	isReached := !errors.Is(cause, request.ErrNotSent)
 	report := func() { x.server.parts.Health.RecordFailure(a.EndpointID, isReached, cause) }
 	if isReached && !x.isTunneled && upstream.MayBePathLoss(cause) {
 		x.server.parts.Client.ReportUnlessPathLost(x.target(a), report)
--- a/internal/front/upstream/check.go
+++ b/internal/front/upstream/check.go
@@ -29,8 +29,8 @@
 // or through another one. The endpoint has not failed.
 var ErrPathLost = merry.Sentinel("path to the endpoint lost")
 
-// errUnreachable is the error of a call that was given up since nobody reaches its silent endpoint.
-var errUnreachable = merry.Sentinel("the endpoint is silent and can't be reached")
+// ErrUnreachable is the error of a call that was given up since nobody reaches its silent endpoint.
+var ErrUnreachable = merry.Sentinel("the endpoint is silent and can't be reached")
 
 // Reach is how an endpoint can be reached.
 type Reach uint8
@@ -153,7 +153,7 @@
 		x.abortWith(ErrPathLost)
 		return
 	}
-	x.abortWith(errUnreachable)
+	x.abortWith(ErrUnreachable)
 }
 
 func (x *exchange) rearm(after time.Duration) {
--- a/internal/front/upstream/check_test.go
+++ b/internal/front/upstream/check_test.go
@@ -61,7 +61,7 @@
 		want         error
 	}{
 		"path lost":                              {ReachedByPeer, nil, true, false, ErrPathLost},
-		"unreachable":                            {Unreachable, errNotConnected, true, false, errUnreachable},
+		"unreachable":                            {Unreachable, errNotConnected, true, false, ErrUnreachable},
 		"slow endpoint":                          {ReachedDirectly, nil, true, true, nil},
 		"path lost, may run once only":           {ReachedByPeer, nil, false, false, nil},
 		"new connections fail, the call's works": {Unreachable, errNotConnected, true, true, nil},
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -14,8 +14,8 @@
 }
 
 // Close gives the connection back to the client, if no call was sent on it.
-func (h *Connection) Close() error {
-	h.client.putUnused(h.address, h.conn)
+func (c *Connection) Close() error {
+	c.client.putUnused(c.address, c.conn)
 	return nil
 }
 
