--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -238,11 +238,14 @@
 func (w *silenceWatch) endSearch(s *search, result counters.SilenceResult) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	isSilent := s.ctx.Err() == nil
 	s.cancel()
 	close(s.done)
 	w.search = nil
 	if result == counters.SilenceKept {
-		w.rearm(s.again)
+		if isSilent {
+			w.rearm(s.again)
+		}
 		if w.isKept {
 			return
 		}
