silence: a call whose connection is dead goes to its own endpoint again if no other is left

A call was never sent to its own endpoint again, stayed until its time limit, and its caller found no endpoint of the version.

Now the own endpoint counts if no other is left: at once if it sends something on other connections, otherwise for one call in each quiet time.

--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -257,12 +258,11 @@
 // leave ends the attempt if another endpoint is in hand.
 func (w *silenceWatch) leave(s *search) counters.SilenceResult {
 	x, tracker := w.exchange, w.exchange.server.parts.Silence
-	survey := tracker.Survey(x.service, s.quiet)
-	filter := &owner.EndpointFilter{Excluded: survey.Silent, Accept: func(endpoint string) bool {
-		choice := silence.Choose(&survey, tracker.State(x.service, endpoint, s.quiet), s.isUnreachable)
-		return choice == silence.Leave || choice == silence.LeaveAsTrial && tracker.BeginTrial(x.service, s.quiet)
+	survey, isTrialDue := tracker.Survey(x.service, s.quiet), tracker.IsTrialDue(x.service, s.quiet)
+	filter := &owner.EndpointFilter{Excluded: w.excluded(s, &survey, isTrialDue), Accept: func(endpoint string) bool {
+		return w.accepts(s, &survey, endpoint)
 	}}
-	switch silence.ScopeOf(&survey, tracker.IsTrialDue(x.service, s.quiet), s.isUnreachable) {
+	switch silence.ScopeOf(&survey, isTrialDue, s.isUnreachable) {
 	case silence.Nowhere:
 		s.again = silence.LookInterval(s.quiet)
 		w.recordKept(errNobodyAlive, &survey)
@@ -292,6 +292,28 @@
 	return counters.SilenceLeft
 }
 
+// excluded returns the endpoints to which the call does not go.
+func (w *silenceWatch) excluded(s *search, survey *silence.Survey, isTrialDue bool) []string {
+	x, own := w.exchange, w.attempt.EndpointID
+	state := x.server.parts.Silence.State(x.service, own, s.quiet)
+	excluded := slices.DeleteFunc(slices.Clone(survey.Silent), func(id string) bool { return id == own })
+	if s.isUnreachable || !silence.MayReconnect(state, isTrialDue) {
+		excluded = append(excluded, own)
+	}
+	return excluded
+}
+
+// accepts reports whether the call goes to an endpoint that was granted.
+func (w *silenceWatch) accepts(s *search, survey *silence.Survey, endpoint string) bool {
+	service, tracker := w.exchange.service, w.exchange.server.parts.Silence
+	state := tracker.State(service, endpoint, s.quiet)
+	choice := silence.Choose(survey, state, s.isUnreachable)
+	if endpoint == w.attempt.EndpointID && state != silence.Alive {
+		choice = silence.LeaveAsTrial
+	}
+	return choice == silence.Leave || choice == silence.LeaveAsTrial && tracker.BeginTrial(service, s.quiet)
+}
+
 // recordKept records once in the request's steps why the call stays at its silent endpoint.
 func (w *silenceWatch) recordKept(reason error, survey *silence.Survey) {
 	w.mu.Lock()
--- a/internal/front/silence/rules.go
+++ b/internal/front/silence/rules.go
@@ -91,6 +91,11 @@
 	return Leave
 }
 
+// MayReconnect reports whether a call may be sent to its own endpoint again, on another connection, if no other endpoint
+// is left: the connection may be dead and not the endpoint. That is known if the endpoint is alive; otherwise it takes a
+// trial.
+func MayReconnect(own State, isTrialDue bool) bool { return own == Alive || isTrialDue }
+
 func (s *Survey) isMostlySilent() bool { return len(s.Silent) > 1 && len(s.Silent) > len(s.Alive) }
 
 // Scope is where a call looks for another endpoint.
--- a/internal/owner/successor.go
+++ b/internal/owner/successor.go
@@ -35,7 +35,8 @@
 
 // EndpointFilter limits the endpoints of a successor.
 type EndpointFilter struct {
-	// Excluded lists endpoints that are not to be chosen. Only, if not empty, lists the only ones that may be.
+	// Excluded lists endpoints that are not to be chosen. Only, if not empty, lists the only ones that may be. The endpoint of
+	// the attempt is chosen only if no other is left.
 	Excluded, Only []string
 	// Accept is asked for the endpoint that is granted.
 	Accept func(endpoint string) bool
@@ -70,7 +71,8 @@
 		return admission.Request{}, false
 	}
 	ask := r.job.Request
-	ask.Excluded = slices.Concat(ask.Avoid, filter.Excluded, []string{r.endpointID})
+	ask.Excluded = slices.Concat(ask.Avoid, filter.Excluded)
+	ask.Avoid = slices.Concat(ask.Avoid, []string{r.endpointID})
 	ask.Only, ask.Received, ask.Retry = filter.Only, r.tokens, true
 	return ask, true
 }
