upstream: the connection of a successor is a new one

Idle connections may be as dead as that of the call: where all open connections to an endpoint have gone silent for good, the last try of a request would wait on a second dead one until its time limit. Found by reading.

--- a/internal/front/silence/tracker.go
+++ b/internal/front/silence/tracker.go
@@ -19,7 +19,8 @@
 	Unknown State = iota
 	// Alive: the endpoint has sent something recently.
 	Alive
-	// Silent: calls wait for the endpoint, and it has sent nothing for a while on any connection.
+	// Silent: calls wait for the endpoint and it has sent nothing for a while on any connection, or calls have left it for
+	// that and it has sent nothing since.
 	Silent
 )
 
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -19,9 +19,10 @@
 	return nil
 }
 
-// Connect returns a connection for a call to a target. It must be used for a call or closed.
+// Connect opens a connection for a call to a target. It must be used for a call or closed. Idle connections are not used,
+// since they may be dead.
 func (c *Client) Connect(ctx context.Context, target Target) (*Connection, error) {
-	conn, err := c.connect(ctx, &Call{Target: target})
+	conn, err := c.dial(ctx, &Call{Target: target})
 	if err != nil {
 		return nil, err
 	}
