gossip: the first hops of a message are drawn in the order of the zones

Its random numbers are seeded, but zones were read in the order of a map, so that each run gave the numbers to other zones; in some orders both copies begin at a dead host of the same zone.

--- a/internal/front/gossip/relay.go
+++ b/internal/front/gossip/relay.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -59,10 +60,13 @@
 // zone as if it had received the message for the whole zone. Random returns numbers in [0, 1).
 func (m *Members) firstHops(random func() float64) []hop {
 	var hops []hop
-	for zone, hosts := range m.indexed().relays {
+	relays := m.indexed().relays
+	// The order of the zones decides which random number each of them gets.
+	for _, zone := range slices.Sorted(maps.Keys(relays)) {
 		if zone == m.zone {
 			continue
 		}
+		hosts := relays[zone]
 		hops = append(hops, hop{address: hosts[int(random()*float64(len(hosts)))].Address, to: math.MaxUint64})
 	}
 	return append(hops, m.nextHops(0, math.MaxUint64, nil, random)...)
