--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -331,13 +331,18 @@
 	return xxhash.Sum64String(cmp.Or(config.Fleet, config.Platform.Address))
 }
 
-func newRetryBudget(config hostconfig.Host, g *gossip.Gossip, clock func() time.Time) *retrybudget.Fleet {
+func newRetryBudget(config hostconfig.Host, g *gossip.Gossip, log *logrus.Logger, clock func() time.Time) *retrybudget.Fleet {
 	limits := retrybudget.Limits{Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window}
 	place := func() retrybudget.Place {
 		order := g.Order()
 		return retrybudget.Place{Before: order.Before, Hosts: order.Hosts}
 	}
-	return retrybudget.NewFleet(limits, place, clock)
+	retries := logging.Part(log, "retries")
+	return retrybudget.NewFleet(limits, place, clock, func(u retrybudget.Usage) {
+		retries.WithFields(logrus.Fields{
+			"service": u.Service, "first_tries": u.FirstTries, "retries": u.Retries, "hosts": u.Hosts, "uptime_ms": u.Uptime.Milliseconds(),
+		}).Warn("retry budget of the service is used up, calls are not sent again")
+	})
 }
 
 // ownerParts are the dependencies of the owner.
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -168,9 +168,7 @@
 		verdict, proved := d.table.RecordCrash(content, crash)
 		d.outbox.addCrash(content, crash)
 		if proved {
-			d.parts.Log.WithFields(keyFields(content)).WithFields(logrus.Fields{
-				"endpoint": call.Endpoint, "endpoint_keys": verdict.Endpoints, "until": time.Duration(verdict.Until).String(),
-			}).Warn("request given up, endpoints end under it")
+			d.logProved(verdict, call.Endpoint)
 			d.unsaved = append(d.unsaved, verdict)
 			d.outbox.addVerdict(verdict)
 		}
@@ -180,6 +178,18 @@
 	d.evidenceChanged()
 }
 
+// logProved logs a verdict that this host has found. The caller holds the lock.
+func (d *Detector) logProved(verdict Verdict, endpoint string) {
+	fields := logrus.Fields{
+		"endpoint": endpoint, "endpoint_keys": verdict.Endpoints, "until": time.Duration(verdict.Until).String(),
+		"crashes": verdict.Proof.Crashes, "other_crashes": verdict.Proof.Others,
+	}
+	if at := verdict.Proof.AnsweredAt; at != 0 {
+		fields["answered_ms"] = time.Duration(d.parts.StoreTime() - at).Milliseconds()
+	}
+	d.parts.Log.WithFields(keyFields(verdict.Content)).WithFields(fields).Warn("request given up, endpoints end under it")
+}
+
 // keyFields returns the log fields that name the contents of a verdict: request_key, or part_key for a part of a prompt.
 func keyFields(content keys.Content) logrus.Fields {
 	if content.IsPart() {
--- a/internal/front/poison/poison.go
+++ b/internal/front/poison/poison.go
@@ -82,4 +82,14 @@
 	Endpoints []keys.Endpoint
 	// Versions are the known software versions of these endpoints. They are neither sent between hosts nor stored.
 	Versions []keys.Version
+	// Proof is set if this host found the verdict. It is neither sent between hosts nor stored.
+	Proof Proof
+}
+
+// Proof is what a verdict rests on, for logs.
+type Proof struct {
+	// Crashes is the number of crashes with the contents, Others that of the other crashes in the same period.
+	Crashes, Others int
+	// AnsweredAt is the time of the last complete answer to a request with the contents, or 0 if none is known.
+	AnsweredAt freshness.StoreTime
 }
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -59,7 +59,9 @@
 		t.enforceBounds()
 		return Verdict{}, false
 	}
-	verdict := Verdict{Content: content}
+	verdict := Verdict{Content: content, Proof: Proof{
+		Crashes: len(crashes), Others: max(t.crashesBetween(crashes)-len(crashes), 0), AnsweredAt: t.sound[content],
+	}}
 	for _, c := range crashes {
 		if content.IsPart() {
 			t.explain(c)
--- a/internal/retrybudget/fleet.go
+++ b/internal/retrybudget/fleet.go
@@ -31,11 +31,23 @@
 	Before, Hosts int
 }
 
+// Usage is what this host has used of the budget of a service.
+type Usage struct {
+	Service string
+	// FirstTries and Retries are those of this host in the window, Hosts is the number of hosts that share the slack.
+	FirstTries, Retries, Hosts int
+	// Uptime is the time since this host started.
+	Uptime time.Duration
+}
+
 // Fleet counts the first tries and retries of this host for each service.
 type Fleet struct {
 	limits Limits
 	place  func() Place
 	clock  func() time.Time
+	// exhausted is called when a retry is denied, at most once in a window for each service. It must not block.
+	exhausted func(Usage)
+	startedAt time.Time
 
 	mu     sync.Mutex
 	groups map[string]*group
@@ -48,11 +60,14 @@
 type group struct {
 	firstTries []time.Time
 	retries    []time.Time
+	// reportedAt is when the budget was last reported as exhausted.
+	reportedAt time.Time
 }
 
-// NewFleet returns a budget without any tries. Place returns the current place of this host.
-func NewFleet(limits Limits, place func() Place, clock func() time.Time) *Fleet {
-	return &Fleet{limits: limits, place: place, clock: clock, groups: make(map[string]*group)}
+// NewFleet returns a budget without any tries. Place returns the current place of this host. Exhausted is called when a
+// retry is denied, at most once in a window for each service.
+func NewFleet(limits Limits, place func() Place, clock func() time.Time, exhausted func(Usage)) *Fleet {
+	return &Fleet{limits: limits, place: place, clock: clock, exhausted: exhausted, startedAt: clock(), groups: make(map[string]*group)}
 }
 
 // RecordFirstTry counts a first try. The class's fraction is ignored, since the limits apply to the whole service.
@@ -70,15 +85,25 @@
 	now, place := b.clock(), b.place()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.canRetry(now, place, b.group(now, service))
+	return b.canRetry(now, place, service)
 }
 
-// canRetry is CanRetry for the counts of a service. The lock is held.
-func (b *Fleet) canRetry(now time.Time, place Place, g *group) bool {
+// canRetry is CanRetry with the lock held.
+func (b *Fleet) canRetry(now time.Time, place Place, service string) bool {
+	g := b.group(now, service)
 	b.updateSharing(now, place)
 	slack := b.limits.Slack / float64(max(b.sharing.Hosts, 1))
 	allowed := usedShare * (b.limits.Ratio*float64(len(g.firstTries)) + slack)
-	return float64(len(g.retries)+1) <= allowed+b.sharing.rounding()
+	if float64(len(g.retries)+1) <= allowed+b.sharing.rounding() {
+		return true
+	}
+	if g.reportedAt.IsZero() || now.Sub(g.reportedAt) >= b.limits.Window {
+		g.reportedAt = now
+		b.exhausted(Usage{
+			Service: service, FirstTries: len(g.firstTries), Retries: len(g.retries), Hosts: b.sharing.Hosts, Uptime: now.Sub(b.startedAt),
+		})
+	}
+	return false
 }
 
 // updateSharing updates the hosts that share the slack. Hosts that are no longer seen keep their share for
@@ -119,10 +144,10 @@
 	now, place := b.clock(), b.place()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	g := b.group(now, service)
-	if !b.canRetry(now, place, g) {
+	if !b.canRetry(now, place, service) {
 		return false
 	}
+	g := b.group(now, service)
 	g.retries = append(g.retries, now)
 	return true
 }
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -22,7 +22,7 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			now := time.Unix(0, 0)
-			b := NewFleet(limits, func() Place { return Place{Hosts: test.hosts} }, func() time.Time { return now })
+			b := NewFleet(limits, func() Place { return Place{Hosts: test.hosts} }, func() time.Time { return now }, func(Usage) {})
 			for range test.firsts {
 				b.RecordFirstTry("s", 0)
 			}
@@ -62,7 +62,7 @@
 			retries := 0
 			for place := range hosts {
 				seen := hosts
-				b := NewFleet(limits, func() Place { return Place{Before: min(place, seen-1), Hosts: seen} }, func() time.Time { return now })
+				b := NewFleet(limits, func() Place { return Place{Before: min(place, seen-1), Hosts: seen} }, func() time.Time { return now }, func(Usage) {})
 				b.CanRetry("s")
 				seen = 1
 				b.CanRetry("s")
@@ -96,7 +96,7 @@
 			c := qt.New(t)
 			retries := 0
 			for place := range test.hosts {
-				b := NewFleet(limits, func() Place { return Place{Before: place, Hosts: test.hosts} }, func() time.Time { return time.Unix(0, 0) })
+				b := NewFleet(limits, func() Place { return Place{Before: place, Hosts: test.hosts} }, func() time.Time { return time.Unix(0, 0) }, func(Usage) {})
 				for range test.firstTriesPerHost {
 					b.RecordFirstTry("s", 0)
 				}
@@ -114,7 +114,7 @@
 
 func TestServicesHaveSeparateBudgets(t *testing.T) {
 	c := qt.New(t)
-	b := NewFleet(Limits{Slack: 2, Window: time.Second}, func() Place { return Place{Hosts: 1} }, func() time.Time { return time.Unix(0, 0) })
+	b := NewFleet(Limits{Slack: 2, Window: time.Second}, func() Place { return Place{Hosts: 1} }, func() time.Time { return time.Unix(0, 0) }, func(Usage) {})
 	b.RecordRetry("a")
 	c.Check(b.CanRetry("a"), qt.IsFalse)
 	c.Check(b.CanRetry("b"), qt.IsTrue)
