retrybudget: a host saves up retries, and has none when it starts

Callers saw nothing of it; endpoints that failed got more retries than the rule allows (BUDGET) whenever hosts restarted.

Cause: a host counted its first tries and retries of the last window, and could spend its whole share of the budget at any moment of it. After a restart it knew of no retry, and its whole share was free again.

Change: an account for each service. Half of the budget can be saved up, the other half is earned with first tries and time. A host that has just started has saved nothing. So the retries in any window are at most what all hosts had saved at its beginning and what they earn in it, whoever restarts, how often and when; no host needs to remember or to be told anything.

--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -335,12 +335,12 @@
 	limits := retrybudget.Limits{Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window}
 	place := func() retrybudget.Place {
 		order := g.Order()
-		return retrybudget.Place{Before: order.Before, Hosts: order.Hosts}
+		return retrybudget.Place{Before: order.Before, Hosts: order.Hosts, IsKnown: g.KnowsFleet()}
 	}
 	retries := logging.Part(log, "retries")
 	return retrybudget.NewFleet(limits, place, clock, func(u retrybudget.Usage) {
 		retries.WithFields(logrus.Fields{
-			"service": u.Service, "first_tries": u.FirstTries, "retries": u.Retries, "hosts": u.Hosts, "uptime_ms": u.Uptime.Milliseconds(),
+			"service": u.Service, "first_tries": u.FirstTries, "retries": u.Retries, "balance": u.Balance, "hosts": u.Hosts, "uptime_ms": u.Uptime.Milliseconds(),
 		}).Warn("retry budget of the service is used up, calls are not sent again")
 	})
 }
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -131,6 +131,8 @@
 
 	// joinedAt is when the last peer joined, or when this host started if no peer has joined.
 	joinedAt time.Time
+	// hasMetPeer is set once a peer has joined.
+	hasMetPeer bool
 
 	// startDraw is a random number in [0, 1) that is drawn at the start, see MustReadFirst. announcedHosts is the largest
 	// number of hosts that a peer has announced.
@@ -223,6 +225,17 @@
 	return now.Sub(g.joinedAt) >= joinQuietTime || now.Sub(g.started) >= maxSettleTime
 }
 
+// KnowsFleet reports whether this host can tell how many hosts there are: it is settled and has met a peer since its start,
+// or knows of none that it could meet.
+func (g *Gossip) KnowsFleet() bool {
+	if !g.IsSettled() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.hasMetPeer || !g.members.HasContacts()
+}
+
 // MustReadStore reports whether this host has to read the store for its peers: it is settled, and its place in the
 // order makes it a reader. A host that would take over from other readers first waits for maxSettleTime, by when it has
 // received their heartbeats.
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -340,7 +340,7 @@
 		g.announcedHosts = max(g.announcedHosts, min(h.Announcement.Hosts, maxMembers))
 	}
 	if isNew && accepted {
-		g.joinedAt = g.parts.Clock()
+		g.joinedAt, g.hasMetPeer = g.parts.Clock(), true
 	}
 	sender, isKnown := g.members.byIncarnation(h.Incarnation)
 	var name string
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -108,6 +108,12 @@
 	entry.lastNamedAt = now
 }
 
+// HasContacts reports whether there are addresses other than this host's own at which hosts may listen.
+func (m *Members) HasContacts() bool {
+	_, hasOwn := m.contacts[m.address]
+	return len(m.contacts) > 1 || len(m.contacts) == 1 && !hasOwn
+}
+
 // ApplyHeartbeat applies a heartbeat and returns its sender. Accepted is false if the heartbeat is this host's own, is
 // not newer than the sender's last one, or has an unknown sender. IsNew is set if the sender's incarnation was not a
 // member before.
--- a/internal/front/gossip/membership.go
+++ b/internal/front/gossip/membership.go
@@ -235,7 +235,7 @@
 		}
 	}
 	if len(joined) > 0 {
-		g.joinedAt = now
+		g.joinedAt, g.hasMetPeer = now, true
 	}
 	if len(joined)+len(lost) > 0 {
 		g.membership.changedAt = now
