poison: verdicts on parts are comparisons, and are tried

Cause: a part was convicted by the number of crashes under it alone. A part in most requests is at every crash; the answers that speak for it are in memory only and gone after a restart; and once it is refused everywhere nothing can clear it.

Change: - crashes count as proof only if at least twice as many are under the part as not under it, in the period of the newest ones, and if some recent request lacks the part. Parts that can't be told apart are convicted together as long as most requests have none of them; before, the first one explained the crashes of the others, whichever was guilty. - a verdict on a part is tried: single requests, one at a time over the fleet, 1.5, 6, 24 s and so on after the last crash. - if endpoints go on crashing as often and not under the part, its verdict is lifted, and crashes don't count for 2 s. - hosts that join are told which parts have been answered. Peers' parts and times are checked, refused ones counted.

Ruled out: six crashes instead of four while a host can't know what was answered: costs up to ten endpoints for a guilty part in TestRequestsWithPoisonPartAreRejected, and the model does as well without. Extending the 2 s while crashes go on: a guilty part in a large fleet is then never found (4,295 sends).

TestPartVerdicts: a part that comes with the guilty one in all known requests is now convicted too (it was left out by the order of reports alone) and three cases are new. The simulation of harmless requests: 0 and 1 of 180,000 rejected, 229 and 232 crashes from 30 parts (before 232, 234).

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -54,10 +54,12 @@
 	RefusedMember    RefusedPeerMessage = "member"
 	RefusedRepeated  RefusedPeerMessage = "repeated"
 	RefusedSum       RefusedPeerMessage = "sum"
+	// RefusedPart: it names something that is no part of a prompt, or a time that can't be.
+	RefusedPart RefusedPeerMessage = "part"
 )
 
 // RefusedPeerMessages lists all reasons.
-var RefusedPeerMessages = []RefusedPeerMessage{RefusedMalformed, RefusedMember, RefusedRepeated, RefusedSum}
+var RefusedPeerMessages = []RefusedPeerMessage{RefusedMalformed, RefusedMember, RefusedRepeated, RefusedSum, RefusedPart}
 
 // PeerTrafficKinds lists all kinds.
 var PeerTrafficKinds = []PeerTraffic{PeerHeartbeats, PeerAnnouncements, PeerSyncs, PeerMessages, PeerTunnels, PeerRelays}
--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -57,6 +57,8 @@
 	KindRelay         Kind = 23
 	// KindChanges carries changes of the directory that are too many for a heartbeat.
 	KindChanges Kind = 24
+	// KindPoisonTrials lists trials of verdicts on parts of prompts, and parts that have been answered.
+	KindPoisonTrials Kind = 25
 )
 
 // Sender identifies the host that sent a message.
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -381,6 +381,7 @@
 	Client     *upstream.Client
 	Directory  *directory.Directory
 	Freshness  *freshness.State
+	Counters   *counters.Counters
 	Log        *logrus.Logger
 	Clock      func() time.Time
 	Random     func() float64
@@ -395,9 +396,10 @@
 		return now
 	}
 	detector := poison.New(poison.Parts{
-		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, Version: p.Directory.VersionOfKey, StoreTime: storeTime, Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random,
+		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, Version: p.Directory.VersionOfKey, StoreTime: storeTime, Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random, CountRefused: p.Counters.CountPeerRefused,
 	})
 	p.Gossip.Handle(envelope.KindPoison, detector.HandleReport)
+	p.Gossip.Handle(envelope.KindPoisonTrials, detector.HandleTrials)
 	return detector
 }
 
@@ -411,6 +413,7 @@
 	Failures   *pushback.Failures
 	Limits     *pushback.Limits
 	Brittle    *pushback.Brittle
+	Poison     *poison.Detector
 	Gossip     *gossip.Gossip
 	Log        *logrus.Logger
 	Clock      func() time.Time
@@ -426,7 +429,10 @@
 	p.Gossip.Handle(envelope.KindRejections, func(from envelope.Sender, body []byte) { tracker.HandleRejections(from.Host, body) })
 	p.Gossip.Handle(envelope.KindFailures, func(from envelope.Sender, body []byte) { tracker.HandleFailures(from.Host, body) })
 	p.Gossip.Handle(envelope.KindLimits, func(from envelope.Sender, body []byte) { tracker.HandleLimits(from.Host, body) })
-	p.Gossip.OnJoin(tracker.HandleJoin)
+	p.Gossip.OnJoin(func(joined envelope.Sender) {
+		tracker.HandleJoin(joined)
+		p.Poison.HandleJoin(joined)
+	})
 	return tracker
 }
 
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
@@ -58,6 +59,8 @@
 	Clock func() time.Time
 	// Random returns a number in [0, 1).
 	Random func() float64
+	// CountRefused counts parts and messages of peers that are refused.
+	CountRefused func(reason counters.RefusedPeerMessage)
 }
 
 // Call is a call that an endpoint broke.
@@ -78,9 +81,10 @@
 	parts Parts
 	// size is the number of suspects and verdicts. While it is 0, a request costs one atomic load.
 	size atomic.Int64
-	// reportWake has Run send a report, storeWake has syncStore read and write verdicts.
+	// reportWake has Run send a report, storeWake has syncStore read and write verdicts, judgeWake has judgeAgain run.
 	reportWake chan struct{}
 	storeWake  chan struct{}
+	judgeWake  chan struct{}
 
 	mu     sync.Mutex
 	table  *Table
@@ -95,24 +99,63 @@
 
 // New returns a detector without evidence.
 func New(parts Parts) *Detector {
-	return &Detector{parts: parts, reportWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), table: NewTable(), probes: make(map[string]*probe)}
+	return &Detector{parts: parts, reportWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), judgeWake: make(chan struct{}, 1), table: NewTable(), probes: make(map[string]*probe)}
 }
 
-// FindPoison returns the first of some contents that must not be sent to any endpoint, and whether there is one.
-func (d *Detector) FindPoison(contents []keys.Content) (keys.Content, bool) {
+// RecordRequest is called with the contents of each request that arrives.
+func (d *Detector) RecordRequest(contents []keys.Content) {
+	if len(contents) < 2 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.table.RecordRequest(contents)
+}
+
+// FindPoison returns the first of the contents of a request that must not be sent to any endpoint, and whether there is
+// one. Trial is the part of which the request is a trial, or 0; it is set if the request becomes one.
+func (d *Detector) FindPoison(contents []keys.Content, trial *keys.Content) (keys.Content, bool) {
 	if d.size.Load() == 0 {
 		return 0, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var due keys.Content
 	for _, content := range contents {
-		if d.table.IsPoison(content) {
+		switch {
+		case !d.table.IsPoison(content) || content == *trial:
+		case due == 0 && *trial == 0 && d.mayTry(content):
+			due = content
+		default:
 			return content, true
 		}
 	}
+	if due != 0 {
+		*trial = due
+		d.recordTrial(due)
+	}
 	return 0, false
 }
 
+// mayTry reports whether this host may send a request as a trial of a verdict now. The caller holds the lock.
+func (d *Detector) mayTry(content keys.Content) bool {
+	now := d.parts.StoreTime()
+	if !content.IsPart() || now == 0 || !d.parts.Peers.IsSettled() {
+		return false
+	}
+	order := d.parts.Peers.Order()
+	return d.table.MayTry(now, content, order.Before, order.Hosts)
+}
+
+// recordTrial records that this host sends a request as a trial, and has peers know. The caller holds the lock.
+func (d *Detector) recordTrial(part keys.Content) {
+	now := d.parts.StoreTime()
+	d.table.RecordTrial(now, part)
+	d.outbox.addTrial(part, now)
+	d.evidenceChanged()
+	d.parts.Log.WithFields(keyFields(part)).Info("a request is sent as a trial of the verdict")
+}
+
 // RecordAnswer is called when an endpoint with a software version has answered a request with some contents completely.
 func (d *Detector) RecordAnswer(contents []keys.Content, version keys.Version) {
 	if d.size.Load() == 0 && len(contents) < 2 {
@@ -175,15 +218,58 @@
 	}
 	d.sawCrash = true
 	lifetime.Wake(d.storeWake)
+	d.judge()
 	d.evidenceChanged()
 }
 
+// judge records the verdicts on parts that follow from the evidence, and lifts those that are proved wrong. It is repeated
+// until the last crash has counted. The caller holds the lock.
+func (d *Detector) judge() {
+	now := d.parts.StoreTime()
+	for _, verdict := range d.table.Judge(now) {
+		d.logProved(verdict, "")
+		d.unsaved = append(d.unsaved, verdict)
+		d.outbox.addVerdict(verdict)
+		lifetime.Wake(d.storeWake)
+		d.evidenceChanged()
+	}
+	for _, part := range d.table.Acquit(now) {
+		d.parts.Log.WithFields(keyFields(part)).Warn("endpoints crash as often without the part; its verdict is lifted")
+		d.clear(part, 0)
+		d.queueAnswered(part)
+	}
+	lifetime.Wake(d.judgeWake)
+}
+
+// judgeAgain judges the evidence again until the reports of all peers on the last crash must have arrived and counted, or
+// ctx ends.
+func (d *Detector) judgeAgain(ctx context.Context) {
+	for {
+		select {
+		case <-d.judgeWake:
+		case <-ctx.Done():
+			return
+		}
+		if !lifetime.Sleep(ctx, judgeDelay) {
+			return
+		}
+		d.mu.Lock()
+		if d.table.lastCrashAt()+freshness.StoreTime(judgeDelay+crashReportTime) > d.parts.StoreTime() {
+			d.judge()
+		}
+		d.mu.Unlock()
+	}
+}
+
 // logProved logs a verdict that this host has found. The caller holds the lock.
 func (d *Detector) logProved(verdict Verdict, endpoint string) {
 	fields := logrus.Fields{
-		"endpoint": endpoint, "endpoint_keys": verdict.Endpoints, "until": time.Duration(verdict.Until).String(),
+		"endpoint_keys": verdict.Endpoints, "until": time.Duration(verdict.Until).String(),
 		"crashes": verdict.Proof.Crashes, "other_crashes": verdict.Proof.Others,
 	}
+	if endpoint != "" {
+		fields["endpoint"] = endpoint
+	}
 	if at := verdict.Proof.AnsweredAt; at != 0 {
 		fields["answered_ms"] = time.Duration(d.parts.StoreTime() - at).Milliseconds()
 	}
@@ -228,6 +314,9 @@
 	for _, content := range r.Answered {
 		d.clear(content, 0)
 	}
+	if len(r.Ends) > 0 {
+		d.judge()
+	}
 	d.count()
 }
 
@@ -329,6 +418,7 @@
 	var syncing sync.WaitGroup
 	defer syncing.Wait()
 	syncing.Go(func() { d.syncStore(ctx) })
+	syncing.Go(func() { d.judgeAgain(ctx) })
 	announce := time.NewTicker(announceInterval)
 	defer announce.Stop()
 	for {
--- a/internal/front/poison/messages.go
+++ b/internal/front/poison/messages.go
@@ -41,6 +41,24 @@
 	Endpoints []keys.Endpoint
 }
 
+// Trials lists the parts of prompts that a host has tried, and those that have been answered.
+type Trials struct {
+	_ struct{} `cbor:",toarray"`
+
+	Tried []PartTime
+	// Sound are the parts that have been answered, for a host that has joined.
+	Sound []PartTime
+}
+
+// PartTime is a part of prompts and a time.
+type PartTime struct {
+	_ struct{} `cbor:",toarray"`
+
+	Part keys.Content
+	// AtMs is in milliseconds of the store's clock.
+	AtMs int64
+}
+
 func toMs(t freshness.StoreTime) int64 { return time.Duration(t).Milliseconds() }
 
 func fromMs(ms int64) freshness.StoreTime {
--- a/internal/front/poison/poison.go
+++ b/internal/front/poison/poison.go
@@ -37,6 +37,35 @@
 	// poison with a new version of the endpoints' software.
 	minSoundPartCrashes = 6
 	soundTime           = 10 * time.Minute
+	// recentRequestCount is the number of requests that a host remembers. A part that is in all of them can't be told apart
+	// from whatever else they share.
+	recentRequestCount = 64
+	// minCrashRatio is how many times more crashes must be under a part than not under it.
+	minCrashRatio = 2
+	// judgeDelay is how long after a crash it counts in a verdict on a part: by then all hosts have reported their
+	// requests at the endpoint, whose parts are compared.
+	judgeDelay = 20 * time.Millisecond
+	// minOtherCrashes is the number of crashes since a verdict on a part, at the rate of before and not under the part, that
+	// proves the verdict wrong. Crashes count once reports on them must have arrived from all
+	// hosts. continuedRateShare is the part of the rate of before that counts as the same rate.
+	minOtherCrashes    = 8
+	crashReportTime    = 200 * time.Millisecond
+	continuedRateShare = 0.5
+	// quietTime is how long no endpoint must have crashed, after a verdict was proved wrong in this way, before crashes
+	// count against parts again.
+	quietTime = 2 * time.Second
+	// firstTrialDelay is the time from the last crash under a part to the first trial of its verdict. Each trial that
+	// fails multiplies it by trialDelayGrowth: the users accept three requests with a guilty part after its verdict.
+	firstTrialDelay  = 1500 * time.Millisecond
+	trialDelayGrowth = 4
+	// A trial is left to one host at first, which changes each trialTurn, and to twice as many after each trialSpreadTime: of
+	// a part that few requests have, trials rarely collide. Of its turn a host uses trialTurnShare, since the hosts'
+	// views of the store's clock differ.
+	trialTurn       = 250 * time.Millisecond
+	trialTurnShare  = 0.8
+	trialSpreadTime = 500 * time.Millisecond
+	// maxTrialDoublings makes it the turn of all hosts of the largest fleets.
+	maxTrialDoublings = 16
 	// partCrashInterval is the interval within which crashes count once against a part: they may have a common cause.
 	partCrashInterval = 30 * time.Millisecond
 	// evidenceValidity is how long a crash counts as evidence. verdictValidity is how long a request stays poison:
@@ -58,8 +87,10 @@
 	maxVerdicts = 4096
 	// maxCrashes bounds the crashes that are kept for the comparison with other crashes, and those that verdicts on parts
 	// explain. maxSound bounds the parts that are known to have been answered, to about 0.5 MB.
-	maxCrashes = 4096
-	maxSound   = 8192
+	// maxAllCrashes bounds those that are kept to see whether crashes go on.
+	maxCrashes    = 4096
+	maxAllCrashes = 512
+	maxSound      = 8192
 )
 
 // Crash is a crash of an endpoint that had some contents.
@@ -82,14 +113,20 @@
 	Endpoints []keys.Endpoint
 	// Versions are the known software versions of these endpoints. They are neither sent between hosts nor stored.
 	Versions []keys.Version
-	// Proof is set if this host found the verdict. It is neither sent between hosts nor stored.
-	Proof Proof
+	// Proof is set if this host has the evidence. TriedAt is when a request with the part was last sent as a trial, or 0.
+	// Later are the crashes under the part since. They are neither sent with the verdict nor stored.
+	Proof   Proof
+	TriedAt freshness.StoreTime
+	Later   []Crash
 }
 
-// Proof is what a verdict rests on, for logs.
+// Proof is what a verdict rests on.
 type Proof struct {
-	// Crashes is the number of crashes with the contents, Others that of the other crashes in the same period.
+	// Crashes is the number of crashes with the contents, Others that of the other crashes in the same Period.
 	Crashes, Others int
+	Period          time.Duration
+	// Last is the time of the last of these crashes.
+	Last freshness.StoreTime
 	// AnsweredAt is the time of the last complete answer to a request with the contents, or 0 if none is known.
 	AnsweredAt freshness.StoreTime
 }
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -5,7 +5,11 @@
 	"slices"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
+	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 )
 
@@ -14,6 +18,7 @@
 	crashes  []repeatedItem[ReportedCrash]
 	answered []repeatedItem[keys.Content]
 	verdicts []repeatedItem[ReportedVerdict]
+	trials   []repeatedItem[PartTime]
 }
 
 // repeatedItem is an item with the number of reports that it is still to be sent in.
@@ -34,13 +39,18 @@
 	o.verdicts = append(o.verdicts, repeatedItem[ReportedVerdict]{reportedVerdict(verdict), reportRepeats})
 }
 
-// next returns the next report, and whether further reports are needed.
-func (o *outbox) next() (r *Report, more bool) {
+func (o *outbox) addTrial(part keys.Content, at freshness.StoreTime) {
+	o.trials = append(o.trials, repeatedItem[PartTime]{PartTime{Part: part, AtMs: toMs(at)}, reportRepeats})
+}
+
+// next returns the next report and the trials to send with it, and whether further reports are needed.
+func (o *outbox) next() (r *Report, trials []PartTime, more bool) {
 	r = new(Report)
+	trials, o.trials = take(o.trials)
 	r.Ends, o.crashes = take(o.crashes)
 	r.Answered, o.answered = take(o.answered)
 	r.Verdicts, o.verdicts = take(o.verdicts)
-	return r, len(o.crashes)+len(o.answered)+len(o.verdicts) > 0
+	return r, trials, len(o.crashes)+len(o.answered)+len(o.verdicts)+len(o.trials) > 0
 }
 
 // take removes up to maxReported items from the front, and returns them and the remaining items. Items that are to be
@@ -60,7 +70,7 @@
 // sendReport sends the next report to all peers, unless it is empty.
 func (d *Detector) sendReport() {
 	d.mu.Lock()
-	report, more := d.outbox.next()
+	report, trials, more := d.outbox.next()
 	if more {
 		d.evidenceChanged()
 	}
@@ -68,6 +78,52 @@
 	if len(report.Ends)+len(report.Answered)+len(report.Verdicts) > 0 {
 		d.parts.Peers.Broadcast(envelope.KindPoison, report)
 	}
+	if len(trials) > 0 {
+		d.parts.Peers.Broadcast(envelope.KindPoisonTrials, &Trials{Tried: trials})
+	}
+}
+
+// HandleJoin sends the parts that have been answered to a host that has joined, so that it doesn't take them for poison
+// after a few crashes.
+func (d *Detector) HandleJoin(joined envelope.Sender) {
+	if d.parts.Peers.Order().Before >= soundSenders {
+		return
+	}
+	d.mu.Lock()
+	sound := d.table.newestSound(maxReported)
+	d.mu.Unlock()
+	if len(sound) > 0 {
+		d.parts.Peers.SendTo(joined.Host, envelope.KindPoisonTrials, &Trials{Sound: sound})
+	}
+}
+
+// HandleTrials handles a peer's Trials, encoded as CBOR. Parts that can't be some, and times outside what this host may
+// have seen itself, are refused.
+func (d *Detector) HandleTrials(from envelope.Sender, body []byte) {
+	var trials Trials
+	if err := cbor.Unmarshal(body, &trials); err != nil {
+		d.parts.Log.WithError(err).WithField("peer", from.Host).Warn("peer's trials can't be decoded; dropped")
+		d.parts.CountRefused(counters.RefusedMalformed)
+		return
+	}
+	now := d.parts.StoreTime()
+	isRefused := func(p PartTime) bool {
+		at := fromMs(p.AtMs)
+		refused := !p.Part.IsPart() || now == 0 || at > now+freshness.StoreTime(maxClockDifference) || at < now-freshness.StoreTime(soundTime)
+		if refused {
+			d.parts.CountRefused(counters.RefusedPart)
+		}
+		return refused
+	}
+	tried, sound := slices.DeleteFunc(trials.Tried, isRefused), slices.DeleteFunc(trials.Sound, isRefused)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range tried {
+		d.table.RecordTrial(fromMs(p.AtMs), p.Part)
+	}
+	for _, p := range sound {
+		d.table.recordSound(fromMs(p.AtMs), p.Part)
+	}
 }
 
 // isAnnouncer reports whether this host announces verdicts.
--- a/internal/front/poison/rules.go
+++ b/internal/front/poison/rules.go
@@ -38,6 +38,10 @@
 	// replierCount is the mean number of hosts that send a verdict to a peer which reports a crash for a request that
 	// is already poison. With 6, no host does so in 1 case in 400.
 	replierCount = 6
+	// soundSenders is the number of hosts that tell a host that joins which parts have been answered.
+	soundSenders = 3
+	// maxClockDifference is the most by which two hosts may differ in the store's time.
+	maxClockDifference = time.Second
 	// announceInterval is the time between two announcements. It is a third of the time that a host must be in
 	// contact with others before its guarantees apply.
 	announceInterval = time.Second
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
@@ -14,8 +15,10 @@
 type Table struct {
 	suspects map[keys.Content][]Crash
 	verdicts map[keys.Content]Verdict
-	// crashes are the crashes that no verdict explains, the oldest first.
-	crashes []Crash
+	// accused are the parts with enough crashes for a verdict, and some whose crashes no longer count.
+	accused map[keys.Content]struct{}
+	// crashes are the crashes that no verdict explains, allCrashes are all, the oldest first.
+	crashes, allCrashes []Crash
 	// explained are the crashes that verdicts on parts explain, the oldest first: other parts at the same endpoints are not
 	// to blame for them.
 	explained []Crash
@@ -23,30 +26,40 @@
 	// answer to a request with each part.
 	answered map[keys.Content]freshness.StoreTime
 	sound    map[keys.Content]freshness.StoreTime
+	recent   recentRequests
+	// troubledUntil is when crashes count against parts again after a verdict was proved wrong, or 0.
+	troubledUntil freshness.StoreTime
 }
 
 // NewTable returns a table without evidence.
 func NewTable() *Table {
 	return &Table{
 		suspects: make(map[keys.Content][]Crash), verdicts: make(map[keys.Content]Verdict),
-		answered: make(map[keys.Content]freshness.StoreTime), sound: make(map[keys.Content]freshness.StoreTime),
+		answered: make(map[keys.Content]freshness.StoreTime), sound: make(map[keys.Content]freshness.StoreTime), accused: make(map[keys.Content]struct{}),
 	}
 }
 
-// RecordCrash records that an endpoint crashed while it had some contents. It returns the verdict if this crash proves it.
+// RecordCrash records that an endpoint crashed while it had some contents. It returns the verdict on a request if this crash
+// proves it; Judge finds those on parts.
 // Of the contents of one request, the request itself comes first, and then the parts of its prompt from the last one on:
-// parts that always come with a poison part must not be judged before it.
+// parts that always come with a poison part must not be judged before it. A crash in a trial of a verdict renews it, and
+// is returned in the same way.
 func (t *Table) RecordCrash(content keys.Content, crash Crash) (Verdict, bool) {
-	if _, known := t.verdicts[content]; known {
-		if content.IsPart() {
-			t.explain(crash)
+	if verdict, known := t.verdicts[content]; known {
+		if !content.IsPart() {
+			return Verdict{}, false
 		}
-		return Verdict{}, false
+		t.explain(crash)
+		verdict.Later = appendCrash(verdict.Later, crash, maxAllCrashes)
+		t.verdicts[content] = verdict
+		return t.recordTrialCrash(verdict, crash)
 	}
-	if content.IsPart() && (!crash.Begun || slices.ContainsFunc(t.explained, crash.isSame)) {
+	if content.IsPart() && (!crash.Begun || t.isTroubled(crash.At) || containsCrash(t.explained, crash)) {
 		return Verdict{}, false
 	}
-	t.addCrash(crash)
+	if !content.IsPart() {
+		t.addCrash(crash)
+	}
 	crashes := t.suspects[content]
 	if i := slices.IndexFunc(crashes, crash.isSame); i >= 0 {
 		crashes[i].Begun = crashes[i].Begun || crash.Begun
@@ -55,13 +68,19 @@
 		crashes = append(crashes, crash)
 	}
 	t.suspects[content] = crashes
-	if !t.proves(content, crashes) {
+	if content.IsPart() && len(crashes) >= minPartCrashes {
+		t.accused[content] = struct{}{}
+	}
+	if content.IsPart() || !t.proves(crashes) {
 		t.enforceBounds()
 		return Verdict{}, false
 	}
-	verdict := Verdict{Content: content, Proof: Proof{
-		Crashes: len(crashes), Others: max(t.crashesBetween(crashes)-len(crashes), 0), AnsweredAt: t.sound[content],
-	}}
+	return t.convict(content, crashes), true
+}
+
+// convict records and returns the verdict that crashes prove on some contents.
+func (t *Table) convict(content keys.Content, crashes []Crash) Verdict {
+	verdict := Verdict{Content: content, Proof: t.proofOf(content, crashes)}
 	for _, c := range crashes {
 		if content.IsPart() {
 			t.explain(c)
@@ -73,7 +92,7 @@
 		}
 	}
 	t.setVerdict(verdict)
-	return verdict, true
+	return verdict
 }
 
 // isSame reports whether another report may be of the same crash. A report from a host without the store's time
@@ -84,19 +103,64 @@
 	return c.Endpoint == other.Endpoint && isClose
 }
 
+// proofOf returns what crashes prove against some contents.
+func (t *Table) proofOf(content keys.Content, crashes []Crash) Proof {
+	first, last := period(crashes)
+	return Proof{
+		Crashes: len(crashes), Others: max(t.crashesBetween(crashes)-len(crashes), 0), Period: time.Duration(last - first), Last: last, AnsweredAt: t.sound[content],
+	}
+}
+
+// period returns the times of the first and the last of some crashes.
+func period(crashes []Crash) (first, last freshness.StoreTime) {
+	first, last = crashes[0].At, crashes[0].At
+	for _, c := range crashes {
+		first, last = min(first, c.At), max(last, c.At)
+	}
+	return first, last
+}
+
 // addCrash records the crash of an endpoint once, whichever requests it had.
 func (t *Table) addCrash(crash Crash) {
-	if !slices.ContainsFunc(t.crashes, crash.isSame) {
-		t.crashes = append(t.crashes, crash)
-		t.crashes = t.crashes[max(len(t.crashes)-maxCrashes, 0):]
+	t.allCrashes = appendCrash(t.allCrashes, crash, maxAllCrashes)
+	if !containsCrash(t.explained, crash) {
+		t.crashes = appendCrash(t.crashes, crash, maxCrashes)
 	}
 }
 
-// proves reports whether crashes prove that some contents are poison.
-func (t *Table) proves(content keys.Content, crashes []Crash) bool {
-	if content.IsPart() {
-		return t.provesPart(content, crashes)
+// lastCrashAt returns the time of the last crash, or 0 if there is none.
+func (t *Table) lastCrashAt() freshness.StoreTime {
+	if len(t.allCrashes) == 0 {
+		return 0
+	}
+	return t.allCrashes[len(t.allCrashes)-1].At
+}
+
+// appendCrash appends a crash to a list unless it is there, and drops the oldest ones beyond a number.
+func appendCrash(crashes []Crash, crash Crash, most int) []Crash {
+	if containsCrash(crashes, crash) {
+		return crashes
 	}
+	crashes = append(crashes, crash)
+	return crashes[max(len(crashes)-most, 0):]
+}
+
+// containsCrash reports whether a crash is among some, the oldest of which come first. Reports of the same crash arrive
+// soon after each other.
+func containsCrash(crashes []Crash, crash Crash) bool {
+	for _, c := range slices.Backward(crashes) {
+		if c.isSame(crash) {
+			return true
+		}
+		if c.At != 0 && crash.At != 0 && crash.At-c.At > 2*freshness.StoreTime(sameCrashInterval) {
+			return false
+		}
+	}
+	return false
+}
+
+// proves reports whether crashes prove that a request is poison.
+func (t *Table) proves(crashes []Crash) bool {
 	begun := 0
 	for _, c := range crashes {
 		if c.Begun {
@@ -111,10 +175,7 @@
 
 // crashesBetween returns the number of crashes between the first and the last of some crashes, these included.
 func (t *Table) crashesBetween(crashes []Crash) int {
-	first, last := crashes[0].At, crashes[0].At
-	for _, c := range crashes {
-		first, last = min(first, c.At), max(last, c.At)
-	}
+	first, last := period(crashes)
 	count := 0
 	for _, c := range t.crashes {
 		if c.At >= first-freshness.StoreTime(commonCauseInterval) && c.At <= last+freshness.StoreTime(commonCauseInterval) {
@@ -138,6 +199,9 @@
 	if _, answered := t.answered[verdict.Content]; answered || t.Refutes(verdict) {
 		return false
 	}
+	if crashes := t.suspects[verdict.Content]; len(crashes) > 0 {
+		verdict.Proof = t.proofOf(verdict.Content, crashes)
+	}
 	return t.setVerdict(verdict)
 }
 
@@ -221,7 +285,7 @@
 		crashes = slices.DeleteFunc(crashes, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
 		t.setSuspect(content, crashes)
 	}
-	for _, list := range []*[]Crash{&t.crashes, &t.explained} {
+	for _, list := range []*[]Crash{&t.crashes, &t.allCrashes, &t.explained} {
 		*list = slices.DeleteFunc(*list, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
 	}
 	maps.DeleteFunc(t.sound, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(soundTime) < now })
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -51,7 +51,7 @@
 
 // isPoison reports whether the request must not be sent.
 func (x *exchange) isPoison() bool {
-	content, isPoison := x.server.parts.Poison.FindPoison(x.contents)
+	content, isPoison := x.server.parts.Poison.FindPoison(x.contents, &x.trial)
 	if isPoison {
 		x.poison = content
 	}
@@ -158,6 +158,8 @@
 // Begun is set if the endpoint had begun to answer, and for every plain call, since its endpoint does not show when it
 // begins. A call that this host aborted, or whose path it lost, is not reported.
 func (x *exchange) reportBroken(ctx context.Context, a *owner.Attempt, cause error, begun bool) {
+	// A trial is one attempt.
+	x.trial = 0
 	if ctx.Err() == nil && !errors.Is(cause, upstream.ErrPathLost) {
 		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Contents: x.contents, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun, Version: keys.OfVersion(x.stream.sentVersion)})
 	}
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -35,9 +35,9 @@
 	// key identifies the content of the request; identical requests share it.
 	key keys.Content
 	// contents are the key and those of the shared parts of the prompt, from the last one on. Poison is the one for which
-	// the request was refused, or 0.
-	contents []keys.Content
-	poison   keys.Content
+	// the request was refused, trial the one of whose verdict it is a trial, or 0.
+	contents      []keys.Content
+	poison, trial keys.Content
 	// deadline is when the request's time limit expires.
 	deadline time.Time
 
@@ -81,6 +81,7 @@
 		Workspace: x.workspace, Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body,
 	})
 	x.contents = append([]keys.Content{x.key}, sharedParts(x.workspace, x.call.Parts)...)
+	x.server.parts.Poison.RecordRequest(x.contents)
 	return refusal
 }
 
