Answers without end are cut: heads, bodies and what brings no event are bounded

Callers got 502 or 504, and one faulty endpoint could end all hosts: four calls to it took a process to 4.3 GiB.

Cause: heads were read by net/http without a limit, and each body up to 16 MiB in doubling copies, however many there were. Comments and blank lines restarted the limit of silence.

Change: package httphead reads all heads of answers (64 KB, 1,000 lines, 16 interim answers); clients of net/http get its limit. Package bodies bounds the memory of all bodies of a host, requests and answers apart; a body over 64 KB reserves what it may need at once, so that none waits while it holds what others wait for. Comments are no progress. Limit, value and endpoint are logged, oxbowslip_answers_cut_total counts. bodies_mb out of its range is refused at start.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
@@ -79,6 +80,23 @@
 // StoreCallReasons lists all reasons.
 var StoreCallReasons = []StoreCallReason{StoreCallLoad, StoreCallRead, StoreCallAsk}
 
+// AnswerLimit is a limit that an endpoint's answer has exceeded, upon which its call was broken. The set is closed.
+type AnswerLimit string
+
+// The limits. Those of heads are those of package httphead.
+const (
+	LimitHeadBytes             = AnswerLimit(httphead.LimitBytes)
+	LimitHeadLines             = AnswerLimit(httphead.LimitLines)
+	LimitInterim               = AnswerLimit(httphead.LimitInterim)
+	LimitBody      AnswerLimit = "body"
+	// LimitMemory means that other answers took all memory that is set aside for bodies.
+	LimitMemory AnswerLimit = "memory"
+	LimitEvent  AnswerLimit = "event"
+)
+
+// AnswerLimits lists all limits.
+var AnswerLimits = []AnswerLimit{LimitHeadBytes, LimitHeadLines, LimitInterim, LimitBody, LimitMemory, LimitEvent}
+
 // Signal is an observation about an endpoint that is derived from one of its responses. The set is closed.
 type Signal string
 
@@ -171,6 +189,7 @@
 	refused  map[RefusedPeerMessage]*metrics.Counter
 	store    map[StoreCallReason]*metrics.Counter
 	signals  map[Signal]*metrics.Counter
+	limits   map[AnswerLimit]*metrics.Counter
 	permits  map[PermitResult]*metrics.Counter
 	slots    map[SlotResult]*metrics.Counter
 	origins  map[OriginResult]*metrics.Counter
@@ -206,6 +225,7 @@
 		slots:            make(map[SlotResult]*metrics.Counter),
 		origins:          make(map[OriginResult]*metrics.Counter),
 		silences:         make(map[SilenceResult]*metrics.Counter),
+		limits:           make(map[AnswerLimit]*metrics.Counter),
 		Goodput:          set.NewCounter("oxbowslip_goodput_tokens_total"),
 		Tokens:           set.NewCounter("oxbowslip_tokens_total"),
 		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
@@ -246,9 +266,15 @@
 	for _, result := range SilenceResults {
 		c.silences[result] = set.NewCounter(fmt.Sprintf(`oxbowslip_silent_calls_total{result=%q}`, result))
 	}
+	for _, limit := range AnswerLimits {
+		c.limits[limit] = set.NewCounter(fmt.Sprintf(`oxbowslip_answers_cut_total{limit=%q}`, limit))
+	}
 	return c
 }
 
+// CountCutAnswer counts a call that was broken since its answer exceeded a limit.
+func (c *Counters) CountCutAnswer(limit AnswerLimit) { c.limits[limit].Inc() }
+
 // CountOrigin counts the result of a search for the version that began a stream.
 func (c *Counters) CountOrigin(result OriginResult) { c.origins[result].Inc() }
 
--- a/internal/daemon/api/api.go
+++ b/internal/daemon/api/api.go
@@ -19,6 +19,7 @@
 	"github.com/gorilla/mux"
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
+	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/daemon/httpclient"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
@@ -72,6 +73,8 @@
 	Recorded *record.Ring
 	Clock    func() time.Time
 	Timeouts httprelay.Timeouts
+	// Bodies is the memory for the bodies of all chat requests.
+	Bodies *bodies.Budget
 	// CheckReady returns the refusal if the host can't accept requests yet, or nil.
 	CheckReady func() *request.Refusal
 }
--- a/internal/daemon/api/chat.go
+++ b/internal/daemon/api/chat.go
@@ -12,6 +12,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/daemon/httpclient"
 	"oxbowslip.dev/oxbowslip/internal/daemon/prefix"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
@@ -37,7 +38,9 @@
 	if f := c.classify(r.Header.Get(HeaderClass)); f != nil {
 		return f
 	}
-	data, refusal := httprelay.ReadBody(w, r, int64(c.policy.MaxBodyBytes), s.parts.Timeouts.Read)
+	var memory bodies.Lease
+	defer memory.Release()
+	data, refusal := httprelay.ReadBody(w, r, s.parts.Bodies, &memory, int64(c.policy.MaxBodyBytes), s.parts.Timeouts.Read)
 	if refusal != nil {
 		return faultOf(refusal)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/fx"
 
+	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/daemon/api"
 	"oxbowslip.dev/oxbowslip/internal/daemon/claims"
@@ -90,6 +91,7 @@
 		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Owner: p.Owner, Client: p.Client, Counters: p.Counters,
 		Claims: p.Claims, Recorded: p.Recorded, Clock: p.Clock,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout}, CheckReady: d.checkReady,
+		Bodies: bodies.New(p.Config.BodyBytes()),
 	}).HTTP()
 	d.callers.Handler = lifetime.CloseConnectionsWhen(&d.draining, d.callers.Handler)
 	d.operators = operator.New(operator.Parts{
--- a/internal/daemon/httpclient/httpclient.go
+++ b/internal/daemon/httpclient/httpclient.go
@@ -15,6 +15,7 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
@@ -26,8 +27,6 @@
 	idleTimeout = 30 * time.Second
 	// maxIdlePerEndpoint is the number of idle connections kept per endpoint.
 	maxIdlePerEndpoint = 64
-	// maxHeaderBytes bounds the headers of a response.
-	maxHeaderBytes = 64 << 10
 	// writeBufSize and readBufSize are the sizes of a connection's buffers, in bytes.
 	writeBufSize = 8 << 10
 	readBufSize  = 8 << 10
@@ -70,7 +69,7 @@
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
+		MaxResponseHeaderBytes: httphead.MaxBytes,
 		WriteBufferSize:        writeBufSize,
 		ReadBufferSize:         readBufSize,
 	}
--- a/internal/daemon/tableclient/tableclient.go
+++ b/internal/daemon/tableclient/tableclient.go
@@ -16,6 +16,8 @@
 	"github.com/ansel1/merry/v2"
 	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
+
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 )
 
 // Errors of calls, for errors.Is.
@@ -119,7 +121,7 @@
 // New returns a client. onUnavailable, unless nil, is called for each call without a response or
 // with a status that reports the platform as unavailable (5xx or 429).
 func New(address string, timeout time.Duration, onUnavailable func()) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: httphead.MaxBytes}
 	return &Client{baseURL: "http://" + address, http: &http.Client{Timeout: timeout, Transport: transport}, onUnavailable: onUnavailable}
 }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -44,6 +44,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/tunnel"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/listen"
 	"oxbowslip.dev/oxbowslip/internal/logging"
@@ -88,8 +89,6 @@
 	idleTimeout = time.Minute
 	// headerTimeout bounds the time in which a caller sends the header of a request.
 	headerTimeout = 5 * time.Second
-	// maxHeaderBytes bounds the header of a request in memory.
-	maxHeaderBytes = 64 << 10
 )
 
 const (
@@ -178,7 +177,7 @@
 	h.overload = listen.NewOverload(h.log)
 	h.recordContact()
 	h.callers = &http.Server{
-		Handler: lifetime.CloseConnectionsWhen(&h.leaving, p.Relay), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: lifetime.CloseConnectionsWhen(&h.leaving, p.Relay), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: httphead.MaxBytes,
 	}
 	h.readiness = &http.Server{Handler: h.readinessHandler(), ReadHeaderTimeout: headerTimeout}
 	h.metrics = &http.Server{Handler: h.metricsHandler(), ReadHeaderTimeout: headerTimeout}
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx/fxevent"
 	"storj.io/drpc"
 
+	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/clock"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/explain"
@@ -616,5 +617,7 @@
 		Origins: p.Origins, Silence: p.Silence, SoftwareVersion: p.Directory.SoftwareVersion,
 		Dialect: p.Deployment.Dialect, Counters: p.Counters, Log: logging.Part(p.Log, "request"), Clock: p.Steady, Random: p.Random,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout},
+		// Requests and answers get half each.
+		RequestBodies: bodies.New(p.Config.BodyBytes() / 2), AnswerBodies: bodies.New(p.Config.BodyBytes() / 2),
 	})
 }
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -8,13 +9,16 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
+	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
@@ -28,6 +32,8 @@
 	// maxPlainAnswerBytes bounds a plain answer, which is buffered in memory until it is complete. Typical plain
 	// answers have 800 bytes.
 	maxPlainAnswerBytes = 16 << 20
+	// maxRejectionBytes bounds what is read of the body of a rejection.
+	maxRejectionBytes = 64 << 10
 	// headerLastEventID carries the ID of the last event that the caller has received (Server-Sent Events).
 	headerLastEventID = "Last-Event-Id"
 )
@@ -154,12 +160,40 @@
 	return upstream.Target{ID: id, Address: e.Address, Zone: e.Zone, ConnectTimeout: connectTimeout(&x.policy)}
 }
 
+// reportLimit logs and counts a call whose answer has exceeded a limit.
+func (x *exchange) reportLimit(a *owner.Attempt, err error) {
+	limit, most := exceededLimit(err)
+	if limit == "" {
+		return
+	}
+	x.server.parts.Counters.CountCutAnswer(limit)
+	x.server.parts.Log.WithFields(logrus.Fields{"id": x.call.ID, "endpoint": a.EndpointID, "limit": limit, "most": most}).
+		Warn("the endpoint's answer exceeds a limit, its call is broken")
+}
+
+// exceededLimit returns the limit that an answer has exceeded and its value, or "" if the error has another cause.
+func exceededLimit(err error) (limit counters.AnswerLimit, most int) {
+	var head *httphead.LimitError
+	switch {
+	case errors.As(err, &head):
+		return counters.AnswerLimit(head.Limit), head.Most
+	case errors.Is(err, bodies.ErrTooLarge):
+		return counters.LimitBody, maxPlainAnswerBytes
+	case errors.Is(err, bodies.ErrNoMemory):
+		return counters.LimitMemory, 0
+	case errors.Is(err, bufio.ErrTooLong):
+		return counters.LimitEvent, maxEventBytes
+	}
+	return "", 0
+}
+
 // reportBroken reports a call that was sent and then broken by its endpoint, which may have crashed while running it.
 // Begun is set if the endpoint had begun to answer, and for every plain call, since its endpoint does not show when it
 // begins. A call that this host aborted, or whose path it lost, is not reported.
 func (x *exchange) reportBroken(ctx context.Context, a *owner.Attempt, cause error, begun bool) {
 	// A trial is one attempt.
 	x.trial = 0
+	x.reportLimit(a, cause)
 	if ctx.Err() == nil && !errors.Is(cause, upstream.ErrPathLost) {
 		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Contents: x.contents, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun, Version: keys.OfVersion(x.stream.sentVersion)})
 	}
@@ -173,7 +207,7 @@
 
 func (x *exchange) handleNotStarted(a *owner.Attempt, answer *upstream.Answer) owner.Result {
 	// The rest of the answer is read so that the connection can be reused; if that fails, it is closed.
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxPlainAnswerBytes))
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRejectionBytes))
 	if x.server.parts.Dialect.IsOtherEndpoint(answer.Status) {
 		x.server.parts.Health.RecordFailure(a.EndpointID, false, errors.New("another endpoint has its address"))
 	}
@@ -215,10 +249,7 @@
 // relayPlain reads a complete plain answer before any of it is forwarded, so that a broken answer is not delivered.
 func (x *exchange) relayPlain(ctx context.Context, a *owner.Attempt, answer *upstream.Answer, watch *silenceWatch) owner.Result {
 	x.countRun()
-	body, err := io.ReadAll(io.LimitReader(watchedReader{answer, watch}, maxPlainAnswerBytes+1))
-	if err == nil && len(body) > maxPlainAnswerBytes {
-		err = errors.New("answer too large")
-	}
+	body, err := x.server.parts.AnswerBodies.Read(ctx, &x.answerMemory, watchedReader{answer, watch}, answer.Length, maxPlainAnswerBytes)
 	if err != nil {
 		x.reportFailure(ctx, a, err)
 		x.reportBroken(ctx, a, err, true)
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
@@ -53,6 +54,8 @@
 	// attempt gives a better answer.
 	answer      *httprelay.HeldAnswer
 	serverError *httprelay.HeldAnswer
+	// requestMemory and answerMemory are the memory that the bodies of the request and of its answers take.
+	requestMemory, answerMemory bodies.Lease
 }
 
 // prepare classifies the request, checks that it may run, and reads its body. It returns a refusal if the request may
@@ -76,7 +79,7 @@
 	}
 	x.deadline = x.arrived.Add(timeLimit(x.policy.TimeLimit, x.call.MaxWait))
 	var refusal *request.Refusal
-	x.body, refusal = httprelay.ReadBody(x.w, x.r, int64(x.policy.MaxBodyBytes), x.server.parts.Timeouts.Read)
+	x.body, refusal = httprelay.ReadBody(x.w, x.r, x.server.parts.RequestBodies, &x.requestMemory, int64(x.policy.MaxBodyBytes), x.server.parts.Timeouts.Read)
 	x.key = keys.OfRequest(&keys.Identity{
 		Workspace: x.workspace, Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body,
 	})
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
@@ -112,6 +113,9 @@
 	// Random returns a random number in [0, 1).
 	Random   func() float64
 	Timeouts httprelay.Timeouts
+	// RequestBodies and AnswerBodies are the memory for the bodies of all requests, and of all plain answers. They are
+	// separate, so that an answer does not wait for memory that a request holds which waits for its answer.
+	RequestBodies, AnswerBodies *bodies.Budget
 }
 
 // maxAnsweredLines bounds the log lines per second for requests that were answered at the first attempt; each other
@@ -149,6 +153,8 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{server: s, w: w, r: r, arrived: s.parts.Clock.Now(), age: freshness.UnknownAge}
 	defer x.recover()
+	defer x.requestMemory.Release()
+	defer x.answerMemory.Release()
 	refusal := x.prepare()
 	if refusal == nil {
 		refusal = x.findOrigin()
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	// maxEventBytes bounds an event; a stream with a larger one counts as broken. Typical events have up to 400 bytes.
+	// maxEventBytes bounds an event, and the comments and blank lines between two events; a stream with more counts as
+	// broken. Typical events have up to 400 bytes.
 	maxEventBytes = 256 << 10
 	// eventBufferBytes is the initial buffer of each stream.
 	eventBufferBytes = 4 << 10
@@ -59,10 +60,26 @@
 	scanner.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	scanner.Split(splitEvents)
 	isFirst := true
+	withoutEvent := 0
 	for scanner.Scan() {
-		watch.recordData()
 		x.countRun()
 		event := scanner.Bytes()
+		if !isEvent(event) {
+			if withoutEvent += len(event); withoutEvent > maxEventBytes {
+				return x.breakStream(ctx, a, bufio.ErrTooLong)
+			}
+			// Comments and blank lines are no progress: an endpoint may send them for ever. Before the first event they
+			// are dropped, so that another endpoint may still answer.
+			if isFirst {
+				continue
+			}
+			if result := x.forward(event); result != nil {
+				return *result
+			}
+			continue
+		}
+		withoutEvent = 0
+		watch.recordData()
 		if !x.stream.isNext(eventID(event)) {
 			continue
 		}
@@ -78,9 +95,7 @@
 		}
 	}
 	if err := scanner.Err(); err != nil {
-		x.reportFailure(ctx, a, err)
-		x.reportBroken(ctx, a, err, true)
-		return owner.Result{Event: request.EventBroken, Err: err}
+		return x.breakStream(ctx, a, err)
 	}
 	x.reportAnswered(a)
 	if !a.StartDelivery() {
@@ -90,28 +105,53 @@
 	return owner.Result{Event: request.EventWhole}
 }
 
+// breakStream reports a stream that its endpoint broke, and returns the result of the attempt.
+func (x *exchange) breakStream(ctx context.Context, a *owner.Attempt, err error) owner.Result {
+	x.reportFailure(ctx, a, err)
+	x.reportBroken(ctx, a, err, true)
+	return owner.Result{Event: request.EventBroken, Err: err}
+}
+
 // forwardEvent sends an event to the caller. It returns a result if the attempt has ended.
 func (x *exchange) forwardEvent(a *owner.Attempt, answer *upstream.Answer, event []byte) *owner.Result {
 	if !a.StartDelivery() {
 		return &owner.Result{Event: request.EventBroken}
 	}
 	x.sendHead(answer)
+	if result := x.forward(event); result != nil {
+		return result
+	}
+	if x.stream.recordEvent(x.server.parts.Clock.Now(), eventID(event)) {
+		x.stream.unprocessedTokens = x.server.parts.Health.UnprocessedTokens(a.EndpointID)
+	}
+	a.RecordTokens(x.stream.events)
+	return nil
+}
+
+// forward sends a part of a stream whose head has been sent. It returns a result if the attempt has ended.
+func (x *exchange) forward(part []byte) *owner.Result {
 	control := http.NewResponseController(x.w)
 	// Writers of net/http support deadlines; those of tests do not.
 	_ = control.SetWriteDeadline(time.Now().Add(x.server.parts.Timeouts.Write))
-	if _, err := x.w.Write(event); err != nil {
+	if _, err := x.w.Write(part); err != nil {
 		return &owner.Result{Event: request.EventCallerGone, Err: err}
 	}
 	if err := control.Flush(); err != nil {
 		return &owner.Result{Event: request.EventCallerGone, Err: err}
 	}
-	if x.stream.recordEvent(x.server.parts.Clock.Now(), eventID(event)) {
-		x.stream.unprocessedTokens = x.server.parts.Health.UnprocessedTokens(a.EndpointID)
-	}
-	a.RecordTokens(x.stream.events)
 	return nil
 }
 
+// isEvent reports whether a part of a stream has a field, and not only comments and blank lines.
+func isEvent(part []byte) bool {
+	for line := range bytes.Lines(part) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // sendHead sends the head of the answer, once. An answer that another endpoint resumes keeps the head of the first
 // endpoint.
 func (x *exchange) sendHead(answer *upstream.Answer) {
--- a/internal/front/upstream/connection.go
+++ b/internal/front/upstream/connection.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 )
 
 // idleTimeShare is the fraction of an endpoint's keep-alive timeout during which an idle connection is reused. The
@@ -27,6 +29,7 @@
 // connection is a connection to an endpoint with its read buffer.
 type connection struct {
 	io.ReadWriteCloser
+	source httphead.Source
 	reader *bufio.Reader
 	clock  func() time.Time
 
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -68,7 +68,8 @@
 	c.dials++
 	c.mu.Unlock()
 	connection := &connection{ReadWriteCloser: conn, clock: c.clock}
-	connection.reader = bufio.NewReaderSize(connection, readBufBytes)
+	connection.source.Reader = connection
+	connection.reader = bufio.NewReaderSize(&connection.source, readBufBytes)
 	return connection
 }
 
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -20,17 +20,19 @@
 
 	"github.com/ansel1/merry/v2"
 
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
 const (
-	// maxInlineBytes is the size up to which a call is written before its answer is read; it fits the send buffer of a
-	// connection. Larger calls are written while the answer is read, because an endpoint may answer before it has read
+	// maxInlineBytes is the size of a body up to which a call is written before its answer is read; it fits the send
+	// buffer of a connection. Larger calls are written while the answer is read, because an endpoint may answer before it has read
 	// the whole call.
 	maxInlineBytes = 4 << 10
-	// maxSurplusAnswers bounds the answers to other calls that are dropped before the right one. Faulty endpoints send
-	// one at a time.
+	// maxSurplusAnswers bounds the answers to other calls that are dropped before the right one, and maxSurplusBytes each
+	// of their bodies. Faulty endpoints send one at a time.
 	maxSurplusAnswers = 4
+	maxSurplusBytes   = 4 << 20
 	// readBufBytes is the size of a connection's read buffer.
 	readBufBytes = 8 << 10
 	// maxIdlePerAddress bounds the idle connections to an endpoint. Endpoints accept 100 to 370 connections from all
@@ -67,6 +69,8 @@
 type Answer struct {
 	Status int
 	Header http.Header
+	// Length is the length of the body, or -1 if it is not known.
+	Length int64
 	// Framed is set if the answer has a length or is chunked. Otherwise it ends with its connection.
 	Framed bool
 
@@ -129,7 +133,7 @@
 // Do sends a call once and waits for the head of its answer. The error is request.ErrNotSent or request.ErrBroken with
 // its cause, or ErrWithheld. The connection is closed when ctx ends, and the call fails with the cause of that.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
-	wire, err := encode(call)
+	wire, rest, err := encode(call)
 	if err != nil {
 		return nil, merry.Wrap(request.ErrNotSent, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
@@ -144,7 +148,7 @@
 	x := &exchange{client: c, conn: conn, address: call.Target.Address, writeResult: make(chan error, 1)}
 	x.stopAbort = context.AfterFunc(ctx, func() { x.abortWith(context.Cause(ctx)) })
 	conn.recordActivity()
-	x.write(wire)
+	x.write(wire, rest)
 	if !conn.isTunnel() {
 		x.watchSilence(call)
 	}
@@ -157,8 +161,9 @@
 	return answer, nil
 }
 
-// encode returns the call as on the wire.
-func encode(call *Call) ([]byte, error) {
+// encode returns the call as on the wire. Of a large call it returns only an error, if there is one, and the request that
+// writes it, so that its body is not copied.
+func encode(call *Call) (wire []byte, large *http.Request, err error) {
 	header := call.Header
 	if header == nil {
 		header = make(http.Header)
@@ -173,15 +178,21 @@
 		Host:   call.Host,
 		Header: header,
 	}
-	if len(call.Body) > 0 {
+	isLarge := len(call.Body) > maxInlineBytes
+	if len(call.Body) > 0 && !isLarge {
 		request.Body = io.NopCloser(bytes.NewReader(call.Body))
 		request.ContentLength = int64(len(call.Body))
 	}
-	var wire bytes.Buffer
-	if err := request.Write(&wire); err != nil {
-		return nil, err
+	var head bytes.Buffer
+	if err := request.Write(&head); err != nil {
+		return nil, nil, err
 	}
-	return wire.Bytes(), nil
+	if !isLarge {
+		return head.Bytes(), nil, nil
+	}
+	request.Body = io.NopCloser(bytes.NewReader(call.Body))
+	request.ContentLength = int64(len(call.Body))
+	return nil, request, nil
 }
 
 // exchange is a call on a connection.
@@ -200,38 +211,36 @@
 }
 
 // write writes the call, in the background if it is large.
-func (x *exchange) write(wire []byte) {
-	if len(wire) <= maxInlineBytes {
-		_, err := x.conn.Write(wire)
-		x.writeResult <- err
+func (x *exchange) write(wire []byte, large *http.Request) {
+	if large != nil {
+		go func() { x.writeResult <- large.Write(x.conn) }()
 		return
 	}
-	go func() {
-		_, err := x.conn.Write(wire)
-		x.writeResult <- err
-	}()
+	_, err := x.conn.Write(wire)
+	x.writeResult <- err
 }
 
 // readAnswer reads the head of the answer to the call. It drops answers to other calls.
 func (x *exchange) readAnswer(call *Call) (*Answer, error) {
 	request := &http.Request{Method: call.Method}
 	for surplus := 0; surplus <= maxSurplusAnswers; {
-		response, err := http.ReadResponse(x.conn.reader, request)
+		response, err := httphead.ReadAnswer(x.conn.reader, &x.conn.source, request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if x.client.config.AnswerID(response.Header) == call.ID {
 			return x.answer(response), nil
 		}
 		if !isFramed(response) {
 			return nil, errors.New("an answer to another call without an end")
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSurplusBytes))
+		if err != nil {
 			return nil, err
 		}
+		if n == maxSurplusBytes {
+			return nil, errors.New("an answer to another call that is too large to be skipped")
+		}
 		surplus++
 	}
 	return nil, errors.New("too many answers to other calls")
@@ -239,8 +248,13 @@
 
 func (x *exchange) answer(response *http.Response) *Answer {
 	x.conn.recordAnswer(response, x.client.clock(), x.client.config.KeepIdle)
+	length := response.ContentLength
+	if response.Body == http.NoBody {
+		// The answer to a HEAD states the length of another one.
+		length = 0
+	}
 	return &Answer{
-		Status: response.StatusCode, Header: response.Header, Framed: isFramed(response),
+		Status: response.StatusCode, Header: response.Header, Length: length, Framed: isFramed(response),
 		body: response.Body, exchange: x,
 	}
 }
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -6,6 +6,7 @@
 
 import (
 	_ "embed"
+	"math"
 	"os"
 	"slices"
 	"time"
@@ -50,6 +51,9 @@
 	Metrics   string `json:"metrics,omitzero"`
 	// MemoryMB is the memory limit of the host, in MB; 0 means no limit.
 	MemoryMB int `json:"memory_mb,omitzero"`
+	// BodiesMB is the part of MemoryMB that the bodies of all requests and answers may take together, in MB. Without it,
+	// it is a quarter of MemoryMB.
+	BodiesMB *int `json:"bodies_mb,omitzero"`
 	// LinkMbit is the bandwidth of the host's link in Mbit/s; 0 means that it is unknown. Hosts with faster links add up
 	// the work of others in a large fleet.
 	LinkMbit float64 `json:"link_mbps,omitzero"`
@@ -191,6 +195,9 @@
 	if err != nil {
 		return Host{}, err
 	}
+	if err := host.check(); err != nil {
+		return Host{}, merry.Prepend(err, document)
+	}
 	return host.WithDefaults(), nil
 }
 
@@ -219,6 +226,32 @@
 	return h
 }
 
+// bodyMemoryShare is the part of the host's memory that bodies may take if its file says nothing else.
+const bodyMemoryShare = 0.25
+
+// BodyBytes returns the memory that the bodies of all requests and answers may take together; 0 means no limit.
+func (h *Host) BodyBytes() int64 {
+	if h.BodiesMB != nil {
+		return int64(*h.BodiesMB) << 20
+	}
+	return int64(bodyMemoryShare * float64(h.MemoryMB) * (1 << 20))
+}
+
+// check returns an error that names the field with a value out of its range.
+func (h *Host) check() error {
+	if h.BodiesMB == nil {
+		return nil
+	}
+	most := h.MemoryMB
+	if most == 0 {
+		most = math.MaxInt32
+	}
+	if *h.BodiesMB < 1 || *h.BodiesMB > most {
+		return merry.Errorf("bodies_mb is %d, it must be from 1 to %d", *h.BodiesMB, most)
+	}
+	return nil
+}
+
 func setDefault[T comparable](field *T, value T) {
 	var zero T
 	if *field == zero {
--- a/internal/httprelay/body.go
+++ b/internal/httprelay/body.go
@@ -1,19 +1,41 @@
 package httprelay
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
-// ReadBody reads the complete body of a request, up to limit bytes and within a timeout. It returns a failure as the
-// refusal for the caller; nothing has been sent to an endpoint then.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, *request.Refusal) {
-	body, _, refusal := ReadHead(w, r, limit, limit+1, timeout)
-	return body, refusal
+// noMemoryRetry is the time after which a caller may return whose body found no memory.
+const noMemoryRetry = time.Second
+
+// ReadBody reads the complete body of a request, up to limit bytes and within a timeout. The memory for it is added to a
+// lease. It returns a failure as the refusal for the caller; nothing has been sent to an endpoint then.
+func ReadBody(w http.ResponseWriter, r *http.Request, memory *bodies.Budget, lease *bodies.Lease, limit int64, timeout time.Duration) ([]byte, *request.Refusal) {
+	if r.ContentLength > limit {
+		return nil, request.Refuse(request.ReasonBodyTooLarge, "the body is larger than this class allows")
+	}
+	control := http.NewResponseController(w)
+	// Writers of net/http support deadlines; those of tests do not.
+	_ = control.SetReadDeadline(time.Now().Add(timeout))
+	ctx := r.Context()
+	if r.ContentLength < 0 || !bodies.IsSmall(r.ContentLength) {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, timeout)
+		defer cancel()
+	}
+	body, err := memory.Read(ctx, lease, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	if err != nil {
+		// The deadline remains set, so that a caller that has stopped sending does not block the rest of the handler.
+		return nil, bodyRefusal(err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
 }
 
 // ReadHead reads at most maxHead bytes of a body, and reports whether they are the complete body. The rest can be read
@@ -70,7 +92,11 @@
 func bodyRefusal(err error) *request.Refusal {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, bodies.ErrNoMemory):
+		refusal := request.Refuse(request.ReasonNoMemory, "the bodies of other requests take all memory of this host")
+		refusal.RetryAfter = noMemoryRetry
+		return refusal
+	case errors.As(err, &tooLarge), errors.Is(err, bodies.ErrTooLarge):
 		return request.Refuse(request.ReasonBodyTooLarge, "the body is larger than this class allows")
 	case IsTimeout(err):
 		return request.Refuse(request.ReasonSlowCaller, "the body took too long to arrive")
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -13,6 +13,7 @@
 	"github.com/go-json-experiment/json"
 
 	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/strictjson"
@@ -31,7 +32,7 @@
 
 // NewClient returns a client that authenticates with an operator's key.
 func NewClient(address, key string) *Client {
-	return &Client{base: "http://" + address, key: key, http: &http.Client{Timeout: clientTimeout}}
+	return &Client{base: "http://" + address, key: key, http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: httphead.MaxBytes}}}
 }
 
 // Status returns the state of the host.
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -34,6 +34,8 @@
 	ReasonAnswerBroken   Reason = "answer_broken"
 	ReasonWrongAnswer    Reason = "wrong_answer"
 	ReasonRetryBudget    Reason = "retry_budget"
+	// ReasonNoMemory: the bodies of other calls take all memory that the host sets aside for bodies.
+	ReasonNoMemory Reason = "no_memory"
 	// ReasonPoison: endpoints crash while running the request.
 	ReasonPoison Reason = "poison_request"
 	// ReasonNoVersion: no endpoint of the software version that began the stream takes requests. ReasonUnknownVersion: it
@@ -52,7 +54,7 @@
 	ReasonNoRoom, ReasonWorkspaceRoom, ReasonTooLate, ReasonMaxWait,
 	ReasonNoEndpoint, ReasonCallerGone, ReasonNotStarted,
 	ReasonEndpointFailed, ReasonAnswerBroken, ReasonWrongAnswer,
-	ReasonRetryBudget, ReasonStopped, ReasonInternal, ReasonTimeLimit, ReasonHeadTooLarge, ReasonUnknownRoute, ReasonPoison,
+	ReasonRetryBudget, ReasonNoMemory, ReasonStopped, ReasonInternal, ReasonTimeLimit, ReasonHeadTooLarge, ReasonUnknownRoute, ReasonPoison,
 	ReasonResting, ReasonLimited, ReasonNoVersion, ReasonUnknownVersion,
 }
 
