relay: nothing but the stream goes on with a stream that has begun

Callers got the events of a stream, then the body of another endpoint's 404 and a regular end. relayPlain delivered any status below 500 without asking whether the head of a stream had been sent. Such an answer now counts as broken: the stream goes elsewhere or is cut.

--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -116,6 +116,9 @@
 		watch.setEventLimit()
 		return x.relayStream(ctx, a, answer, watch)
 	}
+	if x.stream.isHeadSent {
+		return x.breakStream(ctx, a, errNoStream)
+	}
 	return x.relayPlain(ctx, a, answer, watch)
 }
 
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -202,6 +202,9 @@
 	return ""
 }
 
+// errNoStream is the error of an answer to a resumed stream that is none, such as an endpoint's own error.
+var errNoStream = errors.New("the endpoint answered a resumed stream with something else")
+
 // errTruncatedEvent is the error of a stream that ended within an event.
 var errTruncatedEvent = errors.New("the stream ended inside an event")
 
--- a/internal/hostconfig/hostconfig_test.go
+++ b/internal/hostconfig/hostconfig_test.go
@@ -1,6 +1,7 @@
 package hostconfig
 
 import (
+	"fmt"
 	"path/filepath"
 	"testing"
 	"time"
@@ -60,3 +61,26 @@
 		})
 	}
 }
+
+func TestBodiesMBIsChecked(t *testing.T) {
+	tests := map[string]struct {
+		memory, bodies int
+		wantErr        string
+	}{
+		"within":                 {134, 33, ""},
+		"all":                    {134, 134, ""},
+		"without a memory limit": {0, 33, ""},
+		"none":                   {134, 0, "(?s).*bodies_mb.*"},
+		"more than there is":     {134, 135, ".*bodies_mb is 135, it must be from 1 to 134.*"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, err := Decode("host.json", []byte(fmt.Sprintf(`{"name": "h", "zone": "z", "callers": ":0", "operators": ":0", "platform": {"address": "p:1"}, "memory_mb": %d, "bodies_mb": %d}`, test.memory, test.bodies)))
+			if test.wantErr == "" {
+				qt.Check(t, err, qt.IsNil)
+				return
+			}
+			qt.Check(t, err, qt.ErrorMatches, test.wantErr)
+		})
+	}
+}
