upstream: a connection carries a request once

A request that may not be repeated ran although its caller was told that it had not: an endpoint sent its rejection twice, and the copy was taken for the answer to the next attempt, which has the same ID and went out on the same kept connection. A connection that has carried an attempt of a request now carries no other one.

--- a/internal/front/upstream/connection.go
+++ b/internal/front/upstream/connection.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,12 +37,30 @@
 	mu sync.Mutex
 	// activeAt is when bytes last arrived, or when the current call was sent.
 	activeAt time.Time
+	// carried are the IDs of the last calls on the connection.
+	carried []string
 	// isLast is set if the endpoint closes the connection after its current answer.
 	isLast bool
 	// expires is when an idle connection must no longer be used.
 	expires time.Time
 }
 
+// maxCarried is the number of calls that a connection remembers. An endpoint that sends an answer twice does so soon.
+const maxCarried = 16
+
+// carry records that a call is sent on the connection.
+func (c *connection) carry(id string) {
+	if len(c.carried) == maxCarried {
+		copy(c.carried, c.carried[1:])
+		c.carried = c.carried[:maxCarried-1]
+	}
+	c.carried = append(c.carried, id)
+}
+
+// hasCarried reports whether an attempt of a call has been sent on the connection. A late copy of the answer to it would
+// be taken for that to the next attempt, which has the same ID.
+func (c *connection) hasCarried(id string) bool { return slices.Contains(c.carried, id) }
+
 // recordAnswer records from an answer whether and how long its connection can be reused.
 func (c *connection) recordAnswer(response *http.Response, now time.Time, keepIdle time.Duration) {
 	c.isLast = response.Close
--- a/internal/front/upstream/pool.go
+++ b/internal/front/upstream/pool.go
@@ -39,6 +39,10 @@
 		if conn == nil {
 			return c.dial(ctx, call)
 		}
+		if conn.hasCarried(call.ID) {
+			conn.Close()
+			continue
+		}
 		if c.clock().Before(conn.expires) && c.config.Dialer.MayReuse(conn.ReadWriteCloser, call.Target) && conn.isQuiet() {
 			return conn, nil
 		}
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -147,6 +147,7 @@
 	}
 	x := &exchange{client: c, conn: conn, address: call.Target.Address, writeResult: make(chan error, 1)}
 	x.stopAbort = context.AfterFunc(ctx, func() { x.abortWith(context.Cause(ctx)) })
+	conn.carry(call.ID)
 	conn.recordActivity()
 	x.write(wire, rest)
 	if !conn.isTunnel() {
