upstream: a path that begins with two slashes is left as it is

Endpoints got such a path as an absolute URL with the first part of the path as its host: an opaque URL that begins with two slashes is written with its scheme. It is now written as a path.

--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -15,6 +15,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"time"
 
@@ -175,7 +176,7 @@
 	}
 	request := &http.Request{
 		Method: call.Method,
-		URL:    &url.URL{Scheme: "http", Host: call.Target.Address, Opaque: call.URI},
+		URL:    urlOf(call),
 		Host:   call.Host,
 		Header: header,
 	}
@@ -196,6 +197,22 @@
 	return nil, request, nil
 }
 
+// urlOf returns a URL that is written as the call's URI. An opaque one that begins with two slashes would be written with
+// its scheme.
+func urlOf(call *Call) *url.URL {
+	u := &url.URL{Scheme: "http", Host: call.Target.Address, Opaque: call.URI}
+	if !strings.HasPrefix(call.URI, "//") {
+		return u
+	}
+	path, query, hasQuery := strings.Cut(call.URI, "?")
+	unescaped, err := url.PathUnescape(path)
+	if err != nil {
+		return u
+	}
+	u.Opaque, u.Path, u.RawPath, u.RawQuery, u.ForceQuery = "", unescaped, path, query, hasQuery && query == ""
+	return u
+}
+
 // exchange is a call on a connection.
 type exchange struct {
 	client      *Client
