--- a/internal/front/upstream/connection.go
+++ b/internal/front/upstream/connection.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"oxbowslip.dev/oxbowslip/internal/httphead"
@@ -37,8 +38,9 @@
 	mu sync.Mutex
 	// activeAt is when bytes last arrived, or when the current call was sent.
 	activeAt time.Time
-	// carried are the IDs of the last calls on the connection.
-	carried []string
+	// carried holds the hashes of the IDs of the last calls on the connection, of which there were calls in all.
+	carried [maxCarried]uint64
+	calls   int
 	// isLast is set if the endpoint closes the connection after its current answer.
 	isLast bool
 	// expires is when an idle connection must no longer be used.
@@ -50,16 +52,15 @@
 
 // carry records that a call is sent on the connection.
 func (c *connection) carry(id string) {
-	if len(c.carried) == maxCarried {
-		copy(c.carried, c.carried[1:])
-		c.carried = c.carried[:maxCarried-1]
-	}
-	c.carried = append(c.carried, id)
+	c.carried[c.calls%maxCarried] = xxhash.Sum64String(id)
+	c.calls++
 }
 
 // hasCarried reports whether an attempt of a call has been sent on the connection. A late copy of the answer to it would
 // be taken for that to the next attempt, which has the same ID.
-func (c *connection) hasCarried(id string) bool { return slices.Contains(c.carried, id) }
+func (c *connection) hasCarried(id string) bool {
+	return slices.Contains(c.carried[:min(c.calls, maxCarried)], xxhash.Sum64String(id))
+}
 
 // recordAnswer records from an answer whether and how long its connection can be reused.
 func (c *connection) recordAnswer(response *http.Response, now time.Time, keepIdle time.Duration) {
