relay: an endpoint's own 408 is not passed on

Callers take a 408 for a promise that the request has not run and never will; the endpoint had not said so. It is treated like 429 and 503 without such a statement. Failed before: TestEndpointsPromisesAreNotPassedOn, 408 to both routes.

--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -259,7 +259,7 @@
 		return owner.Result{Event: request.EventBroken, Err: err}
 	}
 	held := &httprelay.HeldAnswer{Status: answer.Status, Header: answer.Header, Body: body}
-	if answer.Status >= http.StatusInternalServerError || answer.Status == http.StatusTooManyRequests {
+	if answer.Status >= http.StatusInternalServerError || promisesNotRun(answer.Status) {
 		return x.keepServerError(held)
 	}
 	x.reportAnswered(a)
@@ -270,11 +270,15 @@
 	return owner.Result{Event: request.EventWhole}
 }
 
-// keepServerError keeps an endpoint's server error, to be forwarded if no attempt gives a better answer. Statuses 429
-// and 503 are not forwarded: to the caller they promise that the request did not run, which the endpoint has not
-// confirmed.
+// promisesNotRun reports whether a status promises a caller that its request has not run and never will.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
+// keepServerError keeps an endpoint's server error, to be forwarded if no attempt gives a better answer. A status that
+// promises that the request did not run is not forwarded, since the endpoint has not confirmed that.
 func (x *exchange) keepServerError(held *httprelay.HeldAnswer) owner.Result {
-	if held.Status != http.StatusServiceUnavailable && held.Status != http.StatusTooManyRequests {
+	if !promisesNotRun(held.Status) {
 		x.serverError = held
 	}
 	return owner.Result{Event: request.EventBroken, Err: errors.New("endpoint answered " + strconv.Itoa(held.Status))}
