A caller that has closed its sending side gets no made-up answer

It got 200 with an empty body: net/http ends the context of a request once the caller has closed its side, and completes the answer of a handler that has written none. The connection is now aborted. Failed before: TestCallerThatClosesItsSendingSideGetsNoMadeUpAnswer, all three routes.

--- a/internal/daemon/api/chat.go
+++ b/internal/daemon/api/chat.go
@@ -126,7 +126,7 @@
 			x.answer.Send(x.w)
 		}
 		s.parts.Counters.CountAnswer(c.class, end.FirstToken, metTargets(&c.policy, end, duration), end.Tokens)
-	case request.OutcomeBroken:
+	case request.OutcomeBroken, request.OutcomeCallerGone:
 		x.stream.abort(end.Refusal)
 	case request.OutcomeRefused:
 		s.refuse(x.w, c, end.Refusal)
--- a/internal/daemon/api/service.go
+++ b/internal/daemon/api/service.go
@@ -120,7 +120,7 @@
 			x.answer.Send(x.w)
 		}
 		s.parts.Counters.CountAnswer(c.class, duration, metTargets(&c.policy, &end, duration), 0)
-	case request.OutcomeBroken:
+	case request.OutcomeBroken, request.OutcomeCallerGone:
 		panic(http.ErrAbortHandler)
 	case request.OutcomeRefused:
 		s.refuse(x.w, c, end.Refusal)
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -154,9 +154,9 @@
 		}
 		took := p.Clock.Now().Sub(x.arrived)
 		p.Counters.CountAnswer(x.route.Class, took, x.metTargets(&end, took), 0)
-	case request.OutcomeBroken:
-		// net/http closes the connection without the end of the answer, so that the caller detects that it is
-		// truncated.
+	case request.OutcomeBroken, request.OutcomeCallerGone:
+		// net/http closes the connection without the end of the answer, so that the caller detects that it is truncated.
+		// A caller that has only closed its sending side may still read, and would get an empty 200.
 		panic(http.ErrAbortHandler)
 	case request.OutcomeRefused:
 		if x.serverError != nil {
