--- a/internal/daemon/api/chat.go
+++ b/internal/daemon/api/chat.go
@@ -126,8 +126,10 @@
 			x.answer.Send(x.w)
 		}
 		s.parts.Counters.CountAnswer(c.class, end.FirstToken, metTargets(&c.policy, end, duration), end.Tokens)
-	case request.OutcomeBroken, request.OutcomeCallerGone:
+	case request.OutcomeBroken:
 		x.stream.abort(end.Refusal)
+	case request.OutcomeCallerGone:
+		panic(http.ErrAbortHandler)
 	case request.OutcomeRefused:
 		s.refuse(x.w, c, end.Refusal)
 	}
