--- a/internal/front/poison/blame_test.go
+++ b/internal/front/poison/blame_test.go
@@ -148,6 +148,18 @@
 	}
 }
 
+// partition returns the runs that match, and the others.
+func partition[T any](runs []T, matches func(T) bool) (matching, others []T) {
+	for _, r := range runs {
+		if matches(r) {
+			matching = append(matching, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	return matching, others
+}
+
 // crash crashes an endpoint, and sends the requests that ran there to others.
 func (s *blameSimulation) crash(endpoint int) {
 	if s.downUntil[endpoint] > s.now {
@@ -156,15 +168,8 @@
 	key := keys.OfEndpoint(fmt.Sprint(endpoint, "-", s.generation[endpoint]))
 	s.downUntil[endpoint] = s.now + restartTime
 	s.generation[endpoint]++
-	var left, broken []*simulatedRun
-	for _, r := range s.running {
-		if r.endpoint != endpoint {
-			left = append(left, r)
-			continue
-		}
-		broken = append(broken, r)
-	}
-	s.running = left
+	var broken []*simulatedRun
+	broken, s.running = partition(s.running, func(r *simulatedRun) bool { return r.endpoint == endpoint })
 	for _, r := range broken {
 		for _, content := range r.contents {
 			s.table.RecordCrash(content, Crash{Endpoint: key, At: s.now, Begun: r.begun <= s.now})
--- a/internal/front/poison/fleet_model_test.go
+++ b/internal/front/poison/fleet_model_test.go
@@ -226,15 +226,8 @@
 	key := keys.OfEndpoint(fmt.Sprint(endpoint, "-", m.generation[endpoint]))
 	m.downUntil[endpoint] = m.now + endpointDown
 	m.generation[endpoint]++
-	var left, broken []*modelRun
-	for _, r := range m.running {
-		if r.endpoint == endpoint {
-			broken = append(broken, r)
-		} else {
-			left = append(left, r)
-		}
-	}
-	m.running = left
+	var broken []*modelRun
+	broken, m.running = partition(m.running, func(r *modelRun) bool { return r.endpoint == endpoint })
 	for _, r := range broken {
 		m.report(modelReport{host: r.host, contents: r.contents, crash: Crash{Endpoint: key, At: m.now, Begun: r.begun <= m.now}})
 	}
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -55,15 +55,6 @@
 	}
 }
 
-// isPoison reports whether the request must not be sent.
-func (x *exchange) isPoison() bool {
-	content, isPoison := x.server.parts.Poison.FindPoison(x.contents, &x.trial)
-	if isPoison {
-		x.poison = content
-	}
-	return isPoison
-}
-
 // admissionRequest describes the request for placement.
 func (x *exchange) admissionRequest() admission.Request {
 	p := &x.server.parts
@@ -194,18 +185,17 @@
 // Begun is set if the endpoint had begun to answer, and for every plain call, since its endpoint does not show when it
 // begins. A call that this host aborted, or whose path it lost, is not reported.
 func (x *exchange) reportBroken(ctx context.Context, a *owner.Attempt, cause error, begun bool) {
-	// A trial is one attempt.
-	x.trial = 0
+	x.blame.endTrial()
 	x.reportLimit(a, cause)
 	if ctx.Err() == nil && !errors.Is(cause, upstream.ErrPathLost) {
-		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Contents: x.contents, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun, Version: keys.OfVersion(x.stream.sentVersion)})
+		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Contents: x.blame.contents, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun, Version: keys.OfVersion(x.stream.sentVersion)})
 	}
 }
 
 // reportAnswered reports that an endpoint has sent a complete answer.
 func (x *exchange) reportAnswered(a *owner.Attempt) {
 	x.server.parts.Health.RecordSuccess(a.EndpointID)
-	x.server.parts.Poison.RecordAnswer(x.contents, keys.OfVersion(x.stream.sentVersion))
+	x.server.parts.Poison.RecordAnswer(x.blame.contents, keys.OfVersion(x.stream.sentVersion))
 }
 
 func (x *exchange) handleNotStarted(a *owner.Attempt, answer *upstream.Answer) owner.Result {
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -34,11 +34,8 @@
 	service string
 	body    []byte
 	// key identifies the content of the request; identical requests share it.
-	key keys.Content
-	// contents are the key and those of the shared parts of the prompt, from the last one on. Poison is the one for which
-	// the request was refused, trial the one of whose verdict it is a trial, or 0.
-	contents      []keys.Content
-	poison, trial keys.Content
+	key   keys.Content
+	blame blame
 	// deadline is when the request's time limit expires.
 	deadline time.Time
 
@@ -83,24 +80,11 @@
 	x.key = keys.OfRequest(&keys.Identity{
 		Workspace: x.workspace, Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body,
 	})
-	x.contents = append([]keys.Content{x.key}, sharedParts(x.workspace, x.call.Parts)...)
-	x.server.parts.Poison.RecordRequest(x.contents)
+	x.blame.contents = append([]keys.Content{x.key}, sharedParts(x.workspace, x.call.Parts)...)
+	x.server.parts.Poison.RecordRequest(x.blame.contents)
 	return refusal
 }
 
-// maxSharedParts bounds the parts of a prompt that are examined for poison.
-const maxSharedParts = 32
-
-// sharedParts returns the keys of the parts of a prompt that other requests may share, from the last one on. The last
-// part of a prompt is the request's own.
-func sharedParts(workspace string, parts []Part) []keys.Content {
-	var shared []keys.Content
-	for n := len(parts) - 2; n >= 0 && len(shared) < maxSharedParts; n-- {
-		shared = append(shared, keys.OfPart(workspace, parts[n].ID))
-	}
-	return shared
-}
-
 // timeLimit returns how long a request may take: the limit of its class, or the caller's maximum wait if that is
 // shorter or the class has no limit.
 func timeLimit(class, maxWait time.Duration) time.Duration {
--- a/internal/front/relay/log.go
+++ b/internal/front/relay/log.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/sirupsen/logrus"
 
-	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
@@ -33,8 +32,8 @@
 		"first_ms": end.FirstToken.Milliseconds(), "events": x.stream.events, "pause_ms": x.stream.longestPause.Milliseconds(),
 		"prompt": x.call.PromptTokens, "prefix": x.lastSharedPart(), "steps": end.Steps,
 	}
-	if x.poison != 0 {
-		fields["poison_key"] = x.poison.String()
+	if x.blame.poison != 0 {
+		fields["poison_key"] = x.blame.poison.String()
 	}
 	if part := x.poisonPart(); part != "" {
 		fields["poison_part"] = part
@@ -80,13 +79,3 @@
 	}
 	return ""
 }
-
-// poisonPart returns the ID of the part of the prompt for which the request was refused, or "" if there is none.
-func (x *exchange) poisonPart() string {
-	for _, part := range x.call.Parts {
-		if x.poison.IsPart() && keys.OfPart(x.workspace, part.ID) == x.poison {
-			return part.ID
-		}
-	}
-	return ""
-}
--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -88,6 +88,11 @@
 func (w *silenceWatch) recordData() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.recordDataLocked()
+}
+
+// recordDataLocked is recordData with the lock held.
+func (w *silenceWatch) recordDataLocked() {
 	w.waiting.RecordData()
 	if w.search != nil {
 		w.search.cancel()
@@ -95,11 +100,19 @@
 	w.rearm(w.limit)
 }
 
-// setPaused stops the watch while the attempt waits for the caller.
-func (w *silenceWatch) setPaused(isPaused bool) {
+// recordEvent records an event of a stream. The watch then rests until resume is called, while the attempt waits for the
+// caller.
+func (w *silenceWatch) recordEvent() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.recordDataLocked()
+	w.isPaused = true
+}
+
+func (w *silenceWatch) resume() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.isPaused = isPaused
+	w.isPaused = false
 }
 
 // watchedReader reads the body of an answer and records its data.
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -79,17 +79,17 @@
 			continue
 		}
 		withoutEvent = 0
-		watch.recordData()
 		if !x.stream.isNext(eventID(event)) {
+			watch.recordData()
 			continue
 		}
 		if isFirst && !x.confirmVersion(a) {
 			return owner.Result{Event: request.EventBroken, Err: errVersionChanged}
 		}
 		isFirst = false
-		watch.setPaused(true)
+		watch.recordEvent()
 		result := x.forwardEvent(a, answer, event)
-		watch.setPaused(false)
+		watch.resume()
 		if result != nil {
 			return *result
 		}
