bodies: one of unknown length takes at most a quarter of the budget; a body that is cut off is not whole

A call reserved 16 MiB for each answer of unknown length, so that a host of 134 MB read one at a time.

--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -17,6 +17,9 @@
 // smallBytes is the size up to which a body is read at once: that of nearly all bodies.
 const smallBytes = 64 << 10
 
+// unknownPart is the part of the budget that one body of unknown length may take: it reserves all of it.
+const unknownPart = 4
+
 var (
 	// ErrTooLarge is the error of a body that is larger than its limit.
 	ErrTooLarge = errors.New("the body is larger than its limit")
@@ -109,6 +112,16 @@
 	bytes  int64
 }
 
+func (l *Lease) add(b *Budget, bytes int64) {
+	l.budget = b
+	l.bytes += bytes
+}
+
+func (l *Lease) giveBack(bytes int64) {
+	l.budget.release(bytes)
+	l.bytes -= bytes
+}
+
 // Release gives the memory back. It has no effect on a lease without memory.
 func (l *Lease) Release() {
 	if l.bytes > 0 {
@@ -126,36 +139,45 @@
 	if length >= 0 && IsSmall(length) {
 		return readAll(r, make([]byte, length+1))
 	}
-	size := length
-	var head []byte
 	if length < 0 {
-		var err error
-		head, err = io.ReadAll(io.LimitReader(r, min(smallBytes, limit+1)))
-		if err != nil || len(head) < smallBytes {
-			return head, checkSize(head, limit, err)
-		}
-		size = limit
-	}
-	if err := b.reserve(ctx, size); err != nil {
+		return b.readUnknown(ctx, lease, r, limit)
+	}
+	if err := b.reserve(ctx, length); err != nil {
 		return nil, err
 	}
-	lease.budget = b
-	lease.bytes += size
-	body := make([]byte, size, size+1)
-	read := copy(body, head)
-	n, err := io.ReadFull(r, body[read:])
-	read += n
+	lease.add(b, length)
+	return readAll(r, make([]byte, length+1))
+}
+
+// readUnknown reads a body of unknown length.
+func (b *Budget) readUnknown(ctx context.Context, lease *Lease, r io.Reader, limit int64) ([]byte, error) {
+	head, err := io.ReadAll(io.LimitReader(r, min(smallBytes, limit+1)))
+	if err != nil || len(head) < smallBytes {
+		return head, checkSize(head, limit, err)
+	}
+	if b.limit > 0 {
+		limit = min(limit, max(b.limit/unknownPart, smallBytes))
+	}
+	if err := b.reserve(ctx, limit); err != nil {
+		return nil, err
+	}
+	lease.add(b, limit)
+	buffer := make([]byte, limit+1)
+	read := copy(buffer, head)
+	// io.ReadFull would not tell a body that was cut off from one that has ended.
+	for err == nil && int64(read) <= limit {
+		var n int
+		n, err = r.Read(buffer[read:])
+		read += n
+	}
 	switch {
-	case length >= 0 && err != nil:
+	case int64(read) > limit:
+		return nil, ErrTooLarge
+	case err != io.EOF:
 		return nil, err
-	case err == nil:
-		return body, checkEnd(r, body[size:size+1])
-	case err == io.ErrUnexpectedEOF || err == io.EOF:
-		b.release(size - int64(read))
-		lease.bytes -= size - int64(read)
-		return slices.Clone(body[:read]), nil
-	}
-	return nil, err
+	}
+	lease.giveBack(limit - int64(read))
+	return slices.Clone(buffer[:read]), nil
 }
 
 // IsSmall reports whether a body of a length is read without waiting for memory.
