request: a failed dial spends no retry budget

The endpoint got nothing, so that the next one gets its first arrival; a request has at most two such dials besides. The case of the lifecycle that had no budget after a failed dial now has none after a rejection; the failed dial is a case of its own.

--- a/internal/request/lifecycle_test.go
+++ b/internal/request/lifecycle_test.go
@@ -141,11 +141,24 @@
 			outcome: OutcomeAnswered,
 			ran:     RanUnknown,
 		},
+		"a failed dial needs no retry budget": {
+			rules: Rules{Repeatable: true, MaxTries: 3, MaxDials: 2},
+			steps: []step{
+				{EventGranted, canRetry, ActSend},
+				{EventDialFailed, Facts{}, ActAsk},
+				{EventGranted, Facts{}, ActSend},
+				{EventSent, Facts{}, ActNothing},
+				{EventWhole, Facts{}, ActFinish},
+			},
+			outcome: OutcomeAnswered,
+			ran:     RanUnknown,
+		},
 		"exhausted retry budget": {
-			rules: Rules{Repeatable: true, MaxTries: 3},
+			rules: Rules{Repeatable: true, MaxTries: 3, ResendNotStarted: true},
 			steps: []step{
 				{EventGranted, canRetry, ActSend},
-				{EventDialFailed, Facts{}, ActFinish},
+				{EventSent, Facts{}, ActNothing},
+				{EventNotStarted, Facts{}, ActFinish},
 			},
 			outcome: OutcomeRefused,
 			reason:  ReasonRetryBudget,
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -80,11 +80,11 @@
 	RetryGrantVoid, RetryResume, RetryContinue, RetryPreempted,
 }
 
-// SpendsBudget reports whether a retry for this reason counts against the retry budget. A retry after a void grant does
-// not, since nothing was sent and no endpoint failed. A retry after a preemption does not either: the fleet caused it,
-// and a refusal would penalize the lower tier twice.
+// SpendsBudget reports whether a retry for this reason counts against the retry budget. A retry after a void grant or a
+// failed dial does not, since nothing was sent. A retry after a preemption does not either: the fleet caused it, and a
+// refusal would penalize the lower tier twice.
 func (r RetryReason) SpendsBudget() bool {
-	return r != RetryGrantVoid && r != RetryPreempted
+	return r != RetryGrantVoid && r != RetryDialFailed && r != RetryPreempted
 }
 
 // Ran states whether a request without a complete answer was run, as reported to its caller.
