--- a/internal/front/relay/silence.go
+++ b/internal/front/relay/silence.go
@@ -100,8 +100,7 @@
 	w.rearm(w.limit)
 }
 
-// recordEvent records an event of a stream. The watch then rests until resume is called, while the attempt waits for the
-// caller.
+// recordEvent records an event of a stream, and pauses the watch.
 func (w *silenceWatch) recordEvent() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -109,6 +108,13 @@
 	w.isPaused = true
 }
 
+// pause stops the watch while the attempt waits for the caller, until resume is called.
+func (w *silenceWatch) pause() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.isPaused = true
+}
+
 func (w *silenceWatch) resume() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -73,7 +73,10 @@
 			if isFirst {
 				continue
 			}
-			if result := x.forward(event); result != nil {
+			watch.pause()
+			result := x.forward(event)
+			watch.resume()
+			if result != nil {
 				return *result
 			}
 			continue
