--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -134,7 +134,7 @@
 // Do sends a call once and waits for the head of its answer. The error is request.ErrNotSent or request.ErrBroken with
 // its cause, or ErrWithheld. The connection is closed when ctx ends, and the call fails with the cause of that.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
-	wire, rest, err := encode(call)
+	wire, large, err := encode(call)
 	if err != nil {
 		return nil, merry.Wrap(request.ErrNotSent, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
@@ -150,7 +150,7 @@
 	x.stopAbort = context.AfterFunc(ctx, func() { x.abortWith(context.Cause(ctx)) })
 	conn.carry(call.ID)
 	conn.recordActivity()
-	x.write(wire, rest)
+	x.write(wire, large)
 	if !conn.isTunnel() {
 		x.watchSilence(call)
 	}
@@ -163,8 +163,7 @@
 	return answer, nil
 }
 
-// encode returns the call as on the wire. Of a large call it returns only an error, if there is one, and the request that
-// writes it, so that its body is not copied.
+// encode returns the call as on the wire, or the request that writes it if it is large, so that its body is not copied.
 func encode(call *Call) (wire []byte, large *http.Request, err error) {
 	header := call.Header
 	if header == nil {
