--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -91,7 +91,8 @@
 	}{
 		"just now":                 {0, 56},
 		"shorter than the timeout": {missingHostTimeout - limits.Window - 1, 56},
-		"after the timeout":        {missingHostTimeout, 8 * 56},
+		"after the timeout":        {missingHostTimeout, 56},
+		"for an hour":              {time.Hour, 56},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
