retrybudget: a retry counts until a window after it has arrived

Cause: the users count arrivals, the budget counted sends. A try that was sent to a process that is stopped arrives when it goes on, also after this host has closed or reset the connection (the kernel keeps what it has acknowledged), so what was sent over the whole pause arrives in one moment. The first try may arrive last: it is then the repeat.

Change: the owner records which tries of a request have arrived (its answer has begun, or the endpoint has closed the connection) and which may still do so. A retry counts in every window until then, and for a window afterwards. Tries that a request has left count until the endpoint has answered a later one, or for a minute. A connection whose data the endpoint's machine has not acknowledged is reset, so that they don't arrive. In each span up to a window a host sends at most half of its budget and what the rest earns in that span; unlike the balance of that bounds spans of a window only, so a fleet whose endpoints only fail uses the whole budget in window after window. A start knows nothing of what earlier starts left at an endpoint: while an endpoint is silent that has not answered it yet, it sends half. A retry is now counted in the same step in which its request is found to need one.

Ruled out: a smaller share (covers a pause of some length only); a reset instead of a close (tried: the process reads the data all the same).

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -51,6 +51,7 @@
 	"oxbowslip.dev/oxbowslip/internal/operator"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/record"
+	"oxbowslip.dev/oxbowslip/internal/retrybudget"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
 
@@ -165,6 +166,7 @@
 	Slots      *slots.Client
 	Origins    *origin.Registry
 	Silence    *silence.Tracker
+	Retries    *retrybudget.Fleet
 	Leadership *leadership
 	Clock      func() time.Time
 	Steady     *clock.Clock
@@ -236,6 +238,7 @@
 	h.parts.Limiter.Expire()
 	h.parts.Origins.Expire()
 	h.parts.Silence.Expire()
+	h.parts.Retries.Update()
 	if h.parts.Shares != nil {
 		h.parts.Shares.Expire()
 	}
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -341,7 +341,8 @@
 	retries := logging.Part(log, "retries")
 	return retrybudget.NewFleet(limits, place, clock, func(u retrybudget.Usage) {
 		retries.WithFields(logrus.Fields{
-			"service": u.Service, "first_tries": u.FirstTries, "retries": u.Retries, "balance": u.Balance, "hosts": u.Hosts, "uptime_ms": u.Uptime.Milliseconds(),
+			"service": u.Service, "first_tries": u.FirstTries, "retries": u.Retries, "recent": u.Recent, "unsettled": u.Unsettled, "left": u.Left,
+			"hosts": u.Hosts, "has_part": u.HasPart, "uptime_ms": u.Uptime.Milliseconds(),
 		}).Warn("retry budget of the service is used up, calls are not sent again")
 	})
 }
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -36,6 +36,7 @@
 		"oxbowslip_endpoints_slow":            func() float64 { return float64(len(h.slowEndpoints())) },
 		"oxbowslip_upstream_connections_made": func() float64 { return float64(h.parts.Client.Dials()) },
 		"oxbowslip_slots_waiting":             h.countWaitingForSlots,
+		"oxbowslip_retries_unsettled":         func() float64 { return float64(h.parts.Retries.Unsettled()) },
 		"oxbowslip_paths_lost":                func() float64 { return float64(h.parts.Paths.Lost()) },
 		"oxbowslip_tunnels_opened":            func() float64 { return float64(h.parts.Paths.Opened()) },
 		"oxbowslip_tunnels_serving":           func() float64 { return float64(h.parts.Tunnels.Served()) },
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -95,9 +95,10 @@
 			return owner.Result{Event: request.EventDialFailed, Err: err}
 		}
 		x.reportBroken(ctx, a, err, !x.policy.Stream)
-		return owner.Result{Event: request.EventBroken, Err: err}
+		return owner.Result{Event: request.EventBroken, MayArrive: errors.Is(err, upstream.ErrAbandoned), Err: err}
 	}
 	defer answer.Close()
+	a.RecordAnswer()
 	watch.recordData()
 	x.recordSignal(a, answer)
 	if x.server.parts.Dialect.IsNotStarted(answer.Status, answer.Header) {
--- a/internal/front/upstream/check.go
+++ b/internal/front/upstream/check.go
@@ -172,7 +172,7 @@
 		return
 	}
 	x.aborted = err
-	x.conn.Close()
+	x.mayArrive = x.conn.discard()
 }
 
 // endWatch ends the checks.
--- a/internal/front/upstream/connection.go
+++ b/internal/front/upstream/connection.go
@@ -160,19 +160,41 @@
 // sinceAcknowledgement returns the time since the endpoint's machine last acknowledged something on the connection, and
 // whether the kernel states it.
 func (c *connection) sinceAcknowledgement() (time.Duration, bool) {
-	holder, ok := c.ReadWriteCloser.(syscall.Conn)
+	info, ok := c.tcpInfo()
 	if !ok {
 		return 0, false
 	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond, true
+}
+
+// tcpInfo returns the kernel's state of the connection, if it has one.
+func (c *connection) tcpInfo() (*unix.TCPInfo, bool) {
+	holder, ok := c.ReadWriteCloser.(syscall.Conn)
+	if !ok {
+		return nil, false
+	}
 	raw, err := holder.SyscallConn()
 	if err != nil {
-		return 0, false
+		return nil, false
 	}
 	var info *unix.TCPInfo
 	var infoErr error
 	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	if err != nil || infoErr != nil {
-		return 0, false
+	return info, err == nil && infoErr == nil
+}
+
+// maxAckDelay is how long a machine may take to acknowledge data that have reached it.
+const maxAckDelay = 500 * time.Millisecond
+
+// discard closes the connection during a call. It reports whether the endpoint may still read the call: a process that is
+// paused reads it from its kernel when it goes on, even from a connection that was reset. Data that its machine has not
+// acknowledged are dropped.
+func (c *connection) discard() (mayArrive bool) {
+	defer c.Close()
+	info, ok := c.tcpInfo()
+	if !ok || info.Unacked == 0 && info.Notsent_bytes == 0 || c.silentFor() < maxAckDelay {
+		return true
 	}
-	return time.Duration(info.Last_ack_recv) * time.Millisecond, true
+	linger, ok := c.ReadWriteCloser.(interface{ SetLinger(seconds int) error })
+	return !ok || linger.SetLinger(0) != nil
 }
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"golang.org/x/sys/unix"
 
 	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/request"
@@ -131,6 +132,10 @@
 // ErrWithheld is the error of a call that was not sent because OnSend returned false.
 var ErrWithheld = merry.Sentinel("withheld: not to be sent any more")
 
+// ErrAbandoned is added to the error of a call that was sent, and that the endpoint may still read: it has not closed the
+// connection, and its machine has acknowledged the call.
+var ErrAbandoned = merry.Sentinel("the endpoint may still read the call")
+
 // Do sends a call once and waits for the head of its answer. The error is request.ErrNotSent or request.ErrBroken with
 // its cause, or ErrWithheld. The connection is closed when ctx ends, and the call fails with the cause of that.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
@@ -156,8 +161,11 @@
 	}
 	answer, err := x.readAnswer(call)
 	if err != nil {
-		x.abandon()
+		mayArrive := x.abandon(err)
 		err = x.cause(err)
+		if mayArrive {
+			err = errors.Join(err, ErrAbandoned)
+		}
 		return nil, merry.Wrap(request.ErrBroken, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	return answer, nil
@@ -225,6 +233,8 @@
 	silence *time.Timer
 	aborted error
 	isEnded bool
+	// mayArrive is set if the call was aborted and the endpoint may still read it.
+	mayArrive bool
 }
 
 // write writes the call, in the background if it is large.
@@ -280,11 +290,26 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// abandon closes the connection, upon which the endpoint aborts the call.
-func (x *exchange) abandon() {
+// abandon closes the connection after an error, upon which the endpoint aborts the call. It reports whether the endpoint may
+// still read the call.
+func (x *exchange) abandon(err error) (mayArrive bool) {
 	x.endWatch()
 	x.stopAbort()
-	x.conn.Close()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case x.aborted != nil:
+		return x.mayArrive
+	case isClosedByPeer(err) && !x.conn.isTunnel():
+		x.conn.Close()
+		return false
+	}
+	return x.conn.discard()
+}
+
+// isClosedByPeer reports whether a connection has ended because its other end has closed it.
+func isClosedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE)
 }
 
 // Read reads the answer's body. It returns io.EOF only if the complete answer has arrived.
--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -65,10 +65,14 @@
 // RecordSend is called once the connection is established: from then on bytes may reach the endpoint.
 func (a *Attempt) RecordSend() {
 	a.run.apply(request.EventSent)
+	a.run.arrivals.sent(a.EndpointID, a.run.owner.parts.Clock())
 	a.run.ticket.Started()
 	a.run.recordStep("sent", "", nil)
 }
 
+// RecordAnswer is called when the endpoint has begun to answer.
+func (a *Attempt) RecordAnswer() { a.run.arrivals.answered() }
+
 // StartDelivery is called before a part of the answer is sent to the caller. It reports false if the attempt was
 // preempted, in which case nothing may be sent to the caller.
 func (a *Attempt) StartDelivery() bool {
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -53,6 +53,8 @@
 	Event request.Event
 	// CanResume is set if the endpoint keeps the stream for a resumption.
 	CanResume bool
+	// MayArrive is set if the attempt was given up and the endpoint may still read the request.
+	MayArrive bool
 	// Err is the cause of a failure, for logs and explanations.
 	Err error
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -64,14 +64,17 @@
 type Budget interface {
 	// RecordFirstTry counts a first try; fraction is the number of retries allowed for each first try.
 	RecordFirstTry(group string, fraction float64)
-	// CanRetry reports whether the group may retry once more.
-	CanRetry(group string) bool
-	// RecordRetry counts a retry.
-	RecordRetry(group string)
-	// Reserve counts a retry if the group may retry once more, and reports whether it may. Release takes it back if the
-	// retry is not made.
+	// Reserve counts a retry if the group may retry once more, and reports whether it may. Each counted retry ends with
+	// one of the other calls. Release takes it back: the retry was not sent.
 	Reserve(group string) bool
 	Release(group string)
+	// Settle is called when a counted retry has arrived at its endpoint, or never will.
+	Settle(group string)
+	// Leave is called when a request no longer waits for some of its tries, of which a number of counted retries may
+	// still arrive.
+	Leave(group string, retries int, sends []request.Send)
+	// RecordAnswer is called when an endpoint has begun to answer a try.
+	RecordAnswer(group string, send request.Send)
 }
 
 // Parts holds the dependencies of an owner.
@@ -114,6 +117,7 @@
 	defer o.cancelOnStop(cancel)()
 
 	r := &run{owner: o, job: job, lifecycle: request.NewLifecycle(job.Rules), arrived: job.Request.Arrived}
+	r.arrivals = arrivals{budget: o.parts.Budget, group: job.budgetGroup()}
 	o.parts.Budget.RecordFirstTry(job.budgetGroup(), job.RetryBudget)
 	o.parts.Explained.Begin(explain.Record{
 		ID: job.Request.ID, Host: o.parts.Host, Workspace: job.Request.Workspace,
@@ -121,6 +125,7 @@
 	})
 	// After a panic in an attempt, the request must not keep counting at its endpoint.
 	defer r.release(admission.Cancelled)
+	defer r.arrivals.end()
 	defer r.dropSuccessor()
 	r.loop(ctx)
 	return r.end()
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -48,6 +48,8 @@
 	reportedAt     time.Time
 	reportedTokens int
 
+	arrivals arrivals
+
 	// connection is the open connection to the granted endpoint, if the grant is that of a successor.
 	connection io.Closer
 
@@ -118,13 +120,10 @@
 	return true
 }
 
-// countRetry counts a retry by its reason, and against the retry budget if the reason spends it.
+// countRetry counts a retry by its reason.
 func (r *run) countRetry() {
 	retry := r.lifecycle.Retry()
 	r.owner.parts.Counters.CountRetry(retry)
-	if retry.SpendsBudget() {
-		r.owner.parts.Budget.RecordRetry(r.job.budgetGroup())
-	}
 	r.recordStep("retry", string(retry), nil)
 }
 
@@ -173,6 +172,11 @@
 	go a.watchPreemption(r.ticket.Preempted(), cancel, done)
 	result := try(ctx, a)
 	close(done)
+	if result.MayArrive {
+		r.arrivals.abandon()
+	} else {
+		r.arrivals.ended()
+	}
 	return r.goOn(r.endAttempt(ctx, result))
 }
 
@@ -213,7 +217,7 @@
 		r.release(admission.Answered)
 		return r.lifecycle.Apply(event, r.facts(false))
 	}
-	action := r.lifecycle.Apply(event, r.facts(result.CanResume && r.job.Resume != nil))
+	action := r.applyFailure(event, result.CanResume && r.job.Resume != nil)
 	if action == request.ActResume {
 		return action
 	}
@@ -221,6 +225,19 @@
 	return action
 }
 
+// applyFailure applies the end of an attempt that failed. The retry that follows is counted in the same step, since other
+// requests may fail at the same moment.
+func (r *run) applyFailure(event request.Event, canResume bool) request.Action {
+	facts := r.facts(canResume)
+	hasReserved := !facts.BudgetLeft && r.arrivals.reserve()
+	facts.BudgetLeft = facts.BudgetLeft || hasReserved
+	action := r.lifecycle.Apply(event, facts)
+	if hasReserved && (action != request.ActAsk || !r.lifecycle.Retry().SpendsBudget()) {
+		r.arrivals.release()
+	}
+	return action
+}
+
 // abandonAttempt ends the grant and adds the endpoint to those that further tries avoid. A preempted request may return
 // to any endpoint.
 func (r *run) abandonAttempt(event request.Event, next request.Action) {
@@ -280,13 +297,14 @@
 	r.owner.parts.Counters.CountWastedTokens(cause, r.tokens)
 }
 
+// facts returns what is known to this host. The budget has a retry left if it is that of a successor.
 func (r *run) facts(canResume bool) request.Facts {
 	deadline := r.job.Deadline
 	return request.Facts{
 		CanResume:   canResume,
 		CanContinue: r.job.CanContinue,
 		Expired:     !deadline.IsZero() && r.owner.parts.Clock().After(deadline),
-		BudgetLeft:  r.successor != nil || r.owner.parts.Budget.CanRetry(r.job.budgetGroup()),
+		BudgetLeft:  r.successor != nil,
 	}
 }
 
--- a/internal/owner/successor.go
+++ b/internal/owner/successor.go
@@ -51,8 +51,7 @@
 	if !ok {
 		return nil, merry.Wrap(errLastTry)
 	}
-	group := r.job.budgetGroup()
-	if !r.owner.parts.Budget.Reserve(group) {
+	if !r.owner.parts.Budget.Reserve(r.job.budgetGroup()) {
 		return nil, merry.Wrap(errNoBudget)
 	}
 	s := &Successor{run: r}
@@ -166,6 +165,7 @@
 		s.Discard()
 		return action
 	}
+	r.arrivals.held++
 	retry := r.lifecycle.Retry()
 	r.owner.parts.Counters.CountRetry(retry)
 	r.recordStep("retry", string(retry), nil)
--- a/internal/retrybudget/class.go
+++ b/internal/retrybudget/class.go
@@ -1,6 +1,10 @@
 package retrybudget
 
-import "sync"
+import (
+	"sync"
+
+	"oxbowslip.dev/oxbowslip/internal/request"
+)
 
 // The bounds of a class's balance, in retries. The initial balance lets a class with few requests retry, and the
 // maximum keeps a class that rarely fails from accumulating enough for a retry storm.
@@ -30,20 +34,6 @@
 	b.balance[class] = min(balance+fraction, maxBalance)
 }
 
-// CanRetry reports whether the class may retry once more.
-func (b *Class) CanRetry(class string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.balance[class] >= 1
-}
-
-// RecordRetry counts a retry.
-func (b *Class) RecordRetry(class string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.balance[class]--
-}
-
 // Reserve counts a retry if the class may retry once more.
 func (b *Class) Reserve(class string) bool {
 	b.mu.Lock()
@@ -61,3 +51,12 @@
 	defer b.mu.Unlock()
 	b.balance[class]++
 }
+
+// Settle does nothing: a retry counts when it is sent.
+func (b *Class) Settle(string) {}
+
+// Leave does nothing.
+func (b *Class) Leave(string, int, []request.Send) {}
+
+// RecordAnswer does nothing.
+func (b *Class) RecordAnswer(string, request.Send) {}
--- a/internal/retrybudget/fleet.go
+++ b/internal/retrybudget/fleet.go
@@ -1,12 +1,13 @@
 package retrybudget
 
 import (
-	"math"
 	"sync"
 	"time"
+
+	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
-// Limits bounds the number of retries that all hosts together may send to a service.
+// Limits bounds the number of retries of all hosts together that arrive at the endpoints of a service.
 type Limits struct {
 	// Ratio is the number of retries allowed for each first try in the window.
 	Ratio float64
@@ -17,45 +18,27 @@
 }
 
 const (
-	// usedShare is the share of the limits that is used. Retries reach their endpoints later than they are counted, and
-	// hosts may differ for a moment in the number of hosts.
+	// usedShare is the share of the limits that is used. Hosts may differ for a moment in the number of hosts.
 	usedShare = 0.9
-	// burstShare is the part of this budget that a host may save up; the rest is earned while the window passes. A host
-	// that has just started has saved nothing, so whatever its earlier starts have spent, the retries in any window
-	// are at most what all hosts had saved at its beginning and what they earn in it.
+	// burstShare is the part of this budget that a host may send at once; it earns the rest while the window passes.
 	burstShare = 0.5
 )
 
-// oneRetry is one retry less a tolerance for rounding errors.
-const oneRetry = 1 - 1e-6
-
-// missingHostTimeout is how long hosts that are no longer seen still count in the division of the slack. It is longer
-// than usual network faults between hosts. Without it, eight hosts that lose sight of each other would each take the
-// slack of the fleet (TestIsolatedHostsShareSlack).
-const missingHostTimeout = time.Minute
-
-// Place is the place of a host in an order that all hosts of the fleet share.
-type Place struct {
-	// Before is the number of live hosts before this one, Hosts the number of all live hosts.
-	Before, Hosts int
-	// IsKnown is set once this host can tell how many hosts there are. Until then it takes no part of the slack.
-	IsKnown bool
-}
-
 // Usage is what this host has used of the budget of a service.
 type Usage struct {
 	Service string
 	// FirstTries are those of this host in the window, Hosts is the number of hosts that share the slack.
 	FirstTries, Hosts int
-	// Retries are those of this host since its start, Balance is what is left now.
-	Retries int
-	Balance float64
+	// HasPart is set if this host takes its part of the slack.
+	HasPart bool
+	// Retries are those of this host since its start, Recent those that have arrived in the window, Unsettled those that
+	// may still arrive, of which requests no longer wait for Left.
+	Retries, Recent, Unsettled, Left int
 	// Uptime is the time since this host started.
 	Uptime time.Duration
 }
 
-// Fleet is the budget of all hosts together. Each host has an account for each service: first tries and the passing time
-// add to it, retries take from it.
+// Fleet is the budget of all hosts together. Each host uses its part of it.
 type Fleet struct {
 	limits Limits
 	place  func() Place
@@ -66,19 +49,7 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	// sharing is this host's place among the hosts that share the slack, and missingSince the time since which fewer
-	// hosts have been seen.
-	sharing      Place
-	missingSince time.Time
-}
-
-// account is what this host may spend at a service.
-type account struct {
-	firstTries windowCount
-	retries    int
-	balance    float64
-	// updatedAt is when the balance was last updated, reportedAt when the budget was last reported as exhausted.
-	updatedAt, reportedAt time.Time
+	sharing  sharing
 }
 
 // NewFleet returns a budget of a host that has just started. Place returns the current place of this host. Exhausted is
@@ -89,158 +60,111 @@
 
 // RecordFirstTry counts a first try. The class's fraction is ignored, since the limits apply to the whole service.
 func (b *Fleet) RecordFirstTry(service string, _ float64) {
-	now, place := b.clock(), b.place()
+	uptime := b.uptime()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a := b.update(now, place, service)
-	a.firstTries.add(b.uptime(now), b.limits.Window)
-	a.balance += (1 - burstShare) * usedShare * b.limits.Ratio
+	a := b.account(service)
+	a.firstTries.add(uptime, b.limits.Window)
+	a.allFirstTries++
 }
 
-// CanRetry reports whether one more retry may be sent to a service.
-func (b *Fleet) CanRetry(service string) bool {
-	now, place := b.clock(), b.place()
+// Reserve counts a retry if one more may be sent to a service.
+func (b *Fleet) Reserve(service string) bool {
+	uptime, place := b.uptime(), b.place()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.canRetry(now, place, service)
+	a := b.account(service)
+	b.sharing.update(uptime, place)
+	w := b.allowance()
+	a.expire(uptime, b.limits.Window, burstShare*w.budget(a, uptime))
+	if !w.mayRetry(a, uptime) {
+		b.report(service, a, uptime)
+		return false
+	}
+	a.retries++
+	a.unsettled++
+	return true
 }
 
-// canRetry is CanRetry with the lock held.
-func (b *Fleet) canRetry(now time.Time, place Place, service string) bool {
-	a := b.update(now, place, service)
-	if a.balance >= oneRetry {
-		return true
-	}
-	if a.reportedAt.IsZero() || now.Sub(a.reportedAt) >= b.limits.Window {
-		a.reportedAt = now
-		b.exhausted(Usage{
-			Service: service, FirstTries: a.firstTries.sum(b.uptime(now), b.limits.Window), Hosts: b.sharing.Hosts, Retries: a.retries, Balance: a.balance,
-			Uptime: b.uptime(now),
-		})
+// report reports that a retry is denied.
+func (b *Fleet) report(service string, a *account, uptime time.Duration) {
+	if a.isReported && uptime-a.reportedAt < b.limits.Window {
+		return
 	}
-	return false
+	a.isReported, a.reportedAt = true, uptime
+	b.exhausted(Usage{
+		Service: service, FirstTries: a.firstTries.sum(uptime, b.limits.Window), Hosts: b.sharing.place.Hosts,
+		HasPart: b.sharing.hasPart, Retries: a.retries, Recent: len(a.settled), Unsettled: a.unsettled, Left: a.leftRetries(), Uptime: uptime,
+	})
 }
 
-// RecordRetry counts a retry.
-func (b *Fleet) RecordRetry(service string) {
-	now, place := b.clock(), b.place()
+// Release takes back a retry that was counted and not sent.
+func (b *Fleet) Release(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.update(now, place, service).spend(1)
+	a := b.account(service)
+	a.retries--
+	a.unsettled--
 }
 
-// Reserve counts a retry if one more may be sent to a service.
-func (b *Fleet) Reserve(service string) bool {
-	now, place := b.clock(), b.place()
+// Settle records that a retry has arrived at its endpoint, or never will.
+func (b *Fleet) Settle(service string) {
+	uptime := b.uptime()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.canRetry(now, place, service) {
-		return false
-	}
-	b.accounts[service].spend(1)
-	return true
+	b.account(service).settle(uptime, 1)
 }
 
-// Release takes back the last retry that was counted.
-func (b *Fleet) Release(service string) {
-	now, place := b.clock(), b.place()
+// Leave records that a request no longer waits for some of its tries, of which a number of retries may still arrive.
+func (b *Fleet) Leave(service string, retries int, sends []request.Send) {
+	uptime := b.uptime()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.update(now, place, service).spend(-1)
-}
-
-func (a *account) spend(retries int) {
-	a.retries += retries
-	a.balance -= float64(retries)
+	b.account(service).leave(uptime, retries, sends)
 }
 
-// update returns the account of a service with what it has earned since its last update. The lock is held.
-func (b *Fleet) update(now time.Time, place Place, service string) *account {
-	b.updateSharing(now, place)
-	a, ok := b.accounts[service]
-	if !ok {
-		a = &account{updatedAt: b.startedAt}
-		b.accounts[service] = a
-	}
-	slack := b.slack()
-	a.balance += (1 - burstShare) * usedShare * slack * float64(now.Sub(a.updatedAt)) / float64(b.limits.Window)
-	a.updatedAt = now
-	a.balance = min(a.balance, b.capacity(a, slack))
-	return a
-}
-
-// capacity returns the most that an account may hold. A host whose whole budget is below two retries can't divide it; of
-// those with less than one retry, as many may save up one as the fleet has retries.
-func (b *Fleet) capacity(a *account, slack float64) float64 {
-	budget := usedShare * (b.limits.Ratio*float64(a.firstTries.sum(b.uptime(a.updatedAt), b.limits.Window)) + slack)
-	if budget+b.sharing.rounding() < 1 {
-		return budget
-	}
-	return max(burstShare*budget, 1)
+// RecordAnswer records that an endpoint has begun to answer a try.
+func (b *Fleet) RecordAnswer(service string, send request.Send) {
+	uptime := b.uptime()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(service).recordAnswer(uptime, send)
 }
 
-func (b *Fleet) uptime(now time.Time) time.Duration { return now.Sub(b.startedAt) }
-
-// slack returns this host's part of the slack. The lock is held.
-func (b *Fleet) slack() float64 {
-	if !b.sharing.IsKnown {
-		return 0
-	}
-	return b.limits.Slack / float64(max(b.sharing.Hosts, 1))
+// Update takes notice of the other hosts. It is called about once a second.
+func (b *Fleet) Update() {
+	uptime, place := b.uptime(), b.place()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sharing.update(uptime, place)
 }
 
-// updateSharing updates the hosts that share the slack. Hosts that are no longer seen keep their share for
-// missingHostTimeout: they may be running without seeing this host either. The lock is held.
-func (b *Fleet) updateSharing(now time.Time, place Place) {
-	switch {
-	case place.Hosts >= b.sharing.Hosts || !b.sharing.IsKnown:
-		b.sharing, b.missingSince = place, time.Time{}
-	case b.missingSince.IsZero():
-		b.missingSince = now
-	case now.Sub(b.missingSince) >= missingHostTimeout:
-		b.sharing, b.missingSince = place, time.Time{}
+// Unsettled returns the number of retries that may still arrive at their endpoints.
+func (b *Fleet) Unsettled() int {
+	uptime := b.uptime()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	unsettled, w := 0, b.allowance()
+	for _, a := range b.accounts {
+		a.expire(uptime, b.limits.Window, burstShare*w.budget(a, uptime))
+		unsettled += a.unsettled
 	}
+	return unsettled
 }
 
-// goldenRatio is the fractional part of the golden ratio. Its multiples modulo 1 are spread evenly over [0, 1).
-const goldenRatio = 0.6180339887498949
-
-// rounding returns a number in [0, 1) that is added to a budget of less than one retry before it is rounded down. The
-// numbers of any successive places are spread evenly, so that of n hosts with 0.3 retries each, 0.3 n may send one. If
-// every host rounded down, a fleet with more hosts than retries could send none.
-func (p Place) rounding() float64 {
-	_, fraction := math.Modf(goldenRatio * (float64(p.Before) + 0.5))
-	return fraction
-}
-
-// windowBuckets is the number of parts of a window that are counted separately.
-const windowBuckets = 20
-
-// windowCount counts events in a sliding window, but for some in the oldest part of the window. Times are times since the
-// start of the host.
-type windowCount struct {
-	counts [windowBuckets]int
-	// newest is the number of the newest part, from the start of the host on.
-	newest int64
+// allowance returns what this host may use. The lock is held.
+func (b *Fleet) allowance() allowance {
+	return allowance{limits: b.limits, slack: b.sharing.of(b.limits.Slack), partSince: b.sharing.since, rounding: b.sharing.place.rounding()}
 }
 
-// advance drops the counts that are no longer in the window at a time, and returns the place of the newest part.
-func (w *windowCount) advance(at, window time.Duration) int {
-	newest := int64(at / max(window/windowBuckets, 1))
-	for n := max(w.newest+1, newest-windowBuckets+1); n <= newest; n++ {
-		w.counts[n%windowBuckets] = 0
+// account returns the account of a service. The lock is held.
+func (b *Fleet) account(service string) *account {
+	a, ok := b.accounts[service]
+	if !ok {
+		a = new(account)
+		b.accounts[service] = a
 	}
-	w.newest = max(w.newest, newest)
-	return int(w.newest % windowBuckets)
+	return a
 }
 
-func (w *windowCount) add(at, window time.Duration) { w.counts[w.advance(at, window)]++ }
-
-func (w *windowCount) sum(at, window time.Duration) int {
-	w.advance(at, window)
-	sum := 0
-	for _, count := range w.counts {
-		sum += count
-	}
-	return sum
-}
+func (b *Fleet) uptime() time.Duration { return b.clock().Sub(b.startedAt) }
