gossip, retrybudget: hosts that don't see each other don't divide each other's parts of the slack

Cause: a host that had not seen others for a minute took their parts, and they took its.

Change: a lost host counts as missing, and keeps its part, until it returns, leaves, or is assumed to have given the part up. A host that sees less than half of the hosts that it knows of gives its part up after MissingTimeout less a window and 10 s; the others divide it after MissingTimeout. Two halves keep their parts. A host that was suspended, or gets its part back, earns from then on. A start within a partition knows nothing of the others: it counts the addresses at which nobody answers, and a few peers send it the size of the fleet (a new message; older hosts ignore it). A host that a peer has named lately is not dropped, so that hosts that some see and others don't keep their parts.

Costs: after the loss of more than half of the hosts the rest have no slack until others start, only the ratio of their first tries.

--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -59,6 +59,8 @@
 	KindChanges Kind = 24
 	// KindPoisonTrials lists trials of verdicts on parts of prompts, and parts that have been answered.
 	KindPoisonTrials Kind = 25
+	// KindFleetSize informs a host that has joined of the number of live and missing hosts.
+	KindFleetSize Kind = 26
 )
 
 // Sender identifies the host that sent a message.
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -333,16 +333,18 @@
 }
 
 func newRetryBudget(config hostconfig.Host, g *gossip.Gossip, log *logrus.Logger, clock func() time.Time) *retrybudget.Fleet {
-	limits := retrybudget.Limits{Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window}
+	limits := retrybudget.Limits{
+		Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window, MissingTimeout: gossip.MissingTimeout,
+	}
 	place := func() retrybudget.Place {
 		order := g.Order()
-		return retrybudget.Place{Before: order.Before, Hosts: order.Hosts, IsKnown: g.KnowsFleet()}
+		return retrybudget.Place{Before: order.Before, Hosts: order.Hosts, Missing: g.Missing(), IsKnown: g.KnowsFleet()}
 	}
 	retries := logging.Part(log, "retries")
 	return retrybudget.NewFleet(limits, place, clock, func(u retrybudget.Usage) {
 		retries.WithFields(logrus.Fields{
 			"service": u.Service, "first_tries": u.FirstTries, "retries": u.Retries, "recent": u.Recent, "unsettled": u.Unsettled, "left": u.Left,
-			"hosts": u.Hosts, "has_part": u.HasPart, "uptime_ms": u.Uptime.Milliseconds(),
+			"hosts": u.Hosts, "missing": u.Missing, "has_part": u.HasPart, "uptime_ms": u.Uptime.Milliseconds(),
 		}).Warn("retry budget of the service is used up, calls are not sent again")
 	})
 }
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -195,6 +195,7 @@
 	g.members.SetOwn(g.address, g.incarnation, g.startNanos, parts.Config.LinkMbit)
 	g.Handle(envelope.KindConfirmation, g.handleRestoredConfirmation)
 	g.Handle(envelope.KindChanges, g.handleChanges)
+	g.Handle(envelope.KindFleetSize, g.handleFleetSize)
 	g.streams[rpcMembers] = g.answerMembers
 	g.AddContacts(parts.Config.FirstPeers)
 	return g
--- a/internal/front/gossip/heartbeat.go
+++ b/internal/front/gossip/heartbeat.go
@@ -376,7 +376,9 @@
 	}
 	if isNew {
 		g.parts.Log.WithFields(logrus.Fields{"peer": member.Name, "address": member.Address, "hosts": hosts}).Info("peer joined")
-		g.onJoin(envelope.Sender{Host: member.Name, Incarnation: member.incarnation})
+		joined := envelope.Sender{Host: member.Name, Incarnation: member.incarnation}
+		g.sendFleetSize(joined)
+		g.onJoin(joined)
 		g.RequestHeartbeat()
 	}
 	g.syncWith(member)
--- a/internal/front/gossip/members.go
+++ b/internal/front/gossip/members.go
@@ -62,6 +62,8 @@
 	own Member
 	// lost are the members that were reported as lost.
 	lost map[string]tombstone
+	// missing are the lost members that may be running without this host seeing them.
+	missing missing
 	// digest identifies the Records of the live hosts, this one included.
 	digest digest
 	// index is nil after a change of the members.
@@ -73,7 +75,7 @@
 func NewMembers(self, zone string) *Members {
 	return &Members{
 		self: self, zone: zone, live: make(map[string]*Member), nameByIncarnation: make(map[uint32]string), contacts: make(map[string]*contact), contactInterval: contactInterval,
-		own: Member{Name: self, Zone: zone, rank: Rank(self), relays: true}, lost: make(map[string]tombstone),
+		own: Member{Name: self, Zone: zone, rank: Rank(self), relays: true}, lost: make(map[string]tombstone), missing: missing{hosts: make(map[string]missingHost)},
 	}
 }
 
@@ -132,6 +134,7 @@
 			m.lost[sender.Name] = tombstone{record: LostRecord{Host: sender.Name, Start: sender.startNanos, Generation: sender.generation}, at: now}
 		}
 		m.drop(sender.Name)
+		delete(m.missing.hosts, sender.Name)
 		delete(m.contacts, sender.Address)
 	}
 	return *sender, isNew, true
@@ -174,6 +177,7 @@
 func (m *Members) add(now time.Time, member *Member) {
 	m.drop(member.Name)
 	delete(m.lost, member.Name)
+	delete(m.missing.hosts, member.Name)
 	member.rank, member.lastSeen, member.watchedSince = Rank(member.Name), now, now
 	m.live[member.Name] = member
 	m.nameByIncarnation[member.incarnation] = member.Name
@@ -296,9 +300,11 @@
 	for name, member := range m.live {
 		if !m.isWatched(member) && now.Sub(member.lastSeen) > limit {
 			m.drop(name)
+			m.missing.add(member, now)
 			lost = append(lost, name)
 		}
 	}
+	m.expireMissing(now)
 	return lost
 }
 
--- a/internal/front/gossip/membership.go
+++ b/internal/front/gossip/membership.go
@@ -255,6 +255,7 @@
 		g.parts.Host.HandlePeerLoss(host)
 	}
 	for _, sender := range joined {
+		g.sendFleetSize(sender)
 		g.onJoin(sender)
 	}
 	if refused > 0 {
--- a/internal/front/gossip/roster.go
+++ b/internal/front/gossip/roster.go
@@ -169,6 +169,7 @@
 		return Unchanged
 	}
 	m.drop(l.Host)
+	m.missing.add(member, now)
 	return Lost
 }
 
--- a/internal/retrybudget/fleet.go
+++ b/internal/retrybudget/fleet.go
@@ -15,6 +15,8 @@
 	Slack float64
 	// Window is the length of the sliding window.
 	Window time.Duration
+	// MissingTimeout is how long a host that is no longer seen counts as one that shares the slack.
+	MissingTimeout time.Duration
 }
 
 const (
@@ -27,8 +29,9 @@
 // Usage is what this host has used of the budget of a service.
 type Usage struct {
 	Service string
-	// FirstTries are those of this host in the window, Hosts is the number of hosts that share the slack.
-	FirstTries, Hosts int
+	// FirstTries are those of this host in the window. Hosts is the number of hosts that it sees, Missing that of the others
+	// that share the slack.
+	FirstTries, Hosts, Missing int
 	// HasPart is set if this host takes its part of the slack.
 	HasPart bool
 	// Retries are those of this host since its start, Recent those that have arrived in the window, Unsettled those that
@@ -74,7 +77,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(service)
-	b.sharing.update(uptime, place)
+	b.sharing.update(uptime, place, &b.limits)
 	w := b.allowance()
 	a.expire(uptime, b.limits.Window, burstShare*w.budget(a, uptime))
 	if !w.mayRetry(a, uptime) {
@@ -93,7 +96,7 @@
 	}
 	a.isReported, a.reportedAt = true, uptime
 	b.exhausted(Usage{
-		Service: service, FirstTries: a.firstTries.sum(uptime, b.limits.Window), Hosts: b.sharing.place.Hosts,
+		Service: service, FirstTries: a.firstTries.sum(uptime, b.limits.Window), Hosts: b.sharing.place.Hosts, Missing: b.sharing.place.Missing,
 		HasPart: b.sharing.hasPart, Retries: a.retries, Recent: len(a.settled), Unsettled: a.unsettled, Left: a.leftRetries(), Uptime: uptime,
 	})
 }
@@ -136,7 +139,7 @@
 	uptime, place := b.uptime(), b.place()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sharing.update(uptime, place)
+	b.sharing.update(uptime, place, &b.limits)
 }
 
 // Unsettled returns the number of retries that may still arrive at their endpoints.
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -93,15 +93,15 @@
 // currently sees, eight hosts with a slack of 56 would send 312 retries.
 func TestIsolatedHostsShareSlack(t *testing.T) {
 	const hosts = 8
-	limits := Limits{Slack: 56, Window: 10 * time.Second}
+	limits := Limits{Slack: 56, Window: 10 * time.Second, MissingTimeout: time.Minute}
 	tests := map[string]struct {
 		// after is the time since they last saw each other.
 		after      time.Duration
 		maxRetries int
 	}{
 		"just now":                 {0, 56},
-		"shorter than the timeout": {missingHostTimeout - limits.Window - 1, 56},
-		"after the timeout":        {missingHostTimeout, 56},
+		"shorter than the timeout": {limits.MissingTimeout - limits.Window - 1, 56},
+		"after the timeout":        {limits.MissingTimeout, 56},
 		"for an hour":              {time.Hour, 56},
 	}
 	for name, test := range tests {
@@ -111,7 +111,7 @@
 			for place := range hosts {
 				now, seen := time.Unix(0, 0), hosts
 				b := NewFleet(limits, func() Place {
-					return Place{Before: min(place, seen-1), Hosts: seen, IsKnown: true}
+					return Place{Before: min(place, seen-1), Hosts: seen, Missing: hosts - seen, IsKnown: true}
 				}, func() time.Time { return now }, func(Usage) {})
 				passTime(&now, limits.Window, b)
 				seen = 1
