--- a/internal/front/gossip/golden_test.go
+++ b/internal/front/gossip/golden_test.go
@@ -69,6 +69,7 @@
 		"members-request":  &MembersRequest{Digest: []uint64{1, 2}},
 		"members-response": &MembersResponse{Updates: []byte{1}},
 		"relay":            &Relay{Origin: 1, Number: 2, From: 3, To: 4, By: []uint64{5}, Datagram: []byte{6}},
+		"fleet-size":       &FleetSize{Hosts: 1},
 		"entries": &[]EndpointChange{
 			{ID: "e1", Service: "llm", Address: "10.0.0.1:1", Zone: "a", Version: "v2", Slots: 14},
 		},
--- a/internal/front/gossip/large_test.go
+++ b/internal/front/gossip/large_test.go
@@ -338,6 +338,9 @@
 		"a relayed message in another":   {envelopeOf(envelope.KindRelay, &Relay{Origin: 1, Number: 1, From: 1, Datagram: nested}), counters.RefusedMalformed},
 		"a message relayed too often":    {envelopeOf(envelope.KindRelay, &Relay{Origin: 1, Number: 1, From: 1, By: make([]uint64, maxRelaySteps+1)}), counters.RefusedMalformed},
 		"changes of an unknown base":     {envelopeOf(envelope.KindChanges, &ChangesResponse{}), counters.RefusedMalformed},
+		"a size that is no number":       {envelopeOf(envelope.KindFleetSize, []string{"text"}), counters.RefusedMalformed},
+		"an impossible size":             {envelopeOf(envelope.KindFleetSize, &FleetSize{Hosts: maxMembers + 1}), counters.RefusedMember},
+		"a negative size":                {envelopeOf(envelope.KindFleetSize, &FleetSize{Hosts: -1}), counters.RefusedMember},
 		"a digest that can't be decoded": {envelopeOf(envelope.KindMembersDigest, "text"), counters.RefusedMalformed},
 	}
 	for name, test := range tests {
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -118,6 +118,7 @@
 				passTime(&now, test.after, b)
 				retries += spendFor(b, &now, limits.Window)
 			}
+			c.Logf("%d retries", retries)
 			c.Check(retries <= test.maxRetries, qt.IsTrue, qt.Commentf("%d retries", retries))
 		})
 	}
