upstream: the header of a call is made when the connection is open

The time left was written into the header before connecting, which takes up to a second when an endpoint's accept queue is full, and again a tunnel's head start: the endpoint then worked for up to that much longer than the caller waits. The header is made, and the rest of the checks before a send are, once the connection is there. TestHeaderIsMadeWhenConnected; before, the header was an argument that existed before the dial.

--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -209,12 +209,15 @@
 }
 
 func (x *exchange) upstreamCall(a *owner.Attempt, watch *silenceWatch) *upstream.Call {
-	header := x.server.parts.Dialect.EndpointHeader(x.r.Header, Send{
-		EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, Urgency: x.policy.Urgency, FetchFrom: a.FetchFrom,
-		TimeLeft: x.deadline.Sub(x.server.parts.Clock.Now()),
-	})
-	if x.stream.lastID != "" {
-		header.Set(headerLastEventID, x.stream.lastID)
+	header := func() http.Header {
+		header := x.server.parts.Dialect.EndpointHeader(x.r.Header, Send{
+			EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, Urgency: x.policy.Urgency, FetchFrom: a.FetchFrom,
+			TimeLeft: x.deadline.Sub(x.server.parts.Clock.Now()),
+		})
+		if x.stream.lastID != "" {
+			header.Set(headerLastEventID, x.stream.lastID)
+		}
+		return header
 	}
 	return &upstream.Call{
 		Target: x.target(a), ID: x.call.ID, Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host,
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -51,9 +51,11 @@
 	ID     string
 	Method string
 	// URI is the request target on the wire: the escaped path with the query. Host is the value of the Host header.
-	URI    string
-	Host   string
-	Header http.Header
+	URI  string
+	Host string
+	// Header returns the header of the call; nil means that it has none. It is called when the connection is open, which
+	// may take long: a header may state the time that is left.
+	Header func() http.Header
 	Body   []byte
 	// MayAbandon is set if the call may be given up, to be sent to another endpoint, when its path is lost.
 	MayAbandon bool
@@ -139,12 +141,13 @@
 // Do sends a call once and waits for the head of its answer. The error is request.ErrNotSent or request.ErrBroken with
 // its cause, or ErrWithheld. The connection is closed when ctx ends, and the call fails with the cause of that.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
-	wire, large, err := encode(call)
+	conn, err := c.connect(ctx, call)
 	if err != nil {
 		return nil, merry.Wrap(request.ErrNotSent, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
-	conn, err := c.connect(ctx, call)
+	wire, large, err := encode(call)
 	if err != nil {
+		c.putUnused(call.Target.Address, conn)
 		return nil, merry.Wrap(request.ErrNotSent, merry.WithCause(err), merry.AppendMessage(err.Error()))
 	}
 	if call.OnSend != nil && !call.OnSend(conn.isTunnel()) {
@@ -173,7 +176,10 @@
 
 // encode returns the call as on the wire, or the request that writes it if it is large, so that its body is not copied.
 func encode(call *Call) (wire []byte, large *http.Request, err error) {
-	header := call.Header
+	var header http.Header
+	if call.Header != nil {
+		header = call.Header()
+	}
 	if header == nil {
 		header = make(http.Header)
 	}
--- a/internal/front/upstream/upstream_test.go
+++ b/internal/front/upstream/upstream_test.go
@@ -335,3 +335,36 @@
 		})
 	}
 }
+
+// slowDialer is a Dialer that sets connected before it returns a connection.
+type slowDialer struct {
+	DirectDialer
+	connected bool
+}
+
+func (d *slowDialer) Dial(ctx context.Context, target Target) (io.ReadWriteCloser, error) {
+	conn, err := d.DirectDialer.Dial(ctx, target)
+	d.connected = true
+	return conn, err
+}
+
+// TestHeaderIsMadeWhenConnected guards against headers with the time that was left before connecting: endpoints worked for
+// longer than the caller waits.
+func TestHeaderIsMadeWhenConnected(t *testing.T) {
+	c := qt.New(t)
+	server := startTestServer(c, answers(answerText("1", "a")))
+	dialer := new(slowDialer)
+	client := newClient(time.Now)
+	client.config.Dialer = dialer
+	defer client.Close()
+	call := server.call("1", "")
+	wasConnected := false
+	call.Header = func() http.Header {
+		wasConnected = dialer.connected
+		return make(http.Header)
+	}
+	body, err := server.do(client, call)
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "a")
+	c.Check(wasConnected, qt.IsTrue)
+}
