gossip: one rule for what hosts that are not seen may use; permits of limited endpoints follow it

The same fault elsewhere: two sides of a partition each have a lender, and each lent an endpoint's whole limit. What is withheld for hosts that are not seen moves from retrybudget to gossip.missing, where both budgets ask for it: the part of the missing hosts, or all of it once a host has seen less than half of the fleet for 30 s. TestSeparatedLendersStayWithinLimit.

--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -75,7 +75,7 @@
 			pushback.NewFailures,
 			pushback.NewLimits,
 			pushback.NewBrittle,
-			ratelimit.NewLender,
+			newLender,
 			newLimiter,
 			newShares,
 			newPace,
@@ -333,12 +333,11 @@
 }
 
 func newRetryBudget(config hostconfig.Host, g *gossip.Gossip, log *logrus.Logger, clock func() time.Time) *retrybudget.Fleet {
-	limits := retrybudget.Limits{
-		Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window, MissingTimeout: gossip.MissingTimeout,
-	}
+	limits := retrybudget.Limits{Ratio: config.Retries.Ratio, Slack: config.Retries.Slack, Window: config.Retries.Window}
 	place := func() retrybudget.Place {
 		order := g.Order()
-		return retrybudget.Place{Before: order.Before, Hosts: order.Hosts, Missing: g.Missing(), IsKnown: g.KnowsFleet()}
+		withheld, missing := g.Withheld()
+		return retrybudget.Place{Before: order.Before, Hosts: order.Hosts, Missing: missing, Withheld: withheld, IsKnown: g.KnowsFleet()}
 	}
 	retries := logging.Part(log, "retries")
 	return retrybudget.NewFleet(limits, place, clock, func(u retrybudget.Usage) {
@@ -481,6 +480,13 @@
 	return l.gossip.Load().OpenStream(ctx, address, rpc)
 }
 
+func newLender(limits *pushback.Limits, clock func() time.Time, late *lateParts) *ratelimit.Lender {
+	return ratelimit.NewLender(limits, clock, func() float64 {
+		withheld, _ := late.gossip.Load().Withheld()
+		return withheld
+	})
+}
+
 // limiterParts are the dependencies of the limiter, which enforces the limits of endpoints.
 type limiterParts struct {
 	fx.In
--- a/internal/front/gossip/partition_test.go
+++ b/internal/front/gossip/partition_test.go
@@ -41,7 +41,7 @@
 func newPartitionModel(hosts int, slack float64, seed uint64) *partitionModel {
 	m := &partitionModel{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, uint64(hosts))),
-		limits: retrybudget.Limits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second, MissingTimeout: MissingTimeout},
+		limits: retrybudget.Limits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
 	}
 	for range hosts {
 		m.hosts = append(m.hosts, new(partitionedHost))
@@ -91,10 +91,10 @@
 		}
 	}
 	count := h.missing.count(live)
-	if m.now.Sub(h.started) < MissingTimeout {
+	if m.now.Sub(h.started) < missingTimeout {
 		count = max(count, h.unanswered)
 	}
-	return retrybudget.Place{Before: before, Hosts: live, Missing: count, IsKnown: m.now.Sub(h.started) >= joinQuietTime}
+	return retrybudget.Place{Before: before, Hosts: live, Withheld: h.missing.withheld(m.now, live, count), IsKnown: m.now.Sub(h.started) >= joinQuietTime}
 }
 
 // regroup moves hosts to other groups. They notice that within a few seconds.
@@ -149,14 +149,14 @@
 		slack, perSecond float64
 	}{
 		"one host":  {1, 40, 50},
-		"8 hosts":   {8, 56, 50},
-		"78 hosts":  {78, 196, 100},
-		"985 hosts": {985, 1040, 300},
+		"8 hosts":   {8, 160, 15},
+		"78 hosts":  {78, 1200, 50},
+		"985 hosts": {985, 12_000, 400},
 	}
 	// share puts the first part of the hosts into a group of their own.
 	share := func(hosts int, part float64) func(n int) int {
 		return func(n int) int {
-			if float64(n) < part*float64(hosts) {
+			if n < int(part*float64(hosts)) {
 				return 1
 			}
 			return 0
@@ -170,6 +170,11 @@
 				m.regroup(share(len(m.hosts), 0.25))
 			}
 		},
+		"two fifths": func(m *partitionModel, second int) {
+			if second == 4 {
+				m.regroup(share(len(m.hosts), 0.4))
+			}
+		},
 		"half": func(m *partitionModel, second int) {
 			if second == 4 {
 				m.regroup(share(len(m.hosts), 0.5))
@@ -226,3 +231,31 @@
 		}
 	}
 }
+
+// TestIsolatedHostsShareSlack has all hosts of a fleet lose sight of the others simultaneously, as after a suspension
+// or a network fault: together they stay within the slack, however long that lasts. If each host divided the slack by the
+// hosts that it sees, eight hosts with a slack of 56 would send 400 retries.
+func TestIsolatedHostsShareSlack(t *testing.T) {
+	const hosts, slack = 8, 56
+	tests := map[string]time.Duration{
+		"just now": 0, "until they give up": giveUpTimeout, "shorter than the timeout": missingTimeout - 11*time.Second,
+		"after the timeout": missingTimeout, "for an hour": time.Hour,
+	}
+	for name, isolated := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newPartitionModel(hosts, slack, 1)
+			m.limits.Ratio = 0
+			for n := range hosts {
+				m.start(n)
+			}
+			nothing := func(int) {}
+			m.run(15*time.Second, 0, false, nothing)
+			m.regroup(func(n int) int { return n })
+			m.run(isolated, 0, false, nothing)
+			m.run(m.limits.Window, 50, true, nothing)
+			c.Check(len(m.retries) <= slack, qt.IsTrue, qt.Commentf("%d retries", len(m.retries)))
+			c.Logf("%d retries", len(m.retries))
+		})
+	}
+}
--- a/internal/front/placement/placement_test.go
+++ b/internal/front/placement/placement_test.go
@@ -382,7 +382,7 @@
 // limiterFor returns a limiter that enforces limits in a fleet of one host.
 func limiterFor(limits *pushback.Limits, clock func() time.Time) *ratelimit.Limiter {
 	return ratelimit.New(ratelimit.Parts{
-		Limits: limits, Lender: ratelimit.NewLender(limits, clock), Peers: singleHost{}, CountPermit: func(counters.PermitResult) {},
+		Limits: limits, Lender: ratelimit.NewLender(limits, clock, func() float64 { return 0 }), Peers: singleHost{}, CountPermit: func(counters.PermitResult) {},
 		Log: logrus.NewEntry(logrus.New()), Clock: clock, Random: func() float64 { return 0 },
 	})
 }
--- a/internal/front/ratelimit/lender.go
+++ b/internal/front/ratelimit/lender.go
@@ -22,7 +22,7 @@
 	// it replaces. These hosts may be lending as well: all of them together stay below 1.5 times the limit, since 1 +
 	// 1/3 + 1/9 does.
 	successorRateFactor = 1.0 / 3
-	// successorBurst replaces baseBurst in the bucket of such a host.
+	// successorBurst replaces baseBurst in the bucket of such a host, and of one that does not see the whole fleet.
 	successorBurst = 1
 	// maxPassedOver bounds how many hosts a successor replaces, since each adds one more bucket that may be full.
 	maxPassedOver = 2
@@ -52,6 +52,8 @@
 type Lender struct {
 	limits *pushback.Limits
 	clock  func() time.Time
+	// withheld returns the part of the limits that hosts may use that are not seen.
+	withheld func() float64
 
 	mu      sync.Mutex
 	buckets map[pushback.Instance]*bucket
@@ -61,8 +63,10 @@
 type bucket struct {
 	permits    float64
 	refilledAt time.Time
-	// passedOver is the number of hosts that this one replaces as the lender.
+	// passedOver is the number of hosts that this one replaces as the lender, withheld the part of the limit that hosts may
+	// use that are not seen.
 	passedOver int
+	withheld   float64
 	// queue holds the waiting requests, the next to be served first.
 	queue []queuedAsk
 	// askers holds the time of the last Ask of each host that has asked within askerTimeout.
@@ -84,14 +88,15 @@
 	Reply Reply
 }
 
-// NewLender returns a lender without buckets.
-func NewLender(limits *pushback.Limits, clock func() time.Time) *Lender {
-	return &Lender{limits: limits, clock: clock, buckets: make(map[pushback.Instance]*bucket)}
+// NewLender returns a lender without buckets. Withheld returns the part of the limits that hosts may use that are not seen.
+func NewLender(limits *pushback.Limits, clock func() time.Time, withheld func() float64) *Lender {
+	return &Lender{limits: limits, clock: clock, withheld: withheld, buckets: make(map[pushback.Instance]*bucket)}
 }
 
 // Ask returns the reply to a host, or queues its request and returns false; Due returns the reply of a queued
 // request. PassedOver is the number of hosts that this one replaces as the lender.
 func (l *Lender) Ask(host string, ask *Ask, passedOver int) (Reply, bool) {
+	withheld := l.withheld()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
@@ -103,7 +108,7 @@
 	}
 	b := l.bucketOf(endpoint, now)
 	b.refill(now, limit)
-	b.passedOver = passedOver
+	b.passedOver, b.withheld = passedOver, withheld
 	b.askers[host] = now
 	w := queuedAsk{host: host, number: ask.Number, rank: ask.Rank, receivedAt: now, deadline: now.Add(min(ask.Wait, maxDelay) - denialLeadTime)}
 	switch {
@@ -178,14 +183,14 @@
 
 // rate returns how many permits a second are lent under a limit.
 func (b *bucket) rate(limit pushback.Limit) float64 {
-	share := lentShare * math.Pow(successorRateFactor, float64(b.passedOver))
+	share := lentShare * (1 - b.withheld) * math.Pow(successorRateFactor, float64(b.passedOver))
 	return max(share*limit.PerSecond, minRate)
 }
 
 // burst returns how many permits a bucket holds at most.
 func (b *bucket) burst(rate float64) float64 {
 	permits := baseBurst
-	if b.passedOver > 0 {
+	if b.passedOver > 0 || b.withheld > 0 {
 		permits = successorBurst
 	}
 	return permits + rate*burstTime.Seconds()
--- a/internal/front/ratelimit/lender_test.go
+++ b/internal/front/ratelimit/lender_test.go
@@ -18,6 +18,9 @@
 	start   = time.Unix(1000, 0)
 )
 
+// seesAll is the part that is withheld by a host that sees the whole fleet.
+func seesAll() float64 { return 0 }
+
 // notice returns a limit as a peer sends it.
 func notice(perSecond float64) pushback.LimitNotice {
 	return pushback.LimitNotice{Endpoint: limited, Limit: pushback.Limit{IsSet: true, PerSecond: perSecond}}
@@ -69,7 +72,7 @@
 // replaceLender has another host lend from now on, with an empty bucket.
 func (f *fleet) replaceLender() {
 	clock := func() time.Time { return f.now }
-	f.lender = NewLender(pushback.NewLimits(clock), clock)
+	f.lender = NewLender(pushback.NewLimits(clock), clock, seesAll)
 }
 
 func (f *fleet) schedule(span time.Duration, do func()) {
@@ -176,7 +179,7 @@
 					f := newFleet(hosts, perSecond)
 					clock := func() time.Time { return f.now }
 					for range lenders - 1 {
-						f.successors = append(f.successors, NewLender(pushback.NewLimits(clock), clock))
+						f.successors = append(f.successors, NewLender(pushback.NewLimits(clock), clock, seesAll))
 					}
 					f.generateRequests(5*perSecond, start.Add(time.Duration(max(20, 60/perSecond)*float64(time.Second))), func() int { return f.random.IntN(hosts) })
 					f.run()
@@ -195,7 +198,7 @@
 	now := start
 	clock := func() time.Time { return now }
 	limits := pushback.NewLimits(clock)
-	lender := NewLender(limits, clock)
+	lender := NewLender(limits, clock, seesAll)
 	ask := func(number uint64, rank uint8, wait time.Duration) (Reply, bool) {
 		return lender.Ask("host", &Ask{Number: number, Limit: notice(2), Rank: rank, Wait: wait}, 0)
 	}
@@ -238,6 +241,33 @@
 	c.Check(lender.buckets, qt.HasLen, 0)
 }
 
+// TestSeparatedLendersStayWithinLimit has the hosts of two sides of a partition ask lenders of their own, which do not know of
+// each other: together they lend what the limit allows.
+func TestSeparatedLendersStayWithinLimit(t *testing.T) {
+	const perSecond, length = 5, time.Minute
+	tests := map[string][]float64{"two halves": {0.5, 0.5}, "a quarter": {0.25, 0.75}, "a minority that has given up": {1, 0}, "nobody is missing": {0}}
+	for name, withheld := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			granted := 0
+			for _, part := range withheld {
+				now := start
+				clock := func() time.Time { return now }
+				lender := NewLender(pushback.NewLimits(clock), clock, func() float64 { return part })
+				for ; now.Before(start.Add(length)); now = now.Add(10 * time.Millisecond) {
+					if reply, _ := lender.Ask("host", &Ask{Limit: notice(perSecond)}, 0); reply.IsGranted {
+						granted++
+					}
+				}
+			}
+			// One request a side finds out whether the limit still holds, once in ten seconds.
+			allowed := perSecond*length.Seconds() + 2
+			c.Check(float64(granted) <= allowed, qt.IsTrue, qt.Commentf("%d permits", granted))
+			c.Check(float64(granted) >= 0.9*allowed, qt.IsTrue, qt.Commentf("%d permits", granted))
+		})
+	}
+}
+
 // TestZeroLimitAllowsOccasionalRequests checks that an endpoint with a limit of 0 still gets an occasional request,
 // which finds out whether the limit holds.
 func TestZeroLimitAllowsOccasionalRequests(t *testing.T) {
--- a/internal/front/ratelimit/limiter_test.go
+++ b/internal/front/ratelimit/limiter_test.go
@@ -46,7 +46,7 @@
 	for i, name := range names {
 		h := &host{network: n, sender: envelope.Sender{Host: name, Incarnation: uint32(i)}, settled: true, limits: pushback.NewLimits(n.clock)}
 		h.limiter = New(Parts{
-			Limits: h.limits, Lender: NewLender(h.limits, n.clock), Peers: h, CountPermit: func(counters.PermitResult) {},
+			Limits: h.limits, Lender: NewLender(h.limits, n.clock, seesAll), Peers: h, CountPermit: func(counters.PermitResult) {},
 			Log: logrus.NewEntry(log), Clock: n.clock, Random: func() float64 { return 0 },
 		})
 		n.hosts = append(n.hosts, h)
--- a/internal/owner/paused_test.go
+++ b/internal/owner/paused_test.go
@@ -55,7 +55,7 @@
 func newPausedModel(hosts, endpoints int, slack float64) *pausedModel {
 	m := &pausedModel{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, uint64(hosts))),
-		limits:  retrybudget.Limits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second, MissingTimeout: time.Minute},
+		limits:  retrybudget.Limits{Ratio: 0.2, Slack: slack, Window: 10 * time.Second},
 		budgets: make([]*retrybudget.Fleet, hosts),
 	}
 	for n := range endpoints {
--- a/internal/retrybudget/fleet.go
+++ b/internal/retrybudget/fleet.go
@@ -15,8 +15,6 @@
 	Slack float64
 	// Window is the length of the sliding window.
 	Window time.Duration
-	// MissingTimeout is how long a host that is no longer seen counts as one that shares the slack.
-	MissingTimeout time.Duration
 }
 
 const (
@@ -29,8 +27,8 @@
 // Usage is what this host has used of the budget of a service.
 type Usage struct {
 	Service string
-	// FirstTries are those of this host in the window. Hosts is the number of hosts that it sees, Missing that of the others
-	// that share the slack.
+	// FirstTries are those of this host in the window. Hosts is the number of hosts that it sees, Missing that of those that may
+	// run without being seen.
 	FirstTries, Hosts, Missing int
 	// HasPart is set if this host takes its part of the slack.
 	HasPart bool
@@ -77,7 +75,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(service)
-	b.sharing.update(uptime, place, &b.limits)
+	b.sharing.update(uptime, place)
 	w := b.allowance()
 	a.expire(uptime, b.limits.Window, burstShare*w.budget(a, uptime))
 	if !w.mayRetry(a, uptime) {
@@ -139,7 +137,7 @@
 	uptime, place := b.uptime(), b.place()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sharing.update(uptime, place, &b.limits)
+	b.sharing.update(uptime, place)
 }
 
 // Unsettled returns the number of retries that may still arrive at their endpoints.
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -88,42 +88,6 @@
 	}
 }
 
-// TestIsolatedHostsShareSlack has all hosts of a fleet lose sight of the others simultaneously, as after a suspension
-// or a network fault: together they stay within the slack. If each host divided the slack by the hosts that it
-// currently sees, eight hosts with a slack of 56 would send 312 retries.
-func TestIsolatedHostsShareSlack(t *testing.T) {
-	const hosts = 8
-	limits := Limits{Slack: 56, Window: 10 * time.Second, MissingTimeout: time.Minute}
-	tests := map[string]struct {
-		// after is the time since they last saw each other.
-		after      time.Duration
-		maxRetries int
-	}{
-		"just now":                 {0, 56},
-		"shorter than the timeout": {limits.MissingTimeout - limits.Window - 1, 56},
-		"after the timeout":        {limits.MissingTimeout, 56},
-		"for an hour":              {time.Hour, 56},
-	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := qt.New(t)
-			retries := 0
-			for place := range hosts {
-				now, seen := time.Unix(0, 0), hosts
-				b := NewFleet(limits, func() Place {
-					return Place{Before: min(place, seen-1), Hosts: seen, Missing: hosts - seen, IsKnown: true}
-				}, func() time.Time { return now }, func(Usage) {})
-				passTime(&now, limits.Window, b)
-				seen = 1
-				passTime(&now, test.after, b)
-				retries += spendFor(b, &now, limits.Window)
-			}
-			c.Logf("%d retries", retries)
-			c.Check(retries <= test.maxRetries, qt.IsTrue, qt.Commentf("%d retries", retries))
-		})
-	}
-}
-
 // TestSharesAddUpToTheBudget adds up the retries of all hosts of a fleet whose endpoints all fail from a moment on. Rounded
 // down, the shares of 985 hosts would add up to none.
 func TestSharesAddUpToTheBudget(t *testing.T) {
--- a/internal/retrybudget/sharing.go
+++ b/internal/retrybudget/sharing.go
@@ -9,35 +9,20 @@
 type Place struct {
 	// Before is the number of live hosts before this one, Hosts the number of all live hosts.
 	Before, Hosts int
-	// Missing is the number of hosts that are no longer seen and may be running, without seeing this host either.
-	Missing int
+	// Missing is the number of hosts that may be running without being seen, Withheld the part of the slack that is theirs.
+	Missing  int
+	Withheld float64
 	// IsKnown is set once this host can tell how many hosts there are. Until then it takes no part of the slack.
 	IsKnown bool
 }
 
-// isMinority reports whether this host sees less than half of the hosts. The others may have stopped to count it.
-func (p Place) isMinority() bool { return p.Hosts < p.Missing }
-
-const (
-	// noticeTime is how much later than the rest of the fleet a host may notice that they have lost each other.
-	noticeTime = 10 * time.Second
-	// maxUpdateGap is the time between two updates above which this host was suspended. The rest of the fleet may have
-	// counted it as missing.
-	maxUpdateGap = 5 * time.Second
-)
-
-// minorityTimeout is how long a host that sees less than half of the hosts keeps its part of the slack. The others divide
-// that part after MissingTimeout, when this host has sent nothing of it for a window.
-func (l *Limits) minorityTimeout() time.Duration {
-	return max(l.MissingTimeout-l.Window-noticeTime, 0)
-}
+// maxUpdateGap is the time between two updates above which this host was suspended. The rest of the fleet may have divided
+// its part.
+const maxUpdateGap = 5 * time.Second
 
 // sharing is this host's part of the slack.
 type sharing struct {
 	place Place
-	// inMinority is set while this host sees less than half of the hosts, since minoritySince.
-	inMinority    bool
-	minoritySince time.Duration
 	// hasPart is set while this host takes its part, since a time.
 	hasPart bool
 	since   time.Duration
@@ -45,20 +30,11 @@
 	updatedAt time.Duration
 }
 
-// update updates the part. Now is the time since the start of the host. A host without a part gets none while it is in a
-// minority.
-func (s *sharing) update(now time.Duration, place Place, limits *Limits) {
-	if now-s.updatedAt > maxUpdateGap {
-		s.hasPart = false
-	}
+// update updates the part. Now is the time since the start of the host.
+func (s *sharing) update(now time.Duration, place Place) {
+	hadPart := s.hasPart && now-s.updatedAt <= maxUpdateGap
 	s.place, s.updatedAt = place, now
-	if place.isMinority() && !s.inMinority {
-		s.minoritySince = now
-	}
-	s.inMinority = place.isMinority()
-	maySpend := !s.inMinority || s.hasPart && now-s.minoritySince < limits.minorityTimeout()
-	hadPart := s.hasPart
-	s.hasPart = place.IsKnown && maySpend
+	s.hasPart = place.IsKnown && place.Withheld < 1
 	if s.hasPart && !hadPart {
 		s.since = now
 	}
@@ -69,7 +45,7 @@
 	if !s.hasPart {
 		return 0
 	}
-	return slack / float64(max(s.place.Hosts+s.place.Missing, 1))
+	return slack * (1 - s.place.Withheld) / float64(max(s.place.Hosts, 1))
 }
 
 // goldenRatio is the fractional part of the golden ratio. Its multiples modulo 1 are spread evenly over [0, 1).
