pace: a host sends no samples that it has not earned yet

380 hosts sent 1,019 bytes a second where 1,000 are allowed, about one time in 20. Cause: a message of any size went out as soon as the allowance was not negative, so that the mean over 30 s depended on the size of the last message, and that on the order of a map. A message now takes as many endpoints as the allowance pays for.

--- a/internal/front/pace/exchanger.go
+++ b/internal/front/pace/exchanger.go
@@ -30,8 +30,10 @@
 	maxAllowance = 5 * maxSentRate
 	// envelopeBytes is the size of a message without its body, from above (TestMessageBytes).
 	envelopeBytes = 30
-	// maxEntries bounds the endpoints in a message, which keeps it within a datagram.
+	// maxEntries bounds the endpoints in a message, which keeps it within a datagram, and entryBytes is the size of one from
+	// above.
 	maxEntries = 400
+	entryBytes = 24
 	// logUnits and weightUnits are the numbers of units in which a message expresses a sum of 1 and a weight of 1.
 	logUnits    = 16
 	weightUnits = 4
@@ -236,10 +238,11 @@
 	now := x.parts.Clock()
 	x.allowance = min(x.allowance+maxSentRate*now.Sub(x.sentAt).Seconds(), maxAllowance)
 	x.sentAt = now
-	if x.allowance < 0 {
+	entries := min(int(x.allowance-envelopeBytes)/entryBytes, maxEntries)
+	if entries <= 0 {
 		return
 	}
-	message, peers := x.take(), x.parts.Peers.Neighbors()
+	message, peers := x.take(entries), x.parts.Peers.Neighbors()
 	if len(message.Services) == 0 || len(peers) == 0 {
 		return
 	}
@@ -249,7 +252,7 @@
 		return
 	}
 	size := envelopeBytes + len(body)
-	number := min(max(int(x.allowance)/size, 1), len(peers))
+	number := min(int(x.allowance)/size, len(peers))
 	for i := range number {
 		j := i + int(x.parts.Random()*float64(len(peers)-i))
 		peers[i], peers[j] = peers[j], peers[i]
@@ -258,12 +261,12 @@
 	x.allowance -= float64(number * size)
 }
 
-// take returns the unsent samples of unusual endpoints and clears them. Those of other endpoints are halved, and dropped
-// once they are too old to matter.
-func (x *Exchanger) take() *Samples {
+// take returns the unsent samples of at most a number of unusual endpoints and clears them. Those of other endpoints are
+// halved, and dropped once they are too old to matter.
+func (x *Exchanger) take(entries int) *Samples {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	message, left := new(Samples), maxEntries
+	message, left := new(Samples), entries
 	for service, endpoints := range x.unsent {
 		list := ServiceSamples{Service: service}
 		for endpoint, s := range endpoints {
--- a/internal/front/pace/exchanger_test.go
+++ b/internal/front/pace/exchanger_test.go
@@ -217,6 +217,7 @@
 	c.Logf("%d bytes", len(data))
 	c.Check(len(data) <= 9<<10, qt.IsTrue)
 	c.Check(len(data)-len(body) <= envelopeBytes, qt.IsTrue)
+	c.Check(len(body) <= maxEntries*entryBytes, qt.IsTrue)
 }
 
 // TestGoldenSamples pins the encoded form, which hosts of other versions read.
