--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -124,7 +124,7 @@
 	for _, content := range contents {
 		switch {
 		case !d.table.IsPoison(content) || content == *trial:
-		case due == 0 && *trial == 0 && d.mayTry(content, contents):
+		case due == 0 && *trial == 0 && d.mayTry(content):
 			due = content
 		default:
 			return content, true
@@ -137,18 +137,14 @@
 	return 0, false
 }
 
-// mayTry reports whether this host may send a request with some contents as a trial of the verdict on one of them now. The
-// caller holds the lock.
-func (d *Detector) mayTry(content keys.Content, contents []keys.Content) bool {
+// mayTry reports whether this host may send a request as a trial of a verdict now. The caller holds the lock.
+func (d *Detector) mayTry(content keys.Content) bool {
 	now := d.parts.StoreTime()
-	if !content.IsPart() || now == 0 {
+	if !content.IsPart() || now == 0 || !d.parts.Peers.IsSettled() {
 		return false
 	}
-	if d.table.tellsApart(now, content, contents) {
-		return true
-	}
 	order := d.parts.Peers.Order()
-	return d.parts.Peers.IsSettled() && d.table.MayTry(now, content, order.Before, order.Hosts)
+	return d.table.MayTry(now, content, order.Before, order.Hosts)
 }
 
 // recordTrial records that this host sends a request as a trial, and has peers know. The caller holds the lock.
@@ -167,31 +163,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	wasCleared := false
 	for _, content := range contents {
 		if d.clear(content, version) {
 			d.queueAnswered(content)
-			wasCleared = true
 		}
 	}
-	if wasCleared {
-		// Parts that came with one that was cleared may be proven now.
-		d.judge()
-	}
-}
-
-// RecordProgress is called when a request with some contents has received its answer for ProgressTime, and after each such
-// time.
-func (d *Detector) RecordProgress(contents []keys.Content) {
-	if d.size.Load() == 0 {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, part := range d.table.RecordProgress(d.parts.StoreTime(), contents) {
-		d.clear(part, 0)
-		d.queueAnswered(part)
-	}
 }
 
 // clear removes the evidence and the verdict on some contents that a software version has answered, or all versions if it
@@ -228,9 +204,6 @@
 // recordCrash records that an endpoint has crashed while it had a call. The caller holds the lock.
 func (d *Detector) recordCrash(call *Call) {
 	crash := Crash{Endpoint: keys.OfEndpoint(call.Endpoint), At: d.parts.StoreTime(), Begun: call.Begun, Version: call.Version}
-	if call.Begun {
-		d.table.recordComparison(call.Contents)
-	}
 	for _, content := range call.Contents {
 		if content.IsPart() && !call.Begun {
 			continue
@@ -341,7 +314,7 @@
 	for _, content := range r.Answered {
 		d.clear(content, 0)
 	}
-	if len(r.Ends)+len(r.Answered) > 0 {
+	if len(r.Ends) > 0 {
 		d.judge()
 	}
 	d.count()
@@ -369,11 +342,11 @@
 // adopt records a verdict from a peer or the store unless it has expired, and reports whether it is new. The caller
 // holds the lock.
 func (d *Detector) adopt(verdict Verdict, from string) bool {
-	if d.table.Refutes(d.parts.StoreTime(), verdict) {
+	if d.table.Refutes(verdict) {
 		d.queueAnswered(verdict.Content)
 		return false
 	}
-	isNew := verdict.Until >= d.parts.StoreTime() && d.table.Adopt(d.parts.StoreTime(), verdict)
+	isNew := verdict.Until >= d.parts.StoreTime() && d.table.Adopt(verdict)
 	if isNew {
 		d.logAdopted(verdict, from)
 		d.table.SetVersions(verdict.Content, d.versionsOf(verdict.Endpoints))
--- a/internal/front/poison/parts.go
+++ b/internal/front/poison/parts.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"maps"
-	"math"
 	"slices"
 
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
@@ -52,8 +51,8 @@
 	crashes []Crash
 }
 
-// provenParts returns the parts against which the crashes until a time prove enough. The one that explains the most crashes
-// comes first, of several the one that the fewest requests have, and then the one that comes last in prompts.
+// provenParts returns the parts against which the crashes until a time prove enough, the one that the fewest requests have
+// first.
 func (t *Table) provenParts(until freshness.StoreTime) []provenPart {
 	var proven []provenPart
 	for part := range t.accused {
@@ -68,10 +67,7 @@
 		}
 	}
 	slices.SortFunc(proven, func(a, b provenPart) int {
-		return cmp.Or(
-			cmp.Compare(t.others(a.crashes), t.others(b.crashes)), cmp.Compare(t.recent.countWith(a.part), t.recent.countWith(b.part)),
-			cmp.Compare(t.recent.placeOf(a.part), t.recent.placeOf(b.part)), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.part, b.part),
-		)
+		return cmp.Or(cmp.Compare(t.recent.countWith(a.part), t.recent.countWith(b.part)), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(a.part, b.part))
 	})
 	return proven
 }
@@ -88,18 +84,15 @@
 }
 
 // provesPart reports whether crashes prove that a part of a prompt is poison: far more crashes in their period were under
-// it than under other requests alone.
+// it than under other requests alone, and not all requests have it.
 func (t *Table) provesPart(part keys.Content, crashes []Crash) bool {
 	required := minPartCrashes
 	if _, isSound := t.sound[part]; isSound {
 		required = minSoundPartCrashes
 	}
-	if countApart(crashes) < required {
+	if countApart(crashes) < required || t.recent.countWith(part) == t.recent.known() {
 		return false
 	}
-	if t.isInAll(part) {
-		return t.provesAlone(part, crashes)
-	}
 	newest := newestApart(crashes, required)
 	others := t.crashesBetween(newest) - len(newest)
 	return minCrashRatio*others < len(newest)
@@ -141,17 +134,6 @@
 	return count
 }
 
-// placeOf returns the place of a part among the contents of the first of the recent requests that have it, in which the last
-// part of a prompt comes first.
-func (r *recentRequests) placeOf(part keys.Content) int {
-	for _, parts := range r.parts[:r.known()] {
-		if place := slices.Index(parts, part); place >= 0 {
-			return place
-		}
-	}
-	return math.MaxInt
-}
-
 // countApart counts crashes; those within partCrashInterval count once. Crashes at an unknown time count each.
 func countApart(crashes []Crash) int { return len(startsApart(sortedByTime(crashes))) }
 
@@ -179,11 +161,8 @@
 }
 
 // Refutes reports whether a verdict on a part is wrong, as this host knows of an answer to a request with the part since
-// the last of the crashes, or that a request with it has been running for long.
-func (t *Table) Refutes(now freshness.StoreTime, verdict Verdict) bool {
-	if t.isRunning(verdict.Content, now) {
-		return true
-	}
+// the last of the crashes.
+func (t *Table) Refutes(verdict Verdict) bool {
 	answeredAt, isSound := t.sound[verdict.Content]
 	return isSound && answeredAt > verdict.Until-freshness.StoreTime(verdictValidity)
 }
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -83,18 +83,15 @@
 	}
 }
 
-// HandleJoin sends the verdicts and the parts that have been answered to a host that has joined, so that it neither sends
-// poison nor takes sound parts for it after a few crashes.
+// HandleJoin sends the parts that have been answered to a host that has joined, so that it doesn't take them for poison
+// after a few crashes.
 func (d *Detector) HandleJoin(joined envelope.Sender) {
 	if d.parts.Peers.Order().Before >= soundSenders {
 		return
 	}
 	d.mu.Lock()
-	sound, verdicts := d.table.newestSound(maxReported), d.table.Verdicts()
+	sound := d.table.newestSound(maxReported)
 	d.mu.Unlock()
-	if len(verdicts) > 0 {
-		d.parts.Peers.SendTo(joined.Host, envelope.KindPoison, newVerdictReport(verdicts[:min(len(verdicts), maxAnnounced)]))
-	}
 	if len(sound) > 0 {
 		d.parts.Peers.SendTo(joined.Host, envelope.KindPoisonTrials, &Trials{Sound: sound})
 	}
@@ -140,17 +137,12 @@
 		return
 	}
 	for batch := range slices.Chunk(d.Verdicts(), maxAnnounced) {
-		d.parts.Peers.Broadcast(envelope.KindPoison, newVerdictReport(batch))
-	}
-}
-
-// newVerdictReport returns a report of some verdicts.
-func newVerdictReport(verdicts []Verdict) *Report {
-	report := new(Report)
-	for _, verdict := range verdicts {
-		report.Verdicts = append(report.Verdicts, reportedVerdict(verdict))
+		report := new(Report)
+		for _, verdict := range batch {
+			report.Verdicts = append(report.Verdicts, reportedVerdict(verdict))
+		}
+		d.parts.Peers.Broadcast(envelope.KindPoison, report)
 	}
-	return report
 }
 
 // expire removes expired evidence, verdicts and probes.
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -27,9 +27,6 @@
 	answered map[keys.Content]freshness.StoreTime
 	sound    map[keys.Content]freshness.StoreTime
 	recent   recentRequests
-	// progress is when a request with each suspect part had last received its answer for ProgressTime.
-	progress map[keys.Content]freshness.StoreTime
-	cached   cachedCompanions
 	// troubledUntil is when crashes count against parts again after a verdict was proved wrong, or 0.
 	troubledUntil freshness.StoreTime
 }
@@ -39,7 +36,6 @@
 	return &Table{
 		suspects: make(map[keys.Content][]Crash), verdicts: make(map[keys.Content]Verdict),
 		answered: make(map[keys.Content]freshness.StoreTime), sound: make(map[keys.Content]freshness.StoreTime), accused: make(map[keys.Content]struct{}),
-		progress: make(map[keys.Content]freshness.StoreTime),
 	}
 }
 
@@ -53,9 +49,7 @@
 		if !content.IsPart() {
 			return Verdict{}, false
 		}
-		if !t.isInAll(content) {
-			t.explain(crash)
-		}
+		t.explain(crash)
 		verdict.Later = appendCrash(verdict.Later, crash, maxAllCrashes)
 		t.verdicts[content] = verdict
 		return t.recordTrialCrash(verdict, crash)
@@ -87,10 +81,8 @@
 // convict records and returns the verdict that crashes prove on some contents.
 func (t *Table) convict(content keys.Content, crashes []Crash) Verdict {
 	verdict := Verdict{Content: content, Proof: t.proofOf(content, crashes)}
-	// The crashes under a part that can't be compared count against those that come with it as well.
-	explains := content.IsPart() && !t.isInAll(content)
 	for _, c := range crashes {
-		if explains {
+		if content.IsPart() {
 			t.explain(c)
 		}
 		verdict.Until = max(verdict.Until, c.At+freshness.StoreTime(verdictValidity))
@@ -203,8 +195,8 @@
 
 // Adopt records a verdict from another host or the store, and reports whether it is new. A verdict on a request that
 // was answered less than answerHold ago is ignored, since it may have been sent before the answer.
-func (t *Table) Adopt(now freshness.StoreTime, verdict Verdict) bool {
-	if _, answered := t.answered[verdict.Content]; answered || t.Refutes(now, verdict) {
+func (t *Table) Adopt(verdict Verdict) bool {
+	if _, answered := t.answered[verdict.Content]; answered || t.Refutes(verdict) {
 		return false
 	}
 	if crashes := t.suspects[verdict.Content]; len(crashes) > 0 {
@@ -297,9 +289,6 @@
 		*list = slices.DeleteFunc(*list, func(c Crash) bool { return c.At+freshness.StoreTime(evidenceValidity) < now })
 	}
 	maps.DeleteFunc(t.sound, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(soundTime) < now })
-	maps.DeleteFunc(t.progress, func(_ keys.Content, at freshness.StoreTime) bool {
-		return at+freshness.StoreTime(progressValidity) < now
-	})
 	maps.DeleteFunc(t.answered, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(answerHold) < now })
 	var expired []keys.Content
 	for content, verdict := range t.verdicts {
--- a/internal/front/relay/blame.go
+++ b/internal/front/relay/blame.go
@@ -1,10 +1,7 @@
 package relay
 
 import (
-	"time"
-
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
-	"oxbowslip.dev/oxbowslip/internal/front/poison"
 )
 
 // blame is what a request may be refused for: contents that crash the endpoints that run them (package poison).
@@ -13,20 +10,6 @@
 	contents []keys.Content
 	// poison is the one for which the request was refused, trial the one of whose verdict it is a trial, or 0.
 	poison, trial keys.Content
-	// progressAt is when the request was last reported as one that receives its answer.
-	progressAt time.Time
-}
-
-// recordProgress reports that the request has received its answer for some time. It is called with each event of a stream.
-func (x *exchange) recordProgress(now time.Time) {
-	since := x.stream.firstAt
-	if x.blame.progressAt.After(since) {
-		since = x.blame.progressAt
-	}
-	if now.Sub(since) >= poison.ProgressTime {
-		x.blame.progressAt = now
-		x.server.parts.Poison.RecordProgress(x.blame.contents)
-	}
 }
 
 // endTrial ends a trial: it is one attempt.
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -60,9 +60,6 @@
 	FindPoison(contents []keys.Content, trial *keys.Content) (keys.Content, bool)
 	// RecordBrokenCall is called when an endpoint has broken a call.
 	RecordBrokenCall(call *poison.Call)
-	// RecordProgress is called when a request with some contents has received its answer for poison.ProgressTime, and after
-	// each such time.
-	RecordProgress(contents []keys.Content)
 	// RecordAnswer is called when an endpoint with a software version has sent a complete answer to a request with some
 	// contents.
 	RecordAnswer(contents []keys.Content, version keys.Version)
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -124,10 +124,7 @@
 	if result := x.forward(event); result != nil {
 		return result
 	}
-	now := x.server.parts.Clock.Now()
-	isLongestPause := x.stream.recordEvent(now, eventID(event))
-	x.recordProgress(now)
-	if isLongestPause {
+	if x.stream.recordEvent(x.server.parts.Clock.Now(), eventID(event)) {
 		x.stream.unprocessedTokens = x.server.parts.Health.UnprocessedTokens(a.EndpointID)
 	}
 	a.RecordTokens(x.stream.events)
