retrybudget: starts within a pause leave next to nothing at silent endpoints, and notice late answers

All hosts were restarted twice while all endpoints stood still; each start left a burst at them, and the last did not notice that earlier ones had: its own calls still waited when the endpoints went on. A start now leaves at most 2 % of its budget at endpoints that have never answered it; an endpoint whose first answer comes over 2 s after its call has stood still; and the halved budget of a start lasts 2 s longer.

--- a/internal/owner/arrivals.go
+++ b/internal/owner/arrivals.go
@@ -22,9 +22,13 @@
 	abandoned  []request.Send
 }
 
-// reserve counts a retry if the budget allows one more.
-func (a *arrivals) reserve() bool {
-	if !a.budget.Reserve(a.group) {
+// reserve counts a retry if the budget allows one more after a try at an endpoint.
+func (a *arrivals) reserve(endpoint string, mayArrive bool) bool {
+	silent := ""
+	if mayArrive {
+		silent = endpoint
+	}
+	if !a.budget.Reserve(a.group, silent) {
 		return false
 	}
 	a.held++
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -217,7 +217,7 @@
 		r.release(admission.Answered)
 		return r.lifecycle.Apply(event, r.facts(false))
 	}
-	action := r.applyFailure(event, result.CanResume && r.job.Resume != nil)
+	action := r.applyFailure(event, &result)
 	if action == request.ActResume {
 		return action
 	}
@@ -227,9 +227,9 @@
 
 // applyFailure applies the end of an attempt that failed. The retry that follows is counted in the same step, since other
 // requests may fail at the same moment.
-func (r *run) applyFailure(event request.Event, canResume bool) request.Action {
-	facts := r.facts(canResume)
-	hasReserved := !facts.BudgetLeft && r.arrivals.reserve()
+func (r *run) applyFailure(event request.Event, result *Result) request.Action {
+	facts := r.facts(result.CanResume && r.job.Resume != nil)
+	hasReserved := !facts.BudgetLeft && r.arrivals.reserve(r.endpointID, result.MayArrive)
 	facts.BudgetLeft = facts.BudgetLeft || hasReserved
 	action := r.lifecycle.Apply(event, facts)
 	if hasReserved && (action != request.ActAsk || !r.lifecycle.Retry().SpendsBudget()) {
--- a/internal/owner/successor.go
+++ b/internal/owner/successor.go
@@ -51,7 +51,7 @@
 	if !ok {
 		return nil, merry.Wrap(errLastTry)
 	}
-	if !r.owner.parts.Budget.Reserve(r.job.budgetGroup()) {
+	if !r.owner.parts.Budget.Reserve(r.job.budgetGroup(), r.endpointID) {
 		return nil, merry.Wrap(errNoBudget)
 	}
 	s := &Successor{run: r}
--- a/internal/retrybudget/account.go
+++ b/internal/retrybudget/account.go
@@ -83,8 +83,8 @@
 }
 
 // recordAnswer records that an endpoint has answered a try. It runs, and has read what was sent to it before.
-func (a *account) recordAnswer(now time.Duration, send request.Send) {
-	a.earlier.recordAnswer(now, send.Endpoint)
+func (a *account) recordAnswer(now, waited time.Duration, send request.Send) {
+	a.earlier.recordAnswer(now, waited, send.Endpoint)
 	for _, tries := range a.left {
 		for i := range tries.sends {
 			if s := &tries.sends[i]; s.endpoint == send.Endpoint && !s.sentAt.After(send.At) {
@@ -106,7 +106,7 @@
 // expire settles the tries that can no longer arrive, and drops the retries that have left the window. Burst is the number
 // of retries that earlier starts may have left.
 func (a *account) expire(now, window time.Duration, burst float64) {
-	if a.earlier.hasEnded(now) {
+	if a.earlier.hasEnded(now, window) {
 		for range int(math.Ceil(burst)) {
 			a.settled = append(a.settled, settledRetry{now, a.allFirstTries})
 		}
@@ -175,8 +175,24 @@
 	if a.earlier.mayArrive() && !fits(next+len(a.settled), (1-burstShare)*budget) {
 		return false
 	}
-	hasJustStarted := now < w.limits.Window
-	return !hasJustStarted || fits(next+len(a.settled), (1-burstShare)*w.earned(a.allFirstTries, 0, now))
+	// Until lateAnswer after that, it may not have noticed that endpoints have stood still since before its start.
+	switch {
+	case now < w.limits.Window:
+		return fits(next+len(a.settled), (1-burstShare)*w.earned(a.allFirstTries, 0, now))
+	case now < w.limits.Window+lateAnswer:
+		return fits(next+len(a.settled), (1-burstShare)*budget)
+	}
+	return true
+}
+
+// unknownShare is the part of the budget that a start may leave at endpoints that have never answered it: if a host starts
+// again and again while an endpoint stands still, that adds up.
+const unknownShare = 0.02
+
+// mayLeaveUnknown reports whether one more retry may be sent after a try at an endpoint that has never answered this start and
+// may still read it.
+func (w *allowance) mayLeaveUnknown(a *account, now time.Duration) bool {
+	return fits(a.unsettled+1, unknownShare*w.budget(a, now)+w.rounding)
 }
 
 // roundingTolerance makes up for rounding errors.
--- a/internal/retrybudget/fleet.go
+++ b/internal/retrybudget/fleet.go
@@ -69,8 +69,9 @@
 	a.allFirstTries++
 }
 
-// Reserve counts a retry if one more may be sent to a service.
-func (b *Fleet) Reserve(service string) bool {
+// Reserve counts a retry if one more may be sent to a service. Silent is the endpoint that may still read the try before, or
+// empty.
+func (b *Fleet) Reserve(service, silent string) bool {
 	uptime, place := b.uptime(), b.place()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -78,7 +79,8 @@
 	b.sharing.update(uptime, place)
 	w := b.allowance()
 	a.expire(uptime, b.limits.Window, burstShare*w.budget(a, uptime))
-	if !w.mayRetry(a, uptime) {
+	isUnknown := silent != "" && a.earlier.isUnknown(uptime, silent)
+	if !w.mayRetry(a, uptime) || isUnknown && !w.mayLeaveUnknown(a, uptime) {
 		b.report(service, a, uptime)
 		return false
 	}
@@ -129,7 +131,7 @@
 	uptime := b.uptime()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.account(service).recordAnswer(uptime, send)
+	b.account(service).recordAnswer(uptime, b.clock().Sub(send.At), send)
 }
 
 // Update takes notice of the other hosts. It is called about once a second.
