--- a/internal/retrybudget/account.go
+++ b/internal/retrybudget/account.go
@@ -186,13 +186,18 @@
 }
 
 // unknownShare is the part of the budget that a start may leave at endpoints that have never answered it: if a host starts
-// again and again while an endpoint stands still, that adds up.
-const unknownShare = 0.02
+// again and again while an endpoint stands still, that adds up. A host with a budget of minDividedBudget may leave one retry
+// there, since an endpoint that hangs must not hold the first calls of a start.
+const (
+	unknownShare     = 0.02
+	minDividedBudget = 4
+)
 
 // mayLeaveUnknown reports whether one more retry may be sent after a try at an endpoint that has never answered this start and
 // may still read it.
 func (w *allowance) mayLeaveUnknown(a *account, now time.Duration) bool {
-	return fits(a.unsettled+1, unknownShare*w.budget(a, now)+w.rounding)
+	budget := w.budget(a, now)
+	return a.unsettled == 0 && budget >= minDividedBudget || fits(a.unsettled+1, unknownShare*budget+w.rounding)
 }
 
 // roundingTolerance makes up for rounding errors.
