--- a/internal/front/gossip/partition_test.go
+++ b/internal/front/gossip/partition_test.go
@@ -19,12 +19,16 @@
 	limits retrybudget.Limits
 	hosts  []*partitionedHost
 	random *rand.Rand
+	// live is the number of hosts in each group.
+	live map[int]int
 	// firstTries and retries are the times of those of all hosts.
 	firstTries, retries []time.Time
 }
 
 type partitionedHost struct {
-	group   int
+	group int
+	// before is the number of hosts before this one in its group.
+	before  int
 	started time.Time
 	missing missing
 	// unanswered is the number of addresses of other hosts that a start finds in its file and nobody answers at.
@@ -46,28 +50,27 @@
 	for range hosts {
 		m.hosts = append(m.hosts, new(partitionedHost))
 	}
+	m.countLive()
 	for n := range hosts {
 		m.start(n)
 	}
 	return m
 }
 
-// live returns the number of hosts in a group.
-func (m *partitionModel) live(group int) int {
-	live := 0
+// countLive counts the hosts of each group.
+func (m *partitionModel) countLive() {
+	m.live = make(map[int]int)
 	for _, h := range m.hosts {
-		if h.group == group {
-			live++
-		}
+		h.before = m.live[h.group]
+		m.live[h.group]++
 	}
-	return live
 }
 
 // start starts a host, to which hosts of its group send the size of the fleet.
 func (m *partitionModel) start(n int) {
 	h := m.hosts[n]
 	h.started, h.missing, h.unanswered = m.now, missing{hosts: make(map[string]missingHost), receivedAt: m.now}, 0
-	live := m.live(h.group)
+	live := m.live[h.group]
 	for i, other := range m.hosts {
 		if i < seenAddresses && other.group != h.group {
 			h.unanswered++
@@ -81,20 +84,12 @@
 
 func (m *partitionModel) place(n int) retrybudget.Place {
 	h := m.hosts[n]
-	before, live := 0, 0
-	for i, other := range m.hosts {
-		if other.group == h.group {
-			live++
-			if i < n {
-				before++
-			}
-		}
-	}
+	live := m.live[h.group]
 	count := h.missing.count(live)
 	if m.now.Sub(h.started) < missingTimeout {
 		count = max(count, h.unanswered)
 	}
-	return retrybudget.Place{Before: before, Hosts: live, Withheld: h.missing.withheld(m.now, live, count), IsKnown: m.now.Sub(h.started) >= joinQuietTime}
+	return retrybudget.Place{Before: h.before, Hosts: live, Withheld: h.missing.withheld(m.now, live, count), IsKnown: m.now.Sub(h.started) >= joinQuietTime}
 }
 
 // regroup moves hosts to other groups. They notice that within a few seconds.
@@ -102,6 +97,7 @@
 	for n, h := range m.hosts {
 		h.group = groupOf(n)
 	}
+	m.countLive()
 	for n, h := range m.hosts {
 		for i, other := range m.hosts {
 			name := fmt.Sprint(i)
@@ -123,7 +119,7 @@
 		if at%time.Second == 0 {
 			each(int(at / time.Second))
 			for _, h := range m.hosts {
-				h.missing.expire(m.now, m.live(h.group), never)
+				h.missing.expire(m.now, m.live[h.group], never)
 				h.budget.Update()
 			}
 		}
--- a/internal/retrybudget/model_test.go
+++ b/internal/retrybudget/model_test.go
@@ -1,24 +1,26 @@
-package retrybudget
+package retrybudget_test
 
 import (
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"oxbowslip.dev/oxbowslip/internal/proof/retries"
+	"oxbowslip.dev/oxbowslip/internal/retrybudget"
 )
 
 // modelHost is a host of a modelled fleet.
 type modelHost struct {
-	budget    *Fleet
+	budget    *retrybudget.Fleet
 	startedAt time.Time
 	downUntil time.Time
 }
 
 // modelFleet models hosts whose endpoints fail all requests, and which are restarted.
 type modelFleet struct {
-	limits Limits
+	limits retrybudget.Limits
 	hosts  []*modelHost
 	now    time.Time
 	random *rand.Rand
@@ -38,7 +40,7 @@
 	modelLength = 40 * time.Second
 )
 
-func newModelFleet(limits Limits, hosts int, seed uint64) *modelFleet {
+func newModelFleet(limits retrybudget.Limits, hosts int, seed uint64) *modelFleet {
 	f := &modelFleet{limits: limits, now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, uint64(hosts)))}
 	for range hosts {
 		f.hosts = append(f.hosts, new(modelHost))
@@ -53,8 +55,8 @@
 func (f *modelFleet) start(n int) {
 	h := f.hosts[n]
 	h.startedAt = f.now
-	place := func() Place { return Place{Before: n, Hosts: len(f.hosts), IsKnown: true} }
-	h.budget = NewFleet(f.limits, place, func() time.Time { return f.now }, func(Usage) {})
+	place := func() retrybudget.Place { return retrybudget.Place{Before: n, Hosts: len(f.hosts), IsKnown: true} }
+	h.budget = retrybudget.NewFleet(f.limits, place, func() time.Time { return f.now }, func(retrybudget.Usage) {})
 }
 
 // restart kills a share of the hosts, which start again.
@@ -98,28 +100,6 @@
 	}
 }
 
-// count returns how many of some sorted times are in a window that begins at a time.
-func (f *modelFleet) count(times []time.Time, from time.Time) int {
-	place := func(at time.Time) int {
-		n, _ := slices.BinarySearchFunc(times, at, time.Time.Compare)
-		return n
-	}
-	return place(from.Add(f.limits.Window)) - place(from)
-}
-
-// worst returns the retries and the allowed retries of the window that exceeds the limits most. First tries count in that
-// window, the one before it, or the one half a window before it, whichever has most.
-func (f *modelFleet) worst() (retries int, allowed float64) {
-	for _, from := range f.retries {
-		first := max(f.count(f.firstTries, from), f.count(f.firstTries, from.Add(-f.limits.Window)), f.count(f.firstTries, from.Add(-f.limits.Window/2)))
-		limit := f.limits.Ratio*float64(first) + f.limits.Slack
-		if count := f.count(f.retries, from); allowed == 0 || float64(count)/limit > float64(retries)/allowed {
-			retries, allowed = count, limit
-		}
-	}
-	return retries, allowed
-}
-
 // TestRestartsStayWithinRetryBudget guards against restarts that renew a host's share of the retry budget: in no window
 // may all hosts together, with all their starts, send more retries than the limits allow.
 func TestRestartsStayWithinRetryBudget(t *testing.T) {
@@ -182,12 +162,12 @@
 					seeds = 1
 				}
 				for seed := range seeds {
-					f := newModelFleet(Limits{Ratio: 0.2, Slack: fleet.slack, Window: 10 * time.Second}, fleet.hosts, seed)
+					f := newModelFleet(retrybudget.Limits{Ratio: 0.2, Slack: fleet.slack, Window: 10 * time.Second}, fleet.hosts, seed)
 					f.now = f.now.Add(modelLead)
 					f.run(modelCalm, fleet.perSecond, false, func(time.Duration) {})
 					f.run(modelLength, fleet.perSecond, true, func(at time.Duration) { each(f, at) })
-					retries, allowed := f.worst()
-					c.Check(float64(retries) <= allowed, qt.IsTrue, qt.Commentf("seed %d: %d retries in a window, allowed %.0f", seed, retries, allowed))
+					count, allowed := retries.Worst(f.limits, f.firstTries, f.retries)
+					c.Check(float64(count) <= allowed, qt.IsTrue, qt.Commentf("seed %d: %d retries in a window, allowed %.0f", seed, count, allowed))
 				}
 			})
 		}
