--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -56,6 +56,8 @@
 	// uses them.
 	AnswerTokens int `cbor:"-"`
 	Received     int `cbor:"-"`
+	// HasBegun is set if the caller has received a part of the answer. Only the owner's host uses it.
+	HasBegun bool `cbor:"-"`
 	// SoftwareVersion is the key of the software version at which a stream that has begun must be resumed; 0 means any. Only
 	// the owner's host uses it.
 	SoftwareVersion uint32 `cbor:"-"`
--- a/internal/front/gossip/partition_test.go
+++ b/internal/front/gossip/partition_test.go
@@ -129,7 +129,7 @@
 			h := m.hosts[m.random.IntN(len(m.hosts))]
 			h.budget.RecordFirstTry("s", 0)
 			m.firstTries = append(m.firstTries, m.now)
-			for tries := 1; fails && tries < triesOfFailing && h.budget.Reserve("s", ""); tries++ {
+			for tries := 1; fails && tries < triesOfFailing && h.budget.Reserve("s", "", false); tries++ {
 				h.budget.Settle("s")
 				m.retries = append(m.retries, m.now)
 			}
--- a/internal/front/placement/admit.go
+++ b/internal/front/placement/admit.go
@@ -12,6 +12,9 @@
 // class and then by its workspace's tier, the smaller the share of an engine's slots up to which it is admitted. A
 // request is not admitted either if its response would begin after callers abandon it. Requests of the most urgent
 // classes and calls of services without prompts are always admitted: engines order them by the priority sent with them.
+//
+// A stream that has begun goes before all requests of its class that have not, and after those of the class above: its
+// caller holds a part of the answer, and it may have fewer endpoints to go on at.
 
 const (
 	// leastUrgentShare is the share of an engine's slots up to which the least urgent requests of the lowest tier are
@@ -53,7 +56,7 @@
 // isLeastUrgent reports whether a request is among the first to wait. Such a request waits for the endpoint that holds
 // its prefix: processing the prefix elsewhere would take scarce capacity from other requests.
 func (b *PriorityBounds) isLeastUrgent(request *admission.Request) bool {
-	return request.Tier >= b.LowestTier && request.Urgency >= b.LeastUrgent
+	return !request.HasBegun && request.Tier >= b.LowestTier && request.Urgency >= b.LeastUrgent
 }
 
 // relativeRank returns the rank of a request relative to the last rank: 0 is the most urgent, 1 the least.
@@ -63,12 +66,24 @@
 
 // rank orders requests by the urgency of their class, then by the tier of their workspace; 0 is the most urgent.
 func (b *PriorityBounds) rank(request *admission.Request) int {
-	return min(request.Urgency, b.LeastUrgent)*(b.LowestTier+1) + min(request.Tier, b.LowestTier)
+	first := min(request.Urgency, b.LeastUrgent) * (b.LowestTier + 1)
+	if request.HasBegun {
+		return max(first-1, 0)
+	}
+	return first + min(request.Tier, b.LowestTier)
 }
 
 // isSheddable reports whether a request may be refused for lack of room.
 func (b *PriorityBounds) isSheddable(request *admission.Request) bool {
-	return request.PromptTokens > 0 && b.LeastUrgent > 0 && request.Urgency > 0
+	return request.PromptTokens > 0 && b.LeastUrgent > 0 && effectiveUrgency(request) > 0
+}
+
+// effectiveUrgency returns the urgency of the class with which a request competes for room.
+func effectiveUrgency(request *admission.Request) int {
+	if request.HasBegun {
+		return max(request.Urgency-1, 0)
+	}
+	return request.Urgency
 }
 
 // admits reports whether a request is admitted to an endpoint with a number of slots and of open requests. Zero slots
@@ -83,7 +98,7 @@
 
 // admitsChoice reports whether a request is admitted to the endpoint chosen for it.
 func (b *PriorityBounds) admitsChoice(request *admission.Request, choice *Choice) bool {
-	tooLate := request.FirstToken > 0 && choice.PredictedFirstEvent > maxFirstEventTargets*request.FirstToken
+	tooLate := !request.HasBegun && request.FirstToken > 0 && choice.PredictedFirstEvent > maxFirstEventTargets*request.FirstToken
 	return b.admits(request, choice.Slots, choice.Load.Requests) && (!tooLate || !b.isSheddable(request))
 }
 
--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -361,6 +361,13 @@
 	return healthy
 }
 
+// hasHealthy reports whether some endpoints include one that is not ejected and has not failed the request.
+func (v *View) hasHealthy(now time.Time, request *admission.Request, endpoints []*directory.Entry) bool {
+	return slices.ContainsFunc(endpoints, func(e *directory.Entry) bool {
+		return !slices.Contains(request.Avoid, e.ID) && !v.ejections.isEjected(now, e.ID)
+	})
+}
+
 func filter(endpoints []*directory.Entry, wanted func(e *directory.Entry) bool) []*directory.Entry {
 	kept := make([]*directory.Entry, 0, len(endpoints))
 	for _, e := range endpoints {
--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -68,7 +68,7 @@
 // admits reports whether a request is admitted to the endpoint chosen for it. A continued stream always is: its caller has
 // a part of the answer, and a refusal would cut it.
 func (r *finishRule) admits(now time.Time, service string, request *admission.Request, choice *Choice) bool {
-	if r == nil || !r.bounds.isSheddable(request) || request.Received > 0 {
+	if r == nil || !r.bounds.isSheddable(request) || request.HasBegun {
 		return true
 	}
 	return choice.CanEnd && !now.Before(r.blockedUntil(service, request.Urgency))
--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -513,17 +513,19 @@
 }
 
 // TestContinuedStreamIsNotRefused guards against answers that are cut because their rest is predicted to end too late, or
-// for a more urgent class.
+// for a more urgent class. Of a stream that its caller takes up, the host does not know how much was received.
 func TestContinuedStreamIsNotRefused(t *testing.T) {
 	tests := map[string]struct {
 		tokens, received int
-		refused          bool
+		takenUp, refused bool
 		want             admission.Reason
 	}{
-		"too late":                                 {200_000, 0, false, admission.ReasonTooLate},
-		"continued, too late":                      {200_000, 1, false, ""},
-		"a more urgent class was refused":          {0, 0, true, admission.ReasonTooLate},
-		"continued, more urgent class was refused": {0, 1, true, ""},
+		"too late":                                 {200_000, 0, false, false, admission.ReasonTooLate},
+		"continued, too late":                      {200_000, 1, false, false, ""},
+		"taken up, too late":                       {200_000, 0, true, false, ""},
+		"a more urgent class was refused":          {0, 0, false, true, admission.ReasonTooLate},
+		"continued, more urgent class was refused": {0, 1, false, true, ""},
+		"taken up, more urgent class was refused":  {0, 0, true, true, ""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -533,7 +535,7 @@
 				p.recordRefusal(start, "llm", finishRequest(1, 10), admission.ReasonTooLate, &Choice{})
 			}
 			request := finishRequest(2, 10)
-			request.Received, request.Retry = test.received, test.received > 0
+			request.Received, request.Retry, request.HasBegun = test.received, test.received > 0, test.received > 0 || test.takenUp
 			_, reason := p.choose("llm", request, false)
 			qt.Check(t, reason, qt.Equals, test.want)
 		})
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -115,7 +115,7 @@
 
 // Ask returns a grant as soon as an endpoint of the service admits the request. It refuses immediately if the service
 // has no endpoint or the workspace is over its share, and after a short wait if no endpoint admits the request. It
-// blocks for little longer than slotWait. The error is that of ctx.
+// blocks for little longer than grantWait. The error is that of ctx.
 func (p *Placer) Ask(ctx context.Context, service string, request admission.Request) (owner.Ticket, admission.Decision, error) {
 	if p.parts.Shares != nil && request.PromptTokens > 0 {
 		return p.askWithinShare(ctx, service, request)
@@ -129,8 +129,9 @@
 	if ticket, decision, err := p.askQueue(ctx, service, &request, asked); ticket != nil || decision.Kind == admission.Refuse || err != nil {
 		return ticket, decision, err
 	}
-	until := asked.Add(slotWait(&request))
+	until := asked.Add(grantWait(asked, &request))
 	for {
+		p.allowAvoided(&request, asked)
 		choice, reason := p.choose(service, &request, p.parts.Clock().Before(until))
 		if reason == "" && choice.IsLimited && !p.acquirePermit(ctx, service, &request, &choice, until) {
 			if ctx.Err() != nil {
@@ -144,18 +145,24 @@
 			p.parts.Changed()
 			return p.newTicket(service, &request, &choice), p.grant(&request, &choice, now.Sub(asked), now), nil
 		}
-		if isFinal(reason) || !now.Before(until) || choice.AvailableAt.After(until) {
+		if isFinal(reason, &request) || !now.Before(until) || choice.AvailableAt.After(until) {
 			p.recordRefusal(now, service, &request, reason, &choice)
 			return nil, p.refusal(service, &request, reason, &choice, now.Sub(asked)), nil
 		}
-		if !lifetime.Sleep(ctx, slotPollInterval) {
+		if !lifetime.Sleep(ctx, pollInterval(&request, now.Sub(asked))) {
 			return nil, admission.Decision{}, ctx.Err()
 		}
 	}
 }
 
-// isFinal reports whether a wait does not change a refusal, as it is not for lack of capacity.
-func isFinal(reason admission.Reason) bool {
+// isFinal reports whether a wait does not change a refusal, as it is not for lack of capacity. A stream that has begun
+// waits for the return of an endpoint.
+func isFinal(reason admission.Reason, request *admission.Request) bool {
+	return !request.HasBegun && isForEndpoints(reason)
+}
+
+// isForEndpoints reports whether a refusal is for lack of endpoints.
+func isForEndpoints(reason admission.Reason) bool {
 	return reason == admission.ReasonNoEndpoint || reason == admission.ReasonNoVersion
 }
 
@@ -181,7 +188,7 @@
 		return endpoints
 	}
 	return filter(endpoints, func(e *directory.Entry) bool {
-		return keys.OfVersion(directory.SoftwareVersion(e.Endpoint.Version)) == keys.Version(request.SoftwareVersion)
+		return versionOf(e) == keys.Version(request.SoftwareVersion)
 	})
 }
 
@@ -216,6 +223,7 @@
 	now := p.parts.Clock()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.view.begun.claim(now, service, request)
 	if p.view.finish != nil {
 		// A load that is no longer valid must not refuse a request.
 		p.view.loads.expire(now)
@@ -263,7 +271,10 @@
 		}
 		return []*directory.Entry{denied.Endpoint}, denied.Next, ""
 	}
-	candidates = p.view.candidates(now, request, open)
+	if request.HasBegun && mayAsk && !p.view.hasHealthy(now, request, open) {
+		return nil, time.Time{}, admission.ReasonNoEndpoint
+	}
+	candidates = p.view.begun.withoutClaimed(now, request, p.view.candidates(now, request, open))
 	if !p.bounds.isLeastUrgent(request) {
 		candidates = p.view.withRoom(&p.bounds, request, candidates)
 	}
@@ -372,7 +383,7 @@
 
 // recordRefusal counts a request that was refused for lack of room, or because all endpoints rest or are limited.
 func (p *Placer) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason, choice *Choice) {
-	if isFinal(reason) {
+	if isForEndpoints(reason) {
 		return
 	}
 	p.mu.Lock()
--- a/internal/front/placement/queue_test.go
+++ b/internal/front/placement/queue_test.go
@@ -183,7 +183,7 @@
 type unlimitedBudget struct{}
 
 func (unlimitedBudget) RecordFirstTry(string, float64)    {}
-func (unlimitedBudget) Reserve(string, string) bool       { return true }
+func (unlimitedBudget) Reserve(string, string, bool) bool { return true }
 func (unlimitedBudget) Release(string)                    {}
 func (unlimitedBudget) Settle(string)                     {}
 func (unlimitedBudget) Leave(string, int, []request.Send) {}
--- a/internal/front/placement/view.go
+++ b/internal/front/placement/view.go
@@ -21,6 +21,8 @@
 	failures *pushback.Failures
 	// finish decides which requests can end in time; nil if the rule is off.
 	finish *finishRule
+	// begun holds the versions at which streams that have begun want to go on.
+	begun begunClaims
 	// pace holds the speed of each endpoint.
 	pace Pace
 	// hasIdle reports whether this host has an idle connection to an address; nil if it does not matter.
@@ -33,7 +35,7 @@
 func NewView() *View {
 	return &View{
 		loads: newLoadTable(), ejections: newEjectionTable(), holders: make(holderTable), engines: make(engineTable),
-		partitions: make(partitionCache), rejections: pushback.NewRejections(time.Now), failures: pushback.NewFailures(time.Now),
+		partitions: make(partitionCache), begun: make(begunClaims), rejections: pushback.NewRejections(time.Now), failures: pushback.NewFailures(time.Now),
 		pace: equalPace{},
 	}
 }
@@ -54,6 +56,7 @@
 	v.loads.expire(now)
 	v.ejections.expire(now)
 	v.holders.expire(now)
+	v.begun.expire(now)
 }
 
 // Hosts returns the number of live hosts with known loads, this one included.
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -29,6 +30,12 @@
 	// maxDials bounds the failed dials of a request that do not count as attempts. After two unreachable endpoints in a
 	// row, a request has used up most of a short latency target.
 	maxDials = 2
+	// maxBegunDials is that number for a stream that has begun: the few endpoints of its version may all have crashed.
+	maxBegunDials = 8
+	// maxEndedTries bounds the tries of a stream that has begun that do not count since their endpoint has ended, and
+	// exitCheckTimeout the check whether it has.
+	maxEndedTries    = 3
+	exitCheckTimeout = 250 * time.Millisecond
 	// maxPlainAnswerBytes bounds a plain answer, which is buffered in memory until it is complete. Typical plain
 	// answers have 800 bytes.
 	maxPlainAnswerBytes = 16 << 20
@@ -44,7 +51,8 @@
 		Request: x.admissionRequest(),
 		Shard:   x.service,
 		Rules: request.Rules{
-			Repeatable: x.policy.Repeatable, MaxTries: x.policy.MaxTries, MaxDials: maxDials, ResendNotStarted: true,
+			Repeatable: x.policy.Repeatable, MaxTries: x.policy.MaxTries, MaxDials: x.maxDials(), ResendNotStarted: true,
+			MaxEnded: maxEndedTries,
 		},
 		BudgetGroup: x.service,
 		Deadline:    x.deadline,
@@ -55,6 +63,14 @@
 	}
 }
 
+// maxDials returns the number of failed dials that do not count as attempts.
+func (x *exchange) maxDials() int {
+	if x.isTakenUp() {
+		return maxBegunDials
+	}
+	return maxDials
+}
+
 // admissionRequest describes the request for placement.
 func (x *exchange) admissionRequest() admission.Request {
 	p := &x.server.parts
@@ -63,7 +79,7 @@
 		Arrived: x.arrived, FirstToken: x.policy.FirstToken, WholeAnswer: x.policy.WholeAnswer, MaxPause: x.policy.MaxPause,
 		Weight: x.policy.Weight, MaxInFlight: x.policy.MaxInFlight, MaxWaiting: x.policy.MaxWaiting, TokensPerMinute: x.policy.TokensPerMinute,
 		Repeatable: x.policy.Repeatable, PromptTokens: x.call.PromptTokens, MaxTokens: x.call.MaxTokens, Zone: p.Zone,
-		Deadline: x.deadline, SoftwareVersion: uint32(x.stream.version), ContentKey: uint64(x.key), AnswerTokens: x.call.expectedTokens(),
+		Deadline: x.deadline, HasBegun: x.isTakenUp(), SoftwareVersion: uint32(x.stream.version), ContentKey: uint64(x.key), AnswerTokens: x.call.expectedTokens(),
 	}
 	if x.call.MaxWait > 0 {
 		r.CallerDeadline = x.arrived.Add(x.call.MaxWait)
@@ -95,7 +111,7 @@
 			return owner.Result{Event: request.EventDialFailed, Err: err}
 		}
 		x.reportBroken(ctx, a, err, !x.policy.Stream)
-		return owner.Result{Event: request.EventBroken, MayArrive: errors.Is(err, upstream.ErrAbandoned), Err: err}
+		return owner.Result{Event: request.EventBroken, MayArrive: errors.Is(err, upstream.ErrAbandoned), EndpointEnded: x.hasEnded(ctx, a), Err: err}
 	}
 	defer answer.Close()
 	a.RecordAnswer()
@@ -193,6 +209,18 @@
 	}
 }
 
+// hasEnded reports whether the process of an endpoint that broke the call of a stream that has begun has ended.
+func (x *exchange) hasEnded(ctx context.Context, a *owner.Attempt) bool {
+	if !x.isTakenUp() && !x.stream.isHeadSent {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, exitCheckTimeout)
+	defer cancel()
+	hasEnded, err := x.server.parts.Client.HasExited(ctx, a.EndpointID, a.Endpoint.Address)
+	// Without an answer the endpoint may be running, so the try counts.
+	return err == nil && hasEnded
+}
+
 // reportAnswered reports that an endpoint has sent a complete answer.
 func (x *exchange) reportAnswered(a *owner.Attempt) {
 	x.server.parts.Health.RecordSuccess(a.EndpointID)
@@ -211,7 +239,7 @@
 func (x *exchange) upstreamCall(a *owner.Attempt, watch *silenceWatch) *upstream.Call {
 	header := func() http.Header {
 		header := x.server.parts.Dialect.EndpointHeader(x.r.Header, Send{
-			EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, Urgency: x.policy.Urgency, FetchFrom: a.FetchFrom,
+			EndpointID: a.EndpointID, Workspace: x.workspace, Tier: x.policy.Tier, Urgency: x.policy.Urgency, HasBegun: x.isTakenUp() || x.stream.isHeadSent, FetchFrom: a.FetchFrom,
 			TimeLeft: x.deadline.Sub(x.server.parts.Clock.Now()),
 		})
 		if x.stream.lastID != "" {
--- a/internal/front/relay/dialect.go
+++ b/internal/front/relay/dialect.go
@@ -54,6 +54,8 @@
 	Tier      int
 	// Urgency orders the classes within a tier.
 	Urgency int
+	// HasBegun is set if the caller has received a part of the answer.
+	HasBegun bool
 	// FetchFrom is the address of another endpoint that should have a part of the prompt cached, or empty.
 	FetchFrom string
 	// TimeLeft is the time until the call's deadline.
--- a/internal/front/relay/resume.go
+++ b/internal/front/relay/resume.go
@@ -18,6 +18,9 @@
 // isResumable reports whether the answer is a stream that may be resumed.
 func (x *exchange) isResumable() bool { return x.policy.Stream && x.policy.Resumable }
 
+// isTakenUp reports whether the request takes up a stream that has begun.
+func (x *exchange) isTakenUp() bool { return x.isResumable() && x.call.LastEventID != "" }
+
 // findOrigin finds the version that began the stream that the caller takes up, if it takes up one. It returns a refusal
 // if the version is unknown.
 func (x *exchange) findOrigin() *request.Refusal {
--- a/internal/front/relay/stream.go
+++ b/internal/front/relay/stream.go
@@ -112,7 +112,7 @@
 func (x *exchange) breakStream(ctx context.Context, a *owner.Attempt, err error) owner.Result {
 	x.reportFailure(ctx, a, err)
 	x.reportBroken(ctx, a, err, true)
-	return owner.Result{Event: request.EventBroken, Err: err}
+	return owner.Result{Event: request.EventBroken, EndpointEnded: x.hasEnded(ctx, a), Err: err}
 }
 
 // forwardEvent sends an event to the caller. It returns a result if the attempt has ended.
--- a/internal/front/shares/service.go
+++ b/internal/front/shares/service.go
@@ -80,6 +80,8 @@
 	weight        float64
 	// tier is the lowest tier of the workspace's requests.
 	tier int
+	// begun is the work of its streams that this host has let pass since they had begun.
+	begun begunWork
 }
 
 // service is the work at one service, with exponentially decaying weight.
@@ -211,6 +213,9 @@
 	s.decay(now)
 	asked, share := ask.work(), ask.weight()*s.level(ask.Tier)
 	if w := s.workspaces[keys.OfWorkspace(ask.Request.Workspace)]; w != nil {
+		if ask.Request.HasBegun && w.begun.passes(now, ask.work(), share/float64(hosts)) {
+			return Verdict{}
+		}
 		asked += w.asked
 	}
 	refusedShare := 1 - share/asked
@@ -247,5 +252,5 @@
 // expire removes workspaces without work.
 func (s *service) expire(now time.Time) {
 	s.decay(now)
-	maps.DeleteFunc(s.workspaces, func(_ keys.Workspace, w *workspace) bool { return w.asked < minWork })
+	maps.DeleteFunc(s.workspaces, func(_ keys.Workspace, w *workspace) bool { return w.asked < minWork && w.begun.isForgotten(now) })
 }
--- a/internal/owner/arrivals.go
+++ b/internal/owner/arrivals.go
@@ -23,12 +23,12 @@
 }
 
 // reserve counts a retry if the budget allows one more after a try at an endpoint.
-func (a *arrivals) reserve(endpoint string, mayArrive bool) bool {
+func (a *arrivals) reserve(endpoint string, mayArrive, hasBegun bool) bool {
 	silent := ""
 	if mayArrive {
 		silent = endpoint
 	}
-	if !a.budget.Reserve(a.group, silent) {
+	if !a.budget.Reserve(a.group, silent, hasBegun) {
 		return false
 	}
 	a.held++
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -55,6 +55,8 @@
 	CanResume bool
 	// MayArrive is set if the attempt was given up and the endpoint may still read the request.
 	MayArrive bool
+	// EndpointEnded is set if the process of the endpoint is known to have ended.
+	EndpointEnded bool
 	// Err is the cause of a failure, for logs and explanations.
 	Err error
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -65,9 +65,9 @@
 	// RecordFirstTry counts a first try; fraction is the number of retries allowed for each first try.
 	RecordFirstTry(group string, fraction float64)
 	// Reserve counts a retry if the group may retry once more, and reports whether it may. Silent is the endpoint that may
-	// still read the try before, or empty. Each counted retry ends with one of the other calls. Release takes it back: the
-	// retry was not sent.
-	Reserve(group, silent string) bool
+	// still read the try before, or empty. HasBegun is set if the caller has received a part of the answer. Each counted retry
+	// ends with one of the other calls. Release takes it back: the retry was not sent.
+	Reserve(group, silent string, hasBegun bool) bool
 	Release(group string)
 	// Settle is called when a counted retry has arrived at its endpoint, or never will.
 	Settle(group string)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -47,7 +47,7 @@
 type unlimitedBudget struct{}
 
 func (unlimitedBudget) RecordFirstTry(string, float64)    {}
-func (unlimitedBudget) Reserve(string, string) bool       { return true }
+func (unlimitedBudget) Reserve(string, string, bool) bool { return true }
 func (unlimitedBudget) Release(string)                    {}
 func (unlimitedBudget) Settle(string)                     {}
 func (unlimitedBudget) Leave(string, int, []request.Send) {}
@@ -169,7 +169,7 @@
 	left int
 }
 
-func (b *countingBudget) Reserve(string, string) bool {
+func (b *countingBudget) Reserve(string, string, bool) bool {
 	if b.left == 0 {
 		return false
 	}
--- a/internal/owner/paused_test.go
+++ b/internal/owner/paused_test.go
@@ -120,7 +120,7 @@
 }
 
 func (m *pausedModel) mayRetry(r *pausedRequest) bool {
-	return r.tries < pausedMaxTries && m.now.Sub(r.sentAt) < pausedDeadline && r.arrivals.reserve(r.endpoint.name, r.arrivals.isOpen)
+	return r.tries < pausedMaxTries && m.now.Sub(r.sentAt) < pausedDeadline && r.arrivals.reserve(r.endpoint.name, r.arrivals.isOpen, false)
 }
 
 func (m *pausedModel) read(r *pausedRequest) {
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -49,6 +49,9 @@
 	reportedTokens int
 
 	arrivals arrivals
+	// waitsForBudget is set if the next try has to wait until the retry budget allows it, mayArrive if the endpoint may still
+	// read the try before.
+	waitsForBudget, mayArrive bool
 
 	// connection is the open connection to the granted endpoint, if the grant is that of a successor.
 	connection io.Closer
@@ -93,7 +96,15 @@
 			return r.endCancelled(ctx)
 		}
 	}
+	if r.waitsForBudget && !r.waitForBudget(ctx) {
+		if ctx.Err() != nil {
+			return r.endCancelled(ctx)
+		}
+		r.lifecycle.Refuse(request.ReasonRetryBudget)
+		return request.ActFinish
+	}
 	r.job.Request.Received = r.tokens
+	r.job.Request.HasBegun = r.hasBegun()
 	ticket, decision, err := r.owner.parts.Admitter.Ask(ctx, r.job.Shard, r.job.Request)
 	if err != nil {
 		return r.endCancelled(ctx)
@@ -129,7 +140,7 @@
 
 // backOff waits before a retry, and reports false if ctx ended.
 func (r *run) backOff(ctx context.Context) bool {
-	return lifetime.Sleep(ctx, RetryDelay(r.lifecycle.Tries(), r.owner.parts.Random()))
+	return lifetime.Sleep(ctx, max(RetryDelay(r.lifecycle.Tries(), r.owner.parts.Random()), r.crashDelay()))
 }
 
 // checkGrant checks a grant against the latest directory entry of its endpoint, which may have been taken out of
@@ -229,12 +240,16 @@
 // requests may fail at the same moment.
 func (r *run) applyFailure(event request.Event, result *Result) request.Action {
 	facts := r.facts(result.CanResume && r.job.Resume != nil)
-	hasReserved := !facts.BudgetLeft && r.arrivals.reserve(r.endpointID, result.MayArrive)
-	facts.BudgetLeft = facts.BudgetLeft || hasReserved
+	facts.EndpointEnded = result.EndpointEnded && r.hasBegun()
+	hasReserved := !facts.BudgetLeft && r.arrivals.reserve(r.endpointID, result.MayArrive, r.hasBegun())
+	mayWait := !facts.BudgetLeft && !hasReserved && r.hasBegun()
+	facts.BudgetLeft = facts.BudgetLeft || hasReserved || mayWait
 	action := r.lifecycle.Apply(event, facts)
-	if hasReserved && (action != request.ActAsk || !r.lifecycle.Retry().SpendsBudget()) {
+	spends := action == request.ActAsk && r.lifecycle.Retry().SpendsBudget()
+	if hasReserved && !spends {
 		r.arrivals.release()
 	}
+	r.waitsForBudget, r.mayArrive = mayWait && spends, result.MayArrive
 	return action
 }
 
--- a/internal/owner/successor.go
+++ b/internal/owner/successor.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/ansel1/merry/v2"
 
@@ -22,6 +23,9 @@
 	errNotConnected = merry.Sentinel("the granted endpoint can't be connected to")
 )
 
+// maxSuccessorWait bounds the wait for the endpoint of a successor, whose retry is counted meanwhile.
+const maxSuccessorWait = 500 * time.Millisecond
+
 // Successor is the next try of a request whose attempt goes on. The retry is counted, the endpoint granted and the
 // connection to it open, so that nothing is left that could fail once the attempt is ended in its favour.
 type Successor struct {
@@ -51,7 +55,7 @@
 	if !ok {
 		return nil, merry.Wrap(errLastTry)
 	}
-	if !r.owner.parts.Budget.Reserve(r.job.budgetGroup(), r.endpointID) {
+	if !r.owner.parts.Budget.Reserve(r.job.budgetGroup(), r.endpointID, ask.HasBegun) {
 		return nil, merry.Wrap(errNoBudget)
 	}
 	s := &Successor{run: r}
@@ -73,6 +77,8 @@
 	ask.Excluded = slices.Concat(ask.Avoid, filter.Excluded)
 	ask.Avoid = slices.Concat(ask.Avoid, []string{r.endpointID})
 	ask.Only, ask.Received, ask.Retry = filter.Only, r.tokens, true
+	ask.HasBegun = r.hasBegun()
+	ask.MaxWait = maxSuccessorWait
 	return ask, true
 }
 
--- a/internal/request/lifecycle.go
+++ b/internal/request/lifecycle.go
@@ -76,6 +76,8 @@
 	ResendNotStarted bool
 	// MaxResumes bounds how often a stream is resumed at its engine.
 	MaxResumes int
+	// MaxEnded is the number of tries that do not count against MaxTries since their endpoint has ended.
+	MaxEnded int
 }
 
 // Facts holds the owner's information at the time of an event.
@@ -84,6 +86,8 @@
 	CanResume bool
 	// CanContinue: another endpoint can continue the answer after the delivered part.
 	CanContinue bool
+	// EndpointEnded: the process of the endpoint has ended, so that it no longer runs the request.
+	EndpointEnded bool
 	// Expired: the request's deadline has passed, so that it is not tried again.
 	Expired bool
 	// BudgetLeft: the retry budget allows one more try.
@@ -98,10 +102,11 @@
 	outcome Outcome
 	reason  Reason
 	retry   RetryReason
-	// tries counts the grants that were used, dials the tries whose endpoint was unreachable, resumes the resumed
-	// streams, and sends how often an endpoint may have run the request.
+	// tries counts the grants that were used, dials the tries whose endpoint was unreachable, ended those that do not count
+	// since their endpoint has ended, resumes the resumed streams, and sends how often an endpoint may have run the request.
 	tries   int
 	dials   int
+	ended   int
 	resumes int
 	sends   int
 	// inFlight is set while an endpoint may be running the request; mayHaveRun is set once an attempt has ended without
@@ -190,6 +195,9 @@
 	return isOpen && l.rules.Repeatable && (!l.delivered || facts.CanContinue)
 }
 
+// Ended returns the number of tries that do not count since their endpoint has ended.
+func (l *Lifecycle) Ended() int { return l.ended }
+
 // Delivered reports whether a part of an answer was sent to the caller.
 func (l *Lifecycle) Delivered() bool { return l.delivered }
 
@@ -228,6 +236,10 @@
 }
 
 func (l *Lifecycle) handleBroken(facts Facts) Action {
+	if facts.EndpointEnded && l.ended < l.rules.MaxEnded {
+		l.ended++
+		l.tries--
+	}
 	if facts.CanResume && l.resumes < l.rules.MaxResumes {
 		l.resumes++
 		l.retry = RetryResume
--- a/internal/retrybudget/account.go
+++ b/internal/retrybudget/account.go
@@ -25,6 +25,9 @@
 	left []leftTries
 	// earlier is what is known of the retries that earlier starts of this host have left at endpoints.
 	earlier earlierStarts
+	// begunAt is when a stream that had begun last asked for a retry, if hasBegun is set.
+	begunAt  time.Duration
+	hasBegun bool
 	// reportedAt is when the budget was last reported as exhausted, if isReported is set.
 	reportedAt time.Duration
 	isReported bool
@@ -132,9 +135,27 @@
 	a.settled = a.settled[expired:]
 }
 
+// begunShare is the part of the budget that is kept for streams that have begun while some of them ask for retries: their
+// callers hold a part of the answer, and may have returned with it already.
+const begunShare = 0.5
+
+// keptForBegun returns the part of the budget that a request may not use. HasBegun is set for a stream that has begun.
+func (a *account) keptForBegun(now, window time.Duration, hasBegun bool) float64 {
+	if hasBegun {
+		a.begunAt, a.hasBegun = now, true
+		return 0
+	}
+	if a.hasBegun && now-a.begunAt < window {
+		return begunShare
+	}
+	return 0
+}
+
 // allowance is what a host may use of the budget of a service.
 type allowance struct {
 	limits Limits
+	// keptForBegun is the part that the request may not use.
+	keptForBegun float64
 	// slack is this host's part of the slack, which it has had since partSince. Rounding is that of its place.
 	slack     float64
 	partSince time.Duration
@@ -144,7 +165,7 @@
 // earned returns the retries that a number of first tries allow, and the time since an earlier one.
 func (w *allowance) earned(firstTries int, since, now time.Duration) float64 {
 	passed := max(now-max(since, w.partSince), 0)
-	return usedShare * (w.limits.Ratio*float64(firstTries) + w.slack*float64(passed)/float64(w.limits.Window))
+	return (1 - w.keptForBegun) * usedShare * (w.limits.Ratio*float64(firstTries) + w.slack*float64(passed)/float64(w.limits.Window))
 }
 
 // budget returns the retries that a host may send in the window before a time.
--- a/internal/retrybudget/class.go
+++ b/internal/retrybudget/class.go
@@ -35,7 +35,7 @@
 }
 
 // Reserve counts a retry if the class may retry once more.
-func (b *Class) Reserve(class, _ string) bool {
+func (b *Class) Reserve(class, _ string, _ bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.balance[class] < 1 {
--- a/internal/retrybudget/fleet.go
+++ b/internal/retrybudget/fleet.go
@@ -70,8 +70,8 @@
 }
 
 // Reserve counts a retry if one more may be sent to a service. Silent is the endpoint that may still read the try before, or
-// empty.
-func (b *Fleet) Reserve(service, silent string) bool {
+// empty. HasBegun is set for a stream of which the caller has received a part.
+func (b *Fleet) Reserve(service, silent string, hasBegun bool) bool {
 	uptime, place := b.uptime(), b.place()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -79,6 +79,7 @@
 	b.sharing.update(uptime, place)
 	w := b.allowance()
 	a.expire(uptime, b.limits.Window, burstShare*w.budget(a, uptime))
+	w.keptForBegun = a.keptForBegun(uptime, b.limits.Window, hasBegun)
 	isUnknown := silent != "" && a.earlier.isUnknown(uptime, silent)
 	if !w.mayRetry(a, uptime) || isUnknown && !w.mayLeaveUnknown(a, uptime) {
 		b.report(service, a, uptime)
--- a/internal/retrybudget/fleet_test.go
+++ b/internal/retrybudget/fleet_test.go
@@ -19,7 +19,7 @@
 // spend sends as many retries as a host may send now, and returns their number.
 func spend(b *Fleet) int {
 	retries := 0
-	for b.Reserve("s", "") {
+	for b.Reserve("s", "", false) {
 		b.Settle("s")
 		retries++
 	}
@@ -144,6 +144,28 @@
 	b := fleetHosts(Limits{Slack: 4, Window: time.Second}, 1, &now)[0]
 	passTime(&now, 2*time.Second, b)
 	c.Check(spend(b) > 0, qt.IsTrue)
-	c.Check(b.Reserve("s", ""), qt.IsFalse)
-	c.Check(b.Reserve("other", ""), qt.IsTrue)
+	c.Check(b.Reserve("s", "", false), qt.IsFalse)
+	c.Check(b.Reserve("other", "", false), qt.IsTrue)
+}
+
+// TestBudgetIsKeptForStreamsThatHaveBegun has requests of both kinds ask for more retries than the budget allows.
+func TestBudgetIsKeptForStreamsThatHaveBegun(t *testing.T) {
+	c, now := qt.New(t), time.Unix(0, 0)
+	b := fleetHosts(Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}, 1, &now)[0]
+	passTime(&now, 30*time.Second, b)
+	reserve := func(hasBegun bool) int {
+		retries := 0
+		for b.Reserve("s", "", hasBegun) {
+			b.Settle("s")
+			retries++
+		}
+		return retries
+	}
+	c.Assert(b.Reserve("s", "", true), qt.IsTrue)
+	b.Settle("s")
+	others := reserve(false)
+	begun := reserve(true)
+	c.Check(others > 0 && begun >= others, qt.IsTrue, qt.Commentf("%d others, %d streams that have begun", others, begun))
+	passTime(&now, 30*time.Second, b)
+	c.Check(reserve(false), qt.Equals, others+begun+1, qt.Commentf("long after streams have asked"))
 }
--- a/internal/retrybudget/model_test.go
+++ b/internal/retrybudget/model_test.go
@@ -94,7 +94,7 @@
 	}
 	h.budget.RecordFirstTry(modelService, 0)
 	f.firstTries = append(f.firstTries, f.now)
-	if fails && h.budget.Reserve(modelService, "") {
+	if fails && h.budget.Reserve(modelService, "", false) {
 		h.budget.Settle(modelService)
 		f.retries = append(f.retries, f.now)
 	}
