--- a/internal/front/followers.go
+++ b/internal/front/followers.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -11,6 +12,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/gossip"
+	"oxbowslip.dev/oxbowslip/internal/front/origin"
 	"oxbowslip.dev/oxbowslip/internal/front/peersync"
 	"oxbowslip.dev/oxbowslip/internal/logging"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -86,7 +88,7 @@
 			Position: func() uint64 { return p.Freshness.Revision(freshness.Settings) }, CountCall: p.Counters.CountStoreCall,
 		}),
 		endpoints: follow.New(follow.Parts[directory.Change]{
-			Source: p.Deployment.Endpoints, Sink: p.Endpoints, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random,
+			Source: declaringSource{p.Deployment.Endpoints, p.Late}, Sink: p.Endpoints, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random,
 			Duty: p.dutyFunc(freshness.Endpoints), OnAnswer: p.onAnswer(freshness.Endpoints),
 			CountCall: p.Counters.CountStoreCall,
 			// A change received from a peer may be newer than the confirmed revision.
@@ -105,3 +107,29 @@
 	go f.settings.Run(done)
 	go f.endpoints.Run(done)
 }
+
+// declaringSource is a source of endpoints that has new software versions stored before their first endpoints are used.
+type declaringSource struct {
+	follow.Source[directory.Change]
+	late *lateParts
+}
+
+// Wait waits for changes, and then until the new versions among them are stored.
+func (s declaringSource) Wait(ctx context.Context, after uint64, held time.Duration) (follow.Batch[directory.Change], error) {
+	batch, err := s.Source.Wait(ctx, after, held)
+	if origins := s.late.origins.Load(); err == nil && origins != nil {
+		origins.Declare(ctx, versionsIn(batch.Items))
+	}
+	return batch, err
+}
+
+// versionsIn returns the software versions of the endpoints that changes add.
+func versionsIn(changes []directory.Change) []origin.NamedVersion {
+	var versions []origin.NamedVersion
+	for i := range changes {
+		if e := &changes[i].Entry.Endpoint; !changes[i].Gone {
+			versions = append(versions, origin.NameVersion(e.Service, directory.SoftwareVersion(e.Version)))
+		}
+	}
+	return versions
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -67,6 +67,8 @@
 	// Settings and Endpoints are the sources that the host follows for settings and for endpoints.
 	Settings  follow.Source[settings.Raw]
 	Endpoints follow.Source[directory.Change]
+	// Origins stores the software versions that began streams.
+	Origins origin.Store
 	// Poison stores the verdicts on poison requests.
 	Poison poison.Store
 	// Registry stores the addresses at which hosts reach each other.
@@ -360,6 +362,7 @@
 	lifetime.Sleep(ctx, h.parts.Config.Drain.Notice)
 	cut := lifetime.DrainServer(ctx, h.callers, h.parts.Owner.Drain, stopMargin)
 	cutTunnels := h.parts.Tunnels.Drain(ctx)
+	h.parts.Origins.Flush()
 	h.parts.Gossip.Leave()
 	select {
 	case <-unregistered:
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -111,6 +111,7 @@
 	sync      atomic.Pointer[peersync.Sync]
 	followers atomic.Pointer[followers]
 	client    atomic.Pointer[upstream.Client]
+	origins   atomic.Pointer[origin.Registry]
 }
 
 // onRevisionChange requests an urgent heartbeat, so that peers receive a new revision without delay.
@@ -390,16 +391,20 @@
 	Random     func() float64
 }
 
-func newPoisonDetector(p poisonDetectorParts) *poison.Detector {
-	storeTime := func() freshness.StoreTime {
-		now, known := p.Freshness.StoreTime(p.Clock())
+// storeTimeOf returns the function that returns the time of the store's clock, or 0 while it is unknown.
+func storeTimeOf(state *freshness.State, clock func() time.Time) func() freshness.StoreTime {
+	return func() freshness.StoreTime {
+		now, known := state.StoreTime(clock())
 		if !known {
 			return 0
 		}
 		return now
 	}
+}
+
+func newPoisonDetector(p poisonDetectorParts) *poison.Detector {
 	detector := poison.New(poison.Parts{
-		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, Version: p.Directory.VersionOfKey, StoreTime: storeTime, Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random, CountRefused: p.Counters.CountPeerRefused,
+		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, Version: p.Directory.VersionOfKey, StoreTime: storeTimeOf(p.Freshness, p.Clock), Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random, CountRefused: p.Counters.CountPeerRefused,
 	})
 	p.Gossip.Handle(envelope.KindPoison, detector.HandleReport)
 	p.Gossip.Handle(envelope.KindPoisonTrials, detector.HandleTrials)
@@ -576,24 +581,28 @@
 type originsParts struct {
 	fx.In
 
-	Directory *directory.Directory
-	Freshness *freshness.State
-	Gossip    *gossip.Gossip
-	Counters  *counters.Counters
-	Log       *logrus.Logger
-	Clock     func() time.Time
-	Random    func() float64
+	Deployment Deployment
+	Directory  *directory.Directory
+	Freshness  *freshness.State
+	Gossip     *gossip.Gossip
+	Late       *lateParts
+	Counters   *counters.Counters
+	Log        *logrus.Logger
+	Clock      func() time.Time
+	Random     func() float64
 }
 
 func newOrigins(p originsParts) *origin.Registry {
 	registry := origin.New(origin.Parts{
-		Peers: p.Gossip, Services: p.Directory.Services, Versions: p.Directory.Versions,
+		Peers: p.Gossip, Services: p.Directory.Services, Versions: p.Directory.Versions, PeerAge: p.Gossip.PeerAge,
+		Store: p.Deployment.Origins, StoreTime: storeTimeOf(p.Freshness, p.Clock), Era: p.Freshness.Era,
 		DirectoryAge: func() time.Duration { return p.Freshness.Age(freshness.Endpoints) },
 		Count:        p.Counters.CountOrigin, Log: logging.Part(p.Log, "streams"), Clock: p.Clock, Random: p.Random,
 	})
 	p.Gossip.Handle(envelope.KindStreamOrigins, registry.HandleRecords)
 	p.Gossip.Handle(envelope.KindStreamOriginQuestion, registry.HandleQuestion)
 	p.Gossip.Handle(envelope.KindStreamOriginReply, registry.HandleReply)
+	p.Late.origins.Store(registry)
 	return registry
 }
 
--- a/internal/front/origin/registry.go
+++ b/internal/front/origin/registry.go
@@ -14,7 +14,9 @@
 	"oxbowslip.dev/oxbowslip/internal/front/coordinator"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
 const (
@@ -29,6 +31,8 @@
 	maxDirectoryAge = 2 * time.Second
 	// observeInterval is the time between two looks at the versions of all services. Each stream that begins looks as well.
 	observeInterval = 500 * time.Millisecond
+	// maxClockDifference is the most by which the wall clocks of two hosts may differ, for the age of a peer.
+	maxClockDifference = 30 * time.Second
 	// maxSentRecords bounds the records in a message, so that it fits into a datagram.
 	maxSentRecords = 40
 )
@@ -39,6 +43,13 @@
 	// Services returns the services with endpoints, Versions the software versions of a service.
 	Services func() []string
 	Versions func(service string) []directory.VersionCount
+	// PeerAge returns how long a peer has been running, or 0 if that is unknown.
+	PeerAge func(host string) time.Duration
+	Store   Store
+	// StoreTime returns the time of the store's clock, or 0 while this host does not know it. Era returns the newest known
+	// era of the store.
+	StoreTime func() freshness.StoreTime
+	Era       func() uint64
 	// DirectoryAge returns the time since the directory was last confirmed, negative if that is unknown.
 	DirectoryAge func() time.Duration
 	// Count is called with the result of each search.
@@ -58,7 +69,9 @@
 	mu    sync.Mutex
 	table *Table
 	// shared holds the services whose new records are sent to peers.
-	shared map[keys.Service]bool
+	shared  map[keys.Service]bool
+	saver   saverState
+	history history
 }
 
 // peerReply is a reply and the host that sent it.
@@ -70,7 +83,7 @@
 // New returns a registry without records.
 func New(parts Parts) *Registry {
 	return &Registry{
-		parts: parts, startedAt: parts.Clock(), table: NewTable(), shared: make(map[keys.Service]bool),
+		parts: parts, startedAt: parts.Clock(), table: NewTable(), shared: make(map[keys.Service]bool), saver: newSaverState(parts.Era()),
 		asker: coordinator.New[peerReply](coordinator.Parts{Peers: parts.Peers, Log: parts.Log, Clock: parts.Clock, Random: parts.Random}),
 	}
 }
@@ -124,8 +137,17 @@
 		return
 	}
 	batches := make(map[string][]SentRecord)
+	self, savers := r.parts.Peers.Senders()[0].Host, r.savers()
 	for i := range records {
-		for _, host := range r.holders(records[i].Stream, holderCount) {
+		stream := records[i].Stream
+		saver := saverOf(savers, stream)
+		hosts := r.holders(stream, holderCount)
+		if saver == self {
+			r.markUnsaved(stream)
+		} else if !slices.Contains(hosts, saver) {
+			hosts = append(hosts, saver)
+		}
+		for _, host := range hosts {
 			batches[host] = append(batches[host], sentRecord(now, &records[i]))
 		}
 	}
@@ -140,6 +162,13 @@
 	}
 }
 
+// markUnsaved has this host save the record of a stream.
+func (r *Registry) markUnsaved(stream keys.Stream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saver.unsaved[stream] = true
+}
+
 // holders returns the names of the peers that keep the record of a stream, the first ones in order.
 func (r *Registry) holders(stream keys.Stream, count int) []string {
 	peers := r.parts.Peers.Senders()[1:]
@@ -186,6 +215,7 @@
 	defer timeout.Stop()
 	defer repeat.Stop()
 	answered, isFresh := make(map[string]bool), r.isFresh() || len(hosts) == 0
+	reachesBack := r.parts.Clock().Sub(r.startedAt) >= historyTime
 	for isOver := len(hosts) == 0; !isOver; {
 		select {
 		case reply := <-replies:
@@ -193,6 +223,7 @@
 				return origin
 			}
 			isFresh = isFresh || reply.IsFresh
+			reachesBack = reachesBack || reply.IsFresh && r.parts.PeerAge(reply.from) >= historyTime+maxClockDifference
 			answered[reply.from] = true
 			isOver = len(answered) == len(hosts)
 		case <-repeat.C:
@@ -203,6 +234,9 @@
 			isOver = true
 		}
 	}
+	if !reachesBack {
+		return r.withHistory(ctx, stream, key, isFresh)
+	}
 	return r.withoutRecord(key, isFresh)
 }
 
@@ -240,10 +274,14 @@
 		return
 	}
 	now := r.parts.Clock()
+	self, savers := r.parts.Peers.Senders()[0].Host, r.savers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range message.Records {
 		r.table.Add(now, message.Records[i].record(now), false)
+		if stream := message.Records[i].Stream; saverOf(savers, stream) == self {
+			r.saver.unsaved[stream] = true
+		}
 	}
 	for _, service := range message.Mixed {
 		r.table.Report(now, service)
@@ -298,8 +336,13 @@
 	r.table.Expire(r.parts.Clock())
 }
 
-// Run observes the versions of all services until done is closed.
+// Run observes the versions of all services, and saves what must outlast the end of all hosts, until done is closed.
 func (r *Registry) Run(done <-chan struct{}) {
+	ctx, cancel := lifetime.Context(done)
+	defer cancel()
+	var saving sync.WaitGroup
+	defer saving.Wait()
+	saving.Go(func() { r.runSaver(ctx) })
 	ticker := time.NewTicker(observeInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/front/origin/registry_test.go
+++ b/internal/front/origin/registry_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +18,7 @@
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
+	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/proof/golden"
 )
@@ -27,8 +31,55 @@
 	names []string
 	// bytes and messages count what hosts send.
 	bytes, messages int
+	store           *fakeStore
 }
 
+// fakeStore implements Store.
+type fakeStore struct {
+	versions map[ServiceVersion]bool
+	batches  map[string]Batch
+	isAway   bool
+	loads    int
+	saves    int
+}
+
+var errAway = errors.New("the store is away")
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{versions: make(map[ServiceVersion]bool), batches: make(map[string]Batch)}
+}
+
+func (s *fakeStore) Load(context.Context) (Saved, error) {
+	s.loads++
+	if s.isAway {
+		return Saved{}, errAway
+	}
+	return Saved{Versions: slices.Collect(maps.Keys(s.versions)), Batches: slices.Collect(maps.Values(s.batches))}, nil
+}
+
+func (s *fakeStore) Save(_ context.Context, change Change) error {
+	s.saves++
+	if s.isAway {
+		return errAway
+	}
+	for _, v := range change.Versions {
+		s.versions[v.ServiceVersion] = true
+	}
+	for _, v := range change.Dropped {
+		delete(s.versions, v)
+	}
+	for _, b := range change.Batches {
+		s.batches[b.ID] = b
+	}
+	for _, id := range change.Expired {
+		delete(s.batches, id)
+	}
+	return nil
+}
+
+// storeTime returns the time of the store's clock.
+func storeTime() freshness.StoreTime { return freshness.StoreTime(time.Now().UnixNano()) }
+
 // testHost is a host with a registry. It implements coordinator.Peers.
 type testHost struct {
 	network  *network
@@ -42,7 +93,7 @@
 }
 
 func newNetwork(count int) *network {
-	n := &network{hosts: make(map[string]*testHost)}
+	n := &network{hosts: make(map[string]*testHost), store: newFakeStore()}
 	for i := range count {
 		n.add(fmt.Sprintf("host-%d", i))
 	}
@@ -55,6 +106,8 @@
 	h := &testHost{network: n, name: name, versions: []string{"v1"}}
 	h.registry = New(Parts{
 		Peers: h, Services: func() []string { return []string{service} }, Versions: h.directory, DirectoryAge: func() time.Duration { return h.age },
+		PeerAge: func(host string) time.Duration { return time.Since(n.hosts[host].registry.startedAt) },
+		Store:   n.store, StoreTime: storeTime, Era: func() uint64 { return 0 },
 		Count: func(counters.OriginResult) {}, Log: logrus.NewEntry(log), Clock: time.Now, Random: func() float64 { return 0 },
 	})
 	n.hosts[name] = h
--- a/internal/front/origin/table.go
+++ b/internal/front/origin/table.go
@@ -16,6 +16,8 @@
 	// unsent holds the streams whose records this host has made and not sent to peers.
 	unsent map[keys.Stream]bool
 	seen   map[keys.Service]map[keys.Version]time.Time
+	// hasForgotten is set when a version has been dropped from seen.
+	hasForgotten bool
 	// reported is when a peer last reported that a service runs several versions.
 	reported map[keys.Service]time.Time
 }
@@ -109,7 +111,9 @@
 	maps.DeleteFunc(t.unsent, func(stream keys.Stream, _ bool) bool { return !t.has(stream) })
 	maps.DeleteFunc(t.reported, func(_ keys.Service, at time.Time) bool { return now.Sub(at) >= reportTime })
 	for service, versions := range t.seen {
+		count := len(versions)
 		maps.DeleteFunc(versions, func(_ keys.Version, at time.Time) bool { return now.Sub(at) >= historyTime })
+		t.hasForgotten = t.hasForgotten || len(versions) < count
 		if len(versions) == 0 {
 			delete(t.seen, service)
 		}
