--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -61,6 +61,8 @@
 	KindPoisonTrials Kind = 25
 	// KindFleetSize informs a host that has joined of the number of live and missing hosts.
 	KindFleetSize Kind = 26
+	// KindClassCounts reports the requests of classes that hosts refuse for lack of capacity.
+	KindClassCounts Kind = 27
 )
 
 // Sender identifies the host that sent a message.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -33,6 +33,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/pace"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
+	"oxbowslip.dev/oxbowslip/internal/front/precedence"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
@@ -162,6 +163,7 @@
 	Brittle    *pushback.Brittle
 	Limiter    *ratelimit.Limiter
 	Shares     *shares.Exchange
+	Precedence *precedence.Exchange
 	// Pace is nil unless the host's file selects it.
 	Pace *pace.Exchanger
 	// Slots is nil if the host's file does not select the queue for slots.
@@ -244,6 +246,9 @@
 	if h.parts.Shares != nil {
 		h.parts.Shares.Expire()
 	}
+	if h.parts.Precedence != nil {
+		h.parts.Precedence.Expire()
+	}
 	if h.parts.Slots != nil {
 		h.parts.Slots.Expire()
 	}
@@ -298,6 +303,9 @@
 	if h.parts.Shares != nil {
 		go h.parts.Shares.Run(h.done)
 	}
+	if h.parts.Precedence != nil {
+		go h.parts.Precedence.Run(h.done)
+	}
 	if h.parts.Pace != nil {
 		go h.parts.Pace.Run(h.done)
 	}
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -26,6 +26,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/peersync"
 	"oxbowslip.dev/oxbowslip/internal/front/placement"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
+	"oxbowslip.dev/oxbowslip/internal/front/precedence"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
 	"oxbowslip.dev/oxbowslip/internal/front/relay"
@@ -78,6 +79,7 @@
 			newLender,
 			newLimiter,
 			newShares,
+			newPrecedence,
 			newPace,
 			newSlots,
 			newOrigins,
@@ -195,6 +197,7 @@
 	Limiter    *ratelimit.Limiter
 	Brittle    *pushback.Brittle
 	Shares     *shares.Exchange
+	Precedence *precedence.Exchange
 	// Pace is nil unless the host's file selects it.
 	Pace   *pace.Exchanger
 	Slots  *slots.Client
@@ -206,7 +209,7 @@
 
 func newPlacer(p placerParts) *placement.Placer {
 	parts := placement.Parts{
-		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter, Brittle: p.Brittle, Shares: p.Shares, Slots: p.Slots,
+		Directory: p.Directory, Rests: p.Rests, Rejections: p.Rejections, Failures: p.Failures, Limiter: p.Limiter, Brittle: p.Brittle, Shares: p.Shares, Precedence: p.Precedence, Slots: p.Slots,
 		Finish: p.Config.Overload.Finish, Log: logging.Part(p.Log, "endpoints"), Clock: p.Clock, Random: p.Random, Changed: p.Late.onLoadChange,
 	}
 	if p.Pace != nil {
@@ -275,24 +278,25 @@
 type gossipParts struct {
 	fx.In
 
-	Config    hostconfig.Host
-	Placer    *placement.Placer
-	Limiter   *ratelimit.Limiter
-	Shares    *shares.Exchange
-	Pace      *pace.Exchanger
-	Slots     *slots.Client
-	Holder    *settings.Holder
-	Directory *directory.Directory
-	Settings  *peersync.Settings
-	Endpoints *peersync.Endpoints
-	Freshness *freshness.State
-	Network   gossip.Network
-	Tunnels   *tunnel.Server
-	Counters  *counters.Counters
-	Log       *logrus.Logger
-	Clock     func() time.Time
-	Random    func() float64
-	Late      *lateParts
+	Config     hostconfig.Host
+	Placer     *placement.Placer
+	Limiter    *ratelimit.Limiter
+	Shares     *shares.Exchange
+	Precedence *precedence.Exchange
+	Pace       *pace.Exchanger
+	Slots      *slots.Client
+	Holder     *settings.Holder
+	Directory  *directory.Directory
+	Settings   *peersync.Settings
+	Endpoints  *peersync.Endpoints
+	Freshness  *freshness.State
+	Network    gossip.Network
+	Tunnels    *tunnel.Server
+	Counters   *counters.Counters
+	Log        *logrus.Logger
+	Clock      func() time.Time
+	Random     func() float64
+	Late       *lateParts
 }
 
 func newGossip(p gossipParts) *gossip.Gossip {
@@ -314,6 +318,9 @@
 	if p.Shares != nil {
 		g.Handle(envelope.KindShares, func(from envelope.Sender, body []byte) { p.Shares.HandleCounts(from.Host, body) })
 	}
+	if p.Precedence != nil {
+		g.Handle(envelope.KindClassCounts, func(from envelope.Sender, body []byte) { p.Precedence.HandleCounts(from.Host, body) })
+	}
 	if p.Pace != nil {
 		g.Handle(envelope.KindPace, p.Pace.HandleMessage)
 	}
@@ -531,6 +538,14 @@
 	return shares.New(shares.Parts{Peers: latePeers{p.Late}, Log: logging.Part(p.Log, "shares"), Clock: p.Clock, Random: p.Random})
 }
 
+// newPrecedence returns nil unless the host's file selects the rules on the ends of requests.
+func newPrecedence(p sharesParts) *precedence.Exchange {
+	if !p.Config.Overload.Finish {
+		return nil
+	}
+	return precedence.New(precedence.Parts{Peers: latePeers{p.Late}, Log: logging.Part(p.Log, "shares"), Clock: p.Clock, Random: p.Random})
+}
+
 // paceParts are the dependencies of the exchanger of the endpoints' speed.
 type paceParts struct {
 	fx.In
--- a/internal/front/origin/restart_test.go
+++ b/internal/front/origin/restart_test.go
@@ -21,8 +21,8 @@
 	count  int
 	// running are the versions that run.
 	running []string
-	open []modelStream
-	last keys.Stream
+	open    []modelStream
+	last    keys.Stream
 	// joined, refused and taken count the streams that callers take up; gone those whose version no longer runs.
 	joined, refused, gone, taken int
 }
--- a/internal/front/placement/finish.go
+++ b/internal/front/placement/finish.go
@@ -86,12 +86,17 @@
 	return until
 }
 
-// recordRefusal records that a request found no room or could not end in time. A request that could end in time was held
-// up for a more urgent class; recorded, such refusals would prolong each other. A retry has little time left and may avoid
-// endpoints, so its refusal says little about the capacity.
-func (r *finishRule) recordRefusal(now time.Time, service string, request *admission.Request, reason admission.Reason, choice *Choice) {
+// lacksCapacity reports whether a request was refused as it found no room or could not end in time. A request that could
+// end in time was held up for a more urgent class; counted, such refusals would prolong each other. A retry has little time
+// left and may avoid endpoints, so its refusal says little about the capacity; a stream that has begun has few endpoints.
+func lacksCapacity(request *admission.Request, reason admission.Reason, choice *Choice) bool {
 	lacksTime := reason == admission.ReasonTooLate && !choice.CanEnd
-	if r == nil || request.Retry || (reason != admission.ReasonNoRoom && !lacksTime) {
+	return !request.Retry && !request.HasBegun && (reason == admission.ReasonNoRoom || lacksTime)
+}
+
+// recordRefusal records that a request was refused for lack of capacity.
+func (r *finishRule) recordRefusal(now time.Time, service string, request *admission.Request) {
+	if r == nil {
 		return
 	}
 	if r.refusedAt[service] == nil {
--- a/internal/front/placement/finish_test.go
+++ b/internal/front/placement/finish_test.go
@@ -653,7 +653,7 @@
 		t.Run(name, func(t *testing.T) {
 			v, request, endpoints := finishView(), finishRequest(2, test.events), entries("e1")
 			v.loads.Begin("e1", int(test.ahead.Milliseconds()*initialReadRate))
-			v.finish.recordRefusal(start.Add(-test.blocked), "llm", finishRequest(1, 0), admission.ReasonTooLate, &Choice{})
+			v.finish.recordRefusal(start.Add(-test.blocked), "llm", finishRequest(1, 0))
 			if test.callerLeft > 0 {
 				request.CallerDeadline = start.Add(test.callerLeft)
 			}
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -21,6 +21,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/precedence"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/front/ratelimit"
 	"oxbowslip.dev/oxbowslip/internal/front/shares"
@@ -49,6 +50,8 @@
 	// Shares keeps workspaces within their shares and limits; nil if that is off. Its Admit calls back into the placer while
 	// it holds its own lock, so the placer must not call it while holding mu.
 	Shares *shares.Exchange
+	// Precedence holds back less urgent classes while hosts refuse a more urgent one; nil if that is off.
+	Precedence *precedence.Exchange
 	// Pace learns the speed of endpoints. If it is nil, all count as equally fast.
 	Pace Pace
 	// Slots asks for the slots of busy plain services. If it is nil, this host decides alone.
@@ -129,6 +132,7 @@
 	if ticket, decision, err := p.askQueue(ctx, service, &request, asked); ticket != nil || decision.Kind == admission.Refuse || err != nil {
 		return ticket, decision, err
 	}
+	p.recordAsk(service, &request)
 	until := asked.Add(grantWait(asked, &request))
 	for {
 		p.allowAvoided(&request, asked)
@@ -243,6 +247,10 @@
 		choice.AvailableAt = p.view.finish.blockedUntil(service, request.Urgency)
 		return choice, admission.ReasonTooLate
 	}
+	if p.isHeld(service, request) {
+		choice.AvailableAt = now.Add(classOrderTime)
+		return choice, admission.ReasonTooLate
+	}
 	choice.AvailableAt = free
 	// A limit applies to the whole fleet: if each host enforced it alone, n hosts would send n times as much.
 	if choice.IsLimited = p.parts.Limiter.IsLimited(choice.instance()); !choice.IsLimited {
@@ -388,7 +396,12 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.view.finish.recordRefusal(now, service, request, reason, choice)
+	if lacksCapacity(request, reason, choice) {
+		p.view.finish.recordRefusal(now, service, request)
+		if p.parts.Precedence != nil {
+			p.parts.Precedence.RecordRefusal(service, request.Urgency)
+		}
+	}
 	p.view.engines.get(keys.OfService(service)).RecordRefusal(now, engine.Arrival{
 		Class: keys.OfClass(request.Class), Prompt: request.PromptTokens, Unread: request.PromptTokens, Answer: request.AnswerTokens,
 	})
