poison: one request is a trial of all its convicted parts (TIER)

Cause: a request could be a trial of one part only, and was refused for any other. Parts that are convicted together mostly come together, so no request could try any of them, and they were refused until the verdicts expired after ten minutes. A request is a trial of all of its parts that are due, and its answer clears all of them. One that lacks the part that is the likelier cause (fewer requests have it, by the same crashes) may be a trial after 250 ms: parts that most requests share come back first.

TestPartsThatComeTogetherAreTried failed before: 0 requests of 20 s were sent, with verdicts of its own or adopted from older hosts.

--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -113,38 +113,39 @@
 }
 
 // FindPoison returns the first of the contents of a request that must not be sent to any endpoint, and whether there is
-// one. Trial is the part of which the request is a trial, or 0; it is set if the request becomes one.
-func (d *Detector) FindPoison(contents []keys.Content, trial *keys.Content) (keys.Content, bool) {
+// one. Trial holds the parts of which the request is a trial; it is set if the request becomes one.
+func (d *Detector) FindPoison(contents []keys.Content, trial *[]keys.Content) (keys.Content, bool) {
 	if d.size.Load() == 0 {
 		return 0, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var due keys.Content
+	var due []keys.Content
 	for _, content := range contents {
 		switch {
-		case !d.table.IsPoison(content) || content == *trial:
-		case due == 0 && *trial == 0 && d.mayTry(content):
-			due = content
+		case !d.table.IsPoison(content) || slices.Contains(*trial, content):
+		case len(*trial) == 0 && d.mayTry(content, contents):
+			due = append(due, content)
 		default:
 			return content, true
 		}
 	}
-	if due != 0 {
-		*trial = due
-		d.recordTrial(due)
+	for _, part := range due {
+		d.recordTrial(part)
 	}
+	*trial = append(*trial, due...)
 	return 0, false
 }
 
-// mayTry reports whether this host may send a request as a trial of a verdict now. The caller holds the lock.
-func (d *Detector) mayTry(content keys.Content) bool {
+// mayTry reports whether this host may send a request with some contents as a trial of the verdict on one of them now. The
+// caller holds the lock.
+func (d *Detector) mayTry(content keys.Content, contents []keys.Content) bool {
 	now := d.parts.StoreTime()
 	if !content.IsPart() || now == 0 || !d.parts.Peers.IsSettled() {
 		return false
 	}
 	order := d.parts.Peers.Order()
-	return d.table.MayTry(now, content, order.Before, order.Hosts)
+	return d.table.MayTry(now, content, contents, order.Before, order.Hosts)
 }
 
 // recordTrial records that this host sends a request as a trial, and has peers know. The caller holds the lock.
--- a/internal/front/poison/detector_test.go
+++ b/internal/front/poison/detector_test.go
@@ -220,7 +220,7 @@
 }
 
 func (h *host) isPoison(content keys.Content) bool {
-	_, isPoison := h.FindPoison([]keys.Content{content}, new(keys.Content))
+	_, isPoison := h.FindPoison([]keys.Content{content}, new([]keys.Content))
 	return isPoison
 }
 
@@ -558,7 +558,7 @@
 			d.count()
 			b.ReportAllocs()
 			for b.Loop() {
-				d.FindPoison([]keys.Content{poisonRequest}, new(keys.Content))
+				d.FindPoison([]keys.Content{poisonRequest}, new([]keys.Content))
 			}
 		})
 	}
@@ -588,10 +588,10 @@
 		begun := time.Now()
 		for n := 0; time.Since(begun) < 100*time.Second; n++ {
 			h := f.hosts[n%len(f.hosts)]
-			var trial keys.Content
+			var trial []keys.Content
 			contents := []keys.Content{keys.Content(n+1000) << 20, part}
 			if _, isPoison := h.FindPoison(contents, &trial); !isPoison {
-				c.Assert(trial, qt.Equals, part)
+				c.Assert(trial, qt.DeepEquals, []keys.Content{part})
 				trials = append(trials, time.Since(begun))
 				h.RecordBrokenCall(&Call{Contents: contents, Endpoint: fmt.Sprint("t", n), Address: fmt.Sprint("t", n), Begun: true})
 			}
@@ -655,3 +655,68 @@
 		}
 	})
 }
+
+// TestPartsThatComeTogetherAreTried guards against verdicts on several parts from the same crashes: no request was a trial of
+// all of them, so that a class was refused for ten minutes after its poison was over.
+func TestPartsThatComeTogetherAreTried(t *testing.T) {
+	tests := map[string]struct {
+		parts []string
+		// adopted is set if each part is convicted at once, as older hosts do.
+		adopted bool
+	}{
+		"one part":                      {parts: []string{"session"}},
+		"four parts":                    {parts: []string{"session", "subject", "template", "system"}},
+		"four parts, all are convicted": {parts: []string{"session", "subject", "template", "system"}, adopted: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet(c, 7)
+				var parts []keys.Content
+				for _, part := range test.parts {
+					parts = append(parts, keys.OfPart("w", part))
+				}
+				for _, h := range f.hosts {
+					h.RecordRequest([]keys.Content{1 << 40, keys.OfPart("w", "other")})
+				}
+				for n := range minPartCrashes {
+					h := f.hosts[n%len(f.hosts)]
+					contents := append([]keys.Content{keys.Content(n+1) << 20}, parts...)
+					h.RecordRequest(contents)
+					h.RecordBrokenCall(&Call{Contents: contents, Endpoint: fmt.Sprint("e", n), Address: fmt.Sprint("e", n), Begun: true})
+					time.Sleep(100 * time.Millisecond)
+				}
+				for _, part := range parts {
+					if test.adopted {
+						f.hosts[0].HandleReport(envelope.Sender{Host: "older"}, encoded(c, &Report{Verdicts: []ReportedVerdict{{Content: part, UntilMs: toMs(f.hosts[0].parts.StoreTime()) + verdictValidity.Milliseconds(), Endpoints: []keys.Endpoint{1, 2, 3, 4}}}}))
+					}
+				}
+				begun := time.Now()
+				var served []time.Duration
+				for n := 0; time.Since(begun) < 20*time.Second; n++ {
+					h := f.hosts[n%len(f.hosts)]
+					contents := append([]keys.Content{keys.Content(n+1000) << 20}, parts...)
+					h.RecordRequest(contents)
+					var trial []keys.Content
+					if _, isPoison := h.FindPoison(contents, &trial); !isPoison {
+						served = append(served, time.Since(begun))
+						if len(trial) > 0 {
+							time.Sleep(2 * time.Second)
+						}
+						h.RecordAnswer(contents, 0)
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				c.Assert(len(served) > 100, qt.IsTrue, qt.Commentf("%d requests of 20 s were sent", len(served)))
+				c.Check(served[0] < 3*time.Second, qt.IsTrue, qt.Commentf("the first after %s", served[0]))
+			})
+		})
+	}
+}
+
+func encoded(c *qt.C, message any) []byte {
+	body, err := cbor.Marshal(message)
+	c.Assert(err, qt.IsNil)
+	return body
+}
--- a/internal/front/poison/fleet_model_test.go
+++ b/internal/front/poison/fleet_model_test.go
@@ -47,8 +47,8 @@
 	begun, ends freshness.StoreTime
 	tries       int
 	guilty      bool
-	// trial is the part of which the request is a trial, or 0.
-	trial keys.Content
+	// trial are the parts of which the request is a trial.
+	trial []keys.Content
 }
 
 // modelReport is evidence of a host: an answer to, a crash under, or a trial of some contents.
@@ -181,16 +181,21 @@
 // isPoison reports whether a host refuses a request. The host may send it as a trial instead.
 func (m *fleetModel) isPoison(r *modelRun) bool {
 	table := m.tableOf(r)
-	return slices.ContainsFunc(r.contents, func(content keys.Content) bool {
-		if !table.IsPoison(content) {
-			return false
-		}
-		if r.trial == 0 && r.tries == 0 && table.MayTry(m.now, content, r.host, m.hosts) {
-			r.trial = content
-			m.report(modelReport{host: r.host, contents: []keys.Content{content}, tried: true})
+	var due []keys.Content
+	for _, content := range r.contents {
+		switch {
+		case !table.IsPoison(content) || slices.Contains(r.trial, content):
+		case len(r.trial) == 0 && r.tries == 0 && table.MayTry(m.now, content, r.contents, r.host, m.hosts):
+			due = append(due, content)
+		default:
+			return true
 		}
-		return r.trial != content
-	})
+	}
+	if len(due) > 0 {
+		r.trial = due
+		m.report(modelReport{host: r.host, contents: due, tried: true})
+	}
+	return false
 }
 
 // finish ends the requests whose time has come.
@@ -204,7 +209,7 @@
 		case r.guilty:
 			left = append(left, r)
 			crashing = append(crashing, r.endpoint)
-			if r.trial == 0 {
+			if len(r.trial) == 0 {
 				m.troubleEnd = m.now
 			}
 			m.crashes = append(m.crashes, m.now)
@@ -232,7 +237,7 @@
 		m.report(modelReport{host: r.host, contents: r.contents, crash: Crash{Endpoint: key, At: m.now, Begun: r.begun <= m.now}})
 	}
 	for _, r := range broken {
-		r.trial = 0
+		r.trial = nil
 		m.send(r)
 	}
 }
--- a/internal/front/poison/poison.go
+++ b/internal/front/poison/poison.go
@@ -58,6 +58,8 @@
 	// fails multiplies it by trialDelayGrowth: the users accept three requests with a guilty part after its verdict.
 	firstTrialDelay  = 1500 * time.Millisecond
 	trialDelayGrowth = 4
+	// apartTrialDelay is the delay for a request that lacks the part that is the likelier cause of the crashes.
+	apartTrialDelay = 250 * time.Millisecond
 	// A trial is left to one host at first, which changes each trialTurn, and to twice as many after each trialSpreadTime: of
 	// a part that few requests have, trials rarely collide. Of its turn a host uses trialTurnShare, since the hosts'
 	// views of the store's clock differ.
--- a/internal/front/poison/trials.go
+++ b/internal/front/poison/trials.go
@@ -26,14 +26,37 @@
 	return delay
 }
 
-// MayTry reports whether the host at a place in the order of hosts may send a request with a part as a trial of the verdict
-// on it.
-func (t *Table) MayTry(now freshness.StoreTime, part keys.Content, before, hosts int) bool {
+// MayTry reports whether the host at a place in the order of hosts may send a request with some contents as a trial of the
+// verdict on one of them, a part.
+func (t *Table) MayTry(now freshness.StoreTime, part keys.Content, contents []keys.Content, before, hosts int) bool {
 	verdict := t.verdicts[part]
-	due := max(verdict.provedAt(), verdict.TriedAt) + freshness.StoreTime(verdict.trialDelay())
+	delay := verdict.trialDelay()
+	if t.tellsApart(&verdict, contents) {
+		delay = min(delay, apartTrialDelay)
+	}
+	due := max(verdict.provedAt(), verdict.TriedAt) + freshness.StoreTime(delay)
 	return part.IsPart() && now >= due && isTrialTurn(now, time.Duration(now-due), part, before, hosts)
 }
 
+// tellsApart reports whether a request lacks a part that crashes convicted together with one that it has: of these, the part
+// that fewer requests have is more likely to be the poison. While few of a host's requests lack it, nothing is known.
+func (t *Table) tellsApart(verdict *Verdict, contents []keys.Content) bool {
+	for other, companion := range t.verdicts {
+		if other != verdict.Content && other.IsPart() && !slices.Contains(contents, other) && sharesCrashes(verdict, &companion) &&
+			t.recent.countWith(other) < t.recent.countWith(verdict.Content) {
+			return true
+		}
+	}
+	return false
+}
+
+// sharesCrashes reports whether all crashes that proved a verdict proved another one as well.
+func sharesCrashes(verdict, other *Verdict) bool {
+	return !slices.ContainsFunc(verdict.Endpoints[:min(len(verdict.Endpoints), minPartCrashes)], func(e keys.Endpoint) bool {
+		return !slices.Contains(other.Endpoints, e)
+	})
+}
+
 // RecordTrial records that a host has sent a request with a part as a trial.
 func (t *Table) RecordTrial(at freshness.StoreTime, part keys.Content) {
 	if verdict, ok := t.verdicts[part]; ok {
--- a/internal/front/relay/blame.go
+++ b/internal/front/relay/blame.go
@@ -8,12 +8,13 @@
 type blame struct {
 	// contents are the key of the request and those of the shared parts of its prompt, from the last one on.
 	contents []keys.Content
-	// poison is the one for which the request was refused, trial the one of whose verdict it is a trial, or 0.
-	poison, trial keys.Content
+	// poison is the one for which the request was refused, or 0. Trial are the parts of whose verdicts it is a trial.
+	poison keys.Content
+	trial  []keys.Content
 }
 
 // endTrial ends a trial: it is one attempt.
-func (b *blame) endTrial() { b.trial = 0 }
+func (b *blame) endTrial() { b.trial = nil }
 
 // isPoison reports whether the request must not be sent.
 func (x *exchange) isPoison() bool {
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -55,9 +55,9 @@
 type Poison interface {
 	// RecordRequest is called with the contents of each request.
 	RecordRequest(contents []keys.Content)
-	// FindPoison returns the first of the contents of a request that must not be sent, and whether there is one. Trial is the
-	// one of which the request is a trial, or 0; it is set if the request becomes one.
-	FindPoison(contents []keys.Content, trial *keys.Content) (keys.Content, bool)
+	// FindPoison returns the first of the contents of a request that must not be sent, and whether there is one. Trial holds
+	// the parts of which the request is a trial; it is set if the request becomes one.
+	FindPoison(contents []keys.Content, trial *[]keys.Content) (keys.Content, bool)
 	// RecordBrokenCall is called when an endpoint has broken a call.
 	RecordBrokenCall(call *poison.Call)
 	// RecordAnswer is called when an endpoint with a software version has sent a complete answer to a request with some
