--- a/internal/front/origin/registry.go
+++ b/internal/front/origin/registry.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -71,6 +72,8 @@
 	// shared holds the services whose new records are sent to peers.
 	shared  map[keys.Service]bool
 	saver   saverState
+	// knownSavers are the hosts that save records.
+	knownSavers atomic.Pointer[savers]
 	history history
 }
 
@@ -137,12 +140,12 @@
 		return
 	}
 	batches := make(map[string][]SentRecord)
-	self, savers := r.parts.Peers.Senders()[0].Host, r.savers()
+	savers := r.savers()
 	for i := range records {
 		stream := records[i].Stream
-		saver := saverOf(savers, stream)
+		saver := savers.of(stream)
 		hosts := r.holders(stream, holderCount)
-		if saver == self {
+		if saver == savers.self.Host {
 			r.markUnsaved(stream)
 		} else if !slices.Contains(hosts, saver) {
 			hosts = append(hosts, saver)
@@ -274,12 +277,12 @@
 		return
 	}
 	now := r.parts.Clock()
-	self, savers := r.parts.Peers.Senders()[0].Host, r.savers()
+	savers := r.savers()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range message.Records {
 		r.table.Add(now, message.Records[i].record(now), false)
-		if stream := message.Records[i].Stream; saverOf(savers, stream) == self {
+		if stream := message.Records[i].Stream; savers.of(stream) == savers.self.Host {
 			r.saver.unsaved[stream] = true
 		}
 	}
--- a/internal/front/origin/restart.go
+++ b/internal/front/origin/restart.go
@@ -78,7 +78,7 @@
 	}
 }
 
-// loadHistory reads the store, once. Callers that come meanwhile wait for the result.
+// loadHistory reads the store, once. Callers that come while it is read wait for the result.
 func (r *Registry) loadHistory(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/internal/front/origin/restart_test.go
+++ b/internal/front/origin/restart_test.go
@@ -120,9 +120,9 @@
 }
 
 func (m *restartModel) save() {
-	for _, saver := range m.randomHost().registry.savers() {
+	for _, saver := range m.randomHost().registry.savers().hosts {
 		r := m.hosts[saver.Host].registry
-		r.save(context.Background(), r.isFirstSaver())
+		r.save(context.Background(), r.savers().isFirst())
 	}
 }
 
--- a/internal/front/origin/saved.go
+++ b/internal/front/origin/saved.go
@@ -35,7 +35,7 @@
 
 // Saved is what is stored.
 type Saved struct {
-	// Versions are those at which streams may have begun lately.
+	// Versions are those at which streams may have begun recently.
 	Versions []ServiceVersion
 	Batches  []Batch
 }
--- a/internal/front/origin/saver.go
+++ b/internal/front/origin/saver.go
@@ -22,6 +22,8 @@
 // refused.
 
 const (
+	// saversTime is how long the hosts that save records are remembered.
+	saversTime = 250 * time.Millisecond
 	// saveInterval is the time between two looks at what is to be saved.
 	saveInterval = 500 * time.Millisecond
 	// hostsPerSaver is the number of hosts whose records one host saves.
@@ -63,21 +65,37 @@
 	}
 }
 
-// savers returns the hosts that save records, the first ones in order.
-func (r *Registry) savers() []envelope.Sender {
-	hosts := r.parts.Peers.Senders()
-	return coordinator.First(hosts, saverMatter, 1+len(hosts)/hostsPerSaver)
+// savers are the hosts that save records, the first ones in order.
+type savers struct {
+	self  envelope.Sender
+	hosts []envelope.Sender
+	// findAt is when they are to be found again.
+	findAt time.Time
 }
 
-// saverOf returns the name of the host that saves the record of a stream.
-func saverOf(savers []envelope.Sender, stream keys.Stream) string {
-	return savers[uint64(stream)%uint64(len(savers))].Host
+// savers returns the hosts that save records.
+func (r *Registry) savers() *savers {
+	now := r.parts.Clock()
+	if known := r.knownSavers.Load(); known != nil && now.Before(known.findAt) {
+		return known
+	}
+	hosts := r.parts.Peers.Senders()
+	found := &savers{self: hosts[0], hosts: coordinator.First(hosts, saverMatter, 1+len(hosts)/hostsPerSaver), findAt: now.Add(saversTime)}
+	r.knownSavers.Store(found)
+	return found
 }
 
-func (r *Registry) isSaverOf(stream keys.Stream) bool {
-	return saverOf(r.savers(), stream) == r.parts.Peers.Senders()[0].Host
+// of returns the name of the host that saves the record of a stream.
+func (s *savers) of(stream keys.Stream) string {
+	return s.hosts[uint64(stream)%uint64(len(s.hosts))].Host
 }
 
+// isFirst reports whether this host is the first of them, which stores the versions.
+func (s *savers) isFirst() bool { return s.hosts[0].Host == s.self.Host }
+
+// includesSelf reports whether this host is one of them.
+func (s *savers) includesSelf() bool { return slices.Contains(s.hosts, s.self) }
+
 // Declare stores versions before this host uses their first endpoints, if it has seen others of their services. It blocks
 // until they are stored, for declareTimeout at most; after that the host goes on trying. Versions of services that it has
 // not seen before are stored by a saver.
@@ -112,7 +130,7 @@
 // runSaver saves what is due until ctx ends.
 func (r *Registry) runSaver(ctx context.Context) {
 	for lifetime.Sleep(ctx, saveInterval) {
-		r.save(ctx, r.isFirstSaver() && r.parts.Peers.IsSettled())
+		r.save(ctx, r.savers().isFirst() && r.parts.Peers.IsSettled())
 	}
 }
 
@@ -120,7 +138,7 @@
 func (r *Registry) Flush() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
 	defer cancel()
-	r.save(ctx, r.isFirstSaver())
+	r.save(ctx, r.savers().isFirst())
 }
 
 // save saves what is due. What fails is tried again the next time. IsFirst is set if this host stores the versions.
@@ -156,23 +174,12 @@
 	}
 	r.saver = newSaverState(newest)
 	for stream := range r.table.records {
-		if r.isSaverOf(stream) {
+		if r.savers().of(stream) == r.savers().self.Host {
 			r.saver.unsaved[stream] = true
 		}
 	}
 }
 
-// isFirstSaver reports whether this host is the first of those that save records.
-func (r *Registry) isFirstSaver() bool {
-	return r.savers()[0].Host == r.parts.Peers.Senders()[0].Host
-}
-
-// isSaver reports whether this host saves records.
-func (r *Registry) isSaver() bool {
-	self := r.parts.Peers.Senders()[0].Host
-	return slices.ContainsFunc(r.savers(), func(s envelope.Sender) bool { return s.Host == self })
-}
-
 // nextChange returns what is due to be saved.
 func (r *Registry) nextChange(isFirst bool) Change {
 	now, storeTime := r.parts.Clock(), r.parts.StoreTime()
@@ -191,7 +198,7 @@
 			}
 		}
 	}
-	if storeTime == 0 || !r.isSaver() {
+	if storeTime == 0 || !r.savers().includesSelf() {
 		return change
 	}
 	change.Batches = r.unsavedBatches(now, storeTime)
@@ -218,7 +225,7 @@
 		records = append(records, SavedRecord{Stream: stream, Service: record.Service, Version: record.Version, Until: storeTime + freshness.StoreTime(record.Until.Sub(now))})
 	}
 	var batches []Batch
-	host := r.parts.Peers.Senders()[0]
+	host := r.savers().self
 	for part := range slices.Chunk(records, maxSavedRecords) {
 		id := fmt.Sprintf("%s-%08x-%d", host.Host, host.Incarnation, r.saver.saved+len(batches))
 		batches = append(batches, Batch{ID: id, Records: part})
--- a/internal/front/poison/trials.go
+++ b/internal/front/poison/trials.go
@@ -31,16 +31,16 @@
 func (t *Table) MayTry(now freshness.StoreTime, part keys.Content, contents []keys.Content, before, hosts int) bool {
 	verdict := t.verdicts[part]
 	delay := verdict.trialDelay()
-	if t.tellsApart(&verdict, contents) {
+	if t.lacksLikelierPart(&verdict, contents) {
 		delay = min(delay, apartTrialDelay)
 	}
 	due := max(verdict.provedAt(), verdict.TriedAt) + freshness.StoreTime(delay)
 	return part.IsPart() && now >= due && isTrialTurn(now, time.Duration(now-due), part, before, hosts)
 }
 
-// tellsApart reports whether a request lacks a part that crashes convicted together with one that it has: of these, the part
+// lacksLikelierPart reports whether a request lacks a part that crashes convicted together with one that it has: of these, the part
 // that fewer requests have is more likely to be the poison. While few of a host's requests lack it, nothing is known.
-func (t *Table) tellsApart(verdict *Verdict, contents []keys.Content) bool {
+func (t *Table) lacksLikelierPart(verdict *Verdict, contents []keys.Content) bool {
 	for other, companion := range t.verdicts {
 		if other != verdict.Content && other.IsPart() && !slices.Contains(contents, other) && sharesCrashes(verdict, &companion) &&
 			t.recent.countWith(other) < t.recent.countWith(verdict.Content) {
--- a/internal/front/precedence/precedence.go
+++ b/internal/front/precedence/precedence.go
@@ -1,6 +1,6 @@
 // Package precedence keeps the order of request classes over all hosts of oxbowslip-front: while hosts refuse requests of a
 // class for lack of capacity, all hosts hold back requests of less urgent classes. The callers of the refused requests are
-// told when to return, and other hosts would give the capacity away meanwhile.
+// told when to return, and other hosts would give the capacity away before that.
 //
 // It owns the counts of the requests that were asked for and refused, by service and urgency, of all hosts as far as this
 // host knows. Table holds the counts and the rule: it does no I/O and takes the time as a parameter. Exchange adds the lock,
--- a/internal/owner/successor.go
+++ b/internal/owner/successor.go
@@ -23,7 +23,7 @@
 	errNotConnected = merry.Sentinel("the granted endpoint can't be connected to")
 )
 
-// maxSuccessorWait bounds the wait for the endpoint of a successor, whose retry is counted meanwhile.
+// maxSuccessorWait bounds the wait for the endpoint of a successor, whose retry is counted during the wait.
 const maxSuccessorWait = 500 * time.Millisecond
 
 // Successor is the next try of a request whose attempt goes on. The retry is counted, the endpoint granted and the
