--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -368,7 +368,7 @@
 	now, random := p.parts.Clock(), p.parts.Random()
 	after := retryAfter(now, reason, choice, random)
 	if reason == admission.ReasonTooLate {
-		after = p.lateRetryAfter(now, service, request, random)
+		after = max(p.lateRetryAfter(now, service, request, random), choice.AvailableAt.Sub(now))
 	}
 	return admission.Decision{
 		Kind: admission.Refuse, ID: request.ID, Reason: reason, RetryAfter: after, Figures: admission.Figures{
