--- a/internal/front/origin/registry.go
+++ b/internal/front/origin/registry.go
@@ -70,11 +70,11 @@
 	mu    sync.Mutex
 	table *Table
 	// shared holds the services whose new records are sent to peers.
-	shared  map[keys.Service]bool
-	saver   saverState
+	shared map[keys.Service]bool
+	saver  saverState
 	// knownSavers are the hosts that save records.
 	knownSavers atomic.Pointer[savers]
-	history history
+	history     history
 }
 
 // peerReply is a reply and the host that sent it.
