origin: records that expire unsaved are forgotten

A host that saved records and no longer does, or whose store is away, kept the keys of expired ones. By reading; TestUnsavedRecordsAreBounded.

--- a/internal/front/origin/registry.go
+++ b/internal/front/origin/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -337,6 +338,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.table.Expire(r.parts.Clock())
+	maps.DeleteFunc(r.saver.unsaved, func(stream keys.Stream, _ bool) bool { return !r.table.has(stream) })
 }
 
 // Run observes the versions of all services, and saves what must outlast the end of all hosts, until done is closed.
--- a/internal/front/origin/restart_test.go
+++ b/internal/front/origin/restart_test.go
@@ -196,6 +196,24 @@
 	}
 }
 
+// TestUnsavedRecordsAreBounded has a host that saves records receive them while the store is away.
+func TestUnsavedRecordsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork(1)
+		r := n.hosts["host-0"].registry
+		n.see("v1", "v2")
+		n.store.isAway = true
+		for stream := range keys.Stream(100) {
+			r.Begin(stream, service, keys.OfVersion("v1"), time.Second)
+		}
+		r.save(context.Background(), false)
+		qt.Check(t, len(r.saver.unsaved), qt.Equals, 100)
+		time.Sleep(returnTime + 2*time.Second)
+		r.Expire()
+		qt.Check(t, len(r.saver.unsaved), qt.Equals, 0)
+	})
+}
+
 // TestOneVersionIsStoredOnce counts the calls of the store while one version runs.
 func TestOneVersionIsStoredOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
