--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -409,9 +409,17 @@
 	}
 }
 
+// isGoneFrom returns the function that reports whether a directory has no entry of an endpoint.
+func isGoneFrom(d *directory.Directory) func(endpoint string) bool {
+	return func(endpoint string) bool {
+		_, isKnown := d.Lookup(endpoint)
+		return !isKnown
+	}
+}
+
 func newPoisonDetector(p poisonDetectorParts) *poison.Detector {
 	detector := poison.New(poison.Parts{
-		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, Version: p.Directory.VersionOfKey, StoreTime: storeTimeOf(p.Freshness, p.Clock), Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random, CountRefused: p.Counters.CountPeerRefused,
+		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, Version: p.Directory.VersionOfKey, IsGone: isGoneFrom(p.Directory), StoreTime: storeTimeOf(p.Freshness, p.Clock), Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random, CountRefused: p.Counters.CountPeerRefused,
 	})
 	p.Gossip.Handle(envelope.KindPoison, detector.HandleReport)
 	p.Gossip.Handle(envelope.KindPoisonTrials, detector.HandleTrials)
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -51,6 +51,8 @@
 	Store  Store
 	// Version returns the software version of an endpoint, or 0 if the endpoint is not known.
 	Version func(endpoint keys.Endpoint) keys.Version
+	// IsGone reports whether the directory no longer has an endpoint.
+	IsGone func(endpoint string) bool
 	// StoreTime returns the time of the store's clock, or 0 while this host does not know it.
 	StoreTime func() freshness.StoreTime
 	// Era returns the newest known era of the store.
@@ -85,6 +87,8 @@
 	reportWake chan struct{}
 	storeWake  chan struct{}
 	judgeWake  chan struct{}
+	// ended is closed when Run ends.
+	ended chan struct{}
 
 	mu     sync.Mutex
 	table  *Table
@@ -99,7 +103,7 @@
 
 // New returns a detector without evidence.
 func New(parts Parts) *Detector {
-	return &Detector{parts: parts, reportWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), judgeWake: make(chan struct{}, 1), table: NewTable(), probes: make(map[string]*probe)}
+	return &Detector{parts: parts, reportWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), judgeWake: make(chan struct{}, 1), ended: make(chan struct{}), table: NewTable(), probes: make(map[string]*probe)}
 }
 
 // RecordRequest is called with the contents of each request that arrives.
@@ -416,6 +420,7 @@
 func (d *Detector) Run(done <-chan struct{}) {
 	ctx, cancel := lifetime.Context(done)
 	defer cancel()
+	defer close(d.ended)
 	var syncing sync.WaitGroup
 	defer syncing.Wait()
 	syncing.Go(func() { d.syncStore(ctx) })
--- a/internal/front/poison/detector_test.go
+++ b/internal/front/poison/detector_test.go
@@ -34,6 +34,8 @@
 	hosts []*host
 	// listening are the addresses at which an endpoint listens, unresponsive those for which a probe fails.
 	listening, unresponsive map[string]bool
+	// gone are the endpoints without an entry.
+	gone map[string]bool
 	// loss is the share of datagrams that are lost.
 	loss   float64
 	random *rand.Rand
@@ -62,7 +64,7 @@
 
 func newFleet(c *qt.C, hosts int) *fleet {
 	f := &fleet{
-		c: c, start: time.Now(), listening: make(map[string]bool), unresponsive: make(map[string]bool),
+		c: c, start: time.Now(), listening: make(map[string]bool), unresponsive: make(map[string]bool), gone: make(map[string]bool),
 		random: rand.New(rand.NewPCG(42, 0)), stored: make(map[keys.Content]Verdict),
 	}
 	for range hosts {
@@ -81,7 +83,7 @@
 	log.SetOutput(io.Discard)
 	h := &host{fleet: f, done: make(chan struct{})}
 	h.Detector = New(Parts{
-		Peers: h, Prober: f, Store: f, Version: func(keys.Endpoint) keys.Version { return 0 }, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) }, Era: f.newestEra,
+		Peers: h, Prober: f, Store: f, Version: func(keys.Endpoint) keys.Version { return 0 }, IsGone: f.isGone, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) }, Era: f.newestEra,
 		Log: logrus.NewEntry(log), Clock: time.Now, Random: f.randomNumber, CountRefused: h.countRefused,
 	})
 	f.mu.Lock()
@@ -182,6 +184,13 @@
 	return !f.listening[address], nil
 }
 
+// isGone reports whether an endpoint has no entry.
+func (f *fleet) isGone(endpoint string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.gone[endpoint]
+}
+
 var errStoreDown = errors.New("the store is down")
 
 // Verdicts and WriteVerdicts implement Store for all hosts.
@@ -352,6 +361,51 @@
 	}
 }
 
+// TestCrashIsProvedByRemovalOfEntry guards against crashes that don't count since no peer knows the endpoint any longer, so
+// that none can confirm that its machine refuses connections.
+func TestCrashIsProvedByRemovalOfEntry(t *testing.T) {
+	tests := map[string]struct {
+		goneAfter   time.Duration
+		isListening bool
+		counts      bool
+	}{
+		"the entry has gone":                   {counts: true},
+		"the entry goes later":                 {goneAfter: 3 * time.Second, counts: true},
+		"the entry goes, the endpoint goes on": {goneAfter: 3 * time.Second, isListening: true},
+		"the entry goes much later":            {goneAfter: 2 * removalWait},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(qt.New(t), 3)
+				endpoints := []string{"e0", "e1", "e2"}
+				f.mu.Lock()
+				for _, endpoint := range endpoints {
+					f.unresponsive[endpoint], f.gone[endpoint] = true, test.goneAfter == 0
+				}
+				f.mu.Unlock()
+				for n, endpoint := range endpoints {
+					f.breakCall(f.hosts[n], poisonRequest, endpoint)
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(test.goneAfter)
+				f.mu.Lock()
+				for _, endpoint := range endpoints {
+					f.unresponsive[endpoint], f.listening[endpoint], f.gone[endpoint] = !test.isListening, test.isListening, true
+				}
+				f.mu.Unlock()
+				time.Sleep(reportTime)
+				aware, _ := f.countAware(poisonRequest)
+				f.c.Check(aware > 0, qt.Equals, test.counts)
+				if test.counts {
+					f.checkAllAware(poisonRequest)
+				}
+				time.Sleep(removalWait)
+			})
+		})
+	}
+}
+
 // TestOutdatedProbeIsRepeated has endpoints break a call of another request, be found running, and then crash with
 // the poison request. The result of the first probe must not be used for the second call.
 func TestOutdatedProbeIsRepeated(t *testing.T) {
--- a/internal/front/poison/rules.go
+++ b/internal/front/poison/rules.go
@@ -9,6 +9,10 @@
 	// probeValidity is how long the crash of an endpoint is taken as the cause of other calls that it broke. Calls
 	// that were running when it crashed break within milliseconds.
 	probeValidity = time.Second
+	// removalWait is how long the entry of an endpoint may remain after its end: three missed heartbeats and the time until
+	// hosts hear of it. removalCheckInterval is the time between two looks.
+	removalWait          = 5 * time.Second
+	removalCheckInterval = 50 * time.Millisecond
 )
 
 const (
