--- a/internal/front/directory/directory.go
+++ b/internal/front/directory/directory.go
@@ -257,6 +257,18 @@
 	return entry.Endpoint, true
 }
 
+// HasAddress reports whether an endpoint has an address.
+func (d *Directory) HasAddress(address string) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, entry := range d.entries {
+		if entry.Endpoint.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Serving returns the endpoints of a service that accept new work, sorted by ID. The list is shared and must not be
 // modified; each change of the directory creates a new one.
 func (d *Directory) Serving(service string) []*Entry {
--- a/internal/front/envelope/envelope.go
+++ b/internal/front/envelope/envelope.go
@@ -63,6 +63,13 @@
 	KindFleetSize Kind = 26
 	// KindClassCounts reports the requests of classes that hosts refuse for lack of capacity.
 	KindClassCounts Kind = 27
+	// KindCopyAsk asks for the right to send a copy of a request that has crashed endpoints, KindCopyReply answers, and
+	// KindCopyReturn returns the right.
+	KindCopyAsk    Kind = 28
+	KindCopyReply  Kind = 29
+	KindCopyReturn Kind = 30
+	// KindPoisonEnds lists ends of endpoints under requests that are no evidence for a verdict.
+	KindPoisonEnds Kind = 31
 )
 
 // Sender identifies the host that sent a message.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -24,6 +24,7 @@
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/front/capacity"
+	"oxbowslip.dev/oxbowslip/internal/front/copies"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/follow"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
@@ -155,6 +156,7 @@
 	Relay      *relay.Server
 	Followers  *followers
 	Poison     *poison.Detector
+	Copies     *copies.Gate
 	Signals    *pushback.Tracker
 	Rests      *pushback.Rests
 	Rejections *pushback.Rejections
@@ -241,6 +243,7 @@
 	h.parts.Brittle.Expire()
 	h.parts.Limiter.Expire()
 	h.parts.Origins.Expire()
+	h.parts.Copies.Expire()
 	h.parts.Silence.Expire()
 	h.parts.Retries.Update()
 	if h.parts.Shares != nil {
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -17,6 +17,7 @@
 	"oxbowslip.dev/oxbowslip/internal/clock"
 	"oxbowslip.dev/oxbowslip/internal/counters"
 	"oxbowslip.dev/oxbowslip/internal/explain"
+	"oxbowslip.dev/oxbowslip/internal/front/copies"
 	"oxbowslip.dev/oxbowslip/internal/front/directory"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
@@ -70,6 +71,7 @@
 			newRetryBudget,
 			newOwner,
 			newPoisonDetector,
+			newCopies,
 			newPushbackTracker,
 			pushback.NewRests,
 			pushback.NewRejections,
@@ -409,23 +411,37 @@
 	}
 }
 
-// isGoneFrom returns the function that reports whether a directory has no entry of an endpoint.
-func isGoneFrom(d *directory.Directory) func(endpoint string) bool {
-	return func(endpoint string) bool {
-		_, isKnown := d.Lookup(endpoint)
-		return !isKnown
+// presenceIn returns the function that reports what a directory has of an endpoint at an address.
+func presenceIn(d *directory.Directory) func(endpoint, address string) poison.Presence {
+	return func(endpoint, address string) poison.Presence {
+		if _, isKnown := d.Lookup(endpoint); isKnown {
+			return poison.Listed
+		}
+		if d.HasAddress(address) {
+			return poison.Replaced
+		}
+		return poison.Gone
 	}
 }
 
 func newPoisonDetector(p poisonDetectorParts) *poison.Detector {
 	detector := poison.New(poison.Parts{
-		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, Version: p.Directory.VersionOfKey, IsGone: isGoneFrom(p.Directory), StoreTime: storeTimeOf(p.Freshness, p.Clock), Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random, CountRefused: p.Counters.CountPeerRefused,
+		Peers: p.Gossip, Prober: p.Client, Store: p.Deployment.Poison, Version: p.Directory.VersionOfKey, Presence: presenceIn(p.Directory), StoreTime: storeTimeOf(p.Freshness, p.Clock), Era: p.Freshness.Era, Log: logging.Part(p.Log, "poison"), Clock: p.Clock, Random: p.Random, CountRefused: p.Counters.CountPeerRefused,
 	})
 	p.Gossip.Handle(envelope.KindPoison, detector.HandleReport)
 	p.Gossip.Handle(envelope.KindPoisonTrials, detector.HandleTrials)
+	p.Gossip.Handle(envelope.KindPoisonEnds, detector.HandleEnds)
 	return detector
 }
 
+func newCopies(detector *poison.Detector, g *gossip.Gossip, c *counters.Counters, log *logrus.Logger, now func() time.Time, random func() float64) *copies.Gate {
+	gate := copies.New(copies.Parts{Evidence: detector, Peers: g, CountRefused: c.CountPeerRefused, Log: logging.Part(log, "poison"), Clock: now, Random: random})
+	g.Handle(envelope.KindCopyAsk, gate.HandleAsk)
+	g.Handle(envelope.KindCopyReply, gate.HandleReply)
+	g.Handle(envelope.KindCopyReturn, gate.HandleReturn)
+	return gate
+}
+
 // pushbackTrackerParts are the dependencies of the tracker of pushback.
 type pushbackTrackerParts struct {
 	fx.In
@@ -642,6 +658,7 @@
 	Placer     *placement.Placer
 	Meter      *usage.Meter
 	Poison     *poison.Detector
+	Copies     *copies.Gate
 	Signals    *pushback.Tracker
 	Origins    *origin.Registry
 	Silence    *silence.Tracker
@@ -654,7 +671,7 @@
 
 func newRelay(p relayParts) *relay.Server {
 	return relay.New(relay.Parts{
-		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Freshness: p.Freshness, Owner: p.Owner, Client: p.Client, Health: p.Placer, Meter: p.Meter, Poison: p.Poison, Signals: p.Signals,
+		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Freshness: p.Freshness, Owner: p.Owner, Client: p.Client, Health: p.Placer, Meter: p.Meter, Poison: p.Poison, Copies: p.Copies, Signals: p.Signals,
 		Origins: p.Origins, Silence: p.Silence, SoftwareVersion: p.Directory.SoftwareVersion,
 		Dialect: p.Deployment.Dialect, Counters: p.Counters, Log: logging.Part(p.Log, "request"), Clock: p.Steady, Random: p.Random,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout},
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -25,8 +25,10 @@
 	Hosts() int
 	// Order returns the place of this host in the order of hosts.
 	Order() gossip.Order
-	// IsSettled reports whether this host knows its peers.
+	// IsSettled reports whether this host knows its peers. Before that, MustReadFirst reports whether it is among the hosts
+	// that read the store first.
 	IsSettled() bool
+	MustReadFirst() bool
 }
 
 // Prober finds out whether endpoints are still running.
@@ -51,8 +53,8 @@
 	Store  Store
 	// Version returns the software version of an endpoint, or 0 if the endpoint is not known.
 	Version func(endpoint keys.Endpoint) keys.Version
-	// IsGone reports whether the directory no longer has an endpoint.
-	IsGone func(endpoint string) bool
+	// Presence returns whether the directory has an endpoint, or another one at its address.
+	Presence func(endpoint, address string) Presence
 	// StoreTime returns the time of the store's clock, or 0 while this host does not know it.
 	StoreTime func() freshness.StoreTime
 	// Era returns the newest known era of the store.
@@ -75,6 +77,18 @@
 	// Begun and Version have the meaning of those of Crash.
 	Begun   bool
 	Version keys.Version
+	// Judged is called once it is known whether the endpoint has crashed, and counted, or if that can't be found out; nil if
+	// nobody waits for that.
+	Judged func()
+	// isLost is set if the call was given up at a silent endpoint.
+	isLost bool
+}
+
+// judged calls Judged.
+func (c *Call) judged() {
+	if c.Judged != nil {
+		c.Judged()
+	}
 }
 
 // Detector decides for one host which contents are poison. It is safe for concurrent use; none of the methods that
@@ -87,13 +101,15 @@
 	reportWake chan struct{}
 	storeWake  chan struct{}
 	judgeWake  chan struct{}
-	// ended is closed when Run ends.
-	ended chan struct{}
+	// removalWake has watchRemovals run.
+	removalWake chan struct{}
 
 	mu     sync.Mutex
 	table  *Table
 	probes map[string]*probe
-	outbox outbox
+	// unsettled are the calls of which it is not known whether their endpoint has crashed, by endpoint.
+	unsettled map[string]*unsettled
+	outbox    outbox
 	// sawCrash is set once an endpoint has crashed while it had a request of this host.
 	sawCrash bool
 	// unsaved are verdicts that are still to be written to the store, outdated are those to be removed from it.
@@ -103,7 +119,7 @@
 
 // New returns a detector without evidence.
 func New(parts Parts) *Detector {
-	return &Detector{parts: parts, reportWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), judgeWake: make(chan struct{}, 1), ended: make(chan struct{}), table: NewTable(), probes: make(map[string]*probe)}
+	return &Detector{parts: parts, reportWake: make(chan struct{}, 1), storeWake: make(chan struct{}, 1), judgeWake: make(chan struct{}, 1), removalWake: make(chan struct{}, 1), table: NewTable(), probes: make(map[string]*probe), unsettled: make(map[string]*unsettled)}
 }
 
 // RecordRequest is called with the contents of each request that arrives.
@@ -128,7 +144,7 @@
 	for _, content := range contents {
 		switch {
 		case !d.table.IsPoison(content) || slices.Contains(*trial, content):
-		case len(*trial) == 0 && d.mayTry(content, contents):
+		case len(*trial) == 0 && !d.hasEnds(contents) && d.mayTry(content, contents):
 			due = append(due, content)
 		default:
 			return content, true
@@ -141,6 +157,23 @@
 	return 0, false
 }
 
+// hasEnds reports whether endpoints have ended under a request with some contents. Such a request is no trial of a verdict on
+// a part, since its own crash would tell nothing. The caller holds the lock.
+func (d *Detector) hasEnds(contents []keys.Content) bool {
+	_, isLimited := d.table.CopyWait(0, contents[0])
+	return isLimited
+}
+
+// CopyWait reports whether copies of a request are sent one at a time, and the time until the next one may be sent.
+func (d *Detector) CopyWait(request keys.Content) (wait time.Duration, isLimited bool) {
+	if d.size.Load() == 0 {
+		return 0, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table.CopyWait(d.parts.StoreTime(), request)
+}
+
 // mayTry reports whether this host may send a request with some contents as a trial of the verdict on one of them now. The
 // caller holds the lock.
 func (d *Detector) mayTry(content keys.Content, contents []keys.Content) bool {
@@ -178,6 +211,7 @@
 // clear removes the evidence and the verdict on some contents that a software version has answered, or all versions if it
 // is 0, and reports whether there was any. The caller holds the lock.
 func (d *Detector) clear(content keys.Content, version keys.Version) bool {
+	d.table.answerInterval = answerIntervalOf(d.parts.Peers.Hosts())
 	wasSuspect, hadVerdict := d.table.RecordAnswer(d.parts.StoreTime(), content, version)
 	if hadVerdict {
 		d.parts.Log.WithFields(keyFields(content)).Info("request answered or lifted by an operator; its verdict is removed")
@@ -189,6 +223,15 @@
 // RecordBrokenCall is called when an endpoint broke a call. A probe in the background finds out whether the endpoint
 // has crashed.
 func (d *Detector) RecordBrokenCall(call *Call) {
+	if d.awaitProbe(call) {
+		return
+	}
+	call.judged()
+}
+
+// awaitProbe adds a call to those that wait for the probe of its endpoint, and starts a probe if there is none. If there is a
+// result, it records the crash, if it is one, and returns false.
+func (d *Detector) awaitProbe(call *Call) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p, ok := d.probes[call.Endpoint]
@@ -199,11 +242,12 @@
 	}
 	if !p.done {
 		p.waiting = append(p.waiting, *call)
-		return
+		return true
 	}
 	if p.exited {
 		d.recordCrash(call)
 	}
+	return false
 }
 
 // recordCrash records that an endpoint has crashed while it had a call. The caller holds the lock.
@@ -221,6 +265,9 @@
 			d.outbox.addVerdict(verdict)
 		}
 	}
+	if suspicion, ok := d.table.suspicion(call.Contents[0]); ok {
+		d.unsaved = append(d.unsaved, suspicion)
+	}
 	d.sawCrash = true
 	lifetime.Wake(d.storeWake)
 	d.judge()
@@ -389,7 +436,9 @@
 }
 
 // count sets size. The caller holds the lock.
-func (d *Detector) count() { d.size.Store(int64(d.table.SuspectCount() + len(d.table.verdicts))) }
+func (d *Detector) count() {
+	d.size.Store(int64(d.table.SuspectCount() + len(d.table.tallies) + len(d.table.verdicts)))
+}
 
 // Lift clears contents at all hosts at an operator's request, and reports whether there was a verdict on them.
 func (d *Detector) Lift(content keys.Content) bool {
@@ -399,6 +448,7 @@
 		return false
 	}
 	d.clear(content, 0)
+	delete(d.table.tallies, content)
 	d.queueAnswered(content)
 	return true
 }
@@ -420,11 +470,11 @@
 func (d *Detector) Run(done <-chan struct{}) {
 	ctx, cancel := lifetime.Context(done)
 	defer cancel()
-	defer close(d.ended)
 	var syncing sync.WaitGroup
 	defer syncing.Wait()
 	syncing.Go(func() { d.syncStore(ctx) })
 	syncing.Go(func() { d.judgeAgain(ctx) })
+	syncing.Go(func() { d.watchRemovals(ctx) })
 	announce := time.NewTicker(announceInterval)
 	defer announce.Stop()
 	for {
--- a/internal/front/poison/detector_test.go
+++ b/internal/front/poison/detector_test.go
@@ -35,7 +35,7 @@
 	// listening are the addresses at which an endpoint listens, unresponsive those for which a probe fails.
 	listening, unresponsive map[string]bool
 	// gone are the endpoints without an entry.
-	gone map[string]bool
+	gone map[string]Presence
 	// loss is the share of datagrams that are lost.
 	loss   float64
 	random *rand.Rand
@@ -64,7 +64,7 @@
 
 func newFleet(c *qt.C, hosts int) *fleet {
 	f := &fleet{
-		c: c, start: time.Now(), listening: make(map[string]bool), unresponsive: make(map[string]bool), gone: make(map[string]bool),
+		c: c, start: time.Now(), listening: make(map[string]bool), unresponsive: make(map[string]bool), gone: make(map[string]Presence),
 		random: rand.New(rand.NewPCG(42, 0)), stored: make(map[keys.Content]Verdict),
 	}
 	for range hosts {
@@ -83,7 +83,7 @@
 	log.SetOutput(io.Discard)
 	h := &host{fleet: f, done: make(chan struct{})}
 	h.Detector = New(Parts{
-		Peers: h, Prober: f, Store: f, Version: func(keys.Endpoint) keys.Version { return 0 }, IsGone: f.isGone, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) }, Era: f.newestEra,
+		Peers: h, Prober: f, Store: f, Version: func(keys.Endpoint) keys.Version { return 0 }, Presence: f.presence, StoreTime: func() freshness.StoreTime { return freshness.StoreTime(time.Since(f.start)) }, Era: f.newestEra,
 		Log: logrus.NewEntry(log), Clock: time.Now, Random: f.randomNumber, CountRefused: h.countRefused,
 	})
 	f.mu.Lock()
@@ -158,9 +158,14 @@
 	}
 }
 
-// Hosts, Order and IsSettled describe a fleet in which every host knows all others.
+// Hosts and IsSettled describe a fleet in which every host knows all others.
 func (h *host) Hosts() int      { return h.Order().Hosts }
 func (h *host) IsSettled() bool { return true }
+
+// MustReadFirst implements Peers: no host reads the store before it is settled.
+func (h *host) MustReadFirst() bool { return false }
+
+// Order describes a fleet in which every host knows all others.
 func (h *host) Order() gossip.Order {
 	f := h.fleet
 	f.mu.Lock()
@@ -184,8 +189,8 @@
 	return !f.listening[address], nil
 }
 
-// isGone reports whether an endpoint has no entry.
-func (f *fleet) isGone(endpoint string) bool {
+// presence returns the presence of an endpoint.
+func (f *fleet) presence(endpoint, _ string) Presence {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.gone[endpoint]
@@ -365,14 +370,19 @@
 // that none can confirm that its machine refuses connections.
 func TestCrashIsProvedByRemovalOfEntry(t *testing.T) {
 	tests := map[string]struct {
-		goneAfter   time.Duration
-		isListening bool
-		counts      bool
+		goneAfter time.Duration
+		presence  Presence
+		// isListening is set if the address can be connected to after the break, isSilent if the calls don't break.
+		isListening, isSilent bool
+		counts                bool
 	}{
-		"the entry has gone":                   {counts: true},
-		"the entry goes later":                 {goneAfter: 3 * time.Second, counts: true},
-		"the entry goes, the endpoint goes on": {goneAfter: 3 * time.Second, isListening: true},
-		"the entry goes much later":            {goneAfter: 2 * removalWait},
+		"the entry has gone":                      {presence: Gone, counts: true},
+		"the entry goes later":                    {presence: Gone, goneAfter: 3 * time.Second, counts: true},
+		"the entry goes, the endpoint goes on":    {presence: Gone, goneAfter: 3 * time.Second, isListening: true},
+		"the entry goes much later":               {presence: Gone, goneAfter: 2 * removalWait},
+		"another endpoint has its address":        {presence: Replaced, goneAfter: time.Second, isListening: true, counts: true},
+		"the endpoint is silent, its entry goes":  {presence: Gone, goneAfter: time.Second, isSilent: true, isListening: true, counts: true},
+		"the endpoint is silent, its entry stays": {goneAfter: time.Second, isSilent: true, isListening: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -381,17 +391,25 @@
 				endpoints := []string{"e0", "e1", "e2"}
 				f.mu.Lock()
 				for _, endpoint := range endpoints {
-					f.unresponsive[endpoint], f.gone[endpoint] = true, test.goneAfter == 0
+					f.unresponsive[endpoint], f.listening[endpoint] = !test.isListening, test.isListening
+					if test.goneAfter == 0 {
+						f.gone[endpoint] = test.presence
+					}
 				}
 				f.mu.Unlock()
 				for n, endpoint := range endpoints {
-					f.breakCall(f.hosts[n], poisonRequest, endpoint)
+					call := &Call{Contents: []keys.Content{poisonRequest}, Endpoint: endpoint, Address: endpoint, Begun: true}
+					if test.isSilent {
+						f.hosts[n].RecordLostCall(call)
+					} else {
+						f.hosts[n].RecordBrokenCall(call)
+					}
 					time.Sleep(time.Millisecond)
 				}
 				time.Sleep(test.goneAfter)
 				f.mu.Lock()
 				for _, endpoint := range endpoints {
-					f.unresponsive[endpoint], f.listening[endpoint], f.gone[endpoint] = !test.isListening, test.isListening, true
+					f.gone[endpoint] = test.presence
 				}
 				f.mu.Unlock()
 				time.Sleep(reportTime)
--- a/internal/front/poison/messages.go
+++ b/internal/front/poison/messages.go
@@ -50,6 +50,14 @@
 	Sound []PartTime
 }
 
+// Ends lists ends of endpoints under requests, which limit the copies that are sent of these. Verdicts on others may explain
+// them, so they are no evidence for a verdict.
+type Ends struct {
+	_ struct{} `cbor:",toarray"`
+
+	Ends []ReportedCrash
+}
+
 // PartTime is a part of prompts and a time.
 type PartTime struct {
 	_ struct{} `cbor:",toarray"`
@@ -65,6 +73,10 @@
 	return freshness.StoreTime(time.Duration(ms) * time.Millisecond)
 }
 
+func reportedCrash(content keys.Content, crash Crash) ReportedCrash {
+	return ReportedCrash{Content: content, Endpoint: crash.Endpoint, AtMs: toMs(crash.At), Begun: crash.Begun}
+}
+
 func (r *ReportedCrash) crash() Crash {
 	return Crash{Endpoint: r.Endpoint, At: fromMs(r.AtMs), Begun: r.Begun}
 }
--- a/internal/front/poison/messages_test.go
+++ b/internal/front/poison/messages_test.go
@@ -22,6 +22,11 @@
 	})
 }
 
+// TestGoldenEnds pins the encoded form of ends that are no evidence.
+func TestGoldenEnds(t *testing.T) {
+	golden.Message(t, "ends", &Ends{Ends: []ReportedCrash{{Content: 1, Endpoint: 2, AtMs: 3, Begun: true}}})
+}
+
 // envelopeBytes is an upper bound on the size of the envelope around a report in its datagram.
 const envelopeBytes = 64
 
--- a/internal/front/poison/poison.go
+++ b/internal/front/poison/poison.go
@@ -109,6 +109,8 @@
 // Verdict declares contents to be poison.
 type Verdict struct {
 	Content keys.Content
+	// IsSuspicion is set if the endpoints do not prove the verdict: it only limits the copies of a request.
+	IsSuspicion bool
 	// Until is when the verdict expires, by the store's clock.
 	Until freshness.StoreTime
 	// Endpoints are the endpoints that crashed while they had the contents.
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -11,6 +11,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
 // outbox holds the items that are still to be sent in reports.
@@ -28,7 +29,7 @@
 }
 
 func (o *outbox) addCrash(content keys.Content, crash Crash) {
-	o.crashes = append(o.crashes, repeatedItem[ReportedCrash]{ReportedCrash{Content: content, Endpoint: crash.Endpoint, AtMs: toMs(crash.At), Begun: crash.Begun}, reportRepeats})
+	o.crashes = append(o.crashes, repeatedItem[ReportedCrash]{reportedCrash(content, crash), reportRepeats})
 }
 
 func (o *outbox) addAnswered(content keys.Content) {
@@ -83,15 +84,21 @@
 	}
 }
 
-// HandleJoin sends the parts that have been answered to a host that has joined, so that it doesn't take them for poison
-// after a few crashes.
+// HandleJoin sends a host that has joined the parts that have been answered, so that it doesn't take them for poison after a
+// few crashes, the ends of endpoints under requests, so that it doesn't send copies of these in parallel, and the verdicts.
 func (d *Detector) HandleJoin(joined envelope.Sender) {
 	if d.parts.Peers.Order().Before >= soundSenders {
 		return
 	}
 	d.mu.Lock()
-	sound := d.table.newestSound(maxReported)
+	sound, ends, verdicts := d.table.newestSound(maxReported), d.table.newestEnds(maxReported), d.table.Verdicts()
 	d.mu.Unlock()
+	if len(verdicts) > 0 {
+		d.parts.Peers.SendTo(joined.Host, envelope.KindPoison, reportOf(verdicts[:min(len(verdicts), maxAnnounced)]))
+	}
+	if len(ends) > 0 {
+		d.parts.Peers.SendTo(joined.Host, envelope.KindPoisonEnds, &Ends{Ends: ends})
+	}
 	if len(sound) > 0 {
 		d.parts.Peers.SendTo(joined.Host, envelope.KindPoisonTrials, &Trials{Sound: sound})
 	}
@@ -126,6 +133,29 @@
 	}
 }
 
+// HandleEnds handles a peer's Ends, encoded as CBOR. Ends at times at which this host would no longer count them, or that
+// lie ahead, are refused.
+func (d *Detector) HandleEnds(from envelope.Sender, body []byte) {
+	var message Ends
+	if err := cbor.Unmarshal(body, &message); err != nil {
+		d.parts.Log.WithError(err).WithField("peer", from.Host).Warn("peer's ends of endpoints can't be decoded; dropped")
+		d.parts.CountRefused(counters.RefusedMalformed)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.parts.StoreTime()
+	for i := range message.Ends {
+		end := message.Ends[i].crash()
+		if message.Ends[i].Content.IsPart() || end.At > now+freshness.StoreTime(maxClockDifference) || end.At < now-freshness.StoreTime(evidenceValidity) {
+			d.parts.CountRefused(counters.RefusedPart)
+			continue
+		}
+		d.table.recordEnd(message.Ends[i].Content, end)
+	}
+	d.count()
+}
+
 // isAnnouncer reports whether this host announces verdicts.
 func (d *Detector) isAnnouncer() bool {
 	return d.parts.Peers.IsSettled() && d.parts.Peers.Order().Before < announcerCount
@@ -137,14 +167,19 @@
 		return
 	}
 	for batch := range slices.Chunk(d.Verdicts(), maxAnnounced) {
-		report := new(Report)
-		for _, verdict := range batch {
-			report.Verdicts = append(report.Verdicts, reportedVerdict(verdict))
-		}
-		d.parts.Peers.Broadcast(envelope.KindPoison, report)
+		d.parts.Peers.Broadcast(envelope.KindPoison, reportOf(batch))
 	}
 }
 
+// reportOf returns a report of verdicts.
+func reportOf(verdicts []Verdict) *Report {
+	report := new(Report)
+	for _, verdict := range verdicts {
+		report.Verdicts = append(report.Verdicts, reportedVerdict(verdict))
+	}
+	return report
+}
+
 // expire removes expired evidence, verdicts and probes.
 func (d *Detector) expire() {
 	d.mu.Lock()
@@ -161,11 +196,11 @@
 	d.count()
 }
 
-// syncStore reads the verdicts from the store once this host is an announcer or has seen an endpoint crash, and
-// writes the verdicts that this host has found, until ctx ends. Without the read after a crash, hosts that were
-// killed together and see a crash before they know their places would have to prove a verdict again.
+// syncStore reads the verdicts from the store once this host is among the first to read it, is an announcer or has seen an
+// endpoint crash, and writes the verdicts that this host has found, until ctx ends. Without the first reads, hosts that were
+// killed together would have to prove a verdict again.
 func (d *Detector) syncStore(ctx context.Context) {
-	loaded := false
+	loaded := d.loadFirst(ctx)
 	savedEra := d.parts.Era()
 	ticker := time.NewTicker(storeInterval)
 	defer ticker.Stop()
@@ -187,6 +222,20 @@
 	}
 }
 
+// loadFirst reads the verdicts as soon as this host is among those that read the store first after a start, and returns false
+// if it is not before it knows its peers, or if that failed.
+func (d *Detector) loadFirst(ctx context.Context) bool {
+	for !d.parts.Peers.IsSettled() && !d.hasSeenCrash() {
+		if d.parts.Peers.MustReadFirst() {
+			return d.loadVerdicts(ctx)
+		}
+		if !lifetime.Sleep(ctx, firstReadInterval) {
+			return false
+		}
+	}
+	return false
+}
+
 // hasSeenCrash reports whether an endpoint has crashed while it had a request of this host.
 func (d *Detector) hasSeenCrash() bool {
 	d.mu.Lock()
@@ -204,15 +253,23 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var ends []ReportedCrash
 	for _, verdict := range verdicts {
 		if verdict.Until < d.parts.StoreTime() {
 			d.outdated = append(d.outdated, verdict.Content)
 			continue
 		}
+		if verdict.IsSuspicion {
+			ends = append(ends, d.table.adoptSuspicion(verdict)...)
+			continue
+		}
 		if d.adopt(verdict, "store") {
 			d.outbox.addVerdict(verdict)
 		}
 	}
+	if len(ends) > 0 {
+		d.parts.Peers.Broadcast(envelope.KindPoisonEnds, &Ends{Ends: ends[:min(len(ends), maxReported)]})
+	}
 	d.evidenceChanged()
 	return true
 }
@@ -229,7 +286,7 @@
 	d.mu.Lock()
 	found, removed := len(d.unsaved), len(d.outdated)
 	// A request whose state has changed in between is written only as it is now: either poison or not.
-	verdicts := slices.DeleteFunc(slices.Clone(d.unsaved), func(v Verdict) bool { return !d.table.IsPoison(v.Content) })
+	verdicts := slices.DeleteFunc(slices.Clone(d.unsaved), func(v Verdict) bool { return d.table.IsPoison(v.Content) == v.IsSuspicion })
 	outdated := slices.DeleteFunc(slices.Clone(d.outdated), d.table.IsPoison)
 	d.mu.Unlock()
 	if len(verdicts) > 0 || (len(outdated) > 0 && d.isAnnouncer()) {
--- a/internal/front/poison/rules.go
+++ b/internal/front/poison/rules.go
@@ -13,6 +13,8 @@
 	// hosts hear of it. removalCheckInterval is the time between two looks.
 	removalWait          = 5 * time.Second
 	removalCheckInterval = 50 * time.Millisecond
+	// maxUnsettled bounds the calls at one endpoint that wait for the removal of its entry.
+	maxUnsettled = 256
 )
 
 const (
@@ -55,4 +57,9 @@
 	// storeInterval is the time between two rounds of reading and writing verdicts in the store, also after a failed
 	// call.
 	storeInterval = 500 * time.Millisecond
+	// firstReadInterval is the time between two looks whether this host reads the store first.
+	firstReadInterval = 10 * time.Millisecond
 )
+
+// answerIntervalOf returns the interval within which a fleet of a number of hosts repeats the report on an answer.
+func answerIntervalOf(hosts int) time.Duration { return (reportRepeats + 1) * reportInterval(hosts) }
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -27,6 +27,9 @@
 	answered map[keys.Content]freshness.StoreTime
 	sound    map[keys.Content]freshness.StoreTime
 	recent   recentRequests
+	// tallies count the ends of endpoints under requests. Answers of a request within answerInterval count once.
+	tallies        map[keys.Content]*tally
+	answerInterval time.Duration
 	// troubledUntil is when crashes count against parts again after a verdict was proved wrong, or 0.
 	troubledUntil freshness.StoreTime
 }
@@ -36,6 +39,7 @@
 	return &Table{
 		suspects: make(map[keys.Content][]Crash), verdicts: make(map[keys.Content]Verdict),
 		answered: make(map[keys.Content]freshness.StoreTime), sound: make(map[keys.Content]freshness.StoreTime), accused: make(map[keys.Content]struct{}),
+		tallies: make(map[keys.Content]*tally), answerInterval: answerIntervalOf(0),
 	}
 }
 
@@ -45,6 +49,9 @@
 // parts that always come with a poison part must not be judged before it. A crash in a trial of a verdict renews it, and
 // is returned in the same way.
 func (t *Table) RecordCrash(content keys.Content, crash Crash) (Verdict, bool) {
+	if !content.IsPart() {
+		t.recordEnd(content, crash)
+	}
 	if verdict, known := t.verdicts[content]; known {
 		if !content.IsPart() {
 			return Verdict{}, false
@@ -242,8 +249,9 @@
 }
 
 // RecordAnswer records that an endpoint with a software version answered a request with some contents completely, which
-// proves that they are not poison to that version; 0 stands for all versions. It reports whether they were suspect, and
-// whether there was a verdict, and now no longer are.
+// proves that they are not poison to that version; 0 stands for all versions. The tally of a request under which several
+// endpoints have ended stays until answers outweigh them. RecordAnswer reports whether the contents were suspect, and whether
+// there was a verdict, and now no longer are.
 func (t *Table) RecordAnswer(now freshness.StoreTime, content keys.Content, version keys.Version) (wasSuspect, hadVerdict bool) {
 	if t.crashesOther(content, version) {
 		return false, false
@@ -254,6 +262,12 @@
 	}
 	_, wasSuspect = t.suspects[content]
 	_, hadVerdict = t.verdicts[content]
+	if counted := t.tallies[content]; counted != nil {
+		wasSuspect = true
+		if counted.recordAnswer(now, t.answerInterval) {
+			delete(t.tallies, content)
+		}
+	}
 	if wasSuspect || hadVerdict {
 		t.answered[content] = now
 	}
@@ -290,6 +304,7 @@
 	}
 	maps.DeleteFunc(t.sound, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(soundTime) < now })
 	maps.DeleteFunc(t.answered, func(_ keys.Content, at freshness.StoreTime) bool { return at+freshness.StoreTime(answerHold) < now })
+	t.expireTallies(now)
 	var expired []keys.Content
 	for content, verdict := range t.verdicts {
 		if verdict.Until < now {
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -15,9 +15,11 @@
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/copies"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
+	"oxbowslip.dev/oxbowslip/internal/front/silence"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
@@ -58,6 +60,8 @@
 		Deadline:    x.deadline,
 		CanContinue: x.policy.Resumable,
 		IsPoison:    x.isPoison,
+		IsHeld:      x.isHeld,
+		Hold:        x.hold,
 		Connect:     x.connect,
 		Attempt:     x.attempt,
 	}
@@ -200,13 +204,33 @@
 
 // reportBroken reports a call that was sent and then broken by its endpoint, which may have crashed while running it.
 // Begun is set if the endpoint had begun to answer, and for every plain call, since its endpoint does not show when it
-// begins. A call that this host aborted, or whose path it lost, is not reported.
+// begins. A call that this host aborted is reported if the endpoint is silent, one whose path it lost is not.
 func (x *exchange) reportBroken(ctx context.Context, a *owner.Attempt, cause error, begun bool) {
 	x.blame.endTrial()
 	x.reportLimit(a, cause)
-	if ctx.Err() == nil && !errors.Is(cause, upstream.ErrPathLost) {
-		x.server.parts.Poison.RecordBrokenCall(&poison.Call{Contents: x.blame.contents, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun, Version: keys.OfVersion(x.stream.sentVersion)})
+	if errors.Is(cause, upstream.ErrPathLost) {
+		return
+	}
+	call := &poison.Call{Contents: x.blame.contents, Endpoint: a.EndpointID, Address: a.Endpoint.Address, Begun: begun, Version: keys.OfVersion(x.stream.sentVersion)}
+	if ctx.Err() != nil {
+		if x.isSilent(a) {
+			x.server.parts.Poison.RecordLostCall(call)
+		}
+		return
+	}
+	if lease := x.blame.setLease(nil); lease != nil {
+		call.Judged = func() { lease.End(copies.Unanswered) }
+	}
+	x.server.parts.Poison.RecordBrokenCall(call)
+}
+
+// isSilent reports whether the endpoint of an attempt has sent nothing for so long that it counts as silent.
+func (x *exchange) isSilent(a *owner.Attempt) bool {
+	limit := silence.AnswerLimit(&x.policy, a.UnprocessedTokens)
+	if x.stream.isHeadSent {
+		limit = silence.EventLimit(&x.policy)
 	}
+	return x.server.parts.Silence.State(x.service, a.EndpointID, silence.QuietTime(limit)) == silence.Silent
 }
 
 // hasEnded reports whether the process of an endpoint that broke the call of a stream that has begun has ended.
@@ -225,9 +249,11 @@
 func (x *exchange) reportAnswered(a *owner.Attempt) {
 	x.server.parts.Health.RecordSuccess(a.EndpointID)
 	x.server.parts.Poison.RecordAnswer(x.blame.contents, keys.OfVersion(x.stream.sentVersion))
+	x.blame.endLease(true)
 }
 
 func (x *exchange) handleNotStarted(a *owner.Attempt, answer *upstream.Answer) owner.Result {
+	x.blame.setSent(false)
 	// The rest of the answer is read so that the connection can be reused; if that fails, it is closed.
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxRejectionBytes))
 	if x.server.parts.Dialect.IsOtherEndpoint(answer.Status) {
@@ -264,6 +290,7 @@
 		if !x.recordSentVersion(a) {
 			return false
 		}
+		x.blame.setSent(true)
 		x.sentAt, x.isTunneled = x.server.parts.Clock.Now(), isTunneled
 		a.RecordSend()
 		watch.recordSent(isTunneled)
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -18,6 +18,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/front/copies"
 	"oxbowslip.dev/oxbowslip/internal/front/engine"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
@@ -60,11 +61,22 @@
 	FindPoison(contents []keys.Content, trial *[]keys.Content) (keys.Content, bool)
 	// RecordBrokenCall is called when an endpoint has broken a call.
 	RecordBrokenCall(call *poison.Call)
+	// RecordLostCall is called when a call was given up at an endpoint that has fallen silent.
+	RecordLostCall(call *poison.Call)
 	// RecordAnswer is called when an endpoint with a software version has sent a complete answer to a request with some
 	// contents.
 	RecordAnswer(contents []keys.Content, version keys.Version)
 }
 
+// Copies keeps copies of a request that has crashed endpoints from being sent in parallel.
+type Copies interface {
+	// IsLimited reports whether copies of a request are sent only with a lease. It must not block.
+	IsLimited(content keys.Content) bool
+	// Acquire waits until a copy of a request with some time left may be sent, at most until a time. The lease is nil if the
+	// request needs none. Otherwise it returns false and the time until a copy may be sent.
+	Acquire(ctx context.Context, content keys.Content, left time.Duration, until time.Time) (*copies.Lease, time.Duration, bool)
+}
+
 // Origins knows the software versions that began streams.
 type Origins interface {
 	// Begin is called before the caller receives the first event of a stream that began at a version; 0 means that the
@@ -100,6 +112,7 @@
 	Health    Health
 	Meter     Meter
 	Poison    Poison
+	Copies    Copies
 	Signals   Signals
 	Origins   Origins
 	// Silence records which endpoints send something to this host.
--- a/internal/owner/attempt.go
+++ b/internal/owner/attempt.go
@@ -59,7 +59,7 @@
 // connection is established, which may take a while, and before RecordSend.
 func (a *Attempt) MaySend() bool {
 	_, takesWork := a.run.owner.parts.Endpoints(a.EndpointID)
-	return takesWork && !a.run.job.isPoison() && a.run.ticket.MaySend()
+	return takesWork && !a.run.job.isPoison() && !a.run.job.isHeld() && a.run.ticket.MaySend()
 }
 
 // RecordSend is called once the connection is established: from then on bytes may reach the endpoint.
--- a/internal/owner/begun.go
+++ b/internal/owner/begun.go
@@ -13,9 +13,9 @@
 // a retry.
 
 const (
-	// maxBudgetWait bounds the wait for the retry budget, and budgetWaitShare the part of the time left for it.
-	maxBudgetWait   = 4 * time.Second
-	budgetWaitShare = 0.5
+	// maxBegunWait bounds a wait before a further try, and begunWaitShare the part of the time left for it.
+	maxBegunWait   = 4 * time.Second
+	begunWaitShare = 0.5
 	// budgetPollInterval is the time between two attempts to reserve a retry.
 	budgetPollInterval = 200 * time.Millisecond
 	// minDelayShare is the part of crashBackoff that is always waited; the rest is jitter.
@@ -45,11 +45,7 @@
 // ctx ends.
 func (r *run) waitForBudget(ctx context.Context) bool {
 	r.waitsForBudget = false
-	now := r.owner.parts.Clock()
-	until := now.Add(maxBudgetWait)
-	if deadline := r.job.Deadline; !deadline.IsZero() {
-		until = minTime(until, now.Add(time.Duration(float64(deadline.Sub(now))*budgetWaitShare)))
-	}
+	until := r.begunLimit(r.owner.parts.Clock())
 	for !r.arrivals.reserve(r.endpointID, r.mayArrive, true) {
 		wait := backoff.Jitter(budgetPollInterval, minDelayShare, r.owner.parts.Random())
 		if !r.owner.parts.Clock().Before(until) || !lifetime.Sleep(ctx, wait) {
@@ -59,9 +55,11 @@
 	return true
 }
 
-func minTime(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
+// begunLimit returns the time until which a stream that has begun waits for the retry budget, or to be sent alone.
+func (r *run) begunLimit(now time.Time) time.Time {
+	wait := maxBegunWait
+	if deadline := r.job.Deadline; !deadline.IsZero() {
+		wait = min(wait, time.Duration(float64(deadline.Sub(now))*begunWaitShare))
 	}
-	return b
+	return now.Add(wait)
 }
--- a/internal/owner/job.go
+++ b/internal/owner/job.go
@@ -28,6 +28,11 @@
 	// IsPoison reports whether the request must not be sent, because endpoints crash while running it; nil means never.
 	// It is called before asking for an endpoint, and again before each send.
 	IsPoison func() bool
+	// IsHeld reports whether Hold has to be called before the request is sent, and once more if it turns true later: copies of
+	// a request that has crashed endpoints are sent one at a time. Hold waits until the request may be sent, at most until a
+	// time, and returns false and the time after which to retry if that takes longer. Nil means that nothing holds it.
+	IsHeld func() bool
+	Hold   func(ctx context.Context, until time.Time) (retryAfter time.Duration, ok bool)
 	// Connect opens a connection to an endpoint for a successor of the present attempt, which is passed to Attempt or
 	// closed; nil if attempts have none.
 	Connect func(ctx context.Context, endpointID string, endpoint settings.Endpoint) (io.Closer, error)
@@ -39,6 +44,8 @@
 
 func (j *Job) isPoison() bool { return j.IsPoison != nil && j.IsPoison() }
 
+func (j *Job) isHeld() bool { return j.IsHeld != nil && j.IsHeld() }
+
 func (j *Job) budgetGroup() string {
 	if j.BudgetGroup != "" {
 		return j.BudgetGroup
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -103,6 +103,12 @@
 		r.lifecycle.Refuse(request.ReasonRetryBudget)
 		return request.ActFinish
 	}
+	if !r.hold(ctx) {
+		if ctx.Err() != nil {
+			return r.endCancelled(ctx)
+		}
+		return request.ActFinish
+	}
 	r.job.Request.Received = r.tokens
 	r.job.Request.HasBegun = r.hasBegun()
 	ticket, decision, err := r.owner.parts.Admitter.Ask(ctx, r.job.Shard, r.job.Request)
@@ -131,6 +137,32 @@
 	return true
 }
 
+// holdTargetDivisor is the part of its latency target for which a request that has not begun waits in Hold at most.
+const holdTargetDivisor = 4
+
+// hold waits until the request may be sent. It refuses the request and reports false if that takes too long, or if ctx ends.
+func (r *run) hold(ctx context.Context) bool {
+	if !r.job.isHeld() {
+		return true
+	}
+	now := r.owner.parts.Clock()
+	until := r.begunLimit(now)
+	if !r.hasBegun() {
+		until = now.Add(max(r.job.Request.FirstToken, r.job.Request.WholeAnswer) / holdTargetDivisor)
+	}
+	retryAfter, ok := r.job.Hold(ctx, until)
+	if ok {
+		r.recordStep("held", "", nil)
+		return true
+	}
+	if ctx.Err() == nil && !r.isPoison() {
+		r.retryAfter = retryAfter
+		r.detail = "endpoints have ended under this request, and another copy of it is tried first"
+		r.lifecycle.Refuse(request.ReasonSuspect)
+	}
+	return false
+}
+
 // countRetry counts a retry by its reason.
 func (r *run) countRetry() {
 	retry := r.lifecycle.Retry()
@@ -150,6 +182,10 @@
 		r.release(admission.Unused)
 		return request.ActFinish
 	}
+	if r.job.isHeld() {
+		r.release(admission.Unused)
+		return r.lifecycle.Apply(request.EventGrantVoid, r.facts(false))
+	}
 	e, ok := r.owner.parts.Endpoints(decision.Endpoint)
 	if !ok || !decision.Usable(r.owner.parts.Clock()) {
 		r.release(admission.Unused)
--- a/internal/owner/successor.go
+++ b/internal/owner/successor.go
@@ -20,6 +20,7 @@
 	errNoBudget     = merry.Sentinel("the retry budget is used up")
 	errNotGranted   = merry.Sentinel("no endpoint was granted")
 	errNotBetter    = merry.Sentinel("the granted endpoint is not known to be better")
+	errHeld         = merry.Sentinel("another copy of the request is tried first")
 	errNotConnected = merry.Sentinel("the granted endpoint can't be connected to")
 )
 
@@ -91,6 +92,11 @@
 
 func (s *Successor) prepare(ctx context.Context, ask admission.Request, accept func(endpoint string) bool) error {
 	r := s.run
+	if r.job.isHeld() {
+		if _, ok := r.job.Hold(ctx, r.owner.parts.Clock().Add(maxSuccessorWait)); !ok {
+			return merry.Wrap(errHeld)
+		}
+	}
 	ticket, decision, err := r.owner.parts.Admitter.Ask(ctx, r.job.Shard, ask)
 	if err != nil {
 		return err
@@ -115,7 +121,7 @@
 // maySend reports whether the request may still be sent to the endpoint.
 func (s *Successor) maySend() bool {
 	_, takesWork := s.run.owner.parts.Endpoints(s.decision.Endpoint)
-	return takesWork && !s.run.job.isPoison() && s.ticket.MaySend()
+	return takesWork && !s.run.job.isPoison() && !s.run.job.isHeld() && s.ticket.MaySend()
 }
 
 // Discard gives back what the successor holds. It has no effect on later calls.
--- a/internal/proof/decisions/decisions_test.go
+++ b/internal/proof/decisions/decisions_test.go
@@ -22,7 +22,7 @@
 	"front": "internal/front", "placement": "internal/front/placement", "relay": "internal/front/relay", "gossip": "internal/front/gossip",
 	"peersync": "internal/front/peersync", "follow": "internal/front/follow", "freshness": "internal/front/freshness", "directory": "internal/front/directory",
 	"upstream": "internal/front/upstream", "tunnel": "internal/front/tunnel", "lease": "internal/front/lease", "leader": "internal/front/leader", "usage": "internal/front/usage",
-	"reporter": "internal/front/reporter", "capacity": "internal/front/capacity", "scaler": "internal/front/scaler", "poison": "internal/front/poison", "pace": "internal/front/pace", "pushback": "internal/front/pushback", "ratelimit": "internal/front/ratelimit", "shares": "internal/front/shares", "slots": "internal/front/slots", "coordinator": "internal/front/coordinator", "origin": "internal/front/origin", "precedence": "internal/front/precedence", "clock": "internal/clock", "schedule": "internal/daemon/schedule",
+	"reporter": "internal/front/reporter", "capacity": "internal/front/capacity", "scaler": "internal/front/scaler", "poison": "internal/front/poison", "pace": "internal/front/pace", "pushback": "internal/front/pushback", "ratelimit": "internal/front/ratelimit", "shares": "internal/front/shares", "slots": "internal/front/slots", "coordinator": "internal/front/coordinator", "origin": "internal/front/origin", "precedence": "internal/front/precedence", "copies": "internal/front/copies", "clock": "internal/clock", "schedule": "internal/daemon/schedule",
 }
 
 // declarations are the top-level declarations of a package.
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -38,6 +38,8 @@
 	ReasonNoMemory Reason = "no_memory"
 	// ReasonPoison: endpoints crash while running the request.
 	ReasonPoison Reason = "poison_request"
+	// ReasonSuspect: endpoints have crashed under the request, and another copy of it is sent first.
+	ReasonSuspect Reason = "suspect_request"
 	// ReasonNoVersion: no endpoint of the software version that began the stream takes requests. ReasonUnknownVersion: it
 	// is not known which version began the stream.
 	ReasonNoVersion      Reason = "no_version"
@@ -54,7 +56,7 @@
 	ReasonNoRoom, ReasonWorkspaceRoom, ReasonTooLate, ReasonMaxWait,
 	ReasonNoEndpoint, ReasonCallerGone, ReasonNotStarted,
 	ReasonEndpointFailed, ReasonAnswerBroken, ReasonWrongAnswer,
-	ReasonRetryBudget, ReasonNoMemory, ReasonStopped, ReasonInternal, ReasonTimeLimit, ReasonHeadTooLarge, ReasonUnknownRoute, ReasonPoison,
+	ReasonRetryBudget, ReasonNoMemory, ReasonStopped, ReasonInternal, ReasonTimeLimit, ReasonHeadTooLarge, ReasonUnknownRoute, ReasonPoison, ReasonSuspect,
 	ReasonResting, ReasonLimited, ReasonNoVersion, ReasonUnknownVersion,
 }
 
