--- a/internal/front/placement/cost.go
+++ b/internal/front/placement/cost.go
@@ -368,6 +368,13 @@
 	})
 }
 
+// servingOn returns the endpoints that are ejected only since they break calls, and have not failed the request.
+func (v *View) servingOn(request *admission.Request, endpoints []*directory.Entry) []*directory.Entry {
+	return filter(endpoints, func(e *directory.Entry) bool {
+		return !slices.Contains(request.Avoid, e.ID) && v.ejections.servesOn(e.ID)
+	})
+}
+
 func filter(endpoints []*directory.Entry, wanted func(e *directory.Entry) bool) []*directory.Entry {
 	kept := make([]*directory.Entry, 0, len(endpoints))
 	for _, e := range endpoints {
--- a/internal/front/placement/ejection.go
+++ b/internal/front/placement/ejection.go
@@ -32,6 +32,8 @@
 	ejections int
 	// brokenAt is the time of the last broken call.
 	brokenAt time.Time
+	// servesOn is set if the endpoint broke its last call and is not known to have ended or to be silent.
+	servesOn bool
 }
 
 // ejectionTable holds the endpoints that are ejected because of this host's own calls or by its peers.
@@ -78,6 +80,17 @@
 	return Ejection{Until: s.until, Consecutive: s.ejections, IsNew: true}
 }
 
+// setServesOn records after a failure whether the endpoint serves on.
+func (t *ejectionTable) setServesOn(endpoint string, servesOn bool) {
+	t.failing[endpoint].servesOn = servesOn
+}
+
+// servesOn reports whether an endpoint has broken its last call to this host and serves on.
+func (t *ejectionTable) servesOn(endpoint string) bool {
+	s, ok := t.failing[endpoint]
+	return ok && s.servesOn
+}
+
 // Answered counts a complete response. It reports whether the endpoint had failed before.
 func (t *ejectionTable) Answered(endpoint string) bool {
 	_, failed := t.failing[endpoint]
--- a/internal/front/placement/placement.go
+++ b/internal/front/placement/placement.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"sync"
@@ -280,7 +281,10 @@
 		return []*directory.Entry{denied.Endpoint}, denied.Next, ""
 	}
 	if request.HasBegun && mayAsk && !p.view.hasHealthy(now, request, open) {
-		return nil, time.Time{}, admission.ReasonNoEndpoint
+		// An endpoint that only breaks calls is not worth a wait: it may complete the stream as well as later.
+		if open = p.view.servingOn(request, open); len(open) == 0 {
+			return nil, time.Time{}, admission.ReasonNoEndpoint
+		}
 	}
 	candidates = p.view.begun.withoutClaimed(now, request, p.view.candidates(now, request, open))
 	if !p.bounds.isLeastUrgent(request) {
@@ -496,6 +500,7 @@
 func (p *Placer) RecordFailure(endpoint string, reached bool, cause error) {
 	p.mu.Lock()
 	ejection := p.view.ejections.Failed(p.parts.Clock(), endpoint, reached)
+	p.view.ejections.setServesOn(endpoint, reached && !errors.Is(cause, owner.ErrStalled))
 	p.mu.Unlock()
 	if !ejection.IsNew {
 		return
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -242,9 +242,16 @@
 	defer cancel()
 	hasEnded, err := x.server.parts.Client.HasExited(ctx, a.EndpointID, a.Endpoint.Address)
 	// Without an answer the endpoint may be running, so the try counts.
-	return err == nil && hasEnded
+	if err != nil || !hasEnded {
+		return false
+	}
+	x.server.parts.Health.RecordFailure(a.EndpointID, false, errEndpointEnded)
+	return true
 }
 
+// errEndpointEnded is the failure of an endpoint whose process has ended.
+var errEndpointEnded = errors.New("the process of the endpoint has ended")
+
 // reportAnswered reports that an endpoint has sent a complete answer.
 func (x *exchange) reportAnswered(a *owner.Attempt) {
 	x.server.parts.Health.RecordSuccess(a.EndpointID)
