--- a/internal/front/copies/copies.go
+++ b/internal/front/copies/copies.go
@@ -41,6 +41,8 @@
 	Content keys.Content
 	// Left is the time until the request's limit.
 	Left time.Duration
+	// IsApart is set for a request by which the content can be told from another part of prompts.
+	IsApart bool
 }
 
 // Reply answers an Ask.
--- a/internal/front/copies/gate.go
+++ b/internal/front/copies/gate.go
@@ -13,6 +13,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/coordinator"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
@@ -37,8 +38,11 @@
 
 // Evidence knows which requests have crashed endpoints. Its methods must not block.
 type Evidence interface {
-	// CopyWait reports whether copies of a request are sent one at a time, and the time until the next one may be.
-	CopyWait(content keys.Content) (wait time.Duration, isLimited bool)
+	// CopyWait reports whether requests with some contents are sent one at a time, and the time until the next one may be.
+	// IsApart is set for one by which two parts of prompts can be distinguished.
+	CopyWait(content keys.Content, isApart bool) (wait time.Duration, isLimited bool)
+	// Limits returns those of the contents of a request that are sent one at a time.
+	Limits(contents []keys.Content) []poison.Limit
 }
 
 // Parts are the dependencies of a Gate.
@@ -91,16 +95,21 @@
 	ended   sync.Once
 }
 
-// IsLimited reports whether copies of a request are sent only with a lease.
-func (g *Gate) IsLimited(content keys.Content) bool {
-	_, isLimited := g.parts.Evidence.CopyWait(content)
+// Limits returns those of a request's contents for which it is sent only with a lease.
+func (g *Gate) Limits(contents []keys.Content) []poison.Limit {
+	return g.parts.Evidence.Limits(contents)
+}
+
+func (g *Gate) isLimited(content keys.Content) bool {
+	_, isLimited := g.parts.Evidence.CopyWait(content, false)
 	return isLimited
 }
 
-// Acquire waits until a copy of a request with some time left may be sent, at most until a time. The lease is nil if the
-// request needs none. It returns false, and the time until a copy may be sent, 0 if it is unknown, if that takes longer, if
-// too many copies wait, or if ctx ends.
-func (g *Gate) Acquire(ctx context.Context, content keys.Content, left time.Duration, until time.Time) (*Lease, time.Duration, bool) {
+// Acquire waits until a request with a limit on its contents and some time left may be sent, at most until a time. The lease is nil if
+// the contents need none. It returns false, and the time until the request may be sent, 0 if it is unknown, if that takes
+// longer, if too many requests wait, or if ctx ends. Leases on several contents are acquired in their order.
+func (g *Gate) Acquire(ctx context.Context, limit poison.Limit, left time.Duration, until time.Time) (*Lease, time.Duration, bool) {
+	content := limit.Content
 	q := g.enter(content)
 	if q == nil {
 		return nil, 0, false
@@ -116,7 +125,7 @@
 		g.leave(content, q)
 		return nil, 0, false
 	}
-	lease, wait, ok := g.acquire(ctx, content, left, until)
+	lease, wait, ok := g.acquire(ctx, limit, left, until)
 	if lease == nil {
 		g.endTurn(content)
 	}
@@ -124,9 +133,9 @@
 }
 
 // acquire is Acquire for the copy whose turn it is at this host.
-func (g *Gate) acquire(ctx context.Context, content keys.Content, left time.Duration, until time.Time) (*Lease, time.Duration, bool) {
-	for asks := 0; g.IsLimited(content); asks++ {
-		lease, wait := g.ask(ctx, content, left)
+func (g *Gate) acquire(ctx context.Context, limit poison.Limit, left time.Duration, until time.Time) (*Lease, time.Duration, bool) {
+	for asks := 0; g.isLimited(limit.Content); asks++ {
+		lease, wait := g.ask(ctx, limit, left)
 		if lease != nil {
 			return lease, 0, true
 		}
@@ -140,14 +149,15 @@
 }
 
 // ask asks for the right to send a copy once.
-func (g *Gate) ask(ctx context.Context, content keys.Content, left time.Duration) (*Lease, time.Duration) {
+func (g *Gate) ask(ctx context.Context, limit poison.Limit, left time.Duration) (*Lease, time.Duration) {
+	content := limit.Content
 	lender, _, ok := g.asker.Pick(content.String())
 	if !ok {
 		return nil, 0
 	}
 	number, replies := g.asker.Register()
 	defer g.asker.Unregister(number)
-	ask := &Ask{Number: number, Content: content, Left: left}
+	ask := &Ask{Number: number, Content: content, Left: left, IsApart: limit.IsApart}
 	lease := &Lease{gate: g, content: content, number: number, lender: lender, until: g.parts.Clock().Add(min(left, maxLoan))}
 	if self := g.parts.Peers.Senders()[0]; lender == self {
 		wait, isLent := g.lend(ask, self)
@@ -166,7 +176,7 @@
 
 // lend lends the right to send a copy, as the host that decides.
 func (g *Gate) lend(ask *Ask, host envelope.Sender) (time.Duration, bool) {
-	wait, _ := g.parts.Evidence.CopyWait(ask.Content)
+	wait, _ := g.parts.Evidence.CopyWait(ask.Content, ask.IsApart)
 	live := g.parts.Peers.Senders()
 	isLive := func(holder envelope.Sender) bool {
 		for _, h := range live {
--- a/internal/front/copies/lender.go
+++ b/internal/front/copies/lender.go
@@ -55,9 +55,12 @@
 		return 0, false
 	case isLent:
 		// A host asks again only after its last copy has ended, or if no reply has reached it.
-		r.end(now, Unused)
+		r.end(now, ask.Content, Unused)
 	}
-	if wait = max(wait, r.notBefore.Sub(now)); wait > 0 {
+	if !ask.IsApart {
+		wait = max(wait, r.notBefore.Sub(now))
+	}
+	if wait > 0 {
 		return wait, false
 	}
 	r.holder, r.number, r.until = host, ask.Number, now.Add(min(ask.Left, maxLoan))
@@ -70,17 +73,21 @@
 	if r == nil || r.holder != host || r.number != back.Number {
 		return
 	}
-	r.end(now, back.Outcome)
+	r.end(now, back.Content, back.Outcome)
 }
 
-func (r *loan) end(now time.Time, outcome Outcome) {
+// end ends the loan. For parts of prompts, which many requests have, only the evidence lengthens the time to the next one.
+func (r *loan) end(now time.Time, content keys.Content, outcome Outcome) {
 	r.holder = envelope.Sender{}
 	switch outcome {
 	case Answered:
 		r.unanswered = 0
 	case Unanswered:
-		r.unanswered++
-		r.notBefore = now.Add(max(evidenceTime, poison.CopyDelay(r.unanswered)))
+		r.notBefore = now.Add(evidenceTime)
+		if !content.IsPart() {
+			r.unanswered++
+			r.notBefore = now.Add(max(evidenceTime, poison.CopyDelay(r.unanswered)))
+		}
 	}
 }
 
--- a/internal/front/copies/lender_test.go
+++ b/internal/front/copies/lender_test.go
@@ -14,7 +14,7 @@
 
 // TestGoldenMessages pins the encoded form of the messages, which hosts of other versions read.
 func TestGoldenMessages(t *testing.T) {
-	golden.Message(t, "ask", &Ask{Number: 1, Content: 2, Left: time.Second})
+	golden.Message(t, "ask", &Ask{Number: 1, Content: 2, Left: time.Second, IsApart: true})
 	golden.Message(t, "reply", &Reply{Number: 1, IsLent: true, Wait: time.Second})
 	golden.Message(t, "return", &Return{Number: 1, Content: 2, Outcome: Unanswered})
 }
--- a/internal/front/copies/model_test.go
+++ b/internal/front/copies/model_test.go
@@ -268,9 +268,9 @@
 			return false
 		}
 		var lease *Lease
-		if h.gate.IsLimited(content) {
+		if h.gate.isLimited(content) {
 			var ok bool
-			if lease, _, ok = h.gate.Acquire(context.Background(), content, maxModelWait, until); !ok {
+			if lease, _, ok = h.gate.Acquire(context.Background(), poison.Limit{Content: content}, maxModelWait, until); !ok {
 				return false
 			}
 		}
--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -160,18 +160,42 @@
 // hasEnds reports whether endpoints have ended under a request with some contents. Such a request is no trial of a verdict on
 // a part, since its own crash would tell nothing. The caller holds the lock.
 func (d *Detector) hasEnds(contents []keys.Content) bool {
-	_, isLimited := d.table.CopyWait(0, contents[0])
+	_, isLimited := d.table.CopyWait(0, contents[0], false)
 	return isLimited
 }
 
-// CopyWait reports whether copies of a request are sent one at a time, and the time until the next one may be sent.
-func (d *Detector) CopyWait(request keys.Content) (wait time.Duration, isLimited bool) {
+// CopyWait reports whether requests with some contents are sent one at a time, and the time until the next one may be sent;
+// isApart is set for one by which two parts of prompts can be distinguished.
+func (d *Detector) CopyWait(content keys.Content, isApart bool) (wait time.Duration, isLimited bool) {
 	if d.size.Load() == 0 {
 		return 0, false
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.table.CopyWait(d.parts.StoreTime(), request)
+	return d.table.CopyWait(d.parts.StoreTime(), content, isApart)
+}
+
+// Limit is a part of the contents of a request for which it is sent only while no other one with it is.
+type Limit struct {
+	Content keys.Content
+	// IsApart is set if the request distinguishes it from another part of prompts.
+	IsApart bool
+}
+
+// Limits returns those of the contents of a request that are sent one at a time.
+func (d *Detector) Limits(contents []keys.Content) []Limit {
+	if d.size.Load() == 0 {
+		return nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var limits []Limit
+	for _, content := range contents {
+		if _, isLimited := d.table.CopyWait(0, content, false); isLimited {
+			limits = append(limits, Limit{Content: content, IsApart: content.IsPart() && d.table.LacksSuspect(content, contents)})
+		}
+	}
+	return limits
 }
 
 // mayTry reports whether this host may send a request with some contents as a trial of the verdict on one of them now. The
@@ -265,8 +289,10 @@
 			d.outbox.addVerdict(verdict)
 		}
 	}
-	if suspicion, ok := d.table.suspicion(call.Contents[0]); ok {
-		d.unsaved = append(d.unsaved, suspicion)
+	for _, content := range call.Contents {
+		if suspicion, ok := d.table.suspicion(content); ok {
+			d.unsaved = append(d.unsaved, suspicion)
+		}
 	}
 	d.sawCrash = true
 	lifetime.Wake(d.storeWake)
@@ -343,7 +369,7 @@
 		d.parts.Log.WithError(err).WithField("peer", from.Host).Warn("peer's report can't be decoded; dropped")
 		return
 	}
-	d.sendKnownVerdicts(from.Host, &r)
+	d.sendKnown(from.Host, &r)
 	versions := make(map[keys.Endpoint]keys.Version)
 	for i := range r.Ends {
 		if endpoint := r.Ends[i].Endpoint; versions[endpoint] == 0 {
@@ -372,23 +398,41 @@
 	d.count()
 }
 
-// sendKnownVerdicts sends a peer the verdicts that it lacks: those on requests that it reports a crash for although
-// they are poison. About replierCount hosts, chosen at random, reply, so that the peer does not depend on the
-// announcers.
-func (d *Detector) sendKnownVerdicts(peer string, r *Report) {
-	var known []ReportedVerdict
+// sendKnown sends a peer the verdicts and the ends that it lacks: those on contents that it reports a crash for although
+// they are poison, or sent one at a time. About replierCount hosts, chosen at random, reply, so that the peer does not depend
+// on the announcers.
+func (d *Detector) sendKnown(peer string, r *Report) {
+	if len(r.Ends) == 0 || d.parts.Random() > replierCount/float64(d.parts.Peers.Hosts()) {
+		return
+	}
+	verdicts, ends := d.known(r.Ends)
+	if len(verdicts) > 0 {
+		d.parts.Peers.SendTo(peer, envelope.KindPoison, &Report{Verdicts: verdicts})
+	}
+	if len(ends) > 0 {
+		d.parts.Peers.SendTo(peer, envelope.KindPoisonEnds, &Ends{Ends: ends[:min(len(ends), maxReported)]})
+	}
+}
+
+// known returns the verdicts on the contents of some crashes, and the ends for which such contents are sent one at a time.
+func (d *Detector) known(crashes []ReportedCrash) (verdicts []ReportedVerdict, ends []ReportedCrash) {
 	d.mu.Lock()
-	for i := range r.Ends {
-		verdict, ok := d.table.verdicts[r.Ends[i].Content]
-		if ok && !slices.ContainsFunc(known, func(v ReportedVerdict) bool { return v.Content == verdict.Content }) {
-			known = append(known, reportedVerdict(verdict))
+	defer d.mu.Unlock()
+	seen := make(map[keys.Content]bool)
+	for i := range crashes {
+		content := crashes[i].Content
+		if seen[content] {
+			continue
+		}
+		seen[content] = true
+		if verdict, ok := d.table.verdicts[content]; ok {
+			verdicts = append(verdicts, reportedVerdict(verdict))
+		}
+		for _, end := range d.table.limitingEnds(content) {
+			ends = append(ends, reportedCrash(content, end))
 		}
 	}
-	d.mu.Unlock()
-	if len(known) == 0 || d.parts.Random() > replierCount/float64(d.parts.Peers.Hosts()) {
-		return
-	}
-	d.parts.Peers.SendTo(peer, envelope.KindPoison, &Report{Verdicts: known})
+	return verdicts, ends
 }
 
 // adopt records a verdict from a peer or the store unless it has expired, and reports whether it is new. The caller
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -134,7 +134,7 @@
 }
 
 // HandleEnds handles a peer's Ends, encoded as CBOR. Ends at times at which this host would no longer count them, or that
-// lie ahead, are refused.
+// lie ahead, are refused; a host that has just started may not know the time.
 func (d *Detector) HandleEnds(from envelope.Sender, body []byte) {
 	var message Ends
 	if err := cbor.Unmarshal(body, &message); err != nil {
@@ -147,11 +147,11 @@
 	now := d.parts.StoreTime()
 	for i := range message.Ends {
 		end := message.Ends[i].crash()
-		if message.Ends[i].Content.IsPart() || end.At > now+freshness.StoreTime(maxClockDifference) || end.At < now-freshness.StoreTime(evidenceValidity) {
+		if now != 0 && (end.At > now+freshness.StoreTime(maxClockDifference) || end.At < now-freshness.StoreTime(evidenceValidity)) {
 			d.parts.CountRefused(counters.RefusedPart)
 			continue
 		}
-		d.table.recordEnd(message.Ends[i].Content, end)
+		d.table.adoptEnd(message.Ends[i].Content, end)
 	}
 	d.count()
 }
--- a/internal/front/poison/tally.go
+++ b/internal/front/poison/tally.go
@@ -24,6 +24,14 @@
 	extraEnds = 2
 	// answersPerEnd is how many answers outweigh an end.
 	answersPerEnd = 3
+	// limitedPartCrashes is the number of crashes under a part of prompts, without an answer in between, from which on requests
+	// with it are sent one at a time although it can't be told whether the part is the cause. Up to that many more than this,
+	// the next is sent after partCopyDelay; then the time doubles, up to maxPartCopyDelay, so that a part that most requests
+	// have is soon answered once endpoints no longer crash.
+	limitedPartCrashes = 5
+	evenPartCrashes    = 2
+	partCopyDelay      = 3 * time.Second
+	maxPartCopyDelay   = 12 * time.Second
 )
 
 // tally counts the endpoints that have ended under a request since it was last found sound.
@@ -111,46 +119,141 @@
 	counted.record(end)
 }
 
-// suspicion returns what is stored of a request under which so many endpoints have ended that copies wait, and is not poison.
-func (t *Table) suspicion(request keys.Content) (Verdict, bool) {
-	counted := t.tallies[request]
-	if counted == nil || counted.failures() <= freeEnds || t.IsPoison(request) {
+// recordPartEnd records that an endpoint has ended under a part of prompts, as far as a host that has joined has to know.
+func (t *Table) recordPartEnd(part keys.Content, end Crash) {
+	if !t.IsPoison(part) && !slices.ContainsFunc(t.suspects[part], end.isSame) {
+		t.suspects[part] = append(t.suspects[part], end)
+		t.enforceBounds()
+	}
+}
+
+// limitingEnds returns the ends for which some contents, which are not poison, are sent later than at once.
+func (t *Table) limitingEnds(content keys.Content) []Crash {
+	counted := t.tallies[content]
+	switch {
+	case t.IsPoison(content):
+	case content.IsPart():
+		if crashes := t.suspects[content]; partFailures(crashes) >= limitedPartCrashes {
+			return crashes
+		}
+	case counted != nil && counted.failures() > freeEnds:
+		return counted.ends
+	}
+	return nil
+}
+
+// suspicion returns what is stored of contents that are sent later than at once.
+func (t *Table) suspicion(content keys.Content) (Verdict, bool) {
+	ends := t.limitingEnds(content)
+	if len(ends) == 0 {
 		return Verdict{}, false
 	}
-	stored := Verdict{Content: request, IsSuspicion: true, Until: counted.lastAt() + freshness.StoreTime(evidenceValidity)}
-	for _, end := range counted.ends {
+	_, last := period(ends)
+	stored := Verdict{Content: content, IsSuspicion: true, Until: last + freshness.StoreTime(evidenceValidity)}
+	for _, end := range ends[max(len(ends)-maxTallied, 0):] {
 		stored.Endpoints = append(stored.Endpoints, end.Endpoint)
 	}
 	return stored, true
 }
 
-// adoptSuspicion records what is stored of a request, and returns the ends of its endpoints.
+// adoptSuspicion records what is stored of some contents, and returns the ends of their endpoints.
 func (t *Table) adoptSuspicion(stored Verdict) []ReportedCrash {
 	var ends []ReportedCrash
-	for _, endpoint := range stored.Endpoints[:min(len(stored.Endpoints), maxTallied)] {
-		end := Crash{Endpoint: endpoint, At: stored.provedAt(), Begun: true}
-		t.recordEnd(stored.Content, end)
+	for n, endpoint := range stored.Endpoints[:min(len(stored.Endpoints), maxTallied)] {
+		end := Crash{Endpoint: endpoint, At: stored.provedAt() - freshness.StoreTime(n)*freshness.StoreTime(partCrashInterval), Begun: true}
+		t.adoptEnd(stored.Content, end)
 		ends = append(ends, reportedCrash(stored.Content, end))
 	}
 	return ends
 }
 
-// CopyWait reports whether copies of a request are sent one at a time, and the time until the next one may be sent.
-func (t *Table) CopyWait(now freshness.StoreTime, request keys.Content) (wait time.Duration, isLimited bool) {
-	counted := t.tallies[request]
+// adoptEnd records an end of which another host or the store informs this one.
+func (t *Table) adoptEnd(content keys.Content, end Crash) {
+	if content.IsPart() {
+		t.recordPartEnd(content, end)
+		return
+	}
+	t.recordEnd(content, end)
+}
+
+// LacksSuspect reports whether a request with some contents, one of them a part that is sent one at a time, lacks another such
+// part under which all the same endpoints have ended. Its answer distinguishes the two, and it need not wait.
+func (t *Table) LacksSuspect(part keys.Content, contents []keys.Content) bool {
+	ends := t.limitingEnds(part)
+	if len(ends) == 0 {
+		return false
+	}
+	for other, crashes := range t.suspects {
+		if other == part || !other.IsPart() || slices.Contains(contents, other) || len(t.limitingEnds(other)) == 0 {
+			continue
+		}
+		if !slices.ContainsFunc(ends, func(end Crash) bool { return !slices.ContainsFunc(crashes, end.isSame) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// CopyWait reports whether requests with some contents are sent one at a time, and the time until the next one may be sent;
+// isApart is set for one that distinguishes two parts.
+func (t *Table) CopyWait(now freshness.StoreTime, content keys.Content, isApart bool) (wait time.Duration, isLimited bool) {
+	if content.IsPart() {
+		crashes := t.limitingEnds(content)
+		if len(crashes) == 0 {
+			return 0, false
+		}
+		_, last := period(crashes)
+		if isApart {
+			return 0, true
+		}
+		return waitUntil(now, last, partDelay(partFailures(crashes))), true
+	}
+	counted := t.tallies[content]
 	if counted == nil || !counted.isLimited() {
 		return 0, false
 	}
-	due := max(counted.lastAt(), counted.answeredAt) + freshness.StoreTime(counted.delay())
-	return max(time.Duration(due-now), 0), true
+	return waitUntil(now, max(counted.lastAt(), counted.answeredAt), counted.delay()), true
+}
+
+// waitUntil returns the time until some time after a moment, or 0 if the time is not known.
+func waitUntil(now, from freshness.StoreTime, after time.Duration) time.Duration {
+	if now == 0 {
+		return 0
+	}
+	return max(time.Duration(from-now)+after, 0)
+}
+
+// partFailures returns how many of the crashes under a part count.
+func partFailures(crashes []Crash) int {
+	if len(crashes) < limitedPartCrashes {
+		return len(crashes)
+	}
+	return min(len(crashes), countApart(crashes)+extraEnds)
 }
 
-// newestEnds returns the last end under each of the requests under which most have ended, at most some number.
+// partDelay returns the time from the last crash under a part to the next request with it, by the number of crashes.
+func partDelay(crashes int) time.Duration {
+	delay := partCopyDelay
+	for range crashes - limitedPartCrashes - evenPartCrashes {
+		delay = min(2*delay, maxPartCopyDelay)
+	}
+	return delay
+}
+
+// newestEnds returns ends under the parts and the requests that are sent one at a time, at most some number.
 func (t *Table) newestEnds(most int) []ReportedCrash {
 	requests := slices.SortedFunc(maps.Keys(t.tallies), func(a, b keys.Content) int {
 		return cmp.Or(cmp.Compare(t.tallies[b].failures(), t.tallies[a].failures()), cmp.Compare(a, b))
 	})
 	var ends []ReportedCrash
+	for part, crashes := range t.suspects {
+		if part.IsPart() && len(t.limitingEnds(part)) > 0 {
+			for _, end := range crashes[max(len(crashes)-maxTallied, 0):] {
+				ends = append(ends, reportedCrash(part, end))
+			}
+		}
+	}
+	ends = ends[:min(len(ends), most/2)]
 	for _, request := range requests {
 		for _, end := range t.tallies[request].ends {
 			if len(ends) == most {
--- a/internal/front/poison/trials.go
+++ b/internal/front/poison/trials.go
@@ -38,12 +38,13 @@
 	return part.IsPart() && now >= due && isTrialTurn(now, time.Duration(now-due), part, before, hosts)
 }
 
-// lacksLikelierPart reports whether a request lacks a part that crashes convicted together with one that it has: of these, the part
-// that fewer requests have is more likely to be the poison. While few of a host's requests lack it, nothing is known.
+// lacksLikelierPart reports whether a request lacks a part that crashes convicted together with one that it has, and that is
+// more likely to be the poison: it explains crashes that the other one does not, or fewer requests have it. While few of a
+// host's requests lack it, nothing is known.
 func (t *Table) lacksLikelierPart(verdict *Verdict, contents []keys.Content) bool {
 	for other, companion := range t.verdicts {
 		if other != verdict.Content && other.IsPart() && !slices.Contains(contents, other) && sharesCrashes(verdict, &companion) &&
-			t.recent.countWith(other) < t.recent.countWith(verdict.Content) {
+			(!sharesCrashes(&companion, verdict) || t.recent.countWith(other) < t.recent.countWith(verdict.Content)) {
 			return true
 		}
 	}
--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -15,7 +15,6 @@
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/bodies"
 	"oxbowslip.dev/oxbowslip/internal/counters"
-	"oxbowslip.dev/oxbowslip/internal/front/copies"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/poison"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
@@ -218,9 +217,8 @@
 		}
 		return
 	}
-	if lease := x.blame.setLease(nil); lease != nil {
-		call.Judged = func() { lease.End(copies.Unanswered) }
-	}
+	end := x.blame.takeLeases()
+	call.Judged = func() { end(false) }
 	x.server.parts.Poison.RecordBrokenCall(call)
 }
 
@@ -256,7 +254,7 @@
 func (x *exchange) reportAnswered(a *owner.Attempt) {
 	x.server.parts.Health.RecordSuccess(a.EndpointID)
 	x.server.parts.Poison.RecordAnswer(x.blame.contents, keys.OfVersion(x.stream.sentVersion))
-	x.blame.endLease(true)
+	x.blame.takeLeases()(true)
 }
 
 func (x *exchange) handleNotStarted(a *owner.Attempt, answer *upstream.Answer) owner.Result {
--- a/internal/front/relay/blame.go
+++ b/internal/front/relay/blame.go
@@ -1,12 +1,15 @@
 package relay
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/front/copies"
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
+	"oxbowslip.dev/oxbowslip/internal/front/poison"
 )
 
 // blame is what a request may be refused for: contents that crash the endpoints that run them (package poison).
@@ -18,66 +21,83 @@
 	trial  []keys.Content
 
 	mu sync.Mutex
-	// lease is the right to send a copy of the request, or nil. IsSent is set once it has been sent.
-	lease  *copies.Lease
+	// leases are the rights to send the request although endpoints have crashed under some of its contents. IsSent is set
+	// once it has been sent with them.
+	leases map[keys.Content]*copies.Lease
 	isSent bool
 }
 
 // endTrial ends a trial: it is one attempt.
 func (b *blame) endTrial() { b.trial = nil }
 
-// hasLease reports whether the request has the right to be sent although endpoints have crashed under it.
-func (b *blame) hasLease() bool {
+// hasLease reports whether the request has the right to be sent although endpoints have crashed under some contents.
+func (b *blame) hasLease(limit poison.Limit) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.lease.IsValid() && !b.isSent
+	return b.leases[limit.Content].IsValid() && !b.isSent
 }
 
-// setLease replaces the lease, and returns the one before, or nil.
-func (b *blame) setLease(lease *copies.Lease) *copies.Lease {
+// addLease adds a lease, unless it is nil.
+func (b *blame) addLease(content keys.Content, lease *copies.Lease) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before := b.lease
-	b.lease, b.isSent = lease, false
-	return before
+	if b.leases == nil {
+		b.leases = make(map[keys.Content]*copies.Lease)
+	}
+	if lease != nil {
+		b.leases[content] = lease
+	}
 }
 
-// setSent records whether the lease was used for an attempt.
+// setSent records whether the leases were used for an attempt.
 func (b *blame) setSent(isSent bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.isSent = isSent
 }
 
-// endLease returns the right to send the request, if it has it. Without an answer, the outcome is that of the attempt for
-// which it was used.
-func (b *blame) endLease(isAnswered bool) {
+// takeLeases returns the function that ends the leases, for an attempt without an answer or with a complete one. The request
+// no longer has them.
+func (b *blame) takeLeases() func(isAnswered bool) {
 	b.mu.Lock()
-	outcome := copies.Unused
-	switch {
-	case isAnswered:
-		outcome = copies.Answered
-	case b.isSent:
+	defer b.mu.Unlock()
+	leases, outcome := b.leases, copies.Unused
+	if b.isSent {
 		outcome = copies.Unanswered
 	}
-	b.mu.Unlock()
-	if lease := b.setLease(nil); lease != nil {
-		lease.End(outcome)
+	b.leases, b.isSent = nil, false
+	return func(isAnswered bool) {
+		if isAnswered {
+			outcome = copies.Answered
+		}
+		for _, lease := range leases {
+			lease.End(outcome)
+		}
 	}
 }
 
 // isHeld reports whether the request must not be sent before hold.
 func (x *exchange) isHeld() bool {
-	return x.server.parts.Copies.IsLimited(x.key) && !x.blame.hasLease()
+	limits := x.server.parts.Copies.Limits(x.blame.contents)
+	return slices.ContainsFunc(limits, func(l poison.Limit) bool { return !x.blame.hasLease(l) })
 }
 
 // hold waits until the request may be sent, at most until a time. Otherwise it returns false and when to retry.
 func (x *exchange) hold(ctx context.Context, until time.Time) (retryAfter time.Duration, ok bool) {
-	x.blame.endLease(false)
 	p := &x.server.parts
-	lease, wait, ok := p.Copies.Acquire(ctx, x.key, x.deadline.Sub(p.Clock.Now()), until)
-	x.blame.setLease(lease)
-	return wait, ok
+	x.blame.takeLeases()(false)
+	limits := p.Copies.Limits(x.blame.contents)
+	// All requests acquire leases in the same order, so that no two wait for each other.
+	slices.SortFunc(limits, func(a, b poison.Limit) int { return cmp.Compare(a.Content, b.Content) })
+	for _, limit := range limits {
+		lease, wait, ok := p.Copies.Acquire(ctx, limit, x.deadline.Sub(p.Clock.Now()), until)
+		if !ok {
+			x.blame.takeLeases()(false)
+			return wait, false
+		}
+		x.blame.addLease(limit.Content, lease)
+	}
+	return 0, true
 }
 
 // isPoison reports whether the request must not be sent.
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -122,7 +122,7 @@
 	ctx, cancel := p.Clock.WithDeadline(x.r.Context(), x.deadline, owner.ErrTimeLimit)
 	defer cancel()
 	x.job = x.newJob()
-	defer x.blame.endLease(false)
+	defer func() { x.blame.takeLeases()(false) }()
 	end := p.Owner.Run(ctx, x.job)
 	if x.stream.events > 1 && end.Sends == 1 {
 		summary := x.stream.summary()
--- a/internal/front/relay/relay.go
+++ b/internal/front/relay/relay.go
@@ -70,11 +70,11 @@
 
 // Copies keeps copies of a request that has crashed endpoints from being sent in parallel.
 type Copies interface {
-	// IsLimited reports whether copies of a request are sent only with a lease. It must not block.
-	IsLimited(content keys.Content) bool
-	// Acquire waits until a copy of a request with some time left may be sent, at most until a time. The lease is nil if the
-	// request needs none. Otherwise it returns false and the time until a copy may be sent.
-	Acquire(ctx context.Context, content keys.Content, left time.Duration, until time.Time) (*copies.Lease, time.Duration, bool)
+	// Limits returns those of a request's contents for which it is sent only with a lease. It must not block.
+	Limits(contents []keys.Content) []poison.Limit
+	// Acquire waits until a request with a limit on its contents and some time left may be sent, at most until a time. The lease is nil
+	// if the contents need none. Otherwise it returns false and the time until the request may be sent.
+	Acquire(ctx context.Context, limit poison.Limit, left time.Duration, until time.Time) (*copies.Lease, time.Duration, bool)
 }
 
 // Origins knows the software versions that began streams.
