--- a/internal/front/copies/model_test.go
+++ b/internal/front/copies/model_test.go
@@ -236,6 +236,8 @@
 	switch kind {
 	case envelope.KindPoison:
 		h.detector.HandleReport(from, body)
+	case envelope.KindPoisonEnds:
+		h.detector.HandleEnds(from, body)
 	case envelope.KindCopyAsk:
 		h.gate.HandleAsk(from, body)
 	case envelope.KindCopyReply:
@@ -442,6 +444,8 @@
 					for _, h := range m.hosts {
 						h.end()
 					}
+					// Messages that are on their way arrive.
+					time.Sleep(time.Second)
 					worst, ends := 0, 0
 					for n := range m.requests {
 						worst, ends = max(worst, m.late(n)), ends+len(m.ends[n])
