poison: ends of endpoints that had not begun to answer count for the limit on a part; soak of several requests that crash engines

Such ends were no evidence against a part, since its requests may only wait there; for a verdict that stays so.

--- a/internal/front/poison/detector.go
+++ b/internal/front/poison/detector.go
@@ -278,9 +278,6 @@
 func (d *Detector) recordCrash(call *Call) {
 	crash := Crash{Endpoint: keys.OfEndpoint(call.Endpoint), At: d.parts.StoreTime(), Begun: call.Begun, Version: call.Version}
 	for _, content := range call.Contents {
-		if content.IsPart() && !call.Begun {
-			continue
-		}
 		verdict, proved := d.table.RecordCrash(content, crash)
 		d.outbox.addCrash(content, crash)
 		if proved {
--- a/internal/front/poison/report.go
+++ b/internal/front/poison/report.go
@@ -151,7 +151,7 @@
 			d.parts.CountRefused(counters.RefusedPart)
 			continue
 		}
-		d.table.adoptEnd(message.Ends[i].Content, end)
+		d.table.recordEnd(message.Ends[i].Content, end)
 	}
 	d.count()
 }
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -49,7 +49,7 @@
 // parts that always come with a poison part must not be judged before it. A crash in a trial of a verdict renews it, and
 // is returned in the same way.
 func (t *Table) RecordCrash(content keys.Content, crash Crash) (Verdict, bool) {
-	if !content.IsPart() {
+	if !content.IsPart() || !t.isTroubled(crash.At) && !containsCrash(t.explained, crash) {
 		t.recordEnd(content, crash)
 	}
 	if verdict, known := t.verdicts[content]; known {
@@ -264,7 +264,7 @@
 	_, hadVerdict = t.verdicts[content]
 	if counted := t.tallies[content]; counted != nil {
 		wasSuspect = true
-		if counted.recordAnswer(now, t.answerInterval) {
+		if content.IsPart() || counted.recordAnswer(now, t.answerInterval) {
 			delete(t.tallies, content)
 		}
 	}
--- a/internal/front/poison/tally.go
+++ b/internal/front/poison/tally.go
@@ -12,7 +12,8 @@
 
 // Copies of a request that has crashed an endpoint are sent one at a time (package copies). What bounds them must not be
 // lost with the evidence for a verdict: a verdict on another request explains the crashes that both had, and an answer
-// lifts a verdict. So a tally keeps all ends of endpoints under a request, whatever explains them.
+// lifts a verdict. So a tally keeps all ends of endpoints under a request, whatever explains them. For a part of prompts it
+// keeps those since the last answer that no verdict on another part explains, also of endpoints that had not begun to answer.
 
 const (
 	// maxTallied is the number of ends that a tally keeps to recognize reports of the same ones.
@@ -34,7 +35,7 @@
 	maxPartCopyDelay   = 12 * time.Second
 )
 
-// tally counts the endpoints that have ended under a request since it was last found sound.
+// tally counts the endpoints that have ended under some contents since these were last found sound.
 type tally struct {
 	// ends are the newest ends. Apart is the number of all that don't have a common cause with another one.
 	ends  []Crash
@@ -56,14 +57,14 @@
 	return delay
 }
 
-// record records the end of an endpoint.
-func (t *tally) record(end Crash) {
+// record records the end of an endpoint. Ends within an interval may have a common cause.
+func (t *tally) record(end Crash, commonCause time.Duration) {
 	if slices.ContainsFunc(t.ends, end.isSame) {
 		return
 	}
 	hasCommonCause := slices.ContainsFunc(t.ends, func(c Crash) bool {
 		interval := c.At - end.At
-		return c.At != 0 && max(interval, -interval) < freshness.StoreTime(commonCauseInterval)
+		return c.At != 0 && max(interval, -interval) < freshness.StoreTime(commonCause)
 	})
 	if !hasCommonCause {
 		t.apart++
@@ -72,6 +73,15 @@
 	t.ends = t.ends[max(len(t.ends)-maxTallied, 0):]
 }
 
+// remove removes an end, and reports whether none is left.
+func (t *tally) remove(end Crash) bool {
+	if i := slices.IndexFunc(t.ends, end.isSame); i >= 0 {
+		t.ends = slices.Delete(t.ends, i, i+1)
+		t.apart = min(t.apart, len(t.ends))
+	}
+	return len(t.ends) == 0
+}
+
 // recordAnswer records an answer, and reports whether the answers outweigh the ends. Answers within an interval count once,
 // since reports are repeated.
 func (t *tally) recordAnswer(now freshness.StoreTime, interval time.Duration) bool {
@@ -108,38 +118,31 @@
 	return last
 }
 
-// recordEnd records that an endpoint has ended under a request.
-func (t *Table) recordEnd(request keys.Content, end Crash) {
-	counted := t.tallies[request]
+// recordEnd records that an endpoint has ended under some contents.
+func (t *Table) recordEnd(content keys.Content, end Crash) {
+	counted := t.tallies[content]
 	if counted == nil {
 		counted = new(tally)
-		t.tallies[request] = counted
+		t.tallies[content] = counted
 		t.enforceTallyBound()
 	}
-	counted.record(end)
-}
-
-// recordPartEnd records that an endpoint has ended under a part of prompts, as far as a host that has joined has to know.
-func (t *Table) recordPartEnd(part keys.Content, end Crash) {
-	if !t.IsPoison(part) && !slices.ContainsFunc(t.suspects[part], end.isSame) {
-		t.suspects[part] = append(t.suspects[part], end)
-		t.enforceBounds()
+	interval := commonCauseInterval
+	if content.IsPart() {
+		interval = partCrashInterval
 	}
+	counted.record(end, interval)
 }
 
 // limitingEnds returns the ends for which some contents, which are not poison, are sent later than at once.
 func (t *Table) limitingEnds(content keys.Content) []Crash {
-	counted := t.tallies[content]
-	switch {
-	case t.IsPoison(content):
-	case content.IsPart():
-		if crashes := t.suspects[content]; partFailures(crashes) >= limitedPartCrashes {
-			return crashes
-		}
-	case counted != nil && counted.failures() > freeEnds:
-		return counted.ends
+	counted, free := t.tallies[content], freeEnds
+	if content.IsPart() {
+		free = limitedPartCrashes - 1
 	}
-	return nil
+	if counted == nil || t.IsPoison(content) || counted.failures() <= free {
+		return nil
+	}
+	return counted.ends
 }
 
 // suspicion returns what is stored of contents that are sent later than at once.
@@ -161,21 +164,12 @@
 	var ends []ReportedCrash
 	for n, endpoint := range stored.Endpoints[:min(len(stored.Endpoints), maxTallied)] {
 		end := Crash{Endpoint: endpoint, At: stored.provedAt() - freshness.StoreTime(n)*freshness.StoreTime(partCrashInterval), Begun: true}
-		t.adoptEnd(stored.Content, end)
+		t.recordEnd(stored.Content, end)
 		ends = append(ends, reportedCrash(stored.Content, end))
 	}
 	return ends
 }
 
-// adoptEnd records an end of which another host or the store informs this one.
-func (t *Table) adoptEnd(content keys.Content, end Crash) {
-	if content.IsPart() {
-		t.recordPartEnd(content, end)
-		return
-	}
-	t.recordEnd(content, end)
-}
-
 // LacksSuspect reports whether a request with some contents, one of them a part that is sent one at a time, lacks another such
 // part under which all the same endpoints have ended. Its answer distinguishes the two, and it need not wait.
 func (t *Table) LacksSuspect(part keys.Content, contents []keys.Content) bool {
@@ -183,11 +177,11 @@
 	if len(ends) == 0 {
 		return false
 	}
-	for other, crashes := range t.suspects {
+	for other, counted := range t.tallies {
 		if other == part || !other.IsPart() || slices.Contains(contents, other) || len(t.limitingEnds(other)) == 0 {
 			continue
 		}
-		if !slices.ContainsFunc(ends, func(end Crash) bool { return !slices.ContainsFunc(crashes, end.isSame) }) {
+		if !slices.ContainsFunc(ends, func(end Crash) bool { return !slices.ContainsFunc(counted.ends, end.isSame) }) {
 			return true
 		}
 	}
@@ -197,19 +191,19 @@
 // CopyWait reports whether requests with some contents are sent one at a time, and the time until the next one may be sent;
 // isApart is set for one that distinguishes two parts.
 func (t *Table) CopyWait(now freshness.StoreTime, content keys.Content, isApart bool) (wait time.Duration, isLimited bool) {
-	if content.IsPart() {
-		crashes := t.limitingEnds(content)
-		if len(crashes) == 0 {
+	counted := t.tallies[content]
+	switch {
+	case counted == nil:
+		return 0, false
+	case content.IsPart():
+		if len(t.limitingEnds(content)) == 0 {
 			return 0, false
 		}
-		_, last := period(crashes)
 		if isApart {
 			return 0, true
 		}
-		return waitUntil(now, last, partDelay(partFailures(crashes))), true
-	}
-	counted := t.tallies[content]
-	if counted == nil || !counted.isLimited() {
+		return waitUntil(now, counted.lastAt(), partDelay(counted.failures())), true
+	case !counted.isLimited():
 		return 0, false
 	}
 	return waitUntil(now, max(counted.lastAt(), counted.answeredAt), counted.delay()), true
@@ -223,14 +217,6 @@
 	return max(time.Duration(from-now)+after, 0)
 }
 
-// partFailures returns how many of the crashes under a part count.
-func partFailures(crashes []Crash) int {
-	if len(crashes) < limitedPartCrashes {
-		return len(crashes)
-	}
-	return min(len(crashes), countApart(crashes)+extraEnds)
-}
-
 // partDelay returns the time from the last crash under a part to the next request with it, by the number of crashes.
 func partDelay(crashes int) time.Duration {
 	delay := partCopyDelay
@@ -242,24 +228,19 @@
 
 // newestEnds returns ends under the parts and the requests that are sent one at a time, at most some number.
 func (t *Table) newestEnds(most int) []ReportedCrash {
-	requests := slices.SortedFunc(maps.Keys(t.tallies), func(a, b keys.Content) int {
+	byFailures := slices.SortedFunc(maps.Keys(t.tallies), func(a, b keys.Content) int {
 		return cmp.Or(cmp.Compare(t.tallies[b].failures(), t.tallies[a].failures()), cmp.Compare(a, b))
 	})
 	var ends []ReportedCrash
-	for part, crashes := range t.suspects {
-		if part.IsPart() && len(t.limitingEnds(part)) > 0 {
-			for _, end := range crashes[max(len(crashes)-maxTallied, 0):] {
-				ends = append(ends, reportedCrash(part, end))
-			}
+	for _, content := range byFailures {
+		if content.IsPart() && len(t.limitingEnds(content)) == 0 {
+			continue
 		}
-	}
-	ends = ends[:min(len(ends), most/2)]
-	for _, request := range requests {
-		for _, end := range t.tallies[request].ends {
+		for _, end := range t.tallies[content].ends {
 			if len(ends) == most {
 				return ends
 			}
-			ends = append(ends, reportedCrash(request, end))
+			ends = append(ends, reportedCrash(content, end))
 		}
 	}
 	return ends
