--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -137,8 +137,11 @@
 	return true
 }
 
-// holdTargetDivisor is the part of its latency target for which a request that has not begun waits in Hold at most.
-const holdTargetDivisor = 4
+// A request that has not begun waits in Hold for a part of its latency target at most, and for minHold at least.
+const (
+	holdTargetDivisor = 4
+	minHold           = 50 * time.Millisecond
+)
 
 // hold waits until the request may be sent. It refuses the request and reports false if that takes too long, or if ctx ends.
 func (r *run) hold(ctx context.Context) bool {
@@ -148,7 +151,7 @@
 	now := r.owner.parts.Clock()
 	until := r.begunLimit(now)
 	if !r.hasBegun() {
-		until = now.Add(max(r.job.Request.FirstToken, r.job.Request.WholeAnswer) / holdTargetDivisor)
+		until = now.Add(max(max(r.job.Request.FirstToken, r.job.Request.WholeAnswer)/holdTargetDivisor, minHold))
 	}
 	retryAfter, ok := r.job.Hold(ctx, until)
 	if ok {
