poison: trials of a verdict on a part that many crashes prove at once are not delayed by these

A trial of one part is not held back by a limit on another part of its prompt, which may be cleared by trials only.

--- a/internal/front/poison/parts.go
+++ b/internal/front/poison/parts.go
@@ -24,11 +24,6 @@
 			t.setSuspect(content, slices.DeleteFunc(crashes, crash.isSame))
 		}
 	}
-	for content, counted := range t.tallies {
-		if content.IsPart() && counted.remove(crash) {
-			delete(t.tallies, content)
-		}
-	}
 }
 
 // Judge returns the verdicts on parts that crashes prove. Parts that come together can't be told apart: all of them are
--- a/internal/front/poison/poison.go
+++ b/internal/front/poison/poison.go
@@ -113,7 +113,8 @@
 	IsSuspicion bool
 	// Until is when the verdict expires, by the store's clock.
 	Until freshness.StoreTime
-	// Endpoints are the endpoints that crashed while they had the contents.
+	// Endpoints are the endpoints that crashed while they had the contents; for a part of prompts the last ones that prove the
+	// verdict, and those of trials.
 	Endpoints []keys.Endpoint
 	// Versions are the known software versions of these endpoints. They are neither sent between hosts nor stored.
 	Versions []keys.Version
@@ -129,6 +130,8 @@
 	// Crashes is the number of crashes with the contents, Others that of the other crashes in the same Period.
 	Crashes, Others int
 	Period          time.Duration
+	// Endpoints are all endpoints that crashed with a part of prompts.
+	Endpoints []keys.Endpoint
 	// Last is the time of the last of these crashes.
 	Last freshness.StoreTime
 	// AnsweredAt is the time of the last complete answer to a request with the contents, or 0 if none is known.
--- a/internal/front/poison/table.go
+++ b/internal/front/poison/table.go
@@ -49,7 +49,7 @@
 // parts that always come with a poison part must not be judged before it. A crash in a trial of a verdict renews it, and
 // is returned in the same way.
 func (t *Table) RecordCrash(content keys.Content, crash Crash) (Verdict, bool) {
-	if !content.IsPart() || !t.isTroubled(crash.At) && !containsCrash(t.explained, crash) {
+	if !content.IsPart() || !t.isTroubled(crash.At) {
 		t.recordEnd(content, crash)
 	}
 	if verdict, known := t.verdicts[content]; known {
@@ -98,6 +98,11 @@
 			verdict.Versions = append(verdict.Versions, c.Version)
 		}
 	}
+	if content.IsPart() {
+		// Each further endpoint stands for a trial that crashed, and delays the next one.
+		verdict.Proof.Endpoints = verdict.Endpoints
+		verdict.Endpoints = verdict.Endpoints[max(len(verdict.Endpoints)-minPartCrashes, 0):]
+	}
 	t.setVerdict(verdict)
 	return verdict
 }
--- a/internal/front/poison/tally.go
+++ b/internal/front/poison/tally.go
@@ -13,7 +13,7 @@
 // Copies of a request that has crashed an endpoint are sent one at a time (package copies). What bounds them must not be
 // lost with the evidence for a verdict: a verdict on another request explains the crashes that both had, and an answer
 // lifts a verdict. So a tally keeps all ends of endpoints under a request, whatever explains them. For a part of prompts it
-// keeps those since the last answer that no verdict on another part explains, also of endpoints that had not begun to answer.
+// keeps those since the last answer, also of endpoints that had not begun to answer.
 
 const (
 	// maxTallied is the number of ends that a tally keeps to recognize reports of the same ones.
@@ -73,15 +73,6 @@
 	t.ends = t.ends[max(len(t.ends)-maxTallied, 0):]
 }
 
-// remove removes an end, and reports whether none is left.
-func (t *tally) remove(end Crash) bool {
-	if i := slices.IndexFunc(t.ends, end.isSame); i >= 0 {
-		t.ends = slices.Delete(t.ends, i, i+1)
-		t.apart = min(t.apart, len(t.ends))
-	}
-	return len(t.ends) == 0
-}
-
 // recordAnswer records an answer, and reports whether the answers outweigh the ends. Answers within an interval count once,
 // since reports are repeated.
 func (t *tally) recordAnswer(now freshness.StoreTime, interval time.Duration) bool {
@@ -133,13 +124,21 @@
 	counted.record(end, interval)
 }
 
-// limitingEnds returns the ends for which some contents, which are not poison, are sent later than at once.
+// limitingEnds returns the ends for which some contents are sent later than at once, unless they are poison.
 func (t *Table) limitingEnds(content keys.Content) []Crash {
+	if t.IsPoison(content) {
+		return nil
+	}
+	return t.manyEnds(content)
+}
+
+// manyEnds returns the ends under some contents if these are so many that they are sent later than at once.
+func (t *Table) manyEnds(content keys.Content) []Crash {
 	counted, free := t.tallies[content], freeEnds
 	if content.IsPart() {
 		free = limitedPartCrashes - 1
 	}
-	if counted == nil || t.IsPoison(content) || counted.failures() <= free {
+	if counted == nil || counted.failures() <= free {
 		return nil
 	}
 	return counted.ends
@@ -178,7 +177,7 @@
 		return false
 	}
 	for other, counted := range t.tallies {
-		if other == part || !other.IsPart() || slices.Contains(contents, other) || len(t.limitingEnds(other)) == 0 {
+		if other == part || !other.IsPart() || slices.Contains(contents, other) || len(t.manyEnds(other)) == 0 {
 			continue
 		}
 		if !slices.ContainsFunc(ends, func(end Crash) bool { return !slices.ContainsFunc(counted.ends, end.isSame) }) {
--- a/internal/front/poison/trials.go
+++ b/internal/front/poison/trials.go
@@ -53,8 +53,9 @@
 
 // sharesCrashes reports whether all crashes that proved a verdict proved another one as well.
 func sharesCrashes(verdict, other *Verdict) bool {
+	crashed := slices.Concat(other.Proof.Endpoints, other.Endpoints)
 	return !slices.ContainsFunc(verdict.Endpoints[:min(len(verdict.Endpoints), minPartCrashes)], func(e keys.Endpoint) bool {
-		return !slices.Contains(other.Endpoints, e)
+		return !slices.Contains(crashed, e)
 	})
 }
 
--- a/internal/front/relay/blame.go
+++ b/internal/front/relay/blame.go
@@ -78,15 +78,24 @@
 
 // isHeld reports whether the request must not be sent before hold.
 func (x *exchange) isHeld() bool {
+	return slices.ContainsFunc(x.limits(), func(l poison.Limit) bool { return !x.blame.hasLease(l) })
+}
+
+// limits returns the contents for which the request is sent only with a lease. A trial of the verdict on a part needs none for
+// its other parts: trials are sent one at a time, and may be the only requests that can clear these.
+func (x *exchange) limits() []poison.Limit {
 	limits := x.server.parts.Copies.Limits(x.blame.contents)
-	return slices.ContainsFunc(limits, func(l poison.Limit) bool { return !x.blame.hasLease(l) })
+	if len(x.blame.trial) == 0 {
+		return limits
+	}
+	return slices.DeleteFunc(limits, func(l poison.Limit) bool { return l.Content.IsPart() })
 }
 
 // hold waits until the request may be sent, at most until a time. Otherwise it returns false and when to retry.
 func (x *exchange) hold(ctx context.Context, until time.Time) (retryAfter time.Duration, ok bool) {
 	p := &x.server.parts
 	x.blame.takeLeases()(false)
-	limits := p.Copies.Limits(x.blame.contents)
+	limits := x.limits()
 	// All requests acquire leases in the same order, so that no two wait for each other.
 	slices.SortFunc(limits, func(a, b poison.Limit) int { return cmp.Compare(a.Content, b.Content) })
 	for _, limit := range limits {
