--- a/internal/front/copies/gate.go
+++ b/internal/front/copies/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -178,14 +179,7 @@
 func (g *Gate) lend(ask *Ask, host envelope.Sender) (time.Duration, bool) {
 	wait, _ := g.parts.Evidence.CopyWait(ask.Content, ask.IsApart)
 	live := g.parts.Peers.Senders()
-	isLive := func(holder envelope.Sender) bool {
-		for _, h := range live {
-			if h == holder {
-				return true
-			}
-		}
-		return false
-	}
+	isLive := func(holder envelope.Sender) bool { return slices.Contains(live, holder) }
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.lender.Lend(g.parts.Clock(), ask, host, wait, isLive)
