intake: what heads of requests make a host hold is bounded over all connections of a listener

What callers saw: a process that ran out of memory while clients sent heads over the limit, without end, or inside the limit but in many short lines.

Cause: net/http bounds one head by its bytes. A line becomes an entry of a map, so a head of 16 KB in lines of 6 bytes takes 350 KB, and nothing bounded the number of connections or of heads. Of the configuration's Limits only MaxBodyBytes was read; the listeners for readiness, metrics and operators took heads of 1 MB and had no idle timeout.

Change: package intake has an account for each listener of both daemons, a part of memory_mb. A connection is charged for itself, and for the bytes and lines of its head as they are read. Beyond the limit those go that have held most for longest (bytes times time since the request began), so that a request that arrives at once stays, and an IP number decides nothing. MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs are in force, also on open connections after a change; 64 KB, 5 s and 60 s where the configuration has none. The heap of oxbowslipd is held to .6 of memory_mb as that of oxbowslip-front was. Memory of evicted connections counts until net/http has closed them; readers wait until then.

Ruled out: a limit on lines (a single request inside the pages' limits would meet it); limits by IP number (all callers may come through one); http.Server's own fields (they can't change while it runs).

Why it is safe: a connection whose request is whole and decided is never closed for memory; the others are closed unread, or their request is not whole, so that nothing has run. A head over the limit gets 431 as before.

--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"oxbowslip.dev/oxbowslip/internal/httphead"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
@@ -190,6 +191,7 @@
 	store    map[StoreCallReason]*metrics.Counter
 	signals  map[Signal]*metrics.Counter
 	limits   map[AnswerLimit]*metrics.Counter
+	closed   map[closedConnection]*metrics.Counter
 	permits  map[PermitResult]*metrics.Counter
 	slots    map[SlotResult]*metrics.Counter
 	origins  map[OriginResult]*metrics.Counter
@@ -226,6 +228,7 @@
 		origins:          make(map[OriginResult]*metrics.Counter),
 		silences:         make(map[SilenceResult]*metrics.Counter),
 		limits:           make(map[AnswerLimit]*metrics.Counter),
+		closed:           make(map[closedConnection]*metrics.Counter),
 		Goodput:          set.NewCounter("oxbowslip_goodput_tokens_total"),
 		Tokens:           set.NewCounter("oxbowslip_tokens_total"),
 		Resends:          set.NewCounter("oxbowslip_forbidden_resends_total"),
@@ -269,9 +272,25 @@
 	for _, limit := range AnswerLimits {
 		c.limits[limit] = set.NewCounter(fmt.Sprintf(`oxbowslip_answers_cut_total{limit=%q}`, limit))
 	}
+	for _, listener := range intake.Listeners {
+		for _, cause := range intake.Causes {
+			c.closed[closedConnection{listener, cause}] = set.NewCounter(fmt.Sprintf(`oxbowslip_client_connections_closed_total{listener=%q,limit=%q}`, listener, cause))
+		}
+	}
 	return c
 }
 
+// closedConnection is the listener of a connection that was closed and the limit for which it was.
+type closedConnection struct {
+	listener string
+	cause    intake.Cause
+}
+
+// CountClosedConnection counts a connection of a client that was closed for a limit.
+func (c *Counters) CountClosedConnection(listener string, cause intake.Cause) {
+	c.closed[closedConnection{listener, cause}].Inc()
+}
+
 // CountCutAnswer counts a call that was broken since its answer exceeded a limit.
 func (c *Counters) CountCutAnswer(limit AnswerLimit) { c.limits[limit].Inc() }
 
--- a/internal/daemon/api/api.go
+++ b/internal/daemon/api/api.go
@@ -40,11 +40,11 @@
 
 // Limits of calls.
 const (
-	// readHeaderTimeout bounds the time in which a caller must send its headers. It admits slow
-	// networks, and drops idle connections, which hold memory.
-	readHeaderTimeout = 10 * time.Second
-	// maxHeaderBytes bounds the size of a call's headers.
-	maxHeaderBytes = 32 << 10
+	// HeaderTimeout bounds the time in which a caller must send its headers, and MaxHeaderBytes their size. It admits slow
+	// networks. IdleTimeout bounds the time without a call.
+	HeaderTimeout  = 10 * time.Second
+	MaxHeaderBytes = 32 << 10
+	IdleTimeout    = time.Minute
 	// maxIDLength bounds the bytes of a caller's request ID, which appears in logs and
 	// explanations.
 	maxIDLength = 128
@@ -85,7 +85,7 @@
 // New returns a server of the callers' interface.
 func New(parts Parts) *Server { return &Server{parts: parts} }
 
-// HTTP returns the HTTP server, with its limits on the time and size of headers.
+// HTTP returns the HTTP server. The account of its listener bounds the time of headers.
 func (s *Server) HTTP() *http.Server {
 	router := mux.NewRouter().UseEncodedPath().SkipClean(true)
 	router.HandleFunc("/v1/chat/completions", s.handle(s.chat)).Methods(http.MethodPost)
@@ -93,10 +93,8 @@
 	router.PathPrefix("/v1/services/{service}").HandlerFunc(s.handle(s.service))
 	router.NotFoundHandler = s.handle(s.notFound)
 	return &http.Server{
-		Handler:           router,
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          nil,
+		Handler:        router,
+		MaxHeaderBytes: MaxHeaderBytes,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,7 @@
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/listen"
 	"oxbowslip.dev/oxbowslip/internal/logging"
@@ -58,6 +60,9 @@
 	ended              chan struct{}
 }
 
+// expireInterval is the mean time between two searches for connections that take too long.
+const expireInterval = time.Second
+
 // stopMargin is the time after the drain's limit in which the remaining requests end with an error.
 const stopMargin = 10 * time.Second
 
@@ -78,6 +83,7 @@
 	Recorded  *record.Ring
 	Claims    *claims.Table
 	Committer *commit.Committer
+	Intake    *intake.Accounts
 	Clock     func() time.Time
 }
 
@@ -109,11 +115,12 @@
 // Start listens and starts following the settings. It doesn't wait for settings; the host is not
 // ready until it has them.
 func (d *Daemon) Start(context.Context) error {
+	lifetime.LimitHeap(d.parts.Config.MemoryBytes())
 	var err error
-	if d.callersAddress, err = d.listeners.Start(d.callers, d.parts.Config.Callers, "callers"); err != nil {
+	if d.callersAddress, err = d.listeners.Start(d.callers, d.parts.Config.Callers, d.parts.Intake.Callers); err != nil {
 		return err
 	}
-	if d.operatorsAddress, err = d.listeners.Start(d.operators, d.parts.Config.Operators, "operators"); err != nil {
+	if d.operatorsAddress, err = d.listeners.Start(d.operators, d.parts.Config.Operators, d.parts.Intake.Operators); err != nil {
 		d.listeners.Close()
 		return err
 	}
@@ -125,6 +132,7 @@
 	go d.parts.Follower.Run(d.done)
 	go d.parts.Claims.Run(d.done)
 	go d.configureShards()
+	go lifetime.Every(d.done, expireInterval, rand.Float64, func(context.Context) { d.parts.Intake.Expire() })
 	d.log.WithFields(logrus.Fields{
 		"host": d.parts.Config.Name, "callers": d.callersAddress, "operators": d.operatorsAddress,
 	}).Info("started")
--- a/internal/daemon/fx.go
+++ b/internal/daemon/fx.go
@@ -12,6 +12,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/counters"
+	"oxbowslip.dev/oxbowslip/internal/daemon/api"
 	"oxbowslip.dev/oxbowslip/internal/daemon/change"
 	"oxbowslip.dev/oxbowslip/internal/daemon/claims"
 	"oxbowslip.dev/oxbowslip/internal/daemon/commit"
@@ -23,6 +24,7 @@
 	"oxbowslip.dev/oxbowslip/internal/daemon/tableclient"
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/logging"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/record"
@@ -44,6 +46,7 @@
 			dispatch.New,
 			httpclient.New,
 			func() *documentSource { return new(documentSource) },
+			newIntake,
 			newFleet,
 			newPlatform,
 			newFollower,
@@ -60,6 +63,25 @@
 	)
 }
 
+// intakeParts are the dependencies of the accounts of connections.
+type intakeParts struct {
+	fx.In
+
+	Config   hostconfig.Host
+	Counters *counters.Counters
+	Log      *logrus.Logger
+	Clock    func() time.Time
+}
+
+func newIntake(p intakeParts) *intake.Accounts {
+	limits := intake.Limits{HeadBytes: api.MaxHeaderBytes, HeadTime: api.HeaderTimeout, IdleTime: api.IdleTimeout}
+	return intake.NewAccounts(intake.Parts{
+		Memory: p.Config.MemoryBytes(), ReadTime: p.Config.ReadTimeout,
+		CallerLimits: func() intake.Limits { return limits }, CountClosed: p.Counters.CountClosedConnection,
+		Log: logging.Part(p.Log, "connections"), Clock: p.Clock,
+	})
+}
+
 // fleetParts are the dependencies of the fleet.
 type fleetParts struct {
 	fx.In
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,7 +11,6 @@
 	"context"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -46,7 +45,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/tunnel"
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
-	"oxbowslip.dev/oxbowslip/internal/httphead"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 	"oxbowslip.dev/oxbowslip/internal/listen"
 	"oxbowslip.dev/oxbowslip/internal/logging"
@@ -88,21 +87,17 @@
 	MetricsPath string
 }
 
-// Limits of the HTTP listeners. Callers on the users' platform stay far below them.
+// The limits of callers' connections where the settings say nothing else.
 const (
-	// idleTimeout closes idle connections of callers.
-	idleTimeout = time.Minute
-	// headerTimeout bounds the time in which a caller sends the header of a request.
-	headerTimeout = 5 * time.Second
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = time.Minute
 )
 
 const (
 	// expireInterval is the mean time between two removals of expired state: idle connections, outdated loads of peers,
 	// holders of prefixes.
 	expireInterval = time.Second
-	// heapFraction is the fraction of the host's memory that the Go heap may use. The rest is for stacks, kernel
-	// buffers and the program itself. Hosts with 134 and 284 MB peak at 8 to 22 MB, far below the limit.
-	heapFraction = 0.6
 	// stopMargin is the time left after the drain's limit to answer the callers of aborted requests.
 	stopMargin = 300 * time.Millisecond
 	// unregisterTimeout bounds one attempt to remove the host's address from the registry.
@@ -174,6 +169,7 @@
 	Silence    *silence.Tracker
 	Retries    *retrybudget.Fleet
 	Leadership *leadership
+	Intake     *intake.Accounts
 	Clock      func() time.Time
 	Steady     *clock.Clock
 }
@@ -184,11 +180,10 @@
 	h.listeners = listen.New(h.log)
 	h.overload = listen.NewOverload(h.log)
 	h.recordContact()
-	h.callers = &http.Server{
-		Handler: lifetime.CloseConnectionsWhen(&h.leaving, p.Relay), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: httphead.MaxBytes,
-	}
-	h.readiness = &http.Server{Handler: h.readinessHandler(), ReadHeaderTimeout: headerTimeout}
-	h.metrics = &http.Server{Handler: h.metricsHandler(), ReadHeaderTimeout: headerTimeout}
+	// The accounts of connections bound their times and heads, by the settings in force.
+	h.callers = &http.Server{Handler: lifetime.CloseConnectionsWhen(&h.leaving, p.Relay)}
+	h.readiness = &http.Server{Handler: h.readinessHandler()}
+	h.metrics = &http.Server{Handler: h.metricsHandler()}
 	h.operators = operator.New(operator.Parts{
 		Keys: p.Config.OperatorKeys, Counters: p.Counters, Explained: p.Explained, Recorded: p.Recorded, Settings: p.Settings,
 		Changes: storeChanges{}, Tree: h.tree, Status: h.Status, LiftPoison: h.liftVerdict,
@@ -246,6 +241,7 @@
 	h.parts.Copies.Expire()
 	h.parts.Silence.Expire()
 	h.parts.Retries.Update()
+	h.parts.Intake.Expire()
 	if h.parts.Shares != nil {
 		h.parts.Shares.Expire()
 	}
@@ -286,9 +282,7 @@
 // Start opens the listeners and starts to follow the store. It does not wait for the store: the host is not ready until
 // it has settings and endpoints.
 func (h *Host) Start(context.Context) error {
-	if h.parts.Config.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(heapFraction * float64(h.parts.Config.MemoryMB) * (1 << 20)))
-	}
+	lifetime.LimitHeap(h.parts.Config.MemoryBytes())
 	if err := h.listen(); err != nil {
 		return err
 	}
@@ -327,20 +321,21 @@
 
 // listen opens the listeners that the host's settings file names.
 func (h *Host) listen() error {
+	accounts := h.parts.Intake
 	for _, l := range []struct {
 		server  *http.Server
 		address string
-		what    string
+		account *intake.Account
 		bound   *string
 		wrap    func(net.Listener) net.Listener
 	}{
-		{h.callers, h.parts.Config.Callers, "callers", &h.bound.Callers, h.overload.Wrap},
-		{h.readiness, h.parts.Config.Readiness, "readiness", &h.bound.Readiness, listen.Unchanged},
-		{h.metrics, h.parts.Config.Metrics, "metrics", &h.bound.Metrics, listen.Unchanged},
-		{h.operators, h.parts.Config.Operators, "operators", &h.bound.Operators, listen.Unchanged},
+		{h.callers, h.parts.Config.Callers, accounts.Callers, &h.bound.Callers, h.overload.Wrap},
+		{h.readiness, h.parts.Config.Readiness, accounts.Readiness, &h.bound.Readiness, listen.Unchanged},
+		{h.metrics, h.parts.Config.Metrics, accounts.Metrics, &h.bound.Metrics, listen.Unchanged},
+		{h.operators, h.parts.Config.Operators, accounts.Operators, &h.bound.Operators, listen.Unchanged},
 	} {
 		var err error
-		if *l.bound, err = h.listeners.StartWrapped(l.server, l.address, l.what, l.wrap); err != nil {
+		if *l.bound, err = h.listeners.StartWrapped(l.server, l.address, l.account, l.wrap); err != nil {
 			return err
 		}
 	}
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -39,6 +39,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/usage"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/logging"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/record"
@@ -54,6 +55,7 @@
 			func(c *clock.Clock) func() time.Time { return c.Now },
 			func() func() float64 { return randomNumber },
 			func() *lateParts { return new(lateParts) },
+			newIntake,
 			func() gossip.Network { return gossip.IPNetwork{} },
 			explain.New,
 			record.New,
@@ -646,6 +648,39 @@
 	return registry
 }
 
+// intakeParts are the dependencies of the accounts of connections.
+type intakeParts struct {
+	fx.In
+
+	Config   hostconfig.Host
+	Holder   *settings.Holder
+	Counters *counters.Counters
+	Log      *logrus.Logger
+	Clock    func() time.Time
+}
+
+// newIntake returns the accounts of the listeners. The limits of callers are those of the settings in force.
+func newIntake(p intakeParts) *intake.Accounts {
+	return intake.NewAccounts(intake.Parts{
+		Memory: p.Config.MemoryBytes(), ReadTime: p.Config.ReadTimeout,
+		CallerLimits: func() intake.Limits { return callerLimits(p.Holder.Current()) },
+		CountClosed:  p.Counters.CountClosedConnection, Log: logging.Part(p.Log, "connections"), Clock: p.Clock,
+	})
+}
+
+// callerLimits returns the limits of callers' connections in a revision of the settings, which is nil before the first.
+func callerLimits(current *settings.Revision) intake.Limits {
+	limits := intake.Limits{HeadBytes: defaultHeaderBytes, HeadTime: defaultHeaderTimeout, IdleTime: defaultIdleTimeout}
+	if current == nil {
+		return limits
+	}
+	set := &current.Tree.CallerLimits
+	return intake.Limits{
+		HeadBytes: cmp.Or(set.HeaderBytes, limits.HeadBytes), HeadTime: cmp.Or(set.HeaderTimeout, limits.HeadTime),
+		IdleTime: cmp.Or(set.IdleTimeout, limits.IdleTime),
+	}
+}
+
 // relayParts are the dependencies of the relay, which serves callers.
 type relayParts struct {
 	fx.In
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -237,6 +237,9 @@
 	return int64(bodyMemoryShare * float64(h.MemoryMB) * (1 << 20))
 }
 
+// MemoryBytes returns the memory of the host; 0 means no limit.
+func (h *Host) MemoryBytes() int64 { return int64(h.MemoryMB) << 20 }
+
 // check returns an error that names the field with a value out of its range.
 func (h *Host) check() error {
 	if h.BodiesMB == nil {
--- a/internal/lifetime/lifetime.go
+++ b/internal/lifetime/lifetime.go
@@ -5,11 +5,23 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/backoff"
 )
 
+// heapFraction is the fraction of a host's memory that the Go runtime may use before it collects garbage at any cost. The
+// rest is for kernel buffers and the program itself.
+const heapFraction = 0.6
+
+// LimitHeap limits the memory of the Go runtime on a host with some memory, in bytes; 0 means no limit.
+func LimitHeap(memory int64) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(heapFraction * float64(memory)))
+	}
+}
+
 // Context returns a context that is cancelled when done is closed. The returned function
 // cancels it earlier and must be called to release its goroutine.
 func Context(done <-chan struct{}) (context.Context, context.CancelFunc) {
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -10,6 +10,8 @@
 
 	"github.com/ansel1/merry/v2"
 	"github.com/sirupsen/logrus"
+
+	"oxbowslip.dev/oxbowslip/internal/intake"
 )
 
 // Group is a set of the HTTP servers of one daemon. Its methods are not safe for concurrent use.
@@ -22,26 +24,28 @@
 func New(log *logrus.Entry) *Group { return &Group{log: log} }
 
 // Start listens on an address and serves in the background. It returns the bound address,
-// with the port that the system selected if the given port is 0. name identifies the
-// listener in errors and log lines. With an empty address, Start does not listen.
-func (g *Group) Start(server *http.Server, address, name string) (bound string, err error) {
-	return g.StartWrapped(server, address, name, Unchanged)
+// with the port that the system selected if the given port is 0. The account bounds what the
+// connections take, and names the listener in errors and log lines. With an empty address,
+// Start does not listen.
+func (g *Group) Start(server *http.Server, address string, account *intake.Account) (bound string, err error) {
+	return g.StartWrapped(server, address, account, Unchanged)
 }
 
 // Unchanged returns a listener as it is.
 func Unchanged(listener net.Listener) net.Listener { return listener }
 
 // StartWrapped is Start with a listener that wrap returns for the one of the address.
-func (g *Group) StartWrapped(server *http.Server, address, name string, wrap func(net.Listener) net.Listener) (bound string, err error) {
+func (g *Group) StartWrapped(server *http.Server, address string, account *intake.Account, wrap func(net.Listener) net.Listener) (bound string, err error) {
 	g.servers = append(g.servers, server)
+	account.Attach(server)
 	if address == "" {
 		return "", nil
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
-		return "", merry.Prependf(err, "listen for %s on %s", name, address)
+		return "", merry.Prependf(err, "listen for %s on %s", account.Name(), address)
 	}
-	go g.serve(server, wrap(listener), name)
+	go g.serve(server, wrap(account.Wrap(listener)), account.Name())
 	return listener.Addr().String(), nil
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -195,10 +195,7 @@
 // New returns a Server. It does not listen; see HTTP.
 func New(parts Parts) *Server { return &Server{parts: parts} }
 
-// readHeaderTimeout limits the time in which an operator has to send the headers of a request.
-const readHeaderTimeout = 10 * time.Second
-
-// HTTP returns the HTTP server. Health, readiness and metrics require no key.
+// HTTP returns the HTTP server. The account of its listener bounds heads and their times. Health, readiness and metrics require no key.
 func (s *Server) HTTP() *http.Server {
 	router := mux.NewRouter()
 	router.HandleFunc("/healthz", s.health).Methods(http.MethodGet)
@@ -212,7 +209,7 @@
 	router.HandleFunc("/v1/settings/changes/{revision:[0-9]+}", s.requireRole(hostconfig.RoleRead, s.showChange)).Methods(http.MethodGet)
 	router.HandleFunc("/v1/poison/{key}", s.requireRole(hostconfig.RoleChange, s.liftPoison)).Methods(http.MethodDelete)
 	router.HandleFunc("/v1/settings/changes", s.requireRole(hostconfig.RoleChange, s.acceptChange)).Methods(http.MethodPost)
-	return &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: router}
 }
 
 // requireRole rejects operators whose key does not permit the role, and calls next for the others.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,6 +27,16 @@
 	Endpoints  map[string]Endpoint  `json:"endpoints,omitzero"`
 	// Routes map the host name and path of a call to its class and services.
 	Routes []HostRoute `json:"routes,omitzero"`
+	// CallerLimits bound the connections of callers. They are not part of the file format: only oxbowslip-front uses them,
+	// and its settings come from the deployment's own format.
+	CallerLimits CallerLimits `json:"-"`
+}
+
+// CallerLimits bound what a caller may send, and how long it may take or stay idle; 0 means the program's default.
+type CallerLimits struct {
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Root is the root of the tree. Every workspace can use its classes.
