intake, bodies: bodies up to 64 KB and requests that run count as well

What callers saw: clients that announce small bodies and hold them back fill a host; bodies of up to 64 KB took no part in any budget.

Cause: package bodies left small ones out so that they never wait, and nothing else counted them.

Change: a small body is charged to its connection when it is announced, so it still never waits: others are closed for it. A request that is whole is charged for what its run takes, and refused with 503 and no_memory, not run, if the account is full of others that run. Larger bodies still wait in package bodies, whose budgets count against the same account.

Why it is safe: the refusal comes before anything is sent.

--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -1,9 +1,9 @@
 // Package bodies bounds the memory that the bodies of all requests or all answers of a host take together. Limits of single
 // bodies don't: a few dozen callers, or calls to one faulty endpoint, would take more than a small host has.
 //
-// A body of up to smallBytes takes no part in it. A larger one reserves all that it may need at once, before it is read
+// A body of up to SmallBytes takes no part in it: package intake counts it with its connection. A larger one reserves all that it may need at once, before it is read
 // on, so that no body waits for memory while it holds some that others wait for. Reserved memory counts as used. It owns
-// the account; the bodies belong to their requests.
+// the budget; the bodies belong to their requests.
 package bodies
 
 import (
@@ -14,8 +14,8 @@
 	"sync"
 )
 
-// smallBytes is the size up to which a body is read at once: that of nearly all bodies.
-const smallBytes = 64 << 10
+// SmallBytes is the size up to which a body is read at once: that of nearly all bodies.
+const SmallBytes = 64 << 10
 
 // unknownPart is the part of the budget that one body of unknown length may take: it reserves all of it.
 const unknownPart = 4
@@ -29,7 +29,8 @@
 
 // Budget is memory for bodies. It is safe for concurrent use.
 type Budget struct {
-	limit int64
+	limit  int64
+	charge func(bytes int64)
 
 	mu      sync.Mutex
 	used    int64
@@ -42,8 +43,15 @@
 	granted chan struct{}
 }
 
-// New returns a budget of a number of bytes; 0 means no limit.
-func New(limit int64) *Budget { return &Budget{limit: limit} }
+// New returns a budget of a number of bytes; 0 means no limit. Charge is told of all that is reserved, and, as negative
+// numbers, released; it must not block.
+func New(limit int64, charge func(bytes int64)) *Budget { return &Budget{limit: limit, charge: charge} }
+
+// add reserves or releases bytes. The lock is held.
+func (b *Budget) add(bytes int64) {
+	b.used += bytes
+	b.charge(bytes)
+}
 
 // Used returns the memory that is reserved.
 func (b *Budget) Used() int64 {
@@ -56,7 +64,7 @@
 func (b *Budget) reserve(ctx context.Context, bytes int64) error {
 	b.mu.Lock()
 	if b.fits(bytes) && len(b.waiting) == 0 {
-		b.used += bytes
+		b.add(bytes)
 		b.mu.Unlock()
 		return nil
 	}
@@ -84,7 +92,7 @@
 	if i := slices.Index(b.waiting, w); i >= 0 {
 		b.waiting = slices.Delete(b.waiting, i, i+1)
 	} else {
-		b.used -= w.bytes
+		b.add(-w.bytes)
 	}
 	b.grant()
 }
@@ -92,7 +100,7 @@
 func (b *Budget) release(bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.used -= bytes
+	b.add(-bytes)
 	b.grant()
 }
 
@@ -101,7 +109,7 @@
 	for len(b.waiting) > 0 && b.fits(b.waiting[0].bytes) {
 		w := b.waiting[0]
 		b.waiting = b.waiting[1:]
-		b.used += w.bytes
+		b.add(w.bytes)
 		close(w.granted)
 	}
 }
@@ -151,12 +159,12 @@
 
 // readUnknown reads a body of unknown length.
 func (b *Budget) readUnknown(ctx context.Context, lease *Lease, r io.Reader, limit int64) ([]byte, error) {
-	head, err := io.ReadAll(io.LimitReader(r, min(smallBytes, limit+1)))
-	if err != nil || len(head) < smallBytes {
+	head, err := io.ReadAll(io.LimitReader(r, min(SmallBytes, limit+1)))
+	if err != nil || len(head) < SmallBytes {
 		return head, checkSize(head, limit, err)
 	}
 	if b.limit > 0 {
-		limit = min(limit, max(b.limit/unknownPart, smallBytes))
+		limit = min(limit, max(b.limit/unknownPart, SmallBytes))
 	}
 	if err := b.reserve(ctx, limit); err != nil {
 		return nil, err
@@ -181,7 +189,7 @@
 }
 
 // IsSmall reports whether a body of a length is read without waiting for memory.
-func IsSmall(length int64) bool { return length <= smallBytes }
+func IsSmall(length int64) bool { return length <= SmallBytes }
 
 // readAll reads a body of known length into a buffer that is longer by one byte.
 func readAll(r io.Reader, buffer []byte) ([]byte, error) {
--- a/internal/bodies/bodies_test.go
+++ b/internal/bodies/bodies_test.go
@@ -16,8 +16,11 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// uncharged is the charge of budgets that belong to no account.
+func uncharged(int64) {}
+
 func TestRead(t *testing.T) {
-	small, large := strings.Repeat("s", 1000), strings.Repeat("l", 3*smallBytes)
+	small, large := strings.Repeat("s", 1000), strings.Repeat("l", 3*SmallBytes)
 	tests := map[string]struct {
 		body          string
 		length, limit int64
@@ -29,14 +32,14 @@
 		"small, of unknown length":    {body: small, length: -1, limit: 2000},
 		"empty":                       {length: 0, limit: 10},
 		"empty, of unknown length":    {length: -1, limit: 10},
-		"large":                       {body: large, length: 3 * smallBytes, limit: 4 * smallBytes, wantUsed: 3 * smallBytes},
-		"large, of unknown length":    {body: large, length: -1, limit: 4 * smallBytes, wantUsed: 3 * smallBytes},
-		"of the largest size":         {body: large, length: -1, limit: 3 * smallBytes, wantUsed: 3 * smallBytes},
-		"too large":                   {body: large, length: 3 * smallBytes, limit: smallBytes, wantErr: ErrTooLarge},
-		"too large, unknown length":   {body: large, length: -1, limit: 2 * smallBytes, wantUsed: 2 * smallBytes, wantErr: ErrTooLarge},
+		"large":                       {body: large, length: 3 * SmallBytes, limit: 4 * SmallBytes, wantUsed: 3 * SmallBytes},
+		"large, of unknown length":    {body: large, length: -1, limit: 4 * SmallBytes, wantUsed: 3 * SmallBytes},
+		"of the largest size":         {body: large, length: -1, limit: 3 * SmallBytes, wantUsed: 3 * SmallBytes},
+		"too large":                   {body: large, length: 3 * SmallBytes, limit: SmallBytes, wantErr: ErrTooLarge},
+		"too large, unknown length":   {body: large, length: -1, limit: 2 * SmallBytes, wantUsed: 2 * SmallBytes, wantErr: ErrTooLarge},
 		"small, too large":            {body: small, length: -1, limit: 999, wantErr: ErrTooLarge},
 		"ends early":                  {body: small, length: 1001, limit: 2000, wantErr: io.ErrUnexpectedEOF},
-		"large, ends early":           {body: large, length: 3*smallBytes + 1, limit: 4 * smallBytes, wantUsed: 3*smallBytes + 1, wantErr: io.ErrUnexpectedEOF},
+		"large, ends early":           {body: large, length: 3*SmallBytes + 1, limit: 4 * SmallBytes, wantUsed: 3*SmallBytes + 1, wantErr: io.ErrUnexpectedEOF},
 		"longer than its length says": {body: small, length: 10, limit: 2000, wantErr: ErrTooLarge},
 	}
 	for name, test := range tests {
@@ -45,7 +48,7 @@
 		} {
 			t.Run(name+reader, func(t *testing.T) {
 				c := qt.New(t)
-				b, lease := New(16*smallBytes), new(Lease)
+				b, lease := New(16*SmallBytes, uncharged), new(Lease)
 				got, err := b.Read(c.Context(), lease, wrap(strings.NewReader(test.body)), test.length, test.limit)
 				c.Check(errors.Is(err, test.wantErr), qt.IsTrue, qt.Commentf("%v", err))
 				if err == nil {
@@ -62,14 +65,14 @@
 
 // TestBodyThatIsCutOffIsNotWhole reads bodies whose connection ends too soon, which net/http reports as io.ErrUnexpectedEOF.
 func TestBodyThatIsCutOffIsNotWhole(t *testing.T) {
-	for name, size := range map[string]int{"small": 1000, "large": 3 * smallBytes} {
+	for name, size := range map[string]int{"small": 1000, "large": 3 * SmallBytes} {
 		for _, length := range []int64{-1, int64(size) + 10} {
 			t.Run(fmt.Sprint(name, " ", length), func(t *testing.T) {
 				c := qt.New(t)
 				lease := new(Lease)
 				defer lease.Release()
 				cut := io.MultiReader(strings.NewReader(strings.Repeat("x", size)), iotest.ErrReader(io.ErrUnexpectedEOF))
-				_, err := New(16*smallBytes).Read(c.Context(), lease, cut, length, 4*smallBytes)
+				_, err := New(16*SmallBytes, uncharged).Read(c.Context(), lease, cut, length, 4*SmallBytes)
 				c.Check(err, qt.Equals, io.ErrUnexpectedEOF)
 			})
 		}
@@ -82,7 +85,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		const limit, size, hold = 16 << 20, 4 << 20, time.Second
-		b := New(limit)
+		b := New(limit, uncharged)
 		body := bytes.Repeat([]byte("b"), size)
 		var callers sync.WaitGroup
 		for n := range 24 {
@@ -113,8 +116,8 @@
 // TestBodyLargerThanBudgetIsReadAlone reads a body that is larger than the whole budget.
 func TestBodyLargerThanBudgetIsReadAlone(t *testing.T) {
 	c := qt.New(t)
-	b, lease := New(smallBytes), new(Lease)
-	got, err := b.Read(c.Context(), lease, strings.NewReader(strings.Repeat("x", 2*smallBytes)), 2*smallBytes, 4*smallBytes)
+	b, lease := New(SmallBytes, uncharged), new(Lease)
+	got, err := b.Read(c.Context(), lease, strings.NewReader(strings.Repeat("x", 2*SmallBytes)), 2*SmallBytes, 4*SmallBytes)
 	c.Assert(err, qt.IsNil)
-	c.Check(len(got), qt.Equals, 2*smallBytes)
+	c.Check(len(got), qt.Equals, 2*SmallBytes)
 }
--- a/internal/daemon/api/chat.go
+++ b/internal/daemon/api/chat.go
@@ -16,6 +16,7 @@
 	"oxbowslip.dev/oxbowslip/internal/daemon/httpclient"
 	"oxbowslip.dev/oxbowslip/internal/daemon/prefix"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/request"
@@ -44,6 +45,9 @@
 	if refusal != nil {
 		return faultOf(refusal)
 	}
+	if !intake.Begin(r.Context()) {
+		return faultOf(httprelay.NoMemory())
+	}
 	body, err := decodeChat(data)
 	if err != nil {
 		return &fault{reason: request.ReasonBadRequest, detail: "the body is no chat request: " + err.Error()}
--- a/internal/daemon/api/service.go
+++ b/internal/daemon/api/service.go
@@ -13,6 +13,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/daemon/httpclient"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
@@ -48,6 +49,9 @@
 	if f := x.readHead(); f != nil {
 		return f
 	}
+	if !intake.Begin(r.Context()) {
+		return faultOf(httprelay.NoMemory())
+	}
 	if f := s.claimKey(r, c); f != nil {
 		return f
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,7 +97,7 @@
 		Host: p.Config.Name, Zone: p.Config.Zone, Settings: p.Holder, Owner: p.Owner, Client: p.Client, Counters: p.Counters,
 		Claims: p.Claims, Recorded: p.Recorded, Clock: p.Clock,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout}, CheckReady: d.checkReady,
-		Bodies: bodies.New(p.Config.BodyBytes()),
+		Bodies: bodies.New(p.Config.BodyBytes(), p.Intake.Callers.Charge),
 	}).HTTP()
 	d.callers.Handler = lifetime.CloseConnectionsWhen(&d.draining, d.callers.Handler)
 	d.operators = operator.New(operator.Parts{
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -699,6 +699,7 @@
 	Origins    *origin.Registry
 	Silence    *silence.Tracker
 	Directory  *directory.Directory
+	Intake     *intake.Accounts
 	Counters   *counters.Counters
 	Log        *logrus.Logger
 	Steady     *clock.Clock
@@ -712,6 +713,6 @@
 		Dialect: p.Deployment.Dialect, Counters: p.Counters, Log: logging.Part(p.Log, "request"), Clock: p.Steady, Random: p.Random,
 		Timeouts: httprelay.Timeouts{Read: p.Config.ReadTimeout, Write: p.Config.WriteTimeout},
 		// Requests and answers get half each.
-		RequestBodies: bodies.New(p.Config.BodyBytes() / 2), AnswerBodies: bodies.New(p.Config.BodyBytes() / 2),
+		RequestBodies: bodies.New(p.Config.BodyBytes()/2, p.Intake.Callers.Charge), AnswerBodies: bodies.New(p.Config.BodyBytes()/2, p.Intake.Callers.Charge),
 	})
 }
--- a/internal/front/relay/exchange.go
+++ b/internal/front/relay/exchange.go
@@ -10,6 +10,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/keys"
 	"oxbowslip.dev/oxbowslip/internal/front/pushback"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -77,6 +78,9 @@
 	x.deadline = x.arrived.Add(timeLimit(x.policy.TimeLimit, x.call.MaxWait))
 	var refusal *request.Refusal
 	x.body, refusal = httprelay.ReadBody(x.w, x.r, x.server.parts.RequestBodies, &x.requestMemory, int64(x.policy.MaxBodyBytes), x.server.parts.Timeouts.Read)
+	if refusal == nil && !intake.Begin(x.r.Context()) {
+		refusal = httprelay.NoMemory()
+	}
 	x.key = keys.OfRequest(&keys.Identity{
 		Workspace: x.workspace, Method: x.r.Method, Host: x.r.Host, Target: x.r.RequestURI, Body: x.body,
 	})
--- a/internal/httprelay/body.go
+++ b/internal/httprelay/body.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/bodies"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
@@ -24,6 +25,9 @@
 	// Writers of net/http support deadlines; those of tests do not.
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
 	ctx := r.Context()
+	if !intake.Hold(ctx, heldBytes(r.ContentLength, limit)) {
+		return nil, bodyRefusal(bodies.ErrNoMemory)
+	}
 	if r.ContentLength < 0 || !bodies.IsSmall(r.ContentLength) {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, timeout)
@@ -38,6 +42,14 @@
 	return body, nil
 }
 
+// heldBytes returns what the part of a body takes that is read without waiting for memory, in bytes.
+func heldBytes(length, limit int64) int64 {
+	if length < 0 {
+		length = limit
+	}
+	return min(length, bodies.SmallBytes)
+}
+
 // ReadHead reads at most maxHead bytes of a body, and reports whether they are the complete body. The rest can be read
 // from r.Body, under the same limit and deadline.
 func ReadHead(w http.ResponseWriter, r *http.Request, limit, maxHead int64, timeout time.Duration) (head []byte, complete bool, refusal *request.Refusal) {
@@ -47,6 +59,9 @@
 	control := http.NewResponseController(w)
 	// Writers of net/http support deadlines; those of tests do not.
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
+	if !intake.Hold(r.Context(), min(heldBytes(r.ContentLength, limit), maxHead)) {
+		return nil, false, bodyRefusal(bodies.ErrNoMemory)
+	}
 	r.Body = http.MaxBytesReader(w, r.Body, limit)
 	head, err := io.ReadAll(io.LimitReader(r.Body, maxHead))
 	if err != nil {
@@ -89,13 +104,18 @@
 	_, _ = io.CopyN(io.Discard, r.Body, maxDrainBytes)
 }
 
+// NoMemory returns the refusal of a request that finds no memory. Nothing was sent to an endpoint.
+func NoMemory() *request.Refusal {
+	refusal := request.Refuse(request.ReasonNoMemory, "other requests take all memory of this host that is set aside for them")
+	refusal.RetryAfter = noMemoryRetry
+	return refusal
+}
+
 func bodyRefusal(err error) *request.Refusal {
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, bodies.ErrNoMemory):
-		refusal := request.Refuse(request.ReasonNoMemory, "the bodies of other requests take all memory of this host")
-		refusal.RetryAfter = noMemoryRetry
-		return refusal
+		return NoMemory()
 	case errors.As(err, &tooLarge), errors.Is(err, bodies.ErrTooLarge):
 		return request.Refuse(request.ReasonBodyTooLarge, "the body is larger than this class allows")
 	case IsTimeout(err):
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -50,6 +50,10 @@
 	// headByteCost and headLineCost are what a byte and a line of a head take: a line becomes an entry of a map.
 	headByteCost = 2
 	headLineCost = 128
+	// runningBytes is what a running request takes: goroutines, timers, and the buffers of the call to its endpoint. Its head
+	// takes headCopies times its memory, since each call has a copy.
+	runningBytes = 16 << 10
+	headCopies   = 2
 )
 
 const (
@@ -139,6 +143,21 @@
 	return isOpen
 }
 
+// hold charges a connection for something that it makes the host hold until its next request, and closes others if need
+// be. It reports false if the connection itself was closed.
+func (a *Account) hold(c *Conn, bytes int64) bool {
+	a.mu.Lock()
+	if c.closedFor == "" {
+		a.charge(c, bytes)
+	}
+	victims := a.makeRoom()
+	isOpen := c.closedFor == ""
+	a.mu.Unlock()
+	reset(victims)
+	a.awaitClosed(c)
+	return isOpen
+}
+
 // closeTimeout bounds the wait for the owners of evicted connections.
 const closeTimeout = time.Second
 
@@ -175,6 +194,15 @@
 	return a.closing > 0 && a.config.Memory > 0 && a.used+a.closing > a.config.Memory
 }
 
+// Charge charges the account for larger bodies, which package bodies owns; negative bytes were released.
+func (a *Account) Charge(bytes int64) {
+	a.mu.Lock()
+	a.used += bytes
+	victims := a.makeRoom()
+	a.mu.Unlock()
+	reset(victims)
+}
+
 // charge adds bytes to what a connection takes. The lock is held.
 func (a *Account) charge(c *Conn, bytes int64) {
 	c.held += bytes
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -226,3 +226,37 @@
 		a.charge(c, connectionBytes+headCost(c.headBytes, c.headLines)-c.held)
 	}
 }
+
+// Hold charges the connection of a request for bytes that the request makes the host hold until it ends. It reports false
+// if the connection was closed since there is no room.
+func Hold(ctx context.Context, bytes int64) bool {
+	c := fromContext(ctx)
+	return c == nil || c.account.hold(c, bytes)
+}
+
+// Begin records that a request is whole and will run. From then on its connection is closed for memory only if the client
+// does not read its answer. Begin reports false if there is no room for one more running request: it must be refused.
+func Begin(ctx context.Context) bool {
+	c := fromContext(ctx)
+	return c == nil || c.account.begin(c)
+}
+
+func (a *Account) begin(c *Conn) bool {
+	a.mu.Lock()
+	if c.closedFor != "" {
+		a.mu.Unlock()
+		return false
+	}
+	cost := runningBytes + (headCopies-1)*headCost(c.headBytes, c.headLines)
+	c.state = stateRunning
+	a.charge(c, cost)
+	victims := a.makeRoom()
+	hasRoom := !a.isFull()
+	if !hasRoom {
+		c.state = stateReceiving
+		a.charge(c, -cost)
+	}
+	a.mu.Unlock()
+	reset(victims)
+	return hasRoom
+}
