intake: what has arrived and is not read is bounded

Cause: the kernel grows the receive buffer of each connection to megabytes by itself.

What it costs, by computation: one connection over a link of 1 ms each way carries 8 MB/s at most.

--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -373,5 +373,8 @@
 
 // Wrap returns a listener whose connections belong to the account.
 func (a *Account) Wrap(listener net.Listener) net.Listener {
+	if err := boundBuffers(listener); err != nil {
+		a.log.WithError(err).WithField("listener", a.config.Name).Warn("the system does not bound the buffers of connections, they may take more memory than is counted")
+	}
 	return &accountListener{Listener: listener, account: a}
 }
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -6,7 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what a connection does.
@@ -62,6 +65,33 @@
 	}
 }
 
+// boundBuffers bounds the kernel's buffers of the connections that a listener accepts.
+func boundBuffers(listener net.Listener) error {
+	socket, ok := listener.(syscall.Conn)
+	if !ok {
+		// A listener of tests, which has no socket.
+		return nil
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var optionErr error
+	set := func(fd uintptr, level, option, value int) {
+		if err := unix.SetsockoptInt(int(fd), level, option, value); err != nil && optionErr == nil {
+			optionErr = err
+		}
+	}
+	err = raw.Control(func(fd uintptr) {
+		set(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
+		set(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
+	})
+	if err != nil {
+		return err
+	}
+	return optionErr
+}
+
 // Read reads from the client and charges the connection for what it makes the host hold.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -4,6 +4,7 @@
 package listen
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -41,7 +42,10 @@
 	if address == "" {
 		return "", nil
 	}
-	listener, err := net.Listen("tcp", address)
+	var config net.ListenConfig
+	// Sockets of Multipath TCP lack options that bound what connections take.
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return "", merry.Prependf(err, "listen for %s on %s", account.Name(), address)
 	}
