intake: answers that their clients do not read are bounded

What callers saw: clients that send requests and read no answer held a host's goroutines, answers and send buffers for ever.

Cause: plain answers and refusals were written without a deadline; only streams had one.

TCP_USER_TIMEOUT bounds what stays in the kernel after a close. A small answer is charged to its connection while it waits; larger ones were bounded by package bodies before.

Why it is safe: a caller that reads is never closed while its request runs.

--- a/internal/front/relay/attempt.go
+++ b/internal/front/relay/attempt.go
@@ -22,6 +22,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/upstream"
 	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/owner"
 	"oxbowslip.dev/oxbowslip/internal/request"
 	"oxbowslip.dev/oxbowslip/internal/settings"
@@ -312,6 +313,8 @@
 		x.reportBroken(ctx, a, err, true)
 		return owner.Result{Event: request.EventBroken, Err: err}
 	}
+	// The answer may wait for a caller that does not read it.
+	intake.Hold(x.r.Context(), min(int64(len(body)), bodies.SmallBytes))
 	held := &httprelay.HeldAnswer{Status: answer.Status, Header: answer.Header, Body: body}
 	if answer.Status >= http.StatusInternalServerError || promisesNotRun(answer.Status) {
 		return x.keepServerError(held)
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -61,6 +61,8 @@
 	readerBytes = 4 << 10
 	// headSlop is what may be read together with a head: of the body that follows it, and of the one before it.
 	headSlop = 2 * readerBytes
+	// minStall is how long a client must have left an answer unread before its connection may be closed for memory.
+	minStall = time.Second
 	// keptShare is the part of the limit, in so many, that is free after connections were closed for it: each search for
 	// connections to close looks at all of them.
 	keptShare = 8
@@ -80,8 +82,10 @@
 	Name string
 	// Memory is the most that all connections take, in bytes; 0 means no limit.
 	Memory int64
-	// ReadTime bounds the time in which a request arrives and is decided; 0 means no limit.
-	ReadTime time.Duration
+	// ReadTime bounds the time in which a request arrives and is decided, and WriteTime the time in which a client reads what
+	// is written to it; 0 means no limit.
+	ReadTime  time.Duration
+	WriteTime time.Duration
 	// Limits returns the limits in force. It must not block.
 	Limits func() Limits
 	// CountClosed counts a connection that was closed for a limit.
@@ -331,6 +335,9 @@
 
 // overdue returns the limit in time that a connection has exceeded, or "". The lock is held.
 func (a *Account) overdue(c *Conn, now time.Time, limits *Limits) Cause {
+	if stall := c.stall(now); a.config.WriteTime > 0 && stall > a.config.WriteTime {
+		return CauseWriteTime
+	}
 	span := now.Sub(c.since)
 	switch {
 	case c.state == stateIdle && limits.IdleTime > 0 && span > limits.IdleTime:
@@ -352,7 +359,7 @@
 	limits := a.config.Limits()
 	fields := logrus.Fields{
 		"listener": a.config.Name, "memory": memory, "memory_limit": a.config.Memory, "connections": connections,
-		"head_bytes_limit": limits.HeadBytes, "head_time_ms": limits.HeadTime.Milliseconds(), "read_time_ms": a.config.ReadTime.Milliseconds(),
+		"head_bytes_limit": limits.HeadBytes, "head_time_ms": limits.HeadTime.Milliseconds(), "read_time_ms": a.config.ReadTime.Milliseconds(), "write_time_ms": a.config.WriteTime.Milliseconds(),
 		"largest_client": largest.Address, "largest_memory": largest.Memory, "largest_state": largest.State,
 	}
 	for cause, count := range closed {
@@ -373,7 +380,7 @@
 
 // Wrap returns a listener whose connections belong to the account.
 func (a *Account) Wrap(listener net.Listener) net.Listener {
-	if err := boundBuffers(listener); err != nil {
+	if err := a.boundBuffers(listener); err != nil {
 		a.log.WithError(err).WithField("listener", a.config.Name).Warn("the system does not bound the buffers of connections, they may take more memory than is counted")
 	}
 	return &accountListener{Listener: listener, account: a}
--- a/internal/intake/accounts.go
+++ b/internal/intake/accounts.go
@@ -33,8 +33,10 @@
 type Parts struct {
 	// Memory is the host's memory in bytes; 0 means no limit.
 	Memory int64
-	// ReadTime bounds the time in which a client sends a request.
-	ReadTime time.Duration
+	// ReadTime bounds the time in which a client sends a request, and WriteTime the time in which it reads what is written to
+	// it.
+	ReadTime  time.Duration
+	WriteTime time.Duration
 	// CallerLimits returns the limits of callers' connections in force. It must not block.
 	CallerLimits func() Limits
 	// CountClosed counts a connection of a listener that was closed for a limit.
@@ -53,7 +55,7 @@
 func NewAccounts(p Parts) *Accounts {
 	account := func(name string, memoryShare float64) Config {
 		config := Config{
-			Name: name, ReadTime: p.ReadTime,
+			Name: name, ReadTime: p.ReadTime, WriteTime: p.WriteTime,
 			Limits: func() Limits { return otherLimits }, CountClosed: p.CountClosed,
 		}
 		if p.Memory > 0 {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,9 @@
 type Conn struct {
 	net.Conn
 	account *Account
+	// writing is when the write in progress began, in nanoseconds since the connection was accepted, or 0.
+	writing    atomic.Int64
+	acceptedAt time.Time
 
 	// The account's lock guards these fields.
 	//
@@ -57,7 +61,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: conn, account: l.account, state: stateIdle}
+		c := &Conn{Conn: conn, account: l.account, acceptedAt: l.account.clock(), state: stateIdle}
 		if l.account.add(c) {
 			return c, nil
 		}
@@ -65,8 +69,9 @@
 	}
 }
 
-// boundBuffers bounds the kernel's buffers of the connections that a listener accepts.
-func boundBuffers(listener net.Listener) error {
+// boundBuffers bounds the kernel's buffers of the connections that a listener accepts, and how long what was sent to a
+// client may stay unacknowledged, also once its connection is closed. The listeners for peers have a time of their own.
+func (a *Account) boundBuffers(listener net.Listener) error {
 	socket, ok := listener.(syscall.Conn)
 	if !ok {
 		// A listener of tests, which has no socket.
@@ -85,6 +90,9 @@
 	err = raw.Control(func(fd uintptr) {
 		set(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
 		set(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
+		if a.config.WriteTime > 0 {
+			set(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(a.config.WriteTime.Milliseconds()))
+		}
 	})
 	if err != nil {
 		return err
@@ -167,6 +175,14 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, maxRefusedBytes)
 }
 
+// Write writes to the client.
+func (c *Conn) Write(p []byte) (int, error) {
+	c.writing.Store(max(int64(c.account.clock().Sub(c.acceptedAt)), 1))
+	n, err := c.Conn.Write(p)
+	c.writing.Store(0)
+	return n, err
+}
+
 // CloseWrite closes the sending side. net/http calls it before it closes a connection whose client may still send.
 func (c *Conn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -191,10 +207,22 @@
 	_ = c.Conn.Close()
 }
 
+// stall returns how long the write in progress has taken, or 0.
+func (c *Conn) stall(now time.Time) time.Duration {
+	if began := c.writing.Load(); began > 0 {
+		return now.Sub(c.acceptedAt) - time.Duration(began)
+	}
+	return 0
+}
+
 // evictable reports whether the connection may be closed for memory, and for how long it has held what it holds. The
 // account's lock is held.
 func (c *Conn) evictable(now time.Time) (time.Duration, bool) {
-	return now.Sub(c.since), c.state != stateRunning
+	if c.state == stateRunning {
+		stall := c.stall(now)
+		return stall, stall >= minStall
+	}
+	return now.Sub(c.since), true
 }
 
 // client describes the connection. The account's lock is held.
