intake: clients leave descriptors to endpoints, the store and peers

What callers saw: with more connections than descriptors the host reached neither endpoints nor the store; ordinary requests failed.

Cause: nothing bounded the connections of a listener.

Change: callers may take half of the descriptors, each of the small listeners 1/32; beyond that connections are closed as for memory.

--- a/internal/daemon/fx.go
+++ b/internal/daemon/fx.go
@@ -76,7 +76,7 @@
 func newIntake(p intakeParts) *intake.Accounts {
 	limits := intake.Limits{HeadBytes: api.MaxHeaderBytes, HeadTime: api.HeaderTimeout, IdleTime: api.IdleTimeout}
 	return intake.NewAccounts(intake.Parts{
-		Memory: p.Config.MemoryBytes(), ReadTime: p.Config.ReadTimeout, WriteTime: p.Config.WriteTimeout,
+		Memory: p.Config.MemoryBytes(), Descriptors: intake.Descriptors(p.Config.MaxDescriptors), ReadTime: p.Config.ReadTimeout, WriteTime: p.Config.WriteTimeout,
 		CallerLimits: func() intake.Limits { return limits }, CountClosed: p.Counters.CountClosedConnection,
 		Log: logging.Part(p.Log, "connections"), Clock: p.Clock,
 	})
--- a/internal/front/fx.go
+++ b/internal/front/fx.go
@@ -662,7 +662,7 @@
 // newIntake returns the accounts of the listeners. The limits of callers are those of the settings in force.
 func newIntake(p intakeParts) *intake.Accounts {
 	return intake.NewAccounts(intake.Parts{
-		Memory: p.Config.MemoryBytes(), ReadTime: p.Config.ReadTimeout, WriteTime: p.Config.WriteTimeout,
+		Memory: p.Config.MemoryBytes(), Descriptors: intake.Descriptors(p.Config.MaxDescriptors), ReadTime: p.Config.ReadTimeout, WriteTime: p.Config.WriteTimeout,
 		CallerLimits: func() intake.Limits { return callerLimits(p.Holder.Current()) },
 		CountClosed:  p.Counters.CountClosedConnection, Log: logging.Part(p.Log, "connections"), Clock: p.Clock,
 	})
--- a/internal/hostconfig/hostconfig.go
+++ b/internal/hostconfig/hostconfig.go
@@ -54,6 +54,8 @@
 	// BodiesMB is the part of MemoryMB that the bodies of all requests and answers may take together, in MB. Without it,
 	// it is a quarter of MemoryMB.
 	BodiesMB *int `json:"bodies_mb,omitzero"`
+	// MaxDescriptors is the number of descriptors that the process may have open; 0 means the limit of the system.
+	MaxDescriptors int `json:"max_descriptors,omitzero"`
 	// LinkMbit is the bandwidth of the host's link in Mbit/s; 0 means that it is unknown. Hosts with faster links add up
 	// the work of others in a large fleet.
 	LinkMbit float64 `json:"link_mbps,omitzero"`
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -80,8 +80,9 @@
 type Config struct {
 	// Name is the listener's name in metrics and log lines.
 	Name string
-	// Memory is the most that all connections take, in bytes; 0 means no limit.
-	Memory int64
+	// Memory is the most that all connections take, in bytes, and Connections their largest number; 0 means no limit.
+	Memory      int64
+	Connections int
 	// ReadTime bounds the time in which a request arrives and is decided, and WriteTime the time in which a client reads what
 	// is written to it; 0 means no limit.
 	ReadTime  time.Duration
@@ -239,8 +240,11 @@
 
 // exceeded returns the limit that the connections exceed, or "". The lock is held.
 func (a *Account) exceeded() Cause {
-	if a.config.Memory > 0 && a.used > a.config.Memory {
+	switch {
+	case a.config.Memory > 0 && a.used > a.config.Memory:
 		return CauseMemory
+	case a.config.Connections > 0 && len(a.connections) > a.config.Connections:
+		return CauseDescriptors
 	}
 	return ""
 }
@@ -278,7 +282,8 @@
 
 // isAboveKept reports whether more connections have to go once a limit is exceeded. The lock is held.
 func (a *Account) isAboveKept() bool {
-	return a.used > a.config.Memory-a.config.Memory/keptShare
+	memory, connections := a.config.Memory, a.config.Connections
+	return memory > 0 && a.used > memory-memory/keptShare || connections > 0 && len(a.connections) > connections-connections/keptShare
 }
 
 // evict removes a connection from the account and returns it. The lock is held.
@@ -358,7 +363,7 @@
 	}
 	limits := a.config.Limits()
 	fields := logrus.Fields{
-		"listener": a.config.Name, "memory": memory, "memory_limit": a.config.Memory, "connections": connections,
+		"listener": a.config.Name, "memory": memory, "memory_limit": a.config.Memory, "connections": connections, "connections_limit": a.config.Connections,
 		"head_bytes_limit": limits.HeadBytes, "head_time_ms": limits.HeadTime.Milliseconds(), "read_time_ms": a.config.ReadTime.Milliseconds(), "write_time_ms": a.config.WriteTime.Milliseconds(),
 		"largest_client": largest.Address, "largest_memory": largest.Memory, "largest_state": largest.State,
 	}
--- a/internal/intake/accounts.go
+++ b/internal/intake/accounts.go
@@ -1,9 +1,11 @@
 package intake
 
 import (
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sys/unix"
 )
 
 // The names of a host's listeners. They are labels of metrics and never change.
@@ -18,10 +20,11 @@
 // Listeners lists all names.
 var Listeners = []string{Callers, Readiness, Metrics, Operators, Peers}
 
-// The parts of a host's memory that the connections of its listeners may take.
+// The parts of a host's memory and descriptors that the connections of its listeners may take. What is left of the
+// descriptors is for connections to endpoints, to the store and to other hosts.
 const (
-	callersMemoryShare = 0.3
-	otherMemoryShare   = 1.0 / 64
+	callersMemoryShare, callersDescriptorShare = 0.3, 0.5
+	otherMemoryShare, otherDescriptorShare     = 1.0 / 64, 1.0 / 32
 	// minMemory is the smallest memory of a listener, in bytes.
 	minMemory = 1 << 20
 )
@@ -31,8 +34,9 @@
 
 // Parts are the dependencies of Accounts.
 type Parts struct {
-	// Memory is the host's memory in bytes; 0 means no limit.
-	Memory int64
+	// Memory is the host's memory in bytes, and Descriptors the number of its descriptors; 0 means no limit.
+	Memory      int64
+	Descriptors int
 	// ReadTime bounds the time in which a client sends a request, and WriteTime the time in which it reads what is written to
 	// it.
 	ReadTime  time.Duration
@@ -53,9 +57,9 @@
 
 // NewAccounts returns the accounts of a host.
 func NewAccounts(p Parts) *Accounts {
-	account := func(name string, memoryShare float64) Config {
+	account := func(name string, memoryShare, descriptorShare float64) Config {
 		config := Config{
-			Name: name, ReadTime: p.ReadTime, WriteTime: p.WriteTime,
+			Name: name, Connections: int(descriptorShare * float64(p.Descriptors)), ReadTime: p.ReadTime, WriteTime: p.WriteTime,
 			Limits: func() Limits { return otherLimits }, CountClosed: p.CountClosed,
 		}
 		if p.Memory > 0 {
@@ -63,12 +67,12 @@
 		}
 		return config
 	}
-	callers := account(Callers, callersMemoryShare)
+	callers := account(Callers, callersMemoryShare, callersDescriptorShare)
 	callers.Limits = p.CallerLimits
 	// The handlers of callers bound the time of bodies themselves, and answer beyond it.
 	callers.ReadTime = 0
 	other := func(name string) *Account {
-		return New(account(name, otherMemoryShare), p.Log, p.Clock)
+		return New(account(name, otherMemoryShare, otherDescriptorShare), p.Log, p.Clock)
 	}
 	return &Accounts{
 		Callers: New(callers, p.Log, p.Clock), Readiness: other(Readiness), Metrics: other(Metrics), Operators: other(Operators),
@@ -86,3 +90,16 @@
 		account.Expire()
 	}
 }
+
+// Descriptors returns the number of descriptors that the process may have: the configured one, or that of the system if it
+// is smaller. 0 means that neither is known.
+func Descriptors(configured int) int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return configured
+	}
+	if configured == 0 {
+		return int(limit.Cur)
+	}
+	return min(configured, int(limit.Cur))
+}
