intake: connections of peers have an account; a call that never comes does not keep a goroutine

What callers saw: bytes or frames without end at the peers' port fill a host of either daemon.

A connection may hold a message of 4 MB, and nothing bounded the connections. And package drpc stops reading while it waits for the call of a message that belongs to none: such a connection was never noticed to have ended, and three goroutines stayed for each (2385 connections of which 76 were open, in a dump after 4 s of TestBytesAtPeersPort).

Change: the listener of peers has an account: what a peer sends counts twice until the next reply. Before the first reply it may send 64 KB and take 10 s: the messages that begin calls are small. Accepted connections are served by intake.Serve, which ends the calls of a connection that was closed for a limit.

Why it is safe: calls that go on are closed last, by the time since their last byte. Without memory_mb nothing but the first message is bounded.

--- a/internal/daemon/fleet/fleet.go
+++ b/internal/daemon/fleet/fleet.go
@@ -73,10 +73,12 @@
 
 // Parts are the dependencies of a Fleet.
 type Parts struct {
-	Config     Config
-	Dispatcher *dispatch.Dispatcher
-	Platform   *tableclient.Client
-	Log        *logrus.Entry
+	Config Config
+	// WrapListener returns the listener that replaces the one for peers.
+	WrapListener func(net.Listener) net.Listener
+	Dispatcher   *dispatch.Dispatcher
+	Platform     *tableclient.Client
+	Log          *logrus.Entry
 	// Options configure this host's schedulers.
 	Options schedule.Options
 	// Settings returns the settings in force. OnRevision receives a peer's revision of them.
@@ -152,7 +154,7 @@
 		return merry.Prepend(err, "listen for peers")
 	}
 	f.listener = listener
-	f.server.Serve(listener)
+	f.server.Serve(f.parts.WrapListener(listener))
 	return nil
 }
 
--- a/internal/daemon/fx.go
+++ b/internal/daemon/fx.go
@@ -89,6 +89,7 @@
 	Config     hostconfig.Host
 	Dispatcher *dispatch.Dispatcher
 	Client     *tableclient.Client
+	Intake     *intake.Accounts
 	Log        *logrus.Logger
 	Document   *documentSource
 	Clock      func() time.Time
@@ -101,7 +102,7 @@
 			Self:   membership.Host{Name: p.Config.Name, Address: p.Config.Peers, Zone: p.Config.Zone},
 			Listen: p.Config.Peers, Key: p.Config.PeerKey, FirstPeers: p.Config.FirstPeers,
 		},
-		Dispatcher: p.Dispatcher, Platform: p.Client, Log: logging.Part(p.Log, "fleet"), Settings: p.Document.document,
+		WrapListener: p.Intake.Peers.Wrap, Dispatcher: p.Dispatcher, Platform: p.Client, Log: logging.Part(p.Log, "fleet"), Settings: p.Document.document,
 		OnRevision: p.Document.handlePeerRevision, Clock: p.Clock, Random: p.Random,
 	})
 }
--- a/internal/daemon/peer/server.go
+++ b/internal/daemon/peer/server.go
@@ -14,6 +14,7 @@
 	"oxbowslip.dev/oxbowslip/internal/admission"
 	"oxbowslip.dev/oxbowslip/internal/daemon/change"
 	"oxbowslip.dev/oxbowslip/internal/daemon/shard"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 )
 
 // ownerReconnectTimeout is how long after the loss of its link an owner's requests are kept. It is
@@ -69,8 +70,11 @@
 	s.cancel = cancel
 	go func() {
 		defer close(s.ended)
-		// Serve returns only when ctx is cancelled, and its error reports just that.
-		_ = drpcserver.New(s).Serve(ctx, listener)
+		calls := drpcserver.New(s)
+		intake.Serve(ctx, listener, func(ctx context.Context, conn net.Conn) {
+			// The error is that of the peer or of its connection, and the peer has it as well.
+			_ = calls.ServeOne(ctx, conn)
+		})
 	}()
 }
 
--- a/internal/front/gossip/gossip.go
+++ b/internal/front/gossip/gossip.go
@@ -25,6 +25,7 @@
 	"oxbowslip.dev/oxbowslip/internal/front/announce"
 	"oxbowslip.dev/oxbowslip/internal/front/envelope"
 	"oxbowslip.dev/oxbowslip/internal/front/freshness"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/lifetime"
 )
 
@@ -308,10 +309,11 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.listener, g.packets, g.cancel = listener, packets, cancel
-	// Serve returns when ctx is cancelled, with no other error than that.
-	go func() {
-		_ = drpcserver.New(newCallHandler(g.parts.Host, g.streams, g.parts.CountSent)).Serve(ctx, listener)
-	}()
+	calls := drpcserver.New(newCallHandler(g.parts.Host, g.streams, g.parts.CountSent))
+	go intake.Serve(ctx, listener, func(ctx context.Context, conn net.Conn) {
+		// The error is that of the peer or of its connection, and the peer has it as well.
+		_ = calls.ServeOne(ctx, conn)
+	})
 	go g.receive()
 	return nil
 }
--- a/internal/front/gossip/network.go
+++ b/internal/front/gossip/network.go
@@ -18,15 +18,22 @@
 }
 
 // IPNetwork is the Network of the operating system: TCP and UDP.
-type IPNetwork struct{}
+type IPNetwork struct {
+	// Wrap returns a listener that replaces the one for TCP connections. It may be nil.
+	Wrap func(net.Listener) net.Listener
+}
 
 // deadPeerTimeout is how long a host may be silent before a connection to it breaks. Tunnels are open for long, and an
 // endpoint must not go on working for a host that has lost power.
 const deadPeerTimeout = 3 * time.Second
 
 // Listen listens for TCP connections.
-func (IPNetwork) Listen(address string) (net.Listener, error) {
-	return deadpeer.ListenConfig(deadPeerTimeout).Listen(context.Background(), "tcp", address)
+func (n IPNetwork) Listen(address string) (net.Listener, error) {
+	listener, err := deadpeer.ListenConfig(deadPeerTimeout).Listen(context.Background(), "tcp", address)
+	if err != nil || n.Wrap == nil {
+		return listener, err
+	}
+	return n.Wrap(listener), nil
 }
 
 // ListenPacket listens for UDP datagrams.
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -54,6 +54,12 @@
 	// takes headCopies times its memory, since each call has a copy.
 	runningBytes = 16 << 10
 	headCopies   = 2
+	// pendingByteCost and maxPendingBytes are what a byte of a message of a peer takes whose end has not arrived, and the most
+	// that all its bytes take.
+	pendingByteCost = 2
+	maxPendingBytes = 8 << 20
+	// maxFirstMessage is the most that a peer may send before it is answered: the messages that begin calls are small.
+	maxFirstMessage = 64 << 10
 )
 
 const (
@@ -87,6 +93,8 @@
 	// is written to it; 0 means no limit.
 	ReadTime  time.Duration
 	WriteTime time.Duration
+	// Messages is set for listeners whose clients exchange messages of package drpc instead of requests of HTTP.
+	Messages bool
 	// Limits returns the limits in force. It must not block.
 	Limits func() Limits
 	// CountClosed counts a connection that was closed for a limit.
@@ -294,6 +302,9 @@
 	a.closing += c.held
 	a.recordClosed(c, cause)
 	c.endWait()
+	if c.cancel != nil {
+		c.cancel()
+	}
 	return c
 }
 
@@ -345,6 +356,10 @@
 	}
 	span := now.Sub(c.since)
 	switch {
+	case a.config.Messages:
+		if !c.hasReply && limits.HeadTime > 0 && span > limits.HeadTime {
+			return CauseHeadTime
+		}
 	case c.state == stateIdle && limits.IdleTime > 0 && span > limits.IdleTime:
 		return CauseIdleTime
 	case c.state == stateReceiving && !c.isHeadRead && limits.HeadTime > 0 && span > limits.HeadTime:
--- a/internal/intake/accounts.go
+++ b/internal/intake/accounts.go
@@ -24,6 +24,7 @@
 // descriptors is for connections to endpoints, to the store and to other hosts.
 const (
 	callersMemoryShare, callersDescriptorShare = 0.3, 0.5
+	peersMemoryShare, peersDescriptorShare     = 0.125, 0.25
 	otherMemoryShare, otherDescriptorShare     = 1.0 / 64, 1.0 / 32
 	// minMemory is the smallest memory of a listener, in bytes.
 	minMemory = 1 << 20
@@ -52,7 +53,7 @@
 // Accounts are the accounts of a host's listeners. Each has a part of its own, so that a crowd at one listener does not
 // close connections of the others.
 type Accounts struct {
-	Callers, Readiness, Metrics, Operators *Account
+	Callers, Readiness, Metrics, Operators, Peers *Account
 }
 
 // NewAccounts returns the accounts of a host.
@@ -71,17 +72,20 @@
 	callers.Limits = p.CallerLimits
 	// The handlers of callers bound the time of bodies themselves, and answer beyond it.
 	callers.ReadTime = 0
+	peers := account(Peers, peersMemoryShare, peersDescriptorShare)
+	peers.Messages = true
 	other := func(name string) *Account {
 		return New(account(name, otherMemoryShare, otherDescriptorShare), p.Log, p.Clock)
 	}
 	return &Accounts{
 		Callers: New(callers, p.Log, p.Clock), Readiness: other(Readiness), Metrics: other(Metrics), Operators: other(Operators),
+		Peers: New(peers, p.Log, p.Clock),
 	}
 }
 
 // All returns all accounts.
 func (a *Accounts) All() []*Account {
-	return []*Account{a.Callers, a.Readiness, a.Metrics, a.Operators}
+	return []*Account{a.Callers, a.Readiness, a.Metrics, a.Operators, a.Peers}
 }
 
 // Expire closes the connections that take more time than allowed.
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -47,6 +47,11 @@
 	lastBytes, lastLines int
 	// wake ends the wait of awaitClosed. It is nil otherwise.
 	wake chan struct{}
+	// pending is what a message takes whose end may not have arrived, in bytes. hasReply is set once the peer was answered.
+	pending  int64
+	hasReply bool
+	// cancel ends the calls of a peer once the connection has been closed for a limit. It may be nil.
+	cancel func()
 }
 
 type accountListener struct {
@@ -90,7 +95,7 @@
 	err = raw.Control(func(fd uintptr) {
 		set(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
 		set(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
-		if a.config.WriteTime > 0 {
+		if a.config.WriteTime > 0 && !a.config.Messages {
 			set(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(a.config.WriteTime.Milliseconds()))
 		}
 	})
@@ -131,6 +136,16 @@
 	if c.closedFor != "" {
 		return false
 	}
+	if a.config.Messages {
+		c.since = a.clock()
+		more := min(pendingByteCost*int64(len(p)), maxPendingBytes-c.pending)
+		c.pending += more
+		a.charge(c, more)
+		if !c.hasReply && c.pending > pendingByteCost*maxFirstMessage {
+			victims = append(victims, a.evict(c, CauseMessageBytes))
+		}
+		return false
+	}
 	if c.state == stateIdle {
 		c.state, c.since = stateReceiving, a.clock()
 	}
@@ -180,9 +195,23 @@
 	c.writing.Store(max(int64(c.account.clock().Sub(c.acceptedAt)), 1))
 	n, err := c.Conn.Write(p)
 	c.writing.Store(0)
+	if c.account.config.Messages {
+		c.account.recordReply(c)
+	}
 	return n, err
 }
 
+// recordReply records that a message was sent to a peer: what the peer sent before has been read.
+func (a *Account) recordReply(c *Conn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c.since, c.hasReply = a.clock(), true
+	if c.closedFor == "" {
+		a.charge(c, -c.pending)
+		c.pending = 0
+	}
+}
+
 // CloseWrite closes the sending side. net/http calls it before it closes a connection whose client may still send.
 func (c *Conn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -207,6 +236,17 @@
 	_ = c.Conn.Close()
 }
 
+// onClosed has a function called once the connection has been closed for a limit.
+func (c *Conn) onClosed(cancel func()) {
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	if c.closedFor != "" {
+		cancel()
+		return
+	}
+	c.cancel = cancel
+}
+
 // stall returns how long the write in progress has taken, or 0.
 func (c *Conn) stall(now time.Time) time.Duration {
 	if began := c.writing.Load(); began > 0 {
