logging: lines that nobody reads take a bounded number of bytes

What callers saw: while nobody reads a host's log, requests with long paths fill it: 1024 lines may wait, each as long as a head.

Cause: the queue of lines was bounded by their number alone.

Change: it is bounded by 1 KB a line on average as well; lines beyond that are left out and counted, as before.

--- a/internal/logging/ring.go
+++ b/internal/logging/ring.go
@@ -12,15 +12,23 @@
 // fit are dropped; their number is written as a separate line. Ring implements
 // io.Writer and is safe for concurrent use.
 type Ring struct {
-	lines   chan []byte
-	dropped atomic.Uint64
-	done    chan struct{}
-	stopped chan struct{}
+	lines chan []byte
+	// queued is the size of the buffered lines in bytes, maxBytes its limit.
+	queued   atomic.Int64
+	maxBytes int64
+	dropped  atomic.Uint64
+	done     chan struct{}
+	stopped  chan struct{}
 }
 
-// NewRing starts a ring that buffers up to the given number of lines for a writer.
+// meanLineBytes bounds the mean size of the buffered lines. Single lines may be longer: they show what callers have sent.
+const meanLineBytes = 1 << 10
+
+// NewRing starts a ring that buffers up to the given number of lines for a writer, and as many KB.
 func NewRing(w io.Writer, lines int) *Ring {
-	r := &Ring{lines: make(chan []byte, lines), done: make(chan struct{}), stopped: make(chan struct{})}
+	r := &Ring{
+		lines: make(chan []byte, lines), maxBytes: int64(lines) * meanLineBytes, done: make(chan struct{}), stopped: make(chan struct{}),
+	}
 	go r.run(w)
 	return r
 }
@@ -28,15 +36,25 @@
 // Write puts a line into the ring, or drops it if the ring is full. The error is
 // always nil.
 func (r *Ring) Write(line []byte) (int, error) {
-	copied := append([]byte(nil), line...)
+	size := int64(len(line))
+	if r.queued.Add(size) > r.maxBytes {
+		r.drop(size)
+		return len(line), nil
+	}
 	select {
-	case r.lines <- copied:
+	case r.lines <- append([]byte(nil), line...):
 	default:
-		r.dropped.Add(1)
+		r.drop(size)
 	}
 	return len(line), nil
 }
 
+// drop drops a line that does not fit.
+func (r *Ring) drop(size int64) {
+	r.queued.Add(-size)
+	r.dropped.Add(1)
+}
+
 // Dropped returns the number of lines dropped since that number was last written.
 func (r *Ring) Dropped() uint64 { return r.dropped.Load() }
 
@@ -76,6 +94,7 @@
 
 // write writes a line, preceded by the number of lines dropped before it if there are any.
 func (r *Ring) write(w io.Writer, line []byte) {
+	defer r.queued.Add(-int64(len(line)))
 	if n := r.dropped.Swap(0); n > 0 {
 		// An error of the log's writer can't be logged.
 		_, _ = fmt.Fprintf(w, `{"level":"warning","msg":"log: lines left out","count":%d}`+"\n", n)
