explain: a long ID of a request is not remembered

What callers saw: requests that are answered, with IDs as long as a head may be, fill a host: their IDs outlast them.

Cause: the ring of explanations keeps 4096 requests with the IDs that callers choose, 64 MB at most.

Change: a request whose ID is over 256 bytes is not remembered for operators.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -16,6 +16,8 @@
 	maxRecords = 4096
 	// maxSteps is the maximum number of steps of one request. Each attempt takes a few steps.
 	maxSteps = 32
+	// maxIDBytes is the maximum length of the ID of a stored request. Callers choose the IDs.
+	maxIDBytes = 256
 )
 
 // Step is one event in the processing of a request.
@@ -56,8 +58,11 @@
 	return &Ring{records: make(map[string]*Record), order: make([]string, maxRecords)}
 }
 
-// Begin stores a new record and evicts the oldest one if the ring is full.
+// Begin stores a new record and evicts the oldest one if the ring is full. It stores none whose ID is too long.
 func (r *Ring) Begin(record Record) {
+	if len(record.ID) > maxIDBytes {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if oldest := r.order[r.next]; oldest != "" {
