--- a/cmd/oxbowslip/doctor.go
+++ b/cmd/oxbowslip/doctor.go
@@ -99,6 +99,11 @@
 		if refused := s.Refusals["no_version"] + s.Refusals["unknown_version"]; refused > 0 {
 			add("could not resume %d streams: no endpoint of their software version takes requests, or the version is unknown; see OPERATIONS, \"Several software versions serve\"", refused)
 		}
+		for j := range s.Listeners {
+			if l := &s.Listeners[j]; isNearlyFull(l) {
+				add("the connections of %s take %s, most by %s; see OPERATIONS, \"A host closes connections of its clients\"", l.Name, memoryText(l), l.Clients[0].Address)
+			}
+		}
 		for _, p := range s.Poison {
 			add("does not send %s %s: %d endpoints crashed while running it; `oxbowslip poison lift` once they are fixed", poisonText(&p), p.Key, len(p.Endpoints))
 		}
@@ -114,6 +119,13 @@
 	return findings
 }
 
+// fullShare is the share of a listener's memory from which its connections are reported.
+const fullShare = 0.8
+
+func isNearlyFull(l *operator.Listener) bool {
+	return l.MemoryLimit > 0 && float64(l.Memory) >= fullShare*float64(l.MemoryLimit) && len(l.Clients) > 0
+}
+
 // checkLeaders checks that exactly one host is the leader, if the hosts elect one.
 func checkLeaders(reports []hostReport) []string {
 	var leaders []string
--- a/cmd/oxbowslip/doctor_test.go
+++ b/cmd/oxbowslip/doctor_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/operator"
 )
 
@@ -37,6 +38,9 @@
 	leads.Leader = &operator.Leader{Host: "b", Leads: true}
 	hasNoLeader := healthy
 	hasNoLeader.Leader = new(operator.Leader)
+	crowded, busy := healthy, healthy
+	crowded.Listeners = []operator.Listener{{Name: "callers", Memory: 9 << 20, MemoryLimit: 10 << 20, Clients: []intake.Client{{Address: "10.0.0.1"}}}}
+	busy.Listeners = []operator.Listener{{Name: "callers", Memory: 5 << 20, MemoryLimit: 10 << 20, Clients: []intake.Client{{Address: "10.0.0.1"}}}}
 	mixed, lostVersion := healthy, healthy
 	mixed.MixedServices = []operator.MixedService{{Service: "engines", Versions: map[string]int{"v1": 1, "v2": 2}}}
 	lostVersion.Refusals = map[string]uint64{"no_version": 2, "unknown_version": 1}
@@ -62,6 +66,8 @@
 		"connects other hosts to endpoints":                   {helps, nil, 0},
 		"several software versions":                           {mixed, nil, 0},
 		"streams of a version that has left":                  {lostVersion, nil, 1},
+		"clients take nearly all memory":                      {crowded, nil, 1},
+		"clients take some memory":                            {busy, nil, 0},
 		"no answer":                                           {operator.Status{}, errors.New("refused"), 1},
 		"not ready at all":                                    {operator.Status{Problem: "no settings yet", Hosts: 2}, nil, 3},
 	}
--- a/cmd/oxbowslip/tool.go
+++ b/cmd/oxbowslip/tool.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"slices"
@@ -46,6 +47,25 @@
 	return err
 }
 
+// printListener prints what the connections of a listener take, and the clients that take most.
+func printListener(w io.Writer, l *operator.Listener) {
+	fmt.Fprintf(w, "listener %s: %d connections take %s\n", l.Name, l.Connections, memoryText(l))
+	for _, c := range l.Clients {
+		fmt.Fprintf(w, "  %s: %d connections, %.1f MB, the oldest for %s, %s\n", c.Address, c.Connections, megabytes(c.Memory), c.Oldest.Round(time.Second), c.State)
+	}
+	fmt.Fprintln(w)
+}
+
+// memoryText describes the memory that the connections of a listener take.
+func memoryText(l *operator.Listener) string {
+	if l.MemoryLimit == 0 {
+		return fmt.Sprintf("%.1f MB", megabytes(l.Memory))
+	}
+	return fmt.Sprintf("%.1f of %.1f MB", megabytes(l.Memory), megabytes(l.MemoryLimit))
+}
+
+func megabytes(bytes int64) float64 { return float64(bytes) / (1 << 20) }
+
 func (t *tool) status(ctx context.Context) error {
 	s, err := t.client.Status(ctx)
 	if err != nil {
@@ -90,6 +110,9 @@
 		for _, o := range s.OverShare {
 			fmt.Fprintf(w, "workspace %s is over its share of service %s: it asks for %.0f prompt tokens a second, its share is %.0f\n\n", cmp.Or(o.Workspace, "(public calls)"), o.Service, o.Asked, o.Share)
 		}
+		for i := range s.Listeners {
+			printListener(w, &s.Listeners[i])
+		}
 		fmt.Fprintln(w, "shard\tscheduler\twaiting\trunning\tejected")
 		for _, shard := range s.Shards {
 			scheduler, ok := s.Schedulers[shard.Name]
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -291,6 +291,22 @@
 	c.closed[closedConnection{listener, cause}].Inc()
 }
 
+// RegisterAccounts registers gauges of what the connections of each listener take.
+func (c *Counters) RegisterAccounts(accounts *intake.Accounts) {
+	for _, account := range accounts.All() {
+		name := account.Name()
+		c.Gauge(fmt.Sprintf("oxbowslip_client_memory_bytes{listener=%q}", name), func() float64 {
+			memory, _ := account.Used()
+			return float64(memory)
+		})
+		c.Gauge(fmt.Sprintf("oxbowslip_client_memory_limit_bytes{listener=%q}", name), func() float64 { return float64(account.Memory()) })
+		c.Gauge(fmt.Sprintf("oxbowslip_client_connections{listener=%q}", name), func() float64 {
+			_, connections := account.Used()
+			return float64(connections)
+		})
+	}
+}
+
 // CountCutAnswer counts a call that was broken since its answer exceeded a limit.
 func (c *Counters) CountCutAnswer(limit AnswerLimit) { c.limits[limit].Inc() }
 
--- a/internal/counters/counters_test.go
+++ b/internal/counters/counters_test.go
@@ -34,6 +34,7 @@
 		"oxbowslip_age_seconds", "oxbowslip_reads_store", "oxbowslip_hosts", "oxbowslip_endpoints", "oxbowslip_directory_revision", "oxbowslip_upstream_connections_made",
 		"oxbowslip_leads", "oxbowslip_poison_requests", "oxbowslip_services_mixed", "oxbowslip_connections_closed_unread", "oxbowslip_stream_records", "oxbowslip_endpoints_resting", "oxbowslip_endpoints_rejecting", "oxbowslip_endpoints_limited", "oxbowslip_endpoints_brittle", "oxbowslip_endpoints_failing", "oxbowslip_endpoints_slow", "oxbowslip_store_era", "oxbowslip_workspaces_over_share", "oxbowslip_slots_waiting",
 		"oxbowslip_paths_lost", "oxbowslip_retries_unsettled", "oxbowslip_tunnels_opened", "oxbowslip_tunnels_served", "oxbowslip_tunnels_serving",
+		"oxbowslip_client_memory_bytes", "oxbowslip_client_memory_limit_bytes", "oxbowslip_client_connections",
 		"oxbowslip_hosts_served", "oxbowslip_hosts_lost", "oxbowslip_peer_datagrams_sent", "oxbowslip_peer_datagrams_received", "oxbowslip_processor_seconds", "oxbowslip_memory_bytes",
 	}
 	known := append(metricNames(out.Bytes()), gauges...)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -106,6 +106,7 @@
 		Tree:    d.tree, Status: d.Status,
 	}).HTTP()
 	d.listeners = listen.New(d.log)
+	p.Counters.RegisterAccounts(p.Intake)
 	p.Counters.Gauge("oxbowslip_open_requests", func() float64 { return float64(p.Owner.OpenJobs()) })
 	p.Counters.Gauge("oxbowslip_takeovers", func() float64 { return float64(p.Fleet.Takeovers()) })
 	p.Counters.Gauge("oxbowslip_settings_revision", func() float64 { return float64(d.parts.Holder.Number()) })
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -44,7 +44,7 @@
 	status := operator.Status{
 		Host: d.parts.Config.Name, Zone: d.parts.Config.Zone, Version: version.Version, Revision: d.parts.Holder.Number(), Ready: problem == "",
 		Problem: problem, Open: d.parts.Owner.OpenJobs(), Now: time.Now(), Schedulers: d.parts.Fleet.Schedulers(),
-		Refusals: d.parts.Counters.RefusalsByReason(),
+		Refusals: d.parts.Counters.RefusalsByReason(), Listeners: operator.ListenersOf(d.parts.Intake),
 	}
 	for _, name := range d.shards.Names() {
 		d.shards.Inspect(name, func(scheduler *schedule.Scheduler) {
--- a/internal/front/gauges.go
+++ b/internal/front/gauges.go
@@ -44,6 +44,7 @@
 	} {
 		h.parts.Counters.Gauge(name, read)
 	}
+	h.parts.Counters.RegisterAccounts(h.parts.Intake)
 	for topic := range freshness.NumTopics {
 		name := fmt.Sprintf("oxbowslip_age_seconds{of=%q}", topic)
 		h.parts.Counters.Gauge(name, func() float64 { return h.parts.Freshness.Age(topic).Seconds() })
--- a/internal/front/status.go
+++ b/internal/front/status.go
@@ -69,6 +69,7 @@
 	status.LostPaths, status.Tunnels = h.parts.Paths.Lost(), h.parts.Tunnels.Served()
 	status.MixedServices = h.mixedServices()
 	status.OverShare = h.overShare()
+	status.Listeners = operator.ListenersOf(h.parts.Intake)
 	status.Leader = h.parts.Leadership.state()
 	return status
 }
--- a/internal/intake/account.go
+++ b/internal/intake/account.go
@@ -398,6 +398,37 @@
 	State State `json:"state"`
 }
 
+// Clients returns the clients that take most memory, at most count of them.
+func (a *Account) Clients(count int) []Client {
+	byAddress := make(map[string]*Client)
+	most := make(map[string]int64)
+	a.mu.Lock()
+	now := a.clock()
+	for c := range a.connections {
+		one := c.client()
+		client, ok := byAddress[one.Address]
+		if !ok {
+			client = &Client{Address: one.Address}
+			byAddress[one.Address] = client
+		}
+		client.Connections++
+		client.Memory += one.Memory
+		client.Oldest = max(client.Oldest, now.Sub(c.since))
+		if one.Memory > most[one.Address] {
+			most[one.Address], client.State = one.Memory, one.State
+		}
+	}
+	a.mu.Unlock()
+	list := make([]Client, 0, len(byAddress))
+	for _, client := range byAddress {
+		list = append(list, *client)
+	}
+	slices.SortFunc(list, func(a, b Client) int {
+		return cmp.Or(cmp.Compare(b.Memory, a.Memory), cmp.Compare(a.Address, b.Address))
+	})
+	return list[:min(count, len(list))]
+}
+
 // Wrap returns a listener whose connections belong to the account.
 func (a *Account) Wrap(listener net.Listener) net.Listener {
 	if err := a.boundBuffers(listener); err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -16,6 +16,7 @@
 	"oxbowslip.dev/oxbowslip/internal/explain"
 	"oxbowslip.dev/oxbowslip/internal/hostconfig"
 	"oxbowslip.dev/oxbowslip/internal/httprelay"
+	"oxbowslip.dev/oxbowslip/internal/intake"
 	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 )
@@ -84,6 +85,37 @@
 	MixedServices []MixedService `json:"mixed_services,omitzero"`
 	// OverShare are the workspaces that are over their share of a service that is short of capacity.
 	OverShare []WorkspaceShare `json:"over_share,omitzero"`
+	// Listeners are the listeners with connections, and the clients that take most of their memory.
+	Listeners []Listener `json:"listeners,omitzero"`
+}
+
+// Listener describes what the connections of a listener take.
+type Listener struct {
+	Name        string `json:"name"`
+	Connections int    `json:"connections"`
+	// Memory is what they take in bytes, MemoryLimit the most that they may take.
+	Memory      int64 `json:"memory"`
+	MemoryLimit int64 `json:"memory_limit,omitzero"`
+	// Clients are those that take most, by their IP numbers.
+	Clients []intake.Client `json:"clients"`
+}
+
+// shownClients is the number of clients of a listener that are shown.
+const shownClients = 5
+
+// ListenersOf describes the listeners that have connections.
+func ListenersOf(accounts *intake.Accounts) []Listener {
+	var list []Listener
+	for _, account := range accounts.All() {
+		memory, connections := account.Used()
+		if connections == 0 {
+			continue
+		}
+		list = append(list, Listener{
+			Name: account.Name(), Connections: connections, Memory: memory, MemoryLimit: account.Memory(), Clients: account.Clients(shownClients),
+		})
+	}
+	return list
 }
 
 // MixedService describes a service whose endpoints run several software versions.
--- a/internal/proof/decisions/decisions_test.go
+++ b/internal/proof/decisions/decisions_test.go
@@ -18,7 +18,7 @@
 // packages maps the names of the packages whose rules the page describes to their folders. The page must list all
 // of their constants.
 var packages = map[string]string{
-	"admission": "internal/admission", "request": "internal/request", "owner": "internal/owner", "retrybudget": "internal/retrybudget",
+	"admission": "internal/admission", "request": "internal/request", "owner": "internal/owner", "retrybudget": "internal/retrybudget", "intake": "internal/intake",
 	"front": "internal/front", "placement": "internal/front/placement", "relay": "internal/front/relay", "gossip": "internal/front/gossip",
 	"peersync": "internal/front/peersync", "follow": "internal/front/follow", "freshness": "internal/front/freshness", "directory": "internal/front/directory",
 	"upstream": "internal/front/upstream", "tunnel": "internal/front/tunnel", "lease": "internal/front/lease", "leader": "internal/front/leader", "usage": "internal/front/usage",
