--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,8 @@
 	go test -run none -fuzz '^FuzzDecodeChat$$' -fuzztime 60s ./internal/daemon/api
 	go test -run none -fuzz '^FuzzEventStream$$' -fuzztime 60s ./internal/daemon/api
 	go test -run none -fuzz '^FuzzArrived$$' -fuzztime 60s ./internal/front
+	go test -run none -fuzz '^FuzzCalls$$' -fuzztime 60s ./internal/front/gossip
+	go test -run none -fuzz '^FuzzClient$$' -fuzztime 60s ./internal/intake
 	go test -run none -fuzz '^FuzzReceived$$' -fuzztime 60s ./internal/front/poison
 	go test -run none -fuzz '^FuzzParseLimit$$' -fuzztime 60s ./internal/front/pushback
 	go test -run none -fuzz '^FuzzDecodeSettings$$' -fuzztime 60s ./platform
