--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -75,12 +75,6 @@
 	return string(answer)
 }
 
-func isOpen(conn net.Conn) bool {
-	_ = conn.SetReadDeadline(time.Now().Add(time.Millisecond))
-	_, err := conn.Read(make([]byte, 1))
-	return err != io.EOF && err != io.ErrClosedPipe
-}
-
 // TestWhoIsClosedFirst fills an account and checks which connections are closed for the ordinary request that comes next.
 func TestWhoIsClosedFirst(t *testing.T) {
 	tests := map[string]struct {
