--- a/internal/bodies/bodies.go
+++ b/internal/bodies/bodies.go
@@ -1,9 +1,9 @@
 // Package bodies bounds the memory that the bodies of all requests or all answers of a host take together. Limits of single
 // bodies don't: a few dozen callers, or calls to one faulty endpoint, would take more than a small host has.
 //
-// A body of up to SmallBytes takes no part in it: package intake counts it with its connection. A larger one reserves all that it may need at once, before it is read
-// on, so that no body waits for memory while it holds some that others wait for. Reserved memory counts as used. It owns
-// the budget; the bodies belong to their requests.
+// A body of up to SmallBytes takes no part in it: package intake counts it with its connection. A larger one reserves all
+// that it may need at once, before it is read on, so that no body waits for memory while it holds some that others wait for.
+// Reserved memory counts as used. It owns the budget; the bodies belong to their requests.
 package bodies
 
 import (
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -227,7 +227,8 @@
 // New returns a Server. It does not listen; see HTTP.
 func New(parts Parts) *Server { return &Server{parts: parts} }
 
-// HTTP returns the HTTP server. The account of its listener bounds heads and their times. Health, readiness and metrics require no key.
+// HTTP returns the HTTP server. The account of its listener bounds heads and their times. Health, readiness and metrics
+// require no key.
 func (s *Server) HTTP() *http.Server {
 	router := mux.NewRouter()
 	router.HandleFunc("/healthz", s.health).Methods(http.MethodGet)
