tcpend: an answer without a length is whole only if its connection has ended in order

Cause: the kernel reports a reset once, to whichever call on the socket comes first. Uploads and answers of one connection are written and read by two goroutines (at a host that carries a tunnel, too); if the write took the error, the read found the plain end of file of an orderly close, and that is the end of an answer without a length. The same in oxbowslipd, whose net/http writes and reads in two loops. A connection that was closed in order before the endpoint had received the call looked whole as well: 900 KB unread, then closed.

An answer without a length is whole only if the call had been written to its end, too. A tunnel's ChunkEnd states how much the peer had forwarded; older peers state nothing, and read no data of it.

Ruled out: a flag set by the writer, since the reader may find the end before the writer has returned from its call; waiting for the writer, which may be blocked for the rest of the request's time. An end of file of a framed answer is an error as before; framed answers are read without the question.

TestKernelDetectsDeadPeer asks for the socket by its interface, since the connection is no *net.TCPConn any more; it checks the same options.

--- a/internal/daemon/httpclient/httpclient.go
+++ b/internal/daemon/httpclient/httpclient.go
@@ -2,6 +2,8 @@
 // and reports whether a failed call may have reached the endpoint. It uses the transport of
 // net/http with resends prevented, and streams bodies in both directions; oxbowslip-front needs
 // answers bound to calls and has its own client (package upstream).
+//
+// The body of an answer ends with io.EOF only if the answer is whole.
 package httpclient
 
 import (
@@ -17,6 +19,7 @@
 
 	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/request"
+	"oxbowslip.dev/oxbowslip/internal/tcpend"
 )
 
 // Limits of connections to endpoints.
@@ -64,7 +67,7 @@
 func newTransport(disableKeepAlives bool) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            tcpend.DialContext(dialer),
 		DisableKeepAlives:      disableKeepAlives,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
@@ -81,17 +84,6 @@
 	c.unpooled.CloseIdleConnections()
 }
 
-// unreplayableBody exposes only Read, so that http.Transport can't replay the body and therefore
-// doesn't resend a request. It would otherwise resend a GET, or any call with an Idempotency-Key
-// header, after a failure of a kept connection.
-type unreplayableBody struct{ io.Reader }
-
-func (unreplayableBody) Close() error { return nil }
-
-type emptyReader struct{}
-
-func (emptyReader) Read([]byte) (int, error) { return 0, io.EOF }
-
 // Do sends a call once. The error is request.ErrNotSent or request.ErrBroken with its cause.
 // Redirects are not followed.
 func (c *Client) Do(ctx context.Context, call Call) (*http.Response, error) {
@@ -110,8 +102,10 @@
 	if call.Once {
 		transport = c.unpooled
 	}
-	response, err := transport.RoundTrip(call.httpRequest(httptrace.WithClientTrace(ctx, trace), target))
+	body := newUpload(&call)
+	response, err := transport.RoundTrip(call.httpRequest(httptrace.WithClientTrace(ctx, trace), target, body))
 	if err == nil {
+		body.guard(response)
 		return response, nil
 	}
 	if sent {
@@ -121,20 +115,16 @@
 }
 
 // httpRequest converts the call to a request for http.Transport.
-func (c *Call) httpRequest(ctx context.Context, target *url.URL) *http.Request {
+func (c *Call) httpRequest(ctx context.Context, target *url.URL, body *upload) *http.Request {
 	header := c.Header
 	if header == nil {
 		header = make(http.Header)
 	}
-	body := c.Body
-	if body == nil {
-		body = emptyReader{}
-	}
 	return (&http.Request{
 		Method:        c.Method,
 		URL:           target,
 		Header:        header,
-		Body:          unreplayableBody{body},
+		Body:          body,
 		ContentLength: c.Length,
 		Host:          c.Address,
 	}).WithContext(ctx)
--- a/internal/daemon/tableclient/tableclient.go
+++ b/internal/daemon/tableclient/tableclient.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/go-json-experiment/json/jsontext"
 
 	"oxbowslip.dev/oxbowslip/internal/httphead"
+	"oxbowslip.dev/oxbowslip/internal/tcpend"
 )
 
 // Errors of calls, for errors.Is.
@@ -121,7 +123,7 @@
 // New returns a client. onUnavailable, unless nil, is called for each call without a response or
 // with a status that reports the platform as unavailable (5xx or 429).
 func New(address string, timeout time.Duration, onUnavailable func()) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: httphead.MaxBytes}
+	transport := &http.Transport{DialContext: tcpend.DialContext(new(net.Dialer)), MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: httphead.MaxBytes}
 	return &Client{baseURL: "http://" + address, http: &http.Client{Timeout: timeout, Transport: transport}, onUnavailable: onUnavailable}
 }
 
--- a/internal/front/tunnel/conn.go
+++ b/internal/front/tunnel/conn.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"encoding/binary"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,8 @@
 	received chan []byte
 	endErr   error
 	rest     []byte
+	// written is the number of bytes that were sent to the peer for the endpoint.
+	written atomic.Uint64
 	// pending counts the received data that wait for Read. isEnding is set once the tunnel must not be used for another
 	// call.
 	pending   atomic.Int32
@@ -64,7 +67,7 @@
 				return
 			}
 		case ChunkEnd:
-			c.endErr = io.EOF
+			c.endErr = c.endError(chunk.Data)
 			return
 		case ChunkReset:
 			c.endErr = merry.Wrap(errReset)
@@ -75,7 +78,20 @@
 	}
 }
 
-// Read reads bytes that the endpoint has sent. It returns io.EOF only if the endpoint has closed the connection.
+// endError returns the error of a connection that the endpoint has closed when the peer had forwarded some bytes to it:
+// io.EOF, unless more bytes were written. A peer of an older version does not state their number.
+func (c *Conn) endError(forwarded []byte) error {
+	if len(forwarded) == 0 {
+		return io.EOF
+	}
+	if number, _ := binary.Uvarint(forwarded); number < c.written.Load() {
+		return merry.Wrap(errReset)
+	}
+	return io.EOF
+}
+
+// Read reads bytes that the endpoint has sent. It returns io.EOF only if the endpoint has closed the connection in order
+// (package tcpend).
 func (c *Conn) Read(p []byte) (int, error) {
 	for len(c.rest) == 0 {
 		data, ok := <-c.received
@@ -95,6 +111,7 @@
 	written := 0
 	for written < len(p) {
 		size := min(len(p)-written, chunkBytes)
+		c.written.Add(uint64(size))
 		if err := c.stream.MsgSend(&Chunk{Data: p[written : written+size]}, envelope.Encoding{}); err != nil {
 			return written, merry.Wrap(upstream.ErrPathLost, merry.AppendMessage(err.Error()))
 		}
--- a/internal/front/tunnel/messages.go
+++ b/internal/front/tunnel/messages.go
@@ -48,7 +48,8 @@
 // The kinds of chunks.
 const (
 	ChunkData ChunkKind = 0
-	// ChunkEnd: the endpoint has closed the connection after its last byte.
+	// ChunkEnd: the endpoint has closed the connection after its last byte. The data are the number of bytes that the peer
+	// had forwarded to it by then, as a varint of encoding/binary. Older versions send none.
 	ChunkEnd ChunkKind = 1
 	// ChunkReset: the connection to the endpoint has broken.
 	ChunkReset ChunkKind = 2
--- a/internal/front/tunnel/server.go
+++ b/internal/front/tunnel/server.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,6 +54,8 @@
 	stream drpc.Stream
 	// sending serializes the messages to the peer.
 	sending sync.Mutex
+	// forwarded is the number of the peer's bytes that were handed to the connection to the endpoint.
+	forwarded atomic.Uint64
 }
 
 // NewServer returns a Server without tunnels.
@@ -126,6 +130,8 @@
 		if err := t.stream.MsgRecv(&chunk, envelope.Encoding{}); err != nil {
 			return
 		}
+		// Counted before the endpoint can receive them.
+		t.forwarded.Add(uint64(len(chunk.Data)))
 		if _, err := conn.Write(chunk.Data); err != nil {
 			return
 		}
@@ -145,7 +151,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			return t.send(&Chunk{Kind: ChunkEnd})
+			return t.send(&Chunk{Kind: ChunkEnd, Data: binary.AppendUvarint(nil, t.forwarded.Load())})
 		case err != nil:
 			return t.send(&Chunk{Kind: ChunkReset})
 		}
--- a/internal/front/tunnel/tunnel_test.go
+++ b/internal/front/tunnel/tunnel_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -240,6 +241,29 @@
 	}
 }
 
+// TestEndBeforeEverythingWasForwarded checks that a tunnel does not end in order if its endpoint has closed the connection
+// before the peer had forwarded everything. Peers of older versions do not say so.
+func TestEndBeforeEverythingWasForwarded(t *testing.T) {
+	const written = 300
+	tests := map[string]struct {
+		forwarded []byte
+		want      error
+	}{
+		"everything":          {binary.AppendUvarint(nil, written), io.EOF},
+		"a part":              {binary.AppendUvarint(nil, written-1), errReset},
+		"nothing":             {binary.AppendUvarint(nil, 0), errReset},
+		"not stated":          {nil, io.EOF},
+		"not a number at all": {[]byte{0xff}, errReset},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			conn := new(Conn)
+			conn.written.Add(written)
+			qt.Check(t, errors.Is(conn.endError(test.forwarded), test.want), qt.IsTrue)
+		})
+	}
+}
+
 // TestClosedTunnelClosesConnection checks that an endpoint learns at once that its caller has disconnected.
 func TestClosedTunnelClosesConnection(t *testing.T) {
 	c := qt.New(t)
@@ -393,6 +417,7 @@
 		"open-request": &OpenRequest{Endpoint: "i-1", Address: "10.0.0.1:80", Timeout: 250 * time.Millisecond},
 		"open-reply":   &OpenReply{Result: Declined, Detail: "unknown endpoint"},
 		"chunk":        &Chunk{Kind: ChunkLeaving, Data: []byte("GET / HTTP/1.1")},
+		"chunk-end":    &Chunk{Kind: ChunkEnd, Data: binary.AppendUvarint(nil, 900_000)},
 	} {
 		t.Run(name, func(t *testing.T) { golden.Message(t, name, message) })
 	}
--- a/internal/front/upstream/connection.go
+++ b/internal/front/upstream/connection.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"oxbowslip.dev/oxbowslip/internal/httphead"
+	"oxbowslip.dev/oxbowslip/internal/tcpend"
 )
 
 // idleTimeShare is the fraction of an endpoint's keep-alive timeout during which an idle connection is reused. The
@@ -173,14 +174,8 @@
 	if !ok {
 		return nil, false
 	}
-	raw, err := holder.SyscallConn()
-	if err != nil {
-		return nil, false
-	}
-	var info *unix.TCPInfo
-	var infoErr error
-	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
-	return info, err == nil && infoErr == nil
+	info, err := tcpend.Info(holder)
+	return info, err == nil
 }
 
 // maxAckDelay is how long a machine may take to acknowledge data that have reached it.
--- a/internal/front/upstream/dial.go
+++ b/internal/front/upstream/dial.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"oxbowslip.dev/oxbowslip/internal/deadpeer"
+	"oxbowslip.dev/oxbowslip/internal/tcpend"
 )
 
 // Target is an endpoint to connect to.
@@ -46,7 +47,7 @@
 		// A nil *net.TCPConn in the interface would not be nil.
 		return nil, err
 	}
-	return conn, nil
+	return tcpend.New(conn), nil
 }
 
 // Check opens a TCP connection.
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -321,6 +321,9 @@
 // Read reads the answer's body. It returns io.EOF only if the complete answer has arrived.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	if err == io.EOF && a.Length < 0 && !a.Framed && !a.isComplete {
+		err = a.exchange.endOfConnection()
+	}
 	if err == io.EOF {
 		a.isComplete = true
 		return n, err
@@ -331,6 +334,20 @@
 	return n, err
 }
 
+// errEndedEarly is the error of an answer that ends with its connection, which has ended before the call was sent.
+var errEndedEarly = errors.New("the endpoint has closed the connection of an answer without a length before it had received the call")
+
+// endOfConnection closes a connection that the endpoint has closed. It returns io.EOF if the whole call was sent on it.
+// Otherwise nothing distinguishes the end of the answer from the end of an endpoint that has crashed.
+func (x *exchange) endOfConnection() error {
+	// A call that is still being written fails.
+	x.conn.Close()
+	if err := <-x.writeResult; err != nil {
+		return errEndedEarly
+	}
+	return io.EOF
+}
+
 // Close ends the exchange. The connection is kept if the complete answer was read and no further bytes are buffered.
 func (a *Answer) Close() {
 	x := a.exchange
--- a/internal/front/upstream/upstream_test.go
+++ b/internal/front/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -243,6 +244,26 @@
 	}
 }
 
+// TestAnswerWithoutLengthEndsBeforeCall guards against the beginning of an answer from an endpoint that has ended: it closes
+// the connection in order, but has not received the call.
+func TestAnswerWithoutLengthEndsBeforeCall(t *testing.T) {
+	c := qt.New(t)
+	client := newClient(time.Now)
+	ended := make(chan struct{})
+	p := startTestServer(c, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Call: 1\r\n\r\npart")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		<-ended
+	})
+	body, err := p.do(client, p.call("1", strings.Repeat("x", 8<<20)))
+	close(ended)
+	c.Check(body, qt.Equals, "part")
+	c.Check(err, qt.IsNotNil)
+}
+
 func TestCancelledCallClosesConnection(t *testing.T) {
 	c := qt.New(t)
 	client := newClient(time.Now)
@@ -281,7 +302,7 @@
 	conn, err := newClient(time.Now).dial(context.Background(), p.call("1", ""))
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
-	raw, err := conn.ReadWriteCloser.(*net.TCPConn).SyscallConn()
+	raw, err := conn.ReadWriteCloser.(syscall.Conn).SyscallConn()
 	c.Assert(err, qt.IsNil)
 	option := func(name int) (value time.Duration) {
 		c.Assert(raw.Control(func(fd uintptr) {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +18,7 @@
 	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/strictjson"
+	"oxbowslip.dev/oxbowslip/internal/tcpend"
 )
 
 // clientTimeout is longer than the time in which a host determines the result of a change after a lost response
@@ -32,7 +34,7 @@
 
 // NewClient returns a client that authenticates with an operator's key.
 func NewClient(address, key string) *Client {
-	return &Client{base: "http://" + address, key: key, http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: httphead.MaxBytes}}}
+	return &Client{base: "http://" + address, key: key, http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DialContext: tcpend.DialContext(new(net.Dialer)), MaxResponseHeaderBytes: httphead.MaxBytes}}}
 }
 
 // Status returns the state of the host.
