httphead: an answer has a status from 100 to 599

Callers got answers whose status no answer can have: 600 and 999 at oxbowslip-front in all forms, and 000, 099, +20, 101 and 600 at oxbowslipd. At oxbowslip-front a status under 200 was skipped as an interim answer, and the next head taken for the answer: 000, 099, +20, -00 and 101 in front of a whole one.

Cause: http.ReadResponse takes any three characters that strconv reads as a number that is not negative, and both readers asked only whether it is under 200 (ours) or from 100 to 199 (net/http).

Change: package httphead says what an answer's status is (RFC 9110, section 15), for interim answers as well. What net/http can't read is an InvalidError of its own, with a detail of at most 120 bytes: the error text of net/http repeats the whole line. 600 to 999 are no answers either: RFC 9110 calls them invalid and says to treat them as a 5xx, and a broken call is answered 502 and counts as one.

--- a/internal/daemon/httpclient/broken_test.go
+++ b/internal/daemon/httpclient/broken_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"oxbowslip.dev/oxbowslip/internal/daemon/httpclient"
+	"oxbowslip.dev/oxbowslip/internal/request"
 )
 
 const (
@@ -136,3 +138,20 @@
 		})
 	}
 }
+
+// TestInvalidStatusIsNoAnswer guards against a status that no answer can have, which callers received.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000 Broken", "099 Broken", "+20 OK", "101 Switching Protocols", "600 Broken"} {
+		t.Run(status, func(t *testing.T) {
+			c := qt.New(t)
+			client := httpclient.New()
+			defer client.Close()
+			address := startRawServer(c, func(conn *net.TCPConn, upload io.Reader) {
+				_, _ = io.Copy(io.Discard, upload)
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nContent-Length: 2\r\n\r\nok")
+			})
+			_, err := call(client, address, 10)
+			c.Check(errors.Is(err, request.ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
--- a/internal/daemon/httpclient/httpclient.go
+++ b/internal/daemon/httpclient/httpclient.go
@@ -98,6 +98,7 @@
 			call.OnSend()
 		}
 	}}
+	httphead.GuardInterim(trace)
 	transport := c.pooled
 	if call.Once {
 		transport = c.unpooled
@@ -105,8 +106,12 @@
 	body := newUpload(&call)
 	response, err := transport.RoundTrip(call.httpRequest(httptrace.WithClientTrace(ctx, trace), target, body))
 	if err == nil {
-		body.guard(response)
-		return response, nil
+		err = httphead.Check(response)
+		if err == nil {
+			body.guard(response)
+			return response, nil
+		}
+		response.Body.Close()
 	}
 	if sent {
 		return nil, merry.Wrap(request.ErrBroken, merry.WithCause(err))
--- a/internal/daemon/tableclient/tableclient.go
+++ b/internal/daemon/tableclient/tableclient.go
@@ -124,7 +124,7 @@
 // with a status that reports the platform as unavailable (5xx or 429).
 func New(address string, timeout time.Duration, onUnavailable func()) *Client {
 	transport := &http.Transport{DialContext: tcpend.DialContext(new(net.Dialer)), MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: httphead.MaxBytes}
-	return &Client{baseURL: "http://" + address, http: &http.Client{Timeout: timeout, Transport: transport}, onUnavailable: onUnavailable}
+	return &Client{baseURL: "http://" + address, http: &http.Client{Timeout: timeout, Transport: httphead.Transport{Transport: transport}}, onUnavailable: onUnavailable}
 }
 
 // Close closes idle connections.
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -1,7 +1,8 @@
-// Package httphead reads the heads of HTTP answers within limits, since a faulty server may send one without end. It is used
-// wherever answers are read from a connection; clients of net/http bound heads by MaxBytes themselves.
+// Package httphead says what an answer of HTTP is, for all clients. It reads the heads of answers within limits, since a faulty
+// server may send one without end, and checks what net/http accepts although it is no answer. Clients that read answers from a
+// connection themselves use ReadAnswer, those of net/http Transport, or Check and GuardInterim, and bound heads by MaxBytes.
 //
-// It owns the limits, and no connections.
+// It owns the limits and the rules of validity, and no connections.
 package httphead
 
 import (
@@ -47,10 +48,20 @@
 
 	isLimited bool
 	left      int
+	// failed is set once a read has returned an error.
+	failed bool
 }
 
 // Read reads from the connection.
 func (s *Source) Read(p []byte) (int, error) {
+	n, err := s.read(p)
+	if err != nil {
+		s.failed = true
+	}
+	return n, err
+}
+
+func (s *Source) read(p []byte) (int, error) {
 	if !s.isLimited {
 		return s.Reader.Read(p)
 	}
@@ -63,13 +74,20 @@
 }
 
 // ReadAnswer reads the head of the final answer to a request from a buffered reader of a source, whose body it leaves. What
-// the reader already holds does not count as bytes of the head.
+// the reader already holds does not count as bytes of the head. The error is an InvalidError if what the source has sent is no
+// answer.
 func ReadAnswer(reader *bufio.Reader, source *Source, request *http.Request) (*http.Response, error) {
 	source.isLimited, source.left = true, MaxBytes
 	defer func() { source.isLimited = false }()
 	for range maxInterim + 1 {
 		answer, err := http.ReadResponse(reader, request)
 		if err != nil {
+			if source.failed {
+				return nil, err
+			}
+			return nil, invalid(ReasonSyntax, err.Error())
+		}
+		if err := Check(answer); err != nil {
 			return nil, err
 		}
 		if countLines(answer.Header) > maxLines {
--- /dev/null
+++ b/internal/httphead/valid.go
@@ -0,0 +1,91 @@
+package httphead
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+)
+
+// Reason is the reason why what a server has sent is no answer by RFC 9110 and RFC 9112.
+type Reason string
+
+// The reasons. The values are labels of a metric and never change.
+const (
+	// ReasonSyntax means that net/http can't read the head.
+	ReasonSyntax Reason = "syntax"
+	// ReasonStatus means that the status is none that an answer can have.
+	ReasonStatus Reason = "status"
+)
+
+// InvalidError is the error of what is no answer. The server may have run the call.
+type InvalidError struct {
+	Reason Reason
+	// Detail describes what was received, in at most some 100 bytes.
+	Detail string
+}
+
+func (e *InvalidError) Error() string { return "not an answer of HTTP: " + e.Detail }
+
+// maxDetailBytes bounds a detail.
+const maxDetailBytes = 120
+
+func invalid(reason Reason, detail string) *InvalidError {
+	return &InvalidError{Reason: reason, Detail: detail[:min(len(detail), maxDetailBytes)]}
+}
+
+// Check returns an InvalidError for a head that net/http has read although it is none of an answer. It must be called for each
+// answer before anything of it is used.
+func Check(answer *http.Response) error {
+	if err := checkStatus(answer.StatusCode); err != nil {
+		return err
+	}
+	return nil
+}
+
+const (
+	// minStatus and maxStatus bound the status codes of HTTP (RFC 9110, section 15).
+	minStatus = 100
+	maxStatus = 599
+)
+
+func checkStatus(status int) error {
+	switch {
+	case status < minStatus || status > maxStatus:
+		return invalid(ReasonStatus, fmt.Sprintf("status %d is not between %d and %d", status, minStatus, maxStatus))
+	case status == http.StatusSwitchingProtocols:
+		// No call asks for another protocol (RFC 9110, section 15.2.2).
+		return invalid(ReasonStatus, "it switches to another protocol")
+	}
+	return nil
+}
+
+// GuardInterim has the interim answers to a call of net/http checked as well, and bounds their number: net/http does so only
+// for calls without the hook.
+func GuardInterim(trace *httptrace.ClientTrace) {
+	received := 0
+	trace.Got1xxResponse = func(status int, _ textproto.MIMEHeader) error {
+		if received++; received > maxInterim {
+			return &LimitError{LimitInterim, maxInterim}
+		}
+		return checkStatus(status)
+	}
+}
+
+// Transport is an http.RoundTripper whose answers are valid.
+type Transport struct{ *http.Transport }
+
+// RoundTrip makes a call. An answer that is none counts as a broken one.
+func (t Transport) RoundTrip(call *http.Request) (*http.Response, error) {
+	trace := new(httptrace.ClientTrace)
+	GuardInterim(trace)
+	answer, err := t.Transport.RoundTrip(call.WithContext(httptrace.WithClientTrace(call.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(answer); err != nil {
+		answer.Body.Close()
+		return nil, err
+	}
+	return answer, nil
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -34,7 +34,8 @@
 
 // NewClient returns a client that authenticates with an operator's key.
 func NewClient(address, key string) *Client {
-	return &Client{base: "http://" + address, key: key, http: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{DialContext: tcpend.DialContext(new(net.Dialer)), MaxResponseHeaderBytes: httphead.MaxBytes}}}
+	transport := &http.Transport{DialContext: tcpend.DialContext(new(net.Dialer)), MaxResponseHeaderBytes: httphead.MaxBytes}
+	return &Client{base: "http://" + address, key: key, http: &http.Client{Timeout: clientTimeout, Transport: httphead.Transport{Transport: transport}}}
 }
 
 // Status returns the state of the host.
