httphead: a field whose name is no token makes an answer none

Callers got answers with a blank in or behind the name of a field: with that line passed on, with four bytes more than the server's body where the field was Content-Length, and with the chunks as the body where it was Transfer-Encoding.

Cause: net/textproto accepts blanks in names of fields and leaves such a name as it is, so a field that decides where the answer ends is an unknown one with a blank behind its name (RFC 9112, 5.1, forbids such a blank; it has proxies remove it, which would frame the answer anew). Nobody looked at the names.

Control bytes, DEL, tab, other bytes, an empty name, a line without a colon and CR in a value hold, since net/textproto rejects them.

--- a/internal/daemon/httpclient/upload.go
+++ b/internal/daemon/httpclient/upload.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 )
 
 // upload is the body of a call. It has no other methods than Read and Close, so that http.Transport can't replay the body and
@@ -40,28 +42,40 @@
 // Close does nothing: the body belongs to the caller.
 func (u *upload) Close() error { return nil }
 
-// guard has the body of an answer without a length end with an error if its connection ends before the call was sent.
+// guard has the body of an answer without a length end with an error unless the answer is whole at its end.
 func (u *upload) guard(answer *http.Response) {
-	if answer.ContentLength < 0 && len(answer.TransferEncoding) == 0 {
-		answer.Body = &untilClose{answer.Body, u}
+	if answer.ContentLength < 0 {
+		answer.Body = &guardedBody{ReadCloser: answer.Body, answer: answer, upload: u}
 	}
 }
 
-// untilClose is the body of an answer that ends with its connection.
-type untilClose struct {
+// guardedBody is the body of an answer that is chunked, or that ends with its connection.
+type guardedBody struct {
 	io.ReadCloser
+	answer *http.Response
 	upload *upload
 }
 
 // errEndedEarly is the error of an answer that ends with its connection, which has ended before the call was sent.
 var errEndedEarly = errors.New("the endpoint has closed the connection of an answer without a length before it had received the call")
 
-// Read reads the body. It returns io.EOF only if the whole call was sent: otherwise nothing distinguishes the end of the answer
-// from the end of an endpoint that has crashed.
-func (b *untilClose) Read(p []byte) (int, error) {
+// Read reads the body. It returns io.EOF only if the answer is whole.
+func (b *guardedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF && !b.upload.isRead.Load() {
-		err = errEndedEarly
+	if err == io.EOF {
+		err = b.checkEnd()
 	}
 	return n, err
 }
+
+// checkEnd returns io.EOF if the answer is whole at the end of its body. If it ends with its connection and the call was not
+// sent, nothing distinguishes its end from the end of an endpoint that has crashed.
+func (b *guardedBody) checkEnd() error {
+	if err := httphead.CheckTrailer(b.answer); err != nil {
+		return err
+	}
+	if len(b.answer.TransferEncoding) == 0 && !b.upload.isRead.Load() {
+		return errEndedEarly
+	}
+	return io.EOF
+}
--- a/internal/front/upstream/upstream.go
+++ b/internal/front/upstream/upstream.go
@@ -78,7 +78,7 @@
 	// Framed is set if the answer has a length or is chunked. Otherwise it ends with its connection.
 	Framed bool
 
-	body       io.ReadCloser
+	response   *http.Response
 	exchange   *exchange
 	isComplete bool
 }
@@ -271,6 +271,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := httphead.CheckTrailer(response); err != nil {
+			return nil, err
+		}
 		if n == maxSurplusBytes {
 			return nil, errors.New("an answer to another call that is too large to be skipped")
 		}
@@ -288,7 +291,7 @@
 	}
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: length, Framed: isFramed(response),
-		body: response.Body, exchange: x,
+		response: response, exchange: x,
 	}
 }
 
@@ -320,9 +323,9 @@
 
 // Read reads the answer's body. It returns io.EOF only if the complete answer has arrived.
 func (a *Answer) Read(p []byte) (int, error) {
-	n, err := a.body.Read(p)
-	if err == io.EOF && a.Length < 0 && !a.Framed && !a.isComplete {
-		err = a.exchange.endOfConnection()
+	n, err := a.response.Body.Read(p)
+	if err == io.EOF && !a.isComplete {
+		err = a.checkEnd()
 	}
 	if err == io.EOF {
 		a.isComplete = true
@@ -334,6 +337,17 @@
 	return n, err
 }
 
+// checkEnd returns io.EOF if the answer is whole at the end of its body.
+func (a *Answer) checkEnd() error {
+	if err := httphead.CheckTrailer(a.response); err != nil {
+		return err
+	}
+	if a.Framed || a.Length >= 0 {
+		return io.EOF
+	}
+	return a.exchange.endOfConnection()
+}
+
 // errEndedEarly is the error of an answer that ends with its connection, which has ended before the call was sent.
 var errEndedEarly = errors.New("the endpoint has closed the connection of an answer without a length before it had received the call")
 
--- a/internal/httphead/valid.go
+++ b/internal/httphead/valid.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Reason is the reason why what a server has sent is no answer by RFC 9110 and RFC 9112.
@@ -16,6 +18,8 @@
 	ReasonSyntax Reason = "syntax"
 	// ReasonStatus means that the status is none that an answer can have.
 	ReasonStatus Reason = "status"
+	// ReasonFieldName means that the name of a header or trailer field is none.
+	ReasonFieldName Reason = "field_name"
 )
 
 // InvalidError is the error of what is no answer. The server may have run the call.
@@ -40,6 +44,21 @@
 	if err := checkStatus(answer.StatusCode); err != nil {
 		return err
 	}
+	return checkFieldNames(answer.Header)
+}
+
+// CheckTrailer returns an InvalidError for trailers that net/http has read although they are none. It must be called at the end of
+// the answer's body.
+func CheckTrailer(answer *http.Response) error { return checkFieldNames(answer.Trailer) }
+
+// checkFieldNames checks that all names are tokens (RFC 9110, section 5.1). net/http accepts blanks in names, and takes a field that
+// decides where the answer ends for an unknown one if a blank follows its name (RFC 9112, section 5.1).
+func checkFieldNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return invalid(ReasonFieldName, fmt.Sprintf("name of a field %q", name[:min(len(name), maxDetailBytes)]))
+		}
+	}
 	return nil
 }
 
@@ -64,11 +83,11 @@
 // for calls without the hook.
 func GuardInterim(trace *httptrace.ClientTrace) {
 	received := 0
-	trace.Got1xxResponse = func(status int, _ textproto.MIMEHeader) error {
+	trace.Got1xxResponse = func(status int, header textproto.MIMEHeader) error {
 		if received++; received > maxInterim {
 			return &LimitError{LimitInterim, maxInterim}
 		}
-		return checkStatus(status)
+		return Check(&http.Response{StatusCode: status, Header: http.Header(header)})
 	}
 }
 
