--- a/internal/httphead/valid.go
+++ b/internal/httphead/valid.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"strconv"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -18,6 +19,8 @@
 	ReasonSyntax Reason = "syntax"
 	// ReasonStatus means that the status is none that an answer can have.
 	ReasonStatus Reason = "status"
+	// ReasonFraming means that the head does not say clearly where the answer ends.
+	ReasonFraming Reason = "framing"
 	// ReasonFieldName means that the name of a header or trailer field is none.
 	ReasonFieldName Reason = "field_name"
 )
@@ -41,12 +44,23 @@
 // Check returns an InvalidError for a head that net/http has read although it is none of an answer. It must be called for each
 // answer before anything of it is used.
 func Check(answer *http.Response) error {
+	if answer.ProtoMajor != supportedMajor {
+		return invalid(ReasonSyntax, "version "+strconv.Quote(answer.Proto))
+	}
+	// The reason phrase has the characters of a field's value (RFC 9112, section 4).
+	if !httpguts.ValidHeaderFieldValue(answer.Status) {
+		return invalid(ReasonSyntax, "status line with control bytes")
+	}
 	if err := checkStatus(answer.StatusCode); err != nil {
 		return err
 	}
 	return checkFieldNames(answer.Header)
 }
 
+// supportedMajor is the major version of HTTP that all clients speak. A later minor version is read as HTTP/1.1 (RFC 9110,
+// section 2.5).
+const supportedMajor = 1
+
 // CheckTrailer returns an InvalidError for trailers that net/http has read although they are none. It must be called at the end of
 // the answer's body.
 func CheckTrailer(answer *http.Response) error { return checkFieldNames(answer.Trailer) }
@@ -87,7 +101,10 @@
 		if received++; received > maxInterim {
 			return &LimitError{LimitInterim, maxInterim}
 		}
-		return Check(&http.Response{StatusCode: status, Header: http.Header(header)})
+		if err := checkStatus(status); err != nil {
+			return err
+		}
+		return checkFieldNames(http.Header(header))
 	}
 }
 
--- a/internal/httphead/valid_test.go
+++ b/internal/httphead/valid_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -72,6 +73,8 @@
 		"a blank in an interim answer's name": {"HTTP/1.1 103 Early Hints\r\nLi nk: v\r\n\r\n" + okHead + "Content-Length: 0\r\n\r\n", ReasonFieldName},
 		"a long name":                         {okHead + "X " + strings.Repeat("n", 5000) + ": v\r\nContent-Length: 0\r\n\r\n", ReasonFieldName},
 		"a control byte in a name":            {okHead + "X-\x01: v\r\n\r\n", ReasonSyntax},
+		"another major version":               {"HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", ReasonSyntax},
+		"a control byte in the reason":        {"HTTP/1.1 200 O\x01K\r\nContent-Length: 0\r\n\r\n", ReasonSyntax},
 		"another transfer encoding":           {okHead + "Transfer-Encoding: gzip\r\n\r\nok", ReasonSyntax},
 	}
 	for name, test := range tests {
@@ -94,6 +97,45 @@
 	}
 }
 
+// TestOldFraming checks answers of HTTP/1.0, which has no transfer encodings, as they arrive byte by byte.
+func TestOldFraming(t *testing.T) {
+	const chunks = "\r\n2\r\nok\r\n0\r\n\r\n"
+	tests := map[string]struct {
+		sent string
+		want bool
+	}{
+		"without a length":                    {"HTTP/1.0 200 OK\r\nX-Line: v\r\n\r\nok", true},
+		"with a length":                       {"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok", true},
+		"a body that looks like the field":    {"HTTP/1.0 200 OK\r\n\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		"in chunks":                           {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks, false},
+		"in chunks, in other case":            {"HTTP/1.0 200 OK\r\ntransfer-ENCODING:chunked\r\n" + chunks, false},
+		"in chunks, with a length":            {"HTTP/1.0 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n" + chunks, false},
+		"another encoding":                    {"HTTP/1.0 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nok", false},
+		"in chunks, HTTP/1.1":                 {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks, true},
+		"an interim answer before":            {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + chunks, false},
+		"a head that fits the buffer":         {"HTTP/1.0 200 OK\r\nX-Line: " + strings.Repeat("v", 4000) + "\r\n\r\nok", true},
+		"a head that does not fit the buffer": {"HTTP/1.0 200 OK\r\nX-Line: " + strings.Repeat("v", 5000) + "\r\nTransfer-Encoding: chunked\r\n" + chunks, false},
+		"a large head, HTTP/1.1":              {"HTTP/1.1 200 OK\r\nX-Line: " + strings.Repeat("v", 5000) + "\r\n\r\nok", true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			source := &Source{Reader: iotest.OneByteReader(strings.NewReader(test.sent))}
+			answer, err := ReadAnswer(bufio.NewReaderSize(source, 4096), source, nil)
+			if test.want {
+				c.Assert(err, qt.IsNil)
+				body, err := io.ReadAll(answer.Body)
+				c.Check(err, qt.IsNil)
+				c.Check(strings.Contains(string(body), "ok") || strings.Contains(string(body), "chunked"), qt.IsTrue)
+				return
+			}
+			var got *InvalidError
+			c.Assert(errors.As(err, &got), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(got.Reason, qt.Equals, ReasonFraming)
+		})
+	}
+}
+
 // TestCutHeadIsNotInvalid checks that a head that is cut off is told from one that is none.
 func TestCutHeadIsNotInvalid(t *testing.T) {
 	const whole = okHead + "X-Line: v\r\nContent-Length: 0\r\n\r\n"
