httphead: fuzz tests of what endpoints send; the transport of all clients of net/http in one place

NewTransport makes the transport of the store, the table, oxbowslipd's endpoints and the operators' client; oxbowslip fleet, which read metrics with net/http's default client, has it as well.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,8 @@
 	go test -run none -fuzz '^FuzzEventStream$$' -fuzztime 60s ./internal/daemon/api
 	go test -run none -fuzz '^FuzzArrived$$' -fuzztime 60s ./internal/front
 	go test -run none -fuzz '^FuzzCalls$$' -fuzztime 60s ./internal/front/gossip
+	go test -run none -fuzz '^FuzzReadAnswer$$' -fuzztime 60s ./internal/httphead
+	go test -run none -fuzz '^FuzzAnswer$$' -fuzztime 60s ./internal/front/upstream
 	go test -run none -fuzz '^FuzzClient$$' -fuzztime 60s ./internal/intake
 	go test -run none -fuzz '^FuzzReceived$$' -fuzztime 60s ./internal/front/poison
 	go test -run none -fuzz '^FuzzParseLimit$$' -fuzztime 60s ./internal/front/pushback
--- a/cmd/oxbowslip/fleet.go
+++ b/cmd/oxbowslip/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +16,8 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+
+	"oxbowslip.dev/oxbowslip/internal/httphead"
 )
 
 const (
@@ -151,6 +154,9 @@
 	return samples
 }
 
+// metricsClient reads the metrics of hosts.
+var metricsClient = &http.Client{Transport: httphead.NewTransport(new(net.Dialer))}
+
 // querySample reads the metrics of a host at an address with a path.
 func querySample(ctx context.Context, address string) (sample, error) {
 	ctx, cancel := context.WithTimeout(ctx, fleetQueryTimeout)
@@ -159,7 +165,7 @@
 	if err != nil {
 		return sample{}, merry.Wrap(err)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := metricsClient.Do(request)
 	if err != nil {
 		return sample{}, merry.Wrap(err)
 	}
--- a/internal/daemon/httpclient/httpclient.go
+++ b/internal/daemon/httpclient/httpclient.go
@@ -19,7 +19,6 @@
 
 	"oxbowslip.dev/oxbowslip/internal/httphead"
 	"oxbowslip.dev/oxbowslip/internal/request"
-	"oxbowslip.dev/oxbowslip/internal/tcpend"
 )
 
 // Limits of connections to endpoints.
@@ -65,17 +64,14 @@
 }
 
 func newTransport(disableKeepAlives bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		DialContext:            tcpend.DialContext(dialer),
-		DisableKeepAlives:      disableKeepAlives,
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: httphead.MaxBytes,
-		WriteBufferSize:        writeBufSize,
-		ReadBufferSize:         readBufSize,
-	}
+	t := httphead.NewTransport(&net.Dialer{Timeout: dialTimeout}).Transport
+	t.DisableKeepAlives = disableKeepAlives
+	t.DisableCompression = true
+	t.MaxIdleConnsPerHost = maxIdlePerEndpoint
+	t.IdleConnTimeout = idleTimeout
+	t.WriteBufferSize = writeBufSize
+	t.ReadBufferSize = readBufSize
+	return t
 }
 
 // Close closes idle connections.
--- a/internal/daemon/tableclient/tableclient.go
+++ b/internal/daemon/tableclient/tableclient.go
@@ -19,7 +19,6 @@
 	"github.com/go-json-experiment/json/jsontext"
 
 	"oxbowslip.dev/oxbowslip/internal/httphead"
-	"oxbowslip.dev/oxbowslip/internal/tcpend"
 )
 
 // Errors of calls, for errors.Is.
@@ -123,8 +122,9 @@
 // New returns a client. onUnavailable, unless nil, is called for each call without a response or
 // with a status that reports the platform as unavailable (5xx or 429).
 func New(address string, timeout time.Duration, onUnavailable func()) *Client {
-	transport := &http.Transport{DialContext: tcpend.DialContext(new(net.Dialer)), MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: httphead.MaxBytes}
-	return &Client{baseURL: "http://" + address, http: &http.Client{Timeout: timeout, Transport: httphead.Transport{Transport: transport}}, onUnavailable: onUnavailable}
+	transport := httphead.NewTransport(new(net.Dialer))
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdleConns, idleTimeout
+	return &Client{baseURL: "http://" + address, http: &http.Client{Timeout: timeout, Transport: transport}, onUnavailable: onUnavailable}
 }
 
 // Close closes idle connections.
--- a/internal/httphead/valid.go
+++ b/internal/httphead/valid.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"strconv"
 
 	"golang.org/x/net/http/httpguts"
+
+	"oxbowslip.dev/oxbowslip/internal/tcpend"
 )
 
 // Reason is the reason why what a server has sent is no answer by RFC 9110 and RFC 9112.
@@ -133,9 +136,15 @@
 	}
 }
 
-// Transport is an http.RoundTripper whose answers are valid.
+// Transport is an http.RoundTripper whose answers are valid, and whole if they are read to io.EOF, but for answers that end with
+// their connection before the call was sent.
 type Transport struct{ *http.Transport }
 
+// NewTransport returns a Transport that connects with a dialer.
+func NewTransport(dialer *net.Dialer) Transport {
+	return Transport{&http.Transport{DialContext: tcpend.DialContext(dialer), MaxResponseHeaderBytes: MaxBytes}}
+}
+
 // RoundTrip makes a call. An answer that is none counts as a broken one.
 func (t Transport) RoundTrip(call *http.Request) (*http.Response, error) {
 	trace := new(httptrace.ClientTrace)
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -18,7 +18,6 @@
 	"oxbowslip.dev/oxbowslip/internal/record"
 	"oxbowslip.dev/oxbowslip/internal/settings"
 	"oxbowslip.dev/oxbowslip/internal/strictjson"
-	"oxbowslip.dev/oxbowslip/internal/tcpend"
 )
 
 // clientTimeout is longer than the time in which a host determines the result of a change after a lost response
@@ -34,8 +33,7 @@
 
 // NewClient returns a client that authenticates with an operator's key.
 func NewClient(address, key string) *Client {
-	transport := &http.Transport{DialContext: tcpend.DialContext(new(net.Dialer)), MaxResponseHeaderBytes: httphead.MaxBytes}
-	return &Client{base: "http://" + address, key: key, http: &http.Client{Timeout: clientTimeout, Transport: httphead.Transport{Transport: transport}}}
+	return &Client{base: "http://" + address, key: key, http: &http.Client{Timeout: clientTimeout, Transport: httphead.NewTransport(new(net.Dialer))}}
 }
 
 // Status returns the state of the host.
