--- a/internal/httphead/fuzz_test.go
+++ b/internal/httphead/fuzz_test.go
@@ -31,6 +31,32 @@
 	}
 }
 
+// fuzzBufBytes is the size of the buffer through which answers are read.
+const fuzzBufBytes = 4 << 10
+
+// reading is the result of reading an answer to its end. Its status is 0 if the head is none of an answer.
+type reading struct {
+	status int
+	body   []byte
+	err    error
+	// behindHead is the number of buffered bytes when the head had been read.
+	behindHead int
+}
+
+func readAll(from io.Reader) reading {
+	source := &Source{Reader: from}
+	reader := bufio.NewReaderSize(source, fuzzBufBytes)
+	answer, err := ReadAnswer(reader, source, nil)
+	if err != nil {
+		return reading{err: err}
+	}
+	r := reading{status: answer.StatusCode, behindHead: reader.Buffered()}
+	if r.body, r.err = io.ReadAll(answer.Body); r.err == nil {
+		r.err = CheckTrailer(answer)
+	}
+	return r
+}
+
 // FuzzReadAnswer reads what a server may send, whole and byte by byte. It checks each line of the heads that are accepted by the
 // grammar, and that the bytes of the final head are consumed, and no others.
 func FuzzReadAnswer(f *testing.F) {
@@ -42,26 +68,11 @@
 	f.Add([]byte("HTTP/1.1 000 \x00\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 +99 \r\n\r\n"))
 	f.Fuzz(func(t *testing.T, sent []byte) {
-		read := func(from io.Reader) (status int, body []byte, headErr, bodyErr error, behindHead int) {
-			source := &Source{Reader: from}
-			reader := bufio.NewReaderSize(source, 4<<10)
-			answer, err := ReadAnswer(reader, source, nil)
-			if err != nil {
-				return 0, nil, err, nil, 0
-			}
-			unread := reader.Buffered()
-			body, err = io.ReadAll(answer.Body)
-			if err == nil {
-				err = CheckTrailer(answer)
-			}
-			return answer.StatusCode, body, nil, err, unread
-		}
-		status, body, headErr, bodyErr, unread := read(bytes.NewReader(sent))
-		slowStatus, slowBody, slowErr, slowBodyErr, _ := read(iotest.OneByteReader(bytes.NewReader(sent)))
-		if status != slowStatus || !bytes.Equal(body, slowBody) || (headErr == nil) != (slowErr == nil) || (bodyErr == nil) != (slowBodyErr == nil) {
-			t.Fatalf("whole: %d %q %v %v, byte by byte: %d %q %v %v", status, body, headErr, bodyErr, slowStatus, slowBody, slowErr, slowBodyErr)
+		whole, slow := readAll(bytes.NewReader(sent)), readAll(iotest.OneByteReader(bytes.NewReader(sent)))
+		if whole.status != slow.status || !bytes.Equal(whole.body, slow.body) || (whole.err == nil) != (slow.err == nil) {
+			t.Fatalf("whole: %+v, byte by byte: %+v", whole, slow)
 		}
-		if headErr != nil {
+		if whole.status == 0 {
 			return
 		}
 		rest := sent
@@ -80,8 +91,8 @@
 				}
 			}
 		}
-		if len(sent) < 4<<10 && unread != len(rest) {
-			t.Fatalf("%d bytes behind the head, %d are left", len(rest), unread)
+		if len(sent) < fuzzBufBytes && whole.behindHead != len(rest) {
+			t.Fatalf("%d bytes behind the head, %d are left", len(rest), whole.behindHead)
 		}
 	})
 }
