--- a/internal/front/upstream/upstream_test.go
+++ b/internal/front/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -264,6 +265,51 @@
 	c.Check(err, qt.IsNotNil)
 }
 
+// pausingDialer is a Dialer of connections that write the beginning of a call, and the rest only when they are closed.
+type pausingDialer struct{ DirectDialer }
+
+// Dial opens a connection.
+func (d pausingDialer) Dial(ctx context.Context, target Target) (io.ReadWriteCloser, error) {
+	conn, err := d.DirectDialer.Dial(ctx, target)
+	return &pausingConn{ReadWriteCloser: conn, closed: make(chan struct{})}, err
+}
+
+type pausingConn struct {
+	io.ReadWriteCloser
+	hasWritten atomic.Bool
+	closeOnce  sync.Once
+	closed     chan struct{}
+}
+
+// Write blocks after the first call until the connection is closed.
+func (p *pausingConn) Write(data []byte) (int, error) {
+	if p.hasWritten.Swap(true) {
+		<-p.closed
+	}
+	return p.ReadWriteCloser.Write(data)
+}
+
+// Close closes the connection.
+func (p *pausingConn) Close() error {
+	p.closeOnce.Do(func() { close(p.closed) })
+	return p.ReadWriteCloser.Close()
+}
+
+// TestAnswerWithoutLengthEndsWhileCallIsWritten guards against the same where the endpoint has received what was written so far.
+func TestAnswerWithoutLengthEndsWhileCallIsWritten(t *testing.T) {
+	c := qt.New(t)
+	client := newClient(time.Now)
+	client.config.Dialer = pausingDialer{}
+	p := startTestServer(c, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Call: 1\r\n\r\npart")
+		}
+	})
+	body, err := p.do(client, p.call("1", strings.Repeat("x", 1<<20)))
+	c.Check(body, qt.Equals, "part")
+	c.Check(errors.Is(err, errEndedEarly), qt.IsTrue, qt.Commentf("%v", err))
+}
+
 func TestCancelledCallClosesConnection(t *testing.T) {
 	c := qt.New(t)
 	client := newClient(time.Now)
