--- a/internal/front/upstream/bench_test.go
+++ b/internal/front/upstream/bench_test.go
@@ -36,7 +36,7 @@
 
 // BenchmarkCall measures what the client itself takes for a call and its answer.
 func BenchmarkCall(b *testing.B) {
-	const head = "HTTP/1.1 200 OK\r\nX-Call: 1\r\nContent-Type: text/plain\r\nDate: Mon, 07 Dec 2026 19:00:00 GMT\r\nX-Response-Stamp: 3e1b.07.5a2\r\nKeep-Alive: timeout=15\r\n"
+	const head = "HTTP/1.1 200 OK\r\nX-Call: 1\r\nContent-Type: text/plain\r\nDate: Mon, 07 Dec 2026 19:00:00 GMT\r\nX-Served-By: engine-7, zone-a\r\nKeep-Alive: timeout=15\r\n"
 	answers := map[string]string{
 		"with a length": head + "Content-Length: 800\r\n\r\n" + strings.Repeat("b", 800),
 		"in chunks":     head + "Transfer-Encoding: chunked\r\n\r\n320\r\n" + strings.Repeat("b", 800) + "\r\n0\r\n\r\n",
