--- a/internal/daemon/httpclient/httpclient.go
+++ b/internal/daemon/httpclient/httpclient.go
@@ -108,6 +108,8 @@
 			return response, nil
 		}
 		response.Body.Close()
+		// net/http may keep the connection, whatever follows on it.
+		transport.CloseIdleConnections()
 	}
 	if sent {
 		return nil, merry.Wrap(request.ErrBroken, merry.WithCause(err))
--- a/internal/daemon/httpclient/upload.go
+++ b/internal/daemon/httpclient/upload.go
@@ -42,7 +42,7 @@
 // Close does nothing: the body belongs to the caller.
 func (u *upload) Close() error { return nil }
 
-// guard has the body of an answer without a length end with an error unless the answer is whole at its end.
+// guard has the body of an answer to the call end with io.EOF only if the answer is whole.
 func (u *upload) guard(answer *http.Response) {
 	answer.Body = &guardedBody{ReadCloser: answer.Body, answer: answer, upload: u}
 }
--- a/internal/httphead/valid.go
+++ b/internal/httphead/valid.go
@@ -155,6 +155,8 @@
 	}
 	if err := Check(answer); err != nil {
 		answer.Body.Close()
+		// net/http may keep the connection, whatever follows on it.
+		t.CloseIdleConnections()
 		return nil, err
 	}
 	return answer, nil
--- a/internal/httphead/valid_test.go
+++ b/internal/httphead/valid_test.go
@@ -163,3 +163,30 @@
 		})
 	}
 }
+
+// TestConnectionOfInvalidAnswerIsNotReused guards against what follows an invalid answer without a body, which net/http may take
+// for the answer to the next call.
+func TestConnectionOfInvalidAnswerIsNotReused(t *testing.T) {
+	c := qt.New(t)
+	dials := 0
+	transport := Transport{&http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) {
+		dials++
+		ours, theirs := net.Pipe()
+		go func() {
+			defer theirs.Close()
+			reader := bufio.NewReader(theirs)
+			for _, err := http.ReadRequest(reader); err == nil; _, err = http.ReadRequest(reader) {
+				_, _ = io.WriteString(theirs, "HTTP/1.1 000 Broken\r\nContent-Length: 0\r\n\r\n")
+			}
+		}()
+		return ours, nil
+	}}}
+	defer transport.CloseIdleConnections()
+	for n := range 3 {
+		call, err := http.NewRequest(http.MethodPost, "http://server/", nil)
+		c.Assert(err, qt.IsNil)
+		_, err = transport.RoundTrip(call)
+		c.Check(err, qt.IsNotNil)
+		c.Check(dials, qt.Equals, n+1)
+	}
+}
--- a/internal/owner/run.go
+++ b/internal/owner/run.go
@@ -264,6 +264,7 @@
 	reason := ""
 	if result.Err != nil {
 		reason = result.Err.Error()
+		reason = reason[:min(len(reason), maxStepReasonBytes)]
 		r.reportInvalidAnswer(result.Err)
 	}
 	r.recordStep(eventNames[event], reason, nil)
@@ -279,8 +280,12 @@
 	return action
 }
 
-// maxLoggedIDBytes bounds the IDs in lines about invalid answers, which callers choose.
-const maxLoggedIDBytes = 256
+const (
+	// maxStepReasonBytes bounds the reasons of steps: errors of net/http quote what an endpoint has sent.
+	maxStepReasonBytes = 512
+	// maxLoggedIDBytes bounds the IDs in lines about invalid answers, which callers choose.
+	maxLoggedIDBytes = 256
+)
 
 // reportInvalidAnswer logs and counts an attempt whose endpoint has sent what is no answer, or no whole one.
 func (r *run) reportInvalidAnswer(err error) {
