--- a/internal/httphead/valid_test.go
+++ b/internal/httphead/valid_test.go
@@ -176,7 +176,7 @@
 			defer theirs.Close()
 			reader := bufio.NewReader(theirs)
 			for _, err := http.ReadRequest(reader); err == nil; _, err = http.ReadRequest(reader) {
-				_, _ = io.WriteString(theirs, "HTTP/1.1 000 Broken\r\nContent-Length: 0\r\n\r\n")
+				_, _ = io.WriteString(theirs, okHead+"X Line: v\r\nContent-Length: 0\r\n\r\n")
 			}
 		}()
 		return ours, nil
