--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -13,6 +13,7 @@
 
 // cases holds the function of each case. It returns whether the rule was broken, or an error if the case could not run.
 var cases = map[string]func(r *rig) (bool, error){
+	"bodies":   runBodies,
 	"versions": runVersions,
 }
 
